--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/TicketKey.java
@@ -0,0 +1,96 @@
+package org.masticwick.core.request;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.Arrays;
+import java.util.Base64;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Makes and verifies the integrity check of tickets. Each incarnation has a key of its
+ * own, which leaves the process only when an heir takes over its tickets.
+ */
+public final class TicketKey {
+
+	/** The length of a key, in bytes. */
+	public static final int KEY_BYTES = 32;
+
+	private static final String ALGORITHM = "HmacSHA256";
+
+	private static final int MAC_BYTES = 12;
+
+	private final byte[] key;
+
+	private final ThreadLocal<Mac> macs;
+
+	/**
+	 * Creates a key from its bytes.
+	 * @param key the bytes, {@value #KEY_BYTES} of them
+	 * @throws IllegalArgumentException if the length is wrong
+	 */
+	public TicketKey(byte[] key) {
+		if (key.length != KEY_BYTES) {
+			throw new IllegalArgumentException("A ticket key has " + KEY_BYTES + " bytes");
+		}
+		this.key = key.clone();
+		this.macs = ThreadLocal.withInitial(this::createMac);
+	}
+
+	/**
+	 * Creates a key that nobody else has.
+	 * @return the key
+	 */
+	public static TicketKey random() {
+		byte[] key = new byte[KEY_BYTES];
+		new SecureRandom().nextBytes(key);
+		return new TicketKey(key);
+	}
+
+	/**
+	 * Returns the bytes of the key, for an heir.
+	 * @return a copy of the bytes
+	 */
+	public byte[] toBytes() {
+		return this.key.clone();
+	}
+
+	/**
+	 * Returns the ticket with its integrity check.
+	 * @param ticket the ticket, whose check is ignored
+	 * @return the ticket with the check
+	 */
+	public Ticket sign(Ticket ticket) {
+		return new Ticket(ticket.domain(), ticket.homeAddress(), ticket.incarnation(), ticket.sequence(),
+				ticket.expiryEpochMillis(), Base64.getUrlEncoder().withoutPadding().encodeToString(mac(ticket)));
+	}
+
+	/**
+	 * Returns whether the integrity check of the ticket was made with this key.
+	 * @param ticket the ticket
+	 * @return {@code true} if it was
+	 */
+	public boolean verifies(Ticket ticket) {
+		return MessageDigest.isEqual(mac(ticket), Base64.getUrlDecoder().decode(ticket.mac()));
+	}
+
+	private byte[] mac(Ticket ticket) {
+		byte[] full = this.macs.get().doFinal(ticket.signedText().getBytes(StandardCharsets.US_ASCII));
+		return Arrays.copyOf(full, MAC_BYTES);
+	}
+
+	private Mac createMac() {
+		try {
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(new SecretKeySpec(this.key, ALGORITHM));
+			return mac;
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException("The platform lacks " + ALGORITHM, ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -0,0 +1,94 @@
+package org.masticwick.daemon.request;
+
+import java.security.MessageDigest;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Remembers one submitted ticket until it expires: the digest of its body and its one
+ * answer. What the job itself holds is let go when it has ended.
+ */
+public final class JobEntry {
+
+	private final byte[] digest;
+
+	private final long expiryEpochMillis;
+
+	private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+
+	private final AtomicReference<Job> job = new AtomicReference<>();
+
+	/**
+	 * Creates the entry of a ticket whose job has no answer yet.
+	 * @param digest the digest of the submitted body
+	 * @param expiryEpochMillis when the ticket expires, in milliseconds since the epoch
+	 */
+	public JobEntry(byte[] digest, long expiryEpochMillis) {
+		this.digest = digest.clone();
+		this.expiryEpochMillis = expiryEpochMillis;
+	}
+
+	/**
+	 * Ties the entry to the job that runs here.
+	 * @param running the job
+	 */
+	void run(Job running) {
+		this.job.set(running);
+		running.answer().whenComplete((given, ex) -> {
+			this.job.set(null);
+			this.answer.complete(given);
+		});
+	}
+
+	/**
+	 * Gives the answer without a job: a refusal, or an answer that another host told.
+	 * @param given the answer
+	 * @return {@code true} if there was none yet
+	 */
+	public boolean complete(HttpAnswer given) {
+		Job running = this.job.get();
+		return (running != null) ? running.adopt(given) : this.answer.complete(given);
+	}
+
+	/**
+	 * Returns the job while it runs on this host.
+	 * @return the job, or {@code null}
+	 */
+	Job job() {
+		return this.job.get();
+	}
+
+	/**
+	 * Returns whether a body is the one that was submitted.
+	 * @param other the digest of the body
+	 * @return {@code true} if it is
+	 */
+	public boolean sameBody(byte[] other) {
+		return MessageDigest.isEqual(this.digest, other);
+	}
+
+	/**
+	 * Returns the digest of the submitted body.
+	 * @return a copy of the digest
+	 */
+	public byte[] digest() {
+		return this.digest.clone();
+	}
+
+	/**
+	 * Returns the answer, which is given exactly once.
+	 * @return the answer to come
+	 */
+	public CompletableFuture<HttpAnswer> answer() {
+		return this.answer;
+	}
+
+	/**
+	 * Returns when the ticket expires.
+	 * @return milliseconds since the epoch by the clock of the ticket's home
+	 */
+	public long expiryEpochMillis() {
+		return this.expiryEpochMillis;
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
@@ -0,0 +1,182 @@
+package org.masticwick.daemon.request;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.core.request.TicketMint;
+
+/**
+ * Holds the right to start jobs under the tickets of one incarnation, and remembers what
+ * became of each until it expires. The right leaves the process at most once, when an heir
+ * takes the book over.
+ */
+public final class TicketBook {
+
+	private final TicketMint mint;
+
+	private final TimeSource time;
+
+	private final long homeClockAheadMillis;
+
+	private final Map<Long, JobEntry> entries = new ConcurrentHashMap<>();
+
+	private final AtomicBoolean handedOver = new AtomicBoolean();
+
+	private final AtomicLong lastExpiryEpochMillis = new AtomicLong();
+
+	/**
+	 * Creates the book of an incarnation.
+	 * @param mint the mint of the incarnation
+	 * @param time the clock of this process
+	 * @param homeClockAheadMillis how far the clock of the issuing process is ahead of
+	 * this one, in milliseconds
+	 */
+	public TicketBook(TicketMint mint, TimeSource time, long homeClockAheadMillis) {
+		this.mint = mint;
+		this.time = time;
+		this.homeClockAheadMillis = homeClockAheadMillis;
+	}
+
+	/**
+	 * Returns the entry of a ticket, and creates it if the ticket was not submitted yet.
+	 * @param ticket a verified ticket
+	 * @param digest the digest of the submitted body
+	 * @return the entry, and whether the caller of this method is the one that created it
+	 * @throws RequestException if the ticket has expired
+	 */
+	Claim claim(Ticket ticket, byte[] digest) {
+		requireUnexpired(ticket);
+		JobEntry fresh = new JobEntry(digest, ticket.expiryEpochMillis());
+		JobEntry present = this.entries.putIfAbsent(ticket.sequence(), fresh);
+		return (present != null) ? new Claim(present, false) : new Claim(fresh, true);
+	}
+
+	/**
+	 * Returns the entry of a submitted ticket.
+	 * @param ticket a verified ticket
+	 * @return the entry
+	 * @throws RequestException if the ticket has expired or was not submitted
+	 */
+	JobEntry find(Ticket ticket) {
+		requireUnexpired(ticket);
+		JobEntry entry = this.entries.get(ticket.sequence());
+		if (entry == null) {
+			throw new RequestException(ErrorCode.TICKET_UNUSED, "No job was submitted under the ticket");
+		}
+		return entry;
+	}
+
+	private void requireUnexpired(Ticket ticket) {
+		if (ticket.expiryEpochMillis() <= homeEpochMillis()) {
+			throw new RequestException(ErrorCode.OUTCOME_FORGOTTEN, "The ticket has expired");
+		}
+	}
+
+	/**
+	 * Restores an entry that an earlier holder of the book had.
+	 * @param sequence the number of the ticket
+	 * @param entry the entry
+	 */
+	void restore(long sequence, JobEntry entry) {
+		this.entries.put(sequence, entry);
+		noteExpiry(entry.expiryEpochMillis());
+	}
+
+	/**
+	 * Notes how long the book is needed at least.
+	 * @param expiryEpochMillis the expiry of an issued ticket, in milliseconds since the
+	 * epoch
+	 */
+	void noteExpiry(long expiryEpochMillis) {
+		this.lastExpiryEpochMillis.accumulateAndGet(expiryEpochMillis, Math::max);
+	}
+
+	/**
+	 * Forgets the entries of expired tickets.
+	 */
+	void sweep() {
+		long now = homeEpochMillis();
+		this.entries.values().removeIf((entry) -> entry.expiryEpochMillis() <= now && entry.answer().isDone());
+	}
+
+	/**
+	 * Gives up the right to start jobs under the tickets of this book.
+	 * @return {@code true} if this call gave it up
+	 */
+	boolean handOver() {
+		return this.handedOver.compareAndSet(false, true);
+	}
+
+	/**
+	 * Returns whether this process may still start jobs under the tickets of this book.
+	 * @return {@code true} if it may
+	 */
+	boolean held() {
+		return !this.handedOver.get();
+	}
+
+	/**
+	 * Returns whether every ticket of the book has expired.
+	 * @return {@code true} if the book is of no more use
+	 */
+	boolean expired() {
+		return this.lastExpiryEpochMillis.get() <= homeEpochMillis();
+	}
+
+	/**
+	 * Passes each entry with its sequence number to a consumer.
+	 * @param consumer the consumer
+	 */
+	void forEach(BiConsumer<Long, JobEntry> consumer) {
+		this.entries.forEach(consumer);
+	}
+
+	/**
+	 * Returns how many tickets are remembered.
+	 * @return the count
+	 */
+	int size() {
+		return this.entries.size();
+	}
+
+	/**
+	 * Returns the time by the clock of the process that issued the tickets.
+	 * @return milliseconds since the epoch
+	 */
+	long homeEpochMillis() {
+		return this.time.epochMillis() + this.homeClockAheadMillis;
+	}
+
+	/**
+	 * Returns the last expiry of a ticket of this book.
+	 * @return milliseconds since the epoch by the clock of the home
+	 */
+	long lastExpiryEpochMillis() {
+		return this.lastExpiryEpochMillis.get();
+	}
+
+	/**
+	 * Returns the mint of the incarnation.
+	 * @return the mint
+	 */
+	TicketMint mint() {
+		return this.mint;
+	}
+
+	/**
+	 * Tells who created an entry.
+	 *
+	 * @param entry the entry
+	 * @param created whether the claim created it
+	 */
+	record Claim(JobEntry entry, boolean created) {
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -0,0 +1,113 @@
+package org.masticwick.daemon.request;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.core.request.TicketMint;
+
+/**
+ * Holds the ticket books of a process: its own and those it took over.
+ */
+public final class TicketBooks {
+
+	private final TicketBook own;
+
+	private final Map<Incarnation, TicketBook> books = new ConcurrentHashMap<>();
+
+	private final TimeSource time;
+
+	private final long lifetimeMillis;
+
+	/**
+	 * Creates the books of a process that took none over.
+	 * @param mint the mint of the process
+	 * @param time the clock
+	 * @param lifetimeMillis how long tickets live, in milliseconds
+	 */
+	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis) {
+		this.own = new TicketBook(mint, time, 0);
+		this.time = time;
+		this.lifetimeMillis = lifetimeMillis;
+		this.books.put(mint.home().incarnation(), this.own);
+	}
+
+	/**
+	 * Issues tickets of this process.
+	 * @param count how many
+	 * @return the tickets
+	 */
+	public List<Ticket> issue(int count) {
+		long expiryEpochMillis = this.time.epochMillis() + this.lifetimeMillis;
+		this.own.noteExpiry(expiryEpochMillis);
+		return this.own.mint().issue(count, expiryEpochMillis);
+	}
+
+	/**
+	 * Returns the book of an incarnation if this process has it.
+	 * @param incarnation the incarnation
+	 * @return the book
+	 */
+	Optional<TicketBook> find(Incarnation incarnation) {
+		return Optional.ofNullable(this.books.get(incarnation));
+	}
+
+	/**
+	 * Takes over a book.
+	 * @param book the book
+	 * @return {@code false} if this process had it already
+	 */
+	boolean inherit(TicketBook book) {
+		return this.books.putIfAbsent(book.mint().home().incarnation(), book) == null;
+	}
+
+	/**
+	 * Returns the book of this process's own tickets.
+	 * @return the book
+	 */
+	TicketBook own() {
+		return this.own;
+	}
+
+	/**
+	 * Returns all books.
+	 * @return the books
+	 */
+	List<TicketBook> all() {
+		return List.copyOf(this.books.values());
+	}
+
+	/**
+	 * Returns the incarnations under whose tickets this process may start jobs.
+	 * @return the incarnations
+	 */
+	public List<Incarnation> heldIncarnations() {
+		return this.books.values()
+			.stream()
+			.filter(TicketBook::held)
+			.map((book) -> book.mint().home().incarnation())
+			.sorted()
+			.toList();
+	}
+
+	/**
+	 * Forgets what has expired.
+	 */
+	public void sweep() {
+		this.books.values().forEach(TicketBook::sweep);
+		this.books.values().removeIf((book) -> book != this.own && book.expired());
+	}
+
+	/**
+	 * Returns how many tickets are remembered in all books.
+	 * @return the count
+	 */
+	public int rememberedCount() {
+		return this.books.values().stream().mapToInt(TicketBook::size).sum();
+	}
+
+}
