--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/Turn.java
@@ -0,0 +1,27 @@
+package org.masticwick.core.request;
+
+import java.util.List;
+
+/**
+ * Is what the scheduler decided at one time.
+ *
+ * @param starts what to start
+ * @param dropped the tasks that are never started; all queued tasks of their jobs are
+ * among them
+ * @param nextWakeNanos when to ask again if nothing happens before, in nanoseconds of the
+ * monotonic clock; {@link #NEVER} if only an event can change the decision
+ */
+public record Turn(List<Start> starts, List<Dropped> dropped, long nextWakeNanos) {
+
+	/** Stands for no time at all. */
+	public static final long NEVER = Long.MAX_VALUE;
+
+	/**
+	 * Copies the lists.
+	 */
+	public Turn {
+		starts = List.copyOf(starts);
+		dropped = List.copyOf(dropped);
+	}
+
+}
