--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -0,0 +1,194 @@
+package org.masticwick.daemon.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.MasticwickException;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.daemon.connection.NamedThreads;
+import org.masticwick.daemon.process.metrics.Metrics;
+import org.masticwick.daemon.request.Answers;
+import org.masticwick.daemon.request.HttpAnswer;
+import org.masticwick.daemon.request.RequestException;
+import org.masticwick.daemon.request.RoutedRequest;
+import org.masticwick.wire.PeerMessage.ForwardOperation;
+
+/**
+ * Serves callers and operators over HTTP.
+ */
+final class ApiServer implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(ApiServer.class);
+
+	private static final int WORKER_COUNT = 4;
+
+	private static final int IO_THREAD_COUNT = 2;
+
+	private static final long MILLIS_PER_SECOND = 1000;
+
+	private static final byte[] NO_BODY = {};
+
+	private final ApiBackend backend;
+
+	private final ApiLimits limits;
+
+	private final ExecutorService workers = Executors.newFixedThreadPool(WORKER_COUNT, new NamedThreads("api"));
+
+	private final Jooby app = new Jooby();
+
+	private final Server server;
+
+	ApiServer(ApiBackend backend, ApiLimits limits, String ip, int port) {
+		this.backend = backend;
+		this.limits = limits;
+		this.app.setServerOptions(options(limits, ip, port));
+		this.app.setExecutionMode(ExecutionMode.WORKER);
+		this.app.setWorker(this.workers);
+		routes();
+		this.server = this.app.start();
+	}
+
+	private static ServerOptions options(ApiLimits limits, String ip, int port) {
+		ServerOptions options = new ServerOptions();
+		options.setHost(ip);
+		options.setPort(port);
+		options.setIoThreads(IO_THREAD_COUNT);
+		options.setWorkerThreads(WORKER_COUNT);
+		options.setMaxRequestSize(limits.bodyBytes());
+		options.setBufferSize(limits.bodyBytes());
+		options.setDefaultHeaders(false);
+		return options;
+	}
+
+	HostAddress address() {
+		ServerOptions options = this.server.getOptions();
+		return new HostAddress(options.getHost(), options.getPort());
+	}
+
+	private void routes() {
+		this.app.post("/v1/tickets", (ctx) -> answer(ctx, () -> this.backend.issueTickets(ctx.body().bytes())));
+		this.app.put("/v1/jobs/{ticket}", (ctx) -> job(ctx, ForwardOperation.SUBMIT, ctx.body().bytes()));
+		this.app.get("/v1/jobs/{ticket}", (ctx) -> job(ctx, ForwardOperation.STATE, NO_BODY));
+		this.app.delete("/v1/jobs/{ticket}", (ctx) -> job(ctx, ForwardOperation.CANCEL, NO_BODY));
+		this.app.get("/v1/version", (ctx) -> answer(ctx, () -> done(this.backend.versions())));
+		this.app.get("/v1/notes/{note}", (ctx) -> {
+			String note = ctx.path("note").value();
+			return answer(ctx, () -> done(this.backend.note(note)));
+		});
+		this.app.get("/health", (ctx) -> answer(ctx, () -> done(text(StatusCode.OK_CODE, "alive"))));
+		this.app.get("/ready", (ctx) -> answer(ctx, () -> done(ready())));
+		this.app.get("/metrics", (ctx) -> answer(ctx, () -> done(metrics())));
+		this.app.get("/dump", (ctx) -> answer(ctx, () -> done(this.backend.dump())));
+		this.app.error(this::onError);
+	}
+
+	private Context job(Context ctx, ForwardOperation operation, byte[] body) {
+		String ticket = ctx.path("ticket").value();
+		return answer(ctx, () -> this.backend
+			.serve(new RoutedRequest(operation, Ticket.parse(ticket), body, waitMillis(ctx, operation))));
+	}
+
+	private long waitMillis(Context ctx, ForwardOperation operation) {
+		long defaultMillis = (operation == ForwardOperation.STATE) ? 0 : this.limits.maxWaitMillis();
+		String text = ctx.query("wait_ms").valueOrNull();
+		if (text == null) {
+			return defaultMillis;
+		}
+		try {
+			return Math.max(0, Math.min(Long.parseLong(text), this.limits.maxWaitMillis()));
+		}
+		catch (NumberFormatException ex) {
+			throw new RequestException(ErrorCode.INVALID_REQUEST, "wait_ms: a whole number is required", ex);
+		}
+	}
+
+	private HttpAnswer ready() {
+		return this.backend.ready() ? text(StatusCode.OK_CODE, "ready")
+				: text(StatusCode.SERVICE_UNAVAILABLE_CODE, "not ready");
+	}
+
+	private HttpAnswer metrics() {
+		return new HttpAnswer(StatusCode.OK_CODE, Metrics.CONTENT_TYPE, this.backend.metrics(), HttpAnswer.NO_RETRY);
+	}
+
+	private static HttpAnswer text(int status, String text) {
+		return new HttpAnswer(status, "text/plain", text.getBytes(StandardCharsets.UTF_8), HttpAnswer.NO_RETRY);
+	}
+
+	private static CompletableFuture<HttpAnswer> done(HttpAnswer answer) {
+		return CompletableFuture.completedFuture(answer);
+	}
+
+	private Context answer(Context ctx, Supplier<CompletableFuture<HttpAnswer>> source) {
+		CompletableFuture<HttpAnswer> answer;
+		try {
+			answer = source.get();
+		}
+		catch (MasticwickException ex) {
+			answer = done(Answers.problem(ex));
+		}
+		if (answer.isDone()) {
+			return send(ctx, answer);
+		}
+		CompletableFuture<HttpAnswer> later = answer;
+		later.whenComplete((given, ex) -> send(ctx, later));
+		return ctx;
+	}
+
+	private Context send(Context ctx, CompletableFuture<HttpAnswer> done) {
+		HttpAnswer answer = done.exceptionally(ApiServer::internal).join();
+		ctx.setResponseCode(answer.status());
+		ctx.setResponseHeader("Content-Type", answer.contentType());
+		if (answer.retryAfterMillis() >= 0) {
+			long seconds = (answer.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+			ctx.setResponseHeader("Retry-After", Long.toString(seconds));
+		}
+		return ctx.send(answer.body());
+	}
+
+	private static HttpAnswer internal(Throwable ex) {
+		logger.error("A request met a fault", ex);
+		return Answers.problem(ex);
+	}
+
+	private void onError(Context ctx, Throwable ex, StatusCode status) {
+		logger.debug("Request refused: path={} status={} reason={}", ctx.getRequestPath(), status.value(),
+				ex.getMessage());
+		send(ctx, done(problem(ex, status)));
+	}
+
+	private static HttpAnswer problem(Throwable ex, StatusCode status) {
+		return switch (status.value()) {
+			case StatusCode.NOT_FOUND_CODE -> Answers.problem(ErrorCode.NOT_FOUND, "There is no such path");
+			case StatusCode.METHOD_NOT_ALLOWED_CODE ->
+				Answers.problem(ErrorCode.METHOD_NOT_ALLOWED, "The path does not take this method");
+			case StatusCode.REQUEST_ENTITY_TOO_LARGE_CODE ->
+				Answers.problem(ErrorCode.REQUEST_TOO_LARGE, "The body is too large");
+			case StatusCode.BAD_REQUEST_CODE -> Answers.problem(ErrorCode.MALFORMED_REQUEST,
+					"The request could not be read: " + ex.getMessage());
+			default -> internal(ex);
+		};
+	}
+
+	@Override
+	public void close() {
+		this.app.stop();
+		this.server.stop();
+		this.workers.shutdown();
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics of an entry host.
+ */
+package org.masticwick.daemon.process.metrics;
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -0,0 +1,325 @@
+package org.masticwick.daemon.request;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.Admission;
+import org.masticwick.core.request.Disposition;
+import org.masticwick.core.request.Dropped;
+import org.masticwick.core.request.JobSubmission;
+import org.masticwick.core.request.Scheduler;
+import org.masticwick.core.request.Start;
+import org.masticwick.core.request.TaskEnd;
+import org.masticwick.core.request.TaskId;
+import org.masticwick.core.request.Turn;
+import org.masticwick.core.version.ServiceSpec;
+import org.masticwick.core.version.SiteVersion;
+import org.masticwick.daemon.connection.EndpointClient;
+import org.masticwick.daemon.connection.EndpointClient.TaskPost;
+import org.masticwick.daemon.connection.NamedThreads;
+import org.masticwick.daemon.process.metrics.MessageKind;
+import org.masticwick.daemon.process.metrics.Metrics;
+import org.masticwick.daemon.process.metrics.WasteKind;
+
+/**
+ * Drives the scheduler: starts what it says, tells it what became of each start, and ends
+ * jobs.
+ */
+public final class Dispatcher implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(Dispatcher.class);
+
+	private static final long POLL_MILLIS = 250;
+
+	private static final int TIMER_THREAD_COUNT = 2;
+
+	private final Scheduler scheduler;
+
+	private final EndpointClient client;
+
+	private final Supplier<SiteVersion> version;
+
+	private final TimeSource time;
+
+	private final Metrics metrics;
+
+	private final RunTimes runTimes;
+
+	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREAD_COUNT,
+			new NamedThreads("dispatch"));
+
+	private final Map<String, ActiveJob> jobs = new ConcurrentHashMap<>();
+
+	private final AtomicLong wakeNanos = new AtomicLong(Turn.NEVER);
+
+	private final AtomicBoolean turnWanted = new AtomicBoolean();
+
+	private final AtomicBoolean turnRunning = new AtomicBoolean();
+
+	/**
+	 * Creates a dispatcher.
+	 * @param scheduler the decisions
+	 * @param client the way to the endpoints
+	 * @param version the version in force, read once per start
+	 * @param time the clock
+	 * @param metrics the metrics
+	 * @param minSilenceMillis how long to wait at least before asking by task id, in
+	 * milliseconds
+	 */
+	public Dispatcher(Scheduler scheduler, EndpointClient client, Supplier<SiteVersion> version, TimeSource time,
+			Metrics metrics, long minSilenceMillis) {
+		this.scheduler = scheduler;
+		this.client = client;
+		this.version = version;
+		this.time = time;
+		this.metrics = metrics;
+		this.runTimes = new RunTimes(minSilenceMillis);
+	}
+
+	/**
+	 * Admits a job as a whole, or ends it as refused.
+	 * @param job the job
+	 */
+	public void submit(Job job) {
+		long now = this.time.nanoTime();
+		ActiveJob active = new ActiveJob(job, now);
+		this.jobs.put(job.ticketText(), active);
+		job.answer().whenComplete((answer, ex) -> ended(active));
+		Admission admission = this.scheduler
+			.admit(new JobSubmission(job.ticketText(), job.request(), job.deadlineNanos()), now);
+		if (admission instanceof Admission.Rejected rejected) {
+			giveUp(job, rejected.code(), rejected.code(), rejected.detail(), rejected.retryAfterMillis());
+			return;
+		}
+		this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now, TimeUnit.NANOSECONDS);
+		drive();
+	}
+
+	private void passDeadline(Job job) {
+		giveUp(job, ErrorCode.DEADLINE_PASSED, ErrorCode.JOB_FAILED, "The deadline passed", 0);
+	}
+
+	/**
+	 * Cancels a job: what is queued never starts, and each endpoint that runs tasks of it
+	 * gets one message.
+	 * @param job the job
+	 */
+	public void cancel(Job job) {
+		giveUp(job, ErrorCode.CANCELLED_NOT_RUN, ErrorCode.CANCELLED, "The caller cancelled the job",
+				HttpAnswer.NO_RETRY);
+	}
+
+	/**
+	 * Ends all jobs that still run, since the process stops.
+	 * @return how many there were
+	 */
+	public int stopAll() {
+		List<Job> left = this.jobs.values().stream().map(ActiveJob::job).filter((job) -> !job.ended()).toList();
+		left.forEach((job) -> giveUp(job, ErrorCode.DRAINING, ErrorCode.STOPPED, "The host stopped", 0));
+		return left.size();
+	}
+
+	private void giveUp(Job job, ErrorCode refusal, ErrorCode failure, String detail, long retryAfterMillis) {
+		if (job.giveUp(refusal, failure, detail, retryAfterMillis)) {
+			this.metrics.problem(job.states().contains(TaskState.STARTED) ? failure : refusal);
+			logger.debug("Job ended without a result: ticket={} code={} detail={}", job.ticketText(), refusal.code(),
+					detail);
+		}
+	}
+
+	private void ended(ActiveJob active) {
+		Job job = active.job();
+		this.scheduler.cancel(job.ticketText(), this.time.nanoTime());
+		Map<HostAddress, List<TaskId>> running = job.running()
+			.stream()
+			.collect(Collectors.groupingBy(Job.RunningTask::endpoint,
+					Collectors.mapping(Job.RunningTask::task, Collectors.toList())));
+		running.forEach((endpoint, tasks) -> {
+			this.metrics.message(MessageKind.CANCEL);
+			this.client.cancel(endpoint, tasks);
+		});
+		active.runs().values().forEach(TaskRun::abandon);
+		this.jobs.remove(job.ticketText(), active);
+		drive();
+	}
+
+	/**
+	 * Starts what can start now. Turns are taken by one thread at a time; a call that
+	 * meets a running turn asks it for one more.
+	 */
+	public void drive() {
+		this.turnWanted.set(true);
+		while (this.turnWanted.get() && this.turnRunning.compareAndSet(false, true)) {
+			try {
+				this.turnWanted.set(false);
+				turn();
+			}
+			finally {
+				this.turnRunning.set(false);
+			}
+		}
+	}
+
+	private void turn() {
+		long now = this.time.nanoTime();
+		Turn turn = this.scheduler.next(now);
+		turn.dropped().forEach(this::drop);
+		turn.starts().forEach(this::start);
+		wakeAt(turn.nextWakeNanos(), now);
+	}
+
+	private void wakeAt(long nanos, long now) {
+		if (nanos == Turn.NEVER) {
+			return;
+		}
+		long planned = this.wakeNanos.get();
+		if (planned != Turn.NEVER && planned - nanos <= 0 && planned - now > 0) {
+			return;
+		}
+		this.wakeNanos.set(nanos);
+		this.timer.schedule(this::drive, Math.max(nanos - now, 0), TimeUnit.NANOSECONDS);
+	}
+
+	private void drop(Dropped dropped) {
+		ActiveJob active = this.jobs.get(dropped.task().ticket());
+		if (active != null) {
+			giveUp(active.job(), dropped.code(), ErrorCode.JOB_FAILED, "The job was given up in the queue",
+					dropped.retryAfterMillis());
+		}
+	}
+
+	private void start(Start start) {
+		ActiveJob active = this.jobs.get(start.task().ticket());
+		HostAddress endpoint = start.endpoint().address();
+		if (active == null || !active.job().tryStart(start.task().index(), endpoint)) {
+			this.scheduler.ended(start.task(), new TaskEnd(endpoint, TaskEnd.Kind.CANCELLED, 0),
+					this.time.nanoTime());
+			return;
+		}
+		long now = this.time.nanoTime();
+		String service = start.endpoint().service();
+		this.metrics.start(service, now - active.submittedNanos());
+		logger.debug("Task starts: ticket={} task={} endpoint={}", start.task().ticket(), start.task().index(),
+				endpoint);
+		TaskPost post = new TaskPost(start.task(), endpoint, service, start.spec().kind(), start.spec().payload(),
+				start.leaseMillis());
+		TaskRun run = new TaskRun(this.client, this.timer, post, options(service, start.spec().kind()), this::countLookup,
+				(result) -> onEnd(active, start, now, result));
+		active.runs().put(start.task().index(), run);
+		run.begin();
+		if (active.job().ended()) {
+			run.abandon();
+		}
+	}
+
+	private TaskRun.Options options(String service, String kind) {
+		ServiceSpec spec = this.version.get().services().get(service);
+		boolean lookup = spec != null && spec.lookup();
+		return new TaskRun.Options(lookup, this.runTimes.silenceLimitMillis(service, kind), POLL_MILLIS);
+	}
+
+	private void countLookup() {
+		this.metrics.message(MessageKind.LOOKUP);
+		this.metrics.waste(WasteKind.LOOKUP);
+	}
+
+	private void onEnd(ActiveJob active, Start start, long startedNanos, TaskRun.Result result) {
+		int index = start.task().index();
+		HostAddress endpoint = start.endpoint().address();
+		long now = this.time.nanoTime();
+		active.runs().remove(index);
+		record(active, start, now - startedNanos, result);
+		Disposition disposition = this.scheduler.ended(start.task(),
+				new TaskEnd(endpoint, result.kind(), now - startedNanos), now);
+		if (disposition instanceof Disposition.GivenUp givenUp) {
+			giveUp(active.job(), givenUp.code(), ErrorCode.JOB_FAILED, "No endpoint took the task " + index,
+					givenUp.retryAfterMillis());
+		}
+		drive();
+	}
+
+	private void record(ActiveJob active, Start start, long runNanos, TaskRun.Result result) {
+		Job job = active.job();
+		int index = start.task().index();
+		switch (result.kind()) {
+			case SUCCEEDED -> succeed(active, start, runNanos, result.result());
+			case FAILED -> lose(job, index, TaskState.FAILED, result.detail());
+			case LOST -> lose(job, index, TaskState.UNKNOWN, result.detail());
+			case CANCELLED -> this.metrics.waste(WasteKind.UNUSED);
+			case NOT_CONNECTED -> {
+				job.takeBack(index);
+				this.metrics.waste(WasteKind.NOT_SENT);
+			}
+			case REFUSED_FULL, REFUSED_LEAVING, REFUSED_NEVER_FITS -> {
+				job.takeBack(index);
+				this.metrics.waste(WasteKind.REFUSED);
+			}
+		}
+	}
+
+	private void succeed(ActiveJob active, Start start, long runNanos, String result) {
+		this.runTimes.observe(start.endpoint().service(), start.spec().kind(), TimeUnit.NANOSECONDS.toMillis(runNanos));
+		if (active.job().succeed(start.task().index(), result)) {
+			this.metrics.complete(this.time.nanoTime() - active.submittedNanos());
+			logger.debug("Job complete: ticket={}", active.job().ticketText());
+		}
+	}
+
+	private void lose(Job job, int index, TaskState state, String detail) {
+		job.lose(index, state);
+		giveUp(job, ErrorCode.JOB_FAILED, ErrorCode.JOB_FAILED, "Task " + index + " " + state.text() + ": " + detail,
+				HttpAnswer.NO_RETRY);
+	}
+
+	/**
+	 * Returns how many jobs have not ended.
+	 * @return the count
+	 */
+	public int activeJobCount() {
+		return this.jobs.size();
+	}
+
+	/**
+	 * Returns the scheduler, for its load and its state.
+	 * @return the scheduler
+	 */
+	public Scheduler scheduler() {
+		return this.scheduler;
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.client.close();
+	}
+
+	/**
+	 * Is a job that has not ended, with the runs of its tasks.
+	 *
+	 * @param job the job
+	 * @param submittedNanos when it was submitted, on the monotonic clock
+	 * @param runs the runs by place of the task
+	 */
+	private record ActiveJob(Job job, long submittedNanos, Map<Integer, TaskRun> runs) {
+
+		ActiveJob(Job job, long submittedNanos) {
+			this(job, submittedNanos, new ConcurrentHashMap<>());
+		}
+
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -4,12 +4,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.masticwick.core.process.HostAddress;
+
 /**
  * Remembers one submitted ticket until it expires: the digest of its body and its one
  * answer. What the job itself holds is let go when it has ended.
  */
 public final class JobEntry {
 
+	/** Stands for the digest of a ticket that was sealed before its job came. */
+	static final byte[] NO_BODY = {};
+
 	private final byte[] digest;
 
 	private final long expiryEpochMillis;
@@ -18,14 +23,35 @@
 
 	private final AtomicReference<Job> job = new AtomicReference<>();
 
+	private final HostAddress runsAt;
+
 	/**
 	 * Creates the entry of a ticket whose job has no answer yet.
 	 * @param digest the digest of the submitted body
 	 * @param expiryEpochMillis when the ticket expires, in milliseconds since the epoch
 	 */
 	public JobEntry(byte[] digest, long expiryEpochMillis) {
+		this(digest, expiryEpochMillis, null);
+	}
+
+	/**
+	 * Creates the entry of a ticket whose job still runs on the host that handed it over.
+	 * @param digest the digest of the submitted body
+	 * @param expiryEpochMillis when the ticket expires, in milliseconds since the epoch
+	 * @param runsAt the peer address of that host, or {@code null}
+	 */
+	JobEntry(byte[] digest, long expiryEpochMillis, HostAddress runsAt) {
 		this.digest = digest.clone();
 		this.expiryEpochMillis = expiryEpochMillis;
+		this.runsAt = runsAt;
+	}
+
+	/**
+	 * Returns the host that runs the job and will tell its answer.
+	 * @return the peer address, or {@code null} if the job runs here or has ended
+	 */
+	HostAddress runsAt() {
+		return this.answer.isDone() ? null : this.runsAt;
 	}
 
 	/**
@@ -59,12 +85,13 @@
 	}
 
 	/**
-	 * Returns whether a body is the one that was submitted.
+	 * Returns whether a body is the one that was submitted. Any body is, if the ticket was
+	 * sealed before its job came.
 	 * @param other the digest of the body
 	 * @return {@code true} if it is
 	 */
 	public boolean sameBody(byte[] other) {
-		return MessageDigest.isEqual(this.digest, other);
+		return this.digest.length == 0 || MessageDigest.isEqual(this.digest, other);
 	}
 
 	/**
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
@@ -0,0 +1,148 @@
+package org.masticwick.daemon.request;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.JobRequest;
+import org.masticwick.core.request.Ticket;
+
+/**
+ * Serves the jobs whose tickets this process holds.
+ */
+public final class JobService {
+
+	private static final Logger logger = LoggerFactory.getLogger(JobService.class);
+
+	private final JobRequestReader reader;
+
+	private final Dispatcher dispatcher;
+
+	private final BooleanSupplier ready;
+
+	private final TimeSource time;
+
+	/**
+	 * Creates the service.
+	 * @param reader reads submissions
+	 * @param dispatcher runs jobs
+	 * @param ready whether a version of the site is known
+	 * @param time the clock
+	 */
+	public JobService(JobRequestReader reader, Dispatcher dispatcher, BooleanSupplier ready, TimeSource time) {
+		this.reader = reader;
+		this.dispatcher = dispatcher;
+		this.ready = ready;
+		this.time = time;
+	}
+
+	/**
+	 * Submits a job, or attaches to it if it was submitted before.
+	 * @param book the book that holds the ticket
+	 * @param ticket the ticket
+	 * @param body the body
+	 * @return the answer to come
+	 * @throws RequestException if the submission can't be taken
+	 */
+	CompletableFuture<HttpAnswer> submit(TicketBook book, Ticket ticket, byte[] body) {
+		book.mint().verify(ticket);
+		JobRequest request = this.reader.read(body);
+		byte[] digest = BodyDigest.of(body);
+		TicketBook.Claim claim = claim(book, ticket, digest);
+		JobEntry entry = claim.entry();
+		if (!claim.created()) {
+			return attach(entry, digest);
+		}
+		if (!this.ready.getAsBoolean()) {
+			entry.complete(Answers.problem(ErrorCode.NO_VERSION, "The host has no version of the site yet"));
+			return entry.answer();
+		}
+		logger.debug("Job submitted: ticket={} service={} team={} tasks={}", ticket, request.service(), request.team(),
+				request.tasks().size());
+		run(entry, new Job(ticket, digest, request, deadlineNanos(request)));
+		return entry.answer();
+	}
+
+	private static TicketBook.Claim claim(TicketBook book, Ticket ticket, byte[] digest) {
+		return book.claim(ticket, digest)
+			.orElseThrow(() -> new NotHolderException("The tickets of this host were handed over"));
+	}
+
+	private long deadlineNanos(JobRequest request) {
+		return this.time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(request.deadlineMillis());
+	}
+
+	private void run(JobEntry entry, Job job) {
+		entry.run(job);
+		this.dispatcher.submit(job);
+	}
+
+	private static CompletableFuture<HttpAnswer> attach(JobEntry entry, byte[] digest) {
+		if (!entry.sameBody(digest)) {
+			throw new RequestException(ErrorCode.TICKET_REUSED, "The ticket was submitted with another body");
+		}
+		return entry.answer();
+	}
+
+	/**
+	 * Returns the answer of a submitted job.
+	 * @param book the book that holds the ticket
+	 * @param ticket the ticket
+	 * @return the answer to come
+	 * @throws RequestException if the ticket has expired or was not submitted
+	 */
+	CompletableFuture<HttpAnswer> state(TicketBook book, Ticket ticket) {
+		book.mint().verify(ticket);
+		return book.find(ticket).answer();
+	}
+
+	/**
+	 * Cancels a job. One that has ended keeps its answer; a ticket that was not submitted
+	 * is sealed, so that a submission still on its way does not run.
+	 * @param book the book that holds the ticket
+	 * @param ticket the ticket
+	 * @return the answer to come
+	 * @throws RequestException if the ticket has expired
+	 */
+	CompletableFuture<HttpAnswer> cancel(TicketBook book, Ticket ticket) {
+		book.mint().verify(ticket);
+		TicketBook.Claim claim = claim(book, ticket, JobEntry.NO_BODY);
+		JobEntry entry = claim.entry();
+		if (claim.created()) {
+			entry.complete(Answers.problem(ErrorCode.CANCELLED_NOT_RUN, "The ticket was cancelled before its job came"));
+			return entry.answer();
+		}
+		Job job = entry.job();
+		if (job != null) {
+			this.dispatcher.cancel(job);
+		}
+		return entry.answer();
+	}
+
+	/**
+	 * Returns the host that runs a job whose tickets it handed over.
+	 * @param book the book that holds the ticket
+	 * @param ticket the ticket
+	 * @return its peer address, or {@code null} if the job runs here or has ended
+	 */
+	HostAddress runsAt(TicketBook book, Ticket ticket) {
+		return book.find(ticket).runsAt();
+	}
+
+	/**
+	 * Gives a job the answer that another host found for it, unless it has one.
+	 * @param book the book that holds the ticket
+	 * @param ticket the ticket
+	 * @param answer the answer
+	 */
+	void adopt(TicketBook book, Ticket ticket, HttpAnswer answer) {
+		book.find(ticket).complete(answer);
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
@@ -0,0 +1,192 @@
+package org.masticwick.daemon.request;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+import org.masticwick.core.request.TaskEnd;
+import org.masticwick.daemon.connection.EndpointClient;
+import org.masticwick.daemon.connection.EndpointClient.LookupReply;
+import org.masticwick.daemon.connection.EndpointClient.PendingPost;
+import org.masticwick.daemon.connection.EndpointClient.PostReply;
+import org.masticwick.daemon.connection.EndpointClient.TaskPost;
+
+/**
+ * Sees one start through to its end: posts the task once, and asks by task id when the
+ * reply stays away or leaves open whether the task ran. It never posts again.
+ */
+final class TaskRun {
+
+	private static final double SILENCE_GROWTH = 1.5;
+
+	private static final long FIRST_QUESTION_MILLIS = 20;
+
+	private static final int MAX_UNREACHABLE_COUNT = 4;
+
+	private final EndpointClient client;
+
+	private final ScheduledExecutorService timer;
+
+	private final TaskPost post;
+
+	private final Options options;
+
+	private final Runnable onLookup;
+
+	private final Consumer<Result> onEnd;
+
+	private final AtomicBoolean ended = new AtomicBoolean();
+
+	private volatile PendingPost pending;
+
+	private volatile ScheduledFuture<?> question;
+
+	private volatile int unreachableCount;
+
+	TaskRun(EndpointClient client, ScheduledExecutorService timer, TaskPost post, Options options, Runnable onLookup,
+			Consumer<Result> onEnd) {
+		this.client = client;
+		this.timer = timer;
+		this.post = post;
+		this.options = options;
+		this.onLookup = onLookup;
+		this.onEnd = onEnd;
+	}
+
+	void begin() {
+		this.pending = this.client.post(this.post);
+		askLater(this.options.silenceMillis());
+		this.pending.reply().thenAccept(this::onReply);
+	}
+
+	private void onReply(PostReply reply) {
+		if (reply instanceof PostReply.Succeeded succeeded) {
+			end(TaskEnd.Kind.SUCCEEDED, succeeded.result(), "");
+		}
+		else if (reply instanceof PostReply.Failed failed) {
+			end(TaskEnd.Kind.FAILED, null, failed.detail());
+		}
+		else if (reply instanceof PostReply.Refused refused) {
+			end(kindOf(refused.reason()), null, "");
+		}
+		else if (reply instanceof PostReply.NotSent notSent) {
+			end(TaskEnd.Kind.NOT_CONNECTED, null, notSent.detail());
+		}
+		else if (reply instanceof PostReply.Uncertain uncertain) {
+			resolve(uncertain.detail());
+		}
+	}
+
+	private static TaskEnd.Kind kindOf(EndpointClient.Reason reason) {
+		return switch (reason) {
+			case FULL -> TaskEnd.Kind.REFUSED_FULL;
+			case LEAVING -> TaskEnd.Kind.REFUSED_LEAVING;
+			case NEVER_FITS -> TaskEnd.Kind.REFUSED_NEVER_FITS;
+		};
+	}
+
+	private void resolve(String detail) {
+		if (!this.options.lookup()) {
+			end(TaskEnd.Kind.LOST, null, detail);
+			return;
+		}
+		cancelQuestion();
+		askLater(FIRST_QUESTION_MILLIS);
+	}
+
+	private void askLater(long delayMillis) {
+		if (this.options.lookup() && !this.ended.get()) {
+			long next = Math.round(Math.max(delayMillis, this.options.silenceMillis()) * SILENCE_GROWTH);
+			this.question = this.timer.schedule(() -> ask(next), delayMillis, TimeUnit.MILLISECONDS);
+		}
+		else if (!this.options.lookup()) {
+			this.question = this.timer.schedule(() -> end(TaskEnd.Kind.LOST, null, "no reply within the lease"),
+					this.post.leaseMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void ask(long nextDelayMillis) {
+		if (this.ended.get()) {
+			return;
+		}
+		this.onLookup.run();
+		this.client.lookup(this.post.endpoint(), this.post.task())
+			.thenAccept((reply) -> onLookup(reply, nextDelayMillis));
+	}
+
+	private void onLookup(LookupReply reply, long nextDelayMillis) {
+		switch (reply.state()) {
+			case RUNNING -> askLater(runningDelayMillis(nextDelayMillis));
+			case FINISHED -> end(TaskEnd.Kind.SUCCEEDED, reply.result(), "");
+			case FAILED -> end(TaskEnd.Kind.FAILED, null, "the endpoint told a failure");
+			case UNKNOWN -> end(TaskEnd.Kind.LOST, null, "the endpoint does not know the task");
+			case UNREACHABLE -> onUnreachable(nextDelayMillis);
+		}
+	}
+
+	private long runningDelayMillis(long nextDelayMillis) {
+		boolean replyMayCome = this.pending != null && !this.pending.reply().isDone();
+		return replyMayCome ? nextDelayMillis : Math.min(nextDelayMillis, this.options.pollMillis());
+	}
+
+	private void onUnreachable(long nextDelayMillis) {
+		this.unreachableCount++;
+		if (this.unreachableCount >= MAX_UNREACHABLE_COUNT) {
+			end(TaskEnd.Kind.LOST, null, "the endpoint is unreachable");
+			return;
+		}
+		askLater(nextDelayMillis);
+	}
+
+	private void cancelQuestion() {
+		ScheduledFuture<?> current = this.question;
+		if (current != null) {
+			current.cancel(false);
+		}
+	}
+
+	/**
+	 * Stops waiting, since the job has ended. The end is told once all the same.
+	 */
+	void abandon() {
+		end(TaskEnd.Kind.CANCELLED, null, "cancelled");
+	}
+
+	private void end(TaskEnd.Kind kind, String result, String detail) {
+		if (!this.ended.compareAndSet(false, true)) {
+			return;
+		}
+		cancelQuestion();
+		PendingPost current = this.pending;
+		if (current != null && !current.reply().isDone()) {
+			current.abandon();
+		}
+		this.onEnd.accept(new Result(kind, result, detail));
+	}
+
+	/**
+	 * Bounds the waiting of a run.
+	 *
+	 * @param lookup whether the endpoint answers look-ups
+	 * @param silenceMillis how long to wait for the reply before asking, in milliseconds
+	 * @param pollMillis how long to wait between questions once the reply can't come, in
+	 * milliseconds
+	 */
+	record Options(boolean lookup, long silenceMillis, long pollMillis) {
+
+	}
+
+	/**
+	 * Tells how a run ended.
+	 *
+	 * @param kind the kind of end
+	 * @param result the result if it succeeded, else {@code null}
+	 * @param detail what went wrong, for people
+	 */
+	record Result(TaskEnd.Kind kind, String result, String detail) {
+
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
@@ -1,9 +1,11 @@
 package org.masticwick.daemon.request;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.ReadWriteLock;
+import java.util.concurrent.locks.ReentrantReadWriteLock;
 import java.util.function.BiConsumer;
 
 import org.masticwick.core.process.ErrorCode;
@@ -26,7 +28,9 @@
 
 	private final Map<Long, JobEntry> entries = new ConcurrentHashMap<>();
 
-	private final AtomicBoolean handedOver = new AtomicBoolean();
+	private final ReadWriteLock rightLock = new ReentrantReadWriteLock();
+
+	private volatile boolean handedOver;
 
 	private final AtomicLong lastExpiryEpochMillis = new AtomicLong();
 
@@ -47,14 +51,24 @@
 	 * Returns the entry of a ticket, and creates it if the ticket was not submitted yet.
 	 * @param ticket a verified ticket
 	 * @param digest the digest of the submitted body
-	 * @return the entry, and whether the caller of this method is the one that created it
+	 * @return the entry, and whether the caller of this method is the one that created
+	 * it; empty if the book was handed over and has no entry of the ticket
 	 * @throws RequestException if the ticket has expired
 	 */
-	Claim claim(Ticket ticket, byte[] digest) {
+	Optional<Claim> claim(Ticket ticket, byte[] digest) {
 		requireUnexpired(ticket);
-		JobEntry fresh = new JobEntry(digest, ticket.expiryEpochMillis());
-		JobEntry present = this.entries.putIfAbsent(ticket.sequence(), fresh);
-		return (present != null) ? new Claim(present, false) : new Claim(fresh, true);
+		this.rightLock.readLock().lock();
+		try {
+			if (this.handedOver) {
+				return Optional.ofNullable(this.entries.get(ticket.sequence())).map((entry) -> new Claim(entry, false));
+			}
+			JobEntry fresh = new JobEntry(digest, ticket.expiryEpochMillis());
+			JobEntry present = this.entries.putIfAbsent(ticket.sequence(), fresh);
+			return Optional.of((present != null) ? new Claim(present, false) : new Claim(fresh, true));
+		}
+		finally {
+			this.rightLock.readLock().unlock();
+		}
 	}
 
 	/**
@@ -72,6 +86,15 @@
 		return entry;
 	}
 
+	/**
+	 * Returns whether this process can answer for a ticket.
+	 * @param ticket the ticket
+	 * @return {@code true} if it holds the book or remembers the ticket
+	 */
+	boolean answersFor(Ticket ticket) {
+		return held() || this.entries.containsKey(ticket.sequence());
+	}
+
 	private void requireUnexpired(Ticket ticket) {
 		if (ticket.expiryEpochMillis() <= homeEpochMillis()) {
 			throw new RequestException(ErrorCode.OUTCOME_FORGOTTEN, "The ticket has expired");
@@ -106,11 +129,20 @@
 	}
 
 	/**
-	 * Gives up the right to start jobs under the tickets of this book.
+	 * Gives up the right to start jobs under the tickets of this book. Entries that exist
+	 * when this returns are all there will be.
 	 * @return {@code true} if this call gave it up
 	 */
 	boolean handOver() {
-		return this.handedOver.compareAndSet(false, true);
+		this.rightLock.writeLock().lock();
+		try {
+			boolean first = !this.handedOver;
+			this.handedOver = true;
+			return first;
+		}
+		finally {
+			this.rightLock.writeLock().unlock();
+		}
 	}
 
 	/**
@@ -118,7 +150,7 @@
 	 * @return {@code true} if it may
 	 */
 	boolean held() {
-		return !this.handedOver.get();
+		return !this.handedOver;
 	}
 
 	/**
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.core.request.Ticket;
@@ -19,6 +20,8 @@
 
 	private final Map<Incarnation, TicketBook> books = new ConcurrentHashMap<>();
 
+	private final Map<Incarnation, HostAddress> heirs = new ConcurrentHashMap<>();
+
 	private final TimeSource time;
 
 	private final long lifetimeMillis;
@@ -56,6 +59,24 @@
 		return Optional.ofNullable(this.books.get(incarnation));
 	}
 
+	/**
+	 * Notes to whom a book was handed over.
+	 * @param incarnation the incarnation of the book
+	 * @param heir the peer address of the heir
+	 */
+	void noteHeir(Incarnation incarnation, HostAddress heir) {
+		this.heirs.put(incarnation, heir);
+	}
+
+	/**
+	 * Returns to whom this process handed a book over.
+	 * @param incarnation the incarnation of the book
+	 * @return the peer address of the heir
+	 */
+	Optional<HostAddress> heirOf(Incarnation incarnation) {
+		return Optional.ofNullable(this.heirs.get(incarnation));
+	}
+
 	/**
 	 * Takes over a book.
 	 * @param book the book
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -0,0 +1,243 @@
+package org.masticwick.daemon.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.MasticwickException;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.core.request.TicketKey;
+import org.masticwick.core.request.TicketMint;
+import org.masticwick.daemon.process.metrics.MessageKind;
+import org.masticwick.daemon.process.metrics.Metrics;
+import org.masticwick.wire.PeerException;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerMessage.ClosedTicket;
+import org.masticwick.wire.PeerMessage.CloseTickets;
+import org.masticwick.wire.PeerMessage.InheritAnswer;
+import org.masticwick.wire.PeerMessage.InheritTickets;
+import org.masticwick.wire.PeerMessage.InheritedJob;
+import org.masticwick.wire.PeerTransport;
+
+/**
+ * Passes the unexpired tickets of a stopping process to one heir. After the transfer this
+ * process starts no job under them; jobs it already runs end here, and their answers
+ * follow to the heir.
+ */
+public final class TicketTransfer {
+
+	private static final Logger logger = LoggerFactory.getLogger(TicketTransfer.class);
+
+	private static final int RUNNING = 0;
+
+	private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private static final int CLOSE_ATTEMPT_COUNT = 5;
+
+	private static final long CALL_LIMIT_SECONDS = 10;
+
+	private final TicketBooks books;
+
+	private final PeerDirectory peers;
+
+	private final PeerTransport transport;
+
+	private final Metrics metrics;
+
+	private final TimeSource time;
+
+	/**
+	 * Creates a transfer.
+	 * @param books the books of this process
+	 * @param peers the other entry hosts
+	 * @param transport the way to them
+	 * @param metrics the metrics
+	 * @param time the clock
+	 */
+	public TicketTransfer(TicketBooks books, PeerDirectory peers, PeerTransport transport, Metrics metrics,
+			TimeSource time) {
+		this.books = books;
+		this.peers = peers;
+		this.transport = transport;
+		this.metrics = metrics;
+		this.time = time;
+	}
+
+	/**
+	 * Hands all books over. Blocks until each has an heir, or none can be found.
+	 * @return the answers still on their way to heirs; done when all have arrived
+	 */
+	public CompletableFuture<Void> handOver() {
+		List<CompletableFuture<Void>> pending = new ArrayList<>();
+		this.books.all()
+			.stream()
+			.filter((book) -> !book.expired())
+			.filter(TicketBook::handOver)
+			.map((book) -> Offer.of(book))
+			.forEach((offer) -> handOver(offer).ifPresent((heir) -> followUp(offer, heir, pending)));
+		return CompletableFuture.allOf(pending.toArray(CompletableFuture<?>[]::new));
+	}
+
+	private Optional<HostAddress> handOver(Offer offer) {
+		TicketBook book = offer.book();
+		for (EntryHost candidate : this.peers.heirCandidates()) {
+			HostAddress heir = candidate.peerAddress();
+			Outcome outcome = send(offer, heir);
+			if (outcome != Outcome.REFUSED) {
+				this.books.noteHeir(book.mint().home().incarnation(), heir);
+				logger.info("Tickets handed over: incarnation={} heir={} outcome={} jobs={}",
+						book.mint().home().incarnation(), heir, outcome, book.size());
+				return Optional.of(heir);
+			}
+		}
+		logger.warn("No heir for the tickets: incarnation={}", book.mint().home().incarnation());
+		return Optional.empty();
+	}
+
+	private Outcome send(Offer offer, HostAddress heir) {
+		this.metrics.message(MessageKind.TRANSFER);
+		try {
+			PeerMessage answer = this.transport.call(heir, offer.message()).get(CALL_LIMIT_SECONDS, TimeUnit.SECONDS);
+			return (answer instanceof InheritAnswer given && given.accepted()) ? Outcome.ACCEPTED : Outcome.REFUSED;
+		}
+		catch (ExecutionException ex) {
+			boolean notSent = ex.getCause() instanceof PeerException peer && !peer.sent();
+			return notSent ? Outcome.REFUSED : Outcome.UNKNOWN;
+		}
+		catch (TimeoutException ex) {
+			return Outcome.UNKNOWN;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Outcome.UNKNOWN;
+		}
+	}
+
+	private void followUp(Offer offer, HostAddress heir, List<CompletableFuture<Void>> pending) {
+		offer.open()
+			.forEach((ticket, entry) -> pending.add(entry.answer()
+				.thenCompose((answer) -> tell(heir, new ClosedTicket(ticket, answer.status(), answer.contentType(),
+						answer.body()), CLOSE_ATTEMPT_COUNT))));
+	}
+
+	private CompletableFuture<Void> tell(HostAddress heir, ClosedTicket closed, int attemptCount) {
+		this.metrics.message(MessageKind.TRANSFER);
+		return this.transport.call(heir, new CloseTickets(List.of(closed)))
+			.<Void>thenApply((answer) -> null)
+			.exceptionallyCompose((ex) -> (attemptCount > 1) ? tell(heir, closed, attemptCount - 1)
+					: CompletableFuture.completedFuture(null));
+	}
+
+	/**
+	 * Takes a book over from a stopping process.
+	 * @param offered the book
+	 * @return the answer
+	 */
+	public PeerMessage inherit(InheritTickets offered) {
+		if (!this.books.own().held()) {
+			return new InheritAnswer(false);
+		}
+		TicketMint mint = new TicketMint(offered.from(), new TicketKey(offered.key()), offered.nextSequence());
+		TicketBook book = new TicketBook(mint, this.time, offered.homeEpochMillis() - this.time.epochMillis());
+		book.noteExpiry(offered.expiresAtEpochMillis());
+		offered.jobs().forEach((job) -> restore(book, job, offered.from().peerAddress()));
+		this.books.inherit(book);
+		logger.info("Tickets taken over: incarnation={} from={} jobs={}", offered.from().incarnation(),
+				offered.from().peerAddress(), offered.jobs().size());
+		return new InheritAnswer(true);
+	}
+
+	private static void restore(TicketBook book, InheritedJob job, HostAddress from) {
+		Ticket ticket = Ticket.parse(job.ticket());
+		JobEntry entry = new JobEntry(job.digest(), ticket.expiryEpochMillis(), from);
+		if (job.status() != RUNNING) {
+			entry.complete(new HttpAnswer(job.status(), job.contentType(), job.body(), HttpAnswer.NO_RETRY));
+		}
+		book.restore(ticket.sequence(), entry);
+	}
+
+	/**
+	 * Takes answers that another host gave for tickets of this process.
+	 * @param closed the answers
+	 */
+	public void close(CloseTickets closed) {
+		closed.tickets().forEach(this::close);
+	}
+
+	private void close(ClosedTicket closed) {
+		HttpAnswer answer = new HttpAnswer(closed.status(), closed.contentType(), closed.body(), HttpAnswer.NO_RETRY);
+		try {
+			Ticket ticket = Ticket.parse(closed.ticket());
+			this.books.find(ticket.incarnation())
+				.flatMap((book) -> book.claim(ticket, JobEntry.NO_BODY))
+				.ifPresent((claim) -> claim.entry().complete(answer));
+		}
+		catch (MasticwickException ex) {
+			logger.debug("An answer from another host came too late: ticket={} reason={}", closed.ticket(),
+					ex.getMessage());
+		}
+	}
+
+	/**
+	 * Is a book that was given up, as the heir gets it.
+	 *
+	 * @param book the book
+	 * @param message the message to the heir
+	 * @param open the tickets whose answers follow
+	 */
+	private record Offer(TicketBook book, InheritTickets message, Map<String, JobEntry> open) {
+
+		static Offer of(TicketBook book) {
+			List<InheritedJob> jobs = new ArrayList<>();
+			Map<String, JobEntry> open = new HashMap<>();
+			AtomicLong answerBytes = new AtomicLong();
+			book.forEach((sequence, entry) -> {
+				String ticket = ticketOf(book, sequence, entry).toString();
+				HttpAnswer answer = entry.answer().getNow(null);
+				if (answer == null || answerBytes.addAndGet(answer.body().length) > MAX_ANSWER_BYTES) {
+					open.put(ticket, entry);
+					jobs.add(new InheritedJob(ticket, entry.digest(), RUNNING, "", new byte[0]));
+				}
+				else {
+					jobs.add(new InheritedJob(ticket, entry.digest(), answer.status(), answer.contentType(),
+							answer.body()));
+				}
+			});
+			TicketMint mint = book.mint();
+			return new Offer(book, new InheritTickets(mint.home(), book.homeEpochMillis(), mint.nextSequence(),
+					mint.key().toBytes(), book.lastExpiryEpochMillis(), jobs), open);
+		}
+
+		private static Ticket ticketOf(TicketBook book, long sequence, JobEntry entry) {
+			EntryHost home = book.mint().home();
+			return book.mint()
+				.key()
+				.sign(new Ticket(home.domain(), home.peerAddress(), home.incarnation(), sequence,
+						entry.expiryEpochMillis(), ""));
+		}
+
+	}
+
+	/**
+	 * Tells what came of an offer.
+	 */
+	private enum Outcome {
+
+		ACCEPTED, REFUSED, UNKNOWN
+
+	}
+
+}
