Read and check the settings of an entry host

An entry host learns its address, failure domain and bounds from a TOML file. Jackson's data binding was ruled out for the reading: it stops at the first wrong value, and the settings have to be checked as a whole.

SettingsLoader reads the sections itself, replaces each wrong value by its default and goes on, so that one run lists every unknown key (with the nearest known one), wrong type or unit, value out of bounds, bad address and missing value with file, key and what is allowed. Everything but host.domain and platform.address has a default.

--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/LogFormat.java
@@ -0,0 +1,14 @@
+package org.masticwick.daemon.process.settings;
+
+/**
+ * Names the forms of a log line.
+ */
+public enum LogFormat {
+
+	/** One JSON object a line. */
+	JSON,
+
+	/** Text for people. */
+	TEXT
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/NearestKey.java
@@ -0,0 +1,46 @@
+package org.masticwick.daemon.process.settings;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Finds the known key that an unknown one was probably meant to be.
+ */
+final class NearestKey {
+
+	private NearestKey() {
+	}
+
+	/**
+	 * Finds the known key with the least edit distance, if it is near.
+	 * @param unknown the unknown key
+	 * @param known the known keys
+	 * @return the nearest key, or empty if none is near
+	 */
+	static Optional<String> find(String unknown, Collection<String> known) {
+		int limit = Math.max(2, unknown.length() / 2);
+		return known.stream()
+			.filter((key) -> distance(unknown, key) <= limit)
+			.min(Comparator.comparingInt((String key) -> distance(unknown, key)).thenComparing((key) -> key));
+	}
+
+	private static int distance(String left, String right) {
+		int[] previous = new int[right.length() + 1];
+		for (int column = 0; column <= right.length(); column++) {
+			previous[column] = column;
+		}
+		for (int row = 1; row <= left.length(); row++) {
+			int[] current = new int[right.length() + 1];
+			current[0] = row;
+			for (int column = 1; column <= right.length(); column++) {
+				int cost = (left.charAt(row - 1) != right.charAt(column - 1)) ? 1 : 0;
+				int edit = Math.min(previous[column], current[column - 1]) + 1;
+				current[column] = Math.min(edit, previous[column - 1] + cost);
+			}
+			previous = current;
+		}
+		return previous[right.length()];
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsLoader.java
@@ -0,0 +1,73 @@
+package org.masticwick.daemon.process.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+
+/**
+ * Reads a settings file and checks it as a whole.
+ */
+public final class SettingsLoader {
+
+	private static final TomlMapper MAPPER = new TomlMapper();
+
+	private SettingsLoader() {
+	}
+
+	/**
+	 * Reads the settings from a file.
+	 * @param file the TOML file
+	 * @return the settings
+	 * @throws InvalidSettingsException if the file can't be read, or with every problem
+	 * that was found in it
+	 */
+	public static Settings load(Path file) {
+		String text;
+		try {
+			text = Files.readString(file);
+		}
+		catch (IOException ex) {
+			throw problemOfFile(file.toString(), ex.toString(), "a readable file in UTF-8");
+		}
+		return parse(text, file.toString());
+	}
+
+	/**
+	 * Reads the settings from text.
+	 * @param text the TOML text
+	 * @param fileName the name of the file, for problems
+	 * @return the settings
+	 * @throws InvalidSettingsException with every problem that was found
+	 */
+	public static Settings parse(String text, String fileName) {
+		JsonNode root;
+		try {
+			root = MAPPER.readTree(text);
+		}
+		catch (JsonProcessingException ex) {
+			throw problemOfFile(fileName, place(ex.getLocation()) + ex.getOriginalMessage(), "TOML 1.0");
+		}
+		List<SettingsProblem> problems = new ArrayList<>();
+		Settings settings = new SettingsReader(fileName, root, problems::add).read();
+		if (!problems.isEmpty()) {
+			throw new InvalidSettingsException(problems);
+		}
+		return settings;
+	}
+
+	private static String place(JsonLocation location) {
+		return (location != null) ? "line " + location.getLineNr() + ": " : "";
+	}
+
+	private static InvalidSettingsException problemOfFile(String fileName, String value, String allowed) {
+		return new InvalidSettingsException(List.of(new SettingsProblem(fileName, "", value, allowed)));
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
@@ -0,0 +1,153 @@
+package org.masticwick.daemon.process.settings;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+
+import org.masticwick.core.request.JobRequest;
+
+/**
+ * Reads all sections of a settings file with their defaults and bounds.
+ */
+final class SettingsReader {
+
+	private static final long MINUTE_MILLIS = 60_000;
+
+	private static final long HOUR_MILLIS = 60 * MINUTE_MILLIS;
+
+	private static final int KIBIBYTE = 1024;
+
+	private static final int MEBIBYTE = 1024 * KIBIBYTE;
+
+	private static final long GIBIBYTE = 1024L * MEBIBYTE;
+
+	private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?");
+
+	private static final String NAME_ALLOWED = "1 to 63 of a-z, 0-9 and inner hyphens";
+
+	private final String file;
+
+	private final JsonNode root;
+
+	private final Consumer<SettingsProblem> problems;
+
+	private final Set<String> sections = new LinkedHashSet<>();
+
+	SettingsReader(String file, JsonNode root, Consumer<SettingsProblem> problems) {
+		this.file = file;
+		this.root = root;
+		this.problems = problems;
+	}
+
+	Settings read() {
+		Settings settings = new Settings(section("host", SettingsReader::host),
+				section("platform", SettingsReader::platform), section("peers", SettingsReader::peers),
+				section("tickets", SettingsReader::tickets), section("requests", SettingsReader::requests),
+				section("dispatch", SettingsReader::dispatch), section("stop", SettingsReader::stop),
+				section("log", SettingsReader::log));
+		this.root.fieldNames().forEachRemaining(this::checkSection);
+		return settings;
+	}
+
+	private void checkSection(String name) {
+		if (!this.sections.contains(name)) {
+			String allowed = SectionReader.unknownKey(name, this.sections);
+			this.problems.accept(new SettingsProblem(this.file, name, this.root.get(name).toString(), allowed));
+		}
+	}
+
+	private <T> T section(String name, Function<SectionReader, T> reading) {
+		this.sections.add(name);
+		JsonNode node = this.root.get(name);
+		if (node != null && !node.isObject()) {
+			this.problems.accept(new SettingsProblem(this.file, name, node.toString(), "a section [" + name + "]"));
+			node = null;
+		}
+		JsonNode content = (node != null) ? node : JsonNodeFactory.instance.objectNode();
+		SectionReader reader = new SectionReader(this.file, name, content, this.problems);
+		T value = reading.apply(reader);
+		reader.reportUnknownKeys();
+		return value;
+	}
+
+	private static HostSettings host(SectionReader reader) {
+		return new HostSettings(reader.text("domain", null, NAME, NAME_ALLOWED),
+				reader.listenAddress("api_address", "127.0.0.1:0"),
+				reader.listenAddress("peer_address", "127.0.0.1:0"));
+	}
+
+	private static PlatformSettings platform(SectionReader reader) {
+		return new PlatformSettings(reader.requiredAddress("address"),
+				reader.text("stream", "site", NAME, NAME_ALLOWED),
+				reader.milliseconds("poll_wait_ms", 5_000, 1, MINUTE_MILLIS),
+				reader.milliseconds("host_list_interval_ms", 1_000, 10, MINUTE_MILLIS),
+				reader.milliseconds("lease_ms", 10_000, 100, HOUR_MILLIS),
+				reader.count("snapshot_interval_record_count", 500, 1, 1_000_000));
+	}
+
+	private static PeerSettings peers(SectionReader reader) {
+		PeerSettings peers = new PeerSettings(reader.addresses("seeds"),
+				reader.milliseconds("heartbeat_interval_ms", 500, 10, MINUTE_MILLIS),
+				reader.milliseconds("silence_limit_ms", 2_500, 20, 10 * MINUTE_MILLIS),
+				reader.milliseconds("call_silence_limit_ms", 2_000, 10, 10 * MINUTE_MILLIS));
+		if (peers.silenceLimitMillis() < 2 * peers.heartbeatIntervalMillis()) {
+			reader.report("silence_limit_ms", Long.toString(peers.silenceLimitMillis()),
+					"at least twice heartbeat_interval_ms, " + 2 * peers.heartbeatIntervalMillis());
+		}
+		return peers;
+	}
+
+	private static TicketSettings tickets(SectionReader reader) {
+		return new TicketSettings(reader.milliseconds("lifetime_ms", 300_000, 1_000, 24 * HOUR_MILLIS),
+				reader.count("block_count_max", 1_000, 1, 100_000));
+	}
+
+	private static RequestSettings requests(SectionReader reader) {
+		RequestSettings requests = new RequestSettings(
+				reader.bytes("body_bytes_max", 4 * MEBIBYTE, KIBIBYTE, 256 * MEBIBYTE),
+				reader.bytes("payload_bytes_max", 64 * KIBIBYTE, 1, 64 * MEBIBYTE),
+				reader.bytes("result_bytes_max", MEBIBYTE, 1, 256 * MEBIBYTE),
+				reader.bytes("header_bytes_max", 8 * KIBIBYTE, 512, MEBIBYTE),
+				reader.count("job_task_count_max", JobRequest.MAX_TASK_COUNT, 1, JobRequest.MAX_TASK_COUNT),
+				reader.milliseconds("wait_max_ms", 2 * MINUTE_MILLIS, 1, HOUR_MILLIS),
+				reader.milliseconds("deadline_default_ms", MINUTE_MILLIS, 1, HOUR_MILLIS),
+				reader.milliseconds("deadline_max_ms", 10 * MINUTE_MILLIS, 1, HOUR_MILLIS),
+				reader.milliseconds("body_timeout_ms", 10_000, 10, 10 * MINUTE_MILLIS),
+				reader.bytes("remembered_bytes_max", 64L * MEBIBYTE, MEBIBYTE, 64 * GIBIBYTE));
+		if (requests.deadlineDefaultMillis() > requests.deadlineMaxMillis()) {
+			reader.report("deadline_default_ms", Long.toString(requests.deadlineDefaultMillis()),
+					"at most deadline_max_ms, " + requests.deadlineMaxMillis());
+		}
+		if (requests.payloadBytesMax() > requests.bodyBytesMax()) {
+			reader.report("payload_bytes_max", Integer.toString(requests.payloadBytesMax()),
+					"at most body_bytes_max, " + requests.bodyBytesMax());
+		}
+		return requests;
+	}
+
+	private static DispatchSettings dispatch(SectionReader reader) {
+		return new DispatchSettings(reader.count("queue_task_count_max", 20_000, 1, 10_000_000),
+				reader.milliseconds("queue_wait_max_ms", 30_000, 1, HOUR_MILLIS),
+				reader.fraction("retry_budget_fraction", 0.2),
+				reader.milliseconds("connect_timeout_ms", 500, 1, MINUTE_MILLIS),
+				reader.milliseconds("endpoint_silence_min_ms", 1_000, 10, HOUR_MILLIS));
+	}
+
+	private static StopSettings stop(SectionReader reader) {
+		return new StopSettings(reader.milliseconds("deadline_ms", 30_000, 1, HOUR_MILLIS));
+	}
+
+	private static LogSettings log(SectionReader reader) {
+		String format = reader.choice("format", "json", List.of("json", "text"));
+		String level = reader.choice("level", "info", List.of("trace", "debug", "info", "warn", "error"));
+		return new LogSettings(LogFormat.valueOf(format.toUpperCase(Locale.ROOT)), level);
+	}
+
+}
