--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
@@ -1,10 +1,32 @@
 package org.masticwick.daemon;
 
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+import org.masticwick.daemon.process.EntryHostProcess;
+import org.masticwick.daemon.process.Logging;
+import org.masticwick.daemon.process.settings.InvalidSettingsException;
+import org.masticwick.daemon.process.settings.Settings;
+import org.masticwick.daemon.process.settings.SettingsLoader;
+
 /**
- * Entry point of the process.
+ * Runs an entry host until it is told to stop.
  */
 public final class Masticwickd {
 
+	private static final int EXIT_USAGE = 2;
+
+	private static final int EXIT_SETTINGS = 3;
+
+	private static final int EXIT_CUT_OFF = 4;
+
 	private Masticwickd() {
 	}
 
@@ -13,7 +35,60 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
-		System.exit(0);
+		ArgumentParser parser = parser();
+		try {
+			Namespace options = parser.parseArgs(args);
+			Settings settings = SettingsLoader.load(Path.of(options.getString("config")));
+			if (options.getBoolean("check_config")) {
+				System.out.println("The settings are right.");
+				return;
+			}
+			run(settings);
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			System.exit(EXIT_USAGE);
+		}
+		catch (InvalidSettingsException ex) {
+			report(ex, System.err);
+			System.exit(EXIT_SETTINGS);
+		}
+	}
+
+	private static ArgumentParser parser() {
+		ArgumentParser parser = ArgumentParsers.newFor("masticwickd")
+			.build()
+			.defaultHelp(true)
+			.description("Entry host of masticwick, a dispatcher for sub-second tasks.")
+			.version("masticwickd " + version());
+		parser.addArgument("--version").action(Arguments.version()).help("print the version and exit");
+		parser.addArgument("--config").metavar("FILE").required(true).help("the settings, in TOML");
+		parser.addArgument("--check-config")
+			.action(Arguments.storeTrue())
+			.help("check the settings, report every problem, and exit");
+		return parser;
+	}
+
+	private static String version() {
+		return Optional.ofNullable(Masticwickd.class.getPackage().getImplementationVersion()).orElse("unknown");
+	}
+
+	private static void report(InvalidSettingsException ex, PrintStream out) {
+		ex.problems().forEach((problem) -> out.println(problem));
+	}
+
+	private static void run(Settings settings) {
+		Logging.configure(settings.log());
+		EntryHostProcess process = EntryHostProcess.start(settings);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process), "stop"));
+		System.out.println(process.startedLine());
+		System.out.flush();
+	}
+
+	private static void stop(EntryHostProcess process) {
+		if (process.stop() > 0) {
+			Runtime.getRuntime().halt(EXIT_CUT_OFF);
+		}
 	}
 
 }
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry host process {@code masticwickd}.
+ */
+package org.masticwick.daemon;
