Add the messages between entry hosts and their TCP transport

Entry hosts need to forward requests, exchange heartbeats and hand over tickets, over connections that can go silent for good while new ones work.

Messages are MessagePack maps keyed by field number, so that a newer peer may add fields; a request of an unknown kind is answered with an error and the connection goes on. Textual keys were ruled out for their bytes, and native serialisation for what it lets a hostile peer allocate.

Calls have no timeout of their own, since a forwarded submission lasts as long as its caller waits. Whether a connection is alive is told by bytes received: Ping after half the silence limit, closed after the whole. An error says whether a byte of the request may have left the process.

--- /dev/null
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerException.java
@@ -0,0 +1,32 @@
+package org.masticwick.wire;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.MasticwickException;
+
+/**
+ * Signals that a peer gave no answer. Its code is {@link ErrorCode#PEER_UNAVAILABLE}.
+ */
+public class PeerException extends MasticwickException {
+
+	private final boolean sent;
+
+	/**
+	 * Creates the error.
+	 * @param message the details for people
+	 * @param cause the error from below, or {@code null}
+	 * @param sent whether a byte of the request may have left this process
+	 */
+	public PeerException(String message, Throwable cause, boolean sent) {
+		super(ErrorCode.PEER_UNAVAILABLE, message, cause);
+		this.sent = sent;
+	}
+
+	/**
+	 * Returns whether the peer may have seen the request.
+	 * @return {@code false} if it is certain that no byte of it left this process
+	 */
+	public boolean sent() {
+		return this.sent;
+	}
+
+}
--- /dev/null
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -0,0 +1,193 @@
+package org.masticwick.wire;
+
+import java.util.List;
+
+import org.masticwick.core.connection.HostSummary;
+import org.masticwick.core.connection.PeerStatus;
+import org.masticwick.core.process.EntryHost;
+
+/**
+ * Message between two entry hosts. Byte arrays are not copied; who gets a message must
+ * not change them.
+ */
+public sealed interface PeerMessage {
+
+	/**
+	 * Opens a connection; each side sends one before anything else.
+	 *
+	 * @param sender who sends
+	 * @param protocolVersion the newest version of the protocol that the sender speaks
+	 * @param minProtocolVersion the oldest version that the sender understands
+	 */
+	record Hello(EntryHost sender, int protocolVersion, int minProtocolVersion) implements PeerMessage {
+	}
+
+	/**
+	 * Tells peers of the same failure domain that the sender lives, and how it is.
+	 *
+	 * @param sender who sends
+	 * @param sequence a number that grows with each heartbeat of the incarnation
+	 * @param loadComplete whether the load replaces what was told before; if not, it
+	 * holds changed entries only, and an entry of zeros takes one away
+	 * @param status what the sender says of itself
+	 */
+	record Heartbeat(EntryHost sender, long sequence, boolean loadComplete, PeerStatus status) implements PeerMessage {
+	}
+
+	/**
+	 * Tells another failure domain of the entry hosts of one domain.
+	 *
+	 * @param domain the failure domain that the hosts belong to
+	 * @param hosts the hosts
+	 */
+	record DomainSummary(String domain, List<HostSummary> hosts) implements PeerMessage {
+	}
+
+	/**
+	 * Asks a peer for records of the log of release notes.
+	 *
+	 * @param fromOffset the first offset wanted
+	 * @param versionNumber the version in force on the asking host
+	 * @param limit the greatest number of records to send
+	 */
+	record FetchRecords(long fromOffset, long versionNumber, int limit) implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link FetchRecords}.
+	 *
+	 * @param records the records, in the order of their offsets
+	 * @param snapshot the accepted state, or {@code null} if the records suffice
+	 * @param snapshotOffset the offset that the snapshot stands for
+	 */
+	record Records(List<RecordEntry> records, String snapshot, long snapshotOffset) implements PeerMessage {
+	}
+
+	/**
+	 * Passes a request of a caller to the host that holds its ticket. Calls may last as
+	 * long as the caller waits.
+	 *
+	 * @param operation what the caller asks for
+	 * @param ticket the ticket
+	 * @param body the body of the request, empty if there is none
+	 * @param waitMillis how long to wait for the end of the job, in milliseconds
+	 */
+	record Forward(ForwardOperation operation, String ticket, byte[] body, long waitMillis) implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link Forward} with what the caller is to receive.
+	 *
+	 * @param status the HTTP status
+	 * @param contentType the type of the body
+	 * @param body the body
+	 * @param retryAfterMillis when to come back, in milliseconds, or -1 for no such hint
+	 */
+	record ForwardAnswer(int status, String contentType, byte[] body, long retryAfterMillis) implements PeerMessage {
+	}
+
+	/**
+	 * Passes the unexpired tickets of a stopping host to its heir.
+	 *
+	 * @param from the stopping host
+	 * @param homeEpochMillis when the stopping host started, in milliseconds since the
+	 * epoch
+	 * @param nextSequence the first sequence number that no ticket was issued for
+	 * @param key the key of the integrity check of the tickets
+	 * @param expiresAtEpochMillis when the last of the tickets expires, in milliseconds
+	 * since the epoch
+	 * @param jobs the jobs that have ended
+	 */
+	record InheritTickets(EntryHost from, long homeEpochMillis, long nextSequence, byte[] key,
+			long expiresAtEpochMillis, List<InheritedJob> jobs) implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link InheritTickets}.
+	 *
+	 * @param accepted whether the tickets are now the heir's
+	 */
+	record InheritAnswer(boolean accepted) implements PeerMessage {
+	}
+
+	/**
+	 * Tells of jobs that have ended, so that their answer outlives the sender.
+	 *
+	 * @param tickets the jobs
+	 */
+	record CloseTickets(List<ClosedTicket> tickets) implements PeerMessage {
+	}
+
+	/**
+	 * Asks whether the connection is alive; the transport answers it.
+	 */
+	record Ping() implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link Ping}.
+	 */
+	record Pong() implements PeerMessage {
+	}
+
+	/**
+	 * Says that a request was not handled.
+	 *
+	 * @param code one of the codes of {@link PeerErrorCodes} or of the handler
+	 * @param message the details for people
+	 */
+	record ErrorAnswer(String code, String message) implements PeerMessage {
+	}
+
+	/**
+	 * Names what a forwarded request asks for.
+	 */
+	enum ForwardOperation {
+
+		/** Submit a job. */
+		SUBMIT,
+
+		/** Tell the state of a job. */
+		STATE,
+
+		/** Cancel a job. */
+		CANCEL,
+
+		/** Collect the answer of a job whose home is lost. */
+		COLLECT
+
+	}
+
+	/**
+	 * Holds one record of the log of release notes.
+	 *
+	 * @param offset the offset
+	 * @param value the text
+	 */
+	record RecordEntry(long offset, String value) {
+	}
+
+	/**
+	 * Holds a job that has ended, with what its caller is to be told.
+	 *
+	 * @param ticket the ticket
+	 * @param digest the digest of the submitted body
+	 * @param status the HTTP status of the answer
+	 * @param contentType the type of the answer
+	 * @param body the answer
+	 */
+	record InheritedJob(String ticket, byte[] digest, int status, String contentType, byte[] body) {
+	}
+
+	/**
+	 * Holds the answer of a job that has ended.
+	 *
+	 * @param ticket the ticket
+	 * @param status the HTTP status of the answer
+	 * @param contentType the type of the answer
+	 * @param body the answer
+	 */
+	record ClosedTicket(String ticket, int status, String contentType, byte[] body) {
+	}
+
+}
--- /dev/null
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -0,0 +1,91 @@
+package org.masticwick.wire.internal;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.masticwick.wire.PeerMessage;
+
+/**
+ * Numbers the messages on the wire. A number is never used again for another message.
+ */
+enum MessageKind {
+
+	HELLO(1, PeerMessage.Hello.class, MessageTypes.HELLO),
+
+	HEARTBEAT(2, PeerMessage.Heartbeat.class, MessageTypes.HEARTBEAT),
+
+	DOMAIN_SUMMARY(3, PeerMessage.DomainSummary.class, MessageTypes.DOMAIN_SUMMARY),
+
+	FETCH_RECORDS(4, PeerMessage.FetchRecords.class, MessageTypes.FETCH_RECORDS),
+
+	RECORDS(5, PeerMessage.Records.class, MessageTypes.RECORDS),
+
+	FORWARD(6, PeerMessage.Forward.class, MessageTypes.FORWARD),
+
+	FORWARD_ANSWER(7, PeerMessage.ForwardAnswer.class, MessageTypes.FORWARD_ANSWER),
+
+	INHERIT_TICKETS(8, PeerMessage.InheritTickets.class, MessageTypes.INHERIT_TICKETS),
+
+	INHERIT_ANSWER(9, PeerMessage.InheritAnswer.class, MessageTypes.INHERIT_ANSWER),
+
+	CLOSE_TICKETS(10, PeerMessage.CloseTickets.class, MessageTypes.CLOSE_TICKETS),
+
+	PING(11, PeerMessage.Ping.class, MessageTypes.PING),
+
+	PONG(12, PeerMessage.Pong.class, MessageTypes.PONG),
+
+	ERROR_ANSWER(13, PeerMessage.ErrorAnswer.class, MessageTypes.ERROR_ANSWER);
+
+	/** The bound on messages that have none of their own, in bytes. */
+	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
+
+	/** The bound on the largest message of all, in bytes. */
+	static final int LARGEST_MAX_BYTES = 32 * 1024 * 1024;
+
+	private static final Map<Integer, MessageKind> BY_NUMBER = Arrays.stream(values())
+		.collect(Collectors.toUnmodifiableMap((kind) -> kind.number, Function.identity()));
+
+	private static final Map<Class<?>, MessageKind> BY_CLASS = Arrays.stream(values())
+		.collect(Collectors.toUnmodifiableMap((kind) -> kind.messageClass, Function.identity()));
+
+	private final int number;
+
+	private final Class<? extends PeerMessage> messageClass;
+
+	private final WireType<? extends PeerMessage> type;
+
+	<M extends PeerMessage> MessageKind(int number, Class<M> messageClass, WireType<M> type) {
+		this.number = number;
+		this.messageClass = messageClass;
+		this.type = type;
+	}
+
+	static Optional<MessageKind> ofNumber(int number) {
+		return Optional.ofNullable(BY_NUMBER.get(number));
+	}
+
+	static MessageKind of(PeerMessage message) {
+		return BY_CLASS.get(message.getClass());
+	}
+
+	static int maxBytes(int number) {
+		return (number == INHERIT_TICKETS.number) ? LARGEST_MAX_BYTES : DEFAULT_MAX_BYTES;
+	}
+
+	int number() {
+		return this.number;
+	}
+
+	String typeName() {
+		return this.messageClass.getSimpleName();
+	}
+
+	@SuppressWarnings("unchecked")
+	WireType<PeerMessage> type() {
+		return (WireType<PeerMessage>) this.type;
+	}
+
+}
--- /dev/null
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/SilenceGuard.java
@@ -0,0 +1,45 @@
+package org.masticwick.wire.internal;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.TrafficCounters;
+import org.masticwick.wire.internal.Envelope.Role;
+
+/**
+ * Asks a peer that has sent nothing for half of the silence limit whether it is there,
+ * and closes the connection when the limit has passed without a byte.
+ */
+final class SilenceGuard extends IdleStateHandler {
+
+	private static final Logger logger = LoggerFactory.getLogger(SilenceGuard.class);
+
+	private final TrafficCounters traffic;
+
+	SilenceGuard(long silenceLimitMillis, TrafficCounters traffic) {
+		super(silenceLimitMillis / 2, 0, 0, TimeUnit.MILLISECONDS);
+		this.traffic = traffic;
+	}
+
+	@Override
+	protected void channelIdle(ChannelHandlerContext ctx, IdleStateEvent event) {
+		if (event.state() != IdleState.READER_IDLE) {
+			return;
+		}
+		if (event.isFirst()) {
+			new MessageWriter(ctx.channel(), this.traffic).write(Role.ONE_WAY, 0, new PeerMessage.Ping());
+		}
+		else {
+			logger.info("Closing the connection with {}, which has gone silent", ctx.channel().remoteAddress());
+			ctx.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between entry hosts and the TCP transport that carries them.
+ */
+package org.masticwick.wire;
--- /dev/null
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
@@ -0,0 +1,232 @@
+package org.masticwick.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Tests for {@link NettyPeerTransport}.
+ */
+class NettyPeerTransportTests {
+
+	private static final long SHORT_SILENCE_MILLIS = 300;
+
+	private final List<AutoCloseable> resources = new ArrayList<>();
+
+	@AfterEach
+	void closeAll() throws Exception {
+		for (AutoCloseable resource : this.resources) {
+			resource.close();
+		}
+	}
+
+	private TestPeer peer(PeerTransportSettings settings, Function<PeerMessage, CompletionStage<PeerMessage>> answers) {
+		TestPeer peer = new TestPeer(settings, 1, answers);
+		this.resources.add(peer);
+		return peer;
+	}
+
+	private TestPeer peer() {
+		return peer(TestPeer.settings(), TestPeer::echo);
+	}
+
+	private Relay relay(TestPeer target) throws IOException {
+		Relay relay = new Relay(target.address());
+		this.resources.add(relay);
+		return relay;
+	}
+
+	private static PeerException failure(CompletableFuture<PeerMessage> call) {
+		CompletionException error = catchThrowableOfType(CompletionException.class, call::join);
+		assertThat(error).hasCauseInstanceOf(PeerException.class);
+		assertThat(((PeerException) error.getCause()).errorCode()).isEqualTo(ErrorCode.PEER_UNAVAILABLE);
+		return (PeerException) error.getCause();
+	}
+
+	private static PeerMessage.ErrorAnswer errorAnswer(CompletableFuture<PeerMessage> call) {
+		PeerMessage answer = call.join();
+		assertThat(answer).isInstanceOf(PeerMessage.ErrorAnswer.class);
+		return (PeerMessage.ErrorAnswer) answer;
+	}
+
+	@Nested
+	class Calls {
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 1, 100_000, 7 * 1024 * 1024 })
+		void areAnsweredWhole(int bodyBytes) {
+			PeerMessage answer = peer().transport().call(peer().address(), TestPeer.forward(bodyBytes)).join();
+			assertThat(((PeerMessage.ForwardAnswer) answer).body()).hasSize(bodyBytes);
+		}
+
+		@Test
+		void meetTheirOwnAnswersInAnyOrder() {
+			List<CompletableFuture<PeerMessage>> answers = IntStream.range(0, 10)
+				.mapToObj((index) -> new CompletableFuture<PeerMessage>())
+				.toList();
+			TestPeer server = peer(TestPeer.settings(), (message) -> (message instanceof PeerMessage.FetchRecords fetch)
+					? answers.get((int) fetch.fromOffset()) : null);
+			TestPeer client = peer();
+			List<CompletableFuture<PeerMessage>> calls = IntStream.range(0, 10)
+				.mapToObj(
+						(index) -> client.transport().call(server.address(), new PeerMessage.FetchRecords(index, 0, 1)))
+				.toList();
+			IntStream.range(0, 10)
+				.map((index) -> 9 - index)
+				.forEach((index) -> answers.get(index).complete(new PeerMessage.Records(List.of(), null, index)));
+			assertThat(calls).extracting(CompletableFuture::join)
+				.extracting((answer) -> ((PeerMessage.Records) answer).snapshotOffset())
+				.containsExactly(0L, 1L, 2L, 3L, 4L, 5L, 6L, 7L, 8L, 9L);
+		}
+
+		@Test
+		void withoutAnswerAreRefused() {
+			assertThat(
+					errorAnswer(peer().transport().call(peer().address(), new PeerMessage.InheritAnswer(true))).code())
+				.isEqualTo(PeerErrorCodes.UNKNOWN_MESSAGE);
+		}
+
+		@Test
+		void thatFailInTheHandlerSaySo() {
+			TestPeer server = peer(TestPeer.settings(), (message) -> {
+				throw new IllegalStateException("broken");
+			});
+			assertThat(errorAnswer(peer().transport().call(server.address(), TestPeer.forward(1))).code())
+				.isEqualTo(PeerErrorCodes.INTERNAL);
+		}
+
+		@Test
+		void aboveTheBoundAreNotSent() {
+			PeerException error = failure(peer().transport().call(peer().address(), TestPeer.forward(8 * 1024 * 1024)));
+			assertThat(error.sent()).isFalse();
+		}
+
+		@Test
+		void countTheirTraffic() {
+			TestPeer client = peer();
+			TestPeer server = peer();
+			client.transport().call(server.address(), TestPeer.forward(1_000)).join();
+			TrafficCounters.Traffic sent = client.transport().traffic().snapshot().get("Forward");
+			assertThat(sent.outCount()).isOne();
+			assertThat(sent.outBytes()).isBetween(1_000L, 1_060L)
+				.isEqualTo(server.transport().traffic().snapshot().get("Forward").inBytes());
+		}
+
+	}
+
+	@Nested
+	class LostPeers {
+
+		@Test
+		void thatDoNotListenGetNoByte() {
+			TestPeer gone = peer();
+			gone.close();
+			TestPeer client = peer();
+			assertThat(failure(client.transport().call(gone.address(), TestPeer.forward(1))).sent()).isFalse();
+			assertThat(failure(client.transport().call(gone.address(), TestPeer.forward(1))).sent()).isFalse();
+		}
+
+		@Test
+		void failTheCallsUnderWay() {
+			TestPeer server = peer(TestPeer.settings(), (message) -> new CompletableFuture<>());
+			CompletableFuture<PeerMessage> call = peer().transport().call(server.address(), TestPeer.forward(1));
+			await().until(() -> server.hasReceived(PeerMessage.Forward.class));
+			server.close();
+			assertThat(failure(call).sent()).isTrue();
+		}
+
+		@Test
+		void thatComeBackAreMetAgain() {
+			TestPeer first = peer();
+			TestPeer client = peer();
+			HostAddress address = first.address();
+			client.transport().call(address, TestPeer.forward(1)).join();
+			first.close();
+			TestPeer second = new TestPeer(PeerTransportSettings.of(TestPeer.LOOPBACK, address.port()), 2,
+					TestPeer::echo);
+			NettyPeerTransportTests.this.resources.add(second);
+			await().ignoreExceptions()
+				.until(() -> client.transport().call(address, TestPeer.forward(1)).join() != null);
+			assertThat(client.received).contains(
+					new PeerMessage.Hello(second.identity.get(), ProtocolVersion.CURRENT, ProtocolVersion.OLDEST));
+		}
+
+	}
+
+	@Nested
+	class SilentConnections {
+
+		@Test
+		void failTheirCallsAndGiveWayToNewOnes() throws IOException {
+			CompletableFuture<PeerMessage> never = new CompletableFuture<>();
+			TestPeer server = peer(TestPeer.settings(),
+					(message) -> (message instanceof PeerMessage.FetchRecords) ? never : TestPeer.echo(message));
+			TestPeer client = peer(TestPeer.settings().withSilenceLimitMillis(SHORT_SILENCE_MILLIS), TestPeer::echo);
+			Relay relay = relay(server);
+			CompletableFuture<PeerMessage> call = client.transport()
+				.call(relay.address(), new PeerMessage.FetchRecords(0, 0, 1));
+			await().until(() -> server.hasReceived(PeerMessage.FetchRecords.class));
+			relay.silenceOpenConnections();
+			assertThat(failure(call).sent()).isTrue();
+			assertThat(client.transport().call(relay.address(), TestPeer.forward(1)).join())
+				.isInstanceOf(PeerMessage.ForwardAnswer.class);
+		}
+
+		@Test
+		void areToldFromSlowAnswers() {
+			CompletableFuture<PeerMessage> late = new CompletableFuture<>();
+			TestPeer server = peer(TestPeer.settings(), (message) -> late);
+			TestPeer client = peer(TestPeer.settings().withSilenceLimitMillis(SHORT_SILENCE_MILLIS), TestPeer::echo);
+			CompletableFuture<PeerMessage> call = client.transport().call(server.address(), TestPeer.forward(1));
+			await().until(() -> client.transport().traffic().snapshot().containsKey("Pong")
+					&& client.transport().traffic().snapshot().get("Pong").inCount() >= 4);
+			late.complete(new PeerMessage.InheritAnswer(true));
+			assertThat(call.join()).isEqualTo(new PeerMessage.InheritAnswer(true));
+		}
+
+	}
+
+	@Nested
+	class Backpressure {
+
+		private static final int MAX_OUTBOUND_BYTES = 64 * 1024;
+
+		private static final int MAX_CALL_COUNT = 5_000;
+
+		@Test
+		void refusesCallsWhenThePeerDoesNotRead() throws IOException {
+			TestPeer server = peer(TestPeer.settings(), (message) -> new CompletableFuture<>());
+			TestPeer client = peer(TestPeer.settings().withMaxOutboundBytes(MAX_OUTBOUND_BYTES), TestPeer::echo);
+			Relay relay = relay(server);
+			client.transport().call(relay.address(), TestPeer.forward(1));
+			await().until(() -> server.hasReceived(PeerMessage.Forward.class));
+			relay.stopReadingOpenConnections();
+			CompletableFuture<PeerMessage> refused = IntStream.range(0, MAX_CALL_COUNT)
+				.mapToObj((index) -> client.transport().call(relay.address(), TestPeer.forward(32 * 1024)))
+				.filter(CompletableFuture::isCompletedExceptionally)
+				.findFirst()
+				.orElseThrow();
+			assertThat(failure(refused).sent()).isFalse();
+		}
+
+	}
+
+}
