--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -33,7 +33,8 @@
 
 /**
  * Speaks the endpoints' protocol through OkHttp. Posts share kept-alive connections;
- * look-ups and cancellations open fresh ones, since a kept connection may have gone silent.
+ * look-ups and cancellations open fresh ones, since a kept connection may have gone
+ * silent.
  */
 public final class OkHttpEndpointClient implements EndpointClient {
 
@@ -219,8 +220,7 @@
 		@Override
 		public void onFailure(Call call, IOException ex) {
 			String detail = String.valueOf(ex.getMessage());
-			this.reply.complete(
-					this.written.begun() ? new PostReply.Uncertain(detail) : new PostReply.NotSent(detail));
+			this.reply.complete(this.written.begun() ? new PostReply.Uncertain(detail) : new PostReply.NotSent(detail));
 		}
 
 		@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -178,8 +178,8 @@
 				Answers.problem(ErrorCode.METHOD_NOT_ALLOWED, "The path does not take this method");
 			case StatusCode.REQUEST_ENTITY_TOO_LARGE_CODE ->
 				Answers.problem(ErrorCode.REQUEST_TOO_LARGE, "The body is too large");
-			case StatusCode.BAD_REQUEST_CODE -> Answers.problem(ErrorCode.MALFORMED_REQUEST,
-					"The request could not be read: " + ex.getMessage());
+			case StatusCode.BAD_REQUEST_CODE ->
+				Answers.problem(ErrorCode.MALFORMED_REQUEST, "The request could not be read: " + ex.getMessage());
 			default -> internal(ex);
 		};
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Answers.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Answers.java
@@ -80,7 +80,8 @@
 	 * @param code the code
 	 * @param detail the details for people
 	 * @param retryAfterMillis when to come back, in milliseconds; negative for never
-	 * @param tasks the states in the order of the tasks; empty if there is nothing to tell
+	 * @param tasks the states in the order of the tasks; empty if there is nothing to
+	 * tell
 	 * @return the answer
 	 */
 	public static HttpAnswer problem(ErrorCode code, String detail, long retryAfterMillis, List<TaskState> tasks) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Collector.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Collector.java
@@ -153,8 +153,8 @@
 
 		CompletableFuture<HttpAnswer> answerFor(byte[] body) {
 			if (body.length > 0 && !Arrays.equals(this.digest, BodyDigest.of(body))) {
-				return CompletableFuture.completedFuture(Answers.problem(ErrorCode.TICKET_REUSED,
-						"The ticket was submitted with another body"));
+				return CompletableFuture.completedFuture(
+						Answers.problem(ErrorCode.TICKET_REUSED, "The ticket was submitted with another body"));
 			}
 			return this.answer;
 		}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -206,8 +206,7 @@
 		ActiveJob active = this.jobs.get(start.task().ticket());
 		HostAddress endpoint = start.endpoint().address();
 		if (active == null || !active.job().tryStart(start.task().index(), endpoint)) {
-			this.scheduler.ended(start.task(), new TaskEnd(endpoint, TaskEnd.Kind.CANCELLED, 0),
-					this.time.nanoTime());
+			this.scheduler.ended(start.task(), new TaskEnd(endpoint, TaskEnd.Kind.CANCELLED, 0), this.time.nanoTime());
 			return;
 		}
 		long now = this.time.nanoTime();
@@ -217,8 +216,8 @@
 				endpoint);
 		TaskPost post = new TaskPost(start.task(), endpoint, service, start.spec().kind(), start.spec().payload(),
 				start.leaseMillis());
-		TaskRun run = new TaskRun(this.client, this.timer, post, options(service, start.spec().kind()), this::countLookup,
-				(result) -> onEnd(active, start, now, result));
+		TaskRun run = new TaskRun(this.client, this.timer, post, options(service, start.spec().kind()),
+				this::countLookup, (result) -> onEnd(active, start, now, result));
 		active.runs().put(start.task().index(), run);
 		run.begin();
 		if (active.job().ended()) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Job.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Job.java
@@ -95,8 +95,7 @@
 	 */
 	public void takeBack(int index) {
 		TaskProgress before = this.tasks.get(index);
-		if (before.state() == TaskState.STARTED
-				&& this.tasks.compareAndSet(index, before, TaskProgress.NOT_STARTED)) {
+		if (before.state() == TaskState.STARTED && this.tasks.compareAndSet(index, before, TaskProgress.NOT_STARTED)) {
 			this.gate.decrementAndGet();
 		}
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -85,8 +85,8 @@
 	}
 
 	/**
-	 * Returns whether a body is the one that was submitted. Any body is, if the ticket was
-	 * sealed before its job came.
+	 * Returns whether a body is the one that was submitted. Any body is, if the ticket
+	 * was sealed before its job came.
 	 * @param other the digest of the body
 	 * @return {@code true} if it is
 	 */
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
@@ -115,7 +115,8 @@
 		TicketBook.Claim claim = claim(book, ticket, JobEntry.NO_BODY);
 		JobEntry entry = claim.entry();
 		if (claim.created()) {
-			entry.complete(Answers.problem(ErrorCode.CANCELLED_NOT_RUN, "The ticket was cancelled before its job came"));
+			entry
+				.complete(Answers.problem(ErrorCode.CANCELLED_NOT_RUN, "The ticket was cancelled before its job came"));
 			return entry.answer();
 		}
 		Job job = entry.job();
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -144,9 +144,8 @@
 	private CompletableFuture<HttpAnswer> route(RoutedRequest request, long limitNanos) {
 		Optional<TicketBook> book = answeringBook(request);
 		if (book.isPresent()) {
-			return local(book.get(), request)
-				.exceptionallyCompose((ex) -> (causeOf(ex) instanceof NotHolderException)
-						? retry(request, limitNanos) : CompletableFuture.failedFuture(ex));
+			return local(book.get(), request).exceptionallyCompose((ex) -> (causeOf(ex) instanceof NotHolderException)
+					? retry(request, limitNanos) : CompletableFuture.failedFuture(ex));
 		}
 		Optional<HostAddress> holder = holderOf(request.ticket().incarnation());
 		if (holder.isPresent()) {
@@ -227,8 +226,7 @@
 		if (host.equals(this.self)) {
 			return this.collector.collect(request);
 		}
-		return call(host.peerAddress(), request)
-			.exceptionallyCompose((ex) -> collectAt(hosts, index + 1, request));
+		return call(host.peerAddress(), request).exceptionallyCompose((ex) -> collectAt(hosts, index + 1, request));
 	}
 
 	private static byte[] weight(RoutedRequest request, EntryHost host) {
@@ -241,8 +239,7 @@
 		logger.debug("Request goes on: ticket={} operation={} to={}", request.ticket(), request.operation(), to);
 		return this.transport
 			.call(to,
-					new Forward(request.operation(), request.ticket().toString(), request.body(),
-							request.waitMillis()))
+					new Forward(request.operation(), request.ticket().toString(), request.body(), request.waitMillis()))
 			.thenApply(RequestRouter::fromMessage);
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskFinder.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskFinder.java
@@ -90,8 +90,7 @@
 		});
 	}
 
-	private CompletableFuture<FoundTask> await(Search search, HostAddress endpoint, TaskId task,
-			int unreachableCount) {
+	private CompletableFuture<FoundTask> await(Search search, HostAddress endpoint, TaskId task, int unreachableCount) {
 		if (this.time.nanoTime() - search.limitNanos() >= 0 || unreachableCount > MAX_UNREACHABLE_COUNT) {
 			return CompletableFuture.completedFuture(FoundTask.UNKNOWN);
 		}
@@ -107,8 +106,7 @@
 	private CompletableFuture<LookupReply> ask(HostAddress endpoint, TaskId task) {
 		this.metrics.message(MessageKind.LOOKUP);
 		this.metrics.waste(WasteKind.LOOKUP);
-		return this.client.lookup(endpoint, task)
-			.exceptionally((ex) -> new LookupReply(LookupState.UNREACHABLE, null));
+		return this.client.lookup(endpoint, task).exceptionally((ex) -> new LookupReply(LookupState.UNREACHABLE, null));
 	}
 
 	private static CompletableFuture<FoundTask> later(Supplier<CompletableFuture<FoundTask>> step) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
@@ -15,8 +15,8 @@
 
 /**
  * Holds the right to start jobs under the tickets of one incarnation, and remembers what
- * became of each until it expires. The right leaves the process at most once, when an heir
- * takes the book over.
+ * became of each until it expires. The right leaves the process at most once, when an
+ * heir takes the book over.
  */
 public final class TicketBook {
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -128,9 +128,11 @@
 
 	private void followUp(Offer offer, HostAddress heir, List<CompletableFuture<Void>> pending) {
 		offer.open()
-			.forEach((ticket, entry) -> pending.add(entry.answer()
-				.thenCompose((answer) -> tell(heir, new ClosedTicket(ticket, answer.status(), answer.contentType(),
-						answer.body()), CLOSE_ATTEMPT_COUNT))));
+			.forEach((ticket,
+					entry) -> pending.add(entry.answer()
+						.thenCompose((answer) -> tell(heir,
+								new ClosedTicket(ticket, answer.status(), answer.contentType(), answer.body()),
+								CLOSE_ATTEMPT_COUNT))));
 	}
 
 	private CompletableFuture<Void> tell(HostAddress heir, ClosedTicket closed, int attemptCount) {
