Fold release notes into the version in force, follow and relay the log

Notes were only a contract so far: nothing read the log, decided on a note or kept a version in force.

Acceptance is a pure function of state and record.

Ruled out: comparing version numbers alone, because a log that lost records reaches the same numbers again with other notes. A state takes the place of another only if it holds every note that the other accepted.

--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/version/NoteChange.java
@@ -0,0 +1,70 @@
+package org.masticwick.core.version;
+
+import org.masticwick.core.process.HostAddress;
+
+/**
+ * Is one change that a release note lists.
+ */
+public sealed interface NoteChange {
+
+	/**
+	 * Returns what is done to the entity.
+	 * @return the kind of change
+	 */
+	ChangeKind change();
+
+	/**
+	 * Returns the entity that is changed.
+	 * @return the key
+	 */
+	EntityKey key();
+
+	/**
+	 * Changes a service.
+	 *
+	 * @param change what is done
+	 * @param name the name of the service
+	 * @param spec the new value; {@code null} for a withdrawal
+	 */
+	record OfService(ChangeKind change, String name, ServiceSpec spec) implements NoteChange {
+
+		@Override
+		public EntityKey key() {
+			return new EntityKey(EntityKey.Type.SERVICE, this.name);
+		}
+
+	}
+
+	/**
+	 * Changes the capacity of an endpoint.
+	 *
+	 * @param change what is done
+	 * @param address the address of the endpoint
+	 * @param spec the new value; {@code null} for a withdrawal
+	 */
+	record OfCapacity(ChangeKind change, HostAddress address, EndpointSpec spec) implements NoteChange {
+
+		@Override
+		public EntityKey key() {
+			return new EntityKey(EntityKey.Type.CAPACITY, this.address.toString());
+		}
+
+	}
+
+	/**
+	 * Changes a rule.
+	 *
+	 * @param change what is done
+	 * @param name the name of the rule
+	 * @param value the new value; {@code null} for a withdrawal
+	 */
+	record OfRule(ChangeKind change, String name, String value) implements NoteChange {
+
+		@Override
+		public EntityKey key() {
+			return new EntityKey(EntityKey.Type.RULE, this.name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/FollowerSettings.java
@@ -0,0 +1,27 @@
+package org.masticwick.daemon.version;
+
+import java.time.Duration;
+
+/**
+ * Bounds how the log is followed.
+ *
+ * @param pollWait how long the log holds a read while there is nothing new
+ * @param minBackoff the first delay after a failure
+ * @param maxBackoff the longest delay after failures
+ * @param restoreSpread over which time hosts spread that find the log behind
+ * @param checkInterval how often to check that the log still holds what was read last
+ * @param snapshotInterval how old the newest snapshot may be; a small part of how long
+ * the log keeps records
+ * @param snapshotRecordCount how many records may follow the newest snapshot
+ */
+public record FollowerSettings(Duration pollWait, Duration minBackoff, Duration maxBackoff, Duration restoreSpread,
+		Duration checkInterval, Duration snapshotInterval, int snapshotRecordCount) {
+
+	private static final int SNAPSHOT_RECORD_COUNT = 256;
+
+	/** The bounds unless settings say otherwise. */
+	public static final FollowerSettings DEFAULT = new FollowerSettings(Duration.ofSeconds(4), Duration.ofMillis(100),
+			Duration.ofSeconds(2), Duration.ofSeconds(1), Duration.ofSeconds(30), Duration.ofMinutes(10),
+			SNAPSHOT_RECORD_COUNT);
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
@@ -0,0 +1,137 @@
+package org.masticwick.daemon.version;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.platform.PlatformClient;
+import org.masticwick.platform.PlatformException;
+import org.masticwick.platform.PlatformHost;
+
+/**
+ * Keeps this host on the platform's list and reads the list. During an outage the
+ * listener keeps what it got last.
+ */
+public final class HostListFollower implements AutoCloseable {
+
+	private static final Logger LOG = LoggerFactory.getLogger(HostListFollower.class);
+
+	private static final int LEASE_INTERVAL_COUNT = 5;
+
+	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
+
+	private final PlatformClient platform;
+
+	private final Duration interval;
+
+	private final RandomGenerator random;
+
+	private final Consumer<List<PlatformHost>> listener;
+
+	private final Semaphore wakeups = new Semaphore(0);
+
+	private final Thread thread;
+
+	private volatile PlatformHost self;
+
+	private volatile boolean closing;
+
+	private volatile long failureCount;
+
+	/**
+	 * Creates a follower; {@link #start()} lets it run.
+	 * @param platform where the list is
+	 * @param self the entry of this host
+	 * @param interval how often the list is read and the lease renewed
+	 * @param random the source of jitter; used by the thread of the follower alone
+	 * @param listener is called with each list that was read
+	 */
+	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, RandomGenerator random,
+			Consumer<List<PlatformHost>> listener) {
+		this.platform = platform;
+		this.self = self;
+		this.interval = interval;
+		this.random = random;
+		this.listener = listener;
+		this.thread = new Thread(this::run, "host-list-follower");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Starts to follow.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Announces on the list at once that this host is about to stop.
+	 */
+	public void leave() {
+		this.self = new PlatformHost(this.self.address(), this.self.role(), this.self.domain(),
+				PlatformHost.State.LEAVING);
+		this.wakeups.release();
+	}
+
+	/**
+	 * Tells how many calls have failed since the start.
+	 * @return the count
+	 */
+	public long failureCount() {
+		return this.failureCount;
+	}
+
+	/**
+	 * Takes this host off the list and stops to follow.
+	 */
+	@Override
+	public void close() {
+		this.closing = true;
+		this.wakeups.release();
+		try {
+			this.thread.join(CLOSE_TIMEOUT_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void run() {
+		while (!this.closing) {
+			attempt(() -> this.platform.register(this.self, this.interval.multipliedBy(LEASE_INTERVAL_COUNT)));
+			attempt(() -> this.listener.accept(this.platform.hosts()));
+			pause();
+		}
+		attempt(() -> this.platform.deregister(this.self.address()));
+	}
+
+	private void attempt(Runnable call) {
+		try {
+			call.run();
+		}
+		catch (PlatformException ex) {
+			this.failureCount++;
+			LOG.debug("The platform's list of hosts can't be reached", ex);
+		}
+	}
+
+	private void pause() {
+		long millis = this.interval.toMillis();
+		long spreadMillis = millis / 2 + this.random.nextLong(millis / 2 + 1);
+		try {
+			if (this.wakeups.tryAcquire(spreadMillis, TimeUnit.MILLISECONDS)) {
+				this.wakeups.drainPermits();
+			}
+		}
+		catch (InterruptedException ex) {
+			this.closing = true;
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogFollower.java
@@ -0,0 +1,121 @@
+package org.masticwick.daemon.version;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.platform.Backoff;
+import org.masticwick.platform.PlatformClient;
+
+/**
+ * Follows the log of release notes in a thread of its own for as long as the process
+ * lives, and puts accepted notes in force.
+ */
+public final class LogFollower implements AutoCloseable {
+
+	private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
+
+	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
+
+	private final LogTracker tracker;
+
+	private final Backoff backoff;
+
+	private final TimeSource time;
+
+	private final CountDownLatch closing = new CountDownLatch(1);
+
+	private final Thread thread;
+
+	private volatile FollowerStatus status = new FollowerStatus(false, 0, false, 0, "");
+
+	/**
+	 * Creates a follower; {@link #start()} lets it run.
+	 * @param platform where the log is
+	 * @param registry holds the version in force
+	 * @param settings the bounds
+	 * @param time the clock
+	 * @param random the source of jitter; used by the thread of the follower alone
+	 */
+	public LogFollower(PlatformClient platform, VersionRegistry registry, FollowerSettings settings, TimeSource time,
+			RandomGenerator random) {
+		this.tracker = new LogTracker(platform, registry, settings, time, random);
+		this.backoff = new Backoff(settings.minBackoff(), settings.maxBackoff(), random);
+		this.time = time;
+		this.thread = new Thread(this::run, "log-follower");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Starts to follow.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Tells how it goes.
+	 * @return the status
+	 */
+	public FollowerStatus status() {
+		return this.status;
+	}
+
+	/**
+	 * Stops to follow and waits for the thread for a short time.
+	 */
+	@Override
+	public void close() {
+		this.closing.countDown();
+		this.thread.interrupt();
+		try {
+			this.thread.join(CLOSE_TIMEOUT_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void run() {
+		int failureCount = 0;
+		boolean open = true;
+		while (open) {
+			try {
+				boolean atOnce = this.tracker.step();
+				succeeded();
+				failureCount = 0;
+				open = pause((atOnce) ? 0 : this.backoff.delay(0).toMillis());
+			}
+			catch (RuntimeException ex) {
+				failed(ex);
+				open = pause(this.backoff.delay(failureCount++).toMillis());
+			}
+		}
+	}
+
+	private boolean pause(long millis) {
+		try {
+			return !this.closing.await(millis, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			return false;
+		}
+	}
+
+	private void succeeded() {
+		this.status = new FollowerStatus(true, this.time.nanoTime(), this.tracker.behind(), this.status.failureCount(),
+				this.status.lastFailure());
+	}
+
+	private void failed(RuntimeException ex) {
+		this.tracker.failed();
+		LOG.debug("Following the log failed", ex);
+		this.status = new FollowerStatus(this.status.everSucceeded(), this.status.lastSuccessNanos(),
+				this.tracker.behind(), this.status.failureCount() + 1, ex.toString());
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/SnapshotWriter.java
@@ -0,0 +1,110 @@
+package org.masticwick.daemon.version;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.version.LogRecord;
+import org.masticwick.core.version.SiteRecord;
+import org.masticwick.core.version.SiteRecordCodec;
+import org.masticwick.core.version.SiteState;
+import org.masticwick.platform.PlatformClient;
+
+/**
+ * Writes snapshots into the log so that records may expire. Any host may write one; two
+ * written at the same offset are equal. Bounds are spread so that seldom more than one
+ * host writes.
+ */
+final class SnapshotWriter {
+
+	private static final Logger LOG = LoggerFactory.getLogger(SnapshotWriter.class);
+
+	private static final Duration MIN_GAP = Duration.ofSeconds(5);
+
+	private final PlatformClient platform;
+
+	private final FollowerSettings settings;
+
+	private final TimeSource time;
+
+	private final RandomGenerator random;
+
+	private long recordCount;
+
+	private long recordCountBound;
+
+	private long dueNanos;
+
+	private long notBeforeNanos;
+
+	SnapshotWriter(PlatformClient platform, FollowerSettings settings, TimeSource time, RandomGenerator random) {
+		this.platform = platform;
+		this.settings = settings;
+		this.time = time;
+		this.random = random;
+		this.notBeforeNanos = time.nanoTime();
+		restart(0);
+	}
+
+	/**
+	 * Starts to count from the newest snapshot of a log that was loaded. Its age is not
+	 * known, so it may be as old as allowed before long.
+	 * @param laterRecordCount how many records follow the snapshot
+	 */
+	void loaded(long laterRecordCount) {
+		restart(laterRecordCount);
+		this.dueNanos -= this.random.nextLong(this.settings.snapshotInterval().toNanos() + 1);
+	}
+
+	/**
+	 * Notes a record of the log.
+	 * @param record the record
+	 */
+	void seen(LogRecord record) {
+		if (SiteRecordCodec.decode(record.value()) instanceof SiteRecord.SnapshotRecord snapshot) {
+			restart((snapshot.restoresFrom().isEmpty()) ? 0 : this.settings.snapshotRecordCount());
+		}
+		else {
+			this.recordCount++;
+		}
+	}
+
+	/**
+	 * Returns how long until a snapshot is due by time.
+	 * @return the time, not negative
+	 */
+	Duration remaining() {
+		return Duration.ofNanos(Math.max(0, this.dueNanos - this.time.nanoTime()));
+	}
+
+	/**
+	 * Writes a snapshot if one is due.
+	 * @param state the state at the end of the log
+	 * @return {@code true} if one was written
+	 */
+	boolean writeIfDue(SiteState state) {
+		long now = this.time.nanoTime();
+		boolean due = this.recordCount >= this.recordCountBound || now - this.dueNanos >= 0;
+		boolean empty = state.verdicts().isEmpty() && state.version().number() == 0;
+		if (!due || empty || now - this.notBeforeNanos < 0) {
+			return false;
+		}
+		this.notBeforeNanos = now + MIN_GAP.toNanos();
+		this.platform.append(SiteRecord.STREAM, List.of(SiteRecordCodec.encodeSnapshot(state)));
+		LOG.info("Wrote a snapshot of version {} at offset {}", state.version().number(), state.nextOffset());
+		return true;
+	}
+
+	private void restart(long laterRecordCount) {
+		this.recordCount = laterRecordCount;
+		int count = this.settings.snapshotRecordCount();
+		this.recordCountBound = count + this.random.nextInt(count / 2 + 1);
+		long intervalNanos = this.settings.snapshotInterval().toNanos();
+		this.dueNanos = this.time.nanoTime() + intervalNanos + this.random.nextLong(intervalNanos / 2 + 1);
+	}
+
+}
--- /dev/null
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/HttpPlatformClient.java
@@ -0,0 +1,205 @@
+package org.masticwick.platform;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import okhttp3.Call;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.version.LogRecord;
+
+/**
+ * Reaches the platform over HTTP. No call is repeated by itself. After a call that failed
+ * on the way, idle connections are dropped, since they may have gone silent too.
+ */
+public final class HttpPlatformClient implements PlatformClient, AutoCloseable {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final MediaType JSON_TYPE = MediaType.get("application/json");
+
+	private static final int STATUS_GONE = 410;
+
+	private static final int STATUS_UNAVAILABLE = 503;
+
+	private static final int STATUS_FIRST_ERROR = 400;
+
+	private static final int STATUS_FIRST_SERVER_ERROR = 500;
+
+	private final HttpUrl baseUrl;
+
+	private final HttpPlatformSettings settings;
+
+	private final OkHttpClient http;
+
+	/**
+	 * Creates a client.
+	 * @param address where the platform listens
+	 * @param settings the bounds of calls
+	 */
+	public HttpPlatformClient(HostAddress address, HttpPlatformSettings settings) {
+		this.baseUrl = new HttpUrl.Builder().scheme("http").host(address.ip()).port(address.port()).build();
+		this.settings = settings;
+		this.http = new OkHttpClient.Builder().retryOnConnectionFailure(false)
+			.followRedirects(false)
+			.connectTimeout(settings.connectTimeout())
+			.readTimeout(Duration.ZERO)
+			.writeTimeout(settings.callTimeout())
+			.build();
+	}
+
+	@Override
+	public AppendResult append(String stream, List<String> records) {
+		ObjectNode body = JSON.createObjectNode();
+		ArrayNode values = body.putArray("records");
+		records.forEach(values::add);
+		Request request = request(url("log", stream)).post(json(body)).build();
+		JsonNode answer = send(request, Duration.ZERO);
+		return new AppendResult(number(answer, "first_offset"), number(answer, "end_offset"));
+	}
+
+	@Override
+	public LogPage read(String stream, long fromOffset, int limit, Duration wait) {
+		HttpUrl url = url("log", stream).newBuilder()
+			.addQueryParameter("from", Long.toString(fromOffset))
+			.addQueryParameter("limit", Integer.toString(limit))
+			.addQueryParameter("wait_ms", Long.toString(wait.toMillis()))
+			.build();
+		JsonNode answer = send(request(url).get().build(), wait);
+		List<LogRecord> records = new ArrayList<>();
+		answer.path("records")
+			.forEach((node) -> records.add(new LogRecord(number(node, "offset"), node.path("value").asText())));
+		return new LogPage(number(answer, "begin_offset"), number(answer, "end_offset"), records);
+	}
+
+	@Override
+	public List<PlatformHost> hosts() {
+		JsonNode answer = send(request(url("hosts")).get().build(), Duration.ZERO);
+		List<PlatformHost> hosts = new ArrayList<>();
+		answer.path("hosts").forEach((node) -> HostJson.read(node).ifPresent(hosts::add));
+		return List.copyOf(hosts);
+	}
+
+	@Override
+	public void register(PlatformHost host, Duration lease) {
+		RequestBody body = json(HostJson.write(host, lease));
+		send(request(url("hosts", host.address().toString())).put(body).build(), Duration.ZERO);
+	}
+
+	@Override
+	public void deregister(HostAddress address) {
+		send(request(url("hosts", address.toString())).delete().build(), Duration.ZERO);
+	}
+
+	/**
+	 * Ends running calls and drops all connections.
+	 */
+	@Override
+	public void close() {
+		this.http.dispatcher().cancelAll();
+		this.http.connectionPool().evictAll();
+		this.http.dispatcher().executorService().shutdown();
+	}
+
+	private HttpUrl url(String... segments) {
+		HttpUrl.Builder url = this.baseUrl.newBuilder();
+		for (String segment : segments) {
+			url.addPathSegment(segment);
+		}
+		return url.build();
+	}
+
+	private static Request.Builder request(HttpUrl url) {
+		return new Request.Builder().url(url);
+	}
+
+	private static RequestBody json(ObjectNode body) {
+		return RequestBody.create(body.toString(), JSON_TYPE);
+	}
+
+	private JsonNode send(Request request, Duration wait) {
+		Call call = this.http.newCall(request);
+		call.timeout().timeout(this.settings.callTimeout().plus(wait).toNanos(), TimeUnit.NANOSECONDS);
+		try (Response response = call.execute()) {
+			return read(request, response);
+		}
+		catch (IOException ex) {
+			this.http.connectionPool().evictAll();
+			boolean unsent = ex instanceof ConnectException;
+			throw new PlatformException(ErrorCode.PLATFORM_UNAVAILABLE, describe(request) + " failed: " + ex,
+					!unsent && changes(request), ex);
+		}
+	}
+
+	private JsonNode read(Request request, Response response) throws IOException {
+		String body = readBody(request, response.body().source());
+		if (response.code() == STATUS_GONE) {
+			JsonNode answer = parse(request, body);
+			throw new RecordsExpiredException(number(answer, "begin_offset"), number(answer, "end_offset"));
+		}
+		if (response.code() >= STATUS_FIRST_ERROR) {
+			ErrorCode code = (response.code() < STATUS_FIRST_SERVER_ERROR) ? ErrorCode.INVALID_REQUEST
+					: ErrorCode.PLATFORM_UNAVAILABLE;
+			boolean unknown = response.code() > STATUS_UNAVAILABLE || response.code() == STATUS_FIRST_SERVER_ERROR;
+			throw new PlatformException(code, describe(request) + " answered " + response.code(),
+					unknown && changes(request), null);
+		}
+		return (body.isEmpty()) ? JSON.missingNode() : parse(request, body);
+	}
+
+	private String readBody(Request request, BufferedSource source) throws IOException {
+		if (source.request(this.settings.maxBodyBytes() + 1)) {
+			throw malformed(request, "an answer above " + this.settings.maxBodyBytes() + " bytes", null);
+		}
+		return source.readUtf8();
+	}
+
+	private static JsonNode parse(Request request, String body) {
+		try {
+			return JSON.readTree(body);
+		}
+		catch (JsonProcessingException ex) {
+			throw malformed(request, "an answer that is not JSON", ex);
+		}
+	}
+
+	private static long number(JsonNode node, String key) {
+		JsonNode value = node.path(key);
+		if (!value.isIntegralNumber()) {
+			throw new PlatformException(ErrorCode.PLATFORM_UNAVAILABLE, "The platform's answer lacks " + key, true,
+					null);
+		}
+		return value.longValue();
+	}
+
+	private static PlatformException malformed(Request request, String what, Exception cause) {
+		return new PlatformException(ErrorCode.PLATFORM_UNAVAILABLE, describe(request) + " got " + what,
+				changes(request), cause);
+	}
+
+	private static boolean changes(Request request) {
+		return !"GET".equals(request.method());
+	}
+
+	private static String describe(Request request) {
+		return request.method() + " " + request.url().encodedPath();
+	}
+
+}
--- /dev/null
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/LogPage.java
@@ -0,0 +1,23 @@
+package org.masticwick.platform;
+
+import java.util.List;
+
+import org.masticwick.core.version.LogRecord;
+
+/**
+ * Holds records that were read from the log together.
+ *
+ * @param beginOffset the offset of the first record that has not expired
+ * @param endOffset the offset after the last record of the stream
+ * @param records the records, in order
+ */
+public record LogPage(long beginOffset, long endOffset, List<LogRecord> records) {
+
+	/**
+	 * Copies the records.
+	 */
+	public LogPage {
+		records = List.copyOf(records);
+	}
+
+}
