Add stand-ins of the platform and of workers

Cause: fault cases need a platform and workers as processes that speak docs/design/INTERFACES.md and break on request.

Ruled out: Jooby for the log and the workers. Its contexts can't close a connection without an answer, declare a wrong length or go silent, so both sit on Netty; only the routes that steer workers use Jooby.

Conclusion: a first working version of the stand-ins; the limits of connections, silence, doubled and overlong replies have no test yet.

--- /dev/null
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/Worker.java
@@ -0,0 +1,279 @@
+package org.masticwick.standin.process;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.standin.connection.HttpAnswer;
+import org.masticwick.standin.connection.HttpExchange;
+import org.masticwick.standin.connection.HttpListener;
+import org.masticwick.standin.connection.Json;
+import org.masticwick.standin.request.StartLedger;
+import org.masticwick.standin.request.StartVerdict;
+import org.masticwick.standin.request.Task;
+import org.masticwick.standin.request.TaskRequest;
+import org.masticwick.standin.request.TaskState;
+import org.masticwick.standin.request.TaskTable;
+
+/**
+ * Stands in for one worker: runs tasks as timers and speaks the contract of an endpoint.
+ */
+final class Worker implements AutoCloseable {
+
+	private static final String TASKS_PATH = "/tasks";
+
+	private final WorkerOptions options;
+
+	private final EventLoopGroup group;
+
+	private final TimeSource time;
+
+	private final TaskTable tasks;
+
+	private final StartLedger starts;
+
+	private final StartLedger duplicates;
+
+	private final WorkerCounters counters = new WorkerCounters();
+
+	private final WorkerFaults faults = new WorkerFaults();
+
+	private final HttpListener listener;
+
+	private volatile boolean stopped;
+
+	Worker(WorkerOptions options, EventLoopGroup group, TimeSource time, StartLedger starts, StartLedger duplicates) {
+		this.options = options;
+		this.group = group;
+		this.time = time;
+		this.starts = starts;
+		this.duplicates = duplicates;
+		this.tasks = new TaskTable(options.slotCount());
+		this.listener = new HttpListener(group, options.connectionCount(), this::handle);
+	}
+
+	/**
+	 * Opens the listener on a port that the operating system chooses.
+	 */
+	void open() {
+		this.listener.open(this.options.ip(), 0);
+	}
+
+	@Override
+	public void close() {
+		this.stopped = true;
+		this.listener.close();
+	}
+
+	/**
+	 * Takes over what a request changes.
+	 * @param request the request
+	 */
+	void change(WorkerFaultRequest request) {
+		this.faults.change(request);
+		if (Boolean.TRUE.equals(request.silent())) {
+			this.listener.silenceConnections();
+		}
+		if (Boolean.TRUE.equals(request.stop())) {
+			close();
+		}
+		if (Boolean.TRUE.equals(request.start())) {
+			this.stopped = false;
+			this.listener.reopen();
+		}
+	}
+
+	/**
+	 * Returns where the worker listens.
+	 * @return the address
+	 */
+	HostAddress address() {
+		return this.listener.address();
+	}
+
+	/**
+	 * Tells whether the worker is live, leaving or stopped.
+	 * @return {@code live}, {@code leaving} or {@code stopped}
+	 */
+	String state() {
+		if (this.stopped) {
+			return "stopped";
+		}
+		return this.faults.leaving() ? "leaving" : "live";
+	}
+
+	/**
+	 * Returns how many tasks run.
+	 * @return the count
+	 */
+	int runningCount() {
+		return this.tasks.runningCount();
+	}
+
+	/**
+	 * Returns how many connections are open.
+	 * @return the count
+	 */
+	int openConnectionCount() {
+		return this.listener.openConnectionCount();
+	}
+
+	/**
+	 * Returns the counts of messages by kind, and of connections closed at accept.
+	 * @return the counts
+	 */
+	Map<String, Long> counters() {
+		Map<String, Long> values = this.counters.values();
+		values.put("rejected_connections", this.listener.rejectedConnectionCount());
+		return values;
+	}
+
+	private void handle(HttpExchange exchange) {
+		String path = exchange.path();
+		if (path.equals(TASKS_PATH) && exchange.method().equals("DELETE")) {
+			cancelAll(exchange);
+		}
+		else if (path.startsWith(TASKS_PATH + "/")) {
+			handleTask(exchange, path.substring(TASKS_PATH.length() + 1));
+		}
+		else {
+			exchange.answer(HttpAnswer.of(404));
+		}
+	}
+
+	private void handleTask(HttpExchange exchange, String taskId) {
+		switch (exchange.method()) {
+			case "POST" -> post(exchange, taskId);
+			case "GET" -> lookUp(exchange, taskId);
+			case "DELETE" -> cancelOne(exchange, taskId);
+			default -> exchange.answer(HttpAnswer.of(405));
+		}
+	}
+
+	private void post(HttpExchange exchange, String taskId) {
+		this.counters.add(WorkerCounters.Kind.POSTS);
+		TaskRequest request = TaskRequest.read(taskId, exchange);
+		Task task = new Task(request, this.time.nanoTime(), (ended) -> deliver(exchange, ended));
+		StartVerdict verdict = verdict(request, task);
+		switch (verdict) {
+			case STARTED -> run(request, task);
+			case DUPLICATE -> {
+				this.counters.add(WorkerCounters.Kind.DUPLICATES);
+				this.duplicates.add(taskId);
+				exchange.answer(verdict.answer());
+			}
+			default -> {
+				this.counters.add(WorkerCounters.Kind.REFUSED);
+				exchange.answer(verdict.answer());
+			}
+		}
+	}
+
+	private StartVerdict verdict(TaskRequest request, Task task) {
+		if (this.tasks.contains(request.taskId(), this.time.nanoTime())) {
+			return StartVerdict.DUPLICATE;
+		}
+		if (!request.service().equals(this.options.service())
+				|| request.payload().length > TaskRequest.MAX_PAYLOAD_BYTES) {
+			return StartVerdict.NEVER_FITS;
+		}
+		if (this.faults.leaving()) {
+			return StartVerdict.LEAVING;
+		}
+		return this.faults.refuseAllFull() ? StartVerdict.FULL : this.tasks.start(task, this.time.nanoTime());
+	}
+
+	private void run(TaskRequest request, Task task) {
+		this.counters.add(WorkerCounters.Kind.STARTED);
+		this.starts.add(task.taskId());
+		if (this.faults.drawFailure()) {
+			end(task, TaskState.FAILED);
+			return;
+		}
+		long runMillis = this.faults.slowed(request.runMillis());
+		TaskState endState = (runMillis < request.leaseMillis()) ? TaskState.FINISHED : TaskState.FAILED;
+		this.tasks.schedule(task, this.group.next()
+			.schedule(() -> end(task, endState), Math.min(runMillis, request.leaseMillis()), TimeUnit.MILLISECONDS));
+	}
+
+	private boolean end(Task task, TaskState endState) {
+		return this.tasks.end(task, endState, this.time.nanoTime());
+	}
+
+	private void deliver(HttpExchange exchange, Task task) {
+		if (task.state() != TaskState.FINISHED) {
+			exchange.answer(HttpAnswer.of(500)
+				.withHeader("Task-Id", task.taskId())
+				.withHeader("Task-Started", "true")
+				.withHeader("Task-Reason", task.state().text()));
+			return;
+		}
+		long lateMillis = this.faults.lateReplyMillis();
+		HttpAnswer answer = result(task);
+		if (lateMillis > 0) {
+			this.group.next().schedule(() -> send(exchange, answer), lateMillis, TimeUnit.MILLISECONDS);
+		}
+		else {
+			send(exchange, answer);
+		}
+	}
+
+	private void send(HttpExchange exchange, HttpAnswer answer) {
+		if (this.faults.drawLoss()) {
+			exchange.drop();
+		}
+		else {
+			exchange.answer(this.faults.spoil(answer));
+		}
+	}
+
+	private HttpAnswer result(Task task) {
+		return HttpAnswer.of(200, task.result())
+			.withHeader("Content-Type", "application/json")
+			.withHeader("Task-Id", task.taskId())
+			.withHeader("Task-Run-Millis", Long.toString(task.runMillis()));
+	}
+
+	private void lookUp(HttpExchange exchange, String taskId) {
+		this.counters.add(WorkerCounters.Kind.LOOKUPS);
+		HttpAnswer answer = this.tasks.find(taskId, this.time.nanoTime())
+			.map(this::found)
+			.orElseGet(() -> HttpAnswer.of(404).withHeader("Task-State", "unknown"));
+		exchange.answer(answer);
+	}
+
+	private HttpAnswer found(Task task) {
+		TaskState state = task.state();
+		HttpAnswer answer = switch (state) {
+			case RUNNING -> HttpAnswer.of(202);
+			case FINISHED -> result(task);
+			case FAILED, CANCELLED -> HttpAnswer.of(200);
+		};
+		return answer.withHeader("Task-Id", task.taskId()).withHeader("Task-State", state.text());
+	}
+
+	private void cancelOne(HttpExchange exchange, String taskId) {
+		this.counters.add(WorkerCounters.Kind.CANCELS);
+		exchange.answer(HttpAnswer.of(cancel(taskId) ? 204 : 404));
+	}
+
+	private void cancelAll(HttpExchange exchange) {
+		this.counters.add(WorkerCounters.Kind.CANCELS);
+		Arrays.stream(Json.read(exchange.body(), String[].class)).forEach(this::cancel);
+		exchange.answer(HttpAnswer.of(204));
+	}
+
+	private boolean cancel(String taskId) {
+		Optional<Task> task = this.tasks.find(taskId, this.time.nanoTime());
+		if (task.isPresent() && end(task.get(), TaskState.CANCELLED)) {
+			this.counters.add(WorkerCounters.Kind.CANCELLED_TASKS);
+		}
+		return task.isPresent();
+	}
+
+}
--- /dev/null
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/request/Task.java
@@ -0,0 +1,112 @@
+package org.masticwick.standin.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Is a task that a worker has started and remembers until its lease lapses. Its fields
+ * are guarded by the {@link TaskTable} that holds it.
+ */
+public final class Task {
+
+	private final String taskId;
+
+	private final String kind;
+
+	private final byte[] digest;
+
+	private final long startNanos;
+
+	private final long leaseEndNanos;
+
+	private long runNanos;
+
+	private TaskState state = TaskState.RUNNING;
+
+	private Consumer<Task> ended;
+
+	private Future<?> timer;
+
+	/**
+	 * Creates a task that starts.
+	 * @param request what to run
+	 * @param nowNanos the time
+	 * @param ended what to do when it ends
+	 */
+	public Task(TaskRequest request, long nowNanos, Consumer<Task> ended) {
+		this.taskId = request.taskId();
+		this.kind = request.kind();
+		this.digest = request.digest();
+		this.startNanos = nowNanos;
+		this.leaseEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(request.leaseMillis());
+		this.ended = ended;
+	}
+
+	/**
+	 * Returns the id.
+	 * @return the task id
+	 */
+	public String taskId() {
+		return this.taskId;
+	}
+
+	/**
+	 * Returns how far the task is.
+	 * @return the state
+	 */
+	public TaskState state() {
+		return this.state;
+	}
+
+	/**
+	 * Returns when the lease lapses.
+	 * @return the time in nanoseconds
+	 */
+	public long leaseEndNanos() {
+		return this.leaseEndNanos;
+	}
+
+	/**
+	 * Returns how long the task ran.
+	 * @return the time in milliseconds, 0 while it runs
+	 */
+	public long runMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.runNanos);
+	}
+
+	/**
+	 * Returns the result.
+	 * @return the JSON in UTF-8
+	 */
+	public byte[] result() {
+		String text = "{\"task\":\"%s\",\"kind\":\"%s\",\"digest\":\"%s\"}".formatted(this.taskId, this.kind,
+				HexFormat.of().formatHex(this.digest));
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	void setTimer(Future<?> timer) {
+		this.timer = timer;
+	}
+
+	/**
+	 * Ends the task; its timer and what it was to call are let go.
+	 * @param endState the state from now on
+	 * @param nowNanos the time
+	 * @return what to do now that it has ended
+	 */
+	Consumer<Task> end(TaskState endState, long nowNanos) {
+		this.runNanos = nowNanos - this.startNanos;
+		this.state = endState;
+		Consumer<Task> action = this.ended;
+		this.ended = null;
+		if (this.timer != null) {
+			this.timer.cancel(false);
+			this.timer = null;
+		}
+		return action;
+	}
+
+}
--- /dev/null
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives as long as a request: the tasks of a worker.
+ */
+package org.masticwick.standin.request;
