--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/MembershipDirectory.java
@@ -0,0 +1,77 @@
+package org.masticwick.daemon.process;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import org.masticwick.core.connection.Liveness;
+import org.masticwick.core.connection.Membership;
+import org.masticwick.core.connection.PeerView;
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.daemon.request.PeerDirectory;
+
+/**
+ * Answers the questions of the request path from the membership.
+ */
+final class MembershipDirectory implements PeerDirectory {
+
+	private final Membership membership;
+
+	private final TimeSource time;
+
+	private final long startNanos;
+
+	private final long learnNanos;
+
+	/**
+	 * Creates a directory.
+	 * @param membership the membership
+	 * @param time the clock
+	 * @param learnMillis after how long this process knows all peers that it can reach, in
+	 * milliseconds
+	 */
+	MembershipDirectory(Membership membership, TimeSource time, long learnMillis) {
+		this.membership = membership;
+		this.time = time;
+		this.startNanos = time.nanoTime();
+		this.learnNanos = TimeUnit.MILLISECONDS.toNanos(learnMillis);
+	}
+
+	@Override
+	public Optional<HostAddress> holderOf(Incarnation incarnation) {
+		return this.membership.holderOf(incarnation, this.time.nanoTime())
+			.filter((peer) -> peer.liveness() != Liveness.LOST)
+			.map((peer) -> peer.host().peerAddress());
+	}
+
+	@Override
+	public boolean lost(EntryHost host) {
+		long now = this.time.nanoTime();
+		if (this.membership.isReplaced(host.peerAddress(), host.incarnation(), now)) {
+			return true;
+		}
+		Optional<PeerView> peer = this.membership.peerAt(host.peerAddress(), now);
+		return peer.map((known) -> known.liveness() == Liveness.LOST)
+			.orElse(now - this.startNanos > this.learnNanos);
+	}
+
+	@Override
+	public List<EntryHost> reachable(String domain) {
+		Stream<EntryHost> peers = this.membership.peersOf(domain, this.time.nanoTime())
+			.stream()
+			.filter((peer) -> peer.liveness() == Liveness.ALIVE)
+			.map(PeerView::host);
+		EntryHost self = this.membership.self();
+		return Stream.concat(peers, Stream.of(self).filter((own) -> own.domain().equals(domain))).toList();
+	}
+
+	@Override
+	public List<EntryHost> heirCandidates() {
+		return this.membership.heirCandidates(this.time.nanoTime()).stream().map(PeerView::host).toList();
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerMessages.java
@@ -0,0 +1,108 @@
+package org.masticwick.daemon.process;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.core.version.LogRecord;
+import org.masticwick.daemon.request.RequestRouter;
+import org.masticwick.daemon.request.RoutedRequest;
+import org.masticwick.daemon.request.TicketTransfer;
+import org.masticwick.daemon.version.RecordRelay;
+import org.masticwick.daemon.version.RelayedRecords;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerMessage.CloseTickets;
+import org.masticwick.wire.PeerMessage.FetchRecords;
+import org.masticwick.wire.PeerMessage.Forward;
+import org.masticwick.wire.PeerMessage.ForwardOperation;
+import org.masticwick.wire.PeerMessage.InheritTickets;
+import org.masticwick.wire.PeerMessage.Pong;
+import org.masticwick.wire.PeerMessage.RecordEntry;
+import org.masticwick.wire.PeerMessage.Records;
+import org.masticwick.wire.PeerMessageHandler;
+
+/**
+ * Hands each message of a peer to the part that it concerns. What takes time leaves the
+ * thread of the connection.
+ */
+final class PeerMessages implements PeerMessageHandler {
+
+	private final Executor workers;
+
+	private final RequestRouter router;
+
+	private final TicketTransfer transfer;
+
+	private final RecordRelay relay;
+
+	private final PeerMessageHandler heartbeats;
+
+	PeerMessages(Executor workers, RequestRouter router, TicketTransfer transfer, RecordRelay relay,
+			PeerMessageHandler heartbeats) {
+		this.workers = workers;
+		this.router = router;
+		this.transfer = transfer;
+		this.relay = relay;
+		this.heartbeats = heartbeats;
+	}
+
+	@Override
+	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
+		if (message instanceof Forward forward && forward.operation() == ForwardOperation.ISSUE) {
+			return later(() -> CompletableFuture.completedFuture(this.router.issueForwarded(forward.body())));
+		}
+		if (message instanceof Forward forward) {
+			return later(() -> this.router.serveForwarded(new RoutedRequest(forward.operation(),
+					Ticket.parse(forward.ticket()), forward.body(), forward.waitMillis())));
+		}
+		if (message instanceof InheritTickets offered) {
+			return later(() -> CompletableFuture.completedFuture(this.transfer.inherit(offered)));
+		}
+		if (message instanceof CloseTickets closed) {
+			return later(() -> {
+				this.transfer.close(closed);
+				return CompletableFuture.completedFuture(new Pong());
+			});
+		}
+		if (message instanceof FetchRecords fetch) {
+			return later(() -> CompletableFuture.completedFuture(records(fetch)));
+		}
+		return this.heartbeats.handle(message, from);
+	}
+
+	private CompletionStage<PeerMessage> later(Supplier<CompletionStage<PeerMessage>> answer) {
+		return CompletableFuture.supplyAsync(answer, this.workers).thenCompose(Function.identity());
+	}
+
+	private PeerMessage records(FetchRecords fetch) {
+		return toMessage(this.relay.fetch(fetch.fromOffset(), fetch.limit()));
+	}
+
+	private static Records toMessage(RelayedRecords relayed) {
+		List<RecordEntry> entries = relayed.records()
+			.stream()
+			.map((record) -> new RecordEntry(record.offset(), record.value()))
+			.toList();
+		return new Records(entries, relayed.state(), relayed.stateOffset(), relayed.fromOffset(), relayed.fromHash());
+	}
+
+	/**
+	 * Reads what a peer sent.
+	 * @param message the message
+	 * @return the records or the state
+	 */
+	static RelayedRecords fromMessage(Records message) {
+		List<LogRecord> records = message.records()
+			.stream()
+			.map((entry) -> new LogRecord(entry.offset(), entry.value()))
+			.toList();
+		return new RelayedRecords(message.fromOffset(), message.fromHash(), records, message.snapshotOffset(),
+				message.snapshot());
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 
-import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.EntryHost;
 
 /**
  * Remembers one submitted ticket until it expires: the digest of its body and its one
@@ -23,7 +23,7 @@
 
 	private final AtomicReference<Job> job = new AtomicReference<>();
 
-	private final HostAddress runsAt;
+	private final EntryHost runsAt;
 
 	/**
 	 * Creates the entry of a ticket whose job has no answer yet.
@@ -38,9 +38,9 @@
 	 * Creates the entry of a ticket whose job still runs on the host that handed it over.
 	 * @param digest the digest of the submitted body
 	 * @param expiryEpochMillis when the ticket expires, in milliseconds since the epoch
-	 * @param runsAt the peer address of that host, or {@code null}
+	 * @param runsAt that host, or {@code null}
 	 */
-	JobEntry(byte[] digest, long expiryEpochMillis, HostAddress runsAt) {
+	JobEntry(byte[] digest, long expiryEpochMillis, EntryHost runsAt) {
 		this.digest = digest.clone();
 		this.expiryEpochMillis = expiryEpochMillis;
 		this.runsAt = runsAt;
@@ -48,9 +48,9 @@
 
 	/**
 	 * Returns the host that runs the job and will tell its answer.
-	 * @return the peer address, or {@code null} if the job runs here or has ended
+	 * @return the host, or {@code null} if the job runs here or has ended
 	 */
-	HostAddress runsAt() {
+	EntryHost runsAt() {
 		return this.answer.isDone() ? null : this.runsAt;
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
@@ -7,8 +7,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.ErrorCode;
-import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.core.request.JobRequest;
 import org.masticwick.core.request.Ticket;
@@ -130,9 +130,9 @@
 	 * Returns the host that runs a job whose tickets it handed over.
 	 * @param book the book that holds the ticket
 	 * @param ticket the ticket
-	 * @return its peer address, or {@code null} if the job runs here or has ended
+	 * @return the host, or {@code null} if the job runs here or has ended
 	 */
-	HostAddress runsAt(TicketBook book, Ticket ticket) {
+	EntryHost runsAt(TicketBook book, Ticket ticket) {
 		return book.find(ticket).runsAt();
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/PeerDirectory.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/PeerDirectory.java
@@ -21,12 +21,12 @@
 	Optional<HostAddress> holderOf(Incarnation incarnation);
 
 	/**
-	 * Returns whether enough time has passed since this process started, or since it last
-	 * heard of the domain, that a host it does not know of must be lost.
-	 * @param home the home of a ticket
-	 * @return {@code true} if the host is lost
+	 * Returns whether a run of an entry host is lost: it was replaced, or it has not been
+	 * heard of for too long.
+	 * @param host the run
+	 * @return {@code true} if no request should wait for it
 	 */
-	boolean lost(HostAddress home);
+	boolean lost(EntryHost host);
 
 	/**
 	 * Returns the reachable hosts of a failure domain, this one among them.
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -21,6 +21,7 @@
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.MasticwickException;
 import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.Ticket;
 import org.masticwick.daemon.process.metrics.MessageKind;
 import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.wire.PeerMessage;
@@ -46,6 +47,8 @@
 
 	private final TicketBooks books;
 
+	private final TicketIssuer issuer;
+
 	private final JobService jobs;
 
 	private final Collector collector;
@@ -64,6 +67,7 @@
 	 * Creates a router.
 	 * @param self this process
 	 * @param books the books of this process
+	 * @param issuer issues tickets
 	 * @param jobs serves jobs whose tickets are held here
 	 * @param collector collects results of lost homes
 	 * @param peers the other entry hosts
@@ -72,10 +76,11 @@
 	 * @param time the clock
 	 * @param routeLimitMillis how long to look for a holder, in milliseconds
 	 */
-	public RequestRouter(EntryHost self, TicketBooks books, JobService jobs, Collector collector, PeerDirectory peers,
-			PeerTransport transport, Metrics metrics, TimeSource time, long routeLimitMillis) {
+	public RequestRouter(EntryHost self, TicketBooks books, TicketIssuer issuer, JobService jobs, Collector collector,
+			PeerDirectory peers, PeerTransport transport, Metrics metrics, TimeSource time, long routeLimitMillis) {
 		this.self = self;
 		this.books = books;
+		this.issuer = issuer;
 		this.jobs = jobs;
 		this.collector = collector;
 		this.peers = peers;
@@ -102,6 +107,31 @@
 			.exceptionally((ex) -> Answers.problem(causeOf(ex)));
 	}
 
+	/**
+	 * Issues tickets, or has them issued by the heir once the own ones were handed over.
+	 * @param body the body of the caller's request
+	 * @return the answer to come; it never completes with an exception
+	 */
+	public CompletableFuture<HttpAnswer> issue(byte[] body) {
+		Optional<HostAddress> heir = this.books.heirOf(this.self.incarnation());
+		if (heir.isEmpty()) {
+			return CompletableFuture.completedFuture(this.issuer.issue(body));
+		}
+		this.metrics.message(MessageKind.FORWARD);
+		return this.transport.call(heir.get(), new Forward(ForwardOperation.ISSUE, "", body, 0))
+			.thenApply(RequestRouter::fromMessage)
+			.exceptionally((ex) -> Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+	}
+
+	/**
+	 * Issues tickets for a caller of another host.
+	 * @param body the body of the caller's request
+	 * @return the answer
+	 */
+	public PeerMessage issueForwarded(byte[] body) {
+		return toMessage(this.issuer.issue(body));
+	}
+
 	/**
 	 * Serves a request that another entry host passed on.
 	 * @param request the request
@@ -151,12 +181,17 @@
 		if (holder.isPresent()) {
 			return call(holder.get(), request).exceptionallyCompose((ex) -> retry(request, limitNanos));
 		}
-		if (this.peers.lost(request.ticket().homeAddress()) || this.time.nanoTime() - limitNanos >= 0) {
+		if (this.peers.lost(homeOf(request)) || this.time.nanoTime() - limitNanos >= 0) {
 			return collect(request);
 		}
 		return retry(request, limitNanos);
 	}
 
+	private static EntryHost homeOf(RoutedRequest request) {
+		Ticket ticket = request.ticket();
+		return new EntryHost(ticket.domain(), ticket.homeAddress(), ticket.incarnation());
+	}
+
 	private Optional<HostAddress> holderOf(Incarnation incarnation) {
 		return this.books.heirOf(incarnation)
 			.or(() -> this.peers.holderOf(incarnation))
@@ -178,6 +213,7 @@
 				case STATE -> this.jobs.state(book, request.ticket());
 				case CANCEL -> this.jobs.cancel(book, request.ticket());
 				case COLLECT -> this.collector.collect(request);
+				case ISSUE -> CompletableFuture.completedFuture(this.issuer.issue(request.body()));
 			};
 		}
 		catch (MasticwickException ex) {
@@ -187,14 +223,14 @@
 
 	private CompletableFuture<HttpAnswer> submitLocal(TicketBook book, RoutedRequest request) {
 		CompletableFuture<HttpAnswer> answer = this.jobs.submit(book, request.ticket(), request.body());
-		HostAddress runsAt = answer.isDone() ? null : this.jobs.runsAt(book, request.ticket());
+		EntryHost runsAt = answer.isDone() ? null : this.jobs.runsAt(book, request.ticket());
 		if (runsAt != null) {
 			collectIfLost(book, request, runsAt, answer);
 		}
 		return answer;
 	}
 
-	private void collectIfLost(TicketBook book, RoutedRequest request, HostAddress runsAt,
+	private void collectIfLost(TicketBook book, RoutedRequest request, EntryHost runsAt,
 			CompletableFuture<HttpAnswer> answer) {
 		if (answer.isDone()) {
 			return;
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -155,14 +155,14 @@
 		TicketMint mint = new TicketMint(offered.from(), new TicketKey(offered.key()), offered.nextSequence());
 		TicketBook book = new TicketBook(mint, this.time, offered.homeEpochMillis() - this.time.epochMillis());
 		book.noteExpiry(offered.expiresAtEpochMillis());
-		offered.jobs().forEach((job) -> restore(book, job, offered.from().peerAddress()));
+		offered.jobs().forEach((job) -> restore(book, job, offered.from()));
 		this.books.inherit(book);
 		logger.info("Tickets taken over: incarnation={} from={} jobs={}", offered.from().incarnation(),
 				offered.from().peerAddress(), offered.jobs().size());
 		return new InheritAnswer(true);
 	}
 
-	private static void restore(TicketBook book, InheritedJob job, HostAddress from) {
+	private static void restore(TicketBook book, InheritedJob job, EntryHost from) {
 		Ticket ticket = Ticket.parse(job.ticket());
 		JobEntry entry = new JobEntry(job.digest(), ticket.expiryEpochMillis(), from);
 		if (job.status() != RUNNING) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -59,8 +59,22 @@
 	 * @param records the records, in the order of their offsets
 	 * @param snapshot the accepted state, or {@code null} if the records suffice
 	 * @param snapshotOffset the offset that the snapshot stands for
+	 * @param fromOffset the offset of the first record, also if there are none
+	 * @param fromHash the hash of the history before that offset
 	 */
-	record Records(List<RecordEntry> records, String snapshot, long snapshotOffset) implements PeerMessage {
+	record Records(List<RecordEntry> records, String snapshot, long snapshotOffset, long fromOffset,
+			String fromHash) implements PeerMessage {
+
+		/**
+		 * Creates an answer that does not tell where its records begin.
+		 * @param records the records, in the order of their offsets
+		 * @param snapshot the accepted state, or {@code null} if the records suffice
+		 * @param snapshotOffset the offset that the snapshot stands for
+		 */
+		public Records(List<RecordEntry> records, String snapshot, long snapshotOffset) {
+			this(records, snapshot, snapshotOffset, 0, "");
+		}
+
 	}
 
 	/**
@@ -154,7 +168,10 @@
 		CANCEL,
 
 		/** Collect the answer of a job whose home is lost. */
-		COLLECT
+		COLLECT,
+
+		/** Issue tickets; the body is that of the caller's request. */
+		ISSUE
 
 	}
 
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
@@ -38,10 +38,13 @@
 			RecordType.required(BasicTypes.INT, PeerMessage.FetchRecords::limit));
 
 	static final RecordType<PeerMessage.Records> RECORDS = new RecordType<>(
-			(values) -> new PeerMessage.Records(values.get(0), values.get(1), values.get(2)),
+			(values) -> new PeerMessage.Records(values.get(0), values.get(1), values.get(2), values.get(3),
+					values.get(4)),
 			RecordType.optional(BasicTypes.list(recordEntry()), PeerMessage.Records::records, List.of()),
 			RecordType.optional(BasicTypes.TEXT, PeerMessage.Records::snapshot, null),
-			RecordType.optional(BasicTypes.LONG, PeerMessage.Records::snapshotOffset, 0L));
+			RecordType.optional(BasicTypes.LONG, PeerMessage.Records::snapshotOffset, 0L),
+			RecordType.optional(BasicTypes.LONG, PeerMessage.Records::fromOffset, 0L),
+			RecordType.optional(BasicTypes.TEXT, PeerMessage.Records::fromHash, ""));
 
 	static final RecordType<PeerMessage.Forward> FORWARD = new RecordType<>(
 			(values) -> new PeerMessage.Forward(values.get(0), values.get(1), values.get(2), values.get(3)),
