--- a/masticwick-core/src/main/java/org/masticwick/core/connection/PeerStatus.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/PeerStatus.java
@@ -26,6 +26,11 @@
 	 */
 	public static final LoadReport NO_LOAD = new LoadReport(Map.of(), Map.of(), Map.of());
 
+	/**
+	 * The status of a host that has said nothing of itself.
+	 */
+	public static final PeerStatus NONE = new PeerStatus(0, 0, null, false, false, List.of(), null, NO_LOAD);
+
 	/**
 	 * Copies the list.
 	 */
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessageHandler.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessageHandler.java
@@ -21,4 +21,12 @@
 	 */
 	CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from);
 
+	/**
+	 * Takes note that a connection with a peer that has said hello was closed by either
+	 * side. It is called on a thread of the transport and must not block.
+	 * @param peer the peer address
+	 */
+	default void disconnected(HostAddress peer) {
+	}
+
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
@@ -46,6 +46,8 @@
 
 	private volatile HostAddress peerAddress;
 
+	private volatile boolean greeted;
+
 	private volatile boolean closed;
 
 	/**
@@ -121,6 +123,9 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closed = true;
 		this.pendingCalls.failAll(lost(null));
+		if (this.greeted) {
+			this.context.handler().disconnected(this.peerAddress);
+		}
 	}
 
 	@Override
@@ -201,6 +206,7 @@
 		}
 		else {
 			this.peerAddress = hello.sender().peerAddress();
+			this.greeted = true;
 			answer(id, hello(self));
 			inform(hello);
 		}
@@ -213,6 +219,7 @@
 		if (!ProtocolVersion.isCompatible(hello)) {
 			throw new PeerException("Peer " + this.peerAddress + " speaks no known version", null, false);
 		}
+		this.greeted = true;
 		inform(hello);
 		return this;
 	}
