--- a/masticwick-core/src/test/java/org/masticwick/core/request/TicketTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/TicketTests.java
@@ -89,9 +89,9 @@
 					issued.expiryEpochMillis() + 1, issued.mac());
 			Ticket other = new Ticket(issued.domain(), issued.homeAddress(), issued.incarnation(), 1,
 					issued.expiryEpochMillis(), issued.mac());
-			assertThat(List.of(later, other)).allSatisfy((changed) -> assertThatExceptionOfType(
-					InvalidTicketException.class)
-				.isThrownBy(() -> TicketTests.this.mint.verify(changed)));
+			assertThat(List.of(later, other))
+				.allSatisfy((changed) -> assertThatExceptionOfType(InvalidTicketException.class)
+					.isThrownBy(() -> TicketTests.this.mint.verify(changed)));
 		}
 
 		@Test
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
@@ -83,6 +83,16 @@
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process), "stop"));
 		System.out.println(process.startedLine());
 		System.out.flush();
+		awaitStop(process);
+	}
+
+	private static void awaitStop(EntryHostProcess process) {
+		try {
+			process.awaitStop();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private static void stop(EntryHostProcess process) {
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -0,0 +1,405 @@
+package org.masticwick.daemon.process;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+
+import org.masticwick.core.connection.ListedHost;
+import org.masticwick.core.connection.LoadBudget;
+import org.masticwick.core.connection.Membership;
+import org.masticwick.core.connection.MembershipLimits;
+import org.masticwick.core.connection.PeerStatus;
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.EndpointState;
+import org.masticwick.core.request.Scheduler;
+import org.masticwick.core.request.SchedulerSettings;
+import org.masticwick.core.request.Schedulers;
+import org.masticwick.core.request.TicketKey;
+import org.masticwick.core.request.TicketMint;
+import org.masticwick.core.version.HistoryPosition;
+import org.masticwick.daemon.connection.EndpointClient;
+import org.masticwick.daemon.connection.EndpointLimits;
+import org.masticwick.daemon.connection.HeartbeatService;
+import org.masticwick.daemon.connection.HeartbeatSettings;
+import org.masticwick.daemon.connection.NamedThreads;
+import org.masticwick.daemon.connection.OkHttpEndpointClient;
+import org.masticwick.daemon.process.metrics.Metrics;
+import org.masticwick.daemon.process.settings.PeerSettings;
+import org.masticwick.daemon.process.settings.RequestSettings;
+import org.masticwick.daemon.process.settings.Settings;
+import org.masticwick.daemon.request.Collector;
+import org.masticwick.daemon.request.Dispatcher;
+import org.masticwick.daemon.request.HttpAnswer;
+import org.masticwick.daemon.request.JobRequestReader;
+import org.masticwick.daemon.request.JobService;
+import org.masticwick.daemon.request.LateVerdicts;
+import org.masticwick.daemon.request.RequestLimits;
+import org.masticwick.daemon.request.RequestRouter;
+import org.masticwick.daemon.request.RoutedRequest;
+import org.masticwick.daemon.request.TaskFinder;
+import org.masticwick.daemon.request.TicketBooks;
+import org.masticwick.daemon.request.TicketIssuer;
+import org.masticwick.daemon.request.TicketTransfer;
+import org.masticwick.daemon.version.FollowerSettings;
+import org.masticwick.daemon.version.HostListFollower;
+import org.masticwick.daemon.version.LogFollower;
+import org.masticwick.daemon.version.RecentRecords;
+import org.masticwick.daemon.version.RecordRelay;
+import org.masticwick.daemon.version.VersionRegistry;
+import org.masticwick.platform.HttpPlatformClient;
+import org.masticwick.platform.HttpPlatformSettings;
+import org.masticwick.platform.PlatformHost;
+import org.masticwick.wire.NettyPeerTransport;
+import org.masticwick.wire.PeerMessageHandler;
+import org.masticwick.wire.PeerTransport;
+import org.masticwick.wire.PeerTransportSettings;
+
+/**
+ * Creates the parts of an entry host and ties them together.
+ */
+final class EntryHostParts implements AutoCloseable {
+
+	private static final int PEER_WORKER_COUNT = 4;
+
+	private static final long SWEEP_SECONDS = 5;
+
+	private static final int SUSPECT_HEARTBEAT_COUNT = 3;
+
+	private static final int SUMMARY_LOST_FACTOR = 4;
+
+	private static final long DEPARTED_MILLIS = TimeUnit.MINUTES.toMillis(1);
+
+	private static final int MAX_PEER_COUNT = 1_024;
+
+	private static final long QUESTION_MILLIS = 2_000;
+
+	private final Settings settings;
+
+	private final TimeSource time = TimeSource.system();
+
+	private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+
+	private final Metrics metrics = new Metrics();
+
+	private final ExecutorService peerWorkers = Executors.newFixedThreadPool(PEER_WORKER_COUNT,
+			new NamedThreads("peer-worker"));
+
+	private final ScheduledExecutorService sweeper = Executors
+		.newSingleThreadScheduledExecutor(new NamedThreads("sweeper"));
+
+	private final AtomicInteger openRequestCount = new AtomicInteger();
+
+	private final PeerTransport transport;
+
+	private final EntryHost self;
+
+	private final HttpPlatformClient platform;
+
+	private final VersionRegistry registry = new VersionRegistry(new RecentRecords());
+
+	private final LogFollower logFollower;
+
+	private final HostListFollower hostList;
+
+	private final Membership membership;
+
+	private final Scheduler scheduler;
+
+	private final Dispatcher dispatcher;
+
+	private final TicketBooks books;
+
+	private final Collector collector;
+
+	private final LateVerdicts verdicts;
+
+	private final RequestRouter router;
+
+	private final TicketTransfer transfer;
+
+	private final HeartbeatService heartbeats;
+
+	private final VersionReport versionReport;
+
+	private final StateDump dump;
+
+	private volatile PeerMessageHandler messages;
+
+	private volatile HostAddress apiAddress;
+
+	private volatile boolean leaving;
+
+	EntryHostParts(Settings settings) {
+		this.settings = settings;
+		this.transport = bind(settings);
+		this.self = new EntryHost(settings.host().domain(), this.transport.localAddress(),
+				Incarnation.create(this.time, this.random));
+		this.platform = new HttpPlatformClient(settings.platform().address(), HttpPlatformSettings.DEFAULT);
+		this.logFollower = new LogFollower(this.platform, this.registry, FollowerSettings.DEFAULT, this.time, random());
+		this.hostList = new HostListFollower(this.platform,
+				new PlatformHost(this.self.peerAddress(), PlatformHost.Role.ENTRY, this.self.domain(),
+						PlatformHost.State.LIVE),
+				Duration.ofMillis(settings.platform().hostListIntervalMillis()), random(), this::onHostList);
+		this.membership = new Membership(this.self, membershipLimits(settings));
+		this.scheduler = Schedulers.create(schedulerSettings(settings), this.self.domain(), this.self, random());
+		EndpointClient endpoints = new OkHttpEndpointClient(new EndpointLimits(
+				settings.dispatch().connectTimeoutMillis(), QUESTION_MILLIS, settings.requests().resultBytesMax()));
+		this.dispatcher = new Dispatcher(this.scheduler, endpoints, this.registry::current, this.time, this.metrics,
+				settings.dispatch().endpointSilenceMinMillis());
+		this.books = new TicketBooks(new TicketMint(this.self, TicketKey.random(), 0), this.time,
+				settings.tickets().lifetimeMillis());
+		this.verdicts = new LateVerdicts(this.transport);
+		JobRequestReader reader = new JobRequestReader(requestLimits(settings.requests()));
+		this.collector = new Collector(reader, this.registry::current,
+				new TaskFinder(endpoints, this.metrics, this.time), this.time, this.verdicts::keep);
+		MembershipDirectory directory = new MembershipDirectory(this.membership, this.time,
+				2 * settings.peers().silenceLimitMillis());
+		this.router = new RequestRouter(this.self, this.books,
+				new TicketIssuer(this.books, settings.tickets().blockCountMax()),
+				new JobService(reader, this.dispatcher, this.registry::known, this.time), this.collector, directory,
+				this.transport, this.metrics, this.time, 3 * settings.peers().silenceLimitMillis());
+		this.transfer = new TicketTransfer(this.books, directory, this.transport, this.metrics, this.time);
+		RecordRelay relay = new RecordRelay(this.registry);
+		this.heartbeats = new HeartbeatService(heartbeatSettings(settings.peers()), this.transport, this.membership,
+				this::status,
+				new PeerEvents(this.scheduler, relay, this.transport, this.verdicts, this.time, this.peerWorkers),
+				this.time);
+		this.messages = new PeerMessages(this.peerWorkers, this.router, this.transfer, relay, this.heartbeats);
+		this.versionReport = new VersionReport(this.registry, this.membership, this::status, this.time);
+		this.dump = dumpOf();
+		addGauges();
+	}
+
+	private NettyPeerTransport bind(Settings given) {
+		InetSocketAddress address = given.host().peerAddress();
+		PeerTransportSettings transportSettings = PeerTransportSettings.of(address.getHostString(), address.getPort())
+			.withSilenceLimitMillis(given.peers().callSilenceLimitMillis());
+		return NettyPeerTransport.bind(transportSettings, () -> this.self, new LateMessageHandler(() -> this.messages));
+	}
+
+	private static RandomGenerator random() {
+		return RandomGenerator.of("L64X128MixRandom");
+	}
+
+	private static MembershipLimits membershipLimits(Settings settings) {
+		PeerSettings peers = settings.peers();
+		long suspectMillis = SUSPECT_HEARTBEAT_COUNT * peers.heartbeatIntervalMillis();
+		long summaryMillis = SUMMARY_LOST_FACTOR * peers.silenceLimitMillis();
+		return new MembershipLimits(Math.min(suspectMillis, peers.silenceLimitMillis()), peers.silenceLimitMillis(),
+				summaryMillis, 2 * summaryMillis, DEPARTED_MILLIS, 2 * settings.tickets().lifetimeMillis(),
+				MAX_PEER_COUNT);
+	}
+
+	private static SchedulerSettings schedulerSettings(Settings settings) {
+		return SchedulerSettings.builder()
+			.queueLimitCount(settings.dispatch().queueTaskCountMax())
+			.maxWait(Duration.ofMillis(settings.dispatch().queueWaitMaxMillis()))
+			.build();
+	}
+
+	private static RequestLimits requestLimits(RequestSettings requests) {
+		return new RequestLimits(requests.bodyBytesMax(), requests.payloadBytesMax(), requests.jobTaskCountMax(),
+				requests.deadlineDefaultMillis(), requests.deadlineMaxMillis(), requests.waitMaxMillis());
+	}
+
+	private static HeartbeatSettings heartbeatSettings(PeerSettings peers) {
+		HeartbeatSettings defaults = HeartbeatSettings.of(peers.seeds());
+		return new HeartbeatSettings(peers.heartbeatIntervalMillis(), defaults.summaryIntervalMillis(),
+				defaults.relayIntervalMillis(), defaults.wholeLoadIntervalMillis(), defaults.linkCount(),
+				LoadBudget.defaults(), peers.seeds());
+	}
+
+	/**
+	 * Starts what runs by itself.
+	 * @param listening where callers reach this host
+	 */
+	void start(HostAddress listening) {
+		this.apiAddress = listening;
+		this.registry.onVersion((version) -> {
+			this.scheduler.update(version, this.time.nanoTime());
+			this.dispatcher.drive();
+			this.heartbeats.announce();
+		});
+		this.heartbeats.start();
+		this.logFollower.start();
+		this.hostList.start();
+		this.sweeper.scheduleWithFixedDelay(this::sweep, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private void sweep() {
+		this.books.sweep();
+		this.collector.sweep();
+		this.verdicts.sweep(this.time.epochMillis());
+	}
+
+	private void onHostList(List<PlatformHost> hosts) {
+		this.heartbeats.platformHosts(hosts.stream()
+			.filter((host) -> host.role() == PlatformHost.Role.ENTRY)
+			.map((host) -> new ListedHost(host.address(), host.domain(), host.state() == PlatformHost.State.LEAVING))
+			.toList());
+		hosts.stream()
+			.filter((host) -> host.role() == PlatformHost.Role.ENDPOINT)
+			.forEach((host) -> this.scheduler.endpointState(host.address(),
+					(host.state() == PlatformHost.State.LEAVING) ? EndpointState.LEAVING : EndpointState.LIVE,
+					this.time.nanoTime()));
+	}
+
+	private PeerStatus status() {
+		HistoryPosition position = this.registry.position();
+		List<Incarnation> inherited = this.books.heldIncarnations()
+			.stream()
+			.filter((incarnation) -> !incarnation.equals(this.self.incarnation()))
+			.toList();
+		return new PeerStatus(Math.max(position.version(), 0), Math.max(position.nextOffset(), 0),
+				position.historyHash(), ready(), this.leaving, inherited, this.apiAddress,
+				this.scheduler.load(this.time.nanoTime()));
+	}
+
+	private boolean ready() {
+		return this.registry.known() && !this.leaving;
+	}
+
+	private void addGauges() {
+		this.metrics.gauge("masticwick_version", "The version in force.", () -> this.registry.current().number());
+		this.metrics.gauge("masticwick_log_offset", "The offset up to which the log was read.",
+				this.registry::nextOffset);
+		this.metrics.gauge("masticwick_active_jobs", "Jobs that have not ended.", this.dispatcher::activeJobCount);
+		this.metrics.gauge("masticwick_remembered_tickets", "Submitted tickets that have not expired.",
+				this.books::rememberedCount);
+		this.metrics.gauge("masticwick_open_requests", "Requests of callers that wait for an answer.",
+				this.openRequestCount::get);
+		this.metrics.traffic(this.transport.traffic()::snapshot);
+	}
+
+	private StateDump dumpOf() {
+		StateDump state = new StateDump();
+		state.part("host", () -> Map.of("domain", this.self.domain(), "peer", this.self.peerAddress().toString(),
+				"incarnation", this.self.incarnation().toString(), "leaving", this.leaving));
+		state.part("settings", () -> this.settings.toString());
+		state.part("versions", this.versionReport::report);
+		state.part("log", this.logFollower::status);
+		state.part("scheduler", () -> this.scheduler.snapshot(this.time.nanoTime()).toString());
+		state.part("tickets",
+				() -> Map.of("held", this.books.heldIncarnations().stream().map(Object::toString).toList(),
+						"remembered_count", this.books.rememberedCount(), "collected_count", this.collector.size()));
+		state.part("traffic", this.transport.traffic()::snapshot);
+		return state;
+	}
+
+	/**
+	 * Returns what the HTTP server shows.
+	 * @return the backend
+	 */
+	ApiBackend api() {
+		return new Backend();
+	}
+
+	EntryHost self() {
+		return this.self;
+	}
+
+	int activeJobCount() {
+		return this.dispatcher.activeJobCount();
+	}
+
+	/**
+	 * Returns how many requests and jobs still have to be answered.
+	 * @return the count
+	 */
+	int openRequestCount() {
+		return this.openRequestCount.get() + this.dispatcher.activeJobCount();
+	}
+
+	/**
+	 * Tells the platform and the peers that this host stops.
+	 */
+	void announceLeaving() {
+		this.leaving = true;
+		this.hostList.leave();
+		this.heartbeats.announce();
+	}
+
+	/**
+	 * Hands the tickets over to an heir.
+	 * @return done when the answers of running jobs have reached the heir
+	 */
+	CompletableFuture<Void> handOverTickets() {
+		return this.transfer.handOver();
+	}
+
+	/**
+	 * Ends the jobs that still run.
+	 * @return how many there were
+	 */
+	int stopJobs() {
+		return this.dispatcher.stopAll();
+	}
+
+	@Override
+	public void close() {
+		this.sweeper.shutdownNow();
+		this.heartbeats.close();
+		this.hostList.close();
+		this.logFollower.close();
+		this.dispatcher.close();
+		this.transport.close();
+		this.platform.close();
+		this.peerWorkers.shutdown();
+	}
+
+	/**
+	 * Shows the parts to callers and operators.
+	 */
+	private final class Backend implements ApiBackend {
+
+		@Override
+		public CompletableFuture<HttpAnswer> issueTickets(byte[] body) {
+			return EntryHostParts.this.router.issue(body);
+		}
+
+		@Override
+		public CompletableFuture<HttpAnswer> serve(RoutedRequest request) {
+			EntryHostParts.this.openRequestCount.incrementAndGet();
+			return EntryHostParts.this.router.serve(request)
+				.whenComplete((answer, ex) -> EntryHostParts.this.openRequestCount.decrementAndGet());
+		}
+
+		@Override
+		public HttpAnswer versions() {
+			return EntryHostParts.this.versionReport.versions();
+		}
+
+		@Override
+		public HttpAnswer note(String noteId) {
+			return EntryHostParts.this.versionReport.note(noteId);
+		}
+
+		@Override
+		public boolean ready() {
+			return EntryHostParts.this.ready();
+		}
+
+		@Override
+		public byte[] metrics() {
+			return EntryHostParts.this.metrics.scrape();
+		}
+
+		@Override
+		public HttpAnswer dump() {
+			return EntryHostParts.this.dump.dump();
+		}
+
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -2,74 +2,132 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.random.RandomGenerator;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.masticwick.core.connection.Membership;
-import org.masticwick.core.connection.MembershipLimits;
-import org.masticwick.core.connection.PeerStatus;
-import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.HostAddress;
-import org.masticwick.core.process.Incarnation;
-import org.masticwick.core.process.TimeSource;
-import org.masticwick.core.request.EndpointState;
-import org.masticwick.core.request.Scheduler;
-import org.masticwick.core.request.SchedulerSettings;
-import org.masticwick.core.request.Schedulers;
-import org.masticwick.core.request.Ticket;
-import org.masticwick.core.request.TicketKey;
-import org.masticwick.core.request.TicketMint;
-import org.masticwick.daemon.connection.EndpointLimits;
-import org.masticwick.daemon.connection.NamedThreads;
-import org.masticwick.daemon.connection.OkHttpEndpointClient;
-import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.daemon.process.settings.Settings;
-import org.masticwick.daemon.request.Collector;
-import org.masticwick.daemon.request.Dispatcher;
-import org.masticwick.daemon.request.HttpAnswer;
-import org.masticwick.daemon.request.JobRequestReader;
-import org.masticwick.daemon.request.JobService;
-import org.masticwick.daemon.request.RequestLimits;
-import org.masticwick.daemon.request.RequestRouter;
-import org.masticwick.daemon.request.RoutedRequest;
-import org.masticwick.daemon.request.TaskFinder;
-import org.masticwick.daemon.request.TicketBooks;
-import org.masticwick.daemon.request.TicketIssuer;
-import org.masticwick.daemon.request.TicketTransfer;
-import org.masticwick.daemon.version.FollowerSettings;
-import org.masticwick.daemon.version.HostListFollower;
-import org.masticwick.daemon.version.LogFollower;
-import org.masticwick.daemon.version.RecentRecords;
-import org.masticwick.daemon.version.RecordRelay;
-import org.masticwick.daemon.version.VersionRegistry;
-import org.masticwick.platform.HttpPlatformClient;
-import org.masticwick.platform.HttpPlatformSettings;
-import org.masticwick.platform.PlatformHost;
-import org.masticwick.wire.NettyPeerTransport;
-import org.masticwick.wire.PeerTransport;
-import org.masticwick.wire.PeerTransportSettings;
 
 /**
- * Ties the parts of an entry host together, from the start of the process to its planned
- * stop.
+ * Runs an entry host, from the start of the process to its planned stop.
  */
 public final class EntryHostProcess {
 
 	private static final Logger logger = LoggerFactory.getLogger(EntryHostProcess.class);
 
-	private EntryHostProcess() {
+	private static final long NOTICE_MILLIS = 1_000;
+
+	private static final long POLL_MILLIS = 20;
+
+	private static final long FAREWELL_MILLIS = 500;
+
+	private final Settings settings;
+
+	private final EntryHostParts parts;
+
+	private final ApiServer api;
+
+	private final CountDownLatch stopped = new CountDownLatch(1);
+
+	private EntryHostProcess(Settings settings) {
+		this.settings = settings;
+		this.parts = new EntryHostParts(settings);
+		InetSocketAddress address = settings.host().apiAddress();
+		this.api = new ApiServer(this.parts.api(),
+				new ApiLimits(settings.requests().bodyBytesMax(), settings.requests().waitMaxMillis()),
+				address.getHostString(), address.getPort());
+	}
+
+	/**
+	 * Starts an entry host.
+	 * @param settings the settings
+	 * @return the running host
+	 */
+	public static EntryHostProcess start(Settings settings) {
+		EntryHostProcess process = new EntryHostProcess(settings);
+		process.parts.start(process.api.address());
+		logger.info("Entry host started: domain={} api={} peer={}", settings.host().domain(), process.api.address(),
+				process.peerAddress());
+		return process;
+	}
+
+	/**
+	 * Returns the line that tells the addresses of the started process.
+	 * @return the line, in JSON
+	 */
+	public String startedLine() {
+		return "{\"event\":\"started\",\"api\":\"" + this.api.address() + "\",\"peer\":\"" + peerAddress() + "\"}";
+	}
+
+	private HostAddress peerAddress() {
+		return this.parts.self().peerAddress();
+	}
+
+	/**
+	 * Blocks until the host has stopped.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void awaitStop() throws InterruptedException {
+		this.stopped.await();
+	}
+
+	/**
+	 * Stops as planned: announces it, hands the tickets over, lets the running jobs end,
+	 * delivers their answers, and ends what is left at the deadline.
+	 * @return how many jobs were cut off
+	 */
+	public int stop() {
+		long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.stop().deadlineMillis());
+		logger.info("Stop begins: jobs={}", this.parts.activeJobCount());
+		this.parts.announceLeaving();
+		pause(NOTICE_MILLIS);
+		CompletableFuture<Void> delivered = this.parts.handOverTickets();
+		awaitIdle(limitNanos);
+		int cutOffCount = this.parts.stopJobs();
+		if (cutOffCount > 0) {
+			logger.warn("Stop passed its deadline: jobs_cut_off={}", cutOffCount);
+		}
+		awaitDelivery(delivered, limitNanos);
+		pause(FAREWELL_MILLIS);
+		this.api.close();
+		this.parts.close();
+		logger.info("Stop ended: jobs_cut_off={}", cutOffCount);
+		this.stopped.countDown();
+		return cutOffCount;
+	}
+
+	private void awaitIdle(long limitNanos) {
+		while (this.parts.openRequestCount() > 0 && System.nanoTime() - limitNanos < 0) {
+			pause(POLL_MILLIS);
+		}
+	}
+
+	private static void awaitDelivery(CompletableFuture<Void> delivered, long limitNanos) {
+		try {
+			long leftNanos = Math.max(limitNanos - System.nanoTime(), Duration.ofSeconds(1).toNanos());
+			delivered.get(leftNanos, TimeUnit.NANOSECONDS);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			logger.warn("Not every answer reached the heir", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 }
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/LateMessageHandler.java
@@ -0,0 +1,36 @@
+package org.masticwick.daemon.process;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerMessageHandler;
+
+/**
+ * Passes messages to a handler that is created after the transport. What comes earlier is
+ * passed over; peers say it again.
+ */
+final class LateMessageHandler implements PeerMessageHandler {
+
+	private final Supplier<PeerMessageHandler> target;
+
+	LateMessageHandler(Supplier<PeerMessageHandler> target) {
+		this.target = target;
+	}
+
+	@Override
+	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
+		PeerMessageHandler handler = this.target.get();
+		return (handler != null) ? handler.handle(message, from) : null;
+	}
+
+	@Override
+	public void disconnected(HostAddress peer) {
+		PeerMessageHandler handler = this.target.get();
+		if (handler != null) {
+			handler.disconnected(peer);
+		}
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/MembershipDirectory.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/MembershipDirectory.java
@@ -31,8 +31,8 @@
 	 * Creates a directory.
 	 * @param membership the membership
 	 * @param time the clock
-	 * @param learnMillis after how long this process knows all peers that it can reach, in
-	 * milliseconds
+	 * @param learnMillis after how long this process knows all peers that it can reach,
+	 * in milliseconds
 	 */
 	MembershipDirectory(Membership membership, TimeSource time, long learnMillis) {
 		this.membership = membership;
@@ -55,8 +55,7 @@
 			return true;
 		}
 		Optional<PeerView> peer = this.membership.peerAt(host.peerAddress(), now);
-		return peer.map((known) -> known.liveness() == Liveness.LOST)
-			.orElse(now - this.startNanos > this.learnNanos);
+		return peer.map((known) -> known.liveness() == Liveness.LOST).orElse(now - this.startNanos > this.learnNanos);
 	}
 
 	@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerMessages.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerMessages.java
@@ -10,6 +10,7 @@
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.request.Ticket;
 import org.masticwick.core.version.LogRecord;
+import org.masticwick.daemon.connection.HeartbeatService;
 import org.masticwick.daemon.request.RequestRouter;
 import org.masticwick.daemon.request.RoutedRequest;
 import org.masticwick.daemon.request.TicketTransfer;
@@ -40,10 +41,10 @@
 
 	private final RecordRelay relay;
 
-	private final PeerMessageHandler heartbeats;
+	private final HeartbeatService heartbeats;
 
 	PeerMessages(Executor workers, RequestRouter router, TicketTransfer transfer, RecordRelay relay,
-			PeerMessageHandler heartbeats) {
+			HeartbeatService heartbeats) {
 		this.workers = workers;
 		this.router = router;
 		this.transfer = transfer;
@@ -72,7 +73,13 @@
 		if (message instanceof FetchRecords fetch) {
 			return later(() -> CompletableFuture.completedFuture(records(fetch)));
 		}
-		return this.heartbeats.handle(message, from);
+		this.heartbeats.handle(message, from);
+		return null;
+	}
+
+	@Override
+	public void disconnected(HostAddress peer) {
+		this.heartbeats.disconnected(peer);
 	}
 
 	private CompletionStage<PeerMessage> later(Supplier<CompletionStage<PeerMessage>> answer) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
@@ -3,15 +3,19 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.masticwick.core.process.ErrorCode;
+import org.masticwick.wire.TrafficCounters;
 
 /**
  * Counts what an entry host does, for Prometheus.
@@ -49,15 +53,6 @@
 		this.messages.labelValues(kind.label()).inc();
 	}
 
-	/**
-	 * Counts messages between entry hosts, which are counted where they are sent.
-	 * @param type the type of message
-	 * @param count how many
-	 */
-	public void messages(String type, double count) {
-		this.messages.labelValues(type).inc(count);
-	}
-
 	/**
 	 * Counts a message that was wasted.
 	 * @param kind the kind of waste
@@ -108,6 +103,25 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Adds the traffic between entry hosts, which is read at each scrape.
+	 * @param traffic the traffic by type of message
+	 */
+	public void traffic(Supplier<Map<String, TrafficCounters.Traffic>> traffic) {
+		CounterWithCallback.builder()
+			.name("masticwick_peer_messages_sent_total")
+			.help("Messages sent to other entry hosts, by type.")
+			.labelNames("type")
+			.callback((callback) -> traffic.get().forEach((type, sum) -> callback.call(sum.outCount(), type)))
+			.register(this.registry);
+		CounterWithCallback.builder()
+			.name("masticwick_peer_sent_bytes_total")
+			.help("Bytes sent to other entry hosts, by type of message.")
+			.labelNames("type")
+			.callback((callback) -> traffic.get().forEach((type, sum) -> callback.call(sum.outBytes(), type)))
+			.register(this.registry);
+	}
+
 	/**
 	 * Returns all metrics in the text format.
 	 * @return the text in UTF-8
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketIssuer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketIssuer.java
@@ -90,8 +90,7 @@
 	 * @param tickets the tickets
 	 * @param expiresAtMillis when they expire, in milliseconds since the epoch
 	 */
-	private record IssuedTickets(List<String> tickets,
-			@JsonProperty("expires_at_ms") long expiresAtMillis) {
+	private record IssuedTickets(List<String> tickets, @JsonProperty("expires_at_ms") long expiresAtMillis) {
 
 	}
 
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/JobTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/JobTests.java
@@ -36,7 +36,9 @@
 			new Incarnation(1, 2));
 
 	private static Job job(int taskCount) {
-		List<TaskSpec> tasks = IntStream.range(0, taskCount).mapToObj((i) -> new TaskSpec("k", "p" + i, 0, 0, 0)).toList();
+		List<TaskSpec> tasks = IntStream.range(0, taskCount)
+			.mapToObj((i) -> new TaskSpec("k", "p" + i, 0, 0, 0))
+			.toList();
 		Ticket ticket = new TicketMint(HOME, TicketKey.random(), 0).issue(1, 1).get(0);
 		return new Job(ticket, new byte[] { 1 }, new JobRequest("s", "t", false, false, 1000, tasks), 0);
 	}
