Build the scheduler's decisions: order, placement, admission, ejection, spill

Cause: the first form started in order of arrival and knew neither peers nor failing endpoints. Each decision is now a small interface or class of its own; the baselines (random, round robin, own counts) stay as placement policies.

--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/Counter.java
@@ -0,0 +1,46 @@
+package org.masticwick.core.request.internal;
+
+/**
+ * Lists what the scheduler counts.
+ */
+enum Counter {
+
+	ADMITTED_JOBS("admitted_jobs"),
+
+	REJECTED_JOBS("rejected_jobs"),
+
+	STARTS("starts"),
+
+	RETRIES("retries"),
+
+	PROBES("probes"),
+
+	SPILLS("spills"),
+
+	REFUSED_FULL("refused_full"),
+
+	REFUSED_OTHER("refused_other"),
+
+	NOT_CONNECTED("not_connected"),
+
+	EJECTIONS("ejections"),
+
+	DROPPED_TASKS("dropped_tasks"),
+
+	GIVEN_UP_TASKS("given_up_tasks");
+
+	private final String text;
+
+	Counter(String text) {
+		this.text = text;
+	}
+
+	/**
+	 * Returns the name in metrics and dumps.
+	 * @return the name, lower case with underscores
+	 */
+	String text() {
+		return this.text;
+	}
+
+}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/DefaultScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/DefaultScheduler.java
@@ -1,49 +1,40 @@
 package org.masticwick.core.request.internal;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.random.RandomGenerator;
 
 import org.masticwick.core.connection.LoadReport;
 import org.masticwick.core.process.EntryHost;
-import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.request.Admission;
 import org.masticwick.core.request.Disposition;
-import org.masticwick.core.request.Dropped;
 import org.masticwick.core.request.EndpointState;
 import org.masticwick.core.request.JobSubmission;
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.SchedulerSettings;
 import org.masticwick.core.request.SchedulerSnapshot;
-import org.masticwick.core.request.Start;
 import org.masticwick.core.request.TaskEnd;
 import org.masticwick.core.request.TaskId;
 import org.masticwick.core.request.Turn;
-import org.masticwick.core.version.EndpointSpec;
 import org.masticwick.core.version.SiteVersion;
 
 /**
- * Starts tasks in the order of their arrival on the endpoint with the fewest outstanding.
+ * Puts the parts of the scheduler together under one lock. Each call is short, so that
+ * several locks would cost more than they gain.
  */
 public final class DefaultScheduler implements Scheduler {
 
-	private final Deque<Queued> queue = new ArrayDeque<>();
+	private final SchedulerState state;
 
-	private final Map<TaskId, Queued> running = new HashMap<>();
+	private final AdmissionControl admission;
 
-	private final Map<HostAddress, Integer> outstanding = new HashMap<>();
+	private final TurnPlanner turns;
 
-	private final Map<HostAddress, EndpointState> states = new HashMap<>();
+	private final EndHandler ends;
 
-	private final SchedulerSettings settings;
+	private final VersionUpdater versions;
 
-	private SiteVersion version = SiteVersion.EMPTY;
+	private final Reports reports;
 
 	/**
 	 * Creates a scheduler.
@@ -53,106 +44,76 @@
 	 * @param random the source of randomness
 	 */
 	public DefaultScheduler(SchedulerSettings settings, String ownDomain, EntryHost self, RandomGenerator random) {
-		this.settings = settings;
+		this.state = new SchedulerState(settings, ownDomain, self, random);
+		EjectionControl ejection = new EjectionControl(this.state);
+		this.admission = new AdmissionControl(this.state);
+		this.turns = new TurnPlanner(this.state, ejection);
+		this.ends = new EndHandler(this.state, ejection);
+		this.versions = new VersionUpdater(this.state);
+		this.reports = new Reports(this.state);
 	}
 
 	@Override
 	public synchronized Admission admit(JobSubmission job, long nowNanos) {
-		if (!this.version.services().containsKey(job.request().service())) {
-			return new Admission.Rejected(ErrorCode.UNKNOWN_SERVICE, 0, job.request().service());
-		}
-		for (int index = 0; index < job.request().tasks().size(); index++) {
-			this.queue.add(new Queued(new TaskId(job.ticket(), index), job));
-		}
-		return new Admission.Admitted(0);
+		return this.admission.admit(job, nowNanos);
 	}
 
 	@Override
 	public synchronized Turn next(long nowNanos) {
-		List<Start> starts = new ArrayList<>();
-		List<Dropped> dropped = new ArrayList<>();
-		int count = this.queue.size();
-		for (int place = 0; place < count; place++) {
-			Queued queued = this.queue.remove();
-			if (queued.job().deadlineNanos() <= nowNanos) {
-				dropped.add(new Dropped(queued.task(), ErrorCode.DEADLINE_PASSED, 0));
-				continue;
-			}
-			EndpointSpec endpoint = this.version.endpoints()
-				.values()
-				.stream()
-				.filter((spec) -> spec.service().equals(queued.job().request().service()))
-				.filter((spec) -> this.states.getOrDefault(spec.address(), EndpointState.LIVE) == EndpointState.LIVE)
-				.filter((spec) -> this.outstanding.getOrDefault(spec.address(), 0) < spec.slotCount())
-				.min(Comparator.comparing((spec) -> this.outstanding.getOrDefault(spec.address(), 0)))
-				.orElse(null);
-			if (endpoint == null) {
-				this.queue.add(queued);
-				continue;
-			}
-			this.outstanding.merge(endpoint.address(), 1, Integer::sum);
-			this.running.put(queued.task(), queued);
-			starts.add(new Start(queued.task(), queued.job().request().tasks().get(queued.task().index()), endpoint,
-					this.settings.defaultMaxRunTimeMillis(), false));
-		}
-		long wake = this.queue.isEmpty() ? Turn.NEVER : (nowNanos + 5_000_000L);
-		return new Turn(starts, dropped, wake);
+		return this.turns.next(nowNanos);
 	}
 
 	@Override
 	public synchronized Disposition ended(TaskId task, TaskEnd end, long nowNanos) {
-		Queued queued = this.running.remove(task);
-		if (queued == null) {
-			return new Disposition.Done();
-		}
-		this.outstanding.merge(end.endpoint(), -1, Integer::sum);
-		if (end.kind().notStarted()) {
-			this.queue.addFirst(queued);
-			return new Disposition.Requeued();
-		}
-		return new Disposition.Done();
+		return this.ends.ended(task, end, nowNanos);
 	}
 
 	@Override
 	public synchronized List<TaskId> cancel(String ticket, long nowNanos) {
-		List<TaskId> cancelled = this.queue.stream()
-			.map(Queued::task)
-			.filter((task) -> task.ticket().equals(ticket))
-			.toList();
-		this.queue.removeIf((queued) -> queued.task().ticket().equals(ticket));
-		return cancelled;
+		JobEntry job = this.state.jobs().get(ticket);
+		return (job != null) ? this.state.close(job) : List.of();
 	}
 
 	@Override
-	public synchronized void update(SiteVersion newVersion, long nowNanos) {
-		this.version = newVersion;
+	public synchronized void update(SiteVersion version, long nowNanos) {
+		if (version.number() > this.state.version().number()) {
+			this.versions.update(version, nowNanos);
+		}
 	}
 
 	@Override
-	public synchronized void endpointState(HostAddress endpoint, EndpointState state, long nowNanos) {
-		this.states.put(endpoint, state);
+	public synchronized void endpointState(HostAddress endpoint, EndpointState newState, long nowNanos) {
+		if (newState == EndpointState.LIVE) {
+			this.state.toldStates().remove(endpoint);
+		}
+		else {
+			this.state.toldStates().put(endpoint, newState);
+		}
+		EndpointView view = this.state.endpoints().get(endpoint);
+		if (view != null && view.state() != newState) {
+			view.state(newState, nowNanos);
+			this.state.divide();
+		}
 	}
 
 	@Override
-	public void peerLoad(EntryHost peer, LoadReport load, long nowNanos) {
+	public synchronized void peerLoad(EntryHost peer, LoadReport load, long nowNanos) {
+		this.reports.peerLoad(peer, load, nowNanos);
 	}
 
 	@Override
-	public void peerGone(EntryHost peer) {
+	public synchronized void peerGone(EntryHost peer) {
+		this.reports.peerGone(peer);
 	}
 
 	@Override
-	public LoadReport load(long nowNanos) {
-		return LoadReport.EMPTY;
+	public synchronized LoadReport load(long nowNanos) {
+		return this.reports.load(nowNanos);
 	}
 
 	@Override
 	public synchronized SchedulerSnapshot snapshot(long nowNanos) {
-		return new SchedulerSnapshot(this.version.number(), "", List.of(), List.of(), List.of(), Map.of());
-	}
-
-	private record Queued(TaskId task, JobSubmission job) {
-
+		return this.reports.snapshot(nowNanos);
 	}
 
 }
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobEntry.java
@@ -0,0 +1,221 @@
+package org.masticwick.core.request.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.request.JobRequest;
+import org.masticwick.core.request.JobSubmission;
+import org.masticwick.core.request.TaskId;
+import org.masticwick.core.request.TaskSpec;
+
+/**
+ * Is an admitted job: which of its tasks wait and how many run.
+ */
+final class JobEntry {
+
+	/** Orders jobs by rank, those of the same rank by arrival. */
+	static final Comparator<JobEntry> BY_RANK = Comparator.comparingDouble((JobEntry job) -> job.rank)
+		.thenComparingLong(JobEntry::sequence);
+
+	/** Orders jobs by deadline. */
+	static final Comparator<JobEntry> BY_DEADLINE = Comparator.comparingLong(JobEntry::deadlineNanos)
+		.thenComparingLong(JobEntry::sequence);
+
+	private final JobSubmission submission;
+
+	private final TeamAccount account;
+
+	private final long sequence;
+
+	private final long admittedNanos;
+
+	private final double taskNanos;
+
+	private final Deque<Integer> refused = new ArrayDeque<>();
+
+	private final Map<Integer, Integer> refusalCounts = new HashMap<>();
+
+	private final Set<HostAddress> unfitEndpoints = new HashSet<>();
+
+	private int freshIndex;
+
+	private int runningCount;
+
+	private boolean started;
+
+	private boolean closed;
+
+	private double rank;
+
+	private TeamQueue queue;
+
+	/**
+	 * Creates a job of which all tasks wait.
+	 * @param submission the job
+	 * @param account the work of its team
+	 * @param sequence its place in the order of arrival
+	 * @param admittedNanos when it was admitted
+	 * @param taskNanos the mean expected run time of its tasks, in nanoseconds
+	 */
+	JobEntry(JobSubmission submission, TeamAccount account, long sequence, long admittedNanos, double taskNanos) {
+		this.submission = submission;
+		this.account = account;
+		this.sequence = sequence;
+		this.admittedNanos = admittedNanos;
+		this.taskNanos = taskNanos;
+	}
+
+	/**
+	 * Returns the task that starts next: one that was refused, if retries are allowed,
+	 * else one that was never tried.
+	 * @param retryAllowed whether retries are allowed
+	 * @return the place of the task in the job; empty if none may start
+	 */
+	OptionalInt peek(boolean retryAllowed) {
+		if (retryAllowed && !this.refused.isEmpty()) {
+			return OptionalInt.of(this.refused.getFirst());
+		}
+		return (this.freshIndex < taskCount()) ? OptionalInt.of(this.freshIndex) : OptionalInt.empty();
+	}
+
+	/**
+	 * Takes the task out that {@link #peek} returned.
+	 * @param index its place in the job
+	 * @return whether it is a retry
+	 */
+	boolean take(int index) {
+		this.runningCount++;
+		this.started = true;
+		if (index == this.freshIndex) {
+			this.freshIndex++;
+			return false;
+		}
+		this.refused.remove(index);
+		return true;
+	}
+
+	/**
+	 * Takes back a task that was refused.
+	 * @param index its place in the job
+	 */
+	void requeue(int index) {
+		this.refused.addLast(index);
+	}
+
+	/**
+	 * Counts a refusal of a task.
+	 * @param index its place in the job
+	 * @return how often it was refused
+	 */
+	int countRefusal(int index) {
+		return this.refusalCounts.merge(index, 1, Integer::sum);
+	}
+
+	/**
+	 * Takes out all tasks that wait. None is queued again after that.
+	 * @return the tasks
+	 */
+	List<TaskId> close() {
+		List<Integer> indexes = new ArrayList<>(this.refused);
+		IntStream.range(this.freshIndex, taskCount()).forEach(indexes::add);
+		this.refused.clear();
+		this.freshIndex = taskCount();
+		this.closed = true;
+		return indexes.stream().sorted().map((index) -> new TaskId(ticket(), index)).toList();
+	}
+
+	void ended() {
+		this.runningCount--;
+	}
+
+	boolean closed() {
+		return this.closed;
+	}
+
+	boolean started() {
+		return this.started;
+	}
+
+	int queuedCount() {
+		return this.refused.size() + taskCount() - this.freshIndex;
+	}
+
+	int runningCount() {
+		return this.runningCount;
+	}
+
+	/**
+	 * Returns how much work waits.
+	 * @return the sum of the expected run times in nanoseconds
+	 */
+	double queuedWorkNanos() {
+		return queuedCount() * this.taskNanos;
+	}
+
+	TaskSpec spec(int index) {
+		return request().tasks().get(index);
+	}
+
+	JobRequest request() {
+		return this.submission.request();
+	}
+
+	TeamAccount account() {
+		return this.account;
+	}
+
+	String ticket() {
+		return this.submission.ticket();
+	}
+
+	long deadlineNanos() {
+		return this.submission.deadlineNanos();
+	}
+
+	long admittedNanos() {
+		return this.admittedNanos;
+	}
+
+	long sequence() {
+		return this.sequence;
+	}
+
+	double rank() {
+		return this.rank;
+	}
+
+	/**
+	 * Sets the rank; only while the job is in no ordered set.
+	 * @param newRank the rank; least goes first
+	 */
+	void rank(double newRank) {
+		this.rank = newRank;
+	}
+
+	TeamQueue queue() {
+		return this.queue;
+	}
+
+	void queue(TeamQueue newQueue) {
+		this.queue = newQueue;
+	}
+
+	Set<HostAddress> unfitEndpoints() {
+		return this.unfitEndpoints;
+	}
+
+	private int taskCount() {
+		return request().tasks().size();
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/LeastOfTwoPeersPlacement.java
@@ -0,0 +1,26 @@
+package org.masticwick.core.request.internal;
+
+import java.util.List;
+
+/**
+ * Draws two endpoints and takes the one on which more slots are left, by this host's own
+ * counts and what peers and refusals told of the rest.
+ */
+final class LeastOfTwoPeersPlacement implements PlacementPolicy {
+
+	@Override
+	public String name() {
+		return "least-of-two-peers";
+	}
+
+	@Override
+	public double room(EndpointView endpoint, PlacementContext context) {
+		return endpoint.freeCount(context.nowNanos(), context.fadeNanos());
+	}
+
+	@Override
+	public EndpointView choose(List<EndpointView> candidates, PlacementContext context) {
+		return Choices.roomierOfTwo(candidates, this, context);
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/LeastOfTwoPlacement.java
@@ -0,0 +1,26 @@
+package org.masticwick.core.request.internal;
+
+import java.util.List;
+
+/**
+ * Draws two endpoints and takes the one on which more slots are left, by this host's own
+ * counts.
+ */
+final class LeastOfTwoPlacement implements PlacementPolicy {
+
+	@Override
+	public String name() {
+		return "least-of-two";
+	}
+
+	@Override
+	public double room(EndpointView endpoint, PlacementContext context) {
+		return endpoint.spec().slotCount() - endpoint.outstandingCount();
+	}
+
+	@Override
+	public EndpointView choose(List<EndpointView> candidates, PlacementContext context) {
+		return Choices.roomierOfTwo(candidates, this, context);
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/PlacementContext.java
@@ -0,0 +1,23 @@
+package org.masticwick.core.request.internal;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.masticwick.core.process.EntryHost;
+
+/**
+ * Is what a placement policy may look at besides the endpoints.
+ *
+ * @param nowNanos the time
+ * @param service the service
+ * @param fadeNanos the time in which a peer's count is out of date, in nanoseconds
+ * @param self this host
+ * @param hosts the entry hosts of the domain, this one among them
+ * @param ownership how endpoints and slots are divided among them
+ * @param peers the reports of the peers
+ * @param random the source of randomness
+ */
+record PlacementContext(long nowNanos, String service, double fadeNanos, EntryHost self, List<EntryHost> hosts,
+		Ownership ownership, Peers peers, RandomGenerator random) {
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/RoundRobinPlacement.java
@@ -0,0 +1,36 @@
+package org.masticwick.core.request.internal;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.masticwick.core.process.HostAddress;
+
+/**
+ * Takes the endpoints in turn, by address. A baseline.
+ */
+final class RoundRobinPlacement implements PlacementPolicy {
+
+	private HostAddress last;
+
+	@Override
+	public String name() {
+		return "round-robin";
+	}
+
+	@Override
+	public double room(EndpointView endpoint, PlacementContext context) {
+		return endpoint.spec().slotCount() - endpoint.outstandingCount();
+	}
+
+	@Override
+	public EndpointView choose(List<EndpointView> candidates, PlacementContext context) {
+		Comparator<EndpointView> byAddress = Comparator.comparing(EndpointView::address);
+		EndpointView chosen = candidates.stream()
+			.filter((endpoint) -> this.last == null || endpoint.address().compareTo(this.last) > 0)
+			.min(byAddress)
+			.orElseGet(() -> candidates.stream().min(byAddress).orElseThrow());
+		this.last = chosen.address();
+		return chosen;
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
@@ -0,0 +1,251 @@
+package org.masticwick.core.request.internal;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.request.DispatchRules;
+import org.masticwick.core.request.Dropped;
+import org.masticwick.core.request.EndpointState;
+import org.masticwick.core.request.SchedulerSettings;
+import org.masticwick.core.request.TaskId;
+import org.masticwick.core.version.Rules;
+import org.masticwick.core.version.SiteVersion;
+
+/**
+ * Holds what the parts of the scheduler share. Guarded by the lock of the scheduler.
+ */
+final class SchedulerState {
+
+	private final Map<String, ServiceState> services = new TreeMap<>();
+
+	private final Map<HostAddress, EndpointView> endpoints = new HashMap<>();
+
+	private final Map<HostAddress, EndpointState> toldStates = new HashMap<>();
+
+	private final Map<String, JobEntry> jobs = new HashMap<>();
+
+	private final NavigableSet<JobEntry> jobsByDeadline = new TreeSet<>(JobEntry.BY_DEADLINE);
+
+	private final Map<TaskId, RunningTask> running = new HashMap<>();
+
+	private final Map<Counter, Long> counters = new EnumMap<>(Counter.class);
+
+	private final List<Dropped> dropped = new ArrayList<>();
+
+	private final SchedulerSettings settings;
+
+	private final String ownDomain;
+
+	private final EntryHost self;
+
+	private final RandomGenerator random;
+
+	private final Peers peers;
+
+	private final Teams teams;
+
+	private SiteVersion version = SiteVersion.EMPTY;
+
+	private DispatchRules rules = DispatchRules.of(Rules.NONE);
+
+	private List<EntryHost> hosts;
+
+	private Ownership ownership;
+
+	/**
+	 * Creates the state of a scheduler that knows nothing.
+	 * @param settings the bounds
+	 * @param ownDomain the failure domain of this host
+	 * @param self this host
+	 * @param random the source of randomness
+	 */
+	SchedulerState(SchedulerSettings settings, String ownDomain, EntryHost self, RandomGenerator random) {
+		this.settings = settings;
+		this.ownDomain = ownDomain;
+		this.self = self;
+		this.random = random;
+		this.peers = new Peers(self);
+		this.teams = new Teams(this.rules);
+		divide();
+	}
+
+	/**
+	 * Divides the endpoints of the domain anew.
+	 */
+	void divide() {
+		this.hosts = this.peers.hosts(this.ownDomain);
+		this.ownership = Ownership.divide(this.endpoints.values()
+			.stream()
+			.filter(EndpointView::live)
+			.map(EndpointView::spec)
+			.filter((spec) -> spec.domain().equals(this.ownDomain))
+			.toList(), this.hosts);
+		this.services.values().forEach(ServiceState::refresh);
+	}
+
+	/**
+	 * Takes over a version.
+	 * @param newVersion the version
+	 */
+	void version(SiteVersion newVersion) {
+		this.version = newVersion;
+		this.rules = DispatchRules.of(newVersion.rules());
+	}
+
+	/**
+	 * Takes a job out of the queue; its tasks that wait are never started.
+	 * @param job the job
+	 * @return the tasks that waited
+	 */
+	List<TaskId> close(JobEntry job) {
+		if (job.queue() != null) {
+			this.services.get(job.request().service()).queue().remove(job);
+		}
+		List<TaskId> waiting = job.close();
+		this.jobsByDeadline.remove(job);
+		forgetIfOver(job);
+		return waiting;
+	}
+
+	/**
+	 * Takes a job out of the queue and keeps its tasks that waited for the next turn to
+	 * tell.
+	 * @param job the job
+	 * @param code why
+	 * @param retryAfterMillis when to come back, in milliseconds from now
+	 */
+	void drop(JobEntry job, ErrorCode code, long retryAfterMillis) {
+		close(job).forEach((task) -> this.dropped.add(new Dropped(task, code, retryAfterMillis)));
+	}
+
+	/**
+	 * Returns what was dropped since the last call.
+	 * @return the tasks
+	 */
+	List<Dropped> takeDropped() {
+		List<Dropped> taken = List.copyOf(this.dropped);
+		this.dropped.clear();
+		count(Counter.DROPPED_TASKS, taken.size());
+		return taken;
+	}
+
+	/**
+	 * Forgets a job of which no task waits or runs.
+	 * @param job the job
+	 */
+	void forgetIfOver(JobEntry job) {
+		if (job.queuedCount() == 0) {
+			this.jobsByDeadline.remove(job);
+			if (job.runningCount() == 0) {
+				this.jobs.remove(job.ticket(), job);
+			}
+		}
+		this.teams.close(job.account());
+	}
+
+	/**
+	 * Returns what a placement policy may look at.
+	 * @param service the service
+	 * @param nowNanos the time
+	 * @return the context
+	 */
+	PlacementContext placementContext(ServiceState service, long nowNanos) {
+		return new PlacementContext(nowNanos, service.spec().name(), service.runTimes().meanNanos(), this.self,
+				this.hosts, this.ownership, this.peers, this.random);
+	}
+
+	/**
+	 * Returns how long a job that arrives now is expected to wait.
+	 * @param service the service
+	 * @param queuedCount how many tasks go before it
+	 * @param nowNanos the time
+	 * @return the time in nanoseconds
+	 */
+	double waitNanos(ServiceState service, int queuedCount, long nowNanos) {
+		return service.waitNanos(queuedCount, this.hosts.size(), nowNanos);
+	}
+
+	double slotCount(ServiceState service, long nowNanos) {
+		return service.slotCount(this.hosts.size(), nowNanos);
+	}
+
+	void count(Counter counter, long added) {
+		this.counters.merge(counter, added, Long::sum);
+	}
+
+	Map<String, ServiceState> services() {
+		return this.services;
+	}
+
+	Map<HostAddress, EndpointView> endpoints() {
+		return this.endpoints;
+	}
+
+	/**
+	 * Returns the states that were told and are not live, also of endpoints that aren't
+	 * in the version.
+	 * @return the states by address
+	 */
+	Map<HostAddress, EndpointState> toldStates() {
+		return this.toldStates;
+	}
+
+	Map<String, JobEntry> jobs() {
+		return this.jobs;
+	}
+
+	NavigableSet<JobEntry> jobsByDeadline() {
+		return this.jobsByDeadline;
+	}
+
+	Map<TaskId, RunningTask> running() {
+		return this.running;
+	}
+
+	Map<Counter, Long> counters() {
+		return this.counters;
+	}
+
+	SchedulerSettings settings() {
+		return this.settings;
+	}
+
+	String ownDomain() {
+		return this.ownDomain;
+	}
+
+	RandomGenerator random() {
+		return this.random;
+	}
+
+	Peers peers() {
+		return this.peers;
+	}
+
+	Teams teams() {
+		return this.teams;
+	}
+
+	SiteVersion version() {
+		return this.version;
+	}
+
+	DispatchRules rules() {
+		return this.rules;
+	}
+
+	List<EntryHost> hosts() {
+		return this.hosts;
+	}
+
+}
