Add the commands of callers and operators and the job client

Callers and operators had no command. OkHttp's own repetition on connection failure is ruled out: it hides which host got a job how often, so the client makes each resubmission itself and counts it.

JobClient takes tickets in blocks, submits to the host that issued the ticket, sends the job to the next host under the same ticket when the connection is lost or goes silent or the outcome is unknown for now, and sends a refused job again under a new ticket after the time the host asks for. A refused ticket itself is never sent again, because nothing may be started under it. Answers are kept apart as complete, running, refused, failed and unknown, by the member ran of the problem.

--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command masticwick for operators and callers.
+ */
+package org.masticwick.cli;
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/CancelCommand.java
@@ -0,0 +1,34 @@
+package org.masticwick.cli.process;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+import org.masticwick.cli.connection.HttpCaller;
+import org.masticwick.cli.request.JobClient;
+import org.masticwick.cli.request.JobClientOptions;
+
+/**
+ * Cancels a job.
+ */
+final class CancelCommand implements Command {
+
+	@Override
+	public String name() {
+		return "cancel";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("cancel a job and show what became of it");
+		Arguments.addHosts(parser);
+		Arguments.addTicket(parser);
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		try (JobClient client = new JobClient(Arguments.hosts(arguments), JobClientOptions.DEFAULT)) {
+			return AnswerFormat.of(HttpCaller.await(client.cancel(arguments.getString("ticket"))));
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/HostQuery.java
@@ -0,0 +1,60 @@
+package org.masticwick.cli.process;
+
+import java.time.Duration;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import okhttp3.HttpUrl;
+
+import org.masticwick.cli.connection.HostUnreachableException;
+import org.masticwick.cli.connection.HttpAnswer;
+import org.masticwick.cli.connection.HttpCaller;
+
+/**
+ * Reads a JSON document from the first host that can be reached.
+ */
+final class HostQuery {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final Duration LIMIT = Duration.ofSeconds(10);
+
+	private HostQuery() {
+	}
+
+	/**
+	 * Reads a document.
+	 * @param hosts the hosts, in the order in which they are tried
+	 * @param path the path of the document, without a slash in front
+	 * @return the document, which may be a problem
+	 * @throws HostUnreachableException if no host gives one
+	 */
+	static JsonNode get(List<HttpUrl> hosts, String path) {
+		HostUnreachableException last = new HostUnreachableException("No host is given", false, null);
+		try (HttpCaller caller = new HttpCaller()) {
+			for (HttpUrl host : hosts) {
+				try {
+					HttpUrl url = host.newBuilder().addPathSegments(path).build();
+					return read(host, HttpCaller.await(caller.get(url, LIMIT)));
+				}
+				catch (HostUnreachableException ex) {
+					last = ex;
+				}
+			}
+		}
+		throw last;
+	}
+
+	private static JsonNode read(HttpUrl host, HttpAnswer answer) {
+		try {
+			return MAPPER.readTree(answer.text());
+		}
+		catch (JsonProcessingException ex) {
+			String message = host + " answered " + answer.status() + " without JSON";
+			throw new HostUnreachableException(message, true, ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/StateCommand.java
@@ -0,0 +1,42 @@
+package org.masticwick.cli.process;
+
+import java.time.Duration;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+import org.masticwick.cli.connection.HttpCaller;
+import org.masticwick.cli.request.JobClient;
+import org.masticwick.cli.request.JobClientOptions;
+
+/**
+ * Shows what became of a job.
+ */
+final class StateCommand implements Command {
+
+	@Override
+	public String name() {
+		return "state";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("show what became of a job");
+		Arguments.addHosts(parser);
+		Arguments.addTicket(parser);
+		parser.addArgument("--wait-ms")
+			.dest("wait")
+			.type(Integer.class)
+			.setDefault(0)
+			.help("how long to wait for its end, in milliseconds; default 0");
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		Duration wait = Duration.ofMillis(arguments.getInt("wait"));
+		try (JobClient client = new JobClient(Arguments.hosts(arguments), JobClientOptions.DEFAULT)) {
+			return AnswerFormat.of(HttpCaller.await(client.state(arguments.getString("ticket"), wait)));
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/SubmitCommand.java
@@ -0,0 +1,51 @@
+package org.masticwick.cli.process;
+
+import java.nio.file.Path;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+import org.masticwick.cli.connection.HttpCaller;
+import org.masticwick.cli.request.JobClient;
+import org.masticwick.cli.request.JobClientOptions;
+import org.masticwick.cli.request.JobFile;
+import org.masticwick.cli.request.Ticket;
+import org.masticwick.core.request.JobRequest;
+
+/**
+ * Submits a job and waits for its answer.
+ */
+final class SubmitCommand implements Command {
+
+	@Override
+	public String name() {
+		return "submit";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("submit a job and wait for its answer");
+		Arguments.addHosts(parser);
+		parser.addArgument("--ticket").help("submit under this ticket instead of a new one, to attach to its job");
+		parser.addArgument("--retries")
+			.type(Integer.class)
+			.setDefault(JobClientOptions.DEFAULT.refusalRetryCountMax())
+			.help("how often a refused job is sent again under a new ticket; default 3");
+		parser.addArgument("file").metavar("FILE").help("the job, in JSON or TOML");
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		JobRequest request = JobFile.load(Path.of(arguments.getString("file")));
+		JobClientOptions options = JobClientOptions.DEFAULT.withRefusalRetryCountMax(arguments.getInt("retries"));
+		String ticket = arguments.getString("ticket");
+		try (JobClient client = new JobClient(Arguments.hosts(arguments), options)) {
+			if (ticket == null) {
+				return AnswerFormat.of(HttpCaller.await(client.submit(request)));
+			}
+			Ticket own = new Ticket(ticket, client.hosts().get(0), Long.MAX_VALUE);
+			return AnswerFormat.of(HttpCaller.await(client.submit(own, request)));
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
@@ -0,0 +1,257 @@
+package org.masticwick.cli.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import okhttp3.HttpUrl;
+
+import org.masticwick.cli.connection.HttpCaller;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.request.JobRequest;
+
+/**
+ * Submits jobs to entry hosts. A job whose connection is lost is sent to another host
+ * under the same ticket; a refused one is sent again under a new ticket, when the host
+ * says that coming back makes sense.
+ */
+public final class JobClient implements AutoCloseable {
+
+	private static final Duration CONTROL_LIMIT = Duration.ofSeconds(5);
+
+	private static final Duration GRACE = Duration.ofSeconds(5);
+
+	private static final Duration UNBOUNDED_DEADLINE = Duration.ofMinutes(2);
+
+	private static final long TICKET_MARGIN_MILLIS = 60_000;
+
+	private final List<HttpUrl> hosts;
+
+	private final JobClientOptions options;
+
+	private final HttpCaller caller = new HttpCaller();
+
+	private final List<TicketStore> stores;
+
+	private final ClientCounters counters = new ClientCounters();
+
+	private final AtomicInteger turn = new AtomicInteger();
+
+	private final RandomGenerator random;
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "job-client-timer");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	/**
+	 * Creates a client.
+	 * @param hosts the hosts, in the order in which they are tried
+	 * @param options how the client behaves
+	 */
+	public JobClient(List<HttpUrl> hosts, JobClientOptions options) {
+		this.hosts = List.copyOf(hosts);
+		this.options = options;
+		this.random = new Random(options.seed());
+		this.stores = this.hosts.stream()
+			.map((host) -> new TicketStore(this.caller, TimeSource.system(), host, options.ticketBlockCount(),
+					TICKET_MARGIN_MILLIS))
+			.toList();
+	}
+
+	/**
+	 * Submits a job under a ticket of the next host in turn.
+	 * @param request the job
+	 * @return what became of it; never an error once a ticket was had
+	 */
+	public CompletableFuture<JobAnswer> submit(JobRequest request) {
+		return submitWithRetries(request, JobBody.of(request).toBytes(), 0);
+	}
+
+	/**
+	 * Submits a job under a ticket to the host that issued it.
+	 * @param ticket the ticket
+	 * @param request the job
+	 * @return what became of it
+	 */
+	public CompletableFuture<JobAnswer> submit(Ticket ticket, JobRequest request) {
+		return submit(ticket, ticket.host(), request);
+	}
+
+	/**
+	 * Submits a job under a ticket to any host.
+	 * @param ticket the ticket
+	 * @param first the host that is tried first
+	 * @param request the job
+	 * @return what became of it
+	 */
+	public CompletableFuture<JobAnswer> submit(Ticket ticket, HttpUrl first, JobRequest request) {
+		return new Submission(this, ticket, first, JobBody.of(request).toBytes(), limit(request)).start();
+	}
+
+	/**
+	 * Takes a ticket of the next host in turn; hosts that give none are passed over.
+	 * @return the ticket
+	 */
+	public CompletableFuture<Ticket> ticket() {
+		return ticket(Math.floorMod(this.turn.getAndIncrement(), this.hosts.size()), this.hosts.size());
+	}
+
+	/**
+	 * Takes a ticket of one host.
+	 * @param host the place of the host in the list of hosts
+	 * @return the ticket
+	 */
+	public CompletableFuture<Ticket> ticketOf(int host) {
+		return this.stores.get(host).take();
+	}
+
+	/**
+	 * Fetches a block of tickets from the first host that gives one.
+	 * @param count how many
+	 * @return the tickets
+	 */
+	public CompletableFuture<List<Ticket>> tickets(int count) {
+		return tickets(0, count);
+	}
+
+	/**
+	 * Asks the first host that can be reached for the state of a job.
+	 * @param ticket the ticket
+	 * @param wait how long to wait for the end of the job
+	 * @return what became of it
+	 */
+	public CompletableFuture<JobAnswer> state(String ticket, Duration wait) {
+		return firstReachable(0,
+				(host) -> this.caller.get(jobUrl(host, ticket, wait), wait.plus(this.options.silenceMargin()))
+					.thenApply((answer) -> AnswerReader.job(ticket, answer)));
+	}
+
+	/**
+	 * Cancels a job by the first host that can be reached.
+	 * @param ticket the ticket
+	 * @return what became of it
+	 */
+	public CompletableFuture<JobAnswer> cancel(String ticket) {
+		return firstReachable(0, (host) -> this.caller.delete(jobUrl(host, ticket), CONTROL_LIMIT)
+			.thenApply((answer) -> AnswerReader.job(ticket, answer)));
+	}
+
+	/**
+	 * Returns the hosts.
+	 * @return the hosts in the order in which they are tried
+	 */
+	public List<HttpUrl> hosts() {
+		return this.hosts;
+	}
+
+	/**
+	 * Returns what the client did besides first attempts.
+	 * @return the counters
+	 */
+	public ClientCounters counters() {
+		return this.counters;
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.caller.close();
+	}
+
+	HttpCaller caller() {
+		return this.caller;
+	}
+
+	JobClientOptions options() {
+		return this.options;
+	}
+
+	HttpUrl hostAfter(HttpUrl host) {
+		return this.hosts.get((this.hosts.indexOf(host) + 1) % this.hosts.size());
+	}
+
+	HttpUrl jobUrl(HttpUrl host, String ticket, Duration wait) {
+		return jobUrl(host, ticket).newBuilder().addQueryParameter("wait_ms", Long.toString(wait.toMillis())).build();
+	}
+
+	long backoffMillis(int attemptIndex, long atLeastMillis) {
+		return Backoff.millis(attemptIndex, atLeastMillis, this.random);
+	}
+
+	void after(long delayMillis, Runnable action) {
+		this.timer.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private CompletableFuture<JobAnswer> submitWithRetries(JobRequest request, byte[] body, int retryCount) {
+		return ticket()
+			.thenCompose((ticket) -> new Submission(this, ticket, ticket.host(), body, limit(request)).start())
+			.thenCompose((answer) -> {
+				boolean last = retryCount >= this.options.refusalRetryCountMax();
+				if (last || !(answer instanceof JobAnswer.Refused refused) || !comesBack(refused)) {
+					return CompletableFuture.completedFuture(answer);
+				}
+				this.counters.countRefusalRetry();
+				long delayMillis = backoffMillis(retryCount, refused.problem().retryAfterMillis());
+				CompletableFuture<Void> delay = new CompletableFuture<>();
+				after(delayMillis, () -> delay.complete(null));
+				return delay.thenCompose((ignored) -> submitWithRetries(request, body, retryCount + 1));
+			});
+	}
+
+	private CompletableFuture<Ticket> ticket(int host, int triesLeft) {
+		CompletableFuture<Ticket> taken = this.stores.get(host).take();
+		if (triesLeft <= 1) {
+			return taken;
+		}
+		return orElse(taken, () -> ticket((host + 1) % this.hosts.size(), triesLeft - 1));
+	}
+
+	private CompletableFuture<List<Ticket>> tickets(int host, int count) {
+		CompletableFuture<List<Ticket>> fetched = this.stores.get(host).fetch(count);
+		return (host + 1 < this.hosts.size()) ? orElse(fetched, () -> tickets(host + 1, count)) : fetched;
+	}
+
+	private CompletableFuture<JobAnswer> firstReachable(int host, HostCall call) {
+		CompletableFuture<JobAnswer> answer = call.make(this.hosts.get(host));
+		return (host + 1 < this.hosts.size()) ? orElse(answer, () -> firstReachable(host + 1, call)) : answer;
+	}
+
+	private static boolean comesBack(JobAnswer.Refused refused) {
+		return refused.problem().retryAfterMillis() > 0;
+	}
+
+	private static <T> CompletableFuture<T> orElse(CompletableFuture<T> first,
+			Supplier<? extends CompletionStage<T>> next) {
+		return first.exceptionallyCompose((error) -> next.get());
+	}
+
+	private static Duration limit(JobRequest request) {
+		Duration deadline = (request.deadlineMillis() > 0) ? Duration.ofMillis(request.deadlineMillis())
+				: UNBOUNDED_DEADLINE;
+		return deadline.plus(GRACE);
+	}
+
+	private static HttpUrl jobUrl(HttpUrl host, String ticket) {
+		return host.newBuilder().addPathSegments("v1/jobs").addPathSegment(ticket).build();
+	}
+
+	/**
+	 * Makes a request about a job to a host.
+	 */
+	private interface HostCall {
+
+		CompletableFuture<JobAnswer> make(HttpUrl host);
+
+	}
+
+}
