Start sites of real processes for the fault cases

Cause: fault cases need whole sites, signals to processes and faults of the network between them.

Relays between entry hosts: they announce their own addresses, so a relay between them would be passed by.

Not run: entry hosts, which don't exist yet.

--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/RelayPipe.java
@@ -0,0 +1,118 @@
+package org.masticwick.proof.support;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Joins the two connections of a relay. All of it runs on one event loop.
+ */
+final class RelayPipe {
+
+	private final TcpRelay relay;
+
+	private final SocketChannel source;
+
+	private final Direction fromSource = new Direction(TcpRelay.Mode.SWALLOW_TO_TARGET);
+
+	private final Direction fromTarget = new Direction(TcpRelay.Mode.SWALLOW_FROM_TARGET);
+
+	private volatile Channel target;
+
+	private volatile boolean silent;
+
+	RelayPipe(TcpRelay relay, SocketChannel source) {
+		this.relay = relay;
+		this.source = source;
+	}
+
+	ChannelHandler fromSource() {
+		return this.fromSource;
+	}
+
+	ChannelHandler fromTarget() {
+		return this.fromTarget;
+	}
+
+	void silence() {
+		this.silent = true;
+	}
+
+	void closeBoth() {
+		this.source.close();
+		if (this.target != null) {
+			this.target.close();
+		}
+	}
+
+	/**
+	 * Passes what comes from one end on to the other, in order.
+	 */
+	private final class Direction extends ChannelInboundHandlerAdapter {
+
+		private final TcpRelay.Mode swallowing;
+
+		private long lastPassNanos = System.nanoTime();
+
+		Direction(TcpRelay.Mode swallowing) {
+			this.swallowing = swallowing;
+		}
+
+		@Override
+		public void channelActive(ChannelHandlerContext context) {
+			if (this == RelayPipe.this.fromTarget) {
+				RelayPipe.this.target = context.channel();
+			}
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object bytes) {
+			if (RelayPipe.this.silent || RelayPipe.this.relay.mode() == this.swallowing) {
+				ReferenceCountUtil.release(bytes);
+				return;
+			}
+			pass(context, () -> write(bytes));
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			if (!RelayPipe.this.silent) {
+				pass(context, RelayPipe.this::closeBoth);
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+		private void pass(ChannelHandlerContext context, Runnable action) {
+			long now = System.nanoTime();
+			long delayNanos = TimeUnit.MILLISECONDS.toNanos(RelayPipe.this.relay.delayMillis());
+			this.lastPassNanos = Math.max(now + delayNanos, this.lastPassNanos);
+			if (this.lastPassNanos <= now) {
+				action.run();
+			}
+			else {
+				context.executor().schedule(action, this.lastPassNanos - now, TimeUnit.NANOSECONDS);
+			}
+		}
+
+		private void write(Object bytes) {
+			Channel to = (this == RelayPipe.this.fromSource) ? RelayPipe.this.target : RelayPipe.this.source;
+			if (to != null) {
+				to.writeAndFlush(bytes);
+			}
+			else {
+				ReferenceCountUtil.release(bytes);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
@@ -0,0 +1,207 @@
+package org.masticwick.proof.support;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.version.EndpointSpec;
+import org.masticwick.core.version.ServiceSpec;
+
+/**
+ * Runs a whole site on loopback: a platform, the workers and the entry hosts of each
+ * failure domain, and relays between them where asked for.
+ */
+public final class Site implements AutoCloseable {
+
+	private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(60);
+
+	private final SiteOptions options;
+
+	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+	private final ApiClient client = new ApiClient(CLIENT_TIMEOUT);
+
+	private final Map<String, StandinWorkers> workers = new LinkedHashMap<>();
+
+	private final Map<String, List<EntryHostProcess>> entryHosts = new LinkedHashMap<>();
+
+	private final Map<String, TcpRelay> platformRelays = new LinkedHashMap<>();
+
+	private final Map<HostAddress, TcpRelay> workerRelays = new LinkedHashMap<>();
+
+	private final StandinPlatform platform;
+
+	private Site(SiteOptions options) {
+		this.options = options;
+		this.platform = opened(StandinPlatform.start(this.client, options.platformArguments()));
+	}
+
+	/**
+	 * Starts a site, publishes its first note and starts its entry hosts.
+	 * @param options how it is set up
+	 * @return the site
+	 */
+	public static Site start(SiteOptions options) {
+		Site site = new Site(options);
+		try {
+			options.domains().forEach(site::startDomain);
+			site.publish(site.firstNote());
+			options.domains().forEach(site::startEntryHosts);
+			return site;
+		}
+		catch (RuntimeException | Error ex) {
+			site.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Returns the client for requests to any process of the site.
+	 * @return the client
+	 */
+	public ApiClient client() {
+		return this.client;
+	}
+
+	/**
+	 * Returns the platform.
+	 * @return the platform
+	 */
+	public StandinPlatform platform() {
+		return this.platform;
+	}
+
+	/**
+	 * Returns the workers of a failure domain.
+	 * @param domain the failure domain
+	 * @return the workers
+	 */
+	public StandinWorkers workers(String domain) {
+		return this.workers.get(domain);
+	}
+
+	/**
+	 * Returns the entry hosts of a failure domain, in the order of their start.
+	 * @param domain the failure domain
+	 * @return the entry hosts
+	 */
+	public List<EntryHostProcess> entryHosts(String domain) {
+		return List.copyOf(this.entryHosts.getOrDefault(domain, List.of()));
+	}
+
+	/**
+	 * Returns the relay by which the entry hosts of a failure domain reach the platform.
+	 * @param domain the failure domain
+	 * @return the relay
+	 */
+	public TcpRelay platformRelay(String domain) {
+		return this.platformRelays.get(domain);
+	}
+
+	/**
+	 * Returns the relay in front of a worker, if the options asked for relays.
+	 * @param worker where the worker itself listens
+	 * @return the relay
+	 */
+	public TcpRelay workerRelay(HostAddress worker) {
+		return this.workerRelays.get(worker);
+	}
+
+	/**
+	 * Returns where a worker stands in the release notes.
+	 * @param worker where the worker itself listens
+	 * @return the address of its relay if it has one
+	 */
+	public HostAddress published(HostAddress worker) {
+		TcpRelay relay = this.workerRelays.get(worker);
+		return (relay != null) ? relay.address() : worker;
+	}
+
+	/**
+	 * Starts one more entry host, seeded with those that run.
+	 * @param domain its failure domain
+	 * @return the entry host
+	 */
+	public EntryHostProcess startEntryHost(String domain) {
+		List<HostAddress> seeds = this.entryHosts.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((host) -> host.process().alive())
+			.map(EntryHostProcess::peer)
+			.toList();
+		EntryHostProcess host = opened(EntryHostProcess.start(domain, this.platformRelays.get(domain).address(), seeds,
+				this.options.entryHostKeys()));
+		this.entryHosts.computeIfAbsent(domain, (name) -> new ArrayList<>()).add(host);
+		return host;
+	}
+
+	/**
+	 * Appends a note to the log.
+	 * @param note the note
+	 * @throws IllegalStateException if the platform doesn't take it
+	 */
+	public void publish(SiteNote note) {
+		ApiClient.Reply reply = this.platform.append("site", note.text());
+		if (reply.status() != 201) {
+			throw new IllegalStateException("Note not published: " + reply);
+		}
+	}
+
+	/** Kills and closes all that was started, last first. */
+	@Override
+	public void close() {
+		this.resources.forEach(Site::closeQuietly);
+		this.resources.clear();
+		this.client.close();
+	}
+
+	private void startDomain(String domain) {
+		StandinWorkers started = opened(
+				StandinWorkers.start(this.client, domain, this.options.workerArguments(this.platform.address())));
+		this.workers.put(domain, started);
+		this.platformRelays.put(domain, opened(TcpRelay.to(this.platform.address())));
+		if (this.options.workerRelays()) {
+			started.addresses().forEach((worker) -> this.workerRelays.put(worker, opened(TcpRelay.to(worker))));
+		}
+	}
+
+	private void startEntryHosts(String domain) {
+		IntStream.range(0, this.options.entryHostsPerDomain()).forEach((index) -> startEntryHost(domain));
+	}
+
+	private SiteNote firstNote() {
+		SiteNote note = new SiteNote("site-1", 0);
+		note.add(new ServiceSpec(this.options.service(), Set.of(), true, this.options.maxRunMillis()));
+		this.workers.values()
+			.forEach((domain) -> domain.addresses().forEach((worker) -> note.add(endpoint(domain.domain(), worker))));
+		return note;
+	}
+
+	private EndpointSpec endpoint(String domain, HostAddress worker) {
+		return new EndpointSpec(published(worker), domain, domain + "-1", this.options.service(),
+				this.options.slotsPerWorker(), this.options.connectionsPerWorker(), this.options.processorsPerWorker(),
+				this.options.memoryMegabytesPerWorker(), 0);
+	}
+
+	private <T extends AutoCloseable> T opened(T resource) {
+		this.resources.push(resource);
+		return resource;
+	}
+
+	private static void closeQuietly(AutoCloseable resource) {
+		try {
+			resource.close();
+		}
+		catch (Exception ex) {
+			System.err.println("Not closed: " + resource + ": " + ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/TcpRelay.java
@@ -0,0 +1,174 @@
+package org.masticwick.proof.support;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+import org.masticwick.core.process.HostAddress;
+
+/**
+ * Passes TCP connections on to a target, with the faults of a network.
+ */
+public final class TcpRelay implements AutoCloseable {
+
+	private static final String LOOPBACK = "127.0.0.1";
+
+	private final EventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final Set<RelayPipe> pipes = ConcurrentHashMap.newKeySet();
+
+	private final HostAddress target;
+
+	private final Channel server;
+
+	private volatile Mode mode = Mode.PASS;
+
+	private volatile long delayMillis;
+
+	private TcpRelay(HostAddress target) {
+		this.target = target;
+		this.server = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.AUTO_READ, false)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+
+				@Override
+				protected void initChannel(SocketChannel source) {
+					accept(source);
+				}
+
+			})
+			.bind(LOOPBACK, 0)
+			.syncUninterruptibly()
+			.channel();
+	}
+
+	/**
+	 * Starts a relay on a port that the operating system chooses.
+	 * @param target where connections lead to
+	 * @return the relay
+	 */
+	public static TcpRelay to(HostAddress target) {
+		return new TcpRelay(target);
+	}
+
+	/**
+	 * Returns where the relay listens.
+	 * @return the address
+	 */
+	public HostAddress address() {
+		return new HostAddress(LOOPBACK, ((InetSocketAddress) this.server.localAddress()).getPort());
+	}
+
+	/**
+	 * Changes what happens to bytes and connections from now on. {@link Mode#DROP} closes
+	 * the open connections as well.
+	 * @param mode the mode
+	 */
+	public void setMode(Mode mode) {
+		this.mode = mode;
+		if (mode == Mode.DROP) {
+			this.pipes.forEach(RelayPipe::closeBoth);
+		}
+	}
+
+	/**
+	 * Delays bytes in both directions.
+	 * @param millis the delay of each direction in milliseconds
+	 */
+	public void setDelay(long millis) {
+		this.delayMillis = millis;
+	}
+
+	/** Makes the open connections silent for good, still open; new ones work. */
+	public void silenceExisting() {
+		this.pipes.forEach(RelayPipe::silence);
+	}
+
+	/**
+	 * Returns how many connections are open.
+	 * @return the count
+	 */
+	public int connectionCount() {
+		return this.pipes.size();
+	}
+
+	@Override
+	public void close() {
+		this.server.close().awaitUninterruptibly();
+		this.pipes.forEach(RelayPipe::closeBoth);
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+	Mode mode() {
+		return this.mode;
+	}
+
+	long delayMillis() {
+		return this.delayMillis;
+	}
+
+	private void accept(SocketChannel source) {
+		if (this.mode == Mode.DROP) {
+			source.close();
+			return;
+		}
+		RelayPipe pipe = new RelayPipe(this, source);
+		this.pipes.add(pipe);
+		source.pipeline().addLast(pipe.fromSource());
+		source.closeFuture().addListener((closed) -> this.pipes.remove(pipe));
+		if (this.mode == Mode.BLACKHOLE_NEW) {
+			pipe.silence();
+			return;
+		}
+		new Bootstrap().group(source.eventLoop())
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.handler(pipe.fromTarget())
+			.connect(this.target.ip(), this.target.port())
+			.addListener((connected) -> {
+				if (connected.isSuccess()) {
+					source.config().setAutoRead(true);
+				}
+				else {
+					source.close();
+				}
+			});
+	}
+
+	/**
+	 * Tells what happens to bytes and connections.
+	 */
+	public enum Mode {
+
+		/** All bytes pass. */
+		PASS,
+
+		/** Open connections are closed, and new ones at once. */
+		DROP,
+
+		/** Bytes to the target are lost. */
+		SWALLOW_TO_TARGET,
+
+		/** Bytes from the target are lost. */
+		SWALLOW_FROM_TARGET,
+
+		/** New connections are accepted and lead nowhere; open ones pass. */
+		BLACKHOLE_NEW
+
+	}
+
+}
