Test what stand-in workers do on the bytes of a connection

Cause: the limit of connections, silence, wrong lengths, doubled and late replies and drawn failures had no test.

Change: tests on raw sockets, and one of the pace of synced appends. The result of a task is written by the JSON library, so that a kind with quotes can't spoil it.

--- a/masticwick-standin/src/main/java/org/masticwick/standin/request/Task.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/request/Task.java
@@ -1,11 +1,12 @@
 package org.masticwick.standin.request;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.masticwick.standin.connection.Json;
+
 /**
  * Is a task that a worker has started and remembers until its lease lapses. Its fields
  * are guarded by the {@link TaskTable} that holds it.
@@ -82,9 +83,7 @@
 	 * @return the JSON in UTF-8
 	 */
 	public byte[] result() {
-		String text = "{\"task\":\"%s\",\"kind\":\"%s\",\"digest\":\"%s\"}".formatted(this.taskId, this.kind,
-				HexFormat.of().formatHex(this.digest));
-		return text.getBytes(StandardCharsets.UTF_8);
+		return Json.write(new Result(this.taskId, this.kind, HexFormat.of().formatHex(this.digest)));
 	}
 
 	void setTimer(Future<?> timer) {
@@ -109,4 +108,15 @@
 		return action;
 	}
 
+	/**
+	 * Is the result as the worker sends it.
+	 *
+	 * @param task the task id
+	 * @param kind the kind of task
+	 * @param digest the digest in hexadecimal
+	 */
+	private record Result(String task, String kind, String digest) {
+
+	}
+
 }
--- /dev/null
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/AppendQueueTests.java
@@ -0,0 +1,33 @@
+package org.masticwick.standin.process;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticwick.core.process.TimeSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Tests for {@link AppendQueue}.
+ */
+class AppendQueueTests {
+
+	@ParameterizedTest
+	@CsvSource({ "5, 1000, 100", "0, 200, 100", "0, 100000, 0" })
+	void syncsOneAppendAfterTheOther(long delayMillis, int maxPerSecond, long leastMillis) {
+		List<Integer> done = new CopyOnWriteArrayList<>();
+		try (AppendQueue queue = new AppendQueue(TimeSource.system(), delayMillis, maxPerSecond)) {
+			long startNanos = System.nanoTime();
+			IntStream.range(0, 20).forEach((index) -> queue.submit(() -> done.add(index)));
+			await().until(() -> done.size() == 20);
+			assertThat(System.nanoTime() - startNanos).isGreaterThanOrEqualTo(leastMillis * 1_000_000L);
+		}
+		assertThat(done).isSorted();
+	}
+
+}
--- /dev/null
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerConnectionTests.java
@@ -0,0 +1,168 @@
+package org.masticwick.standin.process;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.standin.connection.Json;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests of what {@link WorkerFleet} does on the bytes of a connection.
+ */
+class WorkerConnectionTests {
+
+	private static final int SILENCE_MILLIS = 150;
+
+	private static final int TIMEOUT_MILLIS = 10_000;
+
+	private static final int RESULT_BYTES = 101;
+
+	private final WorkerFleet fleet = new WorkerFleet(
+			new WorkerOptions("127.0.0.1", 1, "d", List.of("r1"), "meals", 2, 2, null), TimeSource.system());
+
+	private HostAddress worker;
+
+	@BeforeEach
+	void open() {
+		this.worker = this.fleet.open().get(0);
+	}
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+	}
+
+	@Test
+	void closesConnectionsOverTheLimitAtAccept() throws IOException {
+		try (Socket first = connect(); Socket second = connect(); Socket third = connect()) {
+			assertThat(post(first, "t.0")).isEqualTo(RESULT_BYTES);
+			assertThat(post(second, "t.1")).isEqualTo(RESULT_BYTES);
+			assertThat(ended(third)).isTrue();
+		}
+	}
+
+	@Test
+	void silencesOpenConnectionsOnly() throws IOException {
+		try (Socket open = connect()) {
+			post(open, "t.0");
+			this.fleet.change(fault("silent", true));
+			open.setSoTimeout(SILENCE_MILLIS);
+			assertThatExceptionOfType(SocketTimeoutException.class).isThrownBy(() -> post(open, "t.1"));
+			try (Socket next = connect()) {
+				assertThat(post(next, "t.2")).isEqualTo(RESULT_BYTES);
+			}
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "none, 101, 101", "truncate_replies, 117, 101", "overlong_replies, 101, 117" })
+	void sendsAnotherLengthThanDeclared(String name, int declaredBytes, int sentBytes) throws IOException {
+		if (!name.equals("none")) {
+			this.fleet.change(fault(name, true));
+		}
+		try (Socket socket = connect()) {
+			send(socket, "t.0", "Connection: close\r\n");
+			String reply = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(reply.toLowerCase(Locale.ROOT)).contains("content-length: " + declaredBytes + "\r\n");
+			assertThat(reply.length() - reply.indexOf("\r\n\r\n") - 4).isEqualTo(sentBytes);
+		}
+	}
+
+	@Test
+	void sendsRepliesTwice() throws IOException {
+		this.fleet.change(fault("double_replies", true));
+		try (Socket socket = connect()) {
+			send(socket, "t.0", "Connection: close\r\n");
+			String reply = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(reply.split("HTTP/1.1 200 OK")).hasSize(3);
+		}
+	}
+
+	@Test
+	void sendsRepliesLate() throws IOException {
+		this.fleet.change(fault("late_reply_ms", SILENCE_MILLIS));
+		try (Socket socket = connect()) {
+			long startNanos = System.nanoTime();
+			post(socket, "t.0");
+			assertThat(System.nanoTime() - startNanos).isGreaterThanOrEqualTo(SILENCE_MILLIS * 1_000_000L);
+		}
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket(this.worker.ip(), this.worker.port());
+		socket.setSoTimeout(TIMEOUT_MILLIS);
+		return socket;
+	}
+
+	private static WorkerFaultRequest fault(String name, Object value) {
+		byte[] json = JsonNodeFactory.instance.objectNode()
+			.put("worker", "all")
+			.putPOJO(name, value)
+			.toString()
+			.getBytes(StandardCharsets.UTF_8);
+		return Json.read(json, WorkerFaultRequest.class);
+	}
+
+	/**
+	 * Posts a task and reads the reply.
+	 * @return the declared length of the reply in bytes
+	 */
+	private static int post(Socket socket, String taskId) throws IOException {
+		send(socket, taskId, "");
+		int length = 0;
+		String line = line(socket);
+		while (!line.isEmpty()) {
+			if (line.toLowerCase(Locale.ROOT).startsWith("content-length: ")) {
+				length = Integer.parseInt(line.substring(line.indexOf(' ') + 1));
+			}
+			line = line(socket);
+		}
+		socket.getInputStream().readNBytes(length);
+		return length;
+	}
+
+	private static void send(Socket socket, String taskId, String header) throws IOException {
+		String request = "POST /tasks/" + taskId + " HTTP/1.1\r\nHost: w\r\nTask-Service: meals\r\nTask-Kind: k\r\n"
+				+ "Task-Lease-Millis: 9000\r\nContent-Length: 12\r\n" + header + "\r\n{\"run_ms\":0}";
+		socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+	}
+
+	private static String line(Socket socket) throws IOException {
+		StringBuilder line = new StringBuilder();
+		for (int read = socket.getInputStream().read(); read != '\n'; read = socket.getInputStream().read()) {
+			if (read < 0) {
+				throw new IOException("The connection was closed");
+			}
+			if (read != '\r') {
+				line.append((char) read);
+			}
+		}
+		return line.toString();
+	}
+
+	private static boolean ended(Socket socket) throws IOException {
+		try {
+			return socket.getInputStream().read() == -1;
+		}
+		catch (SocketException ex) {
+			return true;
+		}
+	}
+
+}
--- a/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerFleetTests.java
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerFleetTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterEach;
@@ -202,6 +203,19 @@
 			await().untilAsserted(() -> assertThat(lookUp("t.0")).isEqualTo("running"));
 		}
 
+		@Test
+		void failsTheShareOfTasksThatTheSeedDraws() throws Exception {
+			assertThat(drawFailures(7)).isEqualTo(drawFailures(7)).contains(200).contains(500);
+		}
+
+		private List<Integer> drawFailures(int seed) throws Exception {
+			fault("{\"worker\":0,\"fail_fraction\":0.5,\"seed\":" + seed + "}");
+			long run = System.nanoTime();
+			return IntStream.range(0, 20)
+				.mapToObj((index) -> post("run" + run + "." + index, SHORT, 9000).join().statusCode())
+				.toList();
+		}
+
 		@Test
 		void stopsAndStartsOnTheSameAddress() throws Exception {
 			fault("{\"worker\":0,\"stop\":true}");
