--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -4,11 +4,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
+import io.jooby.Router;
 import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
@@ -40,6 +41,8 @@
 
 	private static final long MILLIS_PER_SECOND = 1000;
 
+	private static final String JOB_PATH = "/v1/jobs/{ticket}";
+
 	private static final byte[] NO_BODY = {};
 
 	private final ApiBackend backend;
@@ -80,26 +83,40 @@
 	}
 
 	private void routes() {
-		this.app.post("/v1/tickets", (ctx) -> answer(ctx, () -> this.backend.issueTickets(ctx.body().bytes())));
-		this.app.put("/v1/jobs/{ticket}", (ctx) -> job(ctx, ForwardOperation.SUBMIT, ctx.body().bytes()));
-		this.app.get("/v1/jobs/{ticket}", (ctx) -> job(ctx, ForwardOperation.STATE, NO_BODY));
-		this.app.delete("/v1/jobs/{ticket}", (ctx) -> job(ctx, ForwardOperation.CANCEL, NO_BODY));
-		this.app.get("/v1/version", (ctx) -> answer(ctx, () -> done(this.backend.versions())));
-		this.app.get("/v1/notes/{note}", (ctx) -> {
-			String note = ctx.path("note").value();
-			return answer(ctx, () -> done(this.backend.note(note)));
-		});
-		this.app.get("/health", (ctx) -> answer(ctx, () -> done(text(StatusCode.OK_CODE, "alive"))));
-		this.app.get("/ready", (ctx) -> answer(ctx, () -> done(ready())));
-		this.app.get("/metrics", (ctx) -> answer(ctx, () -> done(metrics())));
-		this.app.get("/dump", (ctx) -> answer(ctx, () -> done(this.backend.dump())));
+		route(Router.POST, "/v1/tickets", (ctx) -> this.backend.issueTickets(body(ctx)));
+		route(Router.PUT, JOB_PATH, (ctx) -> this.backend.serve(request(ctx, ForwardOperation.SUBMIT, body(ctx))));
+		route(Router.GET, JOB_PATH, (ctx) -> this.backend.serve(request(ctx, ForwardOperation.STATE, NO_BODY)));
+		route(Router.DELETE, JOB_PATH, (ctx) -> this.backend.serve(request(ctx, ForwardOperation.CANCEL, NO_BODY)));
+		route(Router.GET, "/v1/version", (ctx) -> done(this.backend.versions()));
+		route(Router.GET, "/v1/notes/{note}", (ctx) -> done(this.backend.note(ctx.path("note").value())));
+		route(Router.GET, "/health", (ctx) -> done(text(StatusCode.OK_CODE, "alive")));
+		route(Router.GET, "/ready", (ctx) -> done(ready()));
+		route(Router.GET, "/metrics", (ctx) -> done(metrics()));
+		route(Router.GET, "/dump", (ctx) -> done(this.backend.dump()));
 		this.app.error(this::onError);
 	}
 
-	private Context job(Context ctx, ForwardOperation operation, byte[] body) {
-		String ticket = ctx.path("ticket").value();
-		return answer(ctx, () -> this.backend
-			.serve(new RoutedRequest(operation, Ticket.parse(ticket), body, waitMillis(ctx, operation))));
+	/**
+	 * Adds a route whose answer may come later. Jooby leaves the response to the handler
+	 * of a route that returns the context.
+	 * @param method the HTTP method
+	 * @param path the path
+	 * @param source the answer to come
+	 */
+	private void route(String method, String path, Function<Context, CompletableFuture<HttpAnswer>> source) {
+		this.app.route(method, path, (ctx) -> answer(ctx, source)).setReturnType(Context.class);
+	}
+
+	private RoutedRequest request(Context ctx, ForwardOperation operation, byte[] body) {
+		return new RoutedRequest(operation, Ticket.parse(ctx.path("ticket").value()), body, waitMillis(ctx, operation));
+	}
+
+	private static byte[] body(Context ctx) {
+		String type = ctx.header("Content-Type").value("");
+		if (type.startsWith("application/x-www-form-urlencoded") || type.startsWith("multipart/")) {
+			throw new RequestException(ErrorCode.MALFORMED_REQUEST, "Content-Type: application/json is required");
+		}
+		return ctx.body().bytes();
 	}
 
 	private long waitMillis(Context ctx, ForwardOperation operation) {
@@ -133,10 +150,10 @@
 		return CompletableFuture.completedFuture(answer);
 	}
 
-	private Context answer(Context ctx, Supplier<CompletableFuture<HttpAnswer>> source) {
+	private Context answer(Context ctx, Function<Context, CompletableFuture<HttpAnswer>> source) {
 		CompletableFuture<HttpAnswer> answer;
 		try {
-			answer = source.get();
+			answer = source.apply(ctx);
 		}
 		catch (MasticwickException ex) {
 			answer = done(Answers.problem(ex));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
@@ -45,6 +46,14 @@
 	private final Histogram queueSeconds = histogram("masticwick_queue_wait_seconds",
 			"Time from the admission of a task to its start.");
 
+	/**
+	 * Creates metrics in which every kind of message stands at zero.
+	 */
+	public Metrics() {
+		Arrays.stream(MessageKind.values()).forEach((kind) -> this.messages.initLabelValues(kind.label()));
+		Arrays.stream(WasteKind.values()).forEach((kind) -> this.wasted.initLabelValues(kind.label()));
+	}
+
 	/**
 	 * Counts a message that was sent.
 	 * @param kind the kind of message
