Let the owner policy be the default and the retry budget steer eagerness

Change: endpoints are preferred by ownership, with slots left free on those of others; the fewer retries are left, the surer a slot has to be; the lead of short jobs is larger but bounded; an endpoint may tell its busy slots with an end.

--- a/masticwick-core/src/main/java/org/masticwick/core/request/SchedulerSettings.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/SchedulerSettings.java
@@ -12,9 +12,11 @@
  * in milliseconds
  * @param priorRunTimeMillis the run time that is expected of a kind of which nothing is
  * known, in milliseconds
- * @param retryBudgetRatio how many retries each start allows
+ * @param retryBudgetRatio how many retries each start allows at most; the weighting of
+ * the site may allow fewer
  * @param retryBurstCount how many retries are allowed at once
- * @param maxAttemptCount how often a task is tried at most
+ * @param maxAttemptCount how often a task is tried at most, not counting endpoints that
+ * were full
  * @param maxStartsPerTurnCount how many starts one turn holds at most
  */
 public record SchedulerSettings(int queueLimitCount, long maxWaitMillis, long defaultMaxRunTimeMillis,
@@ -52,7 +54,7 @@
 
 		private double retryBudgetRatio = 0.1;
 
-		private int retryBurstCount = 50;
+		private int retryBurstCount = 20;
 
 		private int maxAttemptCount = 16;
 
@@ -114,7 +116,7 @@
 		}
 
 		/**
-		 * Sets how often a task is tried at most.
+		 * Sets how often a task is tried at most, not counting endpoints that were full.
 		 * @param count the number
 		 * @return this builder
 		 */
--- a/masticwick-core/src/main/java/org/masticwick/core/request/TaskEnd.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/TaskEnd.java
@@ -10,8 +10,13 @@
  * @param endpoint the endpoint that was asked to run the task
  * @param kind what came of it
  * @param runTimeNanos how long the task ran, in nanoseconds; 0 if not known
+ * @param busySlotCount how many slots of the endpoint were taken when it answered,
+ * without that of this task; {@value #UNKNOWN_COUNT} if it didn't tell
  */
-public record TaskEnd(HostAddress endpoint, Kind kind, long runTimeNanos) {
+public record TaskEnd(HostAddress endpoint, Kind kind, long runTimeNanos, int busySlotCount) {
+
+	/** Stands for a count that isn't known. */
+	public static final int UNKNOWN_COUNT = -1;
 
 	/**
 	 * Checks the parts.
@@ -21,6 +26,16 @@
 		Objects.requireNonNull(kind, "kind");
 	}
 
+	/**
+	 * Creates an end of which the endpoint did not tell how many slots are taken.
+	 * @param endpoint the endpoint that was asked to run the task
+	 * @param kind what came of it
+	 * @param runTimeNanos how long the task ran, in nanoseconds; 0 if not known
+	 */
+	public TaskEnd(HostAddress endpoint, Kind kind, long runTimeNanos) {
+		this(endpoint, kind, runTimeNanos, UNKNOWN_COUNT);
+	}
+
 	/**
 	 * Lists what can come of a start.
 	 */
--- a/masticwick-core/src/main/java/org/masticwick/core/request/Weighting.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/Weighting.java
@@ -7,24 +7,28 @@
  */
 public enum Weighting {
 
-	/** Answers come as early as possible; a refused message now and then is fine. */
-	RESPONSE_TIME("response-time", "least-of-two-peers", 0.5, 20),
+	/** Answers come as early as possible; some refused messages are fine. */
+	RESPONSE_TIME("response-time", "owner", 2, 0.1, 20),
 
 	/** Messages are saved; a task rather waits than being refused. */
-	MESSAGES("messages", "owner", 0, 2_000);
+	MESSAGES("messages", "owner", 3, 0.02, 2_000);
 
 	private final String text;
 
 	private final String defaultPlacement;
 
-	private final double eagerness;
+	private final int overflowReserveCount;
+
+	private final double retryRatio;
 
 	private final long defaultSpillWaitMillis;
 
-	Weighting(String text, String defaultPlacement, double eagerness, long defaultSpillWaitMillis) {
+	Weighting(String text, String defaultPlacement, int overflowReserveCount, double retryRatio,
+			long defaultSpillWaitMillis) {
 		this.text = text;
 		this.defaultPlacement = defaultPlacement;
-		this.eagerness = eagerness;
+		this.overflowReserveCount = overflowReserveCount;
+		this.retryRatio = retryRatio;
 		this.defaultSpillWaitMillis = defaultSpillWaitMillis;
 	}
 
@@ -57,11 +61,21 @@
 	}
 
 	/**
-	 * Returns which part of a slot may be missing by estimate when a task is started.
-	 * @return the part, 0 to 1
+	 * Returns how many slots an entry host leaves free, by estimate, on endpoints that it
+	 * doesn't own.
+	 * @return the number
+	 */
+	public int overflowReserveCount() {
+		return this.overflowReserveCount;
+	}
+
+	/**
+	 * Returns how many retries each start allows at most. The fewer are left, the surer a
+	 * slot has to be before a task is started.
+	 * @return the ratio
 	 */
-	public double eagerness() {
-		return this.eagerness;
+	public double retryRatio() {
+		return this.retryRatio;
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
@@ -68,6 +68,10 @@
 		EndpointView endpoint = task.endpoint();
 		boolean wasLive = endpoint.live();
 		countRefusal(end.kind());
+		if (end.busySlotCount() >= 0) {
+			int foreignCount = Math.max(0, end.busySlotCount() - endpoint.outstandingCount());
+			endpoint.foreign().observe(foreignCount, nowNanos, service.runTimes().meanNanos());
+		}
 		if (end.kind().notStarted()) {
 			endpoint.refused(end.kind(), service.runTimes().meanNanos(), nowNanos);
 		}
@@ -100,11 +104,10 @@
 				return giveUp(job, ErrorCode.NEVER_FITS, 0);
 			}
 		}
-		if (job.countRefusal(task.id().index()) >= this.state.settings().maxAttemptCount()) {
-			ErrorCode code = (kind == TaskEnd.Kind.REFUSED_FULL) ? ErrorCode.OVERLOADED : ErrorCode.NO_ENDPOINT;
-			double drainNanos = Math.max(Times.NANOS_PER_SECOND,
-					this.state.waitNanos(service, service.queue().queuedCount(), nowNanos));
-			return giveUp(job, code, Times.retryAfterMillis(drainNanos, this.state.random()));
+		if (kind != TaskEnd.Kind.REFUSED_FULL
+				&& job.countRefusal(task.id().index()) >= this.state.settings().maxAttemptCount()) {
+			return giveUp(job, ErrorCode.NO_ENDPOINT,
+					Times.retryAfterMillis(Times.NANOS_PER_SECOND, this.state.random()));
 		}
 		requeue(service, job, task.id().index(), nowNanos);
 		return new Disposition.Requeued();
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndpointView.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndpointView.java
@@ -154,7 +154,7 @@
 	void refused(TaskEnd.Kind kind, double expectedNanos, long nowNanos) {
 		switch (kind) {
 			case REFUSED_FULL -> {
-				this.foreign.full(this.spec.slotCount() - this.running.size(), nowNanos, expectedNanos);
+				this.foreign.observe(this.spec.slotCount() - this.running.size(), nowNanos, expectedNanos);
 				this.backoff.refused(expectedNanos / this.spec.slotCount(), expectedNanos, nowNanos);
 			}
 			case REFUSED_LEAVING -> {
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/ForeignLoad.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/ForeignLoad.java
@@ -7,8 +7,8 @@
 
 /**
  * Estimates how many slots of one endpoint are taken by other entry hosts. The count that
- * a peer reported holds at once and fades towards its mean as it ages; what a refusal
- * showed on top fades to nothing.
+ * a peer reported holds at once and fades towards its mean as it ages. What the endpoint
+ * itself told fades too, and what a peer reports later replaces its part of that.
  */
 final class ForeignLoad {
 
@@ -40,6 +40,7 @@
 		}
 		double mean = (known != null) ? (known.mean() + MEAN_WEIGHT * (count - known.mean())) : count;
 		this.counts.put(peer, new PeerCount(count, mean, nowNanos));
+		this.surplus *= 1 - 1.0 / this.counts.size();
 		sum(nowNanos, fadeNanos);
 	}
 
@@ -55,15 +56,13 @@
 	}
 
 	/**
-	 * Takes in that the endpoint refused a task since all slots were taken.
-	 * @param foreignCount how many slots others must have taken
+	 * Takes in what the endpoint itself told.
+	 * @param foreignCount how many slots others have taken
 	 * @param nowNanos the time
 	 * @param fadeNanos the time in which a count is out of date, in nanoseconds
 	 */
-	void full(int foreignCount, long nowNanos, double fadeNanos) {
-		double missing = foreignCount - estimate(nowNanos, fadeNanos);
-		double left = this.surplus * Times.decay(nowNanos - this.surplusNanos, fadeNanos);
-		this.surplus = left + Math.max(0, missing);
+	void observe(int foreignCount, long nowNanos, double fadeNanos) {
+		this.surplus = foreignCount - reported(nowNanos, fadeNanos);
 		this.surplusNanos = nowNanos;
 	}
 
@@ -74,14 +73,11 @@
 	 * @return how many slots others have taken
 	 */
 	double estimate(long nowNanos, double fadeNanos) {
-		double reported = this.meanSum;
-		if (this.deviationSum != 0) {
-			reported += this.deviationSum * Times.decay(nowNanos - this.sumNanos, fadeNanos);
+		double estimate = reported(nowNanos, fadeNanos);
+		if (this.surplus != 0) {
+			estimate += this.surplus * Times.decay(nowNanos - this.surplusNanos, fadeNanos);
 		}
-		if (this.surplus > 0) {
-			reported += this.surplus * Times.decay(nowNanos - this.surplusNanos, fadeNanos);
-		}
-		return Math.max(0, reported);
+		return Math.max(0, estimate);
 	}
 
 	/**
@@ -96,6 +92,13 @@
 		return (count != null) ? (count.mean() + count.deviation(nowNanos, fadeNanos)) : 0;
 	}
 
+	private double reported(long nowNanos, double fadeNanos) {
+		if (this.deviationSum == 0) {
+			return this.meanSum;
+		}
+		return this.meanSum + this.deviationSum * Times.decay(nowNanos - this.sumNanos, fadeNanos);
+	}
+
 	private void sum(long nowNanos, double fadeNanos) {
 		this.meanSum = this.counts.values().stream().mapToDouble(PeerCount::mean).sum();
 		this.deviationSum = this.counts.values()
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobOrder.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobOrder.java
@@ -10,12 +10,11 @@
 	JobOrder ARRIVAL = (job, slotCount) -> job.admittedNanos();
 
 	/**
-	 * The least work left goes first. A job gains on younger ones as fast as it ages, so
-	 * that none starves: one that arrives later than the time that the work takes comes
-	 * behind.
+	 * The least work left goes first. A job gains on younger ones as fast as it ages, and
+	 * the lead of younger ones is bounded, so that none starves.
 	 */
-	JobOrder LEAST_WORK = (job, slotCount) -> job.admittedNanos()
-			+ Constants.WORK_WEIGHT * job.queuedWorkNanos() / Math.max(1, slotCount);
+	JobOrder LEAST_WORK = (job, slotCount) -> job.admittedNanos() + Math.min(Constants.MAX_HANDICAP_NANOS,
+			Constants.WORK_WEIGHT * job.queuedWorkNanos() / Math.max(1, slotCount));
 
 	/**
 	 * Returns the rank of a job.
@@ -39,7 +38,9 @@
 	 */
 	final class Constants {
 
-		static final double WORK_WEIGHT = 4;
+		static final double WORK_WEIGHT = 64;
+
+		static final double MAX_HANDICAP_NANOS = 10 * Times.NANOS_PER_SECOND;
 
 		private Constants() {
 		}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
@@ -10,8 +10,6 @@
  */
 final class OwnerPlacement implements PlacementPolicy {
 
-	private static final double OVERFLOW_RESERVE = 1;
-
 	@Override
 	public String name() {
 		return "owner";
@@ -20,7 +18,7 @@
 	@Override
 	public double room(EndpointView endpoint, PlacementContext context) {
 		double free = endpoint.freeCount(context.nowNanos(), context.fadeNanos());
-		return owned(endpoint, context) ? free : (free - OVERFLOW_RESERVE);
+		return owned(endpoint, context) ? free : (free - context.overflowReserveCount());
 	}
 
 	@Override
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/PlacementContext.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/PlacementContext.java
@@ -15,9 +15,10 @@
  * @param hosts the entry hosts of the domain, this one among them
  * @param ownership how endpoints and slots are divided among them
  * @param peers the reports of the peers
+ * @param overflowReserveCount how many slots to leave free on endpoints of others
  * @param random the source of randomness
  */
 record PlacementContext(long nowNanos, String service, double fadeNanos, EntryHost self, List<EntryHost> hosts,
-		Ownership ownership, Peers peers, RandomGenerator random) {
+		Ownership ownership, Peers peers, int overflowReserveCount, RandomGenerator random) {
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/RetryBudget.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/RetryBudget.java
@@ -6,9 +6,9 @@
  */
 final class RetryBudget {
 
-	private static final double TRICKLE_PER_SECOND = 5;
+	private static final double TRICKLE_PER_SECOND = 0.5;
 
-	private final double ratio;
+	private double ratio;
 
 	private final double burstCount;
 
@@ -25,7 +25,7 @@
 	RetryBudget(double ratio, int burstCount, long nowNanos) {
 		this.ratio = ratio;
 		this.burstCount = burstCount;
-		this.tokenCount = burstCount;
+		this.tokenCount = this.burstCount;
 		this.filledNanos = nowNanos;
 	}
 
@@ -63,6 +63,22 @@
 		return this.tokenCount;
 	}
 
+	/**
+	 * Returns how much of the budget is left.
+	 * @return the part, 0 to 1
+	 */
+	double level() {
+		return Math.max(0, this.tokenCount) / this.burstCount;
+	}
+
+	/**
+	 * Changes the budget.
+	 * @param newRatio how many retries each start allows
+	 */
+	void ratio(double newRatio) {
+		this.ratio = newRatio;
+	}
+
 	private void add(double count) {
 		this.tokenCount = Math.min(this.burstCount, this.tokenCount + count);
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
@@ -161,7 +161,7 @@
 	 */
 	PlacementContext placementContext(ServiceState service, long nowNanos) {
 		return new PlacementContext(nowNanos, service.spec().name(), service.runTimes().meanNanos(), this.self,
-				this.hosts, this.ownership, this.peers, this.random);
+				this.hosts, this.ownership, this.peers, this.rules.weighting().overflowReserveCount(), this.random);
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/StartPlanner.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/StartPlanner.java
@@ -24,6 +24,8 @@
 
 	private static final double HOPELESS_PART = 0.5;
 
+	private static final double EAGERNESS = 0.5;
+
 	private static final int SPILL_RESERVE_COUNT = 2;
 
 	private static final int BLIND_SPILL_DIVISOR = 4;
@@ -132,7 +134,8 @@
 	}
 
 	private boolean hasRoom(EndpointView endpoint) {
-		double needed = 1 - this.state.rules().weighting().eagerness();
+		double confidence = 2 * this.service.retryBudget().level() - 1;
+		double needed = 1 - EAGERNESS * confidence;
 		return endpoint.open(this.nowNanos) && this.service.placement().room(endpoint, this.context) >= needed;
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/VersionUpdater.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/VersionUpdater.java
@@ -72,7 +72,7 @@
 		this.state.services()
 			.put(spec.name(),
 					new ServiceState(spec, new RunTimes(settings.priorRunTimeMillis() * Times.NANOS_PER_MILLI),
-							new RetryBudget(settings.retryBudgetRatio(), settings.retryBurstCount(), nowNanos),
+							new RetryBudget(retryRatio(rules), settings.retryBurstCount(), nowNanos),
 							new ServiceQueue(JobOrder.of(rules.jobOrder()), TeamOrder.of(rules.teamOrder())),
 							placement(rules)));
 	}
@@ -123,12 +123,17 @@
 			if (placementChanged) {
 				service.placement(placement(rules));
 			}
+			service.retryBudget().ratio(retryRatio(rules));
 			service.queue()
 				.reorder(JobOrder.of(rules.jobOrder()), TeamOrder.of(rules.teamOrder()),
 						this.state.slotCount(service, nowNanos));
 		});
 	}
 
+	private double retryRatio(DispatchRules rules) {
+		return Math.min(this.state.settings().retryBudgetRatio(), rules.weighting().retryRatio());
+	}
+
 	private PlacementPolicy placement(DispatchRules rules) {
 		return PlacementPolicies.create(rules.placement(), rules.weighting().defaultPlacement());
 	}
