Test the scheduler and keep off endpoints whose owner has work waiting

Change: no overflow to an endpoint whose owner reported waiting work; the budget recovers within seconds once nothing is refused; the handicap of long jobs grows towards its bound instead of being cut, so that the order stays strict.

--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
@@ -73,6 +73,7 @@
 			endpoint.foreign().observe(foreignCount, nowNanos, service.runTimes().meanNanos());
 		}
 		if (end.kind().notStarted()) {
+			service.retryBudget().refused(nowNanos);
 			endpoint.refused(end.kind(), service.runTimes().meanNanos(), nowNanos);
 		}
 		this.ejection.ended(service, task, end, nowNanos);
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobOrder.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobOrder.java
@@ -13,8 +13,11 @@
 	 * The least work left goes first. A job gains on younger ones as fast as it ages, and
 	 * the lead of younger ones is bounded, so that none starves.
 	 */
-	JobOrder LEAST_WORK = (job, slotCount) -> job.admittedNanos() + Math.min(Constants.MAX_HANDICAP_NANOS,
-			Constants.WORK_WEIGHT * job.queuedWorkNanos() / Math.max(1, slotCount));
+	JobOrder LEAST_WORK = (job, slotCount) -> {
+		double workNanos = Constants.WORK_WEIGHT * job.queuedWorkNanos() / Math.max(1, slotCount);
+		return job.admittedNanos()
+				+ Constants.MAX_HANDICAP_NANOS * workNanos / (workNanos + Constants.MAX_HANDICAP_NANOS);
+	};
 
 	/**
 	 * Returns the rank of a job.
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
@@ -4,9 +4,9 @@
 
 /**
  * Prefers the endpoints that this host owns, and overflows to the one of the others on
- * which most slots are left. Since peers do the same, what a host doesn't own is mostly
- * used by its owner, and what it owns mostly by itself, so that its own counts come near
- * the truth.
+ * which most slots are left, unless its owner has work waiting. Since peers do the same,
+ * what a host doesn't own is mostly used by its owner, and what it owns mostly by itself,
+ * so that its own counts come near the truth.
  */
 final class OwnerPlacement implements PlacementPolicy {
 
@@ -18,7 +18,10 @@
 	@Override
 	public double room(EndpointView endpoint, PlacementContext context) {
 		double free = endpoint.freeCount(context.nowNanos(), context.fadeNanos());
-		return owned(endpoint, context) ? free : (free - context.overflowReserveCount());
+		if (owned(endpoint, context)) {
+			return free;
+		}
+		return ownerWaits(endpoint, context) ? 0 : (free - context.overflowReserveCount());
 	}
 
 	@Override
@@ -27,6 +30,13 @@
 		return Choices.roomiest(owned.isEmpty() ? candidates : owned, this, context);
 	}
 
+	private boolean ownerWaits(EndpointView endpoint, PlacementContext context) {
+		return context.ownership()
+			.owner(endpoint.address())
+			.filter((owner) -> context.peers().waits(owner, context.service()))
+			.isPresent();
+	}
+
 	private boolean owned(EndpointView endpoint, PlacementContext context) {
 		return context.ownership().owns(context.self(), endpoint.address());
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/Ownership.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/Ownership.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.HostAddress;
@@ -51,6 +52,15 @@
 		return ownership;
 	}
 
+	/**
+	 * Returns the host that owns an endpoint.
+	 * @param endpoint the endpoint
+	 * @return the host; empty if the endpoint is not among those that were divided
+	 */
+	Optional<EntryHost> owner(HostAddress endpoint) {
+		return Optional.ofNullable(this.owners.get(endpoint));
+	}
+
 	/**
 	 * Returns whether a host owns an endpoint.
 	 * @param host the host
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/RetryBudget.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/RetryBudget.java
@@ -2,12 +2,17 @@
 
 /**
  * Bounds retries to a part of the starts, so that retries can't multiply the load when
- * much is refused. A slow trickle lets a lone task through.
+ * much is refused. A slow trickle lets a lone task through, and the budget recovers soon
+ * once nothing is refused any more.
  */
 final class RetryBudget {
 
 	private static final double TRICKLE_PER_SECOND = 0.5;
 
+	private static final double RECOVERY_PER_SECOND = 20;
+
+	private static final double QUIET_NANOS = Times.NANOS_PER_SECOND;
+
 	private double ratio;
 
 	private final double burstCount;
@@ -16,6 +21,8 @@
 
 	private long filledNanos;
 
+	private long refusedNanos;
+
 	/**
 	 * Creates a full budget.
 	 * @param ratio how many retries each start allows
@@ -27,6 +34,15 @@
 		this.burstCount = burstCount;
 		this.tokenCount = this.burstCount;
 		this.filledNanos = nowNanos;
+		this.refusedNanos = nowNanos;
+	}
+
+	/**
+	 * Takes in that a start was refused.
+	 * @param nowNanos the time
+	 */
+	void refused(long nowNanos) {
+		this.refusedNanos = nowNanos;
 	}
 
 	/**
@@ -51,7 +67,8 @@
 	boolean allows(long nowNanos) {
 		double elapsedNanos = Math.max(0, nowNanos - this.filledNanos);
 		this.filledNanos = nowNanos;
-		add(elapsedNanos / Times.NANOS_PER_SECOND * TRICKLE_PER_SECOND);
+		boolean quiet = nowNanos - this.refusedNanos > QUIET_NANOS;
+		add(elapsedNanos / Times.NANOS_PER_SECOND * (quiet ? RECOVERY_PER_SECOND : TRICKLE_PER_SECOND));
 		return this.tokenCount >= 1;
 	}
 
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
@@ -0,0 +1,237 @@
+package org.masticwick.core.request;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.masticwick.core.connection.LoadReport;
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.version.EndpointSpec;
+import org.masticwick.core.version.Rules;
+import org.masticwick.core.version.SiteVersion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Scheduler}.
+ */
+class SchedulerTests {
+
+	@Nested
+	class Starting {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "random", "round-robin", "least-of-two", "least-of-two-peers", "slot-share", "owner" })
+		void startsAsManyAsThereAreSlots(String placement) {
+			Scheduler scheduler = Fixtures.scheduler(SchedulerSettings.defaults(),
+					Fixtures.version(1, Map.of("dispatch/placement", placement),
+							Fixtures.endpoint(1, Fixtures.DOMAIN, 2), Fixtures.endpoint(2, Fixtures.DOMAIN, 3)));
+			scheduler.admit(Fixtures.job("t", 9), 0);
+			assertThat(scheduler.next(0).starts()).hasSize(5)
+				.doesNotHaveDuplicates()
+				.allSatisfy((start) -> assertThat(start.leaseMillis()).isEqualTo(5_000));
+			assertThat(scheduler.next(1).starts()).isEmpty();
+		}
+
+		@Test
+		void startsUrgentJobsFirstButLetsOthersThrough() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 20));
+			scheduler.admit(Fixtures.job("usual", 20), 0);
+			scheduler.admit(Fixtures.job("urgent", "team", true, 40), 1);
+			List<String> tickets = scheduler.next(2).starts().stream().map((start) -> start.task().ticket()).toList();
+			assertThat(tickets.subList(0, 16)).containsOnly("urgent");
+			assertThat(tickets).filteredOn("usual"::equals).hasSize(1);
+		}
+
+		@Test
+		void startsShortJobsFirst() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("long", 50), 0);
+			scheduler.admit(Fixtures.job("short", 1), 100 * Fixtures.MILLI);
+			assertThat(scheduler.next(100 * Fixtures.MILLI).starts()).singleElement()
+				.satisfies((start) -> assertThat(start.task().ticket()).isEqualTo("short"));
+		}
+
+		@Test
+		void startsOldJobsBeforeYoungShortOnes() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("long", 50), 0);
+			scheduler.admit(Fixtures.job("short", 1), 11_000 * Fixtures.MILLI);
+			assertThat(scheduler.next(11_000 * Fixtures.MILLI).starts()).singleElement()
+				.satisfies((start) -> assertThat(start.task().ticket()).isEqualTo("long"));
+		}
+
+		@Test
+		void placesOnEndpointsThatFit() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1), new EndpointSpec(
+					Fixtures.address(2), Fixtures.DOMAIN, "r1", Fixtures.SERVICE, 9, 64, 32, 4_000, 0));
+			JobRequest request = new JobRequest(Fixtures.SERVICE, "team", false, false, 1,
+					List.of(Fixtures.task("width", 2_000, 0), Fixtures.task("width", 0, 1)));
+			scheduler.admit(new JobSubmission("t", request, Fixtures.FAR), 0);
+			assertThat(scheduler.next(0).starts()).extracting((start) -> start.endpoint().address())
+				.containsExactly(Fixtures.address(2), Fixtures.address(1));
+		}
+
+		@Test
+		void boundsLeaseByDeadline() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(new JobSubmission("t", Fixtures.request("team", false, 1), 900 * Fixtures.MILLI), 0);
+			assertThat(scheduler.next(0).starts()).singleElement()
+				.satisfies((start) -> assertThat(start.leaseMillis()).isEqualTo(900));
+		}
+
+		@Test
+		void dropsWholeQueueOfJobPastItsDeadline() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(new JobSubmission("t", Fixtures.request("team", false, 3), 900 * Fixtures.MILLI), 0);
+			Turn first = scheduler.next(0);
+			assertThat(first.starts()).hasSize(1);
+			assertThat(first.nextWakeNanos()).isBetween(1L, 900 * Fixtures.MILLI);
+			Turn late = scheduler.next(900 * Fixtures.MILLI);
+			assertThat(late.starts()).isEmpty();
+			assertThat(late.dropped()).extracting(Dropped::task)
+				.containsExactly(new TaskId("t", 1), new TaskId("t", 2));
+			assertThat(late.dropped()).extracting(Dropped::code).containsOnly(ErrorCode.DEADLINE_PASSED);
+			assertThat(late.nextWakeNanos()).isEqualTo(Turn.NEVER);
+		}
+
+		@Test
+		void spillsOnlyOnceTheWaitOutweighsTheHop() {
+			Scheduler scheduler = Fixtures.scheduler(SchedulerSettings.defaults(),
+					Fixtures.version(1, Map.of("dispatch/spill-wait-ms", "500"),
+							Fixtures.endpoint(1, Fixtures.DOMAIN, 1), Fixtures.endpoint(2, Fixtures.OTHER_DOMAIN, 8)));
+			scheduler.peerLoad(Fixtures.host(Fixtures.OTHER_DOMAIN, 9), LoadReport.EMPTY, 0);
+			scheduler.admit(Fixtures.job("t1", 3), 0);
+			assertThat(scheduler.next(0).starts()).hasSize(1);
+			scheduler.admit(Fixtures.job("t2", 3), 0);
+			assertThat(scheduler.next(0).starts()).hasSize(3)
+				.allSatisfy((start) -> assertThat(start.endpoint().domain()).isEqualTo(Fixtures.OTHER_DOMAIN));
+		}
+
+	}
+
+	@Nested
+	class Ending {
+
+		@ParameterizedTest
+		@CsvSource({ "SUCCEEDED, false", "FAILED, false", "LOST, false", "CANCELLED, false", "REFUSED_FULL, true",
+				"REFUSED_LEAVING, true", "REFUSED_NEVER_FITS, true", "NOT_CONNECTED, true" })
+		void triesAgainOnlyWhatWasNotStarted(TaskEnd.Kind kind, boolean requeued) {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1),
+					Fixtures.endpoint(2, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("t", 1), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			Disposition disposition = scheduler.ended(start.task(), Fixtures.end(start, kind), 1);
+			assertThat(disposition).isInstanceOf(requeued ? Disposition.Requeued.class : Disposition.Done.class);
+			List<Start> again = scheduler.next(2).starts();
+			assertThat(again).hasSize(requeued ? 1 : 0)
+				.allSatisfy((other) -> assertThat(other.endpoint()).isNotEqualTo(start.endpoint()));
+		}
+
+		@Test
+		void givesUpWhatNoEndpointCanRun() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("t", 2), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			Disposition disposition = scheduler.ended(start.task(),
+					Fixtures.end(start, TaskEnd.Kind.REFUSED_NEVER_FITS), 1);
+			assertThat(disposition).isEqualTo(new Disposition.GivenUp(ErrorCode.NEVER_FITS, 0));
+			assertThat(scheduler.next(2).dropped())
+				.containsExactly(new Dropped(new TaskId("t", 1 - start.task().index()), ErrorCode.NEVER_FITS, 0));
+		}
+
+		@Test
+		void passesOverWhatIsNotRunning() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			TaskEnd end = new TaskEnd(Fixtures.address(1), TaskEnd.Kind.REFUSED_FULL, 0);
+			assertThat(scheduler.ended(new TaskId("t", 0), end, 0)).isInstanceOf(Disposition.Done.class);
+			assertThat(scheduler.next(0).starts()).isEmpty();
+		}
+
+		@Test
+		void holdsBackFromFullEndpointAndComesBack() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 2));
+			scheduler.admit(Fixtures.job("t", 1), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			scheduler.ended(start.task(), Fixtures.end(start, TaskEnd.Kind.REFUSED_FULL), 1);
+			assertThat(scheduler.next(2).starts()).isEmpty();
+			assertThat(scheduler.next(1_000 * Fixtures.MILLI).starts()).hasSize(1);
+		}
+
+	}
+
+	@Nested
+	class Leaving {
+
+		@Test
+		void startsNothingOnLeavingEndpoint() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 4),
+					Fixtures.endpoint(2, Fixtures.DOMAIN, 4));
+			scheduler.endpointState(Fixtures.address(1), EndpointState.LEAVING, 0);
+			scheduler.admit(Fixtures.job("t", 8), 0);
+			assertThat(scheduler.next(0).starts()).hasSize(4)
+				.allSatisfy((start) -> assertThat(start.endpoint().address()).isEqualTo(Fixtures.address(2)));
+		}
+
+		@Test
+		void believesTheEndpointOverTheLaggingList() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("t", 1), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			scheduler.ended(start.task(), Fixtures.end(start, TaskEnd.Kind.REFUSED_LEAVING), 1);
+			scheduler.endpointState(Fixtures.address(1), EndpointState.LIVE, 2);
+			assertThat(scheduler.next(1_000 * Fixtures.MILLI).starts()).isEmpty();
+			scheduler.endpointState(Fixtures.address(1), EndpointState.LIVE, 11_000 * Fixtures.MILLI);
+			assertThat(scheduler.next(11_000 * Fixtures.MILLI).starts()).hasSize(1);
+		}
+
+		@Test
+		void startsNothingOnWithdrawnEndpoint() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 4),
+					Fixtures.endpoint(2, Fixtures.DOMAIN, 1));
+			scheduler.update(Fixtures.version(2, Map.of(), Fixtures.endpoint(2, Fixtures.DOMAIN, 1)), 0);
+			scheduler.update(Fixtures.version(1, Map.of(), Fixtures.endpoint(1, Fixtures.DOMAIN, 1)), 0);
+			scheduler.admit(Fixtures.job("t", 8), 0);
+			assertThat(scheduler.next(0).starts()).singleElement()
+				.satisfies((start) -> assertThat(start.endpoint().address()).isEqualTo(Fixtures.address(2)));
+		}
+
+		@Test
+		void dropsJobsOfWithdrawnService() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("t", 2), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			scheduler.update(new SiteVersion(2, Map.of(), Map.of(), Rules.NONE), 1);
+			assertThat(scheduler.next(2).dropped()).extracting(Dropped::code)
+				.containsExactly(ErrorCode.UNKNOWN_SERVICE);
+			assertThat(scheduler.ended(start.task(), Fixtures.end(start, TaskEnd.Kind.SUCCEEDED), 3))
+				.isInstanceOf(Disposition.Done.class);
+			assertThat(scheduler.snapshot(3).endpoints()).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Cancelling {
+
+		@Test
+		void takesOutWhatIsQueued() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("t", 3), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			assertThat(scheduler.cancel("t", 1)).hasSize(2).doesNotContain(start.task());
+			assertThat(scheduler.cancel("t", 1)).isEmpty();
+			assertThat(scheduler.ended(start.task(), Fixtures.end(start, TaskEnd.Kind.REFUSED_FULL), 2))
+				.isEqualTo(new Disposition.GivenUp(ErrorCode.CANCELLED_NOT_RUN, 0));
+			assertThat(scheduler.next(1_000 * Fixtures.MILLI)).isEqualTo(new Turn(List.of(), List.of(), Turn.NEVER));
+			assertThat(scheduler.load(2).outstanding()).isEmpty();
+		}
+
+	}
+
+}
--- a/masticwick-core/src/test/java/org/masticwick/core/request/VirtualDomain.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/VirtualDomain.java
@@ -32,6 +32,8 @@
 
 	static final long MILLI = 1_000_000L;
 
+	private static final double MEAN_JOB_WORK_NANOS = 1_074 * MILLI;
+
 	final List<Scheduler> schedulers = new ArrayList<>();
 
 	final List<EntryHost> hosts = new ArrayList<>();
@@ -56,14 +58,10 @@
 
 	boolean tellBusy;
 
-	int startCount;
-
 	int refusedCount;
 
 	int repeatedStartCount;
 
-	int overfullCount;
-
 	int droppedCount;
 
 	int rejectedCount;
@@ -101,7 +99,7 @@
 			this.schedulers.get(index).update(version, 0);
 			this.wakeNanos[index] = Long.MAX_VALUE;
 		}
-		at(0, this::report);
+		report();
 	}
 
 	void at(long atNanos, Runnable action) {
@@ -153,11 +151,9 @@
 		}
 		int count = (this.random.nextInt(10) == 0) ? (1 + this.random.nextInt(40)) : 1;
 		long[] runNanos = IntStream.range(0, count).mapToLong((index) -> drawRunNanos()).toArray();
-		double workNanos = IntStream.range(0, count).mapToDouble((index) -> runNanos[index]).sum();
 		submit(this.random.nextInt(this.schedulers.size()), "team" + this.random.nextInt(4), false, 60_000 * MILLI,
 				runNanos);
-		double gapNanos = -Math.log(1 - this.random.nextDouble()) * 2.95 * 364 * MILLI / slotsInUse;
-		assert workNanos > 0;
+		double gapNanos = -Math.log(1 - this.random.nextDouble()) * MEAN_JOB_WORK_NANOS / slotsInUse;
 		at(this.nowNanos + (long) gapNanos, () -> arrive(slotsInUse, untilNanos));
 	}
 
@@ -181,19 +177,18 @@
 	void turn(int host) {
 		Turn turn = this.schedulers.get(host).next(this.nowNanos);
 		turn.dropped().forEach((dropped) -> fail(dropped.task()));
-		turn.starts().forEach((start) -> {
-			this.startCount++;
-			at(this.nowNanos + this.hopNanos, () -> post(host, start));
-		});
+		turn.starts().forEach((start) -> at(this.nowNanos + this.hopNanos, () -> post(host, start)));
 		long wake = Math.max(turn.nextWakeNanos(), this.nowNanos + 1);
 		if (turn.nextWakeNanos() != Turn.NEVER
 				&& (wake < this.wakeNanos[host] || this.wakeNanos[host] <= this.nowNanos)) {
 			this.wakeNanos[host] = wake;
-			at(wake, () -> {
-				if (this.wakeNanos[host] == this.nowNanos) {
-					turn(host);
-				}
-			});
+			at(wake, () -> wake(host));
+		}
+	}
+
+	private void wake(int host) {
+		if (this.wakeNanos[host] == this.nowNanos) {
+			turn(host);
 		}
 	}
 
@@ -267,29 +262,6 @@
 		return sorted.isEmpty() ? 0 : sorted.get((int) Math.min(sorted.size() - 1, sorted.size() * quantile));
 	}
 
-	/**
-	 * Is an endpoint with a number of slots.
-	 */
-	static final class FakeEndpoint {
-
-		final int slotCount;
-
-		int busyCount;
-
-		int startCount;
-
-		boolean failing;
-
-		boolean leaving;
-
-		double slowness = 1;
-
-		FakeEndpoint(int slotCount) {
-			this.slotCount = slotCount;
-		}
-
-	}
-
 	private record Event(long atNanos, long sequence, Runnable action) {
 
 	}
