--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/internal/EjectionRuleTests.java
@@ -0,0 +1,68 @@
+package org.masticwick.core.request.internal;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticwick.core.request.TaskEnd;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link EjectionRule} and {@link EndpointHealth}.
+ */
+class EjectionRuleTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	@ParameterizedTest
+	@CsvSource({ "FAILING, FAILED, 1, 2, 20, false", "FAILING, FAILED, 1, 3, 20, true", "FAILING, LOST, 1, 3, 20, true",
+			"FAILING, FAILED, 1, 10, 0, false", "FAILING, CANCELLED, 1, 10, 20, false",
+			"FAILING, REFUSED_FULL, 1, 10, 20, false", "UNCONNECTED, NOT_CONNECTED, 1, 1, 20, false",
+			"UNCONNECTED, NOT_CONNECTED, 1, 2, 20, true", "SLOW, SUCCEEDED, 10, 7, 20, false",
+			"SLOW, SUCCEEDED, 10, 8, 20, true", "SLOW, SUCCEEDED, 2, 50, 20, false" })
+	void judgesByFewResults(String rule, TaskEnd.Kind kind, double slowness, int count, int peerSuccessCount,
+			boolean unfit) {
+		EndpointHealth health = health(kind, slowness, count);
+		EndpointHealth peer = health(TaskEnd.Kind.SUCCEEDED, 1, peerSuccessCount);
+		IntStream.range(0, 20 - peerSuccessCount).forEach((index) -> peer.add(TaskEnd.Kind.FAILED, 1));
+		assertThat(rule(rule).unfit(health, () -> List.of(peer))).isEqualTo(unfit);
+	}
+
+	@Test
+	void comesBackByProbesAndStaysAwayLongerEachTime() {
+		EndpointHealth health = new EndpointHealth();
+		health.eject(0);
+		assertThat(health.probeDue(SECOND - 1)).isFalse();
+		assertThat(health.probeDue(SECOND)).isTrue();
+		health.probeStarted();
+		assertThat(health.probeDue(SECOND)).isFalse();
+		health.probeEnded(false, SECOND);
+		assertThat(health.probeDue(3 * SECOND - 1)).isFalse();
+		assertThat(health.probeDue(3 * SECOND)).isTrue();
+		IntStream.range(0, 3).forEach((index) -> {
+			assertThat(health.ejected()).isTrue();
+			health.probeStarted();
+			health.probeEnded(true, 3 * SECOND);
+		});
+		assertThat(health.ejected()).isFalse();
+	}
+
+	private EndpointHealth health(TaskEnd.Kind kind, double slowness, int count) {
+		EndpointHealth health = new EndpointHealth();
+		IntStream.range(0, count).forEach((index) -> health.add(kind, slowness));
+		return health;
+	}
+
+	private EjectionRule rule(String name) {
+		return switch (name) {
+			case "FAILING" -> EjectionRule.FAILING;
+			case "SLOW" -> EjectionRule.SLOW;
+			default -> EjectionRule.UNCONNECTED;
+		};
+	}
+
+}
