Keep the counts of a service apart from those before it was withdrawn

A start that outlived the withdrawal of its service took one off the running count of the service that came back under the name. A started task now keeps the state it was counted in; 103 tests green.

--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
@@ -40,11 +40,9 @@
 			return new Disposition.Done();
 		}
 		release(task, end, nowNanos);
-		ServiceState service = this.state.services().get(task.job().request().service());
-		if (service != null) {
-			service.addRunning(-1);
-			learn(service, task, end, nowNanos);
-		}
+		ServiceState service = task.service();
+		service.addRunning(-1);
+		learn(service, task, end, nowNanos);
 		Disposition disposition = end.kind().notStarted() ? retry(service, task, end.kind(), nowNanos)
 				: new Disposition.Done();
 		this.state.forgetIfOver(task.job());
@@ -93,7 +91,7 @@
 		if (job.closed()) {
 			return new Disposition.GivenUp(ErrorCode.CANCELLED_NOT_RUN, 0);
 		}
-		if (service == null) {
+		if (this.state.services().get(service.spec().name()) != service) {
 			return giveUp(job, ErrorCode.UNKNOWN_SERVICE, 0);
 		}
 		if (nowNanos >= job.deadlineNanos()) {
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/RunningTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/RunningTask.java
@@ -9,12 +9,13 @@
  * @param id the task
  * @param spec what runs
  * @param job its job
+ * @param service the work of its service
  * @param endpoint where it runs
  * @param startNanos when it was started
  * @param expectedNanos its expected run time in nanoseconds
  * @param probe whether it tries out an ejected endpoint
  */
-record RunningTask(TaskId id, TaskSpec spec, JobEntry job, EndpointView endpoint, long startNanos, double expectedNanos,
-		boolean probe) {
+record RunningTask(TaskId id, TaskSpec spec, JobEntry job, ServiceState service, EndpointView endpoint, long startNanos,
+		double expectedNanos, boolean probe) {
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/StartPlanner.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/StartPlanner.java
@@ -212,7 +212,8 @@
 			this.state.jobsByDeadline().remove(job);
 		}
 		TaskId id = new TaskId(job.ticket(), index);
-		RunningTask task = new RunningTask(id, job.spec(index), job, endpoint, this.nowNanos, expectedNanos, probe);
+		RunningTask task = new RunningTask(id, job.spec(index), job, this.service, endpoint, this.nowNanos,
+				expectedNanos, probe);
 		this.state.running().put(id, task);
 		endpoint.started(task);
 		this.service.addRunning(1);
--- a/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
@@ -201,6 +201,18 @@
 				.satisfies((start) -> assertThat(start.endpoint().address()).isEqualTo(Fixtures.address(2)));
 		}
 
+		@Test
+		void countsAnewWhenServiceComesBack() {
+			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
+			scheduler.admit(Fixtures.job("t", 1), 0);
+			Start start = scheduler.next(0).starts().get(0);
+			scheduler.update(new SiteVersion(2, Map.of(), Map.of(), Rules.NONE), 1);
+			scheduler.update(Fixtures.version(3, Map.of(), Fixtures.endpoint(1, Fixtures.DOMAIN, 1)), 2);
+			assertThat(scheduler.ended(start.task(), Fixtures.end(start, TaskEnd.Kind.REFUSED_FULL), 3))
+				.isEqualTo(new Disposition.GivenUp(ErrorCode.UNKNOWN_SERVICE, 0));
+			assertThat(scheduler.load(3).services().get(Fixtures.SERVICE).runningCount()).isZero();
+		}
+
 		@Test
 		void dropsJobsOfWithdrawnService() {
 			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 1));
