--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndHandler.java
@@ -40,11 +40,9 @@
 			return new Disposition.Done();
 		}
 		release(task, end, nowNanos);
-		ServiceState service = this.state.services().get(task.job().request().service());
-		if (service != null) {
-			service.addRunning(-1);
-			learn(service, task, end, nowNanos);
-		}
+		ServiceState service = task.service();
+		service.addRunning(-1);
+		learn(service, task, end, nowNanos);
 		Disposition disposition = end.kind().notStarted() ? retry(service, task, end.kind(), nowNanos)
 				: new Disposition.Done();
 		this.state.forgetIfOver(task.job());
@@ -68,7 +66,12 @@
 		EndpointView endpoint = task.endpoint();
 		boolean wasLive = endpoint.live();
 		countRefusal(end.kind());
+		if (end.busySlotCount() >= 0) {
+			int foreignCount = Math.max(0, end.busySlotCount() - endpoint.outstandingCount());
+			endpoint.foreign().observe(foreignCount, nowNanos, service.runTimes().meanNanos());
+		}
 		if (end.kind().notStarted()) {
+			service.retryBudget().refused(nowNanos);
 			endpoint.refused(end.kind(), service.runTimes().meanNanos(), nowNanos);
 		}
 		this.ejection.ended(service, task, end, nowNanos);
@@ -88,7 +91,7 @@
 		if (job.closed()) {
 			return new Disposition.GivenUp(ErrorCode.CANCELLED_NOT_RUN, 0);
 		}
-		if (service == null) {
+		if (this.state.services().get(service.spec().name()) != service) {
 			return giveUp(job, ErrorCode.UNKNOWN_SERVICE, 0);
 		}
 		if (nowNanos >= job.deadlineNanos()) {
@@ -100,11 +103,10 @@
 				return giveUp(job, ErrorCode.NEVER_FITS, 0);
 			}
 		}
-		if (job.countRefusal(task.id().index()) >= this.state.settings().maxAttemptCount()) {
-			ErrorCode code = (kind == TaskEnd.Kind.REFUSED_FULL) ? ErrorCode.OVERLOADED : ErrorCode.NO_ENDPOINT;
-			double drainNanos = Math.max(Times.NANOS_PER_SECOND,
-					this.state.waitNanos(service, service.queue().queuedCount(), nowNanos));
-			return giveUp(job, code, Times.retryAfterMillis(drainNanos, this.state.random()));
+		if (kind != TaskEnd.Kind.REFUSED_FULL
+				&& job.countRefusal(task.id().index()) >= this.state.settings().maxAttemptCount()) {
+			return giveUp(job, ErrorCode.NO_ENDPOINT,
+					Times.retryAfterMillis(Times.NANOS_PER_SECOND, this.state.random()));
 		}
 		requeue(service, job, task.id().index(), nowNanos);
 		return new Disposition.Requeued();
