--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogTracker.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogTracker.java
@@ -10,6 +10,7 @@
 
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.core.version.LogRecord;
+import org.masticwick.core.version.NoteFold;
 import org.masticwick.core.version.SiteRecord;
 import org.masticwick.core.version.SiteRecordCodec;
 import org.masticwick.core.version.SiteState;
@@ -43,7 +44,7 @@
 
 	private SiteState log;
 
-	private LogRecord last;
+	private final LogMemory memory = new LogMemory();
 
 	private long checkDueNanos;
 
@@ -99,8 +100,7 @@
 			return false;
 		}
 		this.log = loaded.get().state();
-		List<LogRecord> tail = loaded.get().tail();
-		this.last = (tail.isEmpty()) ? null : tail.get(tail.size() - 1);
+		remember(loaded.get());
 		this.snapshots.loaded(loaded.get().endOffset() - loaded.get().snapshotOffset() - 1);
 		scheduleCheck();
 		reachedEnd(before, loaded.get().endOffset());
@@ -117,7 +117,7 @@
 				return true;
 			}
 			page.records().forEach(this::follow);
-			if (this.log.nextOffset() >= page.endOffset()) {
+			if (this.log != null && this.log.nextOffset() >= page.endOffset()) {
 				reachedEnd(before, page.endOffset());
 			}
 		}
@@ -127,33 +127,53 @@
 		return true;
 	}
 
+	private void remember(LoadedLog loaded) {
+		this.memory.clear();
+		String hash = loaded.start().historyHash();
+		for (LogRecord record : loaded.tail()) {
+			this.memory.add(hash, record);
+			hash = NoteFold.nextHash(hash, record);
+		}
+	}
+
 	private void follow(LogRecord record) {
+		if (this.log == null) {
+			return;
+		}
+		this.memory.add(this.log.historyHash(), record);
 		this.log = this.registry.follow(this.log, record);
-		this.last = record;
 		this.snapshots.seen(record);
+		if (SiteRecordCodec.decode(record.value()) instanceof SiteRecord.SnapshotRecord snapshot
+				&& snapshot.startsFold(record.offset(), 0) && this.memory.contradicts(snapshot.state())) {
+			lose("the snapshot at " + record.offset() + " was folded from another history");
+		}
 	}
 
 	private void check() {
-		if (this.last != null && !holdsLast()) {
-			lose("it holds another record at " + this.last.offset());
+		if (!this.memory.isEmpty() && !holdsMemory()) {
+			lose("it does not hold the records that were read last");
 		}
 		scheduleCheck();
 	}
 
-	private boolean holdsLast() {
+	private boolean holdsMemory() {
 		try {
-			LogPage page = this.platform.read(SiteRecord.STREAM, this.last.offset(), 1, Duration.ZERO);
-			return page.records().contains(this.last);
+			return holdsMemoryFrom(this.memory.firstOffset());
 		}
 		catch (RecordsExpiredException ex) {
-			return ex.endOffset() > this.last.offset();
+			return ex.beginOffset() <= this.memory.lastOffset() && holdsMemoryFrom(ex.beginOffset());
 		}
 	}
 
+	private boolean holdsMemoryFrom(long offset) {
+		LogPage page = this.platform.read(SiteRecord.STREAM, offset, LogMemory.RECORD_COUNT, Duration.ZERO);
+		return this.memory.matches(offset, page.records());
+	}
+
 	private void lose(String reason) {
 		LOG.warn("Reading the log anew: {}", reason);
 		this.log = null;
-		this.last = null;
+		this.memory.clear();
 	}
 
 	private void reachedEnd(SiteState before, long endOffset) {
--- a/masticwick-platform/src/main/java/org/masticwick/platform/SiteLogReader.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/SiteLogReader.java
@@ -91,15 +91,15 @@
 		for (int i = records.size() - 1; i >= 0; i--) {
 			LogRecord record = records.get(i);
 			if (SiteRecordCodec.decode(record.value()) instanceof SiteRecord.SnapshotRecord snapshot) {
-				SiteState state = snapshot.state().movedTo(record.offset() + 1);
-				return Optional.of(fold(state, records.subList(i + 1, records.size()), bounds, record.offset()));
+				SiteState state = snapshot.state().movedTo(record.offset());
+				return Optional.of(fold(state, records.subList(i, records.size()), bounds, record.offset()));
 			}
 		}
 		return Optional.empty();
 	}
 
 	private static LoadedLog fold(SiteState state, List<LogRecord> records, LogPage bounds, long snapshotOffset) {
-		return new LoadedLog(NoteFold.fold(state, records), bounds.endOffset(), snapshotOffset, records);
+		return new LoadedLog(state, NoteFold.fold(state, records), bounds.endOffset(), snapshotOffset, records);
 	}
 
 	private List<LogRecord> readRange(long from, long end) {
