--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogTracker.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogTracker.java
@@ -101,7 +101,7 @@
 		}
 		this.log = loaded.get().state();
 		remember(loaded.get());
-		this.snapshots.loaded(loaded.get().endOffset() - loaded.get().snapshotOffset() - 1);
+		this.snapshots.loaded(loaded.get());
 		scheduleCheck();
 		reachedEnd(before, loaded.get().endOffset());
 		return true;
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/SnapshotWriter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/SnapshotWriter.java
@@ -12,6 +12,7 @@
 import org.masticwick.core.version.SiteRecord;
 import org.masticwick.core.version.SiteRecordCodec;
 import org.masticwick.core.version.SiteState;
+import org.masticwick.platform.LoadedLog;
 import org.masticwick.platform.PlatformClient;
 
 /**
@@ -25,6 +26,8 @@
 
 	private static final Duration MIN_GAP = Duration.ofSeconds(5);
 
+	private static final Duration RESTORED_SPREAD = Duration.ofSeconds(5);
+
 	private final PlatformClient platform;
 
 	private final FollowerSettings settings;
@@ -53,34 +56,33 @@
 	/**
 	 * Starts to count from the newest snapshot of a log that was loaded. Its age is not
 	 * known, so it may be as old as allowed before long.
-	 * @param laterRecordCount how many records follow the snapshot
+	 * @param loaded the log
 	 */
-	void loaded(long laterRecordCount) {
-		restart(laterRecordCount);
+	void loaded(LoadedLog loaded) {
+		restart(loaded.endOffset() - loaded.snapshotOffset() - 1);
 		this.dueNanos -= this.random.nextLong(this.settings.snapshotInterval().toNanos() + 1);
+		if (loaded.start().nextOffset() > 0 && loaded.snapshotOffset() < 0) {
+			dueSoon();
+		}
 	}
 
 	/**
-	 * Notes a record of the log.
+	 * Notes a record of the log. A log that was restored needs a snapshot that folding
+	 * may start from.
 	 * @param record the record
 	 */
 	void seen(LogRecord record) {
+		this.recordCount++;
 		if (SiteRecordCodec.decode(record.value()) instanceof SiteRecord.SnapshotRecord snapshot) {
-			restart((snapshot.restoresFrom().isEmpty()) ? 0 : this.settings.snapshotRecordCount());
-		}
-		else {
-			this.recordCount++;
+			if (snapshot.restoresFrom().isEmpty()) {
+				restart(0);
+			}
+			else {
+				dueSoon();
+			}
 		}
 	}
 
-	/**
-	 * Returns how long until a snapshot is due by time.
-	 * @return the time, not negative
-	 */
-	Duration remaining() {
-		return Duration.ofNanos(Math.max(0, this.dueNanos - this.time.nanoTime()));
-	}
-
 	/**
 	 * Writes a snapshot if one is due.
 	 * @param state the state at the end of the log
@@ -99,6 +101,11 @@
 		return true;
 	}
 
+	private void dueSoon() {
+		long soonNanos = this.time.nanoTime() + this.random.nextLong(RESTORED_SPREAD.toNanos());
+		this.dueNanos = Math.min(this.dueNanos, soonNanos);
+	}
+
 	private void restart(long laterRecordCount) {
 		this.recordCount = laterRecordCount;
 		int count = this.settings.snapshotRecordCount();
--- /dev/null
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/LogFollowerTests.java
@@ -0,0 +1,142 @@
+package org.masticwick.daemon.version;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.version.ReleaseNote;
+import org.masticwick.core.version.SiteRecord;
+import org.masticwick.core.version.SiteRecordCodec;
+import org.masticwick.core.version.SiteVersion;
+import org.masticwick.platform.PlatformHost;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Tests of {@link LogFollower} and {@link HostListFollower} with their threads.
+ */
+class LogFollowerTests {
+
+	private static final FollowerSettings SETTINGS = new FollowerSettings(Duration.ofSeconds(2), Duration.ofMillis(5),
+			Duration.ofMillis(50), Duration.ofMillis(20), Duration.ofSeconds(30), Duration.ofMinutes(10), 256);
+
+	private static final PlatformHost HOST = new PlatformHost(new HostAddress("10.1.0.1", 7000),
+			PlatformHost.Role.ENTRY, "hobart", PlatformHost.State.LIVE);
+
+	private final FakePlatform platform = new FakePlatform();
+
+	private final VersionRegistry registry = new VersionRegistry(new RecentRecords());
+
+	private final LogFollower follower = new LogFollower(this.platform, this.registry, SETTINGS, TimeSource.system(),
+			new Random(1));
+
+	private final List<PlatformHost> hosts = Collections.synchronizedList(new ArrayList<>());
+
+	private final HostListFollower hostList = new HostListFollower(this.platform, HOST, Duration.ofMillis(10),
+			new Random(1), (list) -> {
+				this.hosts.clear();
+				this.hosts.addAll(list);
+			});
+
+	private int noteCount;
+
+	@AfterEach
+	void stop() {
+		this.follower.close();
+	}
+
+	private void publish() {
+		int number = this.noteCount++;
+		ReleaseNote note = ReleaseNote.builder("n" + number, number).addRule("limits/r" + number, "1").build();
+		this.platform.append(SiteRecord.STREAM, List.of(SiteRecordCodec.encode(note)));
+	}
+
+	private void awaitVersion(long number) {
+		await().until(() -> this.registry.current().number() == number);
+	}
+
+	@Nested
+	class Log {
+
+		@Test
+		void tellsListenersEachVersionOnce() {
+			List<Long> numbers = Collections.synchronizedList(new ArrayList<>());
+			LogFollowerTests.this.registry.onVersion((version) -> numbers.add(version.number()));
+			assertThat(LogFollowerTests.this.registry.known()).isFalse();
+			LogFollowerTests.this.follower.start();
+			await().until(LogFollowerTests.this.registry::known);
+			publish();
+			awaitVersion(1);
+			publish();
+			awaitVersion(2);
+			assertThat(numbers).containsExactly(0L, 1L, 2L);
+			LogFollowerTests.this.registry.onVersion((version) -> numbers.add(version.number()));
+			assertThat(numbers).endsWith(2L);
+		}
+
+		@Test
+		void keepsVersionInOutageAndFollowsAfterIt() {
+			LogFollowerTests.this.follower.start();
+			publish();
+			awaitVersion(1);
+			SiteVersion before = LogFollowerTests.this.registry.current();
+			LogFollowerTests.this.platform.down(true);
+			await().until(() -> LogFollowerTests.this.follower.status().failureCount() > 3);
+			assertThat(LogFollowerTests.this.registry.current()).isSameAs(before);
+			LogFollowerTests.this.platform.down(false);
+			publish();
+			awaitVersion(2);
+		}
+
+		@Test
+		void restoresLogThatComesBackShorter() {
+			LogFollowerTests.this.follower.start();
+			publish();
+			publish();
+			awaitVersion(2);
+			LogFollowerTests.this.platform.truncate(1);
+			await().until(() -> LogFollowerTests.this.platform.records()
+				.stream()
+				.anyMatch((record) -> record.value().contains("restores_from")));
+			assertThat(LogFollowerTests.this.registry.current().number()).isEqualTo(2);
+			await().until(() -> !LogFollowerTests.this.follower.status().behind());
+		}
+
+	}
+
+	@Nested
+	class HostList {
+
+		@Test
+		void registersAnnouncesLeavingAndGoes() {
+			LogFollowerTests.this.hostList.start();
+			await().until(() -> LogFollowerTests.this.hosts.contains(HOST));
+			LogFollowerTests.this.hostList.leave();
+			await().until(() -> LogFollowerTests.this.hosts.stream()
+				.anyMatch((host) -> host.state() == PlatformHost.State.LEAVING));
+			LogFollowerTests.this.hostList.close();
+			assertThat(LogFollowerTests.this.platform.hosts()).isEmpty();
+		}
+
+		@Test
+		void keepsLastListInOutage() {
+			LogFollowerTests.this.hostList.start();
+			await().until(() -> LogFollowerTests.this.hosts.contains(HOST));
+			LogFollowerTests.this.platform.down(true);
+			await().until(() -> LogFollowerTests.this.hostList.failureCount() > 3);
+			assertThat(LogFollowerTests.this.hosts).containsExactly(HOST);
+			LogFollowerTests.this.hostList.close();
+		}
+
+	}
+
+}
--- a/masticwick-platform/src/main/java/org/masticwick/platform/HttpPlatformClient.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/HttpPlatformClient.java
@@ -86,6 +86,7 @@
 		List<LogRecord> records = new ArrayList<>();
 		answer.path("records")
 			.forEach((node) -> records.add(new LogRecord(number(node, "offset"), node.path("value").asText())));
+		checkOffsets(records, fromOffset);
 		return new LogPage(number(answer, "begin_offset"), number(answer, "end_offset"), records);
 	}
 
@@ -118,6 +119,15 @@
 		this.http.dispatcher().executorService().shutdown();
 	}
 
+	private static void checkOffsets(List<LogRecord> records, long fromOffset) {
+		for (int i = 0; i < records.size(); i++) {
+			if (records.get(i).offset() != fromOffset + i) {
+				throw new PlatformException(ErrorCode.PLATFORM_UNAVAILABLE,
+						"The platform sent the record at " + records.get(i).offset() + " out of order", false, null);
+			}
+		}
+	}
+
 	private HttpUrl url(String... segments) {
 		HttpUrl.Builder url = this.baseUrl.newBuilder();
 		for (String segment : segments) {
--- a/masticwick-platform/src/main/java/org/masticwick/platform/LoadedLog.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/LoadedLog.java
@@ -11,7 +11,8 @@
  * @param start the state that folding started from
  * @param state the state at the end
  * @param endOffset the end of the log
- * @param snapshotOffset the offset of the newest snapshot, or -1 if there is none
+ * @param snapshotOffset the offset of the newest snapshot that folding may start from, or
+ * -1 if there is none
  * @param tail the records that were folded
  */
 public record LoadedLog(SiteState start, SiteState state, long endOffset, long snapshotOffset, List<LogRecord> tail) {
--- a/masticwick-platform/src/main/java/org/masticwick/platform/SiteLogReader.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/SiteLogReader.java
@@ -84,15 +84,22 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Starts at the first record. If earlier ones have expired, the first snapshot that
+	 * restored a log stands for them, so that all hosts start alike.
+	 * @param records all records
+	 * @param bounds where the stream begins and ends
+	 * @return the state at the end; empty if there is nothing to start from
+	 */
 	private static Optional<LoadedLog> startAtBegin(List<LogRecord> records, LogPage bounds) {
 		if (bounds.beginOffset() == 0) {
 			return Optional.of(fold(SiteState.EMPTY, records, bounds, NONE));
 		}
-		for (int i = records.size() - 1; i >= 0; i--) {
+		for (int i = 0; i < records.size(); i++) {
 			LogRecord record = records.get(i);
 			if (SiteRecordCodec.decode(record.value()) instanceof SiteRecord.SnapshotRecord snapshot) {
 				SiteState state = snapshot.state().movedTo(record.offset());
-				return Optional.of(fold(state, records.subList(i, records.size()), bounds, record.offset()));
+				return Optional.of(fold(state, records.subList(i, records.size()), bounds, NONE));
 			}
 		}
 		return Optional.empty();
--- a/masticwick-platform/src/test/java/org/masticwick/platform/FakePlatform.java
+++ b/masticwick-platform/src/test/java/org/masticwick/platform/FakePlatform.java
@@ -42,7 +42,7 @@
 
 	synchronized void expire(long offset) {
 		this.records.removeIf((record) -> record.offset() < offset);
-		this.beginOffset = offset;
+		this.beginOffset = Math.max(this.beginOffset, offset);
 	}
 
 	synchronized List<LogRecord> records() {
