--- a/masticwick-core/src/main/java/org/masticwick/core/version/KnownRules.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/version/KnownRules.java
@@ -10,8 +10,11 @@
  */
 enum KnownRules {
 
-	PLACEMENT(Pattern.compile(Pattern.quote(Rules.PLACEMENT)), Pattern.compile("[a-z][a-z0-9-]{0,63}"),
-			"the name of a placement policy: lower case letters, digits and hyphens"),
+	POLICY(Pattern.compile("dispatch/(placement|job-order|team-order)"), Pattern.compile("[a-z][a-z0-9-]{0,63}"),
+			"the name of a policy: lower case letters, digits and hyphens"),
+
+	SPILL_WAIT(Pattern.compile("dispatch/spill-wait-ms"), Pattern.compile("[0-9]{1,15}"),
+			"a whole number of milliseconds, 0 or more"),
 
 	WEIGHTING(Pattern.compile(Pattern.quote(Rules.WEIGHTING)), Pattern.compile("response-time|messages"),
 			"\"response-time\" or \"messages\""),
@@ -22,8 +25,8 @@
 	LIMIT(Pattern.compile("limits/[a-z][a-z0-9-]*"), Pattern.compile("[1-9][0-9]{0,14}"), "a whole number above 0");
 
 	/** What rule names a note may use, for people. */
-	static final String ALLOWED_NAMES = Rules.PLACEMENT + ", " + Rules.WEIGHTING + ", " + Rules.TEAM_SHARE_PREFIX
-			+ "<team> or limits/<name>";
+	static final String ALLOWED_NAMES = Rules.PLACEMENT + ", dispatch/job-order, dispatch/team-order, "
+			+ Rules.WEIGHTING + ", dispatch/spill-wait-ms, " + Rules.TEAM_SHARE_PREFIX + "<team> or limits/<name>";
 
 	private final Pattern names;
 
--- a/masticwick-core/src/test/java/org/masticwick/core/version/AcceptanceCases.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/version/AcceptanceCases.java
@@ -38,6 +38,7 @@
 						"names the service fitting, which does not exist"),
 				Arguments.of(ReleaseNote.builder("c", 2).changeRule(Rules.WEIGHTING, "speed").build(), "speed"),
 				Arguments.of(ReleaseNote.builder("c", 2).addRule(Rules.PLACEMENT, "Best!").build(), "Best!"),
+				Arguments.of(ReleaseNote.builder("c", 2).addRule("dispatch/spill-wait-ms", "-1").build(), "spill-wait"),
 				Arguments.of(ReleaseNote.builder("c", 2).addRule("team-share/a", "0").build(), "team-share/a"),
 				Arguments.of(ReleaseNote.builder("c", 2).addRule("team-share/a", "-1").build(), "team-share/a"),
 				Arguments.of(ReleaseNote.builder("c", 2).addRule("limits/queue", "many").build(), "limits/queue"),
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
@@ -119,6 +119,10 @@
 			this.failureCount++;
 			LOG.debug("The platform's list of hosts can't be reached", ex);
 		}
+		catch (RuntimeException ex) {
+			this.failureCount++;
+			LOG.error("The listener of the list of hosts failed", ex);
+		}
 	}
 
 	private void pause() {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogFollower.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogFollower.java
@@ -19,7 +19,7 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
 
-	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
+	private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
 	private final LogTracker tracker;
 
@@ -66,7 +66,8 @@
 	}
 
 	/**
-	 * Stops to follow and waits for the thread for a short time.
+	 * Stops to follow and waits for the thread for a short time. The thread ends at the
+	 * latest when the read that it is in does.
 	 */
 	@Override
 	public void close() {
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/version/HistoryTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/HistoryTests.java
@@ -34,6 +34,8 @@
 
 	private static final int SETTLE_ROUND_COUNT = 40;
 
+	private static final int MAX_SETTLE_ROUND_COUNT = 400;
+
 	private final FakePlatform platform = new FakePlatform();
 
 	private final ManualTime time = new ManualTime();
@@ -153,6 +155,7 @@
 		this.hosts.forEach((host) -> host.cut(false));
 		long endOffset = -1;
 		for (int i = 0; i < SETTLE_ROUND_COUNT || endOffset != this.platform.endOffset(); i++) {
+			assertThat(i).as("rounds until the log is quiet").isLessThan(MAX_SETTLE_ROUND_COUNT);
 			endOffset = this.platform.endOffset();
 			this.hosts.forEach(SimulatedHost::step);
 			this.time.advance(Duration.ofSeconds(1));
--- a/masticwick-platform/src/main/java/org/masticwick/platform/PlatformClient.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/PlatformClient.java
@@ -6,8 +6,8 @@
 import org.masticwick.core.process.HostAddress;
 
 /**
- * Reaches the platform: its append-only log and its list of hosts. Calls block; an
- * interrupt ends them.
+ * Reaches the platform: its append-only log and its list of hosts. Calls block until they
+ * are answered or their time is up.
  */
 public interface PlatformClient {
 
