--- a/masticwick-platform/src/main/java/org/masticwick/platform/SiteLogReader.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/SiteLogReader.java
@@ -84,22 +84,29 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Starts at the first record. If earlier ones have expired, the first snapshot that
+	 * restored a log stands for them, so that all hosts start alike.
+	 * @param records all records
+	 * @param bounds where the stream begins and ends
+	 * @return the state at the end; empty if there is nothing to start from
+	 */
 	private static Optional<LoadedLog> startAtBegin(List<LogRecord> records, LogPage bounds) {
 		if (bounds.beginOffset() == 0) {
 			return Optional.of(fold(SiteState.EMPTY, records, bounds, NONE));
 		}
-		for (int i = records.size() - 1; i >= 0; i--) {
+		for (int i = 0; i < records.size(); i++) {
 			LogRecord record = records.get(i);
 			if (SiteRecordCodec.decode(record.value()) instanceof SiteRecord.SnapshotRecord snapshot) {
-				SiteState state = snapshot.state().movedTo(record.offset() + 1);
-				return Optional.of(fold(state, records.subList(i + 1, records.size()), bounds, record.offset()));
+				SiteState state = snapshot.state().movedTo(record.offset());
+				return Optional.of(fold(state, records.subList(i, records.size()), bounds, NONE));
 			}
 		}
 		return Optional.empty();
 	}
 
 	private static LoadedLog fold(SiteState state, List<LogRecord> records, LogPage bounds, long snapshotOffset) {
-		return new LoadedLog(NoteFold.fold(state, records), bounds.endOffset(), snapshotOffset, records);
+		return new LoadedLog(state, NoteFold.fold(state, records), bounds.endOffset(), snapshotOffset, records);
 	}
 
 	private List<LogRecord> readRange(long from, long end) {
