Write the counts of starts as a stream

Cause: with a heap of 96 MB, GET /admin/starts gave no answer after 170,000 starts; the whole text and a map of it stood in memory.

Ruled out: a larger heap; it only moves the limit.

Change: counts are written piece by piece, and ?min=N leaves out tasks that were started less often. Stand-ins that Site starts end on lack of memory instead of going on without an answer.

Conclusion: use ?min=2 to look for double starts.

--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/StandinPlatform.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/StandinPlatform.java
@@ -15,7 +15,7 @@
 
 	static final String MODULE = "masticwick-standin";
 
-	static final List<String> JAVA_OPTIONS = List.of("-Xmx96m", "-XX:+UseSerialGC");
+	static final List<String> JAVA_OPTIONS = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:+ExitOnOutOfMemoryError");
 
 	private final ManagedProcess process;
 
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/StandinWorkers.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/StandinWorkers.java
@@ -94,6 +94,14 @@
 		return counts("/admin/starts?ticket=" + prefix, "starts");
 	}
 
+	/**
+	 * Returns the tasks that were started more than once; none if the promise holds.
+	 * @return the counts by task id
+	 */
+	public Map<String, Integer> doubleStarts() {
+		return counts("/admin/starts?min=2", "starts");
+	}
+
 	/**
 	 * Returns how often each task was refused as a duplicate.
 	 * @param prefix what the task ids start with; empty for all
--- a/masticwick-standin/src/main/java/org/masticwick/standin/connection/Json.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/connection/Json.java
@@ -1,8 +1,14 @@
 package org.masticwick.standin.connection;
 
 import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamWriteFeature;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 
@@ -14,6 +20,7 @@
 public final class Json {
 
 	private static final JsonMapper MAPPER = JsonMapper.builder()
+		.disable(StreamWriteFeature.AUTO_CLOSE_TARGET)
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
 		.build();
 
@@ -35,6 +42,27 @@
 		}
 	}
 
+	/**
+	 * Writes an object of objects of numbers piece by piece and leaves the target open.
+	 * @param target where to write
+	 * @param members visits the numbers of each member by name
+	 * @throws StandinException if the target can't be written to
+	 */
+	public static void writeObject(OutputStream target, Map<String, Consumer<BiConsumer<String, Integer>>> members) {
+		try (JsonGenerator generator = MAPPER.createGenerator(target)) {
+			generator.writeStartObject();
+			for (Map.Entry<String, Consumer<BiConsumer<String, Integer>>> member : members.entrySet()) {
+				generator.writeObjectFieldStart(member.getKey());
+				member.getValue().accept((name, number) -> writeNumber(generator, name, number));
+				generator.writeEndObject();
+			}
+			generator.writeEndObject();
+		}
+		catch (IOException ex) {
+			throw new StandinException(ErrorCode.INTERNAL, "Can't write JSON: " + ex.getMessage(), ex);
+		}
+	}
+
 	/**
 	 * Reads a value; a member that the type doesn't know is an error.
 	 * @param <T> the type of the value
@@ -63,4 +91,13 @@
 		}
 	}
 
+	private static void writeNumber(JsonGenerator generator, String name, int number) {
+		try {
+			generator.writeNumberField(name, number);
+		}
+		catch (IOException ex) {
+			throw new StandinException(ErrorCode.INTERNAL, "Can't write JSON: " + ex.getMessage(), ex);
+		}
+	}
+
 }
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerAdmin.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerAdmin.java
@@ -13,6 +13,7 @@
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.MasticwickException;
 import org.masticwick.standin.connection.Json;
+import org.masticwick.standin.request.StartLedger;
 
 /**
  * Serves the routes by which tests steer and read the workers of a process.
@@ -33,7 +34,7 @@
 	 */
 	public WorkerAdmin(WorkerFleet fleet) {
 		this.fleet = fleet;
-		this.application.setExecutionMode(ExecutionMode.EVENT_LOOP);
+		this.application.setExecutionMode(ExecutionMode.WORKER);
 		this.application.setStartupSummary(List.of());
 		addRoutes();
 		this.application.error((context, cause, code) -> sendError(context, cause, code));
@@ -62,8 +63,8 @@
 	}
 
 	private void addRoutes() {
-		this.application.get("/admin/starts",
-				(context) -> send(context, this.fleet.starts(context.query("ticket").value(""))));
+		this.application.get("/admin/starts", (context) -> context.responseStream(MediaType.json,
+				(target) -> this.fleet.writeStarts(filter(context), target)));
 		this.application.delete("/admin/starts", (context) -> {
 			this.fleet.clearStarts();
 			return context.send(StatusCode.NO_CONTENT);
@@ -76,6 +77,10 @@
 		});
 	}
 
+	private static StartLedger.Filter filter(Context context) {
+		return new StartLedger.Filter(context.query("ticket").value(""), context.query("min").intValue(1));
+	}
+
 	private static Context send(Context context, Object value) {
 		return context.setResponseType(MediaType.json).send(Json.write(value));
 	}
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerFleet.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerFleet.java
@@ -1,5 +1,6 @@
 package org.masticwick.standin.process;
 
+import java.io.OutputStream;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -12,6 +13,7 @@
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.TimeSource;
+import org.masticwick.standin.connection.Json;
 import org.masticwick.standin.connection.StandinException;
 import org.masticwick.standin.request.StartLedger;
 
@@ -89,12 +91,15 @@
 	}
 
 	/**
-	 * Returns the counts of starts and of refused duplicates.
-	 * @param prefix what the task ids start with; empty for all
-	 * @return the counts by task id
+	 * Writes the counts of starts and of refused duplicates by task id as JSON, without
+	 * holding all of it in memory.
+	 * @param filter which counts
+	 * @param target where to write
+	 * @throws StandinException if the target can't be written to
 	 */
-	Starts starts(String prefix) {
-		return new Starts(this.starts.counts(prefix), this.duplicates.counts(prefix));
+	void writeStarts(StartLedger.Filter filter, OutputStream target) {
+		Json.writeObject(target, Map.of("starts", (visitor) -> this.starts.visit(filter, visitor), "duplicates",
+				(visitor) -> this.duplicates.visit(filter, visitor)));
 	}
 
 	/**
@@ -133,16 +138,6 @@
 				worker.openConnectionCount(), worker.state());
 	}
 
-	/**
-	 * Is what {@code GET /admin/starts} tells.
-	 *
-	 * @param starts how often each task was started
-	 * @param duplicates how often each task was refused as a duplicate
-	 */
-	record Starts(Map<String, Integer> starts, Map<String, Integer> duplicates) {
-
-	}
-
 	/**
 	 * Is what {@code GET /admin/counters} tells.
 	 *
--- a/masticwick-standin/src/main/java/org/masticwick/standin/request/StartLedger.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/request/StartLedger.java
@@ -2,8 +2,9 @@
 
 import java.util.Arrays;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
 
 /**
  * Counts the starts of each task over all workers of a process. Counts are kept by ticket
@@ -27,21 +28,19 @@
 	}
 
 	/**
-	 * Returns the counts by task id.
-	 * @param prefix what the task ids start with; empty for all
-	 * @return the counts
+	 * Visits the counts by task id, in no order.
+	 * @param filter which counts
+	 * @param visitor takes each task id with its count
 	 */
-	public Map<String, Integer> counts(String prefix) {
-		Map<String, Integer> result = new TreeMap<>();
-		this.countsByTicket.forEach((ticket, counts) -> {
-			for (int slot = 0; slot < counts.length; slot++) {
+	public void visit(Filter filter, BiConsumer<String, Integer> visitor) {
+		this.countsByTicket.forEach((ticket, counts) -> IntStream.range(0, counts.length)
+			.filter((slot) -> counts[slot] >= filter.minCount())
+			.forEach((slot) -> {
 				String taskId = (slot > 0) ? ticket + "." + (slot - 1) : ticket;
-				if (counts[slot] > 0 && taskId.startsWith(prefix)) {
-					result.put(taskId, (int) counts[slot]);
+				if (taskId.startsWith(filter.prefix())) {
+					visitor.accept(taskId, (int) counts[slot]);
 				}
-			}
-		});
-		return result;
+			}));
 	}
 
 	/**
@@ -64,4 +63,21 @@
 		return canonical ? Integer.parseInt(text) : -1;
 	}
 
+	/**
+	 * Chooses counts.
+	 *
+	 * @param prefix what the task ids start with; empty for all
+	 * @param minCount how often the tasks were started at least, 1 or more
+	 */
+	public record Filter(String prefix, int minCount) {
+
+		/**
+		 * Leaves out tasks that were never started.
+		 */
+		public Filter {
+			minCount = Math.max(1, minCount);
+		}
+
+	}
+
 }
--- a/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerFleetTests.java
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerFleetTests.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -25,6 +26,8 @@
  */
 class WorkerFleetTests {
 
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
 	private static final String LONG = "{\"run_ms\":60000}";
 
 	private static final String SHORT = "{\"run_ms\":0}";
@@ -120,16 +123,21 @@
 
 		@Test
 		void countsStartsAndDuplicatesByTask() throws Exception {
+			post("t.0", SHORT, 9000).join();
 			post("t.0", SHORT, 9000).join();
 			post("t.0", SHORT, 9000).join();
 			post("u.1", SHORT, 9000).join();
-			assertThat(WorkerFleetTests.this.admin.send("GET", "/admin/starts", "").body())
-				.isEqualTo("{\"starts\":{\"t.0\":1,\"u.1\":1},\"duplicates\":{\"t.0\":1}}");
-			assertThat(WorkerFleetTests.this.admin.send("GET", "/admin/starts?ticket=u", "").body())
-				.isEqualTo("{\"starts\":{\"u.1\":1},\"duplicates\":{}}");
+			assertStarts("", "{\"t.0\":1,\"u.1\":1}", "{\"t.0\":2}");
+			assertStarts("?ticket=u", "{\"u.1\":1}", "{}");
+			assertStarts("?min=2", "{}", "{\"t.0\":2}");
 			WorkerFleetTests.this.admin.send("DELETE", "/admin/starts", "");
-			assertThat(WorkerFleetTests.this.admin.send("GET", "/admin/starts", "").body())
-				.isEqualTo("{\"starts\":{},\"duplicates\":{}}");
+			assertStarts("", "{}", "{}");
+		}
+
+		private void assertStarts(String query, String starts, String duplicates) throws Exception {
+			JsonNode answer = WorkerFleetTests.this.admin.json("/admin/starts" + query);
+			assertThat(answer.path("starts")).isEqualTo(MAPPER.readTree(starts));
+			assertThat(answer.path("duplicates")).isEqualTo(MAPPER.readTree(duplicates));
 		}
 
 	}
