--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/DefaultScheduler.java
@@ -0,0 +1,119 @@
+package org.masticwick.core.request.internal;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.masticwick.core.connection.LoadReport;
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.request.Admission;
+import org.masticwick.core.request.Disposition;
+import org.masticwick.core.request.EndpointState;
+import org.masticwick.core.request.JobSubmission;
+import org.masticwick.core.request.Scheduler;
+import org.masticwick.core.request.SchedulerSettings;
+import org.masticwick.core.request.SchedulerSnapshot;
+import org.masticwick.core.request.TaskEnd;
+import org.masticwick.core.request.TaskId;
+import org.masticwick.core.request.Turn;
+import org.masticwick.core.version.SiteVersion;
+
+/**
+ * Puts the parts of the scheduler together under one lock. Each call is short, so that
+ * several locks would cost more than they gain.
+ */
+public final class DefaultScheduler implements Scheduler {
+
+	private final SchedulerState state;
+
+	private final AdmissionControl admission;
+
+	private final TurnPlanner turns;
+
+	private final EndHandler ends;
+
+	private final VersionUpdater versions;
+
+	private final Reports reports;
+
+	/**
+	 * Creates a scheduler.
+	 * @param settings the bounds
+	 * @param ownDomain the failure domain of the entry host
+	 * @param self the entry host
+	 * @param random the source of randomness
+	 */
+	public DefaultScheduler(SchedulerSettings settings, String ownDomain, EntryHost self, RandomGenerator random) {
+		this.state = new SchedulerState(settings, ownDomain, self, random);
+		EjectionControl ejection = new EjectionControl(this.state);
+		this.admission = new AdmissionControl(this.state);
+		this.turns = new TurnPlanner(this.state, ejection);
+		this.ends = new EndHandler(this.state, ejection);
+		this.versions = new VersionUpdater(this.state);
+		this.reports = new Reports(this.state);
+	}
+
+	@Override
+	public synchronized Admission admit(JobSubmission job, long nowNanos) {
+		return this.admission.admit(job, nowNanos);
+	}
+
+	@Override
+	public synchronized Turn next(long nowNanos) {
+		return this.turns.next(nowNanos);
+	}
+
+	@Override
+	public synchronized Disposition ended(TaskId task, TaskEnd end, long nowNanos) {
+		return this.ends.ended(task, end, nowNanos);
+	}
+
+	@Override
+	public synchronized List<TaskId> cancel(String ticket, long nowNanos) {
+		JobEntry job = this.state.jobs().get(ticket);
+		return (job != null) ? this.state.close(job) : List.of();
+	}
+
+	@Override
+	public synchronized void update(SiteVersion version, long nowNanos) {
+		if (version.number() > this.state.version().number()) {
+			this.versions.update(version, nowNanos);
+		}
+	}
+
+	@Override
+	public synchronized void endpointState(HostAddress endpoint, EndpointState newState, long nowNanos) {
+		if (newState == EndpointState.LIVE) {
+			this.state.toldStates().remove(endpoint);
+		}
+		else {
+			this.state.toldStates().put(endpoint, newState);
+		}
+		EndpointView view = this.state.endpoints().get(endpoint);
+		if (view != null && view.state() != newState) {
+			view.state(newState, nowNanos);
+			this.state.divide();
+		}
+	}
+
+	@Override
+	public synchronized void peerLoad(EntryHost peer, LoadReport load, long nowNanos) {
+		this.reports.peerLoad(peer, load, nowNanos);
+	}
+
+	@Override
+	public synchronized void peerGone(EntryHost peer) {
+		this.reports.peerGone(peer);
+	}
+
+	@Override
+	public synchronized LoadReport load(long nowNanos) {
+		return this.reports.load(nowNanos);
+	}
+
+	@Override
+	public synchronized SchedulerSnapshot snapshot(long nowNanos) {
+		return this.reports.snapshot(nowNanos);
+	}
+
+}
