--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/EntryHostProcess.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/EntryHostProcess.java
@@ -23,7 +23,7 @@
 	private static final List<String> JAVA_OPTIONS = List.of("-Xms32m", "-Xmx128m", "-XX:MaxDirectMemorySize=48m",
 			"-XX:+UseSerialGC", "-Xss512k");
 
-	private static final String SETTINGS_OPTION = "--settings";
+	private static final String CONFIG_OPTION = "--config";
 
 	private static final Path SETTINGS_DIRECTORY = Path.of("target", "settings");
 
@@ -50,7 +50,7 @@
 			Map<String, Map<String, String>> keys) {
 		String name = "masticwickd-" + domain;
 		Path settings = write(name, SettingsText.of(domain, platform, seeds, keys));
-		List<String> arguments = List.of(SETTINGS_OPTION, settings.toAbsolutePath().toString());
+		List<String> arguments = List.of(CONFIG_OPTION, settings.toAbsolutePath().toString());
 		return new EntryHostProcess(domain, ManagedProcess.start(name, MODULE, JAVA_OPTIONS, arguments));
 	}
 
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
@@ -1,19 +1,21 @@
 package org.masticwick.proof.support;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.stream.IntStream;
 
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.version.EndpointSpec;
 import org.masticwick.core.version.ServiceSpec;
 
+import static org.awaitility.Awaitility.await;
+
 /**
  * Runs a whole site on loopback: a platform, the workers and the entry hosts of each
  * failure domain, and relays between them where asked for.
@@ -22,9 +24,11 @@
 
 	private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(60);
 
+	private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
+
 	private final SiteOptions options;
 
-	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+	private final Deque<AutoCloseable> resources = new ConcurrentLinkedDeque<>();
 
 	private final ApiClient client = new ApiClient(CLIENT_TIMEOUT);
 
@@ -51,7 +55,7 @@
 	public static Site start(SiteOptions options) {
 		Site site = new Site(options);
 		try {
-			options.domains().forEach(site::startDomain);
+			site.startWorkers();
 			site.publish(site.firstNote());
 			options.domains().forEach(site::startEntryHosts);
 			return site;
@@ -142,6 +146,19 @@
 		return host;
 	}
 
+	/**
+	 * Waits until every entry host that runs takes work.
+	 */
+	public void awaitReady() {
+		this.entryHosts.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((host) -> host.process().alive())
+			.forEach((host) -> await().atMost(READY_TIMEOUT)
+				.alias("ready: " + host.process())
+				.until(() -> this.client.send("GET", host.api(), "/ready").status() == 200));
+	}
+
 	/**
 	 * Appends a note to the log.
 	 * @param note the note
@@ -162,11 +179,18 @@
 		this.client.close();
 	}
 
-	private void startDomain(String domain) {
-		StandinWorkers started = opened(
-				StandinWorkers.start(this.client, domain, this.options.workerArguments(this.platform.address())));
-		this.workers.put(domain, started);
-		this.platformRelays.put(domain, opened(TcpRelay.to(this.platform.address())));
+	private void startWorkers() {
+		List<String> arguments = this.options.workerArguments(this.platform.address());
+		List<StandinWorkers> started = this.options.domains()
+			.parallelStream()
+			.map((domain) -> opened(StandinWorkers.start(this.client, domain, arguments)))
+			.toList();
+		started.forEach(this::addWorkers);
+	}
+
+	private void addWorkers(StandinWorkers started) {
+		this.workers.put(started.domain(), started);
+		this.platformRelays.put(started.domain(), opened(TcpRelay.to(this.platform.address())));
 		if (this.options.workerRelays()) {
 			started.addresses().forEach((worker) -> this.workerRelays.put(worker, opened(TcpRelay.to(worker))));
 		}
