Keep heartbeats within their bytes at the target size

At 7 domains of 9 entry hosts, 99 endpoints and 160 teams, with all loads changing at each beat, the first form sent 9711 bytes a second and host in the mean and 22198 at most, against 4096. Its summaries repeated the whole status of each host, its heartbeats their sender, and hashing gave some hosts four links and others none.

Now heartbeats leave out the sender, which the connection knows, and carry the few entries of the load that changed most; summaries carry the status of a host again only when its digest has changed, and the load added up per domain; links are dealt out in turn over the hosts of a domain.

Also: a host learns of neighbours that only said hello to a seed, and an unused connection is retired after 30 s.

--- a/masticwick-core/src/main/java/org/masticwick/core/connection/ChangeSelector.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/ChangeSelector.java
@@ -53,6 +53,10 @@
 		current.forEach(this::markSent);
 	}
 
+	Map<K, V> told() {
+		return Map.copyOf(this.sent);
+	}
+
 	private void markSent(K key, V value) {
 		if (this.zero.equals(value)) {
 			this.sent.remove(key);
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/HostInForce.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/HostInForce.java
@@ -78,7 +78,7 @@
 	}
 
 	private static State stateOf(PeerView view) {
-		if (view.liveness() == Liveness.LOST || view.source() == PeerSource.HELLO) {
+		if (view.liveness() == Liveness.LOST || view.sequence() < 0) {
 			return State.UNKNOWN;
 		}
 		if (view.status().leaving()) {
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/LoadBudget.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/LoadBudget.java
@@ -9,7 +9,7 @@
  */
 public record LoadBudget(int serviceCount, int endpointCount, int teamCount) {
 
-	private static final LoadBudget DEFAULTS = new LoadBudget(2, 5, 2);
+	private static final LoadBudget DEFAULTS = new LoadBudget(1, 5, 2);
 
 	/**
 	 * Returns the budget that keeps heartbeats within their bytes at the target size.
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/LoadChangeSelector.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/LoadChangeSelector.java
@@ -51,6 +51,14 @@
 		this.teams.sentWhole(load.teamRunning());
 	}
 
+	/**
+	 * Returns what those know who got everything that was sent.
+	 * @return the load as it was sent
+	 */
+	public LoadReport told() {
+		return new LoadReport(this.services.told(), this.endpoints.told(), this.teams.told());
+	}
+
 	private static long distance(ServiceLoad one, ServiceLoad other) {
 		return Math.abs((long) one.queuedCount() - other.queuedCount())
 				+ Math.abs((long) one.runningCount() - other.runningCount())
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/Membership.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/Membership.java
@@ -1,12 +1,10 @@
 package org.masticwick.core.connection;
 
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -28,7 +26,9 @@
 
 	private final MembershipLimits limits;
 
-	private volatile Map<HostAddress, PeerEntry> peers = Map.of();
+	private final PeerTable peers;
+
+	private final Map<String, TimedLoad> domainLoads = new ConcurrentHashMap<>();
 
 	private volatile Map<HostAddress, ListedHost> listed = Map.of();
 
@@ -40,6 +40,7 @@
 	public Membership(EntryHost self, MembershipLimits limits) {
 		this.self = self;
 		this.limits = limits;
+		this.peers = new PeerTable(self, limits);
 	}
 
 	/**
@@ -56,17 +57,8 @@
 	 * @param nowNanos the time
 	 * @return {@code true} if this run of the peer was not known
 	 */
-	public synchronized boolean observeHello(EntryHost host, long nowNanos) {
-		PeerEntry known = this.peers.get(host.peerAddress());
-		if (known != null && known.host().equals(host)) {
-			put(known.withDisconnected(false), nowNanos);
-			return false;
-		}
-		if (!isNewRun(host, known, PeerSource.HELLO, nowNanos)) {
-			return false;
-		}
-		put(new PeerEntry(host, -1, PeerStatus.NONE, nowNanos, PeerSource.HELLO, false), nowNanos);
-		return true;
+	public boolean observeHello(EntryHost host, long nowNanos) {
+		return this.peers.addHello(host, nowNanos);
 	}
 
 	/**
@@ -78,17 +70,9 @@
 	 * @param nowNanos the time
 	 * @return the peer as it is known now, or nothing if the heartbeat was passed over
 	 */
-	public synchronized Optional<PeerView> observeHeartbeat(EntryHost host, long sequence, boolean loadComplete,
-			PeerStatus status, long nowNanos) {
-		PeerEntry known = this.peers.get(host.peerAddress());
-		boolean sameRun = known != null && known.host().equals(host);
-		if ((sameRun) ? sequence <= known.sequence() : !isNewRun(host, known, PeerSource.HEARTBEAT, nowNanos)) {
-			return Optional.empty();
-		}
-		LoadReport load = (sameRun && !loadComplete) ? LoadChanges.apply(known.status().load(), status.load())
-				: status.load();
-		return put(new PeerEntry(host, sequence, status.withLoad(load), nowNanos, PeerSource.HEARTBEAT, false),
-				nowNanos);
+	public Optional<PeerView> observeHeartbeat(EntryHost host, long sequence, boolean loadComplete, PeerStatus status,
+			long nowNanos) {
+		return this.peers.addHeartbeat(host, sequence, loadComplete, status, nowNanos);
 	}
 
 	/**
@@ -98,8 +82,32 @@
 	 * @param nowNanos the time
 	 * @return the peers of which something new was learnt
 	 */
-	public synchronized List<PeerView> observeSummaries(List<HostSummary> summaries, long nowNanos) {
-		return summaries.stream().flatMap((summary) -> observeSummary(summary, nowNanos).stream()).toList();
+	public List<PeerView> observeSummaries(List<HostSummary> summaries, long nowNanos) {
+		return summaries.stream().flatMap((summary) -> this.peers.addSummary(summary, nowNanos).stream()).toList();
+	}
+
+	/**
+	 * Takes note of the load of another failure domain.
+	 * @param domain the failure domain
+	 * @param services its load by name of service
+	 * @param nowNanos the time
+	 */
+	public void observeDomainLoad(String domain, Map<String, ServiceLoad> services, long nowNanos) {
+		if (this.domainLoads.size() < this.limits.maxPeerCount() || this.domainLoads.containsKey(domain)) {
+			this.domainLoads.put(domain, new TimedLoad(Map.copyOf(services), nowNanos));
+		}
+	}
+
+	/**
+	 * Returns the load of another failure domain.
+	 * @param domain the failure domain
+	 * @param nowNanos the time
+	 * @return the load by name of service, empty if nothing recent is known
+	 */
+	public Map<String, ServiceLoad> domainLoad(String domain, long nowNanos) {
+		TimedLoad load = this.domainLoads.get(domain);
+		return (load != null && load.ageMillis(nowNanos) <= this.limits.summaryLostAfterMillis()) ? load.services()
+				: Map.of();
 	}
 
 	/**
@@ -108,11 +116,8 @@
 	 * @param address the peer address
 	 * @param nowNanos the time
 	 */
-	public synchronized void observeDisconnect(HostAddress address, long nowNanos) {
-		PeerEntry known = this.peers.get(address);
-		if (known != null) {
-			put(known.withDisconnected(true), nowNanos);
-		}
+	public void observeDisconnect(HostAddress address, long nowNanos) {
+		this.peers.markDisconnected(address, nowNanos);
 	}
 
 	/**
@@ -129,12 +134,8 @@
 	 * Forgets peers that have been lost for long.
 	 * @param nowNanos the time
 	 */
-	public synchronized void forgetLost(long nowNanos) {
-		Map<HostAddress, PeerEntry> kept = new HashMap<>(this.peers);
-		kept.values().removeIf((entry) -> entry.ageMillis(nowNanos) > this.limits.forgetAfterMillis());
-		if (kept.size() < this.peers.size()) {
-			this.peers = Map.copyOf(kept);
-		}
+	public void forgetLost(long nowNanos) {
+		this.peers.forgetLost(nowNanos);
 	}
 
 	/**
@@ -162,7 +163,7 @@
 	 * @return the names of the domains, in order
 	 */
 	public List<String> domains() {
-		Stream<String> known = this.peers.values().stream().map((entry) -> entry.host().domain());
+		Stream<String> known = this.peers.entries().stream().map((entry) -> entry.host().domain());
 		Stream<String> ofList = this.listed.values().stream().map(ListedHost::domain);
 		return Stream.of(known, ofList, Stream.of(this.self.domain()))
 			.flatMap(Function.identity())
@@ -178,7 +179,7 @@
 	 * @return the peer, if it is known
 	 */
 	public Optional<PeerView> peerAt(HostAddress address, long nowNanos) {
-		return Optional.ofNullable(this.peers.get(address)).map((entry) -> entry.view(this.limits, nowNanos));
+		return this.peers.at(address).map((entry) -> entry.view(this.limits, nowNanos));
 	}
 
 	/**
@@ -234,10 +235,10 @@
 	 * @return the hosts in the order of their addresses
 	 */
 	public List<ListedHost> unmetHosts() {
-		Set<HostAddress> known = this.peers.keySet();
 		return this.listed.values()
 			.stream()
-			.filter((host) -> !known.contains(host.address()) && !host.address().equals(this.self.peerAddress()))
+			.filter((host) -> this.peers.at(host.address()).isEmpty()
+					&& !host.address().equals(this.self.peerAddress()))
 			.sorted(Comparator.comparing(ListedHost::address))
 			.toList();
 	}
@@ -262,7 +263,7 @@
 		if (view.liveness() != Liveness.LOST) {
 			return false;
 		}
-		boolean unlisted = !this.listed.containsKey(view.host().peerAddress());
+		boolean unlisted = !this.listed.isEmpty() && !this.listed.containsKey(view.host().peerAddress());
 		return view.status().leaving() || (unlisted && view.ageMillis() > this.limits.departedAfterMillis());
 	}
 
@@ -272,51 +273,21 @@
 	}
 
 	private Stream<PeerView> views(long nowNanos) {
-		return this.peers.values().stream().map((entry) -> entry.view(this.limits, nowNanos));
-	}
-
-	private Optional<PeerView> observeSummary(HostSummary summary, long nowNanos) {
-		EntryHost host = summary.host();
-		PeerEntry known = this.peers.get(host.peerAddress());
-		boolean sameRun = known != null && known.host().equals(host);
-		if ((sameRun) ? !isNews(summary, known, nowNanos) : !isNewRun(host, known, PeerSource.SUMMARY, nowNanos)) {
-			return Optional.empty();
-		}
-		long seenNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, summary.ageMillis()));
-		return put(new PeerEntry(host, summary.sequence(), summary.status(), seenNanos, PeerSource.SUMMARY, false),
-				nowNanos);
+		return this.peers.entries().stream().map((entry) -> entry.view(this.limits, nowNanos));
 	}
 
-	private boolean isNews(HostSummary summary, PeerEntry known, long nowNanos) {
-		boolean heardItself = known.source() == PeerSource.HEARTBEAT
-				&& known.view(this.limits, nowNanos).liveness() == Liveness.ALIVE;
-		return summary.sequence() > known.sequence() && !heardItself;
-	}
+	/**
+	 * Holds the load of a failure domain.
+	 *
+	 * @param services the load by name of service
+	 * @param seenNanos when it was heard of
+	 */
+	private record TimedLoad(Map<String, ServiceLoad> services, long seenNanos) {
 
-	private boolean isNewRun(EntryHost host, PeerEntry known, PeerSource source, long nowNanos) {
-		if (host.peerAddress().equals(this.self.peerAddress())) {
-			return false;
+		long ageMillis(long nowNanos) {
+			return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.seenNanos);
 		}
-		if (known == null || host.incarnation().compareTo(known.host().incarnation()) > 0) {
-			return true;
-		}
-		// The clocks of two machines differ: a run that looks older is believed too if it
-		// speaks for itself while the known one is lost.
-		return source != PeerSource.SUMMARY && !Objects.equals(host, known.host())
-				&& known.view(this.limits, nowNanos).liveness() == Liveness.LOST;
-	}
 
-	private Optional<PeerView> put(PeerEntry entry, long nowNanos) {
-		Map<HostAddress, PeerEntry> changed = new HashMap<>(this.peers);
-		changed.put(entry.host().peerAddress(), entry);
-		if (changed.size() > this.limits.maxPeerCount()) {
-			changed.values()
-				.stream()
-				.max(Comparator.comparing((other) -> other.ageMillis(nowNanos)))
-				.ifPresent((oldest) -> changed.remove(oldest.host().peerAddress()));
-		}
-		this.peers = Map.copyOf(changed);
-		return Optional.of(entry.view(this.limits, nowNanos));
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/MembershipLimits.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/MembershipLimits.java
@@ -20,7 +20,7 @@
 public record MembershipLimits(long suspectAfterMillis, long lostAfterMillis, long summarySuspectAfterMillis,
 		long summaryLostAfterMillis, long departedAfterMillis, long forgetAfterMillis, int maxPeerCount) {
 
-	private static final MembershipLimits DEFAULTS = new MembershipLimits(1_500, 5_000, 8_000, 15_000,
+	private static final MembershipLimits DEFAULTS = new MembershipLimits(2_500, 5_000, 15_000, 30_000,
 			TimeUnit.MINUTES.toMillis(1), TimeUnit.MINUTES.toMillis(20), 1_024);
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/PeerStatus.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/PeerStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
@@ -39,6 +40,16 @@
 		load = (load != null) ? load : NO_LOAD;
 	}
 
+	/**
+	 * Returns a number that two hosts use to tell whether they mean the same status.
+	 * @return the digest, the same on each host; the load does not count
+	 */
+	public int digest() {
+		List<String> held = this.heldIncarnations.stream().map(Incarnation::toString).toList();
+		return Objects.hash(this.versionNumber, this.logOffset, this.logHash, this.ready, this.leaving, held,
+				String.valueOf(this.apiAddress));
+	}
+
 	/**
 	 * Returns this status with another load.
 	 * @param newLoad the load
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/connection/LoadChangeSelectorTests.java
@@ -0,0 +1,62 @@
+package org.masticwick.core.connection;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link LoadChangeSelector}.
+ */
+class LoadChangeSelectorTests {
+
+	private static final long SEED = 20_261_203;
+
+	private final LoadChangeSelector selector = new LoadChangeSelector(new LoadBudget(1, 1, 2));
+
+	private static LoadReport teams(Map<String, Integer> teamRunning) {
+		return new LoadReport(Map.of(), Map.of(), teamRunning);
+	}
+
+	@Test
+	void sendsTheLargestChangesFirst() {
+		LoadReport load = teams(Map.of("a", 1, "b", 9, "c", 5));
+		assertThat(this.selector.next(load).teamRunning()).containsOnlyKeys("b", "c");
+		assertThat(this.selector.next(load).teamRunning()).containsOnlyKeys("a");
+		assertThat(this.selector.next(load).teamRunning()).isEmpty();
+	}
+
+	@Test
+	void sendsZerosForWhatIsGone() {
+		this.selector.sentWhole(teams(Map.of("a", 1)));
+		assertThat(this.selector.next(teams(Map.of())).teamRunning()).isEqualTo(Map.of("a", 0));
+		assertThat(this.selector.next(teams(Map.of())).teamRunning()).isEmpty();
+	}
+
+	@Test
+	void bringsTheReceiverToTheSameLoad() {
+		Random random = new Random(SEED);
+		LoadReport received = PeerStatus.NO_LOAD;
+		LoadReport load = received;
+		for (int round = 0; round < 200; round++) {
+			load = (round < 100) ? randomLoad(random) : load;
+			received = LoadChanges.apply(received, this.selector.next(load));
+			assertThat(received).as("seed %d, round %d", SEED, round).isEqualTo(this.selector.told());
+		}
+		assertThat(received).as("seed %d", SEED).isEqualTo(load);
+	}
+
+	private static LoadReport randomLoad(Random random) {
+		Map<String, Integer> teams = IntStream.range(0, 20)
+			.filter((team) -> random.nextBoolean())
+			.boxed()
+			.collect(Collectors.toMap((team) -> "team-" + team, (team) -> 1 + random.nextInt(9)));
+		return new LoadReport(Map.of("service", new ServiceLoad(random.nextInt(9), 1, 8, random.nextInt(99))), Map.of(),
+				teams);
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/DomainLinks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/DomainLinks.java
@@ -2,23 +2,23 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.masticwick.core.connection.Liveness;
 import org.masticwick.core.connection.Membership;
 import org.masticwick.core.connection.PeerView;
-import org.masticwick.core.connection.Rendezvous;
 import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
 
 /**
- * Chooses, by rendezvous hashing, which hosts of a failure domain send summaries to
- * another domain, and whom they send them to. Hosts that know the same peers agree
+ * Chooses which hosts of a failure domain send summaries to another domain, and whom they
+ * send them to. The tasks are dealt out in turn over the hosts in the order of their
+ * addresses, so that each gets its share, and hosts that know the same peers agree
  * without asking each other.
  */
 final class DomainLinks {
 
-	private static final String ARROW = ">";
-
 	private final Membership membership;
 
 	private final int linkCount;
@@ -37,29 +37,37 @@
 	 * @return the host, or nothing if others have this task or nobody is known
 	 */
 	Optional<EntryHost> target(String domain, long round, long nowNanos) {
-		String key = this.membership.self().domain() + ARROW + domain;
-		if (!isSender(key, nowNanos)) {
-			return Optional.empty();
-		}
+		List<String> domains = this.membership.domains();
+		List<HostAddress> senders = senders(nowNanos);
+		int ownPlace = senders.indexOf(this.membership.self().peerAddress());
+		return IntStream.range(0, this.linkCount)
+			.filter((link) -> dealt(domains.indexOf(domain), link, senders.size()) == ownPlace)
+			.boxed()
+			.findFirst()
+			.flatMap((link) -> receiver(domain, link, round, nowNanos));
+	}
+
+	private Optional<EntryHost> receiver(String domain, int link, long round, long nowNanos) {
 		List<PeerView> known = this.membership.peersOf(domain, nowNanos);
-		List<EntryHost> alive = known.stream().filter(DomainLinks::stays).map(PeerView::host).toList();
-		if (!alive.isEmpty()) {
-			return Rendezvous.rank(key + this.membership.self(), alive, EntryHost::toString).stream().findFirst();
+		List<PeerView> staying = known.stream().filter(DomainLinks::stays).toList();
+		if (!staying.isEmpty()) {
+			int ownDomain = this.membership.domains().indexOf(this.membership.self().domain());
+			return Optional.of(staying.get(dealt(ownDomain, link, staying.size())).host());
 		}
 		return known.stream().map(PeerView::host).skip((known.isEmpty()) ? 0 : round % known.size()).findFirst();
 	}
 
-	private boolean isSender(String key, long nowNanos) {
+	private List<HostAddress> senders(long nowNanos) {
 		EntryHost self = this.membership.self();
-		Stream<EntryHost> others = this.membership.peersOf(self.domain(), nowNanos)
+		Stream<HostAddress> others = this.membership.peersOf(self.domain(), nowNanos)
 			.stream()
 			.filter(DomainLinks::stays)
-			.map(PeerView::host);
-		List<EntryHost> candidates = Stream.concat(Stream.of(self), others).toList();
-		return Rendezvous.rank(key, candidates, EntryHost::toString)
-			.stream()
-			.limit(this.linkCount)
-			.anyMatch(self::equals);
+			.map((view) -> view.host().peerAddress());
+		return Stream.concat(Stream.of(self.peerAddress()), others).sorted().toList();
+	}
+
+	private int dealt(int domainIndex, int link, int hostCount) {
+		return (domainIndex * this.linkCount + link) % hostCount;
 	}
 
 	private static boolean stays(PeerView view) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/HeartbeatService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/HeartbeatService.java
@@ -1,7 +1,11 @@
 package org.masticwick.daemon.connection;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -12,12 +16,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.masticwick.core.connection.HostSummary;
 import org.masticwick.core.connection.ListedHost;
 import org.masticwick.core.connection.LoadChangeSelector;
 import org.masticwick.core.connection.Membership;
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.connection.PeerView;
+import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.wire.PeerMessage;
@@ -67,7 +71,13 @@
 
 	private final Cadence wholeLoadCadence;
 
-	private List<HostSummary> lastGist = List.of();
+	private final Queue<EntryHost> greetings = new ConcurrentLinkedQueue<>();
+
+	private volatile boolean started;
+
+	private final ToldSummary lastSummary = new ToldSummary();
+
+	private final Map<String, ToldLink> toldLinks = new HashMap<>();
 
 	private long sequence;
 
@@ -101,6 +111,7 @@
 	 * Starts to send heartbeats.
 	 */
 	public void start() {
+		this.started = true;
 		this.executor.scheduleWithFixedDelay(this::runRound, 0, this.settings.intervalMillis(), TimeUnit.MILLISECONDS);
 	}
 
@@ -162,6 +173,7 @@
 		try {
 			long nowNanos = this.time.nanoTime();
 			this.membership.forgetLost(nowNanos);
+			answerGreetings();
 			PeerStatus status = this.ownStatus.get();
 			sendHeartbeats(status, nowNanos);
 			sendSummaries(status, nowNanos);
@@ -186,16 +198,23 @@
 
 	private void sendSummaries(PeerStatus status, long nowNanos) {
 		PeerMessage.DomainSummary summary = this.summaries.own(status, this.sequence, nowNanos);
-		List<HostSummary> gist = Summaries.gist(summary);
-		boolean changed = !gist.equals(this.lastGist);
-		this.lastGist = gist;
-		if (this.summaryCadence.isDue(nowNanos, changed)) {
+		if (this.summaryCadence.isDue(nowNanos, this.lastSummary.differs(summary))) {
+			this.lastSummary.next(summary);
 			this.membership.domains()
 				.stream()
 				.filter((domain) -> !domain.equals(summary.domain()))
 				.flatMap((domain) -> this.links.target(domain, this.sequence, nowNanos).stream())
-				.forEach((target) -> this.transport.send(target.peerAddress(), summary));
+				.forEach((target) -> this.transport.send(target.peerAddress(), told(target).next(summary)));
+		}
+	}
+
+	private ToldSummary told(EntryHost target) {
+		ToldLink known = this.toldLinks.get(target.domain());
+		if (known == null || !known.target().equals(target)) {
+			known = new ToldLink(target, new ToldSummary());
+			this.toldLinks.put(target.domain(), known);
 		}
+		return known.summary();
 	}
 
 	private void sendToOwnDomain(PeerMessage message, long nowNanos) {
@@ -217,24 +236,36 @@
 	}
 
 	private void handleHello(PeerMessage.Hello hello) {
-		if (this.membership.observeHello(hello.sender(), this.time.nanoTime())) {
-			execute(() -> introduce(hello.sender().peerAddress(), hello.sender().domain()));
-		}
+		this.membership.observeHello(hello.sender(), this.time.nanoTime());
+		this.greetings.add(hello.sender());
+		execute(this::answerGreetings);
 	}
 
-	private void introduce(HostAddress peer, String domain) {
-		long nowNanos = this.time.nanoTime();
+	private void answerGreetings() {
 		PeerStatus status = this.ownStatus.get();
-		if (domain.equals(this.membership.self().domain())) {
-			this.sequence++;
-			this.transport.send(peer, new PeerMessage.Heartbeat(this.membership.self(), this.sequence, true, status));
+		for (EntryHost peer = this.greetings.poll(); peer != null; peer = this.greetings.poll()) {
+			if (peer.domain().equals(this.membership.self().domain())) {
+				sendWholeHeartbeat(peer.peerAddress(), status);
+			}
+			introduce(peer, status);
 		}
-		this.transport.send(peer, this.summaries.own(status, this.sequence, nowNanos));
+	}
+
+	private void sendWholeHeartbeat(HostAddress peer, PeerStatus status) {
+		this.sequence++;
+		this.transport.send(peer, new PeerMessage.Heartbeat(this.membership.self(), this.sequence, true,
+				status.withLoad(this.loadChanges.told())));
+	}
+
+	private void introduce(EntryHost peer, PeerStatus status) {
+		long nowNanos = this.time.nanoTime();
+		String ownDomain = this.membership.self().domain();
+		this.transport.send(peer.peerAddress(), this.summaries.own(status, this.sequence, nowNanos));
 		this.membership.domains()
 			.stream()
-			.filter((other) -> !other.equals(this.membership.self().domain()) && !other.equals(domain))
-			.map((other) -> this.summaries.of(other, nowNanos))
-			.forEach((summary) -> this.transport.send(peer, summary));
+			.filter((domain) -> !domain.equals(ownDomain))
+			.map((domain) -> this.summaries.of(domain, nowNanos))
+			.forEach((summary) -> this.transport.send(peer.peerAddress(), summary));
 	}
 
 	private void handleHeartbeat(PeerMessage.Heartbeat heartbeat) {
@@ -247,12 +278,18 @@
 	private void handleSummary(PeerMessage.DomainSummary summary, HostAddress from) {
 		long nowNanos = this.time.nanoTime();
 		this.membership.observeSummaries(summary.hosts(), nowNanos).forEach(this::tell);
-		Optional<PeerView> sender = Optional.ofNullable(from)
-			.flatMap((address) -> this.membership.peerAt(address, nowNanos));
-		boolean ofItself = sender.filter((peer) -> peer.host().domain().equals(summary.domain())).isPresent();
-		if (ofItself && !summary.domain().equals(this.membership.self().domain())) {
+		this.membership.observeDomainLoad(summary.domain(), summary.services(), nowNanos);
+		String ownDomain = this.membership.self().domain();
+		String sendingDomain = Optional.ofNullable(from)
+			.flatMap((address) -> this.membership.peerAt(address, nowNanos))
+			.map((peer) -> peer.host().domain())
+			.orElse(null);
+		if (summary.domain().equals(sendingDomain) && !ownDomain.equals(sendingDomain)) {
 			this.relay.received(summary.domain(), nowNanos);
 		}
+		else if (ownDomain.equals(sendingDomain) && from.compareTo(this.membership.self().peerAddress()) < 0) {
+			this.relay.relayedByOther(summary.domain(), nowNanos);
+		}
 	}
 
 	private void tell(PeerView peer) {
@@ -265,11 +302,22 @@
 
 	private void execute(Runnable task) {
 		try {
-			this.executor.execute(task);
+			if (this.started) {
+				this.executor.execute(task);
+			}
 		}
 		catch (RejectedExecutionException ex) {
 			logger.debug("The heartbeats have ended");
 		}
 	}
 
+	/**
+	 * Holds what was told of the own domain to a host of another.
+	 *
+	 * @param target the host
+	 * @param summary what was told
+	 */
+	private record ToldLink(EntryHost target, ToldSummary summary) {
+	}
+
 }
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/HeartbeatSettings.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/HeartbeatSettings.java
@@ -22,13 +22,13 @@
 public record HeartbeatSettings(long intervalMillis, long summaryIntervalMillis, long relayIntervalMillis,
 		long wholeLoadIntervalMillis, int linkCount, LoadBudget loadBudget, List<HostAddress> seeds) {
 
-	private static final long DEFAULT_INTERVAL_MILLIS = 500;
+	private static final long DEFAULT_INTERVAL_MILLIS = 1_000;
 
-	private static final long DEFAULT_SUMMARY_INTERVAL_MILLIS = 2_000;
+	private static final long DEFAULT_SUMMARY_INTERVAL_MILLIS = 4_000;
 
-	private static final long DEFAULT_RELAY_INTERVAL_MILLIS = 4_000;
+	private static final long DEFAULT_RELAY_INTERVAL_MILLIS = 8_000;
 
-	private static final long DEFAULT_WHOLE_LOAD_INTERVAL_MILLIS = 60_000;
+	private static final long DEFAULT_WHOLE_LOAD_INTERVAL_MILLIS = 120_000;
 
 	private static final int DEFAULT_LINK_COUNT = 2;
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/SummaryRelay.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/SummaryRelay.java
@@ -3,22 +3,24 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-import org.masticwick.core.connection.HostSummary;
 import org.masticwick.wire.PeerMessage;
 
 /**
  * Passes on to the own failure domain what other domains tell this host: at once what has
- * changed, and else from time to time. Summaries may be received on any thread; the other
- * methods belong to one.
+ * changed, and else from time to time, unless a peer that comes first does so. What was
+ * heard may be noted on any thread; the other methods belong to one.
  */
 final class SummaryRelay {
 
 	private final Map<String, Long> receivedNanos = new ConcurrentHashMap<>();
 
-	private final Map<String, List<HostSummary>> gists = new HashMap<>();
+	private final Map<String, Long> relayedByOthersNanos = new ConcurrentHashMap<>();
+
+	private final Map<String, ToldSummary> told = new HashMap<>();
 
 	private final Map<String, Cadence> cadences = new HashMap<>();
 
@@ -40,29 +42,44 @@
 		this.receivedNanos.put(domain, nowNanos);
 	}
 
+	/**
+	 * Takes note that a peer that comes before this host told of a domain.
+	 * @param domain the domain
+	 * @param nowNanos the time
+	 */
+	void relayedByOther(String domain, long nowNanos) {
+		this.relayedByOthersNanos.put(domain, nowNanos);
+	}
+
 	/**
 	 * Returns what to pass on now.
 	 * @param nowNanos the time
 	 * @return the summaries
 	 */
 	List<PeerMessage.DomainSummary> due(long nowNanos) {
-		long staleNanos = TimeUnit.MILLISECONDS.toNanos(2 * this.intervalMillis);
-		this.receivedNanos.values().removeIf((received) -> nowNanos - received > staleNanos);
-		this.gists.keySet().retainAll(this.receivedNanos.keySet());
+		forgetOld(this.receivedNanos, nowNanos);
+		forgetOld(this.relayedByOthersNanos, nowNanos);
+		this.told.keySet().retainAll(this.receivedNanos.keySet());
 		this.cadences.keySet().retainAll(this.receivedNanos.keySet());
 		return this.receivedNanos.keySet()
 			.stream()
 			.sorted()
-			.map((domain) -> this.summaries.of(domain, nowNanos))
-			.filter((summary) -> isDue(summary, nowNanos))
+			.flatMap((domain) -> due(domain, nowNanos).stream())
 			.toList();
 	}
 
-	private boolean isDue(PeerMessage.DomainSummary summary, long nowNanos) {
-		List<HostSummary> gist = Summaries.gist(summary);
-		boolean changed = !gist.equals(this.gists.put(summary.domain(), gist));
-		return this.cadences.computeIfAbsent(summary.domain(), (key) -> new Cadence(this.intervalMillis))
-			.isDue(nowNanos, changed);
+	private Optional<PeerMessage.DomainSummary> due(String domain, long nowNanos) {
+		PeerMessage.DomainSummary whole = this.summaries.of(domain, nowNanos);
+		ToldSummary told = this.told.computeIfAbsent(domain, (key) -> new ToldSummary());
+		Cadence cadence = this.cadences.computeIfAbsent(domain, (key) -> new Cadence(this.intervalMillis));
+		boolean changed = told.differs(whole);
+		boolean needless = !changed && this.relayedByOthersNanos.containsKey(domain);
+		return (!needless && cadence.isDue(nowNanos, changed)) ? Optional.of(told.next(whole)) : Optional.empty();
+	}
+
+	private void forgetOld(Map<String, Long> times, long nowNanos) {
+		long staleNanos = TimeUnit.MILLISECONDS.toNanos(2 * this.intervalMillis);
+		times.values().removeIf((time) -> nowNanos - time > staleNanos);
 	}
 
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -1,9 +1,11 @@
 package org.masticwick.wire;
 
 import java.util.List;
+import java.util.Map;
 
 import org.masticwick.core.connection.HostSummary;
 import org.masticwick.core.connection.PeerStatus;
+import org.masticwick.core.connection.ServiceLoad;
 import org.masticwick.core.process.EntryHost;
 
 /**
@@ -25,7 +27,8 @@
 	/**
 	 * Tells peers of the same failure domain that the sender lives, and how it is.
 	 *
-	 * @param sender who sends
+	 * @param sender who sends; not written, since the receiving side knows it from
+	 * {@link Hello}
 	 * @param sequence a number that grows with each heartbeat of the incarnation
 	 * @param loadComplete whether the load replaces what was told before; if not, it
 	 * holds changed entries only, and an entry of zeros takes one away
@@ -38,9 +41,11 @@
 	 * Tells another failure domain of the entry hosts of one domain.
 	 *
 	 * @param domain the failure domain that the hosts belong to
+	 * @param services the load of the domain by name of service
 	 * @param hosts the hosts
 	 */
-	record DomainSummary(String domain, List<HostSummary> hosts) implements PeerMessage {
+	record DomainSummary(String domain, Map<String, ServiceLoad> services,
+			List<HostSummary> hosts) implements PeerMessage {
 	}
 
 	/**
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessageHandler.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessageHandler.java
@@ -22,8 +22,8 @@
 	CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from);
 
 	/**
-	 * Takes note that a connection with a peer that has said hello was closed by either
-	 * side. It is called on a thread of the transport and must not block.
+	 * Takes note that a connection that this host opened was closed by the peer, or went
+	 * silent. It is called on a thread of the transport and must not block.
 	 * @param peer the peer address
 	 */
 	default void disconnected(HostAddress peer) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/CoreTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/CoreTypes.java
@@ -39,9 +39,11 @@
 			RecordType.optional(BasicTypes.INT, ServiceLoad::slotCount, 0),
 			RecordType.optional(BasicTypes.LONG, ServiceLoad::waitMillis, 0L));
 
+	static final WireType<Map<String, ServiceLoad>> SERVICE_LOADS = BasicTypes.map(BasicTypes.TEXT, SERVICE_LOAD);
+
 	static final RecordType<LoadReport> LOAD_REPORT = new RecordType<>(
 			(values) -> new LoadReport(values.get(0), values.get(1), values.get(2)),
-			RecordType.optional(BasicTypes.map(BasicTypes.TEXT, SERVICE_LOAD), LoadReport::services, Map.of()),
+			RecordType.optional(SERVICE_LOADS, LoadReport::services, Map.of()),
 			RecordType.optional(BasicTypes.map(ADDRESS, BasicTypes.INT), LoadReport::outstanding, Map.of()),
 			RecordType.optional(BasicTypes.map(BasicTypes.TEXT, BasicTypes.INT), LoadReport::teamRunning, Map.of()));
 
@@ -58,10 +60,13 @@
 			RecordType.optional(LOAD_REPORT, PeerStatus::load, PeerStatus.NO_LOAD));
 
 	static final RecordType<HostSummary> HOST_SUMMARY = new RecordType<>(
-			(values) -> new HostSummary(values.get(0), values.get(1), values.get(2), values.get(3)),
-			RecordType.required(ENTRY_HOST, HostSummary::host),
-			RecordType.optional(BasicTypes.LONG, HostSummary::sequence, 0L),
-			RecordType.required(PEER_STATUS, HostSummary::status),
+			(values) -> new HostSummary(new EntryHost(null, values.get(0), values.get(1)), values.get(2), values.get(3),
+					values.get(4), values.get(5)),
+			RecordType.required(ADDRESS, (summary) -> summary.host().peerAddress()),
+			RecordType.required(INCARNATION, (summary) -> summary.host().incarnation()),
+			RecordType.optional(BasicTypes.LONG, HostSummary::sequence, -1L),
+			RecordType.optional(PEER_STATUS, HostSummary::status, null),
+			RecordType.optional(BasicTypes.INT, HostSummary::statusDigest, 0),
 			RecordType.optional(BasicTypes.LONG, HostSummary::ageMillis, 0L));
 
 	private static final int INCARNATION_LENGTH = 2;
@@ -69,6 +74,17 @@
 	private CoreTypes() {
 	}
 
+	/**
+	 * Completes a summary with the failure domain, which is written once for all hosts.
+	 * @param domain the failure domain
+	 * @param summary the summary as it was read
+	 * @return the completed summary
+	 */
+	static HostSummary inDomain(String domain, HostSummary summary) {
+		EntryHost host = new EntryHost(domain, summary.host().peerAddress(), summary.host().incarnation());
+		return new HostSummary(host, summary.sequence(), summary.status(), summary.statusDigest(), summary.ageMillis());
+	}
+
 	private static void writeIncarnation(MessagePacker out, Incarnation incarnation) throws IOException {
 		out.packArrayHeader(INCARNATION_LENGTH);
 		out.packLong(incarnation.startEpochMillis());
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageCodec.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageCodec.java
@@ -74,7 +74,7 @@
 			return decodeBody(in, number, role, in.readLong());
 		}
 		catch (IOException | MessagePackException ex) {
-			throw new MalformedMessageException("Not a message: " + ex.getMessage(), ex);
+			throw new MalformedMessageException("Not a message: " + ex.getClass().getSimpleName(), ex);
 		}
 	}
 
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
@@ -1,7 +1,10 @@
 package org.masticwick.wire.internal;
 
 import java.util.List;
+import java.util.Map;
 
+import org.masticwick.core.connection.HostSummary;
+import org.masticwick.core.connection.ServiceLoad;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerMessage.ClosedTicket;
 import org.masticwick.wire.PeerMessage.ForwardOperation;
@@ -20,15 +23,15 @@
 			RecordType.required(BasicTypes.INT, PeerMessage.Hello::minProtocolVersion));
 
 	static final RecordType<PeerMessage.Heartbeat> HEARTBEAT = new RecordType<>(
-			(values) -> new PeerMessage.Heartbeat(values.get(0), values.get(1), values.get(2), values.get(3)),
-			RecordType.required(CoreTypes.ENTRY_HOST, PeerMessage.Heartbeat::sender),
+			(values) -> new PeerMessage.Heartbeat(null, values.get(0), values.get(1), values.get(2)),
 			RecordType.required(BasicTypes.LONG, PeerMessage.Heartbeat::sequence),
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.Heartbeat::loadComplete, false),
 			RecordType.required(CoreTypes.PEER_STATUS, PeerMessage.Heartbeat::status));
 
 	static final RecordType<PeerMessage.DomainSummary> DOMAIN_SUMMARY = new RecordType<>(
-			(values) -> new PeerMessage.DomainSummary(values.get(0), values.get(1)),
+			(values) -> domainSummary(values.get(0), values.get(1), values.get(2)),
 			RecordType.required(BasicTypes.TEXT, PeerMessage.DomainSummary::domain),
+			RecordType.optional(CoreTypes.SERVICE_LOADS, PeerMessage.DomainSummary::services, Map.of()),
 			RecordType.optional(BasicTypes.list(CoreTypes.HOST_SUMMARY), PeerMessage.DomainSummary::hosts, List.of()));
 
 	static final RecordType<PeerMessage.FetchRecords> FETCH_RECORDS = new RecordType<>(
@@ -87,6 +90,12 @@
 	private MessageTypes() {
 	}
 
+	private static PeerMessage.DomainSummary domainSummary(String domain, Map<String, ServiceLoad> services,
+			List<HostSummary> hosts) {
+		return new PeerMessage.DomainSummary(domain, services,
+				hosts.stream().map((summary) -> CoreTypes.inDomain(domain, summary)).toList());
+	}
+
 	private static RecordType<RecordEntry> recordEntry() {
 		return new RecordType<>((values) -> new RecordEntry(values.get(0), values.get(1)),
 				RecordType.required(BasicTypes.LONG, RecordEntry::offset),
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
@@ -1,8 +1,7 @@
 package org.masticwick.wire.internal;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -30,6 +29,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(PeerConnection.class);
 
+	private static final long RETIRE_AFTER_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	private static final String UNKNOWN_TYPE = "Unknown";
 
 	private final ConnectionContext context;
@@ -40,12 +41,16 @@
 
 	private final PendingCalls pendingCalls;
 
-	private final AtomicInteger handledCount = new AtomicInteger();
+	private final RequestResponder responder;
 
 	private final boolean opener;
 
 	private volatile HostAddress peerAddress;
 
+	private volatile EntryHost peer;
+
+	private volatile long usedNanos = System.nanoTime();
+
 	private volatile boolean greeted;
 
 	private volatile boolean closed;
@@ -61,6 +66,7 @@
 		this.context = context;
 		this.channel = channel;
 		this.writer = new MessageWriter(channel, context.traffic());
+		this.responder = new RequestResponder(context, this.writer);
 		this.pendingCalls = new PendingCalls(context.settings().maxPendingCallCount());
 		this.opener = target != null;
 		this.peerAddress = target;
@@ -84,10 +90,16 @@
 
 	CompletableFuture<PeerMessage> call(PeerMessage request) {
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+		this.usedNanos = System.nanoTime();
 		try {
 			checkWritable();
 			long id = this.pendingCalls.add(answer);
-			writeRequest(id, request);
+			if (this.closed) {
+				this.pendingCalls.fail(id, new PeerException("The connection was closed", null, false));
+			}
+			else {
+				writeRequest(id, request);
+			}
 		}
 		catch (PeerException ex) {
 			answer.completeExceptionally(ex);
@@ -96,6 +108,7 @@
 	}
 
 	void send(PeerMessage message) {
+		this.usedNanos = System.nanoTime();
 		if (this.channel.isWritable()) {
 			this.writer.write(Role.ONE_WAY, 0, message);
 		}
@@ -105,6 +118,24 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Closes the connection if this host opened it and has not used it for long.
+	 */
+	void retireIfUnused() {
+		boolean unused = System.nanoTime() - this.usedNanos > RETIRE_AFTER_NANOS;
+		if (!this.opener || !unused || !this.pendingCalls.isEmpty()) {
+			return;
+		}
+		this.closed = true;
+		if (this.pendingCalls.isEmpty()) {
+			this.greeted = false;
+			this.channel.close();
+		}
+		else {
+			this.closed = false;
+		}
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
 		int frameBytes = FrameDecoder.HEADER_BYTES + frame.readableBytes();
@@ -123,7 +154,7 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closed = true;
 		this.pendingCalls.failAll(lost(null));
-		if (this.greeted) {
+		if (this.opener && this.greeted) {
 			this.context.handler().disconnected(this.peerAddress);
 		}
 	}
@@ -172,7 +203,7 @@
 		String code = (envelope.problem() == Problem.UNKNOWN_KIND) ? PeerErrorCodes.UNKNOWN_MESSAGE
 				: PeerErrorCodes.MALFORMED_MESSAGE;
 		switch (envelope.role()) {
-			case REQUEST -> answer(envelope.correlationId(), new PeerMessage.ErrorAnswer(code, type));
+			case REQUEST -> this.responder.answer(envelope.correlationId(), new PeerMessage.ErrorAnswer(code, type));
 			case ANSWER -> this.pendingCalls.fail(envelope.correlationId(),
 					new PeerException("The answer of " + this.peerAddress + " could not be read", null, true));
 			case ONE_WAY -> {
@@ -206,9 +237,10 @@
 		}
 		else {
 			this.peerAddress = hello.sender().peerAddress();
+			this.peer = hello.sender();
 			this.greeted = true;
-			answer(id, hello(self));
-			inform(hello);
+			this.responder.answer(id, hello(self));
+			this.responder.inform(hello, this.peerAddress);
 		}
 	}
 
@@ -219,8 +251,9 @@
 		if (!ProtocolVersion.isCompatible(hello)) {
 			throw new PeerException("Peer " + this.peerAddress + " speaks no known version", null, false);
 		}
+		this.peer = hello.sender();
 		this.greeted = true;
-		inform(hello);
+		this.responder.inform(hello, this.peerAddress);
 		return this;
 	}
 
@@ -234,59 +267,15 @@
 		if (this.peerAddress == null) {
 			throw new PeerException("Message before Hello", null, false);
 		}
-		if (envelope.role() == Role.ONE_WAY) {
-			inform(envelope.message());
-			return;
-		}
-		if (this.handledCount.incrementAndGet() > this.context.settings().maxPendingCallCount()) {
-			this.handledCount.decrementAndGet();
-			answer(envelope.correlationId(), new PeerMessage.ErrorAnswer(PeerErrorCodes.BUSY, "Too many requests"));
-			return;
-		}
-		handlerAnswer(envelope.message())
-			.whenComplete((answer, error) -> answer(envelope.correlationId(), answer, error));
+		this.responder.handle(withSender(envelope), this.peerAddress);
 	}
 
-	private void inform(PeerMessage message) {
-		handlerAnswer(message).whenComplete((answer, error) -> {
-			if (error != null) {
-				logger.warn("Handling a message of {} failed", this.peerAddress, error);
-			}
-		});
-	}
-
-	private CompletionStage<PeerMessage> handlerAnswer(PeerMessage request) {
-		try {
-			CompletionStage<PeerMessage> answer = this.context.handler().handle(request, this.peerAddress);
-			return (answer != null) ? answer : CompletableFuture.completedFuture(null);
-		}
-		catch (RuntimeException ex) {
-			return CompletableFuture.failedFuture(ex);
-		}
-	}
-
-	private void answer(long id, PeerMessage answer, Throwable error) {
-		this.handledCount.decrementAndGet();
-		if (error != null) {
-			logger.warn("Handling a request of {} failed", this.peerAddress, error);
-			answer(id, new PeerMessage.ErrorAnswer(PeerErrorCodes.INTERNAL, error.toString()));
-		}
-		else if (answer == null) {
-			answer(id, new PeerMessage.ErrorAnswer(PeerErrorCodes.UNKNOWN_MESSAGE, "No answer"));
-		}
-		else {
-			answer(id, answer);
-		}
-	}
-
-	private void answer(long id, PeerMessage answer) {
-		try {
-			this.writer.write(Role.ANSWER, id, answer);
-		}
-		catch (RuntimeException ex) {
-			logger.warn("Answer to {} not sent", this.peerAddress, ex);
-			this.writer.write(Role.ANSWER, id, new PeerMessage.ErrorAnswer(PeerErrorCodes.INTERNAL, ex.toString()));
+	private Envelope withSender(Envelope envelope) {
+		if (envelope.message() instanceof PeerMessage.Heartbeat heartbeat) {
+			return Envelope.of(envelope.role(), envelope.correlationId(), new PeerMessage.Heartbeat(this.peer,
+					heartbeat.sequence(), heartbeat.loadComplete(), heartbeat.status()));
 		}
+		return envelope;
 	}
 
 	private PeerException lost(Throwable cause) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PendingCalls.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PendingCalls.java
@@ -43,6 +43,10 @@
 		return id;
 	}
 
+	boolean isEmpty() {
+		return this.calls.isEmpty();
+	}
+
 	void complete(long id, PeerMessage answer) {
 		CompletableFuture<PeerMessage> call = remove(id);
 		if (call != null) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/SilenceGuard.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/SilenceGuard.java
@@ -34,6 +34,7 @@
 			return;
 		}
 		if (event.isFirst()) {
+			ctx.pipeline().get(PeerConnection.class).retireIfUnused();
 			new MessageWriter(ctx.channel(), this.traffic).write(Role.ONE_WAY, 0, new PeerMessage.Ping());
 		}
 		else {
--- /dev/null
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
@@ -0,0 +1,68 @@
+package org.masticwick.wire.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.masticwick.core.connection.HostSummary;
+import org.masticwick.core.connection.LoadReport;
+import org.masticwick.core.connection.PeerStatus;
+import org.masticwick.core.connection.ServiceLoad;
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.wire.PeerMessage;
+
+/**
+ * One message of each kind and shape.
+ */
+final class Examples {
+
+	static final EntryHost HOST = new EntryHost("hobart", new HostAddress("10.1.2.3", 65_535),
+			new Incarnation(1_764_800_000_000L, Long.MAX_VALUE));
+
+	static final EntryHost IPV6_HOST = new EntryHost("", new HostAddress("::1", 1), new Incarnation(0, 0));
+
+	static final LoadReport LOAD = new LoadReport(Map.of("fitting", new ServiceLoad(1, 2, 3, Long.MAX_VALUE)),
+			Map.of(new HostAddress("10.0.0.1", 80), 7), Map.of("shop-4", 1));
+
+	static final PeerStatus STATUS = new PeerStatus(7, 9, "c0ffee", true, true,
+			List.of(new Incarnation(5, 6), new Incarnation(7, 8)), new HostAddress("10.0.0.9", 8_080), LOAD);
+
+	private static final byte[] BYTES = { 0, -1, 127 };
+
+	private Examples() {
+	}
+
+	static Stream<PeerMessage> all() {
+		return Stream.concat(heard(), Stream.concat(requests(), answers()));
+	}
+
+	private static Stream<PeerMessage> heard() {
+		return Stream.of(new PeerMessage.Hello(HOST, 1, 1), new PeerMessage.Hello(IPV6_HOST, Integer.MAX_VALUE, 0),
+				new PeerMessage.Heartbeat(null, Long.MAX_VALUE, true, STATUS),
+				new PeerMessage.Heartbeat(null, 0, false, PeerStatus.NONE),
+				new PeerMessage.DomainSummary("hobart", LOAD.services(),
+						List.of(HostSummary.of(HOST, 3, STATUS, 4),
+								HostSummary.of(HOST, 3, STATUS, 4).withoutStatus())),
+				new PeerMessage.DomainSummary("", Map.of(), List.of(HostSummary.of(IPV6_HOST, -1, PeerStatus.NONE, 0))),
+				new PeerMessage.Ping(), new PeerMessage.Pong());
+	}
+
+	private static Stream<PeerMessage> requests() {
+		return Stream.of(new PeerMessage.FetchRecords(5, 3, 100),
+				new PeerMessage.Forward(PeerMessage.ForwardOperation.SUBMIT, "ticket", BYTES, 30_000),
+				new PeerMessage.Forward(PeerMessage.ForwardOperation.COLLECT, "", new byte[0], 0),
+				new PeerMessage.InheritTickets(HOST, 1, 2, BYTES, 3,
+						List.of(new PeerMessage.InheritedJob("ticket", BYTES, 200, "application/json", BYTES))),
+				new PeerMessage.CloseTickets(List.of(new PeerMessage.ClosedTicket("ticket", 502, "a/b", BYTES))));
+	}
+
+	private static Stream<PeerMessage> answers() {
+		return Stream.of(new PeerMessage.Records(List.of(new PeerMessage.RecordEntry(4, "{\"ñ\":1}")), "snapshot", 3),
+				new PeerMessage.Records(List.of(), null, 0), new PeerMessage.ForwardAnswer(503, "a/b", BYTES, 250),
+				new PeerMessage.ForwardAnswer(200, "", new byte[0], -1), new PeerMessage.InheritAnswer(false),
+				new PeerMessage.ErrorAnswer("busy", ""));
+	}
+
+}
