--- a/masticwick-core/src/test/java/org/masticwick/core/connection/MembershipTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/connection/MembershipTests.java
@@ -132,6 +132,16 @@
 			assertThat(summary(PEER, sequence, ready(), 100, atMillis)).isEqualTo(expected);
 		}
 
+		@ParameterizedTest
+		@CsvSource({ "true, 2, true", "false, 2, false", "true, 1, false" })
+		void takesSummariesWithoutStatusForTheStatusThatItKnows(boolean same, long sequence, boolean expected) {
+			summary(FAR, 1, ready(), 0, 0);
+			HostSummary again = HostSummary.of(FAR, sequence, status(same, false), 0).withoutStatus();
+			assertThat(MembershipTests.this.membership.observeSummaries(List.of(again), nanos(9_000)))
+				.hasSize(expected ? 1 : 0);
+			assertThat(view(FAR, 9_000).ageMillis()).isEqualTo(expected ? 0 : 9_000);
+		}
+
 		@Test
 		void passesOverItself() {
 			assertThat(beat(SELF, 1, ready(), 0)).isFalse();
--- a/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 
@@ -132,6 +133,30 @@
 
 	}
 
+	@Nested
+	class Heartbeats {
+
+		@Test
+		void arriveWithTheSenderOfTheConnection() {
+			TestPeer client = peer();
+			TestPeer server = peer();
+			PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(client.identity.get(), 1, true,
+					PeerStatus.NONE);
+			client.transport().send(server.address(), heartbeat);
+			await().until(() -> server.received.contains(heartbeat));
+		}
+
+		@Test
+		void endWithATellTaleWhenThePeerGoes() {
+			TestPeer client = peer();
+			TestPeer server = peer();
+			client.transport().call(server.address(), TestPeer.forward(1)).join();
+			server.close();
+			await().until(() -> client.disconnected.contains(server.address()));
+		}
+
+	}
+
 	@Nested
 	class LostPeers {
 
--- a/masticwick-wire/src/test/java/org/masticwick/wire/TestPeer.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/TestPeer.java
@@ -14,12 +14,14 @@
 /**
  * Entry host on the loopback address that keeps what it receives.
  */
-final class TestPeer implements AutoCloseable {
+final class TestPeer implements PeerMessageHandler, AutoCloseable {
 
 	static final String LOOPBACK = "127.0.0.1";
 
 	final List<PeerMessage> received = new CopyOnWriteArrayList<>();
 
+	final List<HostAddress> disconnected = new CopyOnWriteArrayList<>();
+
 	final AtomicReference<EntryHost> identity = new AtomicReference<>();
 
 	private final NettyPeerTransport transport;
@@ -29,7 +31,7 @@
 	TestPeer(PeerTransportSettings settings, long startEpochMillis,
 			Function<PeerMessage, CompletionStage<PeerMessage>> answers) {
 		this.answers = answers;
-		this.transport = NettyPeerTransport.bind(settings, this.identity::get, this::handle);
+		this.transport = NettyPeerTransport.bind(settings, this.identity::get, this);
 		this.identity.set(new EntryHost("north", address(), new Incarnation(startEpochMillis, 7)));
 	}
 
@@ -63,9 +65,15 @@
 		this.transport.close();
 	}
 
-	private CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
+	@Override
+	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
 		this.received.add(message);
 		return this.answers.apply(message);
 	}
 
+	@Override
+	public void disconnected(HostAddress peer) {
+		this.disconnected.add(peer);
+	}
+
 }
