Add the load and experiment tool

Response time against the ideal and wasted messages had no measure. A closed loop was ruled out: it waits for slow answers before it sends more and so leaves their effect out.

masticwick load draws a plan from a seed (arrivals, kinds, run times of 50 ms to 1 s with a few of several seconds, sizes of 1 to 560 tasks, declared times far off), sends each job at its intended time and counts the response time from there in HdrHistograms. Ideal is the greater of the longest task and the work over the slots. It checks each digest, the completeness of answers, the two answers of a resubmission and, against the workers' record of starts, that no task started twice or after it was said not to have run; any violation ends in exit code 1. experiment runs a TOML plan of loads and faults, overhead compares one hop and two with direct calls, plot draws the curves as PNG or SVG (org.jfree.svg 5.0.6 is added for SVG).

The checks are shown by tests against a fake site that breaks each promise. No run against entry hosts has been made yet.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/MasticwickCli.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/MasticwickCli.java
@@ -1,7 +1,11 @@
 package org.masticwick.cli;
 
+import java.util.List;
 import java.util.Objects;
+import java.util.stream.Stream;
 
+import org.masticwick.cli.load.LoadCommands;
+import org.masticwick.cli.process.Command;
 import org.masticwick.cli.process.CommandLine;
 import org.masticwick.cli.process.Commands;
 
@@ -21,7 +25,8 @@
 	 */
 	public static void main(String[] args) {
 		String version = MasticwickCli.class.getPackage().getImplementationVersion();
-		CommandLine line = new CommandLine(Commands.all(), Objects.requireNonNullElse(version, UNPACKAGED), System.out,
+		List<Command> commands = Stream.of(Commands.all(), LoadCommands.all()).flatMap(List::stream).toList();
+		CommandLine line = new CommandLine(commands, Objects.requireNonNullElse(version, UNPACKAGED), System.out,
 				System.err);
 		System.exit(line.run(args).status());
 	}
--- a/masticwick-cli/src/main/java/org/masticwick/cli/connection/HttpCaller.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/connection/HttpCaller.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
@@ -14,6 +15,7 @@
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
+import okhttp3.Headers;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -85,6 +87,21 @@
 		return call(new Request.Builder().url(url).method(method, body).build(), limit);
 	}
 
+	/**
+	 * Makes a POST request with headers of its own.
+	 * @param url the URL
+	 * @param headers the headers
+	 * @param content the body
+	 * @param limit how long the whole exchange may take
+	 * @return the answer, or {@link HostUnreachableException}
+	 */
+	public CompletableFuture<HttpAnswer> post(HttpUrl url, Map<String, String> headers, byte[] content,
+			Duration limit) {
+		return call(
+				new Request.Builder().url(url).headers(Headers.of(headers)).post(RequestBody.create(content)).build(),
+				limit);
+	}
+
 	/**
 	 * Makes a DELETE request.
 	 * @param url the URL
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ExperimentCommand.java
@@ -0,0 +1,73 @@
+package org.masticwick.cli.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import okhttp3.HttpUrl;
+
+import org.masticwick.cli.process.Arguments;
+import org.masticwick.cli.process.Command;
+import org.masticwick.cli.process.CommandResult;
+import org.masticwick.cli.process.ExitCode;
+
+/**
+ * Runs a plan of several loads on one seed and writes a table.
+ */
+final class ExperimentCommand implements Command {
+
+	@Override
+	public String name() {
+		return "experiment";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("run a plan of several loads on one seed and print a table");
+		Arguments.addHosts(parser);
+		LoadCommand.addWorkerAdmins(parser);
+		parser.addArgument("--slots").type(Integer.class).setDefault(0).help("the slots, in place of the plan's");
+		parser.addArgument("--out-dir").dest("directory").help("where the report of each run is written as JSON");
+		parser.addArgument("file").metavar("PLAN").help("the plan, in TOML");
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		ExperimentPlan plan = ExperimentPlan.load(Path.of(arguments.getString("file")));
+		List<HttpUrl> hosts = Arguments.hosts(arguments);
+		List<LoadReport> reports = new ArrayList<>();
+		try (SiteProbe probe = new SiteProbe(hosts, LoadCommand.workerAdmins(arguments))) {
+			for (ExperimentPlan.Run run : plan.runs()) {
+				LoadOptions options = run.options().withSlotCount(arguments.getInt("slots"));
+				LoadReport report = new LoadRun(options, hosts, probe).run(run.faults());
+				write(arguments.getString("directory"), report);
+				reports.add(report);
+			}
+		}
+		boolean kept = reports.stream().allMatch((report) -> report.violations().isEmpty());
+		ArrayNode json = JsonNodeFactory.instance.arrayNode();
+		reports.forEach((report) -> json.add(report.toJson()));
+		return new CommandResult(kept ? ExitCode.OK : ExitCode.FAILED, json, ReportText.table(reports));
+	}
+
+	private static void write(String directory, LoadReport report) {
+		if (directory == null) {
+			return;
+		}
+		try {
+			Path parent = Files.createDirectories(Path.of(directory));
+			Files.writeString(parent.resolve(report.options().name() + ".json"), report.toJson().toPrettyString());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ExperimentPlan.java
@@ -0,0 +1,115 @@
+package org.masticwick.cli.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+
+/**
+ * Is a plan of several load runs on one seed. Each run takes the values at the top of the
+ * plan and its own in their place.
+ *
+ * @param runs the runs in order
+ */
+record ExperimentPlan(List<Run> runs) {
+
+	private static final TomlMapper MAPPER = new TomlMapper();
+
+	private static final String RUNS = "runs";
+
+	private static final String FAULTS = "faults";
+
+	private static final Set<String> KEYS = Set.of("name", "seed", "mix", "pattern", "duration_ms", "warmup_ms", "rate",
+			"load", "slots", "deadline_ms", "urgent", "resubmit_fraction", "cancel_waves_ms", "cancel_fraction",
+			"teams", FAULTS);
+
+	private static final long SECOND_MILLIS = 1_000;
+
+	/**
+	 * Reads a plan.
+	 * @param file the TOML file
+	 * @return the plan
+	 * @throws InvalidPlanException if the file can't be read or is no plan
+	 */
+	static ExperimentPlan load(Path file) {
+		try {
+			return parse(Files.readString(file));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new InvalidPlanException(file + ": " + ex.getMessage(), ex);
+		}
+		catch (JsonProcessingException ex) {
+			throw new InvalidPlanException(file + ": " + ex.getOriginalMessage(), ex);
+		}
+		catch (IOException ex) {
+			throw new InvalidPlanException(file + ": " + ex, ex);
+		}
+	}
+
+	/**
+	 * Reads a plan from text.
+	 * @param text the TOML text
+	 * @return the plan
+	 * @throws JsonProcessingException if the text is not TOML
+	 */
+	static ExperimentPlan parse(String text) throws JsonProcessingException {
+		ObjectNode root = (ObjectNode) MAPPER.readTree(text);
+		JsonNode runs = root.remove(RUNS);
+		if (runs == null || runs.isEmpty()) {
+			throw new InvalidPlanException("A plan has at least one [[runs]]", null);
+		}
+		List<Run> planned = new ArrayList<>();
+		for (JsonNode own : runs) {
+			ObjectNode merged = root.deepCopy();
+			merged.setAll((ObjectNode) own);
+			planned.add(run(merged));
+		}
+		return new ExperimentPlan(planned);
+	}
+
+	private static Run run(ObjectNode values) {
+		values.fieldNames().forEachRemaining((key) -> {
+			if (!KEYS.contains(key)) {
+				throw new InvalidPlanException("Unknown key " + key + "; known are " + KEYS, null);
+			}
+		});
+		String pattern = values.path("pattern").asText("steady").toUpperCase(Locale.ROOT);
+		LoadOptions options = new LoadOptions(values.path("name").asText("run"), values.path("seed").asLong(1),
+				values.path("mix").asText("guild"), ArrivalPattern.valueOf(pattern),
+				values.path("duration_ms").asLong(20 * SECOND_MILLIS),
+				values.path("warmup_ms").asLong(2 * SECOND_MILLIS), values.path("rate").asDouble(0),
+				values.path("load").asDouble(0.8), values.path("slots").asInt(1),
+				values.path("deadline_ms").asLong(60 * SECOND_MILLIS), values.path("urgent").asDouble(0.1),
+				values.path("resubmit_fraction").asDouble(0), values.path("cancel_waves_ms").asLong(0),
+				values.path("cancel_fraction").asDouble(0.2), values.path("teams").asInt(8));
+		Mix.byName(options.mix());
+		List<FaultPlan> faults = new ArrayList<>();
+		values.path(FAULTS).forEach((fault) -> faults.add(fault((ObjectNode) fault)));
+		return new Run(options, faults);
+	}
+
+	private static FaultPlan fault(ObjectNode values) {
+		ObjectNode fault = values.deepCopy();
+		fault.remove(List.of("at_ms", "admin"));
+		return new FaultPlan(values.path("at_ms").asLong(0), values.path("admin").asInt(0), fault);
+	}
+
+	/**
+	 * Is one run of a plan.
+	 *
+	 * @param options the options
+	 * @param faults the faults that are set meanwhile
+	 */
+	record Run(LoadOptions options, List<FaultPlan> faults) {
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadCommand.java
@@ -0,0 +1,81 @@
+package org.masticwick.cli.load;
+
+import java.util.List;
+import java.util.Locale;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import okhttp3.HttpUrl;
+
+import org.masticwick.cli.process.Arguments;
+import org.masticwick.cli.process.Command;
+import org.masticwick.cli.process.CommandResult;
+import org.masticwick.cli.process.ExitCode;
+
+/**
+ * Runs a load against running hosts and reports response times, messages and broken
+ * promises.
+ */
+public final class LoadCommand implements Command {
+
+	private static final long SECOND_MILLIS = 1_000;
+
+	@Override
+	public String name() {
+		return "load";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("send a seeded load and report response times, messages and broken promises");
+		Arguments.addHosts(parser);
+		addWorkerAdmins(parser);
+		parser.addArgument("--slots").type(Integer.class).required(true).help("the slots that serve the run");
+		parser.addArgument("--load").type(Double.class).setDefault(0.8).help("offered work over slots; default 0.8");
+		parser.addArgument("--rate").type(Double.class).setDefault(0.0).help("jobs a second, instead of --load");
+		parser.addArgument("--mix").choices(Mix.names()).setDefault("guild").help("what is submitted");
+		parser.addArgument("--pattern").choices("steady", "burst").setDefault("steady");
+		parser.addArgument("--duration-s").dest("duration").type(Integer.class).setDefault(20);
+		parser.addArgument("--warmup-s").dest("warmup").type(Integer.class).setDefault(2);
+		parser.addArgument("--deadline-ms").dest("deadline").type(Integer.class).setDefault(60_000);
+		parser.addArgument("--urgent").type(Double.class).setDefault(0.1).help("fraction of urgent jobs");
+		parser.addArgument("--resubmit-fraction").dest("resubmit").type(Double.class).setDefault(0.0);
+		parser.addArgument("--cancel-waves-ms").dest("cancel").type(Integer.class).setDefault(0).help("0 for none");
+		parser.addArgument("--cancel-fraction").dest("cancelled").type(Double.class).setDefault(0.2);
+		parser.addArgument("--teams").type(Integer.class).setDefault(8);
+		parser.addArgument("--seed").type(Long.class).setDefault(1L);
+		parser.addArgument("--name").setDefault("load").help("what the run is called in the report");
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		List<HttpUrl> hosts = Arguments.hosts(arguments);
+		try (SiteProbe probe = new SiteProbe(hosts, workerAdmins(arguments))) {
+			LoadReport report = new LoadRun(options(arguments), hosts, probe).run(List.of());
+			ExitCode exitCode = report.violations().isEmpty() ? ExitCode.OK : ExitCode.FAILED;
+			return new CommandResult(exitCode, report.toJson(), ReportText.of(report));
+		}
+	}
+
+	static void addWorkerAdmins(Subparser parser) {
+		parser.addArgument("--workers-admin")
+			.dest("admins")
+			.metavar("URL[,URL...]")
+			.setDefault("")
+			.help("admin addresses of the stand-in workers; without them no starts are checked");
+	}
+
+	static List<HttpUrl> workerAdmins(Namespace arguments) {
+		return Arguments.urls(arguments.getString("admins"));
+	}
+
+	private static LoadOptions options(Namespace arguments) {
+		ArrivalPattern pattern = ArrivalPattern.valueOf(arguments.getString("pattern").toUpperCase(Locale.ROOT));
+		return new LoadOptions(arguments.getString("name"), arguments.getLong("seed"), arguments.getString("mix"),
+				pattern, arguments.getInt("duration") * SECOND_MILLIS, arguments.getInt("warmup") * SECOND_MILLIS,
+				arguments.getDouble("rate"), arguments.getDouble("load"), arguments.getInt("slots"),
+				arguments.getInt("deadline"), arguments.getDouble("urgent"), arguments.getDouble("resubmit"),
+				arguments.getInt("cancel"), arguments.getDouble("cancelled"), arguments.getInt("teams"));
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
@@ -0,0 +1,90 @@
+package org.masticwick.cli.load;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+import org.masticwick.cli.request.ClientCounters;
+
+/**
+ * Holds what a load run measured.
+ *
+ * @param options the options of the run
+ * @param jobCount how many jobs were sent
+ * @param taskCount how many tasks they have
+ * @param offeredLoad their work as a fraction of the slots
+ * @param goodput the work of complete jobs as a fraction of the slots, over the time
+ * until the last answer
+ * @param tasksPerSecond the tasks of complete jobs a second
+ * @param outcomes how many jobs had each outcome
+ * @param problems how many jobs had each code, by outcome
+ * @param singleRatio response time over ideal of single tasks
+ * @param jobRatio response time over ideal of jobs of several tasks
+ * @param singleResponseMillis response times of single tasks, in milliseconds
+ * @param jobResponseMillis response times of jobs of several tasks, in milliseconds
+ * @param startedTaskCount how many tasks the workers started
+ * @param messages messages that hosts sent, by kind
+ * @param wastedMessages wasted messages among them, by kind
+ * @param wastedPerStartedTask wasted messages for each started task
+ * @param endpointMessages what the workers counted
+ * @param hostProcessorSeconds the processor time of the hosts, in seconds
+ * @param lostConnectionCount requests of the tool that got no whole answer
+ * @param resubmissionCount jobs that the tool sent again for that reason
+ * @param violations how often each promise was broken
+ * @param violationExamples some of them
+ * @param timeline what became of the jobs of each second
+ */
+record LoadReport(LoadOptions options, int jobCount, long taskCount, double offeredLoad, double goodput,
+		double tasksPerSecond, Map<String, Long> outcomes, Map<String, Long> problems, Quantiles singleRatio,
+		Quantiles jobRatio, Quantiles singleResponseMillis, Quantiles jobResponseMillis, long startedTaskCount,
+		Map<String, Double> messages, Map<String, Double> wastedMessages, double wastedPerStartedTask,
+		Map<String, Double> endpointMessages, double hostProcessorSeconds, long lostConnectionCount,
+		long resubmissionCount, Map<Violation.Type, Long> violations, List<Violation> violationExamples,
+		List<SecondCounts.Row> timeline) {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+		.build();
+
+	private static final int EXAMPLE_COUNT = 20;
+
+	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	static LoadReport of(LoadOptions options, Schedule schedule, LoadRecorder recorder, ClientCounters client,
+			Map<String, Double> counts, long startedTaskCount) {
+		double seconds = Math.max(recorder.lastNanos() / NANOS_PER_SECOND, 1 / MILLIS_PER_SECOND);
+		Map<String, Double> wasted = SiteCounters.under(counts, SiteCounters.WASTED);
+		double wastedSum = wasted.values().stream().mapToDouble(Double::doubleValue).sum();
+		Map<Violation.Type, Long> violations = new TreeMap<>();
+		recorder.violations().forEach((violation) -> violations.merge(violation.type(), 1L, Long::sum));
+		double slotSeconds = (double) options.slotCount() * options.durationMillis() / MILLIS_PER_SECOND;
+		return new LoadReport(options, schedule.jobs().size(),
+				schedule.jobs().stream().mapToLong(PlannedJob::taskCount).sum(),
+				schedule.workMillis() / MILLIS_PER_SECOND / slotSeconds,
+				recorder.completeWorkMillis() / MILLIS_PER_SECOND / (options.slotCount() * seconds),
+				recorder.completeTaskCount() / seconds, recorder.outcomes(), recorder.problems(), recorder.ratios(true),
+				recorder.ratios(false), recorder.responsesMillis(true), recorder.responsesMillis(false),
+				startedTaskCount, SiteCounters.under(counts, SiteCounters.MESSAGES), wasted,
+				wastedSum / Math.max(1, startedTaskCount), SiteCounters.under(counts, SiteCounters.ENDPOINT),
+				counts.getOrDefault(SiteCounters.PROCESSOR_SECONDS, 0.0), client.lostConnectionCount(),
+				client.resubmissionCount(), violations, recorder.violations().stream().limit(EXAMPLE_COUNT).toList(),
+				recorder.timeline());
+	}
+
+	/**
+	 * Returns the report for programs.
+	 * @return the JSON
+	 */
+	JsonNode toJson() {
+		return MAPPER.valueToTree(this);
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/Mix.java
@@ -0,0 +1,88 @@
+package org.masticwick.cli.load;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Describes what a deployment submits.
+ *
+ * @param service the service
+ * @param kinds the kinds of task
+ * @param sizes how many tasks a job has; a job has tasks of one kind
+ */
+record Mix(String service, List<Kind> kinds, JobSizes sizes) {
+
+	private static final String FITTING = "shop-counter-fitting";
+
+	private static final String MEALS = "meal-application";
+
+	private static final List<Kind> FITTING_KINDS = List.of(new Kind("width-check", 0.5, new RunTimeModel(90, 0.4, 0)),
+			new Kind("growth-room-assessment", 0.3, new RunTimeModel(300, 0.5, 0.01)),
+			new Kind("last-size-lookup", 0.2, new RunTimeModel(60, 0.3, 0)));
+
+	private static final List<Kind> MEAL_KINDS = List.of(
+			new Kind("eligibility-check", 0.6, new RunTimeModel(150, 0.6, 0.005)),
+			new Kind("household-verification", 0.2, new RunTimeModel(500, 0.5, 0.03)),
+			new Kind("roster-confirmation", 0.2, new RunTimeModel(100, 0.4, 0)));
+
+	private static final Kind TINY_KIND = new Kind("width-check", 1, new RunTimeModel(50, 0, 0));
+
+	private static final Map<String, Mix> MIXES = new TreeMap<>(
+			Map.of("guild", new Mix(FITTING, FITTING_KINDS, new JobSizes.HeavyTailed(0.7, 1.6)), "cooperativa",
+					new Mix(MEALS, MEAL_KINDS, new JobSizes.HeavyTailed(0.4, 1.1)), "single",
+					new Mix(FITTING, FITTING_KINDS, new JobSizes.Fixed(1)), "jobs",
+					new Mix(MEALS, MEAL_KINDS, new JobSizes.HeavyTailed(0, 1.1)), "short",
+					new Mix(FITTING, List.of(TINY_KIND), new JobSizes.Fixed(1))));
+
+	/**
+	 * Returns the names of the mixes.
+	 * @return the names
+	 */
+	static Set<String> names() {
+		return MIXES.keySet();
+	}
+
+	/**
+	 * Returns a mix.
+	 * @param name its name
+	 * @return the mix
+	 * @throws IllegalArgumentException if there is none of the name
+	 */
+	static Mix byName(String name) {
+		Mix mix = MIXES.get(name);
+		if (mix == null) {
+			throw new IllegalArgumentException("No mix " + name + "; there are " + names());
+		}
+		return mix;
+	}
+
+	/**
+	 * Returns the kind at a place of the cumulated shares.
+	 * @param place the place, from 0 to below 1
+	 * @return the kind
+	 */
+	Kind kindAt(double place) {
+		double[] bounds = this.kinds.stream().mapToDouble(Kind::share).toArray();
+		Arrays.parallelPrefix(bounds, Double::sum);
+		int index = 0;
+		while (index < bounds.length - 1 && place >= bounds[index]) {
+			index++;
+		}
+		return this.kinds.get(index);
+	}
+
+	/**
+	 * Describes a kind of task.
+	 *
+	 * @param name the name
+	 * @param share how many jobs are of the kind
+	 * @param runTimes the true run times
+	 */
+	record Kind(String name, double share, RunTimeModel runTimes) {
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/OverheadCommand.java
@@ -0,0 +1,139 @@
+package org.masticwick.cli.load;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import okhttp3.HttpUrl;
+import org.HdrHistogram.Histogram;
+
+import org.masticwick.cli.connection.HttpCaller;
+import org.masticwick.cli.process.Arguments;
+import org.masticwick.cli.process.Command;
+import org.masticwick.cli.process.CommandResult;
+import org.masticwick.cli.process.ExitCode;
+import org.masticwick.cli.request.JobAnswer;
+import org.masticwick.cli.request.JobClient;
+import org.masticwick.cli.request.JobClientOptions;
+import org.masticwick.cli.request.Ticket;
+import org.masticwick.core.request.JobRequest;
+import org.masticwick.core.request.TaskSpec;
+
+/**
+ * Measures on an idle system what the path by one host and by two adds to a direct call
+ * of an endpoint. The three ways take turns, one request at a time.
+ */
+final class OverheadCommand implements Command {
+
+	private static final int DIGITS = 3;
+
+	private static final int WARMUP_COUNT = 300;
+
+	private static final int TICKET_BLOCK_COUNT = 500;
+
+	private static final double MICROS_PER_MILLI = 1_000;
+
+	private static final long DEADLINE_MILLIS = 10_000;
+
+	private static final Duration LIMIT = Duration.ofMillis(DEADLINE_MILLIS);
+
+	@Override
+	public String name() {
+		return "overhead";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("measure what the path adds to a direct call of an endpoint, on an idle system");
+		Arguments.addHosts(parser);
+		parser.addArgument("--endpoint").required(true).metavar("URL").help("an endpoint for direct calls");
+		parser.addArgument("--service").setDefault("shop-counter-fitting");
+		parser.addArgument("--kind").setDefault("width-check");
+		parser.addArgument("--run-ms").dest("run").type(Integer.class).setDefault(1);
+		parser.addArgument("--count").type(Integer.class).setDefault(2_000);
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		List<HttpUrl> hosts = Arguments.hosts(arguments);
+		HttpUrl endpoint = Arguments.url(arguments.getString("endpoint"));
+		TaskSpec task = new TaskSpec(arguments.getString("kind"), "{\"run_ms\":" + arguments.getInt("run") + "}", 0, 0,
+				0);
+		JobRequest request = new JobRequest(arguments.getString("service"), "overhead", false, true, DEADLINE_MILLIS,
+				List.of(task));
+		JobClientOptions options = JobClientOptions.DEFAULT.withTicketBlockCount(TICKET_BLOCK_COUNT);
+		try (HttpCaller caller = new HttpCaller(); JobClient client = new JobClient(hosts, options)) {
+			Map<String, IntPredicate> ways = new TreeMap<>();
+			ways.put("direct", (index) -> direct(caller, endpoint, request));
+			ways.put("one hop", (index) -> submit(client, 0, 0, request));
+			if (hosts.size() > 1) {
+				ways.put("two hops", (index) -> submit(client, 0, 1, request));
+			}
+			return result(measure(ways, arguments.getInt("count")));
+		}
+	}
+
+	private static Map<String, Histogram> measure(Map<String, IntPredicate> ways, int count) {
+		Map<String, Histogram> histograms = new TreeMap<>();
+		ways.keySet().forEach((way) -> histograms.put(way, new Histogram(DIGITS)));
+		for (int index = -WARMUP_COUNT; index < count; index++) {
+			for (Map.Entry<String, IntPredicate> way : ways.entrySet()) {
+				long startNanos = System.nanoTime();
+				boolean answered = way.getValue().test(index);
+				long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+				if (answered && index >= 0) {
+					histograms.get(way.getKey()).recordValue(micros);
+				}
+			}
+		}
+		return histograms;
+	}
+
+	private static boolean direct(HttpCaller caller, HttpUrl endpoint, JobRequest request) {
+		TaskSpec task = request.tasks().get(0);
+		HttpUrl url = endpoint.newBuilder().addPathSegments("tasks/direct-" + UUID.randomUUID() + ".0").build();
+		Map<String, String> headers = Map.of("Task-Service", request.service(), "Task-Kind", task.kind(),
+				"Task-Lease-Millis", Long.toString(DEADLINE_MILLIS));
+		byte[] body = task.payload().getBytes(StandardCharsets.UTF_8);
+		return HttpCaller.await(caller.post(url, headers, body, LIMIT)).successful();
+	}
+
+	private static boolean submit(JobClient client, int home, int entry, JobRequest request) {
+		Ticket ticket = HttpCaller.await(client.ticketOf(home));
+		JobAnswer answer = HttpCaller.await(client.submit(ticket, client.hosts().get(entry), request));
+		return answer instanceof JobAnswer.Complete;
+	}
+
+	private static CommandResult result(Map<String, Histogram> histograms) {
+		ObjectNode json = JsonNodeFactory.instance.objectNode();
+		StringBuilder text = new StringBuilder(
+				"ms         count       p50       p90       p99     p99.9  added p50  added p99");
+		Quantiles base = Quantiles.of(histograms.get("direct"), 1 / MICROS_PER_MILLI);
+		histograms.forEach((way, histogram) -> {
+			Quantiles own = Quantiles.of(histogram, 1 / MICROS_PER_MILLI);
+			JsonNode row = json.putObject(way)
+				.put("count", own.count())
+				.put("p50_ms", own.p50())
+				.put("p90_ms", own.p90())
+				.put("p99_ms", own.p99())
+				.put("p999_ms", own.p999())
+				.put("added_p50_ms", own.p50() - base.p50())
+				.put("added_p99_ms", own.p99() - base.p99());
+			text.append("%n%-9s%7d%10.3f%10.3f%10.3f%10.3f%11.3f%11.3f".formatted(way, own.count(), own.p50(),
+					own.p90(), own.p99(), own.p999(), row.path("added_p50_ms").asDouble(),
+					row.path("added_p99_ms").asDouble()));
+		});
+		return new CommandResult(ExitCode.OK, json, text.toString());
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/PlotCommand.java
@@ -0,0 +1,74 @@
+package org.masticwick.cli.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+import org.masticwick.cli.process.Command;
+import org.masticwick.cli.process.CommandResult;
+import org.masticwick.cli.process.ExitCode;
+
+/**
+ * Draws reports of load runs.
+ */
+final class PlotCommand implements Command {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	@Override
+	public String name() {
+		return "plot";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("draw response time over ideal of reports in JSON");
+		parser.addArgument("--out").required(true).metavar("FILE.png|FILE.svg").help("the file to write");
+		parser.addArgument("files").nargs("+").metavar("REPORT").help("reports that load or experiment wrote");
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		System.setProperty("java.awt.headless", "true");
+		Path out = Path.of(arguments.getString("out"));
+		List<String> files = arguments.getList("files");
+		Map<String, JsonNode> reports = new LinkedHashMap<>();
+		try {
+			for (String file : files) {
+				add(reports, MAPPER.readTree(Files.readString(Path.of(file))));
+			}
+			RatioPlot.write(RatioPlot.draw(reports), out);
+		}
+		catch (JsonProcessingException ex) {
+			throw new InvalidPlanException("Not a report: " + ex.getOriginalMessage(), ex);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return new CommandResult(ExitCode.OK, JsonNodeFactory.instance.objectNode().put("file", out.toString()),
+				"wrote " + out);
+	}
+
+	private static void add(Map<String, JsonNode> reports, JsonNode json) {
+		if (json.isArray()) {
+			json.forEach((report) -> add(reports, report));
+		}
+		else {
+			String name = json.path("options").path("name").asText("report");
+			String unique = reports.containsKey(name) ? name + " " + (reports.size() + 1) : name;
+			reports.put(unique, json);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/RatioPlot.java
@@ -0,0 +1,98 @@
+package org.masticwick.cli.load;
+
+import java.awt.Color;
+import java.awt.Rectangle;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.text.NumberFormat;
+import java.util.Locale;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.axis.LogAxis;
+import org.jfree.chart.plot.PlotOrientation;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+import org.jfree.svg.SVGGraphics2D;
+
+/**
+ * Draws response time over ideal by percentile for several reports.
+ */
+final class RatioPlot {
+
+	private static final int WIDTH = 1_000;
+
+	private static final int HEIGHT = 600;
+
+	private static final double PERCENT = 100;
+
+	private static final double LAST_RARITY = 10_000;
+
+	private RatioPlot() {
+	}
+
+	/**
+	 * Draws the curves of reports.
+	 * @param reports the reports by the name in the legend
+	 * @return the chart
+	 */
+	static JFreeChart draw(Map<String, JsonNode> reports) {
+		XYSeriesCollection curves = new XYSeriesCollection();
+		reports.forEach((name, report) -> {
+			add(curves, name + ", single tasks", report.path("single_ratio"));
+			add(curves, name + ", jobs", report.path("job_ratio"));
+		});
+		JFreeChart chart = ChartFactory.createXYLineChart("Response time over ideal",
+				"one of N answers is slower (10: p90, 100: p99, 1000: p99.9)", "response time / ideal", curves,
+				PlotOrientation.VERTICAL, true, false, false);
+		XYPlot plot = chart.getXYPlot();
+		plot.setBackgroundPaint(Color.WHITE);
+		plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
+		plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+		plot.setDomainAxis(logAxis(plot.getDomainAxis().getLabel()));
+		plot.setRangeAxis(logAxis(plot.getRangeAxis().getLabel()));
+		return chart;
+	}
+
+	/**
+	 * Writes a chart.
+	 * @param chart the chart
+	 * @param file the file, SVG if it ends so, else PNG
+	 * @throws IOException if the file can't be written
+	 */
+	static void write(JFreeChart chart, Path file) throws IOException {
+		if (file.toString().endsWith(".svg")) {
+			SVGGraphics2D graphics = new SVGGraphics2D(WIDTH, HEIGHT);
+			chart.draw(graphics, new Rectangle(WIDTH, HEIGHT));
+			Files.writeString(file, graphics.getSVGDocument());
+		}
+		else {
+			ChartUtils.saveChartAsPNG(file.toFile(), chart, WIDTH, HEIGHT);
+		}
+	}
+
+	private static void add(XYSeriesCollection curves, String name, JsonNode quantiles) {
+		if (quantiles.path("count").asLong() == 0) {
+			return;
+		}
+		XYSeries series = new XYSeries(name);
+		quantiles.path("curve").forEach((point) -> {
+			double rarity = 1 / (1 - Math.min(point.get(0).asDouble() / PERCENT, 1 - 1 / LAST_RARITY));
+			series.add(rarity, point.get(1).asDouble());
+		});
+		curves.addSeries(series);
+	}
+
+	private static LogAxis logAxis(String label) {
+		LogAxis axis = new LogAxis(label);
+		axis.setAutoRange(true);
+		axis.setNumberFormatOverride(NumberFormat.getInstance(Locale.ROOT));
+		return axis;
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
@@ -0,0 +1,95 @@
+package org.masticwick.cli.load;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * Writes reports for people.
+ */
+final class ReportText {
+
+	private static final String QUANTILES = "%-22s %8d  mean %9.3f  p50 %9.3f  p90 %9.3f  p99 %9.3f  p99.9 %9.3f  max %9.3f%n";
+
+	private static final String TABLE_HEAD = "| run | load | goodput | single p50 | p90 | p99 | p99.9 "
+			+ "| jobs p50 | p90 | p99 | p99.9 | wasted/task | refused | failed | unknown | violations |\n"
+			+ "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+
+	private static final String TABLE_ROW = "| %s | %.2f | %.2f | %.3f | %.3f | %.3f | %.3f "
+			+ "| %.3f | %.3f | %.3f | %.3f | %.4f | %d | %d | %d | %d |\n";
+
+	private ReportText() {
+	}
+
+	/**
+	 * Writes one report.
+	 * @param report the report
+	 * @return the text
+	 */
+	static String of(LoadReport report) {
+		LoadOptions options = report.options();
+		StringBuilder text = new StringBuilder();
+		append(text, "run %s: seed %d, mix %s, %s, %d ms, %d slots%n", options.name(), options.seed(), options.mix(),
+				options.pattern().name().toLowerCase(Locale.ROOT), options.durationMillis(), options.slotCount());
+		append(text, "sent %d jobs with %d tasks, load %.3f, goodput %.3f, %.0f tasks/s%n", report.jobCount(),
+				report.taskCount(), report.offeredLoad(), report.goodput(), report.tasksPerSecond());
+		append(text, "outcomes %s%n", report.outcomes());
+		append(text, "problems %s%n", report.problems());
+		text.append("response time over ideal, from the intended send time:\n");
+		quantiles(text, "  single tasks", report.singleRatio());
+		quantiles(text, "  jobs", report.jobRatio());
+		text.append("response time in ms:\n");
+		quantiles(text, "  single tasks", report.singleResponseMillis());
+		quantiles(text, "  jobs", report.jobResponseMillis());
+		append(text, "started tasks %d, wasted messages per started task %.4f%n", report.startedTaskCount(),
+				report.wastedPerStartedTask());
+		append(text, "messages of hosts %s%n", counts(report.messages()));
+		append(text, "wasted messages of hosts %s%n", counts(report.wastedMessages()));
+		append(text, "counted by workers %s%n", counts(report.endpointMessages()));
+		append(text, "processor time of hosts %.2f s, lost connections %d, resubmissions %d%n",
+				report.hostProcessorSeconds(), report.lostConnectionCount(), report.resubmissionCount());
+		append(text, "violations %s", report.violations().isEmpty() ? "none" : report.violations());
+		report.violationExamples().forEach((violation) -> append(text, "%n  %s", violation));
+		return text.toString();
+	}
+
+	/**
+	 * Writes a table with one row for each report.
+	 * @param reports the reports
+	 * @return the table in Markdown
+	 */
+	static String table(List<LoadReport> reports) {
+		return TABLE_HEAD + reports.stream().map(ReportText::row).collect(Collectors.joining());
+	}
+
+	private static String row(LoadReport report) {
+		Quantiles single = report.singleRatio();
+		Quantiles jobs = report.jobRatio();
+		Map<String, Long> outcomes = report.outcomes();
+		long violations = report.violations().values().stream().mapToLong(Long::longValue).sum();
+		return TABLE_ROW.formatted(report.options().name(), report.offeredLoad(), report.goodput(), single.p50(),
+				single.p90(), single.p99(), single.p999(), jobs.p50(), jobs.p90(), jobs.p99(), jobs.p999(),
+				report.wastedPerStartedTask(), outcomes.getOrDefault("refused", 0L),
+				outcomes.getOrDefault("failed", 0L), outcomes.getOrDefault("unknown", 0L), violations);
+	}
+
+	private static void quantiles(StringBuilder text, String name, Quantiles quantiles) {
+		if (quantiles.count() > 0) {
+			append(text, QUANTILES, name, quantiles.count(), quantiles.mean(), quantiles.p50(), quantiles.p90(),
+					quantiles.p99(), quantiles.p999(), quantiles.max());
+		}
+	}
+
+	private static String counts(Map<String, Double> counts) {
+		return counts.entrySet()
+			.stream()
+			.map((count) -> count.getKey() + " " + Math.round(count.getValue()))
+			.collect(Collectors.joining(", ", "{", "}"));
+	}
+
+	private static void append(StringBuilder text, String format, Object... values) {
+		text.append(String.format(Locale.ROOT, format, values));
+	}
+
+}
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/SiteProbe.java
@@ -0,0 +1,150 @@
+package org.masticwick.cli.load;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import okhttp3.HttpUrl;
+
+import org.masticwick.cli.connection.HostUnreachableException;
+import org.masticwick.cli.connection.HttpAnswer;
+import org.masticwick.cli.connection.HttpCaller;
+
+/**
+ * Reads counters of hosts and of stand-in workers, and sets faults of the workers.
+ */
+final class SiteProbe implements AutoCloseable {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private static final Pattern MESSAGES = Pattern
+		.compile("masticwick_messages(_wasted)?_total\\{[^}]*?kind=\"([^\"]*)\"[^}]*} ([0-9.eE+]+)");
+
+	private static final Pattern PROCESSOR = Pattern.compile("(?m)^process_cpu_seconds_total ([0-9.eE+-]+)");
+
+	private final HttpCaller caller = new HttpCaller();
+
+	private final List<HttpUrl> hosts;
+
+	private final List<HttpUrl> workerAdmins;
+
+	SiteProbe(List<HttpUrl> hosts, List<HttpUrl> workerAdmins) {
+		this.hosts = List.copyOf(hosts);
+		this.workerAdmins = List.copyOf(workerAdmins);
+	}
+
+	/**
+	 * Reads all counters; hosts and workers that can't be reached are passed over.
+	 * @return the counters
+	 */
+	SiteCounters counters() {
+		Map<String, Map<String, Double>> values = new HashMap<>();
+		this.hosts.forEach(
+				(host) -> get(host, "metrics").ifPresent((text) -> values.put("host " + host, parseMetrics(text))));
+		this.workerAdmins.forEach((admin) -> get(admin, "admin/counters")
+			.ifPresent((text) -> values.put("workers " + admin, parseCounters(json(text)))));
+		return new SiteCounters(values);
+	}
+
+	/**
+	 * Tells whether starts can be read.
+	 * @return {@code true} if there are admin addresses of workers
+	 */
+	boolean seesWorkers() {
+		return !this.workerAdmins.isEmpty();
+	}
+
+	/**
+	 * Reads how often each task was started.
+	 * @return the counts by task id, over all workers
+	 */
+	Map<String, Integer> starts() {
+		Map<String, Integer> starts = new HashMap<>();
+		this.workerAdmins.forEach((admin) -> {
+			String text = get(admin, "admin/starts")
+				.orElseThrow(() -> new HostUnreachableException(admin + " tells no starts", true, null));
+			json(text).path("starts")
+				.properties()
+				.forEach((task) -> starts.merge(task.getKey(), task.getValue().asInt(), Integer::sum));
+		});
+		return starts;
+	}
+
+	/**
+	 * Sets a fault of workers.
+	 * @param admin the place of the workers' process in the list
+	 * @param fault the fault as the workers' process takes it
+	 */
+	void setFault(int admin, JsonNode fault) {
+		HttpUrl url = this.workerAdmins.get(admin).newBuilder().addPathSegments("admin/faults").build();
+		byte[] body = fault.toString().getBytes(StandardCharsets.UTF_8);
+		HttpAnswer answer = HttpCaller.await(this.caller.send("POST", url, body, LIMIT));
+		if (!answer.successful()) {
+			throw new HostUnreachableException(url + " refused the fault: " + answer.text(), true, null);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.caller.close();
+	}
+
+	/**
+	 * Reads the samples that matter here.
+	 * @param text metrics in the text format of Prometheus
+	 * @return the values by name
+	 */
+	static Map<String, Double> parseMetrics(String text) {
+		Map<String, Double> values = new HashMap<>();
+		Matcher messages = MESSAGES.matcher(text);
+		while (messages.find()) {
+			String prefix = (messages.group(1) != null) ? SiteCounters.WASTED : SiteCounters.MESSAGES;
+			values.merge(prefix + messages.group(2), Double.parseDouble(messages.group(3)), Double::sum);
+		}
+		Matcher processor = PROCESSOR.matcher(text);
+		if (processor.find()) {
+			values.put(SiteCounters.PROCESSOR_SECONDS, Double.parseDouble(processor.group(1)));
+		}
+		return values;
+	}
+
+	private static Map<String, Double> parseCounters(JsonNode json) {
+		Map<String, Double> values = new HashMap<>();
+		json.path("total")
+			.properties()
+			.forEach((count) -> values.put(SiteCounters.ENDPOINT + count.getKey(), count.getValue().asDouble()));
+		return values;
+	}
+
+	private Optional<String> get(HttpUrl host, String path) {
+		HttpUrl url = host.newBuilder().addPathSegments(path).build();
+		try {
+			return Optional.of(HttpCaller.await(this.caller.get(url, LIMIT)))
+				.filter(HttpAnswer::successful)
+				.map(HttpAnswer::text);
+		}
+		catch (HostUnreachableException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static JsonNode json(String text) {
+		try {
+			return MAPPER.readTree(text);
+		}
+		catch (JsonProcessingException ex) {
+			return MAPPER.missingNode();
+		}
+	}
+
+}
--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/Commands.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/Commands.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * Lists the commands.
+ * Lists the commands of callers and operators.
  */
 public final class Commands {
 
@@ -11,7 +11,7 @@
 	}
 
 	/**
-	 * Returns all commands in the order of the help.
+	 * Returns the commands in the order of the help.
 	 * @return the commands
 	 */
 	public static List<Command> all() {
--- a/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
@@ -115,6 +115,15 @@
 		return this.stores.get(host).take();
 	}
 
+	/**
+	 * Takes a ticket of one host, or of the next one that gives any.
+	 * @param first the place of the host in the list of hosts
+	 * @return the ticket
+	 */
+	public CompletableFuture<Ticket> ticketFrom(int first) {
+		return ticket(first, this.hosts.size());
+	}
+
 	/**
 	 * Fetches a block of tickets from the first host that gives one.
 	 * @param count how many
