Publish release notes and set rules between experiment runs

Operators could not publish from the command line, and a plan of loads could not compare placement ways, which are rules of the release note.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/ExperimentCommand.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ExperimentCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -34,6 +35,7 @@
 		Arguments.addHosts(parser);
 		LoadCommand.addWorkerAdmins(parser);
 		parser.addArgument("--slots").type(Integer.class).setDefault(0).help("the slots, in place of the plan's");
+		parser.addArgument("--platform").metavar("URL").help("where rules of the plan are published");
 		parser.addArgument("--out-dir").dest("directory").help("where the report of each run is written as JSON");
 		parser.addArgument("file").metavar("PLAN").help("the plan, in TOML");
 	}
@@ -45,6 +47,7 @@
 		List<LoadReport> reports = new ArrayList<>();
 		try (SiteProbe probe = new SiteProbe(hosts, LoadCommand.workerAdmins(arguments))) {
 			for (ExperimentPlan.Run run : plan.runs()) {
+				setRules(arguments, hosts, run);
 				LoadOptions options = run.options().withSlotCount(arguments.getInt("slots"));
 				LoadReport report = new LoadRun(options, hosts, probe).run(run.faults());
 				write(arguments.getString("directory"), report);
@@ -57,6 +60,18 @@
 		return new CommandResult(kept ? ExitCode.OK : ExitCode.FAILED, json, ReportText.table(reports));
 	}
 
+	private static void setRules(Namespace arguments, List<HttpUrl> hosts, ExperimentPlan.Run run) {
+		if (run.rules().isEmpty()) {
+			return;
+		}
+		String platform = arguments.getString("platform");
+		if (platform == null) {
+			throw new InvalidPlanException("A plan with rules needs --platform", null);
+		}
+		String noteId = "experiment-" + run.options().name() + "-" + UUID.randomUUID();
+		new RuleSetter(Arguments.url(platform), hosts).set(noteId, run.rules());
+	}
+
 	private static void write(String directory, LoadReport report) {
 		if (directory == null) {
 			return;
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/ExperimentPlan.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ExperimentPlan.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -27,9 +29,11 @@
 
 	private static final String FAULTS = "faults";
 
+	private static final String RULES = "rules";
+
 	private static final Set<String> KEYS = Set.of("name", "seed", "mix", "pattern", "duration_ms", "warmup_ms", "rate",
 			"load", "slots", "deadline_ms", "urgent", "resubmit_fraction", "cancel_waves_ms", "cancel_fraction",
-			"teams", FAULTS);
+			"teams", FAULTS, RULES);
 
 	private static final long SECOND_MILLIS = 1_000;
 
@@ -93,7 +97,9 @@
 		Mix.byName(options.mix());
 		List<FaultPlan> faults = new ArrayList<>();
 		values.path(FAULTS).forEach((fault) -> faults.add(fault((ObjectNode) fault)));
-		return new Run(options, faults);
+		Map<String, String> rules = new TreeMap<>();
+		values.path(RULES).properties().forEach((rule) -> rules.put(rule.getKey(), rule.getValue().asText()));
+		return new Run(options, rules, faults);
 	}
 
 	private static FaultPlan fault(ObjectNode values) {
@@ -106,9 +112,10 @@
 	 * Is one run of a plan.
 	 *
 	 * @param options the options
+	 * @param rules the rules that are in force, by name
 	 * @param faults the faults that are set meanwhile
 	 */
-	record Run(LoadOptions options, List<FaultPlan> faults) {
+	record Run(LoadOptions options, Map<String, String> rules, List<FaultPlan> faults) {
 
 	}
 
--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/HostQuery.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/HostQuery.java
@@ -15,7 +15,7 @@
 /**
  * Reads a JSON document from the first host that can be reached.
  */
-final class HostQuery {
+public final class HostQuery {
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -31,7 +31,7 @@
 	 * @return the document, which may be a problem
 	 * @throws HostUnreachableException if no host gives one
 	 */
-	static JsonNode get(List<HttpUrl> hosts, String path) {
+	public static JsonNode get(List<HttpUrl> hosts, String path) {
 		HostUnreachableException last = new HostUnreachableException("No host is given", false, null);
 		try (HttpCaller caller = new HttpCaller()) {
 			for (HttpUrl host : hosts) {
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/version/SitePublisher.java
@@ -0,0 +1,87 @@
+package org.masticwick.cli.version;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Random;
+
+import okhttp3.HttpUrl;
+
+import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.MasticwickException;
+import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.version.ReleaseNote;
+import org.masticwick.core.version.SiteState;
+import org.masticwick.platform.HttpPlatformClient;
+import org.masticwick.platform.HttpPlatformSettings;
+import org.masticwick.platform.LoadedLog;
+import org.masticwick.platform.NotePublisher;
+import org.masticwick.platform.PublishResult;
+import org.masticwick.platform.SiteLogReader;
+
+/**
+ * Publishes release notes on a platform.
+ */
+public final class SitePublisher implements AutoCloseable {
+
+	private final HttpPlatformClient platform;
+
+	private final NotePublisher publisher;
+
+	/**
+	 * Creates a publisher.
+	 * @param platform where the platform listens
+	 */
+	public SitePublisher(HttpUrl platform) {
+		HostAddress address = new HostAddress(platform.host(), platform.port());
+		this.platform = new HttpPlatformClient(address, HttpPlatformSettings.DEFAULT);
+		this.publisher = new NotePublisher(this.platform, TimeSource.system(), new Random());
+	}
+
+	/**
+	 * Publishes a note and reads its verdict back.
+	 * @param note the note
+	 * @param timeout how long to try
+	 * @return the verdict, or pending
+	 */
+	public PublishResult publish(ReleaseNote note, Duration timeout) {
+		return this.publisher.publish(note, timeout);
+	}
+
+	/**
+	 * Brings rules to the values given, by a note against the version in force.
+	 * @param noteId the id of the note
+	 * @param rules the values by rule name
+	 * @param timeout how long to try
+	 * @return the version in which the rules have these values
+	 * @throws MasticwickException if the note was not accepted
+	 */
+	public long setRules(String noteId, Map<String, String> rules, Duration timeout) {
+		SiteState state = new SiteLogReader(this.platform).load().map(LoadedLog::state).orElse(SiteState.EMPTY);
+		Map<String, String> current = state.version().rules().values();
+		ReleaseNote.Builder note = ReleaseNote.builder(noteId, state.version().number());
+		rules.forEach((name, value) -> {
+			if (!current.containsKey(name)) {
+				note.addRule(name, value);
+			}
+			else if (!current.get(name).equals(value)) {
+				note.changeRule(name, value);
+			}
+		});
+		ReleaseNote built = note.build();
+		if (built.rules().isEmpty()) {
+			return state.version().number();
+		}
+		PublishResult result = publish(built, timeout);
+		if (result.status() != PublishResult.Status.ACCEPTED) {
+			throw new MasticwickException(ErrorCode.NOTE_CONFLICT, noteId + " " + result);
+		}
+		return result.version();
+	}
+
+	@Override
+	public void close() {
+		this.platform.close();
+	}
+
+}
--- a/masticwick-cli/src/test/java/org/masticwick/cli/load/ExperimentPlanTests.java
+++ b/masticwick-cli/src/test/java/org/masticwick/cli/load/ExperimentPlanTests.java
@@ -36,11 +36,14 @@
 					[[runs]]
 					name = "b"
 					mix = "jobs"
+					rules = { "dispatch/placement" = "random" }
 					faults = [{ at_ms = 500, admin = 1, worker = 0, fail_all = true }]
 					""");
 			assertThat(plan.runs()).extracting((run) -> run.options().name()).containsExactly("a", "b");
 			assertThat(plan.runs()).extracting((run) -> run.options().mix()).containsExactly("single", "jobs");
 			assertThat(plan.runs()).extracting((run) -> run.options().seed()).containsOnly(9L);
+			assertThat(plan.runs()).extracting((run) -> run.rules())
+				.containsExactly(Map.of(), Map.of("dispatch/placement", "random"));
 			assertThat(plan.runs().get(1).faults()).singleElement().satisfies((fault) -> {
 				assertThat(fault.atMillis()).isEqualTo(500);
 				assertThat(fault.admin()).isEqualTo(1);
