--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
@@ -32,6 +32,8 @@
  * @param messages messages that hosts sent, by kind
  * @param wastedMessages wasted messages among them, by kind
  * @param wastedPerStartedTask wasted messages for each started task
+ * @param peerMessages messages that hosts sent each other, by type
+ * @param peerBytes the bytes of these messages, by type
  * @param endpointMessages what the workers counted
  * @param hostProcessorSeconds the processor time of the hosts, in seconds
  * @param lostConnectionCount requests of the tool that got no whole answer
@@ -44,9 +46,9 @@
 		double tasksPerSecond, Map<String, Long> outcomes, Map<String, Long> problems, Quantiles singleRatio,
 		Quantiles jobRatio, Quantiles singleResponseMillis, Quantiles jobResponseMillis, long startedTaskCount,
 		Map<String, Double> messages, Map<String, Double> wastedMessages, double wastedPerStartedTask,
-		Map<String, Double> endpointMessages, double hostProcessorSeconds, long lostConnectionCount,
-		long resubmissionCount, Map<Violation.Type, Long> violations, List<Violation> violationExamples,
-		List<SecondCounts.Row> timeline) {
+		Map<String, Double> peerMessages, Map<String, Double> peerBytes, Map<String, Double> endpointMessages,
+		double hostProcessorSeconds, long lostConnectionCount, long resubmissionCount,
+		Map<Violation.Type, Long> violations, List<Violation> violationExamples, List<SecondCounts.Row> timeline) {
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
@@ -73,7 +75,8 @@
 				recorder.completeTaskCount() / seconds, recorder.outcomes(), recorder.problems(), recorder.ratios(true),
 				recorder.ratios(false), recorder.responsesMillis(true), recorder.responsesMillis(false),
 				startedTaskCount, SiteCounters.under(counts, SiteCounters.MESSAGES), wasted,
-				wastedSum / Math.max(1, startedTaskCount), SiteCounters.under(counts, SiteCounters.ENDPOINT),
+				wastedSum / Math.max(1, startedTaskCount), SiteCounters.under(counts, SiteCounters.PEER_MESSAGES),
+				SiteCounters.under(counts, SiteCounters.PEER_BYTES), SiteCounters.under(counts, SiteCounters.ENDPOINT),
 				counts.getOrDefault(SiteCounters.PROCESSOR_SECONDS, 0.0), client.lostConnectionCount(),
 				client.resubmissionCount(), violations, recorder.violations().stream().limit(EXAMPLE_COUNT).toList(),
 				recorder.timeline());
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRun.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRun.java
@@ -131,7 +131,7 @@
 	}
 
 	private CompletableFuture<Void> unsent(PlannedJob job, Throwable error) {
-		logger.warn("job {} was not sent: {}", job.index(), error.getMessage());
+		logger.debug("job {} was not sent: {}", job.index(), error.getMessage());
 		this.recorder.addUnsent(job);
 		return CompletableFuture.completedFuture(null);
 	}
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
@@ -46,6 +46,8 @@
 				report.wastedPerStartedTask());
 		append(text, "messages of hosts %s%n", counts(report.messages()));
 		append(text, "wasted messages of hosts %s%n", counts(report.wastedMessages()));
+		append(text, "messages between hosts %s%n", counts(report.peerMessages()));
+		append(text, "bytes between hosts %s%n", counts(report.peerBytes()));
 		append(text, "counted by workers %s%n", counts(report.endpointMessages()));
 		append(text, "processor time of hosts %.2f s, lost connections %d, resubmissions %d%n",
 				report.hostProcessorSeconds(), report.lostConnectionCount(), report.resubmissionCount());
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/SiteCounters.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/SiteCounters.java
@@ -17,6 +17,12 @@
 	/** Prefix of wasted messages that hosts sent, by kind. */
 	static final String WASTED = "wasted/";
 
+	/** Prefix of messages that hosts sent each other, by type. */
+	static final String PEER_MESSAGES = "peer-messages/";
+
+	/** Prefix of the bytes of these messages, by type. */
+	static final String PEER_BYTES = "peer-bytes/";
+
 	/** Prefix of what workers counted. */
 	static final String ENDPOINT = "endpoint/";
 
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/SiteProbe.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/SiteProbe.java
@@ -30,6 +30,9 @@
 	private static final Pattern MESSAGES = Pattern
 		.compile("masticwick_messages(_wasted)?_total\\{[^}]*?kind=\"([^\"]*)\"[^}]*} ([0-9.eE+]+)");
 
+	private static final Pattern PEER_MESSAGES = Pattern
+		.compile("masticwick_peer_(messages_sent|sent_bytes)_total\\{[^}]*?type=\"([^\"]*)\"[^}]*} ([0-9.eE+]+)");
+
 	private static final Pattern PROCESSOR = Pattern.compile("(?m)^process_cpu_seconds_total ([0-9.eE+-]+)");
 
 	private final HttpCaller caller = new HttpCaller();
@@ -111,6 +114,12 @@
 			String prefix = (messages.group(1) != null) ? SiteCounters.WASTED : SiteCounters.MESSAGES;
 			values.merge(prefix + messages.group(2), Double.parseDouble(messages.group(3)), Double::sum);
 		}
+		Matcher peers = PEER_MESSAGES.matcher(text);
+		while (peers.find()) {
+			boolean bytes = peers.group(1).equals("sent_bytes");
+			String prefix = bytes ? SiteCounters.PEER_BYTES : SiteCounters.PEER_MESSAGES;
+			values.merge(prefix + peers.group(2), Double.parseDouble(peers.group(3)), Double::sum);
+		}
 		Matcher processor = PROCESSOR.matcher(text);
 		if (processor.find()) {
 			values.put(SiteCounters.PROCESSOR_SECONDS, Double.parseDouble(processor.group(1)));
--- a/masticwick-cli/src/test/java/org/masticwick/cli/load/ExperimentPlanTests.java
+++ b/masticwick-cli/src/test/java/org/masticwick/cli/load/ExperimentPlanTests.java
@@ -59,6 +59,18 @@
 
 	}
 
+	@Nested
+	class Examples {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "loads", "placement", "faults" })
+		void arePlans(String name) {
+			Path file = Path.of("..", "examples", "experiments", name + ".toml");
+			assertThat(ExperimentPlan.load(file).runs()).hasSizeGreaterThan(1);
+		}
+
+	}
+
 	@Nested
 	class Plotting {
 
