Give the way to the home its time beside the caller's wait

Cause: a look at a finished job through another host was told as running, since a wait of 0 ms ran out before the home had answered. Now the host that passes the request on waits longer by the time a route may take. Before: 202 running through another host; after: 200 complete.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -97,13 +97,16 @@
 	 */
 	public CompletableFuture<HttpAnswer> serve(RoutedRequest request) {
 		long limitNanos = this.time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.routeLimitMillis);
-		return waited(route(request, limitNanos), request);
+		boolean here = answeringBook(request).isPresent();
+		long waitMillis = request.waitMillis() + (here ? 0 : this.routeLimitMillis);
+		return waited(route(request, limitNanos), request, waitMillis);
 	}
 
-	private CompletableFuture<HttpAnswer> waited(CompletableFuture<HttpAnswer> answer, RoutedRequest request) {
-		return answer.thenApply(Function.identity())
-			.completeOnTimeout(Answers.running(request.ticket().toString()), request.waitMillis(),
-					TimeUnit.MILLISECONDS)
+	private CompletableFuture<HttpAnswer> waited(CompletableFuture<HttpAnswer> answer, RoutedRequest request,
+			long waitMillis) {
+		CompletableFuture<HttpAnswer> copy = answer.thenApply(Function.identity());
+		return (copy.isDone() ? copy : copy.completeOnTimeout(Answers.running(request.ticket().toString()), waitMillis,
+				TimeUnit.MILLISECONDS))
 			.exceptionally((ex) -> Answers.problem(causeOf(ex)));
 	}
 
@@ -142,7 +145,7 @@
 		if (answer.isCompletedExceptionally()) {
 			return answer.handle((given, ex) -> toError(causeOf(ex)));
 		}
-		return waited(answer, request).thenApply(RequestRouter::toMessage);
+		return waited(answer, request, request.waitMillis()).thenApply(RequestRouter::toMessage);
 	}
 
 	private static PeerMessage toError(Throwable ex) {
