--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/HeartbeatService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/HeartbeatService.java
@@ -1,8 +1,6 @@
 package org.masticwick.daemon.connection;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -63,22 +61,16 @@
 
 	private final SummaryRelay relay;
 
-	private final DomainLinks links;
+	private final SummarySender summarySender;
 
 	private final LoadChangeSelector loadChanges;
 
-	private final Cadence summaryCadence;
-
 	private final Cadence wholeLoadCadence;
 
 	private final Queue<EntryHost> greetings = new ConcurrentLinkedQueue<>();
 
 	private volatile boolean started;
 
-	private final ToldSummary lastSummary = new ToldSummary();
-
-	private final Map<String, ToldLink> toldLinks = new HashMap<>();
-
 	private long sequence;
 
 	/**
@@ -101,9 +93,8 @@
 		this.watch = new PeerWatch(listener);
 		this.summaries = new Summaries(membership);
 		this.relay = new SummaryRelay(this.summaries, settings.relayIntervalMillis());
-		this.links = new DomainLinks(membership, settings.linkCount());
+		this.summarySender = new SummarySender(settings, transport, membership, this.summaries);
 		this.loadChanges = new LoadChangeSelector(settings.loadBudget());
-		this.summaryCadence = new Cadence(settings.summaryIntervalMillis());
 		this.wholeLoadCadence = new Cadence(settings.wholeLoadIntervalMillis());
 	}
 
@@ -176,7 +167,7 @@
 			answerGreetings();
 			PeerStatus status = this.ownStatus.get();
 			sendHeartbeats(status, nowNanos);
-			sendSummaries(status, nowNanos);
+			this.summarySender.sendIfDue(status, this.sequence, nowNanos);
 			this.relay.due(nowNanos).forEach((summary) -> sendToOwnDomain(summary, nowNanos));
 			probe();
 			this.watch.look(this.membership.peers(nowNanos));
@@ -196,27 +187,6 @@
 		sendToOwnDomain(new PeerMessage.Heartbeat(this.membership.self(), this.sequence, whole, told), nowNanos);
 	}
 
-	private void sendSummaries(PeerStatus status, long nowNanos) {
-		PeerMessage.DomainSummary summary = this.summaries.own(status, this.sequence, nowNanos);
-		if (this.summaryCadence.isDue(nowNanos, this.lastSummary.differs(summary))) {
-			this.lastSummary.next(summary);
-			this.membership.domains()
-				.stream()
-				.filter((domain) -> !domain.equals(summary.domain()))
-				.flatMap((domain) -> this.links.target(domain, this.sequence, nowNanos).stream())
-				.forEach((target) -> this.transport.send(target.peerAddress(), told(target).next(summary)));
-		}
-	}
-
-	private ToldSummary told(EntryHost target) {
-		ToldLink known = this.toldLinks.get(target.domain());
-		if (known == null || !known.target().equals(target)) {
-			known = new ToldLink(target, new ToldSummary());
-			this.toldLinks.put(target.domain(), known);
-		}
-		return known.summary();
-	}
-
 	private void sendToOwnDomain(PeerMessage message, long nowNanos) {
 		this.membership.peersOf(this.membership.self().domain(), nowNanos)
 			.forEach((peer) -> this.transport.send(peer.host().peerAddress(), message));
@@ -311,13 +281,4 @@
 		}
 	}
 
-	/**
-	 * Holds what was told of the own domain to a host of another.
-	 *
-	 * @param target the host
-	 * @param summary what was told
-	 */
-	private record ToldLink(EntryHost target, ToldSummary summary) {
-	}
-
 }
