Keep the load tool out of its own way

Cause: at 2,500 jobs a second the tool sent jobs up to 4 s late. One pool of connections was searched from end to end, under locks, for each request, and each new connection asked for a proxy.

Ruled out: the number of sending threads alone (the pools stay as long). Each host now has a client of its own, without a proxy, and eight threads send. The report tells how late the tool itself sent jobs.

Goodput and tasks a second now count what was answered while jobs were sent, after the warm-up, instead of over the tail of the longest tasks.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/connection/HttpCaller.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/connection/HttpCaller.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.Proxy;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -61,6 +62,7 @@
 			.readTimeout(Duration.ZERO)
 			.retryOnConnectionFailure(false)
 			.followRedirects(false)
+			.proxy(Proxy.NO_PROXY)
 			.build();
 	}
 
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRecorder.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRecorder.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.IntStream;
 
@@ -61,7 +60,7 @@
 
 	private final LongAdder completeWorkMillis = new LongAdder();
 
-	private final AtomicLong lastNanos = new AtomicLong();
+	private final Histogram sendLags = new ConcurrentHistogram(DIGITS);
 
 	LoadRecorder(LoadOptions options) {
 		this.options = options;
@@ -78,6 +77,14 @@
 		this.taskCounts.put(ticket, job.taskCount());
 	}
 
+	/**
+	 * Notes how late the tool itself sent a job.
+	 * @param lagNanos the time after the intended one, in nanoseconds
+	 */
+	void addSendLag(long lagNanos) {
+		this.sendLags.recordValue(Math.max(0, TimeUnit.NANOSECONDS.toMicros(lagNanos)));
+	}
+
 	/**
 	 * Notes an answer.
 	 * @param job the job
@@ -87,7 +94,6 @@
 	 * @param nowNanos when the answer came, in nanoseconds from the start of the run
 	 */
 	void add(PlannedJob job, JobRequest request, JobAnswer answer, boolean cancelled, long nowNanos) {
-		this.lastNanos.accumulateAndGet(nowNanos, Math::max);
 		SecondCounts second = this.seconds.get((int) TimeUnit.NANOSECONDS.toSeconds(job.offsetNanos()));
 		if (answer instanceof JobAnswer.Complete complete) {
 			AnswerCheck.check(request, complete).ifPresent(this.violations::add);
@@ -168,16 +174,25 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the tasks of jobs whose complete answers came while jobs were sent, after
+	 * the warm-up.
+	 * @return the count
+	 */
 	long completeTaskCount() {
 		return this.completeTasks.sum();
 	}
 
+	/**
+	 * Returns the work of the same jobs.
+	 * @return the work in milliseconds
+	 */
 	long completeWorkMillis() {
 		return this.completeWorkMillis.sum();
 	}
 
-	long lastNanos() {
-		return this.lastNanos.get();
+	Quantiles sendLagsMillis() {
+		return Quantiles.of(this.sendLags, RESPONSE_UNIT_MILLIS);
 	}
 
 	Quantiles ratios(boolean single) {
@@ -191,9 +206,12 @@
 	private double addComplete(PlannedJob job, long nowNanos) {
 		double responseMillis = (nowNanos - job.offsetNanos()) / NANOS_PER_MILLI;
 		double ratio = responseMillis / job.idealMillis(this.options.slotCount());
-		this.completeTasks.add(job.taskCount());
-		this.completeWorkMillis.add(job.workMillis());
-		if (job.offsetNanos() >= TimeUnit.MILLISECONDS.toNanos(this.options.warmupMillis())) {
+		long warmupNanos = TimeUnit.MILLISECONDS.toNanos(this.options.warmupMillis());
+		if (nowNanos >= warmupNanos && nowNanos < TimeUnit.MILLISECONDS.toNanos(this.options.durationMillis())) {
+			this.completeTasks.add(job.taskCount());
+			this.completeWorkMillis.add(job.workMillis());
+		}
+		if (job.offsetNanos() >= warmupNanos) {
 			boolean single = job.taskCount() == 1;
 			(single ? this.singleRatios : this.jobRatios).recordValue(Math.max(0, Math.round(ratio / RATIO_UNIT)));
 			(single ? this.singleResponses : this.jobResponses)
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -28,6 +27,7 @@
  * @param jobRatio response time over ideal of jobs of several tasks
  * @param singleResponseMillis response times of single tasks, in milliseconds
  * @param jobResponseMillis response times of jobs of several tasks, in milliseconds
+ * @param sendLagMillis how late the tool itself sent jobs, in milliseconds
  * @param startedTaskCount how many tasks the workers started
  * @param messages messages that hosts sent, by kind
  * @param wastedMessages wasted messages among them, by kind
@@ -44,11 +44,12 @@
  */
 record LoadReport(LoadOptions options, int jobCount, long taskCount, double offeredLoad, double goodput,
 		double tasksPerSecond, Map<String, Long> outcomes, Map<String, Long> problems, Quantiles singleRatio,
-		Quantiles jobRatio, Quantiles singleResponseMillis, Quantiles jobResponseMillis, long startedTaskCount,
-		Map<String, Double> messages, Map<String, Double> wastedMessages, double wastedPerStartedTask,
-		Map<String, Double> peerMessages, Map<String, Double> peerBytes, Map<String, Double> endpointMessages,
-		double hostProcessorSeconds, long lostConnectionCount, long resubmissionCount,
-		Map<Violation.Type, Long> violations, List<Violation> violationExamples, List<SecondCounts.Row> timeline) {
+		Quantiles jobRatio, Quantiles singleResponseMillis, Quantiles jobResponseMillis, Quantiles sendLagMillis,
+		long startedTaskCount, Map<String, Double> messages, Map<String, Double> wastedMessages,
+		double wastedPerStartedTask, Map<String, Double> peerMessages, Map<String, Double> peerBytes,
+		Map<String, Double> endpointMessages, double hostProcessorSeconds, long lostConnectionCount,
+		long resubmissionCount, Map<Violation.Type, Long> violations, List<Violation> violationExamples,
+		List<SecondCounts.Row> timeline) {
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
@@ -56,13 +57,11 @@
 
 	private static final int EXAMPLE_COUNT = 20;
 
-	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
-
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	static LoadReport of(LoadOptions options, Schedule schedule, LoadRecorder recorder, ClientCounters client,
 			Map<String, Double> counts, long startedTaskCount) {
-		double seconds = Math.max(recorder.lastNanos() / NANOS_PER_SECOND, 1 / MILLIS_PER_SECOND);
+		double seconds = (options.durationMillis() - options.warmupMillis()) / MILLIS_PER_SECOND;
 		Map<String, Double> wasted = SiteCounters.under(counts, SiteCounters.WASTED);
 		double wastedSum = wasted.values().stream().mapToDouble(Double::doubleValue).sum();
 		Map<Violation.Type, Long> violations = new TreeMap<>();
@@ -74,7 +73,7 @@
 				recorder.completeWorkMillis() / MILLIS_PER_SECOND / (options.slotCount() * seconds),
 				recorder.completeTaskCount() / seconds, recorder.outcomes(), recorder.problems(), recorder.ratios(true),
 				recorder.ratios(false), recorder.responsesMillis(true), recorder.responsesMillis(false),
-				startedTaskCount, SiteCounters.under(counts, SiteCounters.MESSAGES), wasted,
+				recorder.sendLagsMillis(), startedTaskCount, SiteCounters.under(counts, SiteCounters.MESSAGES), wasted,
 				wastedSum / Math.max(1, startedTaskCount), SiteCounters.under(counts, SiteCounters.PEER_MESSAGES),
 				SiteCounters.under(counts, SiteCounters.PEER_BYTES), SiteCounters.under(counts, SiteCounters.ENDPOINT),
 				counts.getOrDefault(SiteCounters.PROCESSOR_SECONDS, 0.0), client.lostConnectionCount(),
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRun.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRun.java
@@ -32,7 +32,7 @@
 
 	private static final int TICKET_BLOCK_COUNT = 200;
 
-	private static final int SENDER_COUNT = 4;
+	private static final int SENDER_COUNT = 8;
 
 	private static final long LEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -101,7 +101,7 @@
 
 	private LoadReport report(SiteCounters before) {
 		Map<String, Double> counts = this.probe.counters().since(before);
-		long startedTaskCount = this.recorder.completeTaskCount();
+		long startedTaskCount = 0;
 		if (this.probe.seesWorkers()) {
 			StartAudit audit = new StartAudit(this.probe.starts());
 			this.recorder.check(audit);
@@ -124,6 +124,7 @@
 
 	private CompletableFuture<Void> send(PlannedJob job) {
 		JobRequest request = job.toRequest(this.options, this.service);
+		this.recorder.addSendLag(System.nanoTime() - this.startNanos - job.offsetNanos());
 		int host = (int) (job.place() * this.client.hosts().size());
 		return this.client.ticketFrom(host)
 			.handle((ticket, error) -> (error != null) ? unsent(job, error) : submit(job, request, ticket))
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
@@ -42,6 +42,7 @@
 		text.append("response time in ms:\n");
 		quantiles(text, "  single tasks", report.singleResponseMillis());
 		quantiles(text, "  jobs", report.jobResponseMillis());
+		quantiles(text, "  late in sending", report.sendLagMillis());
 		append(text, "started tasks %d, wasted messages per started task %.4f%n", report.startedTaskCount(),
 				report.wastedPerStartedTask());
 		append(text, "messages of hosts %s%n", counts(report.messages()));
--- a/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -9,8 +10,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import okhttp3.HttpUrl;
 
@@ -37,7 +40,7 @@
 
 	private final JobClientOptions options;
 
-	private final HttpCaller caller = new HttpCaller();
+	private final Map<HttpUrl, HttpCaller> callers;
 
 	private final List<TicketStore> stores;
 
@@ -62,8 +65,11 @@
 		this.hosts = List.copyOf(hosts);
 		this.options = options;
 		this.random = new Random(options.seed());
+		this.callers = this.hosts.stream()
+			.distinct()
+			.collect(Collectors.toUnmodifiableMap(Function.identity(), (host) -> new HttpCaller()));
 		this.stores = this.hosts.stream()
-			.map((host) -> new TicketStore(this.caller, TimeSource.system(), host, options.ticketBlockCount(),
+			.map((host) -> new TicketStore(caller(host), TimeSource.system(), host, options.ticketBlockCount(),
 					TICKET_MARGIN_MILLIS))
 			.toList();
 	}
@@ -141,7 +147,7 @@
 	 */
 	public CompletableFuture<JobAnswer> state(String ticket, Duration wait) {
 		return firstReachable(0,
-				(host) -> this.caller.get(jobUrl(host, ticket, wait), wait.plus(this.options.silenceMargin()))
+				(host) -> caller(host).get(jobUrl(host, ticket, wait), wait.plus(this.options.silenceMargin()))
 					.thenApply((answer) -> AnswerReader.job(ticket, answer)));
 	}
 
@@ -151,7 +157,7 @@
 	 * @return what became of it
 	 */
 	public CompletableFuture<JobAnswer> cancel(String ticket) {
-		return firstReachable(0, (host) -> this.caller.delete(jobUrl(host, ticket), CONTROL_LIMIT)
+		return firstReachable(0, (host) -> caller(host).delete(jobUrl(host, ticket), CONTROL_LIMIT)
 			.thenApply((answer) -> AnswerReader.job(ticket, answer)));
 	}
 
@@ -174,11 +180,17 @@
 	@Override
 	public void close() {
 		this.timer.shutdownNow();
-		this.caller.close();
+		this.callers.values().forEach(HttpCaller::close);
 	}
 
-	HttpCaller caller() {
-		return this.caller;
+	/**
+	 * Returns the caller of a host. Each host has its own, since a pool of connections is
+	 * searched from end to end for each request.
+	 * @param host one of the hosts
+	 * @return the caller
+	 */
+	HttpCaller caller(HttpUrl host) {
+		return this.callers.get(host);
 	}
 
 	JobClientOptions options() {
--- a/masticwick-cli/src/main/java/org/masticwick/cli/request/Submission.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/Submission.java
@@ -48,7 +48,7 @@
 		this.attemptCount++;
 		Duration wait = waitTime();
 		HttpUrl url = this.client.jobUrl(this.host, this.ticket.text(), wait);
-		this.client.caller()
+		this.client.caller(this.host)
 			.send("PUT", url, this.body, wait.plus(this.client.options().silenceMargin()))
 			.whenComplete(this::handle);
 	}
@@ -56,7 +56,9 @@
 	private void poll() {
 		Duration wait = waitTime();
 		HttpUrl url = this.client.jobUrl(this.host, this.ticket.text(), wait);
-		this.client.caller().get(url, wait.plus(this.client.options().silenceMargin())).whenComplete(this::handle);
+		this.client.caller(this.host)
+			.get(url, wait.plus(this.client.options().silenceMargin()))
+			.whenComplete(this::handle);
 	}
 
 	private void handle(HttpAnswer answer, Throwable error) {
