--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
@@ -21,6 +21,8 @@
  */
 public final class Masticwickd {
 
+	private static final int EXIT_OK = 0;
+
 	private static final int EXIT_USAGE = 2;
 
 	private static final int EXIT_SETTINGS = 3;
@@ -96,9 +98,8 @@
 	}
 
 	private static void stop(EntryHostProcess process) {
-		if (process.stop() > 0) {
-			Runtime.getRuntime().halt(EXIT_CUT_OFF);
-		}
+		int cutOffCount = process.stop();
+		Runtime.getRuntime().halt((cutOffCount > 0) ? EXIT_CUT_OFF : EXIT_OK);
 	}
 
 }
