Bound and order the requests of each connection of a caller

Cause: the HTTP server gives no limit on how long a request may take, keeps a fixed limit of 4096 and 8192 bytes for request line and headers whatever the settings say, answers a request that can't be parsed as if it were another path, and passes pipelined requests on all at once: a later answer could overtake an earlier one and so reach the wrong request.

Ruled out: a hook of Jooby (it has none for the pipeline); a server of its own beside Jooby. Netty's ChannelInitializerExtension adds handlers to the connections of this one listener.

A caller that ends its output still gets its answer; one that ends it inside a request is told so. A refused connection is closed after the answer could be read. 405 names the allowed methods.

Shown: 36 contract tests on raw connections, each refusal beside a second caller that is answered.

--- a/masticwick-core/src/main/java/org/masticwick/core/process/ErrorCode.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/process/ErrorCode.java
@@ -14,7 +14,10 @@
 	/** The request or one of its parts is larger than the settings allow. */
 	REQUEST_TOO_LARGE("request-too-large", 413, RunState.NOT_RUN, false),
 
-	/** The body of the request came too slowly. */
+	/** The request line or the headers are larger than the settings allow. */
+	HEADERS_TOO_LARGE("headers-too-large", 431, RunState.NOT_RUN, false),
+
+	/** The request came too slowly. */
 	REQUEST_TIMEOUT("request-timeout", 408, RunState.NOT_RUN, true),
 
 	/** There is no such path. */
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestAssembler.java
@@ -0,0 +1,42 @@
+package org.masticwick.daemon.connection.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+import org.masticwick.core.process.ErrorCode;
+
+/**
+ * Puts the parts of a request together in memory, and refuses one that is too large as
+ * soon as that is known.
+ */
+final class RequestAssembler extends HttpObjectAggregator {
+
+	private final Rejection tooLarge;
+
+	private final ProblemBody problem;
+
+	RequestAssembler(EdgeSettings settings) {
+		super(settings.bodyBytes(), true);
+		this.problem = settings.problemBody();
+		this.tooLarge = new Rejection(ErrorCode.REQUEST_TOO_LARGE,
+				"The body is larger than " + settings.bodyBytes() + " bytes", true);
+	}
+
+	@Override
+	protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+		ctx.fireChannelRead(this.tooLarge);
+	}
+
+	@Override
+	protected Object newContinueResponse(HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
+		Object response = super.newContinueResponse(start, maxContentLength, pipeline);
+		boolean refused = response instanceof FullHttpResponse full
+				&& full.status().equals(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+		return refused ? this.tooLarge.response(this.problem) : response;
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/SlowRequestGuard.java
@@ -0,0 +1,86 @@
+package org.masticwick.daemon.connection.http;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+
+import org.masticwick.core.process.ErrorCode;
+
+/**
+ * Refuses a request whose bytes come too slowly or end too early. The time runs from the
+ * first byte of a request to its last; a connection between two requests may be quiet.
+ */
+final class SlowRequestGuard extends ChannelInboundHandlerAdapter {
+
+	private final long timeoutMillis;
+
+	private final RequestQueue queue;
+
+	private ScheduledFuture<?> timeout;
+
+	SlowRequestGuard(long timeoutMillis, RequestQueue queue) {
+		this.timeoutMillis = timeoutMillis;
+		this.queue = queue;
+		queue.onComplete(this::stopTimer);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object msg) {
+		if (this.queue.refusing()) {
+			ReferenceCountUtil.release(msg);
+			return;
+		}
+		if (this.timeout == null && msg instanceof ByteBuf bytes && bytes.isReadable()) {
+			startTimer(ctx);
+		}
+		ctx.fireChannelRead(msg);
+	}
+
+	private void startTimer(ChannelHandlerContext ctx) {
+		this.timeout = ctx.executor().schedule(() -> onTimeout(ctx), this.timeoutMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void stopTimer() {
+		if (this.timeout != null) {
+			this.timeout.cancel(false);
+			this.timeout = null;
+		}
+	}
+
+	private void onTimeout(ChannelHandlerContext ctx) {
+		if (!ctx.channel().config().isAutoRead()) {
+			startTimer(ctx);
+			return;
+		}
+		this.queue.reject(new Rejection(ErrorCode.REQUEST_TIMEOUT,
+				"The request was not complete within " + this.timeoutMillis + " ms", true));
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			onInputEnd();
+		}
+		ctx.fireUserEventTriggered(event);
+	}
+
+	private void onInputEnd() {
+		if (this.timeout != null) {
+			this.queue
+				.reject(new Rejection(ErrorCode.MALFORMED_REQUEST, "The request ended before it was complete", true));
+		}
+		this.queue.endOfInput();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		stopTimer();
+		ctx.fireChannelInactive();
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
@@ -13,6 +14,7 @@
 import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
+import io.jooby.exception.MethodNotAllowedException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,6 +23,8 @@
 import org.masticwick.core.process.MasticwickException;
 import org.masticwick.core.request.Ticket;
 import org.masticwick.daemon.connection.NamedThreads;
+import org.masticwick.daemon.connection.http.EdgeSettings;
+import org.masticwick.daemon.connection.http.RequestEdge;
 import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.daemon.request.Answers;
 import org.masticwick.daemon.request.HttpAnswer;
@@ -43,6 +47,8 @@
 
 	private static final String JOB_PATH = "/v1/jobs/{ticket}";
 
+	private static final Pattern WAIT = Pattern.compile("\\d{1,18}");
+
 	private static final byte[] NO_BODY = {};
 
 	private final ApiBackend backend;
@@ -62,7 +68,7 @@
 		this.app.setExecutionMode(ExecutionMode.WORKER);
 		this.app.setWorker(this.workers);
 		routes();
-		this.server = this.app.start();
+		this.server = RequestEdge.guard(edge(limits), this.app::start);
 	}
 
 	private static ServerOptions options(ApiLimits limits, String ip, int port) {
@@ -74,9 +80,15 @@
 		options.setMaxRequestSize(limits.bodyBytes());
 		options.setBufferSize(limits.bodyBytes());
 		options.setDefaultHeaders(false);
+		options.setHttp2(false);
 		return options;
 	}
 
+	private static EdgeSettings edge(ApiLimits limits) {
+		return new EdgeSettings(limits.headerBytes(), limits.bodyBytes(), limits.requestTimeoutMillis(),
+				(code, detail) -> Answers.problem(code, detail).body());
+	}
+
 	HostAddress address() {
 		ServerOptions options = this.server.getOptions();
 		return new HostAddress(options.getHost(), options.getPort());
@@ -112,10 +124,6 @@
 	}
 
 	private static byte[] body(Context ctx) {
-		String type = ctx.header("Content-Type").value("");
-		if (type.startsWith("application/x-www-form-urlencoded") || type.startsWith("multipart/")) {
-			throw new RequestException(ErrorCode.MALFORMED_REQUEST, "Content-Type: application/json is required");
-		}
 		return ctx.body().bytes();
 	}
 
@@ -125,12 +133,10 @@
 		if (text == null) {
 			return defaultMillis;
 		}
-		try {
-			return Math.max(0, Math.min(Long.parseLong(text), this.limits.maxWaitMillis()));
-		}
-		catch (NumberFormatException ex) {
-			throw new RequestException(ErrorCode.INVALID_REQUEST, "wait_ms: a whole number is required", ex);
+		if (!WAIT.matcher(text).matches()) {
+			throw new RequestException(ErrorCode.INVALID_REQUEST, "wait_ms: a whole number from 0 on is required");
 		}
+		return Math.min(Long.parseLong(text), this.limits.maxWaitMillis());
 	}
 
 	private HttpAnswer ready() {
@@ -183,8 +189,14 @@
 	}
 
 	private void onError(Context ctx, Throwable ex, StatusCode status) {
-		logger.debug("Request refused: path={} status={} reason={}", ctx.getRequestPath(), status.value(),
-				ex.getMessage());
+		logger.atDebug()
+			.addKeyValue("method", ctx.getMethod())
+			.addKeyValue("path", ctx.getRequestPath())
+			.addKeyValue("status", status.value())
+			.log("Request refused");
+		if (ex instanceof MethodNotAllowedException known) {
+			ctx.setResponseHeader("Allow", String.join(", ", known.getAllow()));
+		}
 		send(ctx, done(problem(ex, status)));
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -12,6 +12,8 @@
 import org.slf4j.LoggerFactory;
 
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.daemon.connection.http.RequestEdge;
+import org.masticwick.daemon.process.settings.RequestSettings;
 import org.masticwick.daemon.process.settings.Settings;
 
 /**
@@ -37,11 +39,16 @@
 
 	private EntryHostProcess(Settings settings) {
 		this.settings = settings;
+		RequestEdge.enable();
 		this.parts = new EntryHostParts(settings);
 		InetSocketAddress address = settings.host().apiAddress();
-		this.api = new ApiServer(this.parts.api(),
-				new ApiLimits(settings.requests().bodyBytesMax(), settings.requests().waitMaxMillis()),
-				address.getHostString(), address.getPort());
+		this.api = new ApiServer(this.parts.api(), limits(settings.requests()), address.getHostString(),
+				address.getPort());
+	}
+
+	private static ApiLimits limits(RequestSettings requests) {
+		return new ApiLimits(requests.headerBytesMax(), requests.bodyBytesMax(), requests.bodyTimeoutMillis(),
+				requests.waitMaxMillis());
 	}
 
 	/**
--- /dev/null
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/ApiServerTests.java
@@ -0,0 +1,278 @@
+package org.masticwick.daemon.process;
+
+import java.io.IOException;
+import java.nio.file.FileSystems;
+import java.nio.file.Path;
+import java.nio.file.StandardWatchEventKinds;
+import java.nio.file.WatchService;
+import java.util.stream.Stream;
+
+import io.netty.handler.codec.http.multipart.DiskAttribute;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.daemon.process.RawConnection.Answer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIOException;
+
+/**
+ * Tests for the HTTP interface of {@link ApiServer}, on raw connections.
+ */
+class ApiServerTests {
+
+	private static final int HEADER_BYTES = 2_000;
+
+	private static final int BODY_BYTES = 300_000;
+
+	private static final long TIMEOUT_MILLIS = 300;
+
+	private static final String TICKET = new Ticket("d1", HostAddress.parse("127.0.0.1:7000"), new Incarnation(1, 2), 3,
+			4, "0123456789abcdef")
+		.toString();
+
+	private static final String JOB = "/v1/jobs/" + TICKET;
+
+	private final FakeBackend backend = new FakeBackend();
+
+	private final ApiServer server = new ApiServer(this.backend,
+			new ApiLimits(HEADER_BYTES, BODY_BYTES, TIMEOUT_MILLIS, 5_000), "127.0.0.1", 0);
+
+	@AfterEach
+	void close() {
+		this.server.close();
+	}
+
+	private Answer exchange(String request) throws IOException {
+		return RawConnection.exchange(this.server.address(), request);
+	}
+
+	private static void assertProblem(Answer answer, int status, String code, String ran) throws IOException {
+		assertThat(answer.status()).as(answer.body()).isEqualTo(status);
+		assertThat(answer.headers()).containsEntry("content-type", "application/problem+json");
+		assertThat(answer.code()).isEqualTo(code);
+		assertThat(answer.ran()).isEqualTo(ran);
+		assertThat(answer.json().path("status").asInt()).isEqualTo(status);
+	}
+
+	@Nested
+	class Refusals {
+
+		static Stream<Arguments> requests() {
+			String large = "x".repeat(BODY_BYTES + 1);
+			return Stream.of(row("no request", "\u0001\u0002\u0003 nonsense\r\n\r\n", 400, "malformed-request", "no"),
+					row("bad length", "PUT " + JOB + " HTTP/1.1\r\nHost: h\r\nContent-Length: many\r\n\r\n", 400,
+							"malformed-request", "no"),
+					row("two lengths",
+							"PUT " + JOB + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+							400, "malformed-request", "no"),
+					row("bad chunk", chunkedPut() + "zz\r\n", 400, "malformed-request", "no"),
+					row("declared too large", "PUT " + JOB + " HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n",
+							413, "request-too-large", "no"),
+					row("expects to go on, too large",
+							"PUT " + JOB + " HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+									+ "Content-Length: 99999999\r\n\r\n",
+							413, "request-too-large", "no"),
+					row("sent too large", RawConnection.put(JOB, "", large), 413, "request-too-large", "no"),
+					row("chunks too large", chunkedPut() + Integer.toHexString(large.length()) + "\r\n" + large, 413,
+							"request-too-large", "no"),
+					row("header too large", "GET /health HTTP/1.1\r\nA: " + "x".repeat(HEADER_BYTES) + "\r\n\r\n", 431,
+							"headers-too-large", "no"),
+					row("request line too large", RawConnection.plain("GET", "/" + "x".repeat(HEADER_BYTES)), 431,
+							"headers-too-large", "no"),
+					row("unknown path", RawConnection.plain("GET", "/v2/jobs"), 404, "not-found", "not-applicable"),
+					row("unknown path with a body", RawConnection.put("/nowhere", "", "{}"), 404, "not-found",
+							"not-applicable"),
+					row("wrong method", RawConnection.plain("PATCH", "/v1/tickets"), 405, "method-not-allowed",
+							"not-applicable"),
+					row("a word for a method", RawConnection.plain("BREW", "/v1/version"), 405, "method-not-allowed",
+							"not-applicable"),
+					row("form", RawConnection.put(JOB, "Content-Type: application/x-www-form-urlencoded\r\n", "a=b"),
+							400, "malformed-request", "no"),
+					row("broken form of several parts",
+							RawConnection.put(JOB, "Content-Type: multipart/form-data\r\n", "a=b"), 400,
+							"malformed-request", "no"),
+					row("text", RawConnection.put(JOB, "Content-Type: text/plain\r\n", "{}"), 400, "malformed-request",
+							"no"),
+					row("a body on GET", "GET " + JOB + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}", 400,
+							"malformed-request", "no"),
+					row("bad ticket", RawConnection.plain("GET", "/v1/jobs/none"), 400, "invalid-ticket", "no"),
+					row("bad escape", RawConnection.plain("GET", "/v1/jobs/%zz"), 400, "malformed-request", "no"),
+					row("wait in words", RawConnection.plain("GET", JOB + "?wait_ms=soon"), 422, "invalid-request",
+							"no"),
+					row("wait below zero", RawConnection.plain("GET", JOB + "?wait_ms=-1"), 422, "invalid-request",
+							"no"),
+					row("wait beyond numbers", RawConnection.plain("GET", JOB + "?wait_ms=99999999999999999999"), 422,
+							"invalid-request", "no"),
+					row("fault of the program", RawConnection.plain("GET", "/dump"), 500, "internal", "unknown"));
+		}
+
+		private static Arguments row(String name, String request, int status, String code, String ran) {
+			return Arguments.of(name, request, status, code, ran);
+		}
+
+		private static String chunkedPut() {
+			return "PUT " + JOB + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+		}
+
+		@ParameterizedTest(name = "{0}")
+		@MethodSource("requests")
+		void tellCodeAndLeaveOthersUnharmed(String name, String request, int status, String code, String ran)
+				throws IOException {
+			try (RawConnection other = new RawConnection(ApiServerTests.this.server.address())) {
+				other.send(RawConnection.plain("GET", "/health"));
+				assertThat(other.read().status()).isEqualTo(200);
+				assertProblem(exchange(request), status, code, ran);
+				other.send(RawConnection.plain("GET", "/health"));
+				assertThat(other.read().status()).isEqualTo(200);
+			}
+			assertThat(ApiServerTests.this.backend.requests).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class SlowAndCutRequests {
+
+		@ParameterizedTest
+		@CsvSource(delimiter = '|', textBlock = """
+				half a line    | GET /hea
+				half a head    | GET /health HTTP/1.1~Host:
+				half a body    | PUT /v1/jobs/x HTTP/1.1~Content-Length: 9~~{
+				half a chunk   | PUT /v1/jobs/x HTTP/1.1~Transfer-Encoding: chunked~~9~{
+				""")
+		void endWithAnError(String name, String text) throws IOException {
+			String part = text.replace("~", "\r\n");
+			try (RawConnection slow = new RawConnection(ApiServerTests.this.server.address());
+					RawConnection cut = new RawConnection(ApiServerTests.this.server.address());
+					RawConnection other = new RawConnection(ApiServerTests.this.server.address())) {
+				slow.send(part);
+				cut.send(part);
+				cut.endOutput();
+				other.send(RawConnection.plain("GET", "/health"));
+				assertThat(other.read().status()).isEqualTo(200);
+				assertProblem(cut.read(), 400, "malformed-request", "no");
+				assertThat(cut.ended()).isTrue();
+				Answer answer = slow.read();
+				assertProblem(answer, 408, "request-timeout", "no");
+				assertThat(answer.headers()).containsEntry("retry-after", "1").containsEntry("connection", "close");
+				assertThat(slow.ended()).isTrue();
+				other.send(RawConnection.plain("GET", "/health"));
+				assertThat(other.read().status()).isEqualTo(200);
+			}
+		}
+
+		@Test
+		void areNotThoseThatWaitForTheirAnswer() throws Exception {
+			try (RawConnection connection = new RawConnection(ApiServerTests.this.server.address());
+					RawConnection slow = new RawConnection(ApiServerTests.this.server.address())) {
+				connection.send(RawConnection.put(JOB, "", "{}"));
+				slow.send("GET /hea");
+				assertThat(slow.read().status()).isEqualTo(408);
+				ApiServerTests.this.backend.submitted.complete(FakeBackend.json("{}"));
+				assertThat(connection.read().status()).isEqualTo(200);
+			}
+		}
+
+	}
+
+	@Nested
+	class Connections {
+
+		@Test
+		void keepTheOrderOfPipelinedRequests() throws IOException {
+			try (RawConnection connection = new RawConnection(ApiServerTests.this.server.address())) {
+				connection.send(RawConnection.put(JOB, "", "{}") + RawConnection.plain("GET", JOB)
+						+ RawConnection.plain("DELETE", JOB) + "PUT x\r\n\r\n");
+				assertThat(exchange(RawConnection.plain("GET", "/health")).status()).isEqualTo(200);
+				ApiServerTests.this.backend.submitted.complete(FakeBackend.json("{\"ticket\":\"SUBMIT\"}"));
+				assertThat(connection.read().json().path("ticket").asText()).isEqualTo("SUBMIT");
+				assertThat(connection.read().json().path("ticket").asText()).isEqualTo("STATE");
+				assertThat(connection.read().json().path("ticket").asText()).isEqualTo("CANCEL");
+				assertProblem(connection.read(), 400, "malformed-request", "no");
+				assertThat(connection.ended()).isTrue();
+			}
+		}
+
+		@Test
+		void takeManyPipelinedRequests() throws IOException {
+			int requestCount = 2_000;
+			try (RawConnection connection = new RawConnection(ApiServerTests.this.server.address())) {
+				connection.send(RawConnection.plain("GET", "/health").repeat(requestCount));
+				for (int i = 0; i < requestCount; i++) {
+					assertThat(connection.read().status()).isEqualTo(200);
+				}
+			}
+		}
+
+		@Test
+		void answerWhoEndsItsOutput() throws IOException {
+			try (RawConnection connection = new RawConnection(ApiServerTests.this.server.address())) {
+				connection.send(RawConnection.put(JOB, "", "{}"));
+				connection.endOutput();
+				ApiServerTests.this.backend.submitted.complete(FakeBackend.json("{}"));
+				assertThat(connection.read().status()).isEqualTo(200);
+				assertThat(connection.ended()).isTrue();
+			}
+		}
+
+		@Test
+		void stayUsableAfterARefusalOfOneRequest() throws IOException {
+			try (RawConnection connection = new RawConnection(ApiServerTests.this.server.address())) {
+				connection.send(RawConnection.put(JOB, "Content-Type: text/plain\r\n", "{}")
+						+ RawConnection.plain("GET", "/nowhere"));
+				assertThat(connection.read().status()).isEqualTo(400);
+				assertThat(connection.read().status()).isEqualTo(404);
+				connection.send(RawConnection.plain("HEAD", "/health"));
+				assertThat(connection.read(false).status()).isIn(200, 405);
+				connection.send(RawConnection.plain("GET", "/health"));
+				assertThat(connection.read().body()).isEqualTo("alive");
+			}
+		}
+
+		@Test
+		void tellTheMethodsOfAPath() throws IOException {
+			assertThat(exchange(RawConnection.plain("OPTIONS", "/v1/tickets")).headers()).containsEntry("allow",
+					"POST");
+			assertThat(exchange(RawConnection.plain("GET", "/v1/tickets")).headers()).containsEntry("allow", "POST");
+		}
+
+		@Test
+		void endWithTheServer() throws IOException {
+			HostAddress address = ApiServerTests.this.server.address();
+			ApiServerTests.this.server.close();
+			assertThatIOException().isThrownBy(() -> new RawConnection(address).close());
+		}
+
+	}
+
+	@Nested
+	class Bodies {
+
+		@Test
+		void arriveWholeAndNeverInAFile() throws IOException {
+			int bodyBytes = BODY_BYTES - 1;
+			String body = "x".repeat(bodyBytes);
+			String head = "POST /v1/tickets HTTP/1.1\r\nHost: h\r\n";
+			try (WatchService files = FileSystems.getDefault().newWatchService()) {
+				Path.of(DiskAttribute.baseDirectory).register(files, StandardWatchEventKinds.ENTRY_CREATE);
+				Answer whole = exchange(head + "Content-Length: " + bodyBytes + "\r\n\r\n" + body);
+				Answer chunked = exchange(head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(bodyBytes)
+						+ "\r\n" + body + "\r\n0\r\n\r\n");
+				assertThat(whole.json().path("body_bytes").asInt()).isEqualTo(bodyBytes);
+				assertThat(chunked.json().path("body_bytes").asInt()).isEqualTo(bodyBytes);
+				assertThat(files.poll()).isNull();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/FakeBackend.java
@@ -0,0 +1,63 @@
+package org.masticwick.daemon.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.masticwick.daemon.request.Answers;
+import org.masticwick.daemon.request.HttpAnswer;
+import org.masticwick.daemon.request.RoutedRequest;
+import org.masticwick.wire.PeerMessage.ForwardOperation;
+
+/**
+ * Answers at once with what it was asked, but submissions only when the test says so.
+ */
+final class FakeBackend implements ApiBackend {
+
+	final CompletableFuture<HttpAnswer> submitted = new CompletableFuture<>();
+
+	final List<RoutedRequest> requests = new CopyOnWriteArrayList<>();
+
+	@Override
+	public CompletableFuture<HttpAnswer> issueTickets(byte[] body) {
+		return CompletableFuture.completedFuture(json("{\"body_bytes\":" + body.length + "}"));
+	}
+
+	@Override
+	public CompletableFuture<HttpAnswer> serve(RoutedRequest request) {
+		this.requests.add(request);
+		return (request.operation() == ForwardOperation.SUBMIT) ? this.submitted
+				: CompletableFuture.completedFuture(Answers.running(request.operation().name()));
+	}
+
+	static HttpAnswer json(String text) {
+		return HttpAnswer.json(200, text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public HttpAnswer versions() {
+		return json("{}");
+	}
+
+	@Override
+	public HttpAnswer note(String noteId) {
+		return json("{\"note\":\"" + noteId + "\"}");
+	}
+
+	@Override
+	public boolean ready() {
+		return false;
+	}
+
+	@Override
+	public byte[] metrics() {
+		return new byte[0];
+	}
+
+	@Override
+	public HttpAnswer dump() {
+		throw new IllegalStateException("broken on purpose");
+	}
+
+}
