Log each event of a request's life with its fields

Cause: log lines carried ticket, task and endpoint inside their text, JSON lines held key-value pairs as a list of objects, and full tickets stood in the log although a whole ticket is all that is needed to cancel its job.

Change: lines are made with key-value pairs through SLF4J's fluent interface: submitted, attached to, admitted, task starts, looked up, ended, forwarded, collected, complete or ended without a result (with code and ran), cancelled, answered, all at debug. State changes stand at info: version in force, peer lost or replaced, tickets handed or taken over, start and stop, and, found by a look every five seconds, endpoints ejected or readmitted and the way to the log. Tickets are shown without their check.

Shown: tests parse the JSON line, read the text line, and check that nothing is worked out below the level.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -29,6 +29,7 @@
 import org.masticwick.daemon.request.Answers;
 import org.masticwick.daemon.request.HttpAnswer;
 import org.masticwick.daemon.request.RequestException;
+import org.masticwick.daemon.request.RequestLog;
 import org.masticwick.daemon.request.RoutedRequest;
 import org.masticwick.wire.PeerMessage.ForwardOperation;
 
@@ -174,6 +175,12 @@
 
 	private Context send(Context ctx, CompletableFuture<HttpAnswer> done) {
 		HttpAnswer answer = done.exceptionally(ApiServer::internal).join();
+		logger.atDebug()
+			.addKeyValue("method", ctx.getMethod())
+			.addKeyValue("route", () -> ctx.getRoute().getPattern())
+			.addKeyValue("ticket", () -> RequestLog.shortened(ctx.pathMap().getOrDefault("ticket", "")))
+			.addKeyValue("status", answer.status())
+			.log("Request answered");
 		ctx.setResponseCode(answer.status());
 		ctx.setResponseHeader("Content-Type", answer.contentType());
 		if (answer.retryAfterMillis() >= 0) {
@@ -189,11 +196,6 @@
 	}
 
 	private void onError(Context ctx, Throwable ex, StatusCode status) {
-		logger.atDebug()
-			.addKeyValue("method", ctx.getMethod())
-			.addKeyValue("path", ctx.getRequestPath())
-			.addKeyValue("status", status.value())
-			.log("Request refused");
 		if (ex instanceof MethodNotAllowedException known) {
 			ctx.setResponseHeader("Allow", String.join(", ", known.getAllow()));
 		}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -134,6 +134,8 @@
 
 	private final StateDump dump;
 
+	private final StateWatch watch = new StateWatch();
+
 	private volatile PeerMessageHandler messages;
 
 	private volatile HostAddress apiAddress;
@@ -227,6 +229,7 @@
 	void start(HostAddress listening) {
 		this.apiAddress = listening;
 		this.registry.onVersion((version) -> {
+			this.watch.inForce(version.number(), this.registry.nextOffset());
 			this.scheduler.update(version, this.time.nanoTime());
 			this.dispatcher.drive();
 			this.heartbeats.announce();
@@ -241,6 +244,7 @@
 		this.books.sweep();
 		this.collector.sweep();
 		this.verdicts.sweep(this.time.epochMillis());
+		this.watch.look(this.scheduler.snapshot(this.time.nanoTime()), this.logFollower.status());
 	}
 
 	private void onHostList(List<PlatformHost> hosts) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -59,8 +59,12 @@
 	public static EntryHostProcess start(Settings settings) {
 		EntryHostProcess process = new EntryHostProcess(settings);
 		process.parts.start(process.api.address());
-		logger.info("Entry host started: domain={} api={} peer={}", settings.host().domain(), process.api.address(),
-				process.peerAddress());
+		logger.atInfo()
+			.addKeyValue("domain", settings.host().domain())
+			.addKeyValue("api", process.api.address())
+			.addKeyValue("peer", process.peerAddress())
+			.addKeyValue("incarnation", process.parts.self().incarnation())
+			.log("Entry host started");
 		return process;
 	}
 
@@ -91,20 +95,20 @@
 	 */
 	public int stop() {
 		long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.stop().deadlineMillis());
-		logger.info("Stop begins: jobs={}", this.parts.activeJobCount());
+		logger.atInfo().addKeyValue("jobs", this.parts.activeJobCount()).log("Stop begins");
 		this.parts.announceLeaving();
 		pause(NOTICE_MILLIS);
 		CompletableFuture<Void> delivered = this.parts.handOverTickets();
 		awaitIdle(limitNanos);
 		int cutOffCount = this.parts.stopJobs();
 		if (cutOffCount > 0) {
-			logger.warn("Stop passed its deadline: jobs_cut_off={}", cutOffCount);
+			logger.atWarn().addKeyValue("jobs_cut_off", cutOffCount).log("Stop passed its deadline");
 		}
 		awaitDelivery(delivered, limitNanos);
 		pause(FAREWELL_MILLIS);
 		this.api.close();
 		this.parts.close();
-		logger.info("Stop ended: jobs_cut_off={}", cutOffCount);
+		logger.atInfo().addKeyValue("jobs_cut_off", cutOffCount).log("Stop ended");
 		this.stopped.countDown();
 		return cutOffCount;
 	}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/JsonLineEncoder.java
@@ -0,0 +1,82 @@
+package org.masticwick.daemon.process;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Set;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.ThrowableProxyUtil;
+import ch.qos.logback.core.encoder.EncoderBase;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * Writes an event of the log as one line of JSON, with its key-value pairs as fields.
+ */
+final class JsonLineEncoder extends EncoderBase<ILoggingEvent> {
+
+	private static final Set<String> OWN_FIELDS = Set.of("time", "level", "thread", "logger", "message", "error");
+
+	private static final byte[] NOTHING = {};
+
+	private final JsonFactory json = new JsonFactory();
+
+	@Override
+	public byte[] headerBytes() {
+		return NOTHING;
+	}
+
+	@Override
+	public byte[] encode(ILoggingEvent event) {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try (JsonGenerator generator = this.json.createGenerator(out)) {
+			generator.writeStartObject();
+			generator.writeStringField("time", event.getInstant().toString());
+			generator.writeStringField("level", event.getLevel().toString());
+			generator.writeStringField("thread", event.getThreadName());
+			generator.writeStringField("logger", event.getLoggerName());
+			generator.writeStringField("message", event.getFormattedMessage());
+			writePairs(generator, event.getKeyValuePairs());
+			if (event.getThrowableProxy() != null) {
+				generator.writeStringField("error", ThrowableProxyUtil.asString(event.getThrowableProxy()));
+			}
+			generator.writeEndObject();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		out.write('\n');
+		return out.toByteArray();
+	}
+
+	private static void writePairs(JsonGenerator generator, List<KeyValuePair> pairs) throws IOException {
+		if (pairs == null) {
+			return;
+		}
+		for (KeyValuePair pair : pairs) {
+			generator.writeFieldName(OWN_FIELDS.contains(pair.key) ? pair.key + "_" : pair.key);
+			writeValue(generator, pair.value);
+		}
+	}
+
+	private static void writeValue(JsonGenerator generator, Object value) throws IOException {
+		if (value instanceof Integer || value instanceof Long) {
+			generator.writeNumber(((Number) value).longValue());
+		}
+		else if (value instanceof Boolean flag) {
+			generator.writeBoolean(flag);
+		}
+		else {
+			generator.writeString(String.valueOf(value));
+		}
+	}
+
+	@Override
+	public byte[] footerBytes() {
+		return NOTHING;
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/Logging.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/Logging.java
@@ -3,7 +3,6 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
@@ -44,23 +43,12 @@
 	}
 
 	private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogFormat format) {
-		Encoder<ILoggingEvent> encoder = (format == LogFormat.JSON) ? jsonEncoder() : textEncoder();
+		Encoder<ILoggingEvent> encoder = (format == LogFormat.JSON) ? new JsonLineEncoder() : textEncoder();
 		encoder.setContext(context);
 		encoder.start();
 		return encoder;
 	}
 
-	private static Encoder<ILoggingEvent> jsonEncoder() {
-		JsonEncoder encoder = new JsonEncoder();
-		encoder.setWithSequenceNumber(false);
-		encoder.setWithContext(false);
-		encoder.setWithNanoseconds(false);
-		encoder.setWithFormattedMessage(true);
-		encoder.setWithMessage(false);
-		encoder.setWithArguments(false);
-		return encoder;
-	}
-
 	private static Encoder<ILoggingEvent> textEncoder() {
 		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
 		encoder.setPattern(TEXT_PATTERN);
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerEvents.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerEvents.java
@@ -63,13 +63,23 @@
 
 	@Override
 	public void peerLost(PeerView peer) {
-		logger.info("Peer lost: host={} age_ms={}", peer.host(), peer.ageMillis());
+		logger.atInfo()
+			.addKeyValue("peer", peer.host().peerAddress())
+			.addKeyValue("domain", peer.host().domain())
+			.addKeyValue("incarnation", peer.host().incarnation())
+			.addKeyValue("age_ms", peer.ageMillis())
+			.log("Peer lost");
 		this.scheduler.peerGone(peer.host());
 	}
 
 	@Override
 	public void peerReplaced(EntryHost ended, PeerView successor) {
-		logger.info("Peer replaced: host={} successor={}", ended, successor.host());
+		logger.atInfo()
+			.addKeyValue("peer", ended.peerAddress())
+			.addKeyValue("domain", ended.domain())
+			.addKeyValue("incarnation", ended.incarnation())
+			.addKeyValue("successor", successor.host().incarnation())
+			.log("Peer replaced");
 		this.scheduler.peerGone(ended);
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Collector.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Collector.java
@@ -85,8 +85,13 @@
 		if (present != null) {
 			return present;
 		}
-		logger.info("Collecting the results of a lost home: ticket={} tasks={}", ticket, job.tasks().size());
+		RequestLog.event(logger, request.ticket())
+			.addKeyValue("tasks", job.tasks().size())
+			.log("Results of a lost home are collected");
 		run(request.ticket(), job).thenAccept((answer) -> {
+			RequestLog.event(logger, request.ticket())
+				.addKeyValue("status", answer.status())
+				.log("Results of a lost home collected");
 			this.verdicts.accept(request.ticket(), answer);
 			fresh.answer().complete(answer);
 		});
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -13,6 +13,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
@@ -105,6 +106,10 @@
 			giveUp(job, rejected.code(), rejected.code(), rejected.detail(), rejected.retryAfterMillis());
 			return;
 		}
+		RequestLog.event(logger, job.ticket())
+			.addKeyValue("service", job.request().service())
+			.addKeyValue("version", () -> this.version.get().number())
+			.log("Job admitted");
 		this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now, TimeUnit.NANOSECONDS);
 		drive();
 	}
@@ -135,9 +140,13 @@
 
 	private void giveUp(Job job, ErrorCode refusal, ErrorCode failure, String detail, long retryAfterMillis) {
 		if (job.giveUp(refusal, failure, detail, retryAfterMillis)) {
-			this.metrics.problem(job.states().contains(TaskState.STARTED) ? failure : refusal);
-			logger.debug("Job ended without a result: ticket={} code={} detail={}", job.ticketText(), refusal.code(),
-					detail);
+			ErrorCode code = job.states().contains(TaskState.STARTED) ? failure : refusal;
+			this.metrics.problem(code);
+			RequestLog.event(logger, job.ticket())
+				.addKeyValue("code", code.code())
+				.addKeyValue("ran", code.runState().text())
+				.addKeyValue("detail", detail)
+				.log("Job ended without a result");
 		}
 	}
 
@@ -212,12 +221,13 @@
 		long now = this.time.nanoTime();
 		String service = start.endpoint().service();
 		this.metrics.start(service, now - active.submittedNanos());
-		logger.debug("Task starts: ticket={} task={} endpoint={}", start.task().ticket(), start.task().index(),
-				endpoint);
+		taskEvent(active, start).addKeyValue("version", () -> this.version.get().number())
+			.addKeyValue("waited_ms", TimeUnit.NANOSECONDS.toMillis(now - active.submittedNanos()))
+			.log("Task starts");
 		TaskPost post = new TaskPost(start.task(), endpoint, service, start.spec().kind(), start.spec().payload(),
 				start.leaseMillis());
 		TaskRun run = new TaskRun(this.client, this.timer, post, options(service, start.spec().kind()),
-				this::countLookup, (result) -> onEnd(active, start, now, result));
+				() -> onLookup(active, start), (result) -> onEnd(active, start, now, result));
 		active.runs().put(start.task().index(), run);
 		run.begin();
 		if (active.job().ended()) {
@@ -231,7 +241,14 @@
 		return new TaskRun.Options(lookup, this.runTimes.silenceLimitMillis(service, kind), POLL_MILLIS);
 	}
 
-	private void countLookup() {
+	private static LoggingEventBuilder taskEvent(ActiveJob active, Start start) {
+		return RequestLog.event(logger, active.job().ticket())
+			.addKeyValue("task", start.task().index())
+			.addKeyValue("endpoint", start.endpoint().address());
+	}
+
+	private void onLookup(ActiveJob active, Start start) {
+		taskEvent(active, start).log("Task looked up");
 		this.metrics.message(MessageKind.LOOKUP);
 		this.metrics.waste(WasteKind.LOOKUP);
 	}
@@ -241,6 +258,10 @@
 		HostAddress endpoint = start.endpoint().address();
 		long now = this.time.nanoTime();
 		active.runs().remove(index);
+		taskEvent(active, start).addKeyValue("end", result.kind())
+			.addKeyValue("run_ms", TimeUnit.NANOSECONDS.toMillis(now - startedNanos))
+			.addKeyValue("detail", result.detail())
+			.log("Task ended");
 		record(active, start, now - startedNanos, result);
 		Disposition disposition = this.scheduler.ended(start.task(),
 				new TaskEnd(endpoint, result.kind(), now - startedNanos), now);
@@ -274,7 +295,10 @@
 		this.runTimes.observe(start.endpoint().service(), start.spec().kind(), TimeUnit.NANOSECONDS.toMillis(runNanos));
 		if (active.job().succeed(start.task().index(), result)) {
 			this.metrics.complete(this.time.nanoTime() - active.submittedNanos());
-			logger.debug("Job complete: ticket={}", active.job().ticketText());
+			RequestLog.event(logger, active.job().ticket())
+				.addKeyValue("response_ms",
+						TimeUnit.NANOSECONDS.toMillis(this.time.nanoTime() - active.submittedNanos()))
+				.log("Job complete");
 		}
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
@@ -57,14 +57,20 @@
 		TicketBook.Claim claim = claim(book, ticket, digest);
 		JobEntry entry = claim.entry();
 		if (!claim.created()) {
+			RequestLog.event(logger, ticket).addKeyValue("ended", entry.answer().isDone()).log("Job attached to");
 			return attach(entry, digest);
 		}
 		if (!this.ready.getAsBoolean()) {
 			entry.complete(Answers.problem(ErrorCode.NO_VERSION, "The host has no version of the site yet"));
 			return entry.answer();
 		}
-		logger.debug("Job submitted: ticket={} service={} team={} tasks={}", ticket, request.service(), request.team(),
-				request.tasks().size());
+		RequestLog.event(logger, ticket)
+			.addKeyValue("service", request.service())
+			.addKeyValue("team", request.team())
+			.addKeyValue("urgent", request.urgent())
+			.addKeyValue("idempotent", request.idempotent())
+			.addKeyValue("tasks", request.tasks().size())
+			.log("Job submitted");
 		run(entry, new Job(ticket, digest, request, deadlineNanos(request)));
 		return entry.answer();
 	}
@@ -112,6 +118,7 @@
 	 */
 	CompletableFuture<HttpAnswer> cancel(TicketBook book, Ticket ticket) {
 		book.mint().verify(ticket);
+		RequestLog.event(logger, ticket).log("Job cancelled by its caller");
 		TicketBook.Claim claim = claim(book, ticket, JobEntry.NO_BODY);
 		JobEntry entry = claim.entry();
 		if (claim.created()) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -275,7 +275,10 @@
 
 	private CompletableFuture<HttpAnswer> call(HostAddress to, RoutedRequest request) {
 		this.metrics.message(MessageKind.FORWARD);
-		logger.debug("Request goes on: ticket={} operation={} to={}", request.ticket(), request.operation(), to);
+		RequestLog.event(logger, request.ticket())
+			.addKeyValue("operation", request.operation())
+			.addKeyValue("to", to)
+			.log("Request forwarded");
 		return this.transport
 			.call(to,
 					new Forward(request.operation(), request.ticket().toString(), request.body(), request.waitMillis()))
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -98,12 +98,16 @@
 			Outcome outcome = send(offer, heir);
 			if (outcome != Outcome.REFUSED) {
 				this.books.noteHeir(book.mint().home().incarnation(), heir);
-				logger.info("Tickets handed over: incarnation={} heir={} outcome={} jobs={}",
-						book.mint().home().incarnation(), heir, outcome, book.size());
+				logger.atInfo()
+					.addKeyValue("incarnation", book.mint().home().incarnation())
+					.addKeyValue("heir", heir)
+					.addKeyValue("outcome", outcome)
+					.addKeyValue("jobs", book.size())
+					.log("Tickets handed over");
 				return Optional.of(heir);
 			}
 		}
-		logger.warn("No heir for the tickets: incarnation={}", book.mint().home().incarnation());
+		logger.atWarn().addKeyValue("incarnation", book.mint().home().incarnation()).log("No heir for the tickets");
 		return Optional.empty();
 	}
 
@@ -157,8 +161,11 @@
 		book.noteExpiry(offered.expiresAtEpochMillis());
 		offered.jobs().forEach((job) -> restore(book, job, offered.from()));
 		this.books.inherit(book);
-		logger.info("Tickets taken over: incarnation={} from={} jobs={}", offered.from().incarnation(),
-				offered.from().peerAddress(), offered.jobs().size());
+		logger.atInfo()
+			.addKeyValue("incarnation", offered.from().incarnation())
+			.addKeyValue("from", offered.from().peerAddress())
+			.addKeyValue("jobs", offered.jobs().size())
+			.log("Tickets taken over");
 		return new InheritAnswer(true);
 	}
 
@@ -188,8 +195,9 @@
 				.ifPresent((claim) -> claim.entry().complete(answer));
 		}
 		catch (MasticwickException ex) {
-			logger.debug("An answer from another host came too late: ticket={} reason={}", closed.ticket(),
-					ex.getMessage());
+			RequestLog.event(logger, closed.ticket())
+				.addKeyValue("reason", ex.getMessage())
+				.log("Answer from another host came too late");
 		}
 	}
 
