Show the state of a process as typed JSON, and complete its metrics

Cause: the dump held the scheduler and the settings as one text each, no jobs and no peers; one part that failed broke the whole dump; response time and queue wait had no labels, and refusals before a job, ejected endpoints, peers, and the age of the log were not measured.

Change: each part of the dump is a record: host, process, settings, versions, log, peers, scheduler, jobs (at most 500, with age and task states), tickets, traffic. A part over 512 KiB or one that fails is replaced by a note. Metrics: response time by service and urgency, queue wait by service (100 services at most, then "other"), refusals by code, queued and running tasks, scheduler events, ejected endpoints, peers by liveness and behind in version, age and failures of the log, traffic both ways. Kinds and codes stand at zero from the start. What is shown moved out of EntryHostParts into HostDump and HostGauges.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiBackend.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiBackend.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.daemon.request.HttpAnswer;
 import org.masticwick.daemon.request.RoutedRequest;
 
@@ -49,6 +50,12 @@
 	 */
 	byte[] metrics();
 
+	/**
+	 * Counts a request that was refused before it reached a job.
+	 * @param code the code
+	 */
+	void refused(ErrorCode code);
+
 	/**
 	 * Returns the state of the process, bounded in size and without secrets.
 	 * @return the answer
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -69,7 +69,7 @@
 		this.app.setExecutionMode(ExecutionMode.WORKER);
 		this.app.setWorker(this.workers);
 		routes();
-		this.server = RequestEdge.guard(edge(limits), this.app::start);
+		this.server = RequestEdge.guard(edge(), this.app::start);
 	}
 
 	private static ServerOptions options(ApiLimits limits, String ip, int port) {
@@ -85,9 +85,9 @@
 		return options;
 	}
 
-	private static EdgeSettings edge(ApiLimits limits) {
-		return new EdgeSettings(limits.headerBytes(), limits.bodyBytes(), limits.requestTimeoutMillis(),
-				(code, detail) -> Answers.problem(code, detail).body());
+	private EdgeSettings edge() {
+		return new EdgeSettings(this.limits.headerBytes(), this.limits.bodyBytes(), this.limits.requestTimeoutMillis(),
+				(code, detail) -> refuse(code, detail).body());
 	}
 
 	HostAddress address() {
@@ -163,7 +163,7 @@
 			answer = source.apply(ctx);
 		}
 		catch (MasticwickException ex) {
-			answer = done(Answers.problem(ex));
+			answer = done(refuse(ex.errorCode(), ex.getMessage()));
 		}
 		if (answer.isDone()) {
 			return send(ctx, answer);
@@ -190,6 +190,11 @@
 		return ctx.send(answer.body());
 	}
 
+	private HttpAnswer refuse(ErrorCode code, String detail) {
+		this.backend.refused(code);
+		return Answers.problem(code, detail);
+	}
+
 	private static HttpAnswer internal(Throwable ex) {
 		logger.error("A request met a fault", ex);
 		return Answers.problem(ex);
@@ -202,15 +207,15 @@
 		send(ctx, done(problem(ex, status)));
 	}
 
-	private static HttpAnswer problem(Throwable ex, StatusCode status) {
+	private HttpAnswer problem(Throwable ex, StatusCode status) {
 		return switch (status.value()) {
-			case StatusCode.NOT_FOUND_CODE -> Answers.problem(ErrorCode.NOT_FOUND, "There is no such path");
+			case StatusCode.NOT_FOUND_CODE -> refuse(ErrorCode.NOT_FOUND, "There is no such path");
 			case StatusCode.METHOD_NOT_ALLOWED_CODE ->
-				Answers.problem(ErrorCode.METHOD_NOT_ALLOWED, "The path does not take this method");
+				refuse(ErrorCode.METHOD_NOT_ALLOWED, "The path does not take this method");
 			case StatusCode.REQUEST_ENTITY_TOO_LARGE_CODE ->
-				Answers.problem(ErrorCode.REQUEST_TOO_LARGE, "The body is too large");
+				refuse(ErrorCode.REQUEST_TOO_LARGE, "The body is too large");
 			case StatusCode.BAD_REQUEST_CODE ->
-				Answers.problem(ErrorCode.MALFORMED_REQUEST, "The request could not be read: " + ex.getMessage());
+				refuse(ErrorCode.MALFORMED_REQUEST, "The request could not be read: " + ex.getMessage());
 			default -> internal(ex);
 		};
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -18,6 +17,7 @@
 import org.masticwick.core.connection.MembershipLimits;
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.TimeSource;
@@ -179,8 +179,11 @@
 				this.time);
 		this.messages = new PeerMessages(this.peerWorkers, this.router, this.transfer, relay, this.heartbeats);
 		this.versionReport = new VersionReport(this.registry, this.membership, this::status, this.time);
-		this.dump = dumpOf();
-		addGauges();
+		HostParts parts = new HostParts(this.self, settings, this.time, this.registry, this.versionReport,
+				this.logFollower, this.membership, this.scheduler, this.dispatcher, this.books, this.collector,
+				this.transport.traffic(), this.openRequestCount::get, () -> this.leaving);
+		this.dump = HostDump.of(parts);
+		HostGauges.add(this.metrics, parts);
 	}
 
 	private NettyPeerTransport bind(Settings given) {
@@ -274,33 +277,6 @@
 		return this.registry.known() && !this.leaving;
 	}
 
-	private void addGauges() {
-		this.metrics.gauge("masticwick_version", "The version in force.", () -> this.registry.current().number());
-		this.metrics.gauge("masticwick_log_offset", "The offset up to which the log was read.",
-				this.registry::nextOffset);
-		this.metrics.gauge("masticwick_active_jobs", "Jobs that have not ended.", this.dispatcher::activeJobCount);
-		this.metrics.gauge("masticwick_remembered_tickets", "Submitted tickets that have not expired.",
-				this.books::rememberedCount);
-		this.metrics.gauge("masticwick_open_requests", "Requests of callers that wait for an answer.",
-				this.openRequestCount::get);
-		this.metrics.traffic(this.transport.traffic()::snapshot);
-	}
-
-	private StateDump dumpOf() {
-		StateDump state = new StateDump();
-		state.part("host", () -> Map.of("domain", this.self.domain(), "peer", this.self.peerAddress().toString(),
-				"incarnation", this.self.incarnation().toString(), "leaving", this.leaving));
-		state.part("settings", () -> this.settings.toString());
-		state.part("versions", this.versionReport::report);
-		state.part("log", this.logFollower::status);
-		state.part("scheduler", () -> this.scheduler.snapshot(this.time.nanoTime()).toString());
-		state.part("tickets",
-				() -> Map.of("held", this.books.heldIncarnations().stream().map(Object::toString).toList(),
-						"remembered_count", this.books.rememberedCount(), "collected_count", this.collector.size()));
-		state.part("traffic", this.transport.traffic()::snapshot);
-		return state;
-	}
-
 	/**
 	 * Returns what the HTTP server shows.
 	 * @return the backend
@@ -399,6 +375,11 @@
 			return EntryHostParts.this.metrics.scrape();
 		}
 
+		@Override
+		public void refused(ErrorCode code) {
+			EntryHostParts.this.metrics.refusal(code);
+		}
+
 		@Override
 		public HttpAnswer dump() {
 			return EntryHostParts.this.dump.dump();
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostGauges.java
@@ -0,0 +1,110 @@
+package org.masticwick.daemon.process;
+
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+
+import org.masticwick.core.connection.Liveness;
+import org.masticwick.core.connection.PeerView;
+import org.masticwick.core.request.SchedulerSnapshot;
+import org.masticwick.daemon.process.metrics.Metrics;
+import org.masticwick.daemon.version.FollowerStatus;
+
+/**
+ * Adds metrics that are read from the parts of an entry host at each scrape.
+ */
+final class HostGauges {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final HostParts parts;
+
+	private HostGauges(HostParts parts) {
+		this.parts = parts;
+	}
+
+	/**
+	 * Adds the metrics of a host.
+	 * @param metrics where they are added
+	 * @param parts the parts of the host
+	 */
+	static void add(Metrics metrics, HostParts parts) {
+		HostGauges gauges = new HostGauges(parts);
+		gauges.addVersions(metrics);
+		gauges.addWork(metrics);
+		gauges.addScheduler(metrics);
+		metrics.traffic(parts.traffic()::snapshot);
+		metrics.gauge("masticwick_heap_used_bytes", "The used heap.",
+				() -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+	}
+
+	private void addVersions(Metrics metrics) {
+		metrics.gauge("masticwick_version", "The version in force; 0 if none is.", this::version);
+		metrics.gauge("masticwick_log_offset", "The offset up to which the log was read.",
+				this.parts.registry()::nextOffset);
+		metrics.gauge("masticwick_log_age_seconds", "How long ago the log was read last; -1 for never.",
+				this::logAgeSeconds);
+		metrics.gauge("masticwick_peers_behind", "Peers whose version is older than that of this host.",
+				() -> peers().stream().filter((peer) -> peer.status().versionNumber() < version()).count());
+		metrics.gauges("masticwick_peers", "Entry hosts that are known, by what is thought of them.", "liveness",
+				this::peersByLiveness);
+		metrics.counterOf("masticwick_log_failures_total", "Reads of the log that failed.",
+				() -> this.parts.log().status().failureCount());
+	}
+
+	private double version() {
+		return this.parts.registry().known() ? this.parts.registry().current().number() : 0;
+	}
+
+	private List<PeerView> peers() {
+		return this.parts.membership().peers(this.parts.time().nanoTime());
+	}
+
+	private Map<String, Double> peersByLiveness() {
+		List<PeerView> peers = peers();
+		return Arrays.stream(Liveness.values())
+			.collect(Collectors.toMap((liveness) -> liveness.name().toLowerCase(Locale.ROOT),
+					(liveness) -> (double) peers.stream().filter((peer) -> peer.liveness() == liveness).count()));
+	}
+
+	private double logAgeSeconds() {
+		FollowerStatus status = this.parts.log().status();
+		return status.everSucceeded() ? (this.parts.time().nanoTime() - status.lastSuccessNanos()) / NANOS_PER_SECOND
+				: -1;
+	}
+
+	private void addWork(Metrics metrics) {
+		metrics.gauge("masticwick_active_jobs", "Jobs that have not ended.", this.parts.dispatcher()::activeJobCount);
+		metrics.gauge("masticwick_remembered_tickets", "Submitted tickets that have not expired.",
+				this.parts.books()::rememberedCount);
+		metrics.gauge("masticwick_open_requests", "Requests of callers that wait for an answer.",
+				this.parts.openRequestCount()::getAsInt);
+	}
+
+	private void addScheduler(Metrics metrics) {
+		metrics.gauge("masticwick_ejected_endpoints", "Endpoints that get no work because they fail or are slow.",
+				() -> snapshot().endpoints().stream().filter(SchedulerSnapshot.Endpoint::ejected).count());
+		metrics.gauges("masticwick_queued_tasks", "Tasks that wait, by service.", "service",
+				() -> byService(SchedulerSnapshot.Service::queuedCount));
+		metrics.gauges("masticwick_running_tasks", "Tasks that endpoints run for this host, by service.", "service",
+				() -> byService(SchedulerSnapshot.Service::runningCount));
+		metrics.counters("masticwick_scheduler_events_total", "What the scheduler decided, by event.", "event",
+				() -> snapshot().counters());
+	}
+
+	private Map<String, Double> byService(ToDoubleFunction<SchedulerSnapshot.Service> value) {
+		return snapshot().services()
+			.stream()
+			.limit(Metrics.MAX_SERVICE_COUNT)
+			.collect(Collectors.toMap(SchedulerSnapshot.Service::name, value::applyAsDouble));
+	}
+
+	private SchedulerSnapshot snapshot() {
+		return this.parts.scheduler().snapshot(this.parts.time().nanoTime());
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/StateDump.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/StateDump.java
@@ -3,44 +3,62 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryMXBean;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializerBase;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.masticwick.core.process.ErrorCode;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.MasticwickException;
 import org.masticwick.daemon.request.HttpAnswer;
 
 /**
- * Shows the state of the process part by part. Each part bounds what it shows and leaves
- * secrets out.
+ * Shows the state of the process part by part, in JSON. A part that is too large or can't
+ * be read is replaced by a note of that, so that the others can still be seen.
  */
 final class StateDump {
 
 	/** How many entries a list shows at most. */
 	static final int MAX_ENTRY_COUNT = 500;
 
+	/** How large a part may be, in bytes of compact JSON. */
+	static final int MAX_PART_BYTES = 512 * 1024;
+
+	private static final Logger logger = LoggerFactory.getLogger(StateDump.class);
+
 	private static final int OK = 200;
 
 	private final ObjectMapper mapper = new ObjectMapper()
-		.setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE);
+		.setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+		.registerModule(new SimpleModule().addSerializer(HostAddress.class, ToStringSerializer.instance)
+			.addSerializer(Incarnation.class, ToStringSerializer.instance)
+			.addSerializer(InetSocketAddress.class, new AddressSerializer()));
 
-	private final Map<String, Supplier<Object>> parts = new LinkedHashMap<>();
+	private final Map<String, Supplier<?>> parts = new LinkedHashMap<>();
 
 	StateDump() {
-		part("process", StateDump::process);
+		part("process", ProcessState::now);
 	}
 
 	/**
 	 * Adds a part.
 	 * @param name the name of the part
-	 * @param state what it shows
+	 * @param state what it shows: a record, or a map or list of records, without secrets
 	 */
-	void part(String name, Supplier<Object> state) {
+	void part(String name, Supplier<?> state) {
 		this.parts.put(name, state);
 	}
 
@@ -55,25 +73,66 @@
 	}
 
 	HttpAnswer dump() {
-		Map<String, Object> state = new LinkedHashMap<>();
-		this.parts.forEach((name, part) -> state.put(name, part.get()));
+		ObjectNode state = this.mapper.createObjectNode();
+		this.parts.forEach((name, part) -> state.set(name, read(name, part)));
 		try {
-			return HttpAnswer.json(OK, this.mapper.writerWithDefaultPrettyPrinter().writeValueAsBytes(state));
+			return HttpAnswer.json(OK, this.mapper.writeValueAsBytes(state));
 		}
 		catch (IOException ex) {
 			throw new MasticwickException(ErrorCode.INTERNAL, "The state can't be written", ex);
 		}
 	}
 
-	private static Object process() {
-		MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
-		Map<String, Object> state = new LinkedHashMap<>();
-		state.put("pid", ProcessHandle.current().pid());
-		state.put("uptime_ms", ManagementFactory.getRuntimeMXBean().getUptime());
-		state.put("heap_used_bytes", memory.getHeapMemoryUsage().getUsed());
-		state.put("non_heap_used_bytes", memory.getNonHeapMemoryUsage().getUsed());
-		state.put("thread_count", ManagementFactory.getThreadMXBean().getThreadCount());
-		return state;
+	private JsonNode read(String name, Supplier<?> part) {
+		try {
+			JsonNode state = this.mapper.valueToTree(part.get());
+			int sizeBytes = this.mapper.writeValueAsBytes(state).length;
+			return (sizeBytes <= MAX_PART_BYTES) ? state
+					: this.mapper.createObjectNode().put("omitted_bytes", sizeBytes);
+		}
+		catch (IOException | RuntimeException ex) {
+			logger.atWarn().addKeyValue("part", name).setCause(ex).log("A part of the state can't be shown");
+			return this.mapper.createObjectNode().put("error", ex.getClass().getSimpleName());
+		}
+	}
+
+	/**
+	 * Shows the process itself.
+	 *
+	 * @param pid the id of the process
+	 * @param uptimeMillis how long it has run, in milliseconds
+	 * @param heapUsedBytes the used heap, in bytes
+	 * @param nonHeapUsedBytes the used memory of the virtual machine, in bytes
+	 * @param threadCount how many threads it has
+	 */
+	record ProcessState(long pid, long uptimeMillis, long heapUsedBytes, long nonHeapUsedBytes, int threadCount) {
+
+		static ProcessState now() {
+			MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+			return new ProcessState(ProcessHandle.current().pid(), ManagementFactory.getRuntimeMXBean().getUptime(),
+					memory.getHeapMemoryUsage().getUsed(), memory.getNonHeapMemoryUsage().getUsed(),
+					ManagementFactory.getThreadMXBean().getThreadCount());
+		}
+
+	}
+
+	/**
+	 * Writes a socket address as {@code ip:port}.
+	 */
+	private static final class AddressSerializer extends ToStringSerializerBase {
+
+		private static final long serialVersionUID = 1L;
+
+		AddressSerializer() {
+			super(InetSocketAddress.class);
+		}
+
+		@Override
+		public String valueToString(Object value) {
+			InetSocketAddress address = (InetSocketAddress) value;
+			return address.getHostString() + ":" + address.getPort();
+		}
+
 	}
 
 }
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
@@ -5,8 +5,13 @@
 import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
@@ -26,6 +31,18 @@
 	/** The media type of {@link #scrape()}. */
 	public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
 
+	/** How many services have labels of their own; the others share one. */
+	public static final int MAX_SERVICE_COUNT = 100;
+
+	private static final String SERVICE = "service";
+
+	private static final String OTHER_SERVICES = "other";
+
+	private static final String COMPLETE = "complete";
+
+	private static final double[] UPPER_BOUNDS_SECONDS = { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10,
+			20, 60 };
+
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -38,18 +55,28 @@
 	private final Counter answers = counter("masticwick_answers_total", "Final answers to callers, by code.", "code");
 
 	private final Counter starts = counter("masticwick_task_starts_total", "Tasks posted to endpoints, by service.",
-			"service");
+			SERVICE);
+
+	private final Counter refusals = counter("masticwick_refusals_total",
+			"Requests of callers refused before they reached a job, by code.", "code");
 
 	private final Histogram responseSeconds = histogram("masticwick_response_seconds",
-			"Time from a submission to its final answer.");
+			"Time from a submission to its complete answer, by service and urgency.", SERVICE, "urgent");
 
 	private final Histogram queueSeconds = histogram("masticwick_queue_wait_seconds",
-			"Time from the admission of a task to its start.");
+			"Time from the submission of a task to its start, by service.", SERVICE);
+
+	private final Set<String> services = ConcurrentHashMap.newKeySet();
 
 	/**
-	 * Creates metrics in which every kind of message stands at zero.
+	 * Creates metrics in which every kind of message and every code stands at zero.
 	 */
 	public Metrics() {
+		this.answers.initLabelValues(COMPLETE);
+		Arrays.stream(ErrorCode.values()).forEach((code) -> {
+			this.answers.initLabelValues(code.code());
+			this.refusals.initLabelValues(code.code());
+		});
 		Arrays.stream(MessageKind.values()).forEach((kind) -> this.messages.initLabelValues(kind.label()));
 		Arrays.stream(WasteKind.values()).forEach((kind) -> this.wasted.initLabelValues(kind.label()));
 	}
@@ -77,21 +104,40 @@
 	 */
 	public void start(String service, long waitNanos) {
 		message(MessageKind.START);
-		this.starts.labelValues(service).inc();
-		this.queueSeconds.observe(waitNanos / NANOS_PER_SECOND);
+		String label = serviceLabel(service);
+		this.starts.labelValues(label).inc();
+		this.queueSeconds.labelValues(label).observe(waitNanos / NANOS_PER_SECOND);
 	}
 
 	/**
 	 * Counts a complete answer.
+	 * @param service the service
+	 * @param urgent whether the job was urgent
 	 * @param responseNanos the time from the submission, in nanoseconds
 	 */
-	public void complete(long responseNanos) {
-		this.answers.labelValues("complete").inc();
-		this.responseSeconds.observe(responseNanos / NANOS_PER_SECOND);
+	public void complete(String service, boolean urgent, long responseNanos) {
+		this.answers.labelValues(COMPLETE).inc();
+		this.responseSeconds.labelValues(serviceLabel(service), Boolean.toString(urgent))
+			.observe(responseNanos / NANOS_PER_SECOND);
+	}
+
+	private String serviceLabel(String service) {
+		if (this.services.contains(service)) {
+			return service;
+		}
+		return (this.services.size() < MAX_SERVICE_COUNT && this.services.add(service)) ? service : OTHER_SERVICES;
 	}
 
 	/**
-	 * Counts an answer that is an error.
+	 * Counts a request that was refused before it reached a job.
+	 * @param code the code
+	 */
+	public void refusal(ErrorCode code) {
+		this.refusals.labelValues(code.code()).inc();
+	}
+
+	/**
+	 * Counts a job that ended with an error.
 	 * @param code the code
 	 */
 	public void problem(ErrorCode code) {
@@ -113,24 +159,75 @@
 	}
 
 	/**
-	 * Adds the traffic between entry hosts, which is read at each scrape.
-	 * @param traffic the traffic by type of message
+	 * Adds values that are read at each scrape.
+	 * @param name the name of the metric
+	 * @param help what it tells
+	 * @param label the name of the label
+	 * @param values the values by label
 	 */
-	public void traffic(Supplier<Map<String, TrafficCounters.Traffic>> traffic) {
+	public void gauges(String name, String help, String label, Supplier<Map<String, Double>> values) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.labelNames(label)
+			.callback((callback) -> values.get().forEach((key, value) -> callback.call(value, key)))
+			.register(this.registry);
+	}
+
+	/**
+	 * Adds a count that is read at each scrape.
+	 * @param name the name of the metric
+	 * @param help what it tells
+	 * @param value the count
+	 */
+	public void counterOf(String name, String help, LongSupplier value) {
 		CounterWithCallback.builder()
-			.name("masticwick_peer_messages_sent_total")
-			.help("Messages sent to other entry hosts, by type.")
-			.labelNames("type")
-			.callback((callback) -> traffic.get().forEach((type, sum) -> callback.call(sum.outCount(), type)))
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.getAsLong()))
 			.register(this.registry);
+	}
+
+	/**
+	 * Adds counts that are read at each scrape.
+	 * @param name the name of the metric
+	 * @param help what it tells
+	 * @param label the name of the label
+	 * @param values the counts by label
+	 */
+	public void counters(String name, String help, String label, Supplier<Map<String, Long>> values) {
 		CounterWithCallback.builder()
-			.name("masticwick_peer_sent_bytes_total")
-			.help("Bytes sent to other entry hosts, by type of message.")
-			.labelNames("type")
-			.callback((callback) -> traffic.get().forEach((type, sum) -> callback.call(sum.outBytes(), type)))
+			.name(name)
+			.help(help)
+			.labelNames(label)
+			.callback((callback) -> values.get().forEach((key, value) -> callback.call(value, key)))
 			.register(this.registry);
 	}
 
+	/**
+	 * Adds the traffic between entry hosts, which is read at each scrape.
+	 * @param traffic the traffic by type of message
+	 */
+	public void traffic(Supplier<Map<String, TrafficCounters.Traffic>> traffic) {
+		traffic("masticwick_peer_messages_sent_total", "Messages sent to other entry hosts, by type.", traffic,
+				TrafficCounters.Traffic::outCount);
+		traffic("masticwick_peer_messages_received_total", "Messages received from other entry hosts, by type.",
+				traffic, TrafficCounters.Traffic::inCount);
+		traffic("masticwick_peer_sent_bytes_total", "Bytes sent to other entry hosts, by type of message.", traffic,
+				TrafficCounters.Traffic::outBytes);
+		traffic("masticwick_peer_received_bytes_total", "Bytes received from other entry hosts, by type of message.",
+				traffic, TrafficCounters.Traffic::inBytes);
+	}
+
+	private void traffic(String name, String help, Supplier<Map<String, TrafficCounters.Traffic>> traffic,
+			ToLongFunction<TrafficCounters.Traffic> sum) {
+		counters(name, help, "type",
+				() -> traffic.get()
+					.entrySet()
+					.stream()
+					.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> sum.applyAsLong(entry.getValue()))));
+	}
+
 	/**
 	 * Returns all metrics in the text format.
 	 * @return the text in UTF-8
@@ -150,8 +247,14 @@
 		return Counter.builder().name(name).help(help).labelNames(label).register(this.registry);
 	}
 
-	private Histogram histogram(String name, String help) {
-		return Histogram.builder().name(name).help(help).classicOnly().register(this.registry);
+	private Histogram histogram(String name, String help, String... labels) {
+		return Histogram.builder()
+			.name(name)
+			.help(help)
+			.labelNames(labels)
+			.classicOnly()
+			.classicUpperBounds(UPPER_BOUNDS_SECONDS)
+			.register(this.registry);
 	}
 
 }
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -21,6 +22,7 @@
 import org.masticwick.core.request.Admission;
 import org.masticwick.core.request.Disposition;
 import org.masticwick.core.request.Dropped;
+import org.masticwick.core.request.JobRequest;
 import org.masticwick.core.request.JobSubmission;
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.Start;
@@ -294,7 +296,8 @@
 	private void succeed(ActiveJob active, Start start, long runNanos, String result) {
 		this.runTimes.observe(start.endpoint().service(), start.spec().kind(), TimeUnit.NANOSECONDS.toMillis(runNanos));
 		if (active.job().succeed(start.task().index(), result)) {
-			this.metrics.complete(this.time.nanoTime() - active.submittedNanos());
+			JobRequest request = active.job().request();
+			this.metrics.complete(request.service(), request.urgent(), this.time.nanoTime() - active.submittedNanos());
 			RequestLog.event(logger, active.job().ticket())
 				.addKeyValue("response_ms",
 						TimeUnit.NANOSECONDS.toMillis(this.time.nanoTime() - active.submittedNanos()))
@@ -316,6 +319,26 @@
 		return this.jobs.size();
 	}
 
+	/**
+	 * Returns jobs that have not ended, for the dump of the process.
+	 * @param maxCount how many at most
+	 * @return the jobs
+	 */
+	public List<ActiveJobState> activeJobs(int maxCount) {
+		long now = this.time.nanoTime();
+		return this.jobs.values().stream().limit(maxCount).map((active) -> stateOf(active, now)).toList();
+	}
+
+	private static ActiveJobState stateOf(ActiveJob active, long now) {
+		Job job = active.job();
+		Map<String, Long> taskCounts = job.states()
+			.stream()
+			.collect(Collectors.groupingBy(TaskState::text, TreeMap::new, Collectors.counting()));
+		return new ActiveJobState(RequestLog.shortened(job.ticketText()), job.request().service(), job.request().team(),
+				job.request().urgent(), TimeUnit.NANOSECONDS.toMillis(now - active.submittedNanos()),
+				TimeUnit.NANOSECONDS.toMillis(job.deadlineNanos() - now), taskCounts);
+	}
+
 	/**
 	 * Returns the scheduler, for its load and its state.
 	 * @return the scheduler
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -107,7 +107,14 @@
 		CompletableFuture<HttpAnswer> copy = answer.thenApply(Function.identity());
 		return (copy.isDone() ? copy : copy.completeOnTimeout(Answers.running(request.ticket().toString()), waitMillis,
 				TimeUnit.MILLISECONDS))
-			.exceptionally((ex) -> Answers.problem(causeOf(ex)));
+			.exceptionally((ex) -> refused(causeOf(ex)));
+	}
+
+	private HttpAnswer refused(Throwable cause) {
+		if (cause instanceof MasticwickException known) {
+			this.metrics.refusal(known.errorCode());
+		}
+		return Answers.problem(cause);
 	}
 
 	/**
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/ApiServerTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/ApiServerTests.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardWatchEventKinds;
 import java.nio.file.WatchService;
+import java.util.List;
 import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.multipart.DiskAttribute;
@@ -135,6 +136,8 @@
 				assertThat(other.read().status()).isEqualTo(200);
 			}
 			assertThat(ApiServerTests.this.backend.requests).isEmpty();
+			assertThat(ApiServerTests.this.backend.refusals)
+				.isEqualTo(code.equals("internal") ? List.of() : List.of(code));
 		}
 
 	}
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/FakeBackend.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/FakeBackend.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.daemon.request.Answers;
 import org.masticwick.daemon.request.HttpAnswer;
 import org.masticwick.daemon.request.RoutedRequest;
@@ -19,6 +20,8 @@
 
 	final List<RoutedRequest> requests = new CopyOnWriteArrayList<>();
 
+	final List<String> refusals = new CopyOnWriteArrayList<>();
+
 	@Override
 	public CompletableFuture<HttpAnswer> issueTickets(byte[] body) {
 		return CompletableFuture.completedFuture(json("{\"body_bytes\":" + body.length + "}"));
@@ -55,6 +58,11 @@
 		return new byte[0];
 	}
 
+	@Override
+	public void refused(ErrorCode code) {
+		this.refusals.add(code.code());
+	}
+
 	@Override
 	public HttpAnswer dump() {
 		throw new IllegalStateException("broken on purpose");
