--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRecorder.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRecorder.java
@@ -78,11 +78,15 @@
 	}
 
 	/**
-	 * Notes how late the tool itself sent a job.
-	 * @param lagNanos the time after the intended one, in nanoseconds
+	 * Notes how late the tool itself sent a job, after the warm-up.
+	 * @param job the job
+	 * @param nowNanos when it was sent, in nanoseconds from the start of the run
 	 */
-	void addSendLag(long lagNanos) {
-		this.sendLags.recordValue(Math.max(0, TimeUnit.NANOSECONDS.toMicros(lagNanos)));
+	void addSendLag(PlannedJob job, long nowNanos) {
+		if (job.offsetNanos() >= TimeUnit.MILLISECONDS.toNanos(this.options.warmupMillis())) {
+			long lagNanos = Math.max(0, nowNanos - job.offsetNanos());
+			this.sendLags.recordValue(TimeUnit.NANOSECONDS.toMicros(lagNanos));
+		}
 	}
 
 	/**
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRun.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRun.java
@@ -124,7 +124,7 @@
 
 	private CompletableFuture<Void> send(PlannedJob job) {
 		JobRequest request = job.toRequest(this.options, this.service);
-		this.recorder.addSendLag(System.nanoTime() - this.startNanos - job.offsetNanos());
+		this.recorder.addSendLag(job, System.nanoTime() - this.startNanos);
 		int host = (int) (job.place() * this.client.hosts().size());
 		return this.client.ticketFrom(host)
 			.handle((ticket, error) -> (error != null) ? unsent(job, error) : submit(job, request, ticket))
