--- a/masticwick-core/src/main/java/org/masticwick/core/process/ErrorCode.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/process/ErrorCode.java
@@ -26,8 +26,8 @@
 	/** The text is not a ticket, or its integrity check fails. */
 	INVALID_TICKET("invalid-ticket", 400, RunState.NOT_RUN, false),
 
-	/** The ticket has not been submitted. */
-	TICKET_UNUSED("ticket-unused", 404, RunState.NOT_RUN, false),
+	/** The ticket has not been submitted; a submission may still be on its way. */
+	TICKET_UNUSED("ticket-unused", 404, RunState.NOT_APPLICABLE, false),
 
 	/** The ticket was submitted with another body. */
 	TICKET_REUSED("ticket-reused", 409, RunState.NOT_RUN, false),
