--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/TicketCostCommand.java
@@ -0,0 +1,79 @@
+package org.masticwick.cli.process;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.core.request.Ticket;
+import org.masticwick.core.request.TicketKey;
+import org.masticwick.core.request.TicketMint;
+
+/**
+ * Measures on one thread what issuing and verifying tickets costs an entry host.
+ */
+final class TicketCostCommand implements Command {
+
+	private static final EntryHost HOME = new EntryHost("quetzal-norte", new HostAddress("10.20.1.11", 7400),
+			new Incarnation(1_790_000_000_000L, Long.MAX_VALUE / 3));
+
+	private static final int ROUND_COUNT = 5;
+
+	@Override
+	public String name() {
+		return "ticket-cost";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("measure what issuing and verifying tickets costs");
+		parser.addArgument("--count").type(Integer.class).setDefault(200_000).help("tickets a round; default 200000");
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		int count = arguments.getInt("count");
+		List<Cost> rounds = IntStream.range(0, ROUND_COUNT).mapToObj((round) -> measure(count)).toList();
+		Cost last = rounds.get(ROUND_COUNT - 1);
+		ObjectNode json = JsonNodeFactory.instance.objectNode();
+		json.put("ticket_bytes", last.ticketBytes());
+		json.put("issue_ns", last.issueNanos());
+		json.put("verify_ns", last.verifyNanos());
+		String text = String.format(Locale.ROOT, "ticket %d bytes, issue %.0f ns, parse and verify %.0f ns",
+				last.ticketBytes(), last.issueNanos(), last.verifyNanos());
+		return new CommandResult(ExitCode.OK, json, text);
+	}
+
+	private static Cost measure(int count) {
+		TicketMint mint = new TicketMint(HOME, TicketKey.random(), 0);
+		long issueBegin = System.nanoTime();
+		List<String> tickets = mint.issue(count, HOME.incarnation().startEpochMillis())
+			.stream()
+			.map(Ticket::toString)
+			.toList();
+		long verifyBegin = System.nanoTime();
+		tickets.forEach((ticket) -> mint.verify(Ticket.parse(ticket)));
+		long end = System.nanoTime();
+		return new Cost(tickets.get(count - 1).length(), (verifyBegin - issueBegin) / (double) count,
+				(end - verifyBegin) / (double) count);
+	}
+
+	/**
+	 * Is the cost of one ticket.
+	 *
+	 * @param ticketBytes the length of the text, in bytes
+	 * @param issueNanos the time to issue it, in nanoseconds
+	 * @param verifyNanos the time to read and verify it, in nanoseconds
+	 */
+	private record Cost(int ticketBytes, double issueNanos, double verifyNanos) {
+
+	}
+
+}
