Let timers go with their jobs

Cause: the timer of a deadline held its job, payloads and all, until the deadline though the job had long been answered; at 254 jobs a second and 60 s that is some 15,000 dead jobs. Ruled out: weak references, which hide the same growth. Now the timer is cancelled with the answer and leaves the queue.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -3,8 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -59,8 +60,7 @@
 
 	private final RunTimes runTimes;
 
-	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREAD_COUNT,
-			new NamedThreads("dispatch"));
+	private final ScheduledExecutorService timer = newTimer();
 
 	private final Map<String, ActiveJob> jobs = new ConcurrentHashMap<>();
 
@@ -90,6 +90,18 @@
 		this.runTimes = new RunTimes(minSilenceMillis);
 	}
 
+	/**
+	 * Creates the timer. What is cancelled leaves it at once, so that it holds no jobs
+	 * that have ended.
+	 * @return the timer
+	 */
+	private static ScheduledExecutorService newTimer() {
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(TIMER_THREAD_COUNT,
+				new NamedThreads("dispatch"));
+		timer.setRemoveOnCancelPolicy(true);
+		return timer;
+	}
+
 	/**
 	 * Admits a job as a whole, or ends it as refused.
 	 * @param job the job
@@ -105,7 +117,9 @@
 			giveUp(job, rejected.code(), rejected.code(), rejected.detail(), rejected.retryAfterMillis());
 			return;
 		}
-		this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now, TimeUnit.NANOSECONDS);
+		ScheduledFuture<?> deadline = this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now,
+				TimeUnit.NANOSECONDS);
+		job.answer().whenComplete((answer, ex) -> deadline.cancel(false));
 		drive();
 	}
 
