Run fault cases as Cucumber features against real processes

The promises had no fault cases against real processes. Sites that no scenario harms are shared, since the start of the processes is the cost.

--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/steps/SiteSteps.java
@@ -0,0 +1,132 @@
+package org.masticwick.proof.steps;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+
+import org.masticwick.proof.support.ApiClient;
+import org.masticwick.proof.support.ManagedProcess;
+import org.masticwick.proof.support.SiteOptions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Starts sites and does things to their processes. A site is described by a table of
+ * {@code domains}, {@code workers}, {@code slots}, {@code entry hosts} and {@code relays}
+ * ({@code yes} or {@code no}), and settings of the entry hosts as {@code section.key}.
+ */
+public class SiteSteps {
+
+	private static final Map<String, String> DEFAULTS = Map.of("domains", "toto-centro", "workers", "2", "slots", "8",
+			"entry hosts", "1", "relays", "no");
+
+	/**
+	 * Takes a site that scenarios share; no host of it may be harmed.
+	 * @param table how it is set up
+	 */
+	@Given("a shared site")
+	public void aSharedSite(Map<String, String> table) {
+		World.useShared(options(table));
+	}
+
+	/**
+	 * Starts a site for this scenario alone.
+	 * @param table how it is set up
+	 */
+	@Given("a site of its own")
+	public void aSiteOfItsOwn(Map<String, String> table) {
+		World.useOwn(options(table));
+	}
+
+	/**
+	 * Does something to an entry host.
+	 * @param host the name of the host
+	 * @param deed {@code killed}, {@code frozen}, {@code resumed} or {@code stopped}
+	 */
+	@When("entry host {word} is {word}")
+	public void entryHostIs(String host, String deed) {
+		ManagedProcess process = World.host(host).process();
+		switch (deed) {
+			case "killed" -> process.kill();
+			case "frozen" -> process.pause();
+			case "resumed" -> process.resume();
+			case "stopped" -> process.terminate();
+			default -> throw new IllegalArgumentException(deed);
+		}
+	}
+
+	/**
+	 * Starts one more entry host.
+	 * @param domain its failure domain
+	 */
+	@When("an entry host is started in {word}")
+	public void anEntryHostIsStarted(String domain) {
+		World.site().startEntryHost(domain);
+		World.site().awaitReady();
+	}
+
+	/**
+	 * Changes the faults of all workers of a failure domain.
+	 * @param domain the failure domain
+	 * @param faults the JSON object
+	 */
+	@When("the workers of {word} have faults {}")
+	public void workersHaveFaults(String domain, String faults) {
+		World.site().workers(domain).faultAll(values(faults));
+	}
+
+	/**
+	 * Changes the faults of one worker.
+	 * @param worker failure domain and index, as in {@code toto-centro/0}
+	 * @param faults the JSON object
+	 */
+	@When("worker {word} has faults {}")
+	public void workerHasFaults(String worker, String faults) {
+		String[] parts = worker.split("/", 2);
+		World.site().workers(parts[0]).fault(Integer.parseInt(parts[1]), values(faults));
+	}
+
+	/**
+	 * Changes the faults of the platform.
+	 * @param faults the JSON object
+	 */
+	@When("the platform has faults {}")
+	public void platformHasFaults(String faults) {
+		World.site().platform().fault(values(faults));
+	}
+
+	/** Checks that no worker of the site started any task twice. */
+	@Then("no task was started twice")
+	public void noTaskWasStartedTwice() {
+		World.site()
+			.domains()
+			.forEach((domain) -> assertThat(World.site().workers(domain).doubleStarts()).as(domain).isEmpty());
+	}
+
+	private static Map<String, Object> values(String faults) {
+		JsonNode tree = ApiClient.read(faults);
+		return tree.properties().stream().collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+	}
+
+	private static SiteOptions options(Map<String, String> table) {
+		Map<String, String> values = new TreeMap<>(DEFAULTS);
+		values.putAll(table);
+		SiteOptions options = SiteOptions.of(values.get("domains").split(" "))
+			.withWorkers(Integer.parseInt(values.get("workers")), Integer.parseInt(values.get("slots")))
+			.withEntryHosts(Integer.parseInt(values.get("entry hosts")));
+		if (values.get("relays").equals("yes")) {
+			options = options.withWorkerRelays();
+		}
+		for (Map.Entry<String, String> value : values.entrySet()) {
+			String[] key = value.getKey().split("\\.", 2);
+			options = (key.length == 2) ? options.withEntryHostKey(key[0], key[1], value.getValue()) : options;
+		}
+		return options;
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/steps/World.java
@@ -0,0 +1,96 @@
+package org.masticwick.proof.steps;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.cucumber.java.After;
+import io.cucumber.java.AfterAll;
+
+import org.masticwick.proof.support.EntryHostProcess;
+import org.masticwick.proof.support.Site;
+import org.masticwick.proof.support.SiteOptions;
+
+/**
+ * Holds the site of the scenario that runs. A shared site outlives its scenario and is
+ * used again by each scenario that asks for the same options; a scenario that harms a
+ * host asks for a site of its own.
+ */
+public final class World {
+
+	private static final Map<SiteOptions, Site> SHARED_SITES = new HashMap<>();
+
+	private static Site site;
+
+	private static boolean own;
+
+	/**
+	 * Returns the site of the scenario.
+	 * @return the site
+	 * @throws IllegalStateException if the scenario has started none
+	 */
+	public static Site site() {
+		if (site == null) {
+			throw new IllegalStateException("The scenario has no site");
+		}
+		return site;
+	}
+
+	/**
+	 * Returns an entry host of the site.
+	 * @param name failure domain and index in the order of the start, as in
+	 * {@code toto-centro/0}
+	 * @return the entry host
+	 */
+	public static EntryHostProcess host(String name) {
+		String[] parts = name.split("/", 2);
+		return site().entryHosts(parts[0]).get(Integer.parseInt(parts[1]));
+	}
+
+	/**
+	 * Takes a site that scenarios share, and starts it if there is none yet.
+	 * @param options how it is set up
+	 */
+	static void useShared(SiteOptions options) {
+		site = SHARED_SITES.computeIfAbsent(options, World::start);
+		own = false;
+	}
+
+	/**
+	 * Starts a site for this scenario alone.
+	 * @param options how it is set up
+	 */
+	static void useOwn(SiteOptions options) {
+		site = start(options);
+		own = true;
+	}
+
+	/** Ends the site if it is the scenario's own. */
+	@After(order = 0)
+	public void endSite() {
+		if (own) {
+			site.close();
+		}
+		site = null;
+		own = false;
+	}
+
+	/** Ends the shared sites. */
+	@AfterAll
+	public static void endSharedSites() {
+		SHARED_SITES.values().forEach(Site::close);
+		SHARED_SITES.clear();
+	}
+
+	private static Site start(SiteOptions options) {
+		Site started = Site.start(options);
+		try {
+			started.awaitReady();
+			return started;
+		}
+		catch (RuntimeException | Error ex) {
+			started.close();
+			throw ex;
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/steps/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The steps that the features share: sites, processes and their faults.
+ */
+package org.masticwick.proof.steps;
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
@@ -82,6 +82,14 @@
 		return this.platform;
 	}
 
+	/**
+	 * Returns the failure domains.
+	 * @return the names
+	 */
+	public List<String> domains() {
+		return this.options.domains();
+	}
+
 	/**
 	 * Returns the workers of a failure domain.
 	 * @param domain the failure domain
