Take no reply of another task for a task's own, and send no task twice

Cause: the client took any refusal or failure on a connection for the reply to the task it had posted there. A second copy of a refusal stays in a kept connection, and was read as the reply to the next task: that task had started, was taken back and started at another endpoint. And OkHttp sends a request again by itself after 503 with Retry-After: 0, whatever retryOnConnectionFailure says.

Ruled out: the length of the answer and OkHttp's own check of idle connections, which find neither (left bytes count as healthy).

Change: every answer to a post carries Task-Id, and one without or with another leaves the start unclear, so the task is asked for by id; the body of a post is one-shot; a connection that gave an unclear reply is closed. Stand-in workers name the task in refusals and can double these too.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -25,6 +25,7 @@
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 import okio.Buffer;
+import okio.BufferedSink;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -93,7 +94,7 @@
 			.header("Task-Kind", post.kind())
 			.header("Task-Lease-Millis", Long.toString(post.leaseMillis()))
 			.tag(WriteState.class, new WriteState())
-			.post(RequestBody.create(post.payload().getBytes(StandardCharsets.UTF_8), OCTETS))
+			.post(new OneShotBody(post.payload().getBytes(StandardCharsets.UTF_8)))
 			.build();
 		Call call = this.posts.newCall(request);
 		CompletableFuture<PostReply> reply = new CompletableFuture<>();
@@ -226,19 +227,27 @@
 		@Override
 		public void onResponse(Call call, Response response) {
 			try (response) {
-				this.reply.complete(read(response));
+				PostReply told = read(response);
+				if (told instanceof PostReply.Uncertain) {
+					call.cancel();
+				}
+				this.reply.complete(told);
 			}
 			catch (IOException ex) {
+				call.cancel();
 				this.reply.complete(new PostReply.Uncertain(String.valueOf(ex.getMessage())));
 			}
 		}
 
 		private PostReply read(Response response) throws IOException {
+			if (!this.task.toString().equals(response.header("Task-Id"))) {
+				return new PostReply.Uncertain("the answer is not for this task");
+			}
 			if ("false".equals(response.header("Task-Started"))) {
 				return readRefusal(response);
 			}
 			if (response.code() == 200) {
-				return readResult(response);
+				return new PostReply.Succeeded(readBody(response));
 			}
 			if ("true".equals(response.header("Task-Started")) && response.code() == 500) {
 				return new PostReply.Failed("the endpoint told a failure");
@@ -255,11 +264,37 @@
 			};
 		}
 
-		private PostReply readResult(Response response) throws IOException {
-			if (!this.task.toString().equals(response.header("Task-Id"))) {
-				return new PostReply.Uncertain("the answer is for another task");
-			}
-			return new PostReply.Succeeded(readBody(response));
+	}
+
+	/**
+	 * Is the body of a post, which OkHttp must not send again whatever the reply says.
+	 */
+	private static final class OneShotBody extends RequestBody {
+
+		private final byte[] payload;
+
+		private OneShotBody(byte[] payload) {
+			this.payload = payload;
+		}
+
+		@Override
+		public MediaType contentType() {
+			return OCTETS;
+		}
+
+		@Override
+		public long contentLength() {
+			return this.payload.length;
+		}
+
+		@Override
+		public boolean isOneShot() {
+			return true;
+		}
+
+		@Override
+		public void writeTo(BufferedSink sink) throws IOException {
+			sink.write(this.payload);
 		}
 
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Answers.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Answers.java
@@ -79,12 +79,14 @@
 	 * Returns an error that tells how far each task came.
 	 * @param code the code
 	 * @param detail the details for people
-	 * @param retryAfterMillis when to come back, in milliseconds; negative for never
+	 * @param retryAfterMillis when to come back, in milliseconds; negative for never, and
+	 * not told with a code that is for good
 	 * @param tasks the states in the order of the tasks; empty if there is nothing to
 	 * tell
 	 * @return the answer
 	 */
 	public static HttpAnswer problem(ErrorCode code, String detail, long retryAfterMillis, List<TaskState> tasks) {
+		long toldMillis = code.retryable() ? retryAfterMillis : HttpAnswer.NO_RETRY;
 		byte[] body = write((json) -> {
 			json.writeStringField("type", "urn:masticwick:problem:" + code.code());
 			json.writeStringField("title", code.name().toLowerCase().replace('_', ' '));
@@ -92,12 +94,12 @@
 			json.writeStringField("detail", detail);
 			json.writeStringField("code", code.code());
 			json.writeStringField("ran", code.runState().text());
-			if (retryAfterMillis >= 0) {
-				json.writeNumberField("retry_after_ms", retryAfterMillis);
+			if (toldMillis >= 0) {
+				json.writeNumberField("retry_after_ms", toldMillis);
 			}
 			writeTasks(json, tasks);
 		});
-		return new HttpAnswer(code.httpStatus(), HttpAnswer.PROBLEM_JSON, body, retryAfterMillis);
+		return new HttpAnswer(code.httpStatus(), HttpAnswer.PROBLEM_JSON, body, toldMillis);
 	}
 
 	/**
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Collector.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Collector.java
@@ -15,6 +15,7 @@
 
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.MasticwickException;
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.core.request.JobRequest;
 import org.masticwick.core.request.Ticket;
@@ -71,10 +72,12 @@
 			return CompletableFuture.completedFuture(Answers.problem(ErrorCode.OUTCOME_UNKNOWN,
 					"The home of the ticket is lost; submit the same body again to have its results collected"));
 		}
-		if (known == null) {
-			known = start(request, ticket);
+		try {
+			return ((known != null) ? known : start(request, ticket)).answerFor(request.body());
+		}
+		catch (MasticwickException ex) {
+			return CompletableFuture.completedFuture(Answers.problem(ex));
 		}
-		return known.answerFor(request.body());
 	}
 
 	private Collection start(RoutedRequest request, String ticket) {
@@ -86,13 +89,18 @@
 			return present;
 		}
 		logger.info("Collecting the results of a lost home: ticket={} tasks={}", ticket, job.tasks().size());
-		run(request.ticket(), job).thenAccept((answer) -> {
+		run(request.ticket(), job).exceptionally((ex) -> lost(ex, ticket)).thenAccept((answer) -> {
 			this.verdicts.accept(request.ticket(), answer);
 			fresh.answer().complete(answer);
 		});
 		return fresh;
 	}
 
+	private static HttpAnswer lost(Throwable ex, String ticket) {
+		logger.error("Results not collected: ticket={}", ticket, ex);
+		return Answers.problem(ErrorCode.HOME_LOST, "The results of the lost home could not be collected");
+	}
+
 	private CompletableFuture<HttpAnswer> run(Ticket ticket, JobRequest job) {
 		SiteVersion current = this.version.get();
 		ServiceSpec service = current.services().get(job.service());
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,7 +23,6 @@
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.Start;
 import org.masticwick.core.request.TaskEnd;
-import org.masticwick.core.request.TaskId;
 import org.masticwick.core.request.Turn;
 import org.masticwick.core.version.ServiceSpec;
 import org.masticwick.core.version.SiteVersion;
@@ -45,6 +43,8 @@
 
 	private static final long POLL_MILLIS = 250;
 
+	private static final long CANCEL_REPLY_MILLIS = 250;
+
 	private static final int TIMER_THREAD_COUNT = 2;
 
 	private final Scheduler scheduler;
@@ -59,6 +59,8 @@
 
 	private final RunTimes runTimes;
 
+	private final CancelBatch cancellations;
+
 	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREAD_COUNT,
 			new NamedThreads("dispatch"));
 
@@ -88,6 +90,7 @@
 		this.time = time;
 		this.metrics = metrics;
 		this.runTimes = new RunTimes(minSilenceMillis);
+		this.cancellations = new CancelBatch(client, this.timer, metrics);
 	}
 
 	/**
@@ -115,7 +118,7 @@
 
 	/**
 	 * Cancels a job: what is queued never starts, and each endpoint that runs tasks of it
-	 * gets one message.
+	 * gets one message, together with those of other jobs that end at about that time.
 	 * @param job the job
 	 */
 	public void cancel(Job job) {
@@ -144,15 +147,12 @@
 	private void ended(ActiveJob active) {
 		Job job = active.job();
 		this.scheduler.cancel(job.ticketText(), this.time.nanoTime());
-		Map<HostAddress, List<TaskId>> running = job.running()
-			.stream()
-			.collect(Collectors.groupingBy(Job.RunningTask::endpoint,
-					Collectors.mapping(Job.RunningTask::task, Collectors.toList())));
-		running.forEach((endpoint, tasks) -> {
-			this.metrics.message(MessageKind.CANCEL);
-			this.client.cancel(endpoint, tasks);
-		});
-		active.runs().values().forEach(TaskRun::abandon);
+		if (!active.runs().isEmpty()) {
+			active.runs().values().forEach(TaskRun::cancelling);
+			job.running().forEach((task) -> this.cancellations.add(task.endpoint(), task.task()));
+			this.timer.schedule(() -> active.runs().values().forEach(TaskRun::abandon), CANCEL_REPLY_MILLIS,
+					TimeUnit.MILLISECONDS);
+		}
 		this.jobs.remove(job.ticketText(), active);
 		drive();
 	}
@@ -221,7 +221,9 @@
 		active.runs().put(start.task().index(), run);
 		run.begin();
 		if (active.job().ended()) {
-			run.abandon();
+			run.cancelling();
+			this.cancellations.add(endpoint, start.task());
+			this.timer.schedule(run::abandon, CANCEL_REPLY_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -302,6 +304,7 @@
 
 	@Override
 	public void close() {
+		this.cancellations.flush();
 		this.timer.shutdownNow();
 		this.client.close();
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
@@ -45,6 +45,8 @@
 
 	private volatile int unreachableCount;
 
+	private volatile boolean cancelling;
+
 	TaskRun(EndpointClient client, ScheduledExecutorService timer, TaskPost post, Options options, Runnable onLookup,
 			Consumer<Result> onEnd) {
 		this.client = client;
@@ -147,6 +149,14 @@
 		}
 	}
 
+	/**
+	 * Notes that the task is being cancelled: its end is no longer told as a fault of the
+	 * endpoint.
+	 */
+	void cancelling() {
+		this.cancelling = true;
+	}
+
 	/**
 	 * Stops waiting, since the job has ended. The end is told once all the same.
 	 */
@@ -163,7 +173,8 @@
 		if (current != null && !current.reply().isDone()) {
 			current.abandon();
 		}
-		this.onEnd.accept(new Result(kind, result, detail));
+		boolean stopped = this.cancelling && (kind == TaskEnd.Kind.FAILED || kind == TaskEnd.Kind.LOST);
+		this.onEnd.accept(new Result(stopped ? TaskEnd.Kind.CANCELLED : kind, result, detail));
 	}
 
 	/**
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/JobTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/JobTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.core.process.EntryHost;
@@ -47,6 +48,15 @@
 		return new String(job.answer().join().body(), StandardCharsets.UTF_8);
 	}
 
+	@ParameterizedTest
+	@EnumSource(names = { "NEVER_FITS", "UNKNOWN_SERVICE" })
+	void refusalForGoodTellsNoTimeToComeBack(ErrorCode code) {
+		Job job = job(1);
+		job.giveUp(code, ErrorCode.JOB_FAILED, "", 0);
+		assertThat(job.answer().join().retryAfterMillis()).isNegative();
+		assertThat(body(job)).doesNotContain("retry_after_ms");
+	}
+
 	@Nested
 	class Starting {
 
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/Worker.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/Worker.java
@@ -165,11 +165,11 @@
 			case DUPLICATE -> {
 				this.counters.add(WorkerCounters.Kind.DUPLICATES);
 				this.duplicates.add(taskId);
-				exchange.answer(verdict.answer());
+				exchange.answer(verdict.answer().withHeader("Task-Id", taskId));
 			}
 			default -> {
 				this.counters.add(WorkerCounters.Kind.REFUSED);
-				exchange.answer(verdict.answer());
+				exchange.answer(this.faults.repeat(verdict.answer().withHeader("Task-Id", taskId)));
 			}
 		}
 	}
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerFaultRequest.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerFaultRequest.java
@@ -19,7 +19,7 @@
  * @param truncateReplies which results are cut short
  * @param overlongReplies which results are longer than declared
  * @param loseReplies which results are lost with their connection
- * @param doubleReplies which results are written twice
+ * @param doubleReplies which results and refusals are written twice
  * @param wrongTaskId which results carry the id of another task
  * @param lateReplyMs how late results are sent, in milliseconds
  * @param stop {@code true} closes the listener and its connections
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerFaults.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/WorkerFaults.java
@@ -120,7 +120,16 @@
 		if (draw(this.overlongReplies)) {
 			spoilt = spoilt.overlong();
 		}
-		return draw(this.doubleReplies) ? spoilt.doubled() : spoilt;
+		return repeat(spoilt);
+	}
+
+	/**
+	 * Doubles an answer if the faults say so.
+	 * @param answer the answer
+	 * @return the answer to send
+	 */
+	HttpAnswer repeat(HttpAnswer answer) {
+		return draw(this.doubleReplies) ? answer.doubled() : answer;
 	}
 
 	private static boolean draw(AtomicReference<FaultCount> count) {
