Stop asking a peer without a state for its state over and over

Two hosts that start while the log is down know no state, yet each tells position 0 in its heartbeat, which is ahead of "unknown". The answer to the fetch held neither records nor a state, which counted as "state needed", so the fetch went out again at once, for as long as the log was down.

An answer without records to a host without a state now changes nothing; the next heartbeat asks again. RecordRelayTests.sendsNothingWhileNothingIsKnown had pinned the loop (STATE_NEEDED) and now asks for UNCHANGED.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/RecordRelay.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/RecordRelay.java
@@ -107,7 +107,7 @@
 
 	private Applied applyRecords(RelayedRecords relayed) {
 		if (!this.registry.known()) {
-			return Applied.STATE_NEEDED;
+			return (relayed.records().isEmpty()) ? Applied.UNCHANGED : Applied.STATE_NEEDED;
 		}
 		SiteState start = this.registry.state();
 		String hash = relayed.fromHash();
