Issue no ticket that the heir would not know

The heir checks tickets against the next sequence number of the offer. A stopping host went on issuing tickets from its own mint until the heir had answered, so tickets issued in that time were refused as invalid everywhere.

Tickets are issued under the lock of the book, and not after it was handed over: requests for tickets wait for the heir and go there, by way of the heir's heir if need be. Books are given up and taken over under one lock. The own book is handed over also if it has issued nothing, so that the heir is known.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerMessages.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/PeerMessages.java
@@ -55,7 +55,7 @@
 	@Override
 	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
 		if (message instanceof Forward forward && forward.operation() == ForwardOperation.ISSUE) {
-			return later(() -> CompletableFuture.completedFuture(this.router.issueForwarded(forward.body())));
+			return later(() -> this.router.issueForwarded(forward.body()));
 		}
 		if (message instanceof Forward forward) {
 			return later(() -> this.router.serveForwarded(new RoutedRequest(forward.operation(),
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -116,23 +116,40 @@
 	 * @return the answer to come; it never completes with an exception
 	 */
 	public CompletableFuture<HttpAnswer> issue(byte[] body) {
-		Optional<HostAddress> heir = this.books.heirOf(this.self.incarnation());
-		if (heir.isEmpty()) {
+		return issue(body, this.time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.routeLimitMillis));
+	}
+
+	private CompletableFuture<HttpAnswer> issue(byte[] body, long limitNanos) {
+		try {
 			return CompletableFuture.completedFuture(this.issuer.issue(body));
 		}
-		this.metrics.message(MessageKind.FORWARD);
-		return this.transport.call(heir.get(), new Forward(ForwardOperation.ISSUE, "", body, 0))
-			.thenApply(RequestRouter::fromMessage)
-			.exceptionally((ex) -> Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+		catch (NotHolderException ex) {
+			return issueAtHeir(body, limitNanos);
+		}
+	}
+
+	private CompletableFuture<HttpAnswer> issueAtHeir(byte[] body, long limitNanos) {
+		Optional<HostAddress> heir = this.books.heirOf(this.self.incarnation());
+		if (heir.isPresent()) {
+			this.metrics.message(MessageKind.FORWARD);
+			return this.transport.call(heir.get(), new Forward(ForwardOperation.ISSUE, "", body, 0))
+				.thenApply(RequestRouter::fromMessage)
+				.exceptionally((ex) -> Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+		}
+		if (this.time.nanoTime() - limitNanos >= 0) {
+			return CompletableFuture.completedFuture(Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+		}
+		Executor later = CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		return CompletableFuture.supplyAsync(() -> issue(body, limitNanos), later).thenCompose(Function.identity());
 	}
 
 	/**
 	 * Issues tickets for a caller of another host.
 	 * @param body the body of the caller's request
-	 * @return the answer
+	 * @return the answer to come
 	 */
-	public PeerMessage issueForwarded(byte[] body) {
-		return toMessage(this.issuer.issue(body));
+	public CompletionStage<PeerMessage> issueForwarded(byte[] body) {
+		return issue(body).thenApply(RequestRouter::toMessage);
 	}
 
 	/**
@@ -216,7 +233,7 @@
 				case STATE -> this.jobs.state(book, request.ticket());
 				case CANCEL -> this.jobs.cancel(book, request.ticket());
 				case COLLECT -> this.collector.collect(request);
-				case ISSUE -> CompletableFuture.completedFuture(this.issuer.issue(request.body()));
+				case ISSUE -> issue(request.body());
 			};
 		}
 		catch (MasticwickException ex) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
@@ -1,5 +1,6 @@
 package org.masticwick.daemon.request;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -47,6 +48,28 @@
 		this.homeClockAheadMillis = homeClockAheadMillis;
 	}
 
+	/**
+	 * Issues tickets of this book.
+	 * @param count how many
+	 * @param expiryEpochMillis when they expire, in milliseconds since the epoch
+	 * @return the tickets
+	 * @throws NotHolderException if the book was handed over, since the heir would not
+	 * know the tickets
+	 */
+	List<Ticket> issue(int count, long expiryEpochMillis) {
+		this.rightLock.readLock().lock();
+		try {
+			if (this.handedOver) {
+				throw new NotHolderException("The host is stopping");
+			}
+			noteExpiry(expiryEpochMillis);
+			return this.mint.issue(count, expiryEpochMillis);
+		}
+		finally {
+			this.rightLock.readLock().unlock();
+		}
+	}
+
 	/**
 	 * Returns the entry of a ticket, and creates it if the ticket was not submitted yet.
 	 * @param ticket a verified ticket
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -43,11 +43,10 @@
 	 * Issues tickets of this process.
 	 * @param count how many
 	 * @return the tickets
+	 * @throws RequestException if the books were handed over
 	 */
 	public List<Ticket> issue(int count) {
-		long expiryEpochMillis = this.time.epochMillis() + this.lifetimeMillis;
-		this.own.noteExpiry(expiryEpochMillis);
-		return this.own.mint().issue(count, expiryEpochMillis);
+		return this.own.issue(count, this.time.epochMillis() + this.lifetimeMillis);
 	}
 
 	/**
@@ -80,26 +79,27 @@
 	/**
 	 * Takes over a book.
 	 * @param book the book
-	 * @return {@code false} if this process had it already
+	 * @return {@code false} if this process had it already or has handed its books over
 	 */
-	boolean inherit(TicketBook book) {
-		return this.books.putIfAbsent(book.mint().home().incarnation(), book) == null;
+	synchronized boolean inherit(TicketBook book) {
+		return this.own.held() && this.books.putIfAbsent(book.mint().home().incarnation(), book) == null;
 	}
 
 	/**
-	 * Returns the book of this process's own tickets.
-	 * @return the book
+	 * Gives up the right to start jobs under the tickets of all books, and takes no book
+	 * over from now on.
+	 * @return the books that were held until now
 	 */
-	TicketBook own() {
-		return this.own;
+	synchronized List<TicketBook> handOver() {
+		return this.books.values().stream().filter(TicketBook::handOver).toList();
 	}
 
 	/**
-	 * Returns all books.
-	 * @return the books
+	 * Returns the book of this process's own tickets.
+	 * @return the book
 	 */
-	List<TicketBook> all() {
-		return List.copyOf(this.books.values());
+	TicketBook own() {
+		return this.own;
 	}
 
 	/**
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketIssuer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketIssuer.java
@@ -37,11 +37,15 @@
 	 * Issues the tickets that a request asks for.
 	 * @param body the body; empty for one ticket
 	 * @return the answer
+	 * @throws NotHolderException if this process has handed its tickets over
 	 */
 	HttpAnswer issue(byte[] body) {
 		try {
 			return toAnswer(this.books.issue(count(body)));
 		}
+		catch (NotHolderException ex) {
+			throw ex;
+		}
 		catch (RequestException ex) {
 			return Answers.problem(ex);
 		}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -82,11 +82,10 @@
 	 */
 	public CompletableFuture<Void> handOver() {
 		List<CompletableFuture<Void>> pending = new ArrayList<>();
-		this.books.all()
+		this.books.handOver()
 			.stream()
-			.filter((book) -> !book.expired())
-			.filter(TicketBook::handOver)
-			.map((book) -> Offer.of(book))
+			.filter((book) -> book == this.books.own() || !book.expired())
+			.map(Offer::of)
 			.forEach((offer) -> handOver(offer).ifPresent((heir) -> followUp(offer, heir, pending)));
 		return CompletableFuture.allOf(pending.toArray(CompletableFuture<?>[]::new));
 	}
@@ -149,14 +148,14 @@
 	 * @return the answer
 	 */
 	public PeerMessage inherit(InheritTickets offered) {
-		if (!this.books.own().held()) {
-			return new InheritAnswer(false);
-		}
 		TicketMint mint = new TicketMint(offered.from(), new TicketKey(offered.key()), offered.nextSequence());
 		TicketBook book = new TicketBook(mint, this.time, offered.homeEpochMillis() - this.time.epochMillis());
 		book.noteExpiry(offered.expiresAtEpochMillis());
 		offered.jobs().forEach((job) -> restore(book, job, offered.from()));
-		this.books.inherit(book);
+		if (!this.books.inherit(book)) {
+			return new InheritAnswer(
+					this.books.find(offered.from().incarnation()).filter(TicketBook::held).isPresent());
+		}
 		logger.info("Tickets taken over: incarnation={} from={} jobs={}", offered.from().incarnation(),
 				offered.from().peerAddress(), offered.jobs().size());
 		return new InheritAnswer(true);
