Serve on for balancers that learn late of a planned stop

A stopping host closed its listener as soon as it was idle, 1.5 s after readiness had dropped. A balancer that probes more seldom, or goes by the platform's list, still sent requests, and these were cut off. The host now passes requests on to its heir until stop.drain_min_ms (5 s) is over.

A host that has read an empty log is not ready: the log may have lost its records, and a refusal as unknown service is final.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -36,6 +36,7 @@
 import org.masticwick.daemon.connection.OkHttpEndpointClient;
 import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.daemon.process.settings.PeerSettings;
+import org.masticwick.daemon.process.settings.PlatformSettings;
 import org.masticwick.daemon.process.settings.RequestSettings;
 import org.masticwick.daemon.process.settings.Settings;
 import org.masticwick.daemon.request.Collector;
@@ -143,14 +144,16 @@
 	EntryHostParts(Settings settings) {
 		this.settings = settings;
 		this.transport = bind(settings);
-		this.self = new EntryHost(settings.host().domain(), this.transport.localAddress(),
+		this.self = new EntryHost(settings.host().domain(), advertisedAddress(settings),
 				Incarnation.create(this.time, this.random));
 		this.platform = new HttpPlatformClient(settings.platform().address(), HttpPlatformSettings.DEFAULT);
-		this.logFollower = new LogFollower(this.platform, this.registry, FollowerSettings.DEFAULT, this.time, random());
+		this.logFollower = new LogFollower(this.platform, this.registry, followerSettings(settings.platform()),
+				this.time, random());
 		this.hostList = new HostListFollower(this.platform,
 				new PlatformHost(this.self.peerAddress(), PlatformHost.Role.ENTRY, this.self.domain(),
 						PlatformHost.State.LIVE),
-				Duration.ofMillis(settings.platform().hostListIntervalMillis()), random(), this::onHostList);
+				Duration.ofMillis(settings.platform().hostListIntervalMillis()),
+				Duration.ofMillis(settings.platform().leaseMillis()), random(), this::onHostList);
 		this.membership = new Membership(this.self, membershipLimits(settings));
 		this.scheduler = Schedulers.create(schedulerSettings(settings), this.self.domain(), this.self, random());
 		EndpointClient endpoints = new OkHttpEndpointClient(new EndpointLimits(
@@ -167,7 +170,7 @@
 				2 * settings.peers().silenceLimitMillis());
 		this.router = new RequestRouter(this.self, this.books,
 				new TicketIssuer(this.books, settings.tickets().blockCountMax()),
-				new JobService(reader, this.dispatcher, this.registry::known, this.time), this.collector, directory,
+				new JobService(reader, this.dispatcher, this::known, this.time), this.collector, directory,
 				this.transport, this.metrics, this.time, 3 * settings.peers().silenceLimitMillis());
 		this.transfer = new TicketTransfer(this.books, directory, this.transport, this.metrics, this.time);
 		RecordRelay relay = new RecordRelay(this.registry);
@@ -188,6 +191,16 @@
 		return NettyPeerTransport.bind(transportSettings, () -> this.self, new LateMessageHandler(() -> this.messages));
 	}
 
+	private HostAddress advertisedAddress(Settings given) {
+		HostAddress advertised = given.host().peerAdvertisedAddress();
+		return (advertised != null) ? advertised : this.transport.localAddress();
+	}
+
+	private static FollowerSettings followerSettings(PlatformSettings given) {
+		return FollowerSettings.DEFAULT.withPolling(Duration.ofMillis(given.pollWaitMillis()))
+			.withSnapshotRecordCount(given.snapshotIntervalRecordCount());
+	}
+
 	private static RandomGenerator random() {
 		return RandomGenerator.of("L64X128MixRandom");
 	}
@@ -267,7 +280,16 @@
 	}
 
 	private boolean ready() {
-		return this.registry.known() && !this.leaving;
+		return known() && !this.leaving;
+	}
+
+	/**
+	 * Tells whether there is anything to serve. An empty log is no ground to refuse
+	 * requests for good: it may have lost its records.
+	 * @return {@code true} from the first version on
+	 */
+	private boolean known() {
+		return this.registry.current().number() > 0;
 	}
 
 	private void addGauges() {
@@ -365,14 +387,17 @@
 
 		@Override
 		public CompletableFuture<HttpAnswer> issueTickets(byte[] body) {
-			return EntryHostParts.this.router.issue(body);
+			return counted(EntryHostParts.this.router.issue(body));
 		}
 
 		@Override
 		public CompletableFuture<HttpAnswer> serve(RoutedRequest request) {
+			return counted(EntryHostParts.this.router.serve(request));
+		}
+
+		private CompletableFuture<HttpAnswer> counted(CompletableFuture<HttpAnswer> answer) {
 			EntryHostParts.this.openRequestCount.incrementAndGet();
-			return EntryHostParts.this.router.serve(request)
-				.whenComplete((answer, ex) -> EntryHostParts.this.openRequestCount.decrementAndGet());
+			return answer.whenComplete((given, ex) -> EntryHostParts.this.openRequestCount.decrementAndGet());
 		}
 
 		@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -79,12 +79,14 @@
 
 	/**
 	 * Stops as planned: announces it, hands the tickets over, lets the running jobs end,
-	 * delivers their answers, and ends what is left at the deadline.
+	 * delivers their answers, passes requests on to the heir for as long as balancers may
+	 * send them, and ends what is left at the deadline.
 	 * @return how many jobs were cut off
 	 */
 	public int stop() {
 		long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.stop().deadlineMillis());
 		logger.info("Stop begins: jobs={}", this.parts.activeJobCount());
+		long drainedNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.stop().drainMinMillis());
 		this.parts.announceLeaving();
 		pause(NOTICE_MILLIS);
 		CompletableFuture<Void> delivered = this.parts.handOverTickets();
@@ -94,6 +96,7 @@
 			logger.warn("Stop passed its deadline: jobs_cut_off={}", cutOffCount);
 		}
 		awaitDelivery(delivered, limitNanos);
+		awaitDrained(drainedNanos, limitNanos);
 		pause(FAREWELL_MILLIS);
 		this.api.close();
 		this.parts.close();
@@ -102,6 +105,12 @@
 		return cutOffCount;
 	}
 
+	private void awaitDrained(long drainedNanos, long limitNanos) {
+		long endNanos = (limitNanos - drainedNanos < 0) ? limitNanos : drainedNanos;
+		pause(TimeUnit.NANOSECONDS.toMillis(Math.max(0, endNanos - System.nanoTime())));
+		awaitIdle(limitNanos);
+	}
+
 	private void awaitIdle(long limitNanos) {
 		while (this.parts.openRequestCount() > 0 && System.nanoTime() - limitNanos < 0) {
 			pause(POLL_MILLIS);
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SectionReader.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SectionReader.java
@@ -102,6 +102,11 @@
 		return address.orElse(fallback);
 	}
 
+	HostAddress optionalAddress(String key) {
+		JsonNode value = get(key);
+		return (value != null) ? hostAddress(key, value).orElse(null) : null;
+	}
+
 	HostAddress requiredAddress(String key) {
 		HostAddress placeholder = new HostAddress("0.0.0.0", 1);
 		JsonNode value = get(key);
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
@@ -79,17 +79,17 @@
 
 	private static HostSettings host(SectionReader reader) {
 		return new HostSettings(reader.text("domain", null, NAME, NAME_ALLOWED),
-				reader.listenAddress("api_address", "127.0.0.1:0"),
-				reader.listenAddress("peer_address", "127.0.0.1:0"));
+				reader.listenAddress("api_address", "127.0.0.1:0"), reader.listenAddress("peer_address", "127.0.0.1:0"),
+				reader.optionalAddress("peer_advertised_address"));
 	}
 
 	private static PlatformSettings platform(SectionReader reader) {
 		return new PlatformSettings(reader.requiredAddress("address"),
 				reader.text("stream", "site", NAME, NAME_ALLOWED),
-				reader.milliseconds("poll_wait_ms", 5_000, 1, MINUTE_MILLIS),
+				reader.milliseconds("poll_wait_ms", 4_000, 1, MINUTE_MILLIS),
 				reader.milliseconds("host_list_interval_ms", 1_000, 10, MINUTE_MILLIS),
 				reader.milliseconds("lease_ms", 10_000, 100, HOUR_MILLIS),
-				reader.count("snapshot_interval_record_count", 500, 1, 1_000_000));
+				reader.count("snapshot_interval_record_count", 256, 1, 1_000_000));
 	}
 
 	private static PeerSettings peers(SectionReader reader) {
@@ -141,7 +141,8 @@
 	}
 
 	private static StopSettings stop(SectionReader reader) {
-		return new StopSettings(reader.milliseconds("deadline_ms", 30_000, 1, HOUR_MILLIS));
+		return new StopSettings(reader.milliseconds("deadline_ms", 30_000, 1, HOUR_MILLIS),
+				reader.milliseconds("drain_min_ms", 5_000, 0, HOUR_MILLIS));
 	}
 
 	private static LogSettings log(SectionReader reader) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/FollowerSettings.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/FollowerSettings.java
@@ -24,4 +24,24 @@
 			Duration.ofSeconds(2), Duration.ofSeconds(1), Duration.ofSeconds(30), Duration.ofMinutes(10),
 			SNAPSHOT_RECORD_COUNT);
 
+	/**
+	 * Returns these settings with another wait of reads.
+	 * @param wait how long the log holds a read while there is nothing new
+	 * @return the changed copy
+	 */
+	public FollowerSettings withPolling(Duration wait) {
+		return new FollowerSettings(wait, this.minBackoff, this.maxBackoff, this.restoreSpread, this.checkInterval,
+				this.snapshotInterval, this.snapshotRecordCount);
+	}
+
+	/**
+	 * Returns these settings with another bound on the records after a snapshot.
+	 * @param count how many records may follow the newest snapshot
+	 * @return the changed copy
+	 */
+	public FollowerSettings withSnapshotRecordCount(int count) {
+		return new FollowerSettings(this.pollWait, this.minBackoff, this.maxBackoff, this.restoreSpread,
+				this.checkInterval, this.snapshotInterval, count);
+	}
+
 }
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
@@ -22,14 +22,14 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(HostListFollower.class);
 
-	private static final int LEASE_INTERVAL_COUNT = 5;
-
 	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
 	private final PlatformClient platform;
 
 	private final Duration interval;
 
+	private final Duration lease;
+
 	private final RandomGenerator random;
 
 	private final Consumer<List<PlatformHost>> listener;
@@ -49,14 +49,16 @@
 	 * @param platform where the list is
 	 * @param self the entry of this host
 	 * @param interval how often the list is read and the lease renewed
+	 * @param lease how long the entry of this host stands unless renewed
 	 * @param random the source of jitter; used by the thread of the follower alone
 	 * @param listener is called with each list that was read
 	 */
-	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, RandomGenerator random,
-			Consumer<List<PlatformHost>> listener) {
+	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, Duration lease,
+			RandomGenerator random, Consumer<List<PlatformHost>> listener) {
 		this.platform = platform;
 		this.self = self;
 		this.interval = interval;
+		this.lease = lease;
 		this.random = random;
 		this.listener = listener;
 		this.thread = new Thread(this::run, "host-list-follower");
@@ -104,7 +106,7 @@
 
 	private void run() {
 		while (!this.closing) {
-			attempt(() -> this.platform.register(this.self, this.interval.multipliedBy(LEASE_INTERVAL_COUNT)));
+			attempt(() -> this.platform.register(this.self, this.lease));
 			attempt(() -> this.listener.accept(this.platform.hosts()));
 			pause();
 		}
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
@@ -121,6 +121,7 @@
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.context.settings().connectTimeoutMillis())
 			.handler(new Initializer(target))
+			.localAddress(new InetSocketAddress(this.context.settings().bindIp(), 0))
 			.connect(target.ip(), target.port());
 		connected.addListener((future) -> greet(connected, opened));
 		return opened;
