--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadCommands.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadCommands.java
@@ -17,7 +17,8 @@
 	 * @return the commands
 	 */
 	public static List<Command> all() {
-		return List.of(new LoadCommand(), new ExperimentCommand(), new OverheadCommand(), new PlotCommand());
+		return List.of(new LoadCommand(), new ExperimentCommand(), new OverheadCommand(), new SaturateCommand(),
+				new PlotCommand());
 	}
 
 }
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
@@ -25,6 +25,9 @@
  * @param problems how many jobs had each code, by outcome
  * @param singleRatio response time over ideal of single tasks
  * @param jobRatio response time over ideal of jobs of several tasks
+ * @param centralSingleRatio response time over ideal of single tasks that one queue in
+ * front of all slots would reach, by {@link CentralQueue}
+ * @param centralJobRatio the same of jobs of several tasks
  * @param singleResponseMillis response times of single tasks, in milliseconds
  * @param jobResponseMillis response times of jobs of several tasks, in milliseconds
  * @param sendLagMillis how late the tool itself sent jobs, in milliseconds
@@ -44,12 +47,12 @@
  */
 record LoadReport(LoadOptions options, int jobCount, long taskCount, double offeredLoad, double goodput,
 		double tasksPerSecond, Map<String, Long> outcomes, Map<String, Long> problems, Quantiles singleRatio,
-		Quantiles jobRatio, Quantiles singleResponseMillis, Quantiles jobResponseMillis, Quantiles sendLagMillis,
-		long startedTaskCount, Map<String, Double> messages, Map<String, Double> wastedMessages,
-		double wastedPerStartedTask, Map<String, Double> peerMessages, Map<String, Double> peerBytes,
-		Map<String, Double> endpointMessages, double hostProcessorSeconds, long lostConnectionCount,
-		long resubmissionCount, Map<Violation.Type, Long> violations, List<Violation> violationExamples,
-		List<SecondCounts.Row> timeline) {
+		Quantiles jobRatio, Quantiles centralSingleRatio, Quantiles centralJobRatio, Quantiles singleResponseMillis,
+		Quantiles jobResponseMillis, Quantiles sendLagMillis, long startedTaskCount, Map<String, Double> messages,
+		Map<String, Double> wastedMessages, double wastedPerStartedTask, Map<String, Double> peerMessages,
+		Map<String, Double> peerBytes, Map<String, Double> endpointMessages, double hostProcessorSeconds,
+		long lostConnectionCount, long resubmissionCount, Map<Violation.Type, Long> violations,
+		List<Violation> violationExamples, List<SecondCounts.Row> timeline) {
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
@@ -61,6 +64,7 @@
 
 	static LoadReport of(LoadOptions options, Schedule schedule, LoadRecorder recorder, ClientCounters client,
 			Map<String, Double> counts, long startedTaskCount) {
+		CentralQueue.Ratios central = CentralQueue.ratios(schedule, options);
 		double seconds = (options.durationMillis() - options.warmupMillis()) / MILLIS_PER_SECOND;
 		Map<String, Double> wasted = SiteCounters.under(counts, SiteCounters.WASTED);
 		double wastedSum = wasted.values().stream().mapToDouble(Double::doubleValue).sum();
@@ -72,9 +76,10 @@
 				schedule.workMillis() / MILLIS_PER_SECOND / slotSeconds,
 				recorder.completeWorkMillis() / MILLIS_PER_SECOND / (options.slotCount() * seconds),
 				recorder.completeTaskCount() / seconds, recorder.outcomes(), recorder.problems(), recorder.ratios(true),
-				recorder.ratios(false), recorder.responsesMillis(true), recorder.responsesMillis(false),
-				recorder.sendLagsMillis(), startedTaskCount, SiteCounters.under(counts, SiteCounters.MESSAGES), wasted,
-				wastedSum / Math.max(1, startedTaskCount), SiteCounters.under(counts, SiteCounters.PEER_MESSAGES),
+				recorder.ratios(false), central.single(), central.jobs(), recorder.responsesMillis(true),
+				recorder.responsesMillis(false), recorder.sendLagsMillis(), startedTaskCount,
+				SiteCounters.under(counts, SiteCounters.MESSAGES), wasted, wastedSum / Math.max(1, startedTaskCount),
+				SiteCounters.under(counts, SiteCounters.PEER_MESSAGES),
 				SiteCounters.under(counts, SiteCounters.PEER_BYTES), SiteCounters.under(counts, SiteCounters.ENDPOINT),
 				counts.getOrDefault(SiteCounters.PROCESSOR_SECONDS, 0.0), client.lostConnectionCount(),
 				client.resubmissionCount(), violations, recorder.violations().stream().limit(EXAMPLE_COUNT).toList(),
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/OverheadCommand.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/OverheadCommand.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 
@@ -17,6 +18,7 @@
 import okhttp3.HttpUrl;
 import org.HdrHistogram.Histogram;
 
+import org.masticwick.cli.connection.HttpAnswer;
 import org.masticwick.cli.connection.HttpCaller;
 import org.masticwick.cli.process.Arguments;
 import org.masticwick.cli.process.Command;
@@ -100,12 +102,16 @@
 	}
 
 	private static boolean direct(HttpCaller caller, HttpUrl endpoint, JobRequest request) {
+		return HttpCaller.await(callDirectly(caller, endpoint, request));
+	}
+
+	static CompletableFuture<Boolean> callDirectly(HttpCaller caller, HttpUrl endpoint, JobRequest request) {
 		TaskSpec task = request.tasks().get(0);
 		HttpUrl url = endpoint.newBuilder().addPathSegments("tasks/direct-" + UUID.randomUUID() + ".0").build();
 		Map<String, String> headers = Map.of("Task-Service", request.service(), "Task-Kind", task.kind(),
 				"Task-Lease-Millis", Long.toString(DEADLINE_MILLIS));
 		byte[] body = task.payload().getBytes(StandardCharsets.UTF_8);
-		return HttpCaller.await(caller.post(url, headers, body, LIMIT)).successful();
+		return caller.post(url, headers, body, LIMIT).thenApply(HttpAnswer::successful);
 	}
 
 	private static boolean submit(JobClient client, int home, int entry, JobRequest request) {
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/ReportText.java
@@ -12,12 +12,12 @@
 
 	private static final String QUANTILES = "%-22s %8d  mean %9.3f  p50 %9.3f  p90 %9.3f  p99 %9.3f  p99.9 %9.3f  max %9.3f%n";
 
-	private static final String TABLE_HEAD = "| run | load | goodput | single p50 | p90 | p99 | p99.9 "
-			+ "| jobs p50 | p90 | p99 | p99.9 | wasted/task | refused | failed | unknown | violations |\n"
-			+ "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+	private static final String TABLE_HEAD = "| run | load | goodput | single p50 | p90 | p99 | p99.9 | one queue p99 "
+			+ "| jobs p50 | p90 | p99 | p99.9 | one queue p99 | refused/task | wasted/task | refused | failed | unknown | violations |\n"
+			+ "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
 
-	private static final String TABLE_ROW = "| %s | %.2f | %.2f | %.3f | %.3f | %.3f | %.3f "
-			+ "| %.3f | %.3f | %.3f | %.3f | %.4f | %d | %d | %d | %d |\n";
+	private static final String TABLE_ROW = "| %s | %.2f | %.2f | %.3f | %.3f | %.3f | %.3f | %.3f "
+			+ "| %.3f | %.3f | %.3f | %.3f | %.3f | %.4f | %.4f | %d | %d | %d | %d |\n";
 
 	private ReportText() {
 	}
@@ -39,6 +39,8 @@
 		text.append("response time over ideal, from the intended send time:\n");
 		quantiles(text, "  single tasks", report.singleRatio());
 		quantiles(text, "  jobs", report.jobRatio());
+		quantiles(text, "  single, one queue", report.centralSingleRatio());
+		quantiles(text, "  jobs, one queue", report.centralJobRatio());
 		text.append("response time in ms:\n");
 		quantiles(text, "  single tasks", report.singleResponseMillis());
 		quantiles(text, "  jobs", report.jobResponseMillis());
@@ -72,11 +74,16 @@
 		Map<String, Long> outcomes = report.outcomes();
 		long violations = report.violations().values().stream().mapToLong(Long::longValue).sum();
 		return TABLE_ROW.formatted(report.options().name(), report.offeredLoad(), report.goodput(), single.p50(),
-				single.p90(), single.p99(), single.p999(), jobs.p50(), jobs.p90(), jobs.p99(), jobs.p999(),
+				single.p90(), single.p99(), single.p999(), report.centralSingleRatio().p99(), jobs.p50(), jobs.p90(),
+				jobs.p99(), jobs.p999(), report.centralJobRatio().p99(), refusedPerStartedTask(report),
 				report.wastedPerStartedTask(), outcomes.getOrDefault("refused", 0L),
 				outcomes.getOrDefault("failed", 0L), outcomes.getOrDefault("unknown", 0L), violations);
 	}
 
+	private static double refusedPerStartedTask(LoadReport report) {
+		return report.wastedMessages().getOrDefault("refused", 0.0) / Math.max(1, report.startedTaskCount());
+	}
+
 	private static void quantiles(StringBuilder text, String name, Quantiles quantiles) {
 		if (quantiles.count() > 0) {
 			append(text, QUANTILES, name, quantiles.count(), quantiles.mean(), quantiles.p50(), quantiles.p90(),
--- /dev/null
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/SaturateCommand.java
@@ -0,0 +1,184 @@
+package org.masticwick.cli.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import okhttp3.HttpUrl;
+
+import org.masticwick.cli.connection.HttpCaller;
+import org.masticwick.cli.process.Arguments;
+import org.masticwick.cli.process.Command;
+import org.masticwick.cli.process.CommandResult;
+import org.masticwick.cli.process.ExitCode;
+import org.masticwick.cli.request.JobAnswer;
+import org.masticwick.cli.request.JobClient;
+import org.masticwick.cli.request.JobClientOptions;
+import org.masticwick.core.request.JobRequest;
+import org.masticwick.core.request.TaskSpec;
+
+/**
+ * Measures how many tasks one entry host starts for each second of processor time, next
+ * to how many direct calls of an endpoint the tool itself makes for one. A fixed number
+ * of jobs is kept under way.
+ */
+final class SaturateCommand implements Command {
+
+	private static final int TICKET_BLOCK_COUNT = 1_000;
+
+	private static final long DEADLINE_MILLIS = 10_000;
+
+	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final double CLOCK_TICKS_PER_SECOND = 100;
+
+	private static final int USER_TICKS_FIELD = 11;
+
+	@Override
+	public String name() {
+		return "saturate";
+	}
+
+	@Override
+	public void configure(Subparser parser) {
+		parser.help("measure starts for each second of processor time of one entry host");
+		Arguments.addHosts(parser);
+		parser.addArgument("--endpoint").required(true).metavar("URL").help("an endpoint for direct calls");
+		parser.addArgument("--pid").type(Long.class).required(true).help("the process of the first host");
+		parser.addArgument("--service").setDefault("shop-counter-fitting");
+		parser.addArgument("--kind").setDefault("width-check");
+		parser.addArgument("--run-ms").dest("run").type(Integer.class).setDefault(1);
+		parser.addArgument("--tasks").type(Integer.class).setDefault(1).help("tasks of a job");
+		parser.addArgument("--concurrency").type(Integer.class).setDefault(32).help("jobs under way");
+		parser.addArgument("--duration-s").dest("duration").type(Integer.class).setDefault(8);
+		parser.addArgument("--warmup-s").dest("warmup").type(Integer.class).setDefault(8);
+	}
+
+	@Override
+	public CommandResult run(Namespace arguments) {
+		List<HttpUrl> hosts = List.of(Arguments.hosts(arguments).get(0));
+		HttpUrl endpoint = Arguments.url(arguments.getString("endpoint"));
+		int taskCount = arguments.getInt("tasks");
+		TaskSpec task = new TaskSpec(arguments.getString("kind"), "{\"run_ms\":" + arguments.getInt("run") + "}", 0, 0,
+				0);
+		JobRequest request = new JobRequest(arguments.getString("service"), "saturate", false, true, DEADLINE_MILLIS,
+				Collections.nCopies(taskCount, task));
+		JobClientOptions options = JobClientOptions.DEFAULT.withTicketBlockCount(TICKET_BLOCK_COUNT);
+		long pid = arguments.getLong("pid");
+		try (HttpCaller caller = new HttpCaller(); JobClient client = new JobClient(hosts, options)) {
+			Supplier<CompletableFuture<Boolean>> job = () -> client.ticketOf(0)
+				.thenCompose((ticket) -> client.submit(ticket, request))
+				.thenApply((answer) -> answer instanceof JobAnswer.Complete);
+			Supplier<CompletableFuture<Boolean>> direct = () -> OverheadCommand.callDirectly(caller, endpoint, request);
+			run(job, arguments, arguments.getInt("warmup"), pid);
+			Rate carried = run(job, arguments, arguments.getInt("duration"), pid);
+			run(direct, arguments, arguments.getInt("warmup") / 2, ProcessHandle.current().pid());
+			Rate called = run(direct, arguments, arguments.getInt("duration"), ProcessHandle.current().pid());
+			return result(carried, called, taskCount);
+		}
+	}
+
+	private static Rate run(Supplier<CompletableFuture<Boolean>> call, Namespace arguments, int seconds, long pid) {
+		AtomicBoolean stopped = new AtomicBoolean();
+		LongAdder done = new LongAdder();
+		LongAdder failed = new LongAdder();
+		double processorBefore = processorSeconds(pid);
+		long startNanos = System.nanoTime();
+		List<CompletableFuture<Void>> lanes = IntStream.range(0, arguments.getInt("concurrency"))
+			.mapToObj((lane) -> CompletableFuture.supplyAsync(() -> repeat(call, stopped, done, failed))
+				.thenCompose((ended) -> ended))
+			.toList();
+		sleep(seconds);
+		stopped.set(true);
+		lanes.forEach(CompletableFuture::join);
+		double elapsed = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+		return new Rate(done.sum(), failed.sum(), elapsed, processorSeconds(pid) - processorBefore);
+	}
+
+	private static CompletableFuture<Void> repeat(Supplier<CompletableFuture<Boolean>> call, AtomicBoolean stopped,
+			LongAdder done, LongAdder failed) {
+		if (stopped.get()) {
+			return CompletableFuture.completedFuture(null);
+		}
+		return call.get().exceptionally((ex) -> false).thenComposeAsync((succeeded) -> {
+			(succeeded ? done : failed).increment();
+			return repeat(call, stopped, done, failed);
+		});
+	}
+
+	private static double processorSeconds(long pid) {
+		try {
+			String stat = Files.readString(Path.of("/proc", Long.toString(pid), "stat"));
+			String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+			return (Long.parseLong(fields[USER_TICKS_FIELD]) + Long.parseLong(fields[USER_TICKS_FIELD + 1]))
+					/ CLOCK_TICKS_PER_SECOND;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void sleep(int seconds) {
+		try {
+			TimeUnit.SECONDS.sleep(seconds);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static CommandResult result(Rate carried, Rate called, int taskCount) {
+		ObjectNode json = JsonNodeFactory.instance.objectNode();
+		carried.write(json.putObject("entry_host"), taskCount);
+		called.write(json.putObject("direct"), 1);
+		String text = "entry host, jobs of " + taskCount + ": " + carried.text(taskCount) + "\ndirect calls by OkHttp: "
+				+ called.text(1);
+		return new CommandResult((carried.failedCount() == 0) ? ExitCode.OK : ExitCode.FAILED, json, text);
+	}
+
+	/**
+	 * Is what one run measured.
+	 *
+	 * @param doneCount the calls that succeeded
+	 * @param failedCount the calls that did not
+	 * @param elapsedSeconds the time of the run, in seconds
+	 * @param processorSeconds the processor time of the process that is measured
+	 */
+	private record Rate(long doneCount, long failedCount, double elapsedSeconds, double processorSeconds) {
+
+		private double startsPerCoreSecond(int taskCount) {
+			return this.doneCount * taskCount / Math.max(this.processorSeconds, 1 / CLOCK_TICKS_PER_SECOND);
+		}
+
+		private void write(ObjectNode json, int taskCount) {
+			json.put("starts_per_second", this.doneCount * taskCount / this.elapsedSeconds)
+				.put("starts_per_core_second", startsPerCoreSecond(taskCount))
+				.put("processor_seconds", this.processorSeconds)
+				.put("elapsed_seconds", this.elapsedSeconds)
+				.put("failed", this.failedCount);
+		}
+
+		private String text(int taskCount) {
+			return String.format(Locale.ROOT,
+					"%.0f starts/s, %.0f starts per second of processor time (%.2f s in %.2f s), %d calls failed",
+					this.doneCount * taskCount / this.elapsedSeconds, startsPerCoreSecond(taskCount),
+					this.processorSeconds, this.elapsedSeconds, this.failedCount);
+		}
+
+	}
+
+}
