Let endpoints tell their busy slots with each reply

Cause: between heartbeats an entry host guesses what its peers have on an endpoint, and a wrong guess costs a refused message or an idle slot. The scheduler could already take in a told count, but no endpoint told one.

Change: optional header Task-Busy-Slots on every reply of an endpoint, sent by the stand-in workers and handed through the endpoint client, the run of a task and the dispatcher to the scheduler. Without the header nothing changes. In Dispatcher only the construction of the task's end changed.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/EndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/EndpointClient.java
@@ -74,12 +74,24 @@
 	 */
 	sealed interface PostReply {
 
+		/** Stands for a number of busy slots that the endpoint didn't tell. */
+		int UNKNOWN_COUNT = -1;
+
+		/**
+		 * Returns how many slots of the endpoint were taken when it replied.
+		 * @return the count, or {@value #UNKNOWN_COUNT} if it didn't tell
+		 */
+		default int busySlotCount() {
+			return UNKNOWN_COUNT;
+		}
+
 		/**
 		 * The task ran and has a result.
 		 *
 		 * @param result the result
+		 * @param busySlotCount how many slots of the endpoint were taken when it replied
 		 */
-		record Succeeded(String result) implements PostReply {
+		record Succeeded(String result, int busySlotCount) implements PostReply {
 
 		}
 
@@ -87,8 +99,9 @@
 		 * The task ran and failed.
 		 *
 		 * @param detail what the endpoint told
+		 * @param busySlotCount how many slots of the endpoint were taken when it replied
 		 */
-		record Failed(String detail) implements PostReply {
+		record Failed(String detail, int busySlotCount) implements PostReply {
 
 		}
 
@@ -96,8 +109,9 @@
 		 * The endpoint refused the task before it started.
 		 *
 		 * @param reason why
+		 * @param busySlotCount how many slots of the endpoint were taken when it replied
 		 */
-		record Refused(Reason reason) implements PostReply {
+		record Refused(Reason reason, int busySlotCount) implements PostReply {
 
 		}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import okhttp3.Call;
@@ -44,6 +45,8 @@
 
 	private static final MediaType JSON = MediaType.get("application/json");
 
+	private static final Pattern COUNT = Pattern.compile("\\d{1,6}");
+
 	private static final int MAX_CALLS = 4096;
 
 	private static final int MAX_IDLE_CONNECTIONS = 1024;
@@ -241,16 +244,16 @@
 				return readResult(response);
 			}
 			if ("true".equals(response.header("Task-Started")) && response.code() == 500) {
-				return new PostReply.Failed("the endpoint told a failure");
+				return new PostReply.Failed("the endpoint told a failure", busySlotCount(response));
 			}
 			return new PostReply.Uncertain("status " + response.code());
 		}
 
 		private PostReply readRefusal(Response response) {
 			return switch (response.header("Task-Reason", "")) {
-				case "full" -> new PostReply.Refused(Reason.FULL);
-				case "leaving" -> new PostReply.Refused(Reason.LEAVING);
-				case "never-fits" -> new PostReply.Refused(Reason.NEVER_FITS);
+				case "full" -> new PostReply.Refused(Reason.FULL, busySlotCount(response));
+				case "leaving" -> new PostReply.Refused(Reason.LEAVING, busySlotCount(response));
+				case "never-fits" -> new PostReply.Refused(Reason.NEVER_FITS, busySlotCount(response));
 				default -> new PostReply.Uncertain("a refusal without a known reason");
 			};
 		}
@@ -259,7 +262,12 @@
 			if (!this.task.toString().equals(response.header("Task-Id"))) {
 				return new PostReply.Uncertain("the answer is for another task");
 			}
-			return new PostReply.Succeeded(readBody(response));
+			return new PostReply.Succeeded(readBody(response), busySlotCount(response));
+		}
+
+		private int busySlotCount(Response response) {
+			String count = response.header("Task-Busy-Slots", "");
+			return COUNT.matcher(count).matches() ? Integer.parseInt(count) : PostReply.UNKNOWN_COUNT;
 		}
 
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -243,7 +243,7 @@
 		active.runs().remove(index);
 		record(active, start, now - startedNanos, result);
 		Disposition disposition = this.scheduler.ended(start.task(),
-				new TaskEnd(endpoint, result.kind(), now - startedNanos), now);
+				new TaskEnd(endpoint, result.kind(), now - startedNanos, result.busySlotCount()), now);
 		if (disposition instanceof Disposition.GivenUp givenUp) {
 			giveUp(active.job(), givenUp.code(), ErrorCode.JOB_FAILED, "No endpoint took the task " + index,
 					givenUp.retryAfterMillis());
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
@@ -63,13 +63,13 @@
 
 	private void onReply(PostReply reply) {
 		if (reply instanceof PostReply.Succeeded succeeded) {
-			end(TaskEnd.Kind.SUCCEEDED, succeeded.result(), "");
+			end(new Result(TaskEnd.Kind.SUCCEEDED, succeeded.result(), "", reply.busySlotCount()));
 		}
 		else if (reply instanceof PostReply.Failed failed) {
-			end(TaskEnd.Kind.FAILED, null, failed.detail());
+			end(new Result(TaskEnd.Kind.FAILED, null, failed.detail(), reply.busySlotCount()));
 		}
 		else if (reply instanceof PostReply.Refused refused) {
-			end(kindOf(refused.reason()), null, "");
+			end(new Result(kindOf(refused.reason()), null, "", reply.busySlotCount()));
 		}
 		else if (reply instanceof PostReply.NotSent notSent) {
 			end(TaskEnd.Kind.NOT_CONNECTED, null, notSent.detail());
@@ -155,6 +155,10 @@
 	}
 
 	private void end(TaskEnd.Kind kind, String result, String detail) {
+		end(new Result(kind, result, detail, TaskEnd.UNKNOWN_COUNT));
+	}
+
+	private void end(Result result) {
 		if (!this.ended.compareAndSet(false, true)) {
 			return;
 		}
@@ -163,7 +167,7 @@
 		if (current != null && !current.reply().isDone()) {
 			current.abandon();
 		}
-		this.onEnd.accept(new Result(kind, result, detail));
+		this.onEnd.accept(result);
 	}
 
 	/**
@@ -184,8 +188,10 @@
 	 * @param kind the kind of end
 	 * @param result the result if it succeeded, else {@code null}
 	 * @param detail what went wrong, for people
+	 * @param busySlotCount how many slots of the endpoint were taken when it replied;
+	 * {@link TaskEnd#UNKNOWN_COUNT} if it didn't tell
 	 */
-	record Result(TaskEnd.Kind kind, String result, String detail) {
+	record Result(TaskEnd.Kind kind, String result, String detail, int busySlotCount) {
 
 	}
 
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/Worker.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/Worker.java
@@ -27,6 +27,8 @@
 
 	private static final String TASKS_PATH = "/tasks";
 
+	private static final String BUSY_SLOTS = "Task-Busy-Slots";
+
 	private final WorkerOptions options;
 
 	private final EventLoopGroup group;
@@ -142,7 +144,7 @@
 			handleTask(exchange, path.substring(TASKS_PATH.length() + 1));
 		}
 		else {
-			exchange.answer(HttpAnswer.of(404));
+			answer(exchange, HttpAnswer.of(404));
 		}
 	}
 
@@ -151,7 +153,7 @@
 			case "POST" -> post(exchange, taskId);
 			case "GET" -> lookUp(exchange, taskId);
 			case "DELETE" -> cancelOne(exchange, taskId);
-			default -> exchange.answer(HttpAnswer.of(405));
+			default -> answer(exchange, HttpAnswer.of(405));
 		}
 	}
 
@@ -165,11 +167,11 @@
 			case DUPLICATE -> {
 				this.counters.add(WorkerCounters.Kind.DUPLICATES);
 				this.duplicates.add(taskId);
-				exchange.answer(verdict.answer());
+				answer(exchange, verdict.answer());
 			}
 			default -> {
 				this.counters.add(WorkerCounters.Kind.REFUSED);
-				exchange.answer(verdict.answer());
+				answer(exchange, verdict.answer());
 			}
 		}
 	}
@@ -207,10 +209,11 @@
 
 	private void deliver(HttpExchange exchange, Task task) {
 		if (task.state() != TaskState.FINISHED) {
-			exchange.answer(HttpAnswer.of(500)
-				.withHeader("Task-Id", task.taskId())
-				.withHeader("Task-Started", "true")
-				.withHeader("Task-Reason", task.state().text()));
+			answer(exchange,
+					HttpAnswer.of(500)
+						.withHeader("Task-Id", task.taskId())
+						.withHeader("Task-Started", "true")
+						.withHeader("Task-Reason", task.state().text()));
 			return;
 		}
 		long lateMillis = this.faults.lateReplyMillis();
@@ -228,10 +231,14 @@
 			exchange.drop();
 		}
 		else {
-			exchange.answer(this.faults.spoil(answer));
+			answer(exchange, this.faults.spoil(answer));
 		}
 	}
 
+	private void answer(HttpExchange exchange, HttpAnswer answer) {
+		exchange.answer(answer.withHeader(BUSY_SLOTS, Integer.toString(this.tasks.runningCount())));
+	}
+
 	private HttpAnswer result(Task task) {
 		return HttpAnswer.of(200, task.result())
 			.withHeader("Content-Type", "application/json")
@@ -244,7 +251,7 @@
 		HttpAnswer answer = this.tasks.find(taskId, this.time.nanoTime())
 			.map(this::found)
 			.orElseGet(() -> HttpAnswer.of(404).withHeader("Task-State", "unknown"));
-		exchange.answer(answer);
+		answer(exchange, answer);
 	}
 
 	private HttpAnswer found(Task task) {
@@ -259,13 +266,13 @@
 
 	private void cancelOne(HttpExchange exchange, String taskId) {
 		this.counters.add(WorkerCounters.Kind.CANCELS);
-		exchange.answer(HttpAnswer.of(cancel(taskId) ? 204 : 404));
+		answer(exchange, HttpAnswer.of(cancel(taskId) ? 204 : 404));
 	}
 
 	private void cancelAll(HttpExchange exchange) {
 		this.counters.add(WorkerCounters.Kind.CANCELS);
 		Arrays.stream(Json.read(exchange.body(), String[].class)).forEach(this::cancel);
-		exchange.answer(HttpAnswer.of(204));
+		answer(exchange, HttpAnswer.of(204));
 	}
 
 	private boolean cancel(String taskId) {
--- a/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerFleetTests.java
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerFleetTests.java
@@ -80,6 +80,15 @@
 	@Nested
 	class Starts {
 
+		@Test
+		void tellsItsBusySlots() throws Exception {
+			assertThat(header(post("t.0", SHORT, 9000).join(), "Task-Busy-Slots")).isEqualTo("0");
+			startLong("t.1");
+			assertThat(header(post("t.2", SHORT, 9000).join(), "Task-Busy-Slots")).isEqualTo("1");
+			startLong("t.3");
+			assertThat(header(post("t.4", SHORT, 9000).join(), "Task-Busy-Slots")).isEqualTo("2");
+		}
+
 		@Test
 		void answersWithTheResult() {
 			HttpResponse<String> answer = post("t.0", SHORT, 9000).join();
