--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import okhttp3.Call;
@@ -25,6 +26,7 @@
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 import okio.Buffer;
+import okio.BufferedSink;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +46,8 @@
 
 	private static final MediaType JSON = MediaType.get("application/json");
 
+	private static final Pattern COUNT = Pattern.compile("\\d{1,6}");
+
 	private static final int MAX_CALLS = 4096;
 
 	private static final int MAX_IDLE_CONNECTIONS = 1024;
@@ -93,7 +97,7 @@
 			.header("Task-Kind", post.kind())
 			.header("Task-Lease-Millis", Long.toString(post.leaseMillis()))
 			.tag(WriteState.class, new WriteState())
-			.post(RequestBody.create(post.payload().getBytes(StandardCharsets.UTF_8), OCTETS))
+			.post(new OneShotBody(post.payload().getBytes(StandardCharsets.UTF_8)))
 			.build();
 		Call call = this.posts.newCall(request);
 		CompletableFuture<PostReply> reply = new CompletableFuture<>();
@@ -226,40 +230,79 @@
 		@Override
 		public void onResponse(Call call, Response response) {
 			try (response) {
-				this.reply.complete(read(response));
+				PostReply told = read(response);
+				if (told instanceof PostReply.Uncertain) {
+					call.cancel();
+				}
+				this.reply.complete(told);
 			}
 			catch (IOException ex) {
+				call.cancel();
 				this.reply.complete(new PostReply.Uncertain(String.valueOf(ex.getMessage())));
 			}
 		}
 
 		private PostReply read(Response response) throws IOException {
+			if (!this.task.toString().equals(response.header("Task-Id"))) {
+				return new PostReply.Uncertain("the answer is not for this task");
+			}
 			if ("false".equals(response.header("Task-Started"))) {
 				return readRefusal(response);
 			}
 			if (response.code() == 200) {
-				return readResult(response);
+				return new PostReply.Succeeded(readBody(response), busySlotCount(response));
 			}
 			if ("true".equals(response.header("Task-Started")) && response.code() == 500) {
-				return new PostReply.Failed("the endpoint told a failure");
+				return new PostReply.Failed("the endpoint told a failure", busySlotCount(response));
 			}
 			return new PostReply.Uncertain("status " + response.code());
 		}
 
 		private PostReply readRefusal(Response response) {
 			return switch (response.header("Task-Reason", "")) {
-				case "full" -> new PostReply.Refused(Reason.FULL);
-				case "leaving" -> new PostReply.Refused(Reason.LEAVING);
-				case "never-fits" -> new PostReply.Refused(Reason.NEVER_FITS);
+				case "full" -> new PostReply.Refused(Reason.FULL, busySlotCount(response));
+				case "leaving" -> new PostReply.Refused(Reason.LEAVING, busySlotCount(response));
+				case "never-fits" -> new PostReply.Refused(Reason.NEVER_FITS, busySlotCount(response));
 				default -> new PostReply.Uncertain("a refusal without a known reason");
 			};
 		}
 
-		private PostReply readResult(Response response) throws IOException {
-			if (!this.task.toString().equals(response.header("Task-Id"))) {
-				return new PostReply.Uncertain("the answer is for another task");
-			}
-			return new PostReply.Succeeded(readBody(response));
+		private int busySlotCount(Response response) {
+			String count = response.header("Task-Busy-Slots", "");
+			return COUNT.matcher(count).matches() ? Integer.parseInt(count) : PostReply.UNKNOWN_COUNT;
+		}
+
+	}
+
+	/**
+	 * Is the body of a post, which OkHttp must not send again whatever the reply says.
+	 */
+	private static final class OneShotBody extends RequestBody {
+
+		private final byte[] payload;
+
+		private OneShotBody(byte[] payload) {
+			this.payload = payload;
+		}
+
+		@Override
+		public MediaType contentType() {
+			return OCTETS;
+		}
+
+		@Override
+		public long contentLength() {
+			return this.payload.length;
+		}
+
+		@Override
+		public boolean isOneShot() {
+			return true;
+		}
+
+		@Override
+		public void writeTo(BufferedSink sink) throws IOException {
+			sink.write(this.payload);
 		}
 
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -4,8 +4,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,7 +28,6 @@
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.Start;
 import org.masticwick.core.request.TaskEnd;
-import org.masticwick.core.request.TaskId;
 import org.masticwick.core.request.Turn;
 import org.masticwick.core.version.ServiceSpec;
 import org.masticwick.core.version.SiteVersion;
@@ -48,6 +48,8 @@
 
 	private static final long POLL_MILLIS = 250;
 
+	private static final long CANCEL_REPLY_MILLIS = 250;
+
 	private static final int TIMER_THREAD_COUNT = 2;
 
 	private final Scheduler scheduler;
@@ -62,8 +64,9 @@
 
 	private final RunTimes runTimes;
 
-	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREAD_COUNT,
-			new NamedThreads("dispatch"));
+	private final CancelBatch cancellations;
+
+	private final ScheduledExecutorService timer = newTimer();
 
 	private final Map<String, ActiveJob> jobs = new ConcurrentHashMap<>();
 
@@ -91,6 +94,19 @@
 		this.time = time;
 		this.metrics = metrics;
 		this.runTimes = new RunTimes(minSilenceMillis);
+		this.cancellations = new CancelBatch(client, this.timer, metrics);
+	}
+
+	/**
+	 * Creates the timer. What is cancelled leaves it at once, so that it holds no jobs
+	 * that have ended.
+	 * @return the timer
+	 */
+	private static ScheduledExecutorService newTimer() {
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(TIMER_THREAD_COUNT,
+				new NamedThreads("dispatch"));
+		timer.setRemoveOnCancelPolicy(true);
+		return timer;
 	}
 
 	/**
@@ -112,7 +128,9 @@
 			.addKeyValue("service", job.request().service())
 			.addKeyValue("version", () -> this.version.get().number())
 			.log("Job admitted");
-		this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now, TimeUnit.NANOSECONDS);
+		ScheduledFuture<?> deadline = this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now,
+				TimeUnit.NANOSECONDS);
+		job.answer().whenComplete((answer, ex) -> deadline.cancel(false));
 		drive();
 	}
 
@@ -122,7 +140,7 @@
 
 	/**
 	 * Cancels a job: what is queued never starts, and each endpoint that runs tasks of it
-	 * gets one message.
+	 * gets one message, together with those of other jobs that end at about that time.
 	 * @param job the job
 	 */
 	public void cancel(Job job) {
@@ -155,15 +173,12 @@
 	private void ended(ActiveJob active) {
 		Job job = active.job();
 		this.scheduler.cancel(job.ticketText(), this.time.nanoTime());
-		Map<HostAddress, List<TaskId>> running = job.running()
-			.stream()
-			.collect(Collectors.groupingBy(Job.RunningTask::endpoint,
-					Collectors.mapping(Job.RunningTask::task, Collectors.toList())));
-		running.forEach((endpoint, tasks) -> {
-			this.metrics.message(MessageKind.CANCEL);
-			this.client.cancel(endpoint, tasks);
-		});
-		active.runs().values().forEach(TaskRun::abandon);
+		if (!active.runs().isEmpty()) {
+			active.runs().values().forEach(TaskRun::cancelling);
+			job.running().forEach((task) -> this.cancellations.add(task.endpoint(), task.task()));
+			this.timer.schedule(() -> active.runs().values().forEach(TaskRun::abandon), CANCEL_REPLY_MILLIS,
+					TimeUnit.MILLISECONDS);
+		}
 		this.jobs.remove(job.ticketText(), active);
 		drive();
 	}
@@ -233,7 +248,9 @@
 		active.runs().put(start.task().index(), run);
 		run.begin();
 		if (active.job().ended()) {
-			run.abandon();
+			run.cancelling();
+			this.cancellations.add(endpoint, start.task());
+			this.timer.schedule(run::abandon, CANCEL_REPLY_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -266,7 +283,7 @@
 			.log("Task ended");
 		record(active, start, now - startedNanos, result);
 		Disposition disposition = this.scheduler.ended(start.task(),
-				new TaskEnd(endpoint, result.kind(), now - startedNanos), now);
+				new TaskEnd(endpoint, result.kind(), now - startedNanos, result.busySlotCount()), now);
 		if (disposition instanceof Disposition.GivenUp givenUp) {
 			giveUp(active.job(), givenUp.code(), ErrorCode.JOB_FAILED, "No endpoint took the task " + index,
 					givenUp.retryAfterMillis());
@@ -349,6 +366,7 @@
 
 	@Override
 	public void close() {
+		this.cancellations.flush();
 		this.timer.shutdownNow();
 		this.client.close();
 	}
