--- a/masticwick-core/src/main/java/org/masticwick/core/process/ErrorCode.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/process/ErrorCode.java
@@ -107,6 +107,9 @@
 	/** An endpoint broke its contract. */
 	ENDPOINT_PROTOCOL("endpoint-protocol", 502, RunState.UNKNOWN, false),
 
+	/** The process can't start, since something that it needs is taken. */
+	START_FAILED("start-failed", 500, RunState.NOT_APPLICABLE, false),
+
 	/** A fault of the program itself. */
 	INTERNAL("internal", 500, RunState.UNKNOWN, false);
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -12,6 +13,7 @@
 
 import org.masticwick.daemon.process.EntryHostProcess;
 import org.masticwick.daemon.process.Logging;
+import org.masticwick.daemon.process.StartFailedException;
 import org.masticwick.daemon.process.settings.InvalidSettingsException;
 import org.masticwick.daemon.process.settings.Settings;
 import org.masticwick.daemon.process.settings.SettingsLoader;
@@ -29,6 +31,8 @@
 
 	private static final int EXIT_CUT_OFF = 4;
 
+	private static final int EXIT_START_FAILED = 5;
+
 	private Masticwickd() {
 	}
 
@@ -47,6 +51,9 @@
 			}
 			run(settings);
 		}
+		catch (HelpScreenException ex) {
+			System.exit(EXIT_OK);
+		}
 		catch (ArgumentParserException ex) {
 			parser.handleError(ex);
 			System.exit(EXIT_USAGE);
@@ -55,6 +62,10 @@
 			report(ex, System.err);
 			System.exit(EXIT_SETTINGS);
 		}
+		catch (StartFailedException ex) {
+			System.err.println("masticwickd: " + ex.errorCode().code() + ": " + ex.getMessage());
+			System.exit(EXIT_START_FAILED);
+		}
 	}
 
 	private static ArgumentParser parser() {
@@ -62,6 +73,8 @@
 			.build()
 			.defaultHelp(true)
 			.description("Entry host of masticwick, a dispatcher for sub-second tasks.")
+			.epilog("exit codes: 0 stopped as planned; 2 the command line is wrong; 3 the settings are wrong; "
+					+ "4 stopped, with jobs cut off at the deadline; 5 an address can't be listened at")
 			.version("masticwickd " + version());
 		parser.addArgument("--version").action(Arguments.version()).help("print the version and exit");
 		parser.addArgument("--config").metavar("FILE").required(true).help("the settings, in TOML");
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -1,11 +1,13 @@
 package org.masticwick.daemon.process;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
@@ -95,6 +97,17 @@
 		return new HostAddress(options.getHost(), options.getPort());
 	}
 
+	/**
+	 * Returns what can be asked for.
+	 * @return methods and paths, such as {@code GET /health}
+	 */
+	Set<String> operations() {
+		return this.app.getRoutes()
+			.stream()
+			.map((route) -> route.getMethod() + " " + route.getPattern())
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	private void routes() {
 		route(Router.POST, "/v1/tickets", (ctx) -> this.backend.issueTickets(body(ctx)));
 		route(Router.PUT, JOB_PATH, (ctx) -> this.backend.serve(request(ctx, ForwardOperation.SUBMIT, body(ctx))));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -1,12 +1,16 @@
 package org.masticwick.daemon.process;
 
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,10 +44,23 @@
 	private EntryHostProcess(Settings settings) {
 		this.settings = settings;
 		RequestEdge.enable();
-		this.parts = new EntryHostParts(settings);
+		this.parts = listening("host.peer_address", settings.host().peerAddress(), () -> new EntryHostParts(settings));
 		InetSocketAddress address = settings.host().apiAddress();
-		this.api = new ApiServer(this.parts.api(), limits(settings.requests()), address.getHostString(),
-				address.getPort());
+		this.api = listening("host.api_address", address, () -> new ApiServer(this.parts.api(),
+				limits(settings.requests()), address.getHostString(), address.getPort()));
+	}
+
+	private static <T> T listening(String key, InetSocketAddress address, Supplier<T> starter) {
+		try {
+			return starter.get();
+		}
+		catch (Exception ex) {
+			if (Stream.iterate((Throwable) ex, Objects::nonNull, Throwable::getCause)
+				.noneMatch(SocketException.class::isInstance)) {
+				throw ex;
+			}
+			throw new StartFailedException(key, address.getHostString() + ":" + address.getPort(), ex);
+		}
 	}
 
 	private static ApiLimits limits(RequestSettings requests) {
@@ -55,6 +72,7 @@
 	 * Starts an entry host.
 	 * @param settings the settings
 	 * @return the running host
+	 * @throws StartFailedException if an address can't be listened at
 	 */
 	public static EntryHostProcess start(Settings settings) {
 		EntryHostProcess process = new EntryHostProcess(settings);
