Name each host that was tried, and give errors as JSON when asked

Cause: the command told only the last host that could not be reached, and `--output json` left errors in the form of text.

Change: queries name every host with its reason; with `--output json` an error is a JSON object with code and message on standard error.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/CommandLine.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/CommandLine.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.impl.action.StoreTrueArgumentAction;
@@ -80,7 +81,8 @@
 			return ExitCode.USAGE;
 		}
 		catch (MasticwickException ex) {
-			this.err.println("masticwick: " + ex.errorCode().code() + ": " + ex.getMessage());
+			this.err.println(List.of(args).contains(JSON) ? toJson(ex)
+					: "masticwick: " + ex.errorCode().code() + ": " + ex.getMessage());
 			return exitCode(ex);
 		}
 		catch (RuntimeException ex) {
@@ -95,6 +97,13 @@
 		return result.exitCode();
 	}
 
+	private static String toJson(MasticwickException ex) {
+		return JsonNodeFactory.instance.objectNode()
+			.put("code", ex.errorCode().code())
+			.put("message", ex.getMessage())
+			.toString();
+	}
+
 	private static ExitCode exitCode(MasticwickException ex) {
 		if (ex instanceof HostUnreachableException || ex.errorCode() == ErrorCode.PLATFORM_UNAVAILABLE) {
 			return ExitCode.UNKNOWN;
--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/HostQuery.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/HostQuery.java
@@ -1,6 +1,7 @@
 package org.masticwick.cli.process;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -32,7 +33,7 @@
 	 * @throws HostUnreachableException if no host gives one
 	 */
 	public static JsonNode get(List<HttpUrl> hosts, String path) {
-		HostUnreachableException last = new HostUnreachableException("No host is given", false, null);
+		List<String> failures = new ArrayList<>();
 		try (HttpCaller caller = new HttpCaller()) {
 			for (HttpUrl host : hosts) {
 				try {
@@ -40,11 +41,11 @@
 					return read(host, HttpCaller.await(caller.get(url, LIMIT)));
 				}
 				catch (HostUnreachableException ex) {
-					last = ex;
+					failures.add(ex.getMessage());
 				}
 			}
 		}
-		throw last;
+		throw new HostUnreachableException(String.join("; ", failures), false, null);
 	}
 
 	private static JsonNode read(HttpUrl host, HttpAnswer answer) {
--- a/masticwick-cli/src/test/java/org/masticwick/cli/process/CommandLineTests.java
+++ b/masticwick-cli/src/test/java/org/masticwick/cli/process/CommandLineTests.java
@@ -5,6 +5,8 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import okhttp3.mockwebserver.MockResponse;
 import okhttp3.mockwebserver.MockWebServer;
 import org.junit.jupiter.api.AfterEach;
@@ -13,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -69,9 +72,11 @@
 			assertThat(out()).isEqualTo("masticwick 1.2.3");
 		}
 
-		@Test
-		void ofHelp() {
-			assertThat(run("--help")).isEqualTo(ExitCode.OK);
+		@ParameterizedTest
+		@ValueSource(
+				strings = { "", "tickets ", "submit ", "state ", "cancel ", "publish ", "version ", "note ", "dump " })
+		void ofHelp(String command) {
+			assertThat(run(command + "--help")).isEqualTo(ExitCode.OK);
 		}
 
 	}
@@ -147,6 +152,18 @@
 			assertThat(err()).contains("peer-unavailable");
 		}
 
+		@Test
+		void ofHostsThatAreNotThereNameEach() throws IOException {
+			int port = this.host.getPort();
+			this.host.shutdown();
+			String hosts = "127.0.0.1:" + port + ",localhost:" + port;
+			assertThat(CommandLineTests.this.run("version --output json --host " + hosts)).isEqualTo(ExitCode.UNKNOWN);
+			JsonNode error = new ObjectMapper().readTree(err());
+			assertThat(error.path("code").asText()).isEqualTo("peer-unavailable");
+			assertThat(error.path("message").asText()).contains("127.0.0.1:" + port, "localhost:" + port);
+			assertThat(out()).isEmpty();
+		}
+
 		@Test
 		void ofAFileThatIsNotThere() {
 			assertThat(run("submit HOST no-such-file.json")).isEqualTo(ExitCode.INVALID_FILE);
