Keep the control traffic and the memory of an entry host within bounds

The heartbeats' default was 500 ms where the design note counts with 1 s. What was kept of ended jobs had a setting but no bound.

Ruled out: polling less often (a leaving endpoint would get work for longer), and one reader for each domain (a cut or a slow reader would blind the others).

Change: the list of hosts has an entity tag and is answered with 304 while it is the same; the listener hears an unchanged list only each tenth interval; the lease is renewed each second interval. Of the last records those that fit into 8 KB are read again, and long ones less often.

Conclusion: the platform's lists no longer grow with the site in steady state.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -150,7 +150,7 @@
 		this.hostList = new HostListFollower(this.platform,
 				new PlatformHost(this.self.peerAddress(), PlatformHost.Role.ENTRY, this.self.domain(),
 						PlatformHost.State.LIVE),
-				Duration.ofMillis(settings.platform().hostListIntervalMillis()), random(), this::onHostList);
+				Duration.ofMillis(settings.platform().hostListIntervalMillis()), random(), this.time, this::onHostList);
 		this.membership = new Membership(this.self, membershipLimits(settings));
 		this.scheduler = Schedulers.create(schedulerSettings(settings), this.self.domain(), this.self, random());
 		EndpointClient endpoints = new OkHttpEndpointClient(new EndpointLimits(
@@ -158,7 +158,7 @@
 		this.dispatcher = new Dispatcher(this.scheduler, endpoints, this.registry::current, this.time, this.metrics,
 				settings.dispatch().endpointSilenceMinMillis());
 		this.books = new TicketBooks(new TicketMint(this.self, TicketKey.random(), 0), this.time,
-				settings.tickets().lifetimeMillis());
+				settings.tickets().lifetimeMillis(), settings.requests().rememberedBytesMax());
 		this.verdicts = new LateVerdicts(this.transport);
 		JobRequestReader reader = new JobRequestReader(requestLimits(settings.requests()));
 		this.collector = new Collector(reader, this.registry::current,
@@ -167,8 +167,9 @@
 				2 * settings.peers().silenceLimitMillis());
 		this.router = new RequestRouter(this.self, this.books,
 				new TicketIssuer(this.books, settings.tickets().blockCountMax()),
-				new JobService(reader, this.dispatcher, this.registry::known, this.time), this.collector, directory,
-				this.transport, this.metrics, this.time, 3 * settings.peers().silenceLimitMillis());
+				new JobService(reader, this.dispatcher, this.registry::known, this.books::full, this.time),
+				this.collector, directory, this.transport, this.metrics, this.time,
+				3 * settings.peers().silenceLimitMillis());
 		this.transfer = new TicketTransfer(this.books, directory, this.transport, this.metrics, this.time);
 		RecordRelay relay = new RecordRelay(this.registry);
 		this.heartbeats = new HeartbeatService(heartbeatSettings(settings.peers()), this.transport, this.membership,
@@ -277,6 +278,8 @@
 		this.metrics.gauge("masticwick_active_jobs", "Jobs that have not ended.", this.dispatcher::activeJobCount);
 		this.metrics.gauge("masticwick_remembered_tickets", "Submitted tickets that have not expired.",
 				this.books::rememberedCount);
+		this.metrics.gauge("masticwick_remembered_bytes", "Memory that answers of unexpired tickets take.",
+				this.books::rememberedBytes);
 		this.metrics.gauge("masticwick_open_requests", "Requests of callers that wait for an answer.",
 				this.openRequestCount::get);
 		this.metrics.traffic(this.transport.traffic()::snapshot);
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
@@ -94,7 +94,7 @@
 
 	private static PeerSettings peers(SectionReader reader) {
 		PeerSettings peers = new PeerSettings(reader.addresses("seeds"),
-				reader.milliseconds("heartbeat_interval_ms", 500, 10, MINUTE_MILLIS),
+				reader.milliseconds("heartbeat_interval_ms", 1_000, 10, MINUTE_MILLIS),
 				reader.milliseconds("silence_limit_ms", 2_500, 20, 10 * MINUTE_MILLIS),
 				reader.milliseconds("call_silence_limit_ms", 2_000, 10, 10 * MINUTE_MILLIS));
 		if (peers.silenceLimitMillis() < 2 * peers.heartbeatIntervalMillis()) {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -15,6 +15,9 @@
 	/** Stands for the digest of a ticket that was sealed before its job came. */
 	static final byte[] NO_BODY = {};
 
+	/** Estimates what an entry takes besides the body of its answer. */
+	private static final long ENTRY_BYTES = 512;
+
 	private final byte[] digest;
 
 	private final long expiryEpochMillis;
@@ -110,6 +113,14 @@
 		return this.answer;
 	}
 
+	/**
+	 * Returns how much memory an entry whose job has ended takes.
+	 * @return the estimate in bytes
+	 */
+	long weightBytes() {
+		return ENTRY_BYTES + this.answer.join().body().length;
+	}
+
 	/**
 	 * Returns when the ticket expires.
 	 * @return milliseconds since the epoch by the clock of the ticket's home
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
@@ -20,12 +20,20 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(JobService.class);
 
+	private static final long FULL_RETRY_MILLIS = 5_000;
+
+	/** One object for all tickets, so that a refused ticket takes little memory. */
+	private static final HttpAnswer FULL = Answers.problem(ErrorCode.OVERLOADED,
+			"The memory for answers is used up until tickets expire", FULL_RETRY_MILLIS);
+
 	private final JobRequestReader reader;
 
 	private final Dispatcher dispatcher;
 
 	private final BooleanSupplier ready;
 
+	private final BooleanSupplier full;
+
 	private final TimeSource time;
 
 	/**
@@ -33,12 +41,15 @@
 	 * @param reader reads submissions
 	 * @param dispatcher runs jobs
 	 * @param ready whether a version of the site is known
+	 * @param full whether the memory for answers is used up
 	 * @param time the clock
 	 */
-	public JobService(JobRequestReader reader, Dispatcher dispatcher, BooleanSupplier ready, TimeSource time) {
+	public JobService(JobRequestReader reader, Dispatcher dispatcher, BooleanSupplier ready, BooleanSupplier full,
+			TimeSource time) {
 		this.reader = reader;
 		this.dispatcher = dispatcher;
 		this.ready = ready;
+		this.full = full;
 		this.time = time;
 	}
 
@@ -63,6 +74,10 @@
 			entry.complete(Answers.problem(ErrorCode.NO_VERSION, "The host has no version of the site yet"));
 			return entry.answer();
 		}
+		if (this.full.getAsBoolean()) {
+			entry.complete(FULL);
+			return entry.answer();
+		}
 		logger.debug("Job submitted: ticket={} service={} team={} tasks={}", ticket, request.service(), request.team(),
 				request.tasks().size());
 		run(entry, new Job(ticket, digest, request, deadlineNanos(request)));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBook.java
@@ -28,6 +28,8 @@
 
 	private final Map<Long, JobEntry> entries = new ConcurrentHashMap<>();
 
+	private final AtomicLong rememberedBytes = new AtomicLong();
+
 	private final ReadWriteLock rightLock = new ReentrantReadWriteLock();
 
 	private volatile boolean handedOver;
@@ -64,7 +66,11 @@
 			}
 			JobEntry fresh = new JobEntry(digest, ticket.expiryEpochMillis());
 			JobEntry present = this.entries.putIfAbsent(ticket.sequence(), fresh);
-			return Optional.of((present != null) ? new Claim(present, false) : new Claim(fresh, true));
+			if (present != null) {
+				return Optional.of(new Claim(present, false));
+			}
+			weigh(fresh);
+			return Optional.of(new Claim(fresh, true));
 		}
 		finally {
 			this.rightLock.readLock().unlock();
@@ -108,6 +114,7 @@
 	 */
 	void restore(long sequence, JobEntry entry) {
 		this.entries.put(sequence, entry);
+		weigh(entry);
 		noteExpiry(entry.expiryEpochMillis());
 	}
 
@@ -125,7 +132,25 @@
 	 */
 	void sweep() {
 		long now = homeEpochMillis();
-		this.entries.values().removeIf((entry) -> entry.expiryEpochMillis() <= now && entry.answer().isDone());
+		this.entries.values().removeIf((entry) -> {
+			boolean forgotten = entry.expiryEpochMillis() <= now && entry.answer().isDone();
+			if (forgotten) {
+				this.rememberedBytes.addAndGet(-entry.weightBytes());
+			}
+			return forgotten;
+		});
+	}
+
+	private void weigh(JobEntry entry) {
+		entry.answer().thenRun(() -> this.rememberedBytes.addAndGet(entry.weightBytes()));
+	}
+
+	/**
+	 * Returns how much memory the answers of ended jobs take.
+	 * @return the estimate in bytes
+	 */
+	long rememberedBytes() {
+		return this.rememberedBytes.get();
 	}
 
 	/**
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.TimeSource;
@@ -26,16 +27,21 @@
 
 	private final long lifetimeMillis;
 
+	private final long maxRememberedBytes;
+
 	/**
 	 * Creates the books of a process that took none over.
 	 * @param mint the mint of the process
 	 * @param time the clock
 	 * @param lifetimeMillis how long tickets live, in milliseconds
+	 * @param maxRememberedBytes how much memory the answers of ended jobs may take before
+	 * no more jobs are taken, in bytes
 	 */
-	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis) {
+	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis, long maxRememberedBytes) {
 		this.own = new TicketBook(mint, time, 0);
 		this.time = time;
 		this.lifetimeMillis = lifetimeMillis;
+		this.maxRememberedBytes = maxRememberedBytes;
 		this.books.put(mint.home().incarnation(), this.own);
 	}
 
@@ -43,8 +49,12 @@
 	 * Issues tickets of this process.
 	 * @param count how many
 	 * @return the tickets
+	 * @throws RequestException if the memory for answers is used up
 	 */
 	public List<Ticket> issue(int count) {
+		if (full()) {
+			throw new RequestException(ErrorCode.OVERLOADED, "The memory for answers is used up until tickets expire");
+		}
 		long expiryEpochMillis = this.time.epochMillis() + this.lifetimeMillis;
 		this.own.noteExpiry(expiryEpochMillis);
 		return this.own.mint().issue(count, expiryEpochMillis);
@@ -123,6 +133,23 @@
 		this.books.values().removeIf((book) -> book != this.own && book.expired());
 	}
 
+	/**
+	 * Returns how much memory the answers of ended jobs take in all books.
+	 * @return the estimate in bytes
+	 */
+	public long rememberedBytes() {
+		return this.books.values().stream().mapToLong(TicketBook::rememberedBytes).sum();
+	}
+
+	/**
+	 * Returns whether the memory for answers is used up, so that no job may be taken. No
+	 * answer is dropped before its ticket expires.
+	 * @return {@code true} if it is
+	 */
+	public boolean full() {
+		return rememberedBytes() >= this.maxRememberedBytes;
+	}
+
 	/**
 	 * Returns how many tickets are remembered in all books.
 	 * @return the count
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.process.TimeSource;
 import org.masticwick.platform.PlatformClient;
 import org.masticwick.platform.PlatformException;
 import org.masticwick.platform.PlatformHost;
@@ -24,6 +25,10 @@
 
 	private static final int LEASE_INTERVAL_COUNT = 5;
 
+	private static final int RENEWAL_INTERVAL_COUNT = 2;
+
+	private static final int REPEAT_INTERVAL_COUNT = 10;
+
 	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
 	private final PlatformClient platform;
@@ -32,6 +37,8 @@
 
 	private final RandomGenerator random;
 
+	private final TimeSource time;
+
 	private final Consumer<List<PlatformHost>> listener;
 
 	private final Semaphore wakeups = new Semaphore(0);
@@ -40,6 +47,14 @@
 
 	private volatile PlatformHost self;
 
+	private PlatformHost registered;
+
+	private long registeredNanos;
+
+	private List<PlatformHost> told;
+
+	private long toldNanos;
+
 	private volatile boolean closing;
 
 	private volatile long failureCount;
@@ -48,16 +63,20 @@
 	 * Creates a follower; {@link #start()} lets it run.
 	 * @param platform where the list is
 	 * @param self the entry of this host
-	 * @param interval how often the list is read and the lease renewed
+	 * @param interval how often the list is read at least; the lease is renewed every
+	 * second time
 	 * @param random the source of jitter; used by the thread of the follower alone
-	 * @param listener is called with each list that was read
+	 * @param time the clock
+	 * @param listener is called with each list that differs from the one before, and with
+	 * an unchanged one from time to time
 	 */
 	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, RandomGenerator random,
-			Consumer<List<PlatformHost>> listener) {
+			TimeSource time, Consumer<List<PlatformHost>> listener) {
 		this.platform = platform;
 		this.self = self;
 		this.interval = interval;
 		this.random = random;
+		this.time = time;
 		this.listener = listener;
 		this.thread = new Thread(this::run, "host-list-follower");
 		this.thread.setDaemon(true);
@@ -104,13 +123,37 @@
 
 	private void run() {
 		while (!this.closing) {
-			attempt(() -> this.platform.register(this.self, this.interval.multipliedBy(LEASE_INTERVAL_COUNT)));
-			attempt(() -> this.listener.accept(this.platform.hosts()));
+			attempt(this::renewIfDue);
+			attempt(this::read);
 			pause();
 		}
 		attempt(() -> this.platform.deregister(this.self.address()));
 	}
 
+	private void renewIfDue() {
+		PlatformHost current = this.self;
+		long nowNanos = this.time.nanoTime();
+		if (!current.equals(this.registered) || passed(this.registeredNanos, nowNanos, RENEWAL_INTERVAL_COUNT)) {
+			this.platform.register(current, this.interval.multipliedBy(LEASE_INTERVAL_COUNT));
+			this.registered = current;
+			this.registeredNanos = nowNanos;
+		}
+	}
+
+	private void read() {
+		List<PlatformHost> hosts = this.platform.hosts();
+		long nowNanos = this.time.nanoTime();
+		if (hosts != this.told || passed(this.toldNanos, nowNanos, REPEAT_INTERVAL_COUNT)) {
+			this.listener.accept(hosts);
+			this.told = hosts;
+			this.toldNanos = nowNanos;
+		}
+	}
+
+	private boolean passed(long sinceNanos, long nowNanos, int intervalCount) {
+		return nowNanos - sinceNanos >= this.interval.multipliedBy(intervalCount).toNanos();
+	}
+
 	private void attempt(Runnable call) {
 		try {
 			call.run();
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogMemory.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogMemory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 
 import org.masticwick.core.version.LogRecord;
@@ -38,14 +39,31 @@
 		return this.entries.isEmpty();
 	}
 
-	long firstOffset() {
-		return this.entries.getFirst().record().offset();
-	}
-
 	long lastOffset() {
 		return this.entries.getLast().record().offset();
 	}
 
+	/**
+	 * Chooses which of the remembered records to read again: the last one, and those
+	 * before it as far as the length allows.
+	 * @param maxBytes how long they may be together, in bytes
+	 * @return the first of them and their length
+	 */
+	Recheck recheck(long maxBytes) {
+		Iterator<Entry> newestFirst = this.entries.descendingIterator();
+		LogRecord first = newestFirst.next().record();
+		long bytes = first.value().length();
+		while (newestFirst.hasNext()) {
+			LogRecord earlier = newestFirst.next().record();
+			if (bytes + earlier.value().length() > maxBytes) {
+				break;
+			}
+			first = earlier;
+			bytes += earlier.value().length();
+		}
+		return new Recheck(first.offset(), bytes);
+	}
+
 	/**
 	 * Tells whether records read again are those remembered.
 	 * @param offset the offset that was read from
@@ -71,6 +89,16 @@
 			.anyMatch((entry) -> !entry.hashBefore().equals(state.historyHash()));
 	}
 
+	/**
+	 * Names remembered records from an offset on.
+	 *
+	 * @param offset the offset of the first of them
+	 * @param bytes their length in bytes
+	 */
+	record Recheck(long offset, long bytes) {
+
+	}
+
 	private record Entry(String hashBefore, LogRecord record) {
 
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogTracker.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/LogTracker.java
@@ -28,6 +28,10 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(LogTracker.class);
 
+	private static final long CHECK_BYTES = 8_192;
+
+	private static final long CHECK_BYTES_PER_SECOND = 256;
+
 	private final PlatformClient platform;
 
 	private final SiteLogReader reader;
@@ -46,7 +50,9 @@
 
 	private final LogMemory memory = new LogMemory();
 
-	private long checkDueNanos;
+	private long checkedNanos;
+
+	private boolean checkForced;
 
 	private Long restoreDueNanos;
 
@@ -69,7 +75,7 @@
 	 * @throws org.masticwick.platform.PlatformException if the platform did not answer
 	 */
 	boolean step() {
-		if (this.log != null && this.time.nanoTime() - this.checkDueNanos >= 0) {
+		if (this.log != null && checkDue()) {
 			check();
 		}
 		return (this.log != null) ? poll() : load();
@@ -79,7 +85,7 @@
 	 * Has the next step check that the log still holds what was read last.
 	 */
 	void failed() {
-		this.checkDueNanos = this.time.nanoTime();
+		this.checkForced = true;
 	}
 
 	/**
@@ -102,7 +108,7 @@
 		this.log = loaded.get().state();
 		remember(loaded.get());
 		this.snapshots.loaded(loaded.get());
-		scheduleCheck();
+		checked();
 		reachedEnd(before, loaded.get().endOffset());
 		return true;
 	}
@@ -153,12 +159,24 @@
 		if (!this.memory.isEmpty() && !holdsMemory()) {
 			lose("it does not hold the records that were read last");
 		}
-		scheduleCheck();
+		checked();
+	}
+
+	/**
+	 * Tells whether it is time to read the last records again. Long ones are read less
+	 * often, so that reading them stays a small part of the traffic.
+	 * @return {@code true} if it is
+	 */
+	private boolean checkDue() {
+		long bytes = this.memory.isEmpty() ? 0 : this.memory.recheck(CHECK_BYTES).bytes();
+		long spacingNanos = Duration.ofSeconds(bytes / CHECK_BYTES_PER_SECOND).toNanos();
+		long intervalNanos = Math.max(this.settings.checkInterval().toNanos(), spacingNanos);
+		return this.checkForced || this.time.nanoTime() - this.checkedNanos >= intervalNanos;
 	}
 
 	private boolean holdsMemory() {
 		try {
-			return holdsMemoryFrom(this.memory.firstOffset());
+			return holdsMemoryFrom(this.memory.recheck(CHECK_BYTES).offset());
 		}
 		catch (RecordsExpiredException ex) {
 			return ex.beginOffset() <= this.memory.lastOffset() && holdsMemoryFrom(ex.beginOffset());
@@ -218,8 +236,9 @@
 		return (left.compareTo(right) <= 0) ? left : right;
 	}
 
-	private void scheduleCheck() {
-		this.checkDueNanos = this.time.nanoTime() + this.settings.checkInterval().toNanos();
+	private void checked() {
+		this.checkedNanos = this.time.nanoTime();
+		this.checkForced = false;
 	}
 
 }
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/version/LogFollowerTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/LogFollowerTests.java
@@ -42,7 +42,7 @@
 	private final List<PlatformHost> hosts = Collections.synchronizedList(new ArrayList<>());
 
 	private final HostListFollower hostList = new HostListFollower(this.platform, HOST, Duration.ofMillis(10),
-			new Random(1), (list) -> {
+			new Random(1), TimeSource.system(), (list) -> {
 				this.hosts.clear();
 				this.hosts.addAll(list);
 			});
--- a/masticwick-platform/src/main/java/org/masticwick/platform/HttpPlatformClient.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/HttpPlatformClient.java
@@ -35,6 +35,8 @@
 
 	private static final MediaType JSON_TYPE = MediaType.get("application/json");
 
+	private static final int STATUS_NOT_MODIFIED = 304;
+
 	private static final int STATUS_GONE = 410;
 
 	private static final int STATUS_UNAVAILABLE = 503;
@@ -49,6 +51,8 @@
 
 	private final OkHttpClient http;
 
+	private volatile HostPage knownHosts = new HostPage("", List.of());
+
 	/**
 	 * Creates a client.
 	 * @param address where the platform listens
@@ -92,10 +96,24 @@
 
 	@Override
 	public List<PlatformHost> hosts() {
-		JsonNode answer = send(request(url("hosts")).get().build(), Duration.ZERO);
+		HostPage known = this.knownHosts;
+		Request.Builder request = request(url("hosts")).get();
+		if (!known.tag().isEmpty()) {
+			request.header("If-None-Match", known.tag());
+		}
+		HostPage page = send(request.build(), Duration.ZERO, (asked, response) -> readHosts(asked, response, known));
+		this.knownHosts = page;
+		return page.hosts();
+	}
+
+	private HostPage readHosts(Request request, Response response, HostPage known) throws IOException {
+		if (response.code() == STATUS_NOT_MODIFIED) {
+			return known;
+		}
+		JsonNode answer = read(request, response);
 		List<PlatformHost> hosts = new ArrayList<>();
 		answer.path("hosts").forEach((node) -> HostJson.read(node).ifPresent(hosts::add));
-		return List.copyOf(hosts);
+		return new HostPage(response.header("ETag", ""), List.copyOf(hosts));
 	}
 
 	@Override
@@ -145,10 +163,14 @@
 	}
 
 	private JsonNode send(Request request, Duration wait) {
+		return send(request, wait, this::read);
+	}
+
+	private <T> T send(Request request, Duration wait, AnswerReader<T> reader) {
 		Call call = this.http.newCall(request);
 		call.timeout().timeout(this.settings.callTimeout().plus(wait).toNanos(), TimeUnit.NANOSECONDS);
 		try (Response response = call.execute()) {
-			return read(request, response);
+			return reader.read(request, response);
 		}
 		catch (IOException ex) {
 			this.http.connectionPool().evictAll();
@@ -212,4 +234,25 @@
 		return request.method() + " " + request.url().encodedPath();
 	}
 
+	/**
+	 * Turns an answer into what it tells.
+	 *
+	 * @param <T> the type of what it tells
+	 */
+	private interface AnswerReader<T> {
+
+		T read(Request request, Response response) throws IOException;
+
+	}
+
+	/**
+	 * Holds the list of hosts with the tag under which the platform knows it.
+	 *
+	 * @param tag the entity tag; empty if the platform gives none
+	 * @param hosts the hosts
+	 */
+	private record HostPage(String tag, List<PlatformHost> hosts) {
+
+	}
+
 }
--- a/masticwick-platform/src/main/java/org/masticwick/platform/PlatformClient.java
+++ b/masticwick-platform/src/main/java/org/masticwick/platform/PlatformClient.java
@@ -36,7 +36,8 @@
 
 	/**
 	 * Reads the list of hosts, which lags behind reality.
-	 * @return the hosts
+	 * @return the hosts; the same object as before if the list has not changed and the
+	 * platform says so
 	 * @throws PlatformException if the platform did not answer
 	 */
 	List<PlatformHost> hosts();
--- a/masticwick-platform/src/test/java/org/masticwick/platform/HttpPlatformClientTests.java
+++ b/masticwick-platform/src/test/java/org/masticwick/platform/HttpPlatformClientTests.java
@@ -44,6 +44,10 @@
 
 	private volatile String body = "";
 
+	private volatile String tag = "";
+
+	private final List<String> tags = Collections.synchronizedList(new ArrayList<>());
+
 	private volatile int missingByteCount;
 
 	@BeforeEach
@@ -66,7 +70,12 @@
 		String request = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
 		this.requests.add(exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + request);
 		byte[] bytes = this.body.getBytes(StandardCharsets.UTF_8);
-		exchange.sendResponseHeaders(this.status, (this.status != 204) ? bytes.length + this.missingByteCount : -1);
+		this.tags.add("" + exchange.getRequestHeaders().getFirst("If-None-Match"));
+		if (!this.tag.isEmpty()) {
+			exchange.getResponseHeaders().set("ETag", this.tag);
+		}
+		exchange.sendResponseHeaders(this.status,
+				(this.status != 204 && this.status != 304) ? bytes.length + this.missingByteCount : -1);
 		try (OutputStream out = exchange.getResponseBody()) {
 			out.write(bytes);
 		}
@@ -108,6 +117,23 @@
 				.containsExactly("GET /log/site?from=4&limit=10&wait_ms=20 ");
 		}
 
+		@Test
+		void readsAnUnchangedListOfHostsOnce() {
+			HttpPlatformClientTests outer = HttpPlatformClientTests.this;
+			outer.tag = "\"a\"";
+			outer.body = "{\"hosts\":[{\"address\":\"10.1.0.1:7000\",\"role\":\"entry\",\"domain\":\"hobart\","
+					+ "\"state\":\"leaving\"}]}";
+			List<PlatformHost> first = outer.client.hosts();
+			outer.status = 304;
+			assertThat(outer.client.hosts()).isSameAs(first).containsExactly(HOST);
+			outer.status = 200;
+			outer.tag = "\"b\"";
+			outer.body = "{\"hosts\":[]}";
+			assertThat(outer.client.hosts()).isEmpty();
+			outer.client.hosts();
+			assertThat(outer.tags).containsExactly("null", "\"a\"", "\"a\"", "\"b\"");
+		}
+
 		@Test
 		void tellsExpiry() {
 			HttpPlatformClientTests.this.status = 410;
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/capacity/CapacityNotes.java
@@ -0,0 +1,68 @@
+package org.masticwick.proof.capacity;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.version.EndpointSpec;
+import org.masticwick.core.version.Rules;
+import org.masticwick.proof.support.SiteNote;
+
+/**
+ * Writes the notes that bring a site to its size. The endpoints are addresses that nobody
+ * listens at; they run a service of their own.
+ */
+final class CapacityNotes {
+
+	private static final int PORT = 8_080;
+
+	private static final int HOSTS_PER_NET = 200;
+
+	private static final int RACK_SIZE = 8;
+
+	private static final int FILLER_BYTES = 48;
+
+	private CapacityNotes() {
+	}
+
+	/**
+	 * Returns the address of an endpoint that stands only in the notes.
+	 * @param index its index
+	 * @return the address
+	 */
+	static HostAddress endpoint(int index) {
+		return new HostAddress("10.77." + index / HOSTS_PER_NET + "." + (1 + index % HOSTS_PER_NET), PORT);
+	}
+
+	/**
+	 * Returns the note with all endpoints and the shares of all teams.
+	 * @param options the size
+	 * @param domains the failure domains
+	 * @param service the service of the endpoints
+	 * @return the note
+	 */
+	static SiteNote size(CapacityOptions options, List<String> domains, String service) {
+		SiteNote note = new SiteNote("size", 1);
+		IntStream.range(0, options.endpointCount())
+			.forEach((index) -> note.add(new EndpointSpec(endpoint(index), domains.get(index % domains.size()),
+					"rack-" + index / RACK_SIZE, service, 8, 64, 64, 131_072, 1)));
+		IntStream.range(0, options.teamCount())
+			.forEach((index) -> note.addRule(Rules.TEAM_SHARE_PREFIX + "team-number-" + index, "1.5"));
+		return note;
+	}
+
+	/**
+	 * Returns a note that changes nothing but rules and has a length.
+	 * @param id the id of the note
+	 * @param base the version it is written against
+	 * @param bytes the least length in bytes
+	 * @return the note
+	 */
+	static SiteNote ofLength(String id, long base, int bytes) {
+		SiteNote note = new SiteNote(id, base);
+		int count = 1 + bytes / FILLER_BYTES;
+		IntStream.range(0, count).forEach((index) -> note.addRule("limits/" + id + "-" + index, "1"));
+		return note;
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/capacity/NoteTimes.java
@@ -0,0 +1,100 @@
+package org.masticwick.proof.capacity;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.proof.support.ApiClient;
+import org.masticwick.proof.support.EntryHostProcess;
+import org.masticwick.proof.support.Site;
+import org.masticwick.proof.support.SiteNote;
+
+/**
+ * Measures how long after its append a note is in force on every entry host.
+ */
+final class NoteTimes {
+
+	private static final long POLL_MILLIS = 10;
+
+	private static final long TIMEOUT_NANOS = 60_000_000_000L;
+
+	private final Site site;
+
+	private final List<HostAddress> hosts;
+
+	NoteTimes(Site site, List<EntryHostProcess> hosts) {
+		this.site = site;
+		this.hosts = hosts.stream().map(EntryHostProcess::api).toList();
+	}
+
+	/**
+	 * Publishes notes one after another and tells the time each took.
+	 * @param count how many
+	 * @param bytes the length of each
+	 * @return the quantiles, for people
+	 */
+	String oneByOne(int count, int bytes) {
+		List<Long> times = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			times.add(timeOf(List.of(note("single-" + index, bytes))));
+		}
+		return describe(times);
+	}
+
+	/**
+	 * Publishes several notes at once and tells when the last was in force everywhere.
+	 * @param count how many
+	 * @param bytes the length of each
+	 * @return the time, for people
+	 */
+	String atOnce(int count, int bytes) {
+		List<SiteNote> notes = IntStream.range(0, count).mapToObj((index) -> note("burst-" + index, bytes)).toList();
+		return describe(List.of(timeOf(notes)));
+	}
+
+	private SiteNote note(String id, int bytes) {
+		return CapacityNotes.ofLength(id, version(this.hosts.get(0)), bytes);
+	}
+
+	private long timeOf(Collection<SiteNote> notes) {
+		long target = version(this.hosts.get(0)) + notes.size();
+		long startNanos = System.nanoTime();
+		notes.parallelStream().forEach(this.site::publish);
+		this.hosts.parallelStream().forEach((host) -> await(host, target, startNanos + TIMEOUT_NANOS));
+		return (System.nanoTime() - startNanos) / 1_000_000;
+	}
+
+	private void await(HostAddress host, long target, long limitNanos) {
+		while (version(host) < target) {
+			if (System.nanoTime() - limitNanos > 0) {
+				throw new IllegalStateException(host + " stays at version " + version(host));
+			}
+			pause();
+		}
+	}
+
+	private long version(HostAddress host) {
+		ApiClient.Reply reply = this.site.client().send("GET", host, "/v1/version");
+		return reply.json().path("version").longValue();
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static String describe(List<Long> times) {
+		long[] sorted = times.stream().mapToLong(Long::longValue).sorted().toArray();
+		return String.format(Locale.ROOT, "count=%d p50_ms=%d max_ms=%d", sorted.length, sorted[sorted.length / 2],
+				Arrays.stream(sorted).max().orElse(0));
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/capacity/SocketBytes.java
@@ -0,0 +1,116 @@
+package org.masticwick.proof.capacity;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * Holds the payload bytes of the open TCP connections of all processes, as the kernel
+ * counts them.
+ *
+ * @param sockets the bytes by local and remote port
+ */
+record SocketBytes(Map<Ports, Bytes> sockets) {
+
+	private static final Pattern LINE = Pattern
+		.compile("ESTAB\\s+\\d+\\s+\\d+\\s+\\S*?:(\\d+)\\s+\\S*?:(\\d+)\\s.*pid=(\\d+)");
+
+	private static final Pattern SENT = Pattern.compile("bytes_sent:(\\d+)");
+
+	private static final Pattern RECEIVED = Pattern.compile("bytes_received:(\\d+)");
+
+	/**
+	 * Reads the counts of all connections.
+	 * @return the bytes
+	 */
+	static SocketBytes read() {
+		Map<Ports, Bytes> sockets = new HashMap<>();
+		Ports current = null;
+		for (String line : run(List.of("ss", "-tinHp"))) {
+			Matcher start = LINE.matcher(line);
+			if (start.find()) {
+				current = new Ports(Integer.parseInt(start.group(1)), Integer.parseInt(start.group(2)),
+						Long.parseLong(start.group(3)));
+			}
+			else if (line.startsWith("ESTAB")) {
+				current = null;
+			}
+			if (current != null && line.contains("bytes_")) {
+				sockets.put(current, new Bytes(number(SENT, line), number(RECEIVED, line)));
+			}
+		}
+		return new SocketBytes(sockets);
+	}
+
+	/**
+	 * Adds up what a process sent and received since an earlier reading, but for the
+	 * connections that end at some of its own ports.
+	 * @param pid the id of the process
+	 * @param before the earlier reading
+	 * @param hiddenLocalPorts ports whose connections don't count
+	 * @param remotePorts only connections to these ports count; empty for all
+	 * @return the bytes
+	 */
+	Bytes since(long pid, SocketBytes before, Set<Integer> hiddenLocalPorts, Set<Integer> remotePorts) {
+		return this.sockets.entrySet()
+			.stream()
+			.filter((socket) -> socket.getKey().pid() == pid)
+			.filter((socket) -> !hiddenLocalPorts.contains(socket.getKey().local()))
+			.filter((socket) -> remotePorts.isEmpty() || remotePorts.contains(socket.getKey().remote()))
+			.map((socket) -> socket.getValue().minus(before.sockets().getOrDefault(socket.getKey(), new Bytes(0, 0))))
+			.reduce(new Bytes(0, 0), Bytes::plus);
+	}
+
+	private static long number(Pattern pattern, String line) {
+		Matcher matcher = pattern.matcher(line);
+		return matcher.find() ? Long.parseLong(matcher.group(1)) : 0;
+	}
+
+	private static List<String> run(List<String> command) {
+		try {
+			Process process = new ProcessBuilder(command).start();
+			String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			return text.lines().collect(Collectors.toList());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Names a connection as one process sees it.
+	 *
+	 * @param local the local port
+	 * @param remote the remote port
+	 * @param pid the id of the process
+	 */
+	record Ports(int local, int remote, long pid) {
+
+	}
+
+	/**
+	 * Counts bytes.
+	 *
+	 * @param sent what was sent
+	 * @param received what was received
+	 */
+	record Bytes(long sent, long received) {
+
+		Bytes plus(Bytes other) {
+			return new Bytes(this.sent + other.sent, this.received + other.received);
+		}
+
+		Bytes minus(Bytes other) {
+			return new Bytes(this.sent - other.sent, this.received - other.received);
+		}
+
+	}
+
+}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/SiteNote.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/SiteNote.java
@@ -94,6 +94,16 @@
 		return this;
 	}
 
+	/**
+	 * Withdraws a rule.
+	 * @param name the name of the rule
+	 * @return this note
+	 */
+	public SiteNote withdrawRule(String name) {
+		this.rules.add(change("withdraw", "name", name));
+		return this;
+	}
+
 	/**
 	 * Returns the record.
 	 * @return the JSON text
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/PlatformStandin.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/PlatformStandin.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -108,7 +109,7 @@
 			log(exchange, path.substring(LOG_PREFIX.length()));
 		}
 		else if (path.equals(HOSTS_PATH) && exchange.method().equals("GET")) {
-			answer(exchange, HttpAnswer.json(200, Map.of("hosts", this.hosts.list(this.time.nanoTime()))));
+			hosts(exchange);
 		}
 		else if (path.startsWith(HOSTS_PATH + "/")) {
 			host(exchange, address(path.substring(HOSTS_PATH.length() + 1)));
@@ -118,6 +119,13 @@
 		}
 	}
 
+	private void hosts(HttpExchange exchange) {
+		HttpAnswer whole = HttpAnswer.json(200, Map.of("hosts", this.hosts.list(this.time.nanoTime())));
+		String tag = "\"" + UUID.nameUUIDFromBytes(whole.body()) + "\"";
+		HttpAnswer told = tag.equals(exchange.header("If-None-Match")) ? HttpAnswer.of(304) : whole;
+		answer(exchange, told.withHeader("ETag", tag));
+	}
+
 	private void log(HttpExchange exchange, String stream) {
 		switch (exchange.method()) {
 			case "POST" -> append(exchange, stream);
--- a/masticwick-standin/src/test/java/org/masticwick/standin/process/PlatformStandinTests.java
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/PlatformStandinTests.java
@@ -126,8 +126,12 @@
 			http.send("PUT", "/hosts/127.0.0.1:7", LEASE);
 			assertThat(http.send("GET", "/hosts", "").body()).isEqualTo("{\"hosts\":[{\"address\":\"127.0.0.1:7\","
 					+ "\"role\":\"entry\",\"domain\":\"d\",\"state\":\"live\"}]}");
+			String tag = http.send("GET", "/hosts", "").headers().firstValue("ETag").orElseThrow();
+			HttpResponse<String> unchanged = http.send("GET", "/hosts", "", "If-None-Match", tag);
+			assertThat(unchanged.statusCode()).isEqualTo(304);
+			assertThat(unchanged.body()).isEmpty();
 			http.send("DELETE", "/hosts/127.0.0.1:7", "");
-			assertThat(http.send("GET", "/hosts", "").body()).isEqualTo("{\"hosts\":[]}");
+			assertThat(http.send("GET", "/hosts", "", "If-None-Match", tag).body()).isEqualTo("{\"hosts\":[]}");
 		}
 
 	}
