--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.process.TimeSource;
 import org.masticwick.platform.PlatformClient;
 import org.masticwick.platform.PlatformException;
 import org.masticwick.platform.PlatformHost;
@@ -22,6 +23,10 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(HostListFollower.class);
 
+	private static final int RENEWALS_PER_LEASE = 4;
+
+	private static final int REPEAT_INTERVAL_COUNT = 10;
+
 	private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
 	private final PlatformClient platform;
@@ -32,6 +37,8 @@
 
 	private final RandomGenerator random;
 
+	private final TimeSource time;
+
 	private final Consumer<List<PlatformHost>> listener;
 
 	private final Semaphore wakeups = new Semaphore(0);
@@ -40,6 +47,14 @@
 
 	private volatile PlatformHost self;
 
+	private PlatformHost registered;
+
+	private long registeredNanos;
+
+	private List<PlatformHost> told;
+
+	private long toldNanos;
+
 	private volatile boolean closing;
 
 	private volatile long failureCount;
@@ -48,18 +63,21 @@
 	 * Creates a follower; {@link #start()} lets it run.
 	 * @param platform where the list is
 	 * @param self the entry of this host
-	 * @param interval how often the list is read and the lease renewed
+	 * @param interval how often the list is read at least
 	 * @param lease how long the entry of this host stands unless renewed
 	 * @param random the source of jitter; used by the thread of the follower alone
-	 * @param listener is called with each list that was read
+	 * @param time the clock
+	 * @param listener is called with each list that differs from the one before, and with
+	 * an unchanged one from time to time
 	 */
 	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, Duration lease,
-			RandomGenerator random, Consumer<List<PlatformHost>> listener) {
+			RandomGenerator random, TimeSource time, Consumer<List<PlatformHost>> listener) {
 		this.platform = platform;
 		this.self = self;
 		this.interval = interval;
 		this.lease = lease;
 		this.random = random;
+		this.time = time;
 		this.listener = listener;
 		this.thread = new Thread(this::run, "host-list-follower");
 		this.thread.setDaemon(true);
@@ -106,13 +124,38 @@
 
 	private void run() {
 		while (!this.closing) {
-			attempt(() -> this.platform.register(this.self, this.lease));
-			attempt(() -> this.listener.accept(this.platform.hosts()));
+			attempt(this::renewIfDue);
+			attempt(this::read);
 			pause();
 		}
 		attempt(() -> this.platform.deregister(this.self.address()));
 	}
 
+	private void renewIfDue() {
+		PlatformHost current = this.self;
+		long nowNanos = this.time.nanoTime();
+		if (!current.equals(this.registered)
+				|| passed(this.registeredNanos, nowNanos, this.lease.dividedBy(RENEWALS_PER_LEASE))) {
+			this.platform.register(current, this.lease);
+			this.registered = current;
+			this.registeredNanos = nowNanos;
+		}
+	}
+
+	private void read() {
+		List<PlatformHost> hosts = this.platform.hosts();
+		long nowNanos = this.time.nanoTime();
+		if (hosts != this.told || passed(this.toldNanos, nowNanos, this.interval.multipliedBy(REPEAT_INTERVAL_COUNT))) {
+			this.listener.accept(hosts);
+			this.told = hosts;
+			this.toldNanos = nowNanos;
+		}
+	}
+
+	private static boolean passed(long sinceNanos, long nowNanos, Duration time) {
+		return nowNanos - sinceNanos >= time.toNanos();
+	}
+
 	private void attempt(Runnable call) {
 		try {
 			call.run();
