--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
@@ -13,6 +14,7 @@
 import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
+import io.jooby.exception.MethodNotAllowedException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,10 +23,13 @@
 import org.masticwick.core.process.MasticwickException;
 import org.masticwick.core.request.Ticket;
 import org.masticwick.daemon.connection.NamedThreads;
+import org.masticwick.daemon.connection.http.EdgeSettings;
+import org.masticwick.daemon.connection.http.RequestEdge;
 import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.daemon.request.Answers;
 import org.masticwick.daemon.request.HttpAnswer;
 import org.masticwick.daemon.request.RequestException;
+import org.masticwick.daemon.request.RequestLog;
 import org.masticwick.daemon.request.RoutedRequest;
 import org.masticwick.wire.PeerMessage.ForwardOperation;
 
@@ -43,6 +48,8 @@
 
 	private static final String JOB_PATH = "/v1/jobs/{ticket}";
 
+	private static final Pattern WAIT = Pattern.compile("\\d{1,18}");
+
 	private static final byte[] NO_BODY = {};
 
 	private final ApiBackend backend;
@@ -62,7 +69,7 @@
 		this.app.setExecutionMode(ExecutionMode.WORKER);
 		this.app.setWorker(this.workers);
 		routes();
-		this.server = this.app.start();
+		this.server = RequestEdge.guard(edge(), this.app::start);
 	}
 
 	private static ServerOptions options(ApiLimits limits, String ip, int port) {
@@ -74,9 +81,15 @@
 		options.setMaxRequestSize(limits.bodyBytes());
 		options.setBufferSize(limits.bodyBytes());
 		options.setDefaultHeaders(false);
+		options.setHttp2(false);
 		return options;
 	}
 
+	private EdgeSettings edge() {
+		return new EdgeSettings(this.limits.headerBytes(), this.limits.bodyBytes(), this.limits.requestTimeoutMillis(),
+				(code, detail) -> refuse(code, detail).body());
+	}
+
 	HostAddress address() {
 		ServerOptions options = this.server.getOptions();
 		return new HostAddress(options.getHost(), options.getPort());
@@ -112,10 +125,6 @@
 	}
 
 	private static byte[] body(Context ctx) {
-		String type = ctx.header("Content-Type").value("");
-		if (type.startsWith("application/x-www-form-urlencoded") || type.startsWith("multipart/")) {
-			throw new RequestException(ErrorCode.MALFORMED_REQUEST, "Content-Type: application/json is required");
-		}
 		return ctx.body().bytes();
 	}
 
@@ -125,12 +134,10 @@
 		if (text == null) {
 			return defaultMillis;
 		}
-		try {
-			return Math.max(0, Math.min(Long.parseLong(text), this.limits.maxWaitMillis()));
-		}
-		catch (NumberFormatException ex) {
-			throw new RequestException(ErrorCode.INVALID_REQUEST, "wait_ms: a whole number is required", ex);
+		if (!WAIT.matcher(text).matches()) {
+			throw new RequestException(ErrorCode.INVALID_REQUEST, "wait_ms: a whole number from 0 on is required");
 		}
+		return Math.min(Long.parseLong(text), this.limits.maxWaitMillis());
 	}
 
 	private HttpAnswer ready() {
@@ -156,7 +163,7 @@
 			answer = source.apply(ctx);
 		}
 		catch (MasticwickException ex) {
-			answer = done(Answers.problem(ex));
+			answer = done(refuse(ex.errorCode(), ex.getMessage()));
 		}
 		if (answer.isDone()) {
 			return send(ctx, answer);
@@ -168,6 +175,12 @@
 
 	private Context send(Context ctx, CompletableFuture<HttpAnswer> done) {
 		HttpAnswer answer = done.exceptionally(ApiServer::internal).join();
+		logger.atDebug()
+			.addKeyValue("method", ctx.getMethod())
+			.addKeyValue("route", () -> ctx.getRoute().getPattern())
+			.addKeyValue("ticket", () -> RequestLog.shortened(ctx.pathMap().getOrDefault("ticket", "")))
+			.addKeyValue("status", answer.status())
+			.log("Request answered");
 		ctx.setResponseCode(answer.status());
 		ctx.setResponseHeader("Content-Type", answer.contentType());
 		if (answer.retryAfterMillis() >= 0) {
@@ -177,26 +190,32 @@
 		return ctx.send(answer.body());
 	}
 
+	private HttpAnswer refuse(ErrorCode code, String detail) {
+		this.backend.refused(code);
+		return Answers.problem(code, detail);
+	}
+
 	private static HttpAnswer internal(Throwable ex) {
 		logger.error("A request met a fault", ex);
 		return Answers.problem(ex);
 	}
 
 	private void onError(Context ctx, Throwable ex, StatusCode status) {
-		logger.debug("Request refused: path={} status={} reason={}", ctx.getRequestPath(), status.value(),
-				ex.getMessage());
+		if (ex instanceof MethodNotAllowedException known) {
+			ctx.setResponseHeader("Allow", String.join(", ", known.getAllow()));
+		}
 		send(ctx, done(problem(ex, status)));
 	}
 
-	private static HttpAnswer problem(Throwable ex, StatusCode status) {
+	private HttpAnswer problem(Throwable ex, StatusCode status) {
 		return switch (status.value()) {
-			case StatusCode.NOT_FOUND_CODE -> Answers.problem(ErrorCode.NOT_FOUND, "There is no such path");
+			case StatusCode.NOT_FOUND_CODE -> refuse(ErrorCode.NOT_FOUND, "There is no such path");
 			case StatusCode.METHOD_NOT_ALLOWED_CODE ->
-				Answers.problem(ErrorCode.METHOD_NOT_ALLOWED, "The path does not take this method");
+				refuse(ErrorCode.METHOD_NOT_ALLOWED, "The path does not take this method");
 			case StatusCode.REQUEST_ENTITY_TOO_LARGE_CODE ->
-				Answers.problem(ErrorCode.REQUEST_TOO_LARGE, "The body is too large");
+				refuse(ErrorCode.REQUEST_TOO_LARGE, "The body is too large");
 			case StatusCode.BAD_REQUEST_CODE ->
-				Answers.problem(ErrorCode.MALFORMED_REQUEST, "The request could not be read: " + ex.getMessage());
+				refuse(ErrorCode.MALFORMED_REQUEST, "The request could not be read: " + ex.getMessage());
 			default -> internal(ex);
 		};
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -12,6 +12,8 @@
 import org.slf4j.LoggerFactory;
 
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.daemon.connection.http.RequestEdge;
+import org.masticwick.daemon.process.settings.RequestSettings;
 import org.masticwick.daemon.process.settings.Settings;
 
 /**
@@ -37,11 +39,16 @@
 
 	private EntryHostProcess(Settings settings) {
 		this.settings = settings;
+		RequestEdge.enable();
 		this.parts = new EntryHostParts(settings);
 		InetSocketAddress address = settings.host().apiAddress();
-		this.api = new ApiServer(this.parts.api(),
-				new ApiLimits(settings.requests().bodyBytesMax(), settings.requests().waitMaxMillis()),
-				address.getHostString(), address.getPort());
+		this.api = new ApiServer(this.parts.api(), limits(settings.requests()), address.getHostString(),
+				address.getPort());
+	}
+
+	private static ApiLimits limits(RequestSettings requests) {
+		return new ApiLimits(requests.headerBytesMax(), requests.bodyBytesMax(), requests.bodyTimeoutMillis(),
+				requests.waitMaxMillis());
 	}
 
 	/**
@@ -52,8 +59,12 @@
 	public static EntryHostProcess start(Settings settings) {
 		EntryHostProcess process = new EntryHostProcess(settings);
 		process.parts.start(process.api.address());
-		logger.info("Entry host started: domain={} api={} peer={}", settings.host().domain(), process.api.address(),
-				process.peerAddress());
+		logger.atInfo()
+			.addKeyValue("domain", settings.host().domain())
+			.addKeyValue("api", process.api.address())
+			.addKeyValue("peer", process.peerAddress())
+			.addKeyValue("incarnation", process.parts.self().incarnation())
+			.log("Entry host started");
 		return process;
 	}
 
@@ -85,7 +96,7 @@
 	 */
 	public int stop() {
 		long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.stop().deadlineMillis());
-		logger.info("Stop begins: jobs={}", this.parts.activeJobCount());
+		logger.atInfo().addKeyValue("jobs", this.parts.activeJobCount()).log("Stop begins");
 		long drainedNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.stop().drainMinMillis());
 		this.parts.announceLeaving();
 		pause(NOTICE_MILLIS);
@@ -93,14 +104,14 @@
 		awaitIdle(limitNanos);
 		int cutOffCount = this.parts.stopJobs();
 		if (cutOffCount > 0) {
-			logger.warn("Stop passed its deadline: jobs_cut_off={}", cutOffCount);
+			logger.atWarn().addKeyValue("jobs_cut_off", cutOffCount).log("Stop passed its deadline");
 		}
 		awaitDelivery(delivered, limitNanos);
 		awaitDrained(drainedNanos, limitNanos);
 		pause(FAREWELL_MILLIS);
 		this.api.close();
 		this.parts.close();
-		logger.info("Stop ended: jobs_cut_off={}", cutOffCount);
+		logger.atInfo().addKeyValue("jobs_cut_off", cutOffCount).log("Stop ended");
 		this.stopped.countDown();
 		return cutOffCount;
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -107,7 +107,14 @@
 		CompletableFuture<HttpAnswer> copy = answer.thenApply(Function.identity());
 		return (copy.isDone() ? copy : copy.completeOnTimeout(Answers.running(request.ticket().toString()), waitMillis,
 				TimeUnit.MILLISECONDS))
-			.exceptionally((ex) -> Answers.problem(causeOf(ex)));
+			.exceptionally((ex) -> refused(causeOf(ex)));
+	}
+
+	private HttpAnswer refused(Throwable cause) {
+		if (cause instanceof MasticwickException known) {
+			this.metrics.refusal(known.errorCode());
+		}
+		return Answers.problem(cause);
 	}
 
 	/**
@@ -292,7 +299,10 @@
 
 	private CompletableFuture<HttpAnswer> call(HostAddress to, RoutedRequest request) {
 		this.metrics.message(MessageKind.FORWARD);
-		logger.debug("Request goes on: ticket={} operation={} to={}", request.ticket(), request.operation(), to);
+		RequestLog.event(logger, request.ticket())
+			.addKeyValue("operation", request.operation())
+			.addKeyValue("to", to)
+			.log("Request forwarded");
 		return this.transport
 			.call(to,
 					new Forward(request.operation(), request.ticket().toString(), request.body(), request.waitMillis()))
