--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostGauges.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostGauges.java
@@ -81,6 +81,8 @@
 		metrics.gauge("masticwick_active_jobs", "Jobs that have not ended.", this.parts.dispatcher()::activeJobCount);
 		metrics.gauge("masticwick_remembered_tickets", "Submitted tickets that have not expired.",
 				this.parts.books()::rememberedCount);
+		metrics.gauge("masticwick_remembered_bytes", "Memory that answers of unexpired tickets take.",
+				this.parts.books()::rememberedBytes);
 		metrics.gauge("masticwick_open_requests", "Requests of callers that wait for an answer.",
 				this.parts.openRequestCount()::getAsInt);
 	}
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
@@ -170,7 +170,7 @@
 			this.self = new EntryHost("hobart", new HostAddress("127.0.0.1", 7200 + number),
 					new Incarnation(1, number));
 			this.books = new TicketBooks(new TicketMint(this.self, TicketKey.random(), 0), TimeSource.system(),
-					LIFETIME_MILLIS);
+					LIFETIME_MILLIS, Long.MAX_VALUE);
 		}
 
 		private PeerMessage handle(PeerMessage message) {
