--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -73,6 +73,8 @@
 
 	private static final int PEER_WORKER_COUNT = 4;
 
+	private static final int RETRY_BURST_COUNT = 20;
+
 	private static final long SWEEP_SECONDS = 5;
 
 	private static final int SUSPECT_HEARTBEAT_COUNT = 3;
@@ -223,6 +225,7 @@
 		return SchedulerSettings.builder()
 			.queueLimitCount(settings.dispatch().queueTaskCountMax())
 			.maxWait(Duration.ofMillis(settings.dispatch().queueWaitMaxMillis()))
+			.retryBudget(settings.dispatch().retryBudgetFraction(), RETRY_BURST_COUNT)
 			.build();
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
@@ -85,7 +85,6 @@
 
 	private static PlatformSettings platform(SectionReader reader) {
 		return new PlatformSettings(reader.requiredAddress("address"),
-				reader.text("stream", "site", NAME, NAME_ALLOWED),
 				reader.milliseconds("poll_wait_ms", 4_000, 1, MINUTE_MILLIS),
 				reader.milliseconds("host_list_interval_ms", 1_000, 10, MINUTE_MILLIS),
 				reader.milliseconds("lease_ms", 10_000, 100, HOUR_MILLIS),
@@ -135,7 +134,7 @@
 	private static DispatchSettings dispatch(SectionReader reader) {
 		return new DispatchSettings(reader.count("queue_task_count_max", 20_000, 1, 10_000_000),
 				reader.milliseconds("queue_wait_max_ms", 30_000, 1, HOUR_MILLIS),
-				reader.fraction("retry_budget_fraction", 0.2),
+				reader.fraction("retry_budget_fraction", 0.1),
 				reader.milliseconds("connect_timeout_ms", 500, 1, MINUTE_MILLIS),
 				reader.milliseconds("endpoint_silence_min_ms", 1_000, 10, HOUR_MILLIS));
 	}
--- /dev/null
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/settings/SettingsPageTests.java
@@ -0,0 +1,66 @@
+package org.masticwick.daemon.process.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the page for operators lists each setting with its default.
+ */
+class SettingsPageTests {
+
+	private static final Pattern ROW = Pattern.compile("(?m)^\\| `(\\w+\\.\\w+)` \\| ([^|]+) \\|");
+
+	private static final ObjectMapper MAPPER = new ObjectMapper()
+		.setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE);
+
+	private static Map<String, String> page() throws IOException {
+		return ROW.matcher(Files.readString(Path.of("../docs/OPERATORS.md")))
+			.results()
+			.collect(Collectors.toMap((row) -> row.group(1), SettingsPageTests::defaultOf));
+	}
+
+	private static String defaultOf(MatchResult row) {
+		return row.group(2).strip().replace("`", "");
+	}
+
+	private static Map<String, JsonNode> settings() {
+		Settings settings = SettingsLoader.parse("[host]\ndomain = 'd1'\n[platform]\naddress = '127.0.0.1:1'\n", "f");
+		JsonNode sections = MAPPER.valueToTree(settings);
+		return sections.properties()
+			.stream()
+			.flatMap((section) -> section.getValue()
+				.properties()
+				.stream()
+				.map((setting) -> Map.entry(section.getKey() + "." + setting.getKey().replaceFirst("_millis$", "_ms"),
+						setting.getValue())))
+			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+	}
+
+	@Test
+	void listsEachSetting() throws IOException {
+		assertThat(page().keySet()).isEqualTo(settings().keySet());
+	}
+
+	@Test
+	void givesTheDefaultOfEachNumber() throws IOException {
+		Map<String, String> page = page();
+		assertThat(settings()).allSatisfy((key, value) -> {
+			if (value.isNumber()) {
+				assertThat(page.get(key)).as(key).isEqualTo(value.asText());
+			}
+		});
+	}
+
+}
