Collect only what the collector itself has lost

Cause: a host that was cut off from a home asked another host of the home's failure domain to collect, and that one collected although it could reach the home; the caller got home-lost for a job that the home would have completed. Ruled out: waiting longer at the first host, which does not heal a one-sided cut. Now the collector looks for the holder first and asks it by its own link. RequestRouterTests.asksAHolderThatOnlyTheOtherHostCannotReach failed before (status 502) and passes now.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -181,7 +181,7 @@
 
 	private CompletableFuture<HttpAnswer> forwardedAnswer(RoutedRequest request) {
 		if (request.operation() == ForwardOperation.COLLECT) {
-			return this.collector.collect(request);
+			return collectHere(request);
 		}
 		Optional<TicketBook> book = answeringBook(request);
 		if (book.isPresent()) {
@@ -194,6 +194,24 @@
 		return CompletableFuture.failedFuture(new NotHolderException("This host does not hold the ticket"));
 	}
 
+	/**
+	 * Collects for a host that could not reach the holder of a ticket. It may merely be
+	 * cut off from the holder, which then answers by way of this host.
+	 * @param request the request
+	 * @return the answer to come
+	 */
+	private CompletableFuture<HttpAnswer> collectHere(RoutedRequest request) {
+		ForwardOperation operation = (request.body().length > 0) ? ForwardOperation.SUBMIT : ForwardOperation.STATE;
+		RoutedRequest original = request.as(operation);
+		Optional<TicketBook> book = answeringBook(request);
+		if (book.isPresent()) {
+			return local(book.get(), original);
+		}
+		return holderOf(request.ticket().incarnation()).map((holder) -> call(holder, original))
+			.map((answer) -> answer.exceptionallyCompose((ex) -> this.collector.collect(request)))
+			.orElseGet(() -> this.collector.collect(request));
+	}
+
 	private Optional<TicketBook> answeringBook(RoutedRequest request) {
 		return this.books.find(request.ticket().incarnation()).filter((book) -> book.answersFor(request.ticket()));
 	}
