Bound the bodies of all connections together

Cause: each body is bounded, their number was not. A body takes direct memory from its first byte until its request is answered, and a host runs with 48 MB of it: some dozen slow uploads of 4 MB would take it all, and with it the reads of every other caller.

Change: bodies of one server share a budget, a quarter of the heap and at least two bodies. The request that would pass it is refused as overloaded (503, not run, Retry-After); its connection closes.

Shown: a test holds three large requests unanswered, sees the fourth refused and a small one served, and the fourth taken once the others are answered.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestAssembler.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestAssembler.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -15,12 +17,18 @@
  */
 final class RequestAssembler extends HttpObjectAggregator {
 
+	private static final Rejection NO_MEMORY = new Rejection(ErrorCode.OVERLOADED,
+			"Too many large requests are being served", true);
+
 	private final Rejection tooLarge;
 
 	private final ProblemBody problem;
 
-	RequestAssembler(EdgeSettings settings) {
+	private final RequestQueue queue;
+
+	RequestAssembler(EdgeSettings settings, RequestQueue queue) {
 		super(settings.bodyBytes(), true);
+		this.queue = queue;
 		this.problem = settings.problemBody();
 		this.tooLarge = new Rejection(ErrorCode.REQUEST_TOO_LARGE,
 				"The body is larger than " + settings.bodyBytes() + " bytes", true);
@@ -31,6 +39,14 @@
 		ctx.fireChannelRead(this.tooLarge);
 	}
 
+	@Override
+	protected void aggregate(FullHttpMessage aggregated, HttpContent content) throws Exception {
+		super.aggregate(aggregated, content);
+		if (!this.queue.hold(content.content().readableBytes())) {
+			this.queue.reject(NO_MEMORY);
+		}
+	}
+
 	@Override
 	protected Object newContinueResponse(HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
 		Object response = super.newContinueResponse(start, maxContentLength, pipeline);
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestEdge.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestEdge.java
@@ -23,6 +23,8 @@
 
 	private static final AttributeKey<EdgeSettings> SETTINGS = AttributeKey.valueOf(RequestEdge.class, "settings");
 
+	private static final AttributeKey<BodyBudget> BUDGET = AttributeKey.valueOf(RequestEdge.class, "budget");
+
 	private static final ThreadLocal<EdgeSettings> STARTING = new ThreadLocal<>();
 
 	private static final String CODEC = "codec";
@@ -66,6 +68,7 @@
 		EdgeSettings settings = STARTING.get();
 		if (settings != null) {
 			channel.attr(SETTINGS).set(settings);
+			channel.attr(BUDGET).set(new BodyBudget(settings.totalBodyBytes()));
 			STARTING.remove();
 		}
 	}
@@ -75,7 +78,7 @@
 		EdgeSettings settings = channel.parent().attr(SETTINGS).get();
 		if (settings != null) {
 			channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-			channel.pipeline().addLast(new Initializer(settings));
+			channel.pipeline().addLast(new Initializer(settings, channel.parent().attr(BUDGET).get()));
 		}
 	}
 
@@ -86,19 +89,22 @@
 
 		private final EdgeSettings settings;
 
-		Initializer(EdgeSettings settings) {
+		private final BodyBudget budget;
+
+		Initializer(EdgeSettings settings, BodyBudget budget) {
 			this.settings = settings;
+			this.budget = budget;
 		}
 
 		@Override
 		protected void initChannel(Channel channel) {
 			ChannelPipeline pipeline = channel.pipeline();
-			RequestQueue queue = new RequestQueue(this.settings.problemBody());
+			RequestQueue queue = new RequestQueue(this.settings.problemBody(), this.budget);
 			int headerBytes = this.settings.headerBytes();
 			pipeline.replace(CODEC, CODEC, new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES));
 			pipeline.addBefore(CODEC, "slow-request-guard",
 					new SlowRequestGuard(this.settings.requestTimeoutMillis(), queue));
-			pipeline.addAfter(CODEC, ASSEMBLER, new RequestAssembler(this.settings));
+			pipeline.addAfter(CODEC, ASSEMBLER, new RequestAssembler(this.settings, queue));
 			pipeline.addAfter(ASSEMBLER, "request-queue", queue);
 		}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestQueue.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/http/RequestQueue.java
@@ -38,14 +38,21 @@
 
 	private ChannelHandlerContext context;
 
+	private final BodyBudget budget;
+
+	private long heldBytes;
+
+	private long passedBytes;
+
 	private boolean answering;
 
 	private boolean refusing;
 
 	private boolean inputEnded;
 
-	RequestQueue(ProblemBody problem) {
+	RequestQueue(ProblemBody problem, BodyBudget budget) {
 		this.problem = problem;
+		this.budget = budget;
 	}
 
 	/**
@@ -78,10 +85,36 @@
 		}
 		this.onComplete.run();
 		Optional<Rejection> rejection = rejectionOf(msg);
-		rejection.ifPresent((found) -> ReferenceCountUtil.release(msg));
+		rejection.ifPresent((found) -> discard(msg));
 		take(rejection.map(Object.class::cast).orElse(msg));
 	}
 
+	/**
+	 * Counts bytes of a body as held until its request is answered.
+	 * @param bytes how many
+	 * @return {@code false} if all connections together hold too many
+	 */
+	boolean hold(int bytes) {
+		if (!this.budget.take(bytes)) {
+			return false;
+		}
+		this.heldBytes += bytes;
+		return true;
+	}
+
+	private void letGo(long bytes) {
+		long held = Math.min(bytes, this.heldBytes);
+		this.heldBytes -= held;
+		this.budget.give(held);
+	}
+
+	private void discard(Object msg) {
+		if (msg instanceof FullHttpRequest request) {
+			letGo(request.content().readableBytes());
+		}
+		ReferenceCountUtil.release(msg);
+	}
+
 	private static Optional<Rejection> rejectionOf(Object msg) {
 		return (msg instanceof FullHttpRequest request) ? RequestCheck.check(request) : Optional.empty();
 	}
@@ -137,6 +170,7 @@
 
 	private void pass(FullHttpRequest request) {
 		this.answering = true;
+		this.passedBytes = request.content().readableBytes();
 		HttpRequest head = new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(),
 				request.headers());
 		this.context.fireChannelRead(head);
@@ -182,6 +216,8 @@
 
 	private void answered() {
 		this.answering = false;
+		letGo(this.passedBytes);
+		this.passedBytes = 0;
 		next();
 	}
 
@@ -195,6 +231,7 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.waiting.forEach(ReferenceCountUtil::release);
 		this.waiting.clear();
+		letGo(this.heldBytes);
 		this.refusing = true;
 		ctx.fireChannelInactive();
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -88,8 +88,8 @@
 	}
 
 	private EdgeSettings edge() {
-		return new EdgeSettings(this.limits.headerBytes(), this.limits.bodyBytes(), this.limits.requestTimeoutMillis(),
-				(code, detail) -> refuse(code, detail).body());
+		return new EdgeSettings(this.limits.headerBytes(), this.limits.bodyBytes(), this.limits.totalBodyBytes(),
+				this.limits.requestTimeoutMillis(), (code, detail) -> refuse(code, detail).body());
 	}
 
 	HostAddress address() {
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostProcess.java
@@ -27,6 +27,10 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(EntryHostProcess.class);
 
+	private static final int BODY_MEMORY_DIVISOR = 4;
+
+	private static final int BODY_MEMORY_COUNT_MIN = 2;
+
 	private static final long NOTICE_MILLIS = 1_000;
 
 	private static final long POLL_MILLIS = 20;
@@ -64,8 +68,10 @@
 	}
 
 	private static ApiLimits limits(RequestSettings requests) {
-		return new ApiLimits(requests.headerBytesMax(), requests.bodyBytesMax(), requests.bodyTimeoutMillis(),
-				requests.waitMaxMillis());
+		long totalBodyBytes = Math.max(BODY_MEMORY_COUNT_MIN * (long) requests.bodyBytesMax(),
+				Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR);
+		return new ApiLimits(requests.headerBytesMax(), requests.bodyBytesMax(), totalBodyBytes,
+				requests.bodyTimeoutMillis(), requests.waitMaxMillis());
 	}
 
 	/**
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/ApiServerTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/ApiServerTests.java
@@ -24,6 +24,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatIOException;
+import static org.awaitility.Awaitility.await;
 
 /**
  * Tests for the HTTP interface of {@link ApiServer}, on raw connections.
@@ -45,7 +46,7 @@
 	private final FakeBackend backend = new FakeBackend();
 
 	private final ApiServer server = new ApiServer(this.backend,
-			new ApiLimits(HEADER_BYTES, BODY_BYTES, TIMEOUT_MILLIS, 5_000), "127.0.0.1", 0);
+			new ApiLimits(HEADER_BYTES, BODY_BYTES, 3 * BODY_BYTES, TIMEOUT_MILLIS, 5_000), "127.0.0.1", 0);
 
 	@AfterEach
 	void close() {
@@ -260,6 +261,29 @@
 	@Nested
 	class Bodies {
 
+		@Test
+		void areBoundedOverAllConnections() throws IOException {
+			String large = RawConnection.put(JOB, "", "x".repeat(BODY_BYTES - 1));
+			try (RawConnection first = new RawConnection(ApiServerTests.this.server.address());
+					RawConnection second = new RawConnection(ApiServerTests.this.server.address());
+					RawConnection third = new RawConnection(ApiServerTests.this.server.address())) {
+				List<RawConnection> waiting = List.of(first, second, third);
+				for (RawConnection connection : waiting) {
+					connection.send(large);
+				}
+				await().until(() -> ApiServerTests.this.backend.requests.size() == waiting.size());
+				Answer refused = exchange(large);
+				assertProblem(refused, 503, "overloaded", "no");
+				assertThat(refused.headers()).containsEntry("retry-after", "1");
+				assertThat(exchange(RawConnection.plain("GET", JOB)).status()).isEqualTo(202);
+				ApiServerTests.this.backend.submitted.complete(FakeBackend.json("{}"));
+				for (RawConnection connection : waiting) {
+					assertThat(connection.read().status()).isEqualTo(200);
+				}
+				await().until(() -> exchange(large).status() == 200);
+			}
+		}
+
 		@Test
 		void arriveWholeAndNeverInAFile() throws IOException {
 			int bodyBytes = BODY_BYTES - 1;
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/OpenApiTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/OpenApiTests.java
@@ -53,8 +53,8 @@
 
 	@Test
 	void hasEachOperationOfTheServer() {
-		try (ApiServer server = new ApiServer(new FakeBackend(), new ApiLimits(8_192, 8_192, 1_000, 1_000), "127.0.0.1",
-				0)) {
+		try (ApiServer server = new ApiServer(new FakeBackend(), new ApiLimits(8_192, 8_192, 65_536, 1_000, 1_000),
+				"127.0.0.1", 0)) {
 			assertThat(operations()).containsExactlyInAnyOrderElementsOf(server.operations());
 		}
 	}
