Tell the processor time and memory of the process in its metrics

Cause: the load tool sums process_cpu_seconds_total of the hosts, which they did not tell, so its report said 0.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/metrics/Metrics.java
@@ -18,6 +18,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.ProcessMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.masticwick.core.process.ErrorCode;
@@ -72,6 +73,7 @@
 	 * Creates metrics in which every kind of message and every code stands at zero.
 	 */
 	public Metrics() {
+		ProcessMetrics.builder().register(this.registry);
 		this.answers.initLabelValues(COMPLETE);
 		Arrays.stream(ErrorCode.values()).forEach((code) -> {
 			this.answers.initLabelValues(code.code());
