Keep the listener open at a signal until the planned stop has ended

Jooby registers a shutdown hook of its own, which closed the listener the moment SIGTERM came, beside the planned stop of the process. Each caller that waited at the host was cut off although the stop counted none and exited with 0.

The hook is switched off; the planned stop closes the listener last.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
@@ -21,6 +21,12 @@
  */
 public final class Masticwickd {
 
+	/**
+	 * Whether Jooby closes its listener by itself at a signal. A planned stop closes it
+	 * last, when every caller has its answer.
+	 */
+	private static final String JOOBY_SHUTDOWN_HOOK = "jooby.useShutdownHook";
+
 	private static final int EXIT_OK = 0;
 
 	private static final int EXIT_USAGE = 2;
@@ -81,6 +87,7 @@
 
 	private static void run(Settings settings) {
 		Logging.configure(settings.log());
+		System.setProperty(JOOBY_SHUTDOWN_HOOK, "false");
 		EntryHostProcess process = EntryHostProcess.start(settings);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process), "stop"));
 		System.out.println(process.startedLine());
