--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/site/Callers.java
@@ -0,0 +1,130 @@
+package org.masticwick.proof.site;
+
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.proof.support.ApiClient;
+import org.masticwick.proof.support.Site;
+
+/**
+ * Posts jobs all the time, each caller one after the other, through a balancer.
+ */
+final class Callers implements AutoCloseable {
+
+	private static final int TASK_COUNT_MAX = 4;
+
+	private static final int RUN_MILLIS_MIN = 20;
+
+	private static final int RUN_MILLIS_MAX = 200;
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(45);
+
+	private final ApiClient client = new ApiClient(TIMEOUT);
+
+	private final AtomicInteger completeCount = new AtomicInteger();
+
+	private final Map<String, Integer> problems = new ConcurrentHashMap<>();
+
+	private final Queue<String> cutOff = new ConcurrentLinkedQueue<>();
+
+	private final Balancer balancer;
+
+	private final List<Thread> threads;
+
+	private volatile boolean closing;
+
+	/**
+	 * Starts callers.
+	 * @param site the site
+	 * @param domains the failure domains whose entry hosts they call
+	 * @param count how many callers
+	 * @param lag how late the balancer learns that a host is not ready
+	 * @param seed the seed of the jobs' sizes
+	 */
+	Callers(Site site, List<String> domains, int count, Duration lag, long seed) {
+		this.balancer = new Balancer(site, domains, lag);
+		this.threads = IntStream.range(0, count)
+			.mapToObj((index) -> new Thread(() -> run(new Random(seed + index)), "caller-" + index))
+			.toList();
+		this.threads.forEach(Thread::start);
+	}
+
+	int completeCount() {
+		return this.completeCount.get();
+	}
+
+	/**
+	 * Returns how many answers were not complete.
+	 * @return the counts by code
+	 */
+	Map<String, Integer> problems() {
+		return Map.copyOf(this.problems);
+	}
+
+	/**
+	 * Returns the requests that got no whole answer.
+	 * @return what was seen
+	 */
+	List<String> cutOff() {
+		return List.copyOf(this.cutOff);
+	}
+
+	/** Lets each caller finish its job. */
+	@Override
+	public void close() {
+		this.closing = true;
+		this.threads.forEach(Callers::join);
+		this.balancer.close();
+		this.client.close();
+	}
+
+	private void run(Random random) {
+		try {
+			while (!this.closing) {
+				post(random);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void post(Random random) throws InterruptedException {
+		int taskCount = 1 + random.nextInt(TASK_COUNT_MAX);
+		String body = Jobs.body(taskCount, RUN_MILLIS_MIN + random.nextInt(RUN_MILLIS_MAX - RUN_MILLIS_MIN));
+		HostAddress host = this.balancer.choose(random);
+		try {
+			String ticket = Jobs.ticket(this.client, host);
+			ApiClient.Reply reply = Jobs.submit(this.client, this.balancer.choose(random), ticket, body);
+			if (Jobs.complete(reply, taskCount)) {
+				this.completeCount.incrementAndGet();
+			}
+			else {
+				this.problems.merge(reply.json().path("code").asText("partial"), 1, Integer::sum);
+			}
+		}
+		catch (UncheckedIOException | IllegalStateException ex) {
+			this.cutOff.add(ex.getMessage() + ": " + ex.getCause());
+			Thread.sleep(RUN_MILLIS_MAX);
+		}
+	}
+
+	private static void join(Thread thread) {
+		try {
+			thread.join(TIMEOUT.toMillis());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/site/Jobs.java
@@ -0,0 +1,72 @@
+package org.masticwick.proof.site;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.proof.support.ApiClient;
+
+/**
+ * Sends jobs to entry hosts.
+ */
+final class Jobs {
+
+	private static final int DEADLINE_MILLIS = 30_000;
+
+	private Jobs() {
+	}
+
+	/**
+	 * Fetches a ticket.
+	 * @param client sends the request
+	 * @param host where to
+	 * @return the ticket
+	 */
+	static String ticket(ApiClient client, HostAddress host) {
+		ApiClient.Reply reply = client.send("POST", host, "/v1/tickets", "{\"count\":1}", Map.of());
+		if (reply.status() != 201) {
+			throw new IllegalStateException("No ticket: " + reply);
+		}
+		return reply.json().path("tickets").path(0).textValue();
+	}
+
+	/**
+	 * Writes the body of a job.
+	 * @param taskCount how many tasks it has
+	 * @param runMillis how long each runs, in milliseconds
+	 * @return the body
+	 */
+	static String body(int taskCount, int runMillis) {
+		List<Map<String, Object>> tasks = IntStream.range(0, taskCount)
+			.<Map<String, Object>>mapToObj(
+					(index) -> Map.of("kind", "check", "payload", "{\"run_ms\":" + runMillis + ",\"n\":" + index + "}"))
+			.toList();
+		return ApiClient.write(
+				Map.of("service", "meal-application", "team", "team", "deadline_ms", DEADLINE_MILLIS, "tasks", tasks));
+	}
+
+	/**
+	 * Submits a job and waits for its answer.
+	 * @param client sends the request
+	 * @param host where to
+	 * @param ticket the ticket
+	 * @param body the body
+	 * @return the answer
+	 */
+	static ApiClient.Reply submit(ApiClient client, HostAddress host, String ticket, String body) {
+		return client.send("PUT", host, "/v1/jobs/" + ticket, body, Map.of());
+	}
+
+	/**
+	 * Tells whether an answer is complete.
+	 * @param reply the answer
+	 * @param taskCount how many results it must have
+	 * @return {@code true} if it is
+	 */
+	static boolean complete(ApiClient.Reply reply, int taskCount) {
+		return reply.status() == 200 && "complete".equals(reply.json().path("outcome").textValue())
+				&& reply.json().path("results").size() == taskCount;
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/site/SiteSupport.java
@@ -0,0 +1,61 @@
+package org.masticwick.proof.site;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.masticwick.proof.steps.World;
+import org.masticwick.proof.support.ApiClient;
+import org.masticwick.proof.support.EntryHostProcess;
+import org.masticwick.proof.support.Site;
+
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Asks the entry hosts of the scenario's site.
+ */
+final class SiteSupport {
+
+	private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
+
+	private SiteSupport() {
+	}
+
+	static ApiClient client() {
+		return World.site().client();
+	}
+
+	/**
+	 * Returns the entry hosts that run.
+	 * @return the hosts
+	 */
+	static List<EntryHostProcess> running() {
+		Site site = World.site();
+		return site.domains().stream().flatMap(SiteSupport::running).toList();
+	}
+
+	/**
+	 * Returns the entry hosts of a failure domain that run.
+	 * @param domain the failure domain
+	 * @return the hosts
+	 */
+	static Stream<EntryHostProcess> running(String domain) {
+		return World.site().entryHosts(domain).stream().filter((host) -> host.process().alive());
+	}
+
+	static JsonNode get(EntryHostProcess host, String path) {
+		return client().send("GET", host.api(), path).json();
+	}
+
+	static long version(EntryHostProcess host) {
+		return get(host, "/v1/version").path("version").longValue();
+	}
+
+	static void awaitTrue(String what, Duration limit, Callable<Boolean> condition) {
+		await(what).atMost(limit).pollInterval(POLL_INTERVAL).ignoreExceptions().until(condition);
+	}
+
+}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/site/VersionWatch.java
@@ -0,0 +1,103 @@
+package org.masticwick.proof.site;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import org.masticwick.proof.support.ApiClient;
+import org.masticwick.proof.support.EntryHostProcess;
+import org.masticwick.proof.support.Site;
+
+/**
+ * Reads all the time which version is in force on each entry host, by both doors that
+ * tell it, and notes where it goes down.
+ */
+final class VersionWatch implements AutoCloseable {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private static final long INTERVAL_MILLIS = 50;
+
+	private final ApiClient client = new ApiClient(TIMEOUT);
+
+	private final Map<String, Long> highest = new ConcurrentHashMap<>();
+
+	private final Queue<String> reverts = new ConcurrentLinkedQueue<>();
+
+	private final Site site;
+
+	private final Thread thread = new Thread(this::run, "version-watch");
+
+	private volatile boolean closing;
+
+	private volatile int readCount;
+
+	VersionWatch(Site site) {
+		this.site = site;
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	/**
+	 * Returns where a version went down.
+	 * @return what was seen
+	 */
+	List<String> reverts() {
+		return List.copyOf(this.reverts);
+	}
+
+	int readCount() {
+		return this.readCount;
+	}
+
+	@Override
+	public void close() {
+		this.closing = true;
+		this.thread.interrupt();
+		this.client.close();
+	}
+
+	private void run() {
+		try {
+			while (!this.closing) {
+				this.site.domains()
+					.stream()
+					.flatMap((domain) -> this.site.entryHosts(domain).stream())
+					.forEach(this::read);
+				Thread.sleep(INTERVAL_MILLIS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void read(EntryHostProcess host) {
+		if (!host.process().alive()) {
+			return;
+		}
+		try {
+			note(host, this.client.send("GET", host.api(), "/v1/version").json().path("version").longValue());
+			this.client.send("GET", host.api(), "/metrics")
+				.body()
+				.lines()
+				.filter((line) -> line.startsWith("masticwick_version "))
+				.forEach((line) -> note(host, (long) Double.parseDouble(line.substring(line.indexOf(' ')))));
+		}
+		catch (RuntimeException ex) {
+			// The host starts, or has ended.
+		}
+	}
+
+	private void note(EntryHostProcess host, long version) {
+		this.readCount++;
+		long before = this.highest.merge(host.process().toString(), version, Math::max);
+		if (version < before) {
+			this.reverts.add(host.process() + " went from " + before + " to " + version);
+		}
+	}
+
+}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/steps/SiteSteps.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/steps/SiteSteps.java
@@ -113,7 +113,12 @@
 		return tree.properties().stream().collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
 	}
 
-	private static SiteOptions options(Map<String, String> table) {
+	/**
+	 * Reads how a site is set up.
+	 * @param table the table
+	 * @return the options
+	 */
+	public static SiteOptions options(Map<String, String> table) {
 		Map<String, String> values = new TreeMap<>(DEFAULTS);
 		values.putAll(table);
 		SiteOptions options = SiteOptions.of(values.get("domains").split(" "))
--- a/masticwick-proof/src/test/java/org/masticwick/proof/steps/World.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/steps/World.java
@@ -35,6 +35,14 @@
 		return site;
 	}
 
+	/**
+	 * Tells whether the scenario has started a site.
+	 * @return {@code true} if it has
+	 */
+	public static boolean hasSite() {
+		return site != null;
+	}
+
 	/**
 	 * Returns an entry host of the site.
 	 * @param name failure domain and index in the order of the start, as in
@@ -64,6 +72,16 @@
 		own = true;
 	}
 
+	/**
+	 * Takes a site that was started for this scenario alone.
+	 * @param started the site
+	 */
+	public static void useOwn(Site started) {
+		site = started;
+		own = true;
+		site.awaitReady();
+	}
+
 	/** Ends the site if it is the scenario's own. */
 	@After(order = 0)
 	public void endSite() {
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/RelayPipe.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/RelayPipe.java
@@ -39,6 +39,10 @@
 		return this.fromTarget;
 	}
 
+	String sourceIp() {
+		return this.source.remoteAddress().getAddress().getHostAddress();
+	}
+
 	void silence() {
 		this.silent = true;
 	}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/Site.java
@@ -42,8 +42,11 @@
 
 	private final StandinPlatform platform;
 
-	private Site(SiteOptions options) {
+	private final PeerNetwork peerNetwork;
+
+	private Site(SiteOptions options, PeerNetwork peerNetwork) {
 		this.options = options;
+		this.peerNetwork = (peerNetwork != null) ? opened(peerNetwork) : null;
 		this.platform = opened(StandinPlatform.start(this.client, options.platformArguments()));
 	}
 
@@ -53,7 +56,19 @@
 	 * @return the site
 	 */
 	public static Site start(SiteOptions options) {
-		Site site = new Site(options);
+		return start(new Site(options, null), options);
+	}
+
+	/**
+	 * Starts a site whose failure domains can be cut off from each other.
+	 * @param options how it is set up
+	 * @return the site
+	 */
+	public static Site startWithPeerRelays(SiteOptions options) {
+		return start(new Site(options, new PeerNetwork()), options);
+	}
+
+	private static Site start(Site site, SiteOptions options) {
 		try {
 			site.startWorkers();
 			site.publish(site.firstNote());
@@ -149,11 +164,26 @@
 			.map(EntryHostProcess::peer)
 			.toList();
 		EntryHostProcess host = opened(EntryHostProcess.start(domain, this.platformRelays.get(domain).address(), seeds,
-				this.options.entryHostKeys()));
+				entryHostKeys(domain)));
 		this.entryHosts.computeIfAbsent(domain, (name) -> new ArrayList<>()).add(host);
 		return host;
 	}
 
+	/**
+	 * Cuts the entry hosts of two failure domains off from each other. The site was
+	 * started with peer relays.
+	 * @param one a failure domain
+	 * @param other another one
+	 */
+	public void cut(String one, String other) {
+		this.peerNetwork.cut(one, other);
+	}
+
+	/** Ends the cuts between failure domains. Connections that went silent stay so. */
+	public void heal() {
+		this.peerNetwork.heal();
+	}
+
 	/**
 	 * Waits until every entry host that runs takes work.
 	 */
@@ -208,6 +238,16 @@
 		IntStream.range(0, this.options.entryHostsPerDomain()).forEach((index) -> startEntryHost(domain));
 	}
 
+	private Map<String, Map<String, String>> entryHostKeys(String domain) {
+		Map<String, Map<String, String>> keys = new LinkedHashMap<>(this.options.entryHostKeys());
+		if (this.peerNetwork != null) {
+			Map<String, String> host = new LinkedHashMap<>(keys.getOrDefault("host", Map.of()));
+			host.putAll(this.peerNetwork.addHost(domain));
+			keys.put("host", host);
+		}
+		return keys;
+	}
+
 	private SiteNote firstNote() {
 		SiteNote note = new SiteNote("site-1", 0);
 		note.add(new ServiceSpec(this.options.service(), Set.of(), true, this.options.maxRunMillis()));
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/StandinWorkers.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/StandinWorkers.java
@@ -119,6 +119,14 @@
 		return counts("/admin/counters", "total");
 	}
 
+	/**
+	 * Returns the counts of messages of each worker.
+	 * @return the tree of {@code GET /admin/counters}
+	 */
+	public JsonNode counters() {
+		return admin("GET", "/admin/counters", "").json();
+	}
+
 	/**
 	 * Describes the workers.
 	 * @return the tree of {@code GET /admin/workers}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/TcpRelay.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/TcpRelay.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -31,14 +32,17 @@
 
 	private final HostAddress target;
 
+	private final Predicate<String> cutSources;
+
 	private final Channel server;
 
 	private volatile Mode mode = Mode.PASS;
 
 	private volatile long delayMillis;
 
-	private TcpRelay(HostAddress target) {
+	private TcpRelay(HostAddress target, Predicate<String> cutSources) {
 		this.target = target;
+		this.cutSources = cutSources;
 		this.server = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -62,7 +66,17 @@
 	 * @return the relay
 	 */
 	public static TcpRelay to(HostAddress target) {
-		return new TcpRelay(target);
+		return new TcpRelay(target, (source) -> false);
+	}
+
+	/**
+	 * Starts a relay that is cut from some sources.
+	 * @param target where connections lead to
+	 * @param cutSources tells for the IP number of a source whether it is cut off now
+	 * @return the relay
+	 */
+	static TcpRelay to(HostAddress target, Predicate<String> cutSources) {
+		return new TcpRelay(target, cutSources);
 	}
 
 	/**
@@ -98,6 +112,11 @@
 		this.pipes.forEach(RelayPipe::silence);
 	}
 
+	/** Makes the open connections of sources that are cut off now silent for good. */
+	void silenceCutSources() {
+		this.pipes.stream().filter((pipe) -> this.cutSources.test(pipe.sourceIp())).forEach(RelayPipe::silence);
+	}
+
 	/**
 	 * Returns how many connections are open.
 	 * @return the count
@@ -130,7 +149,7 @@
 		this.pipes.add(pipe);
 		source.pipeline().addLast(pipe.fromSource());
 		source.closeFuture().addListener((closed) -> this.pipes.remove(pipe));
-		if (this.mode == Mode.BLACKHOLE_NEW) {
+		if (this.mode == Mode.BLACKHOLE_NEW || this.cutSources.test(pipe.sourceIp())) {
 			pipe.silence();
 			return;
 		}
--- /dev/null
+++ b/masticwick-proof/src/test/resources/features/site-stops.feature
@@ -0,0 +1,44 @@
+@site-stops
+Feature: A planned stop cuts nothing off, and its tickets are still answered
+
+  Scenario: A host, its heir, and then the end of the heir's heir
+    Given a site of its own
+      | domains           | toto-centro quetzal-norte |
+      | entry hosts       | 3                         |
+      | stop.drain_min_ms | 4000                      |
+    And 8 callers post to "toto-centro quetzal-norte" through a balancer that is 2500 ms late
+    And tickets of toto-centro/0: unused ones, a finished one and one that runs for 3000 ms
+    When "toto-centro/0" stops as planned
+    Then the caller that waited at the stopped host has its whole answer
+    And ticket unused-1 can be used in toto-centro
+    And ticket finished is still answered in toto-centro
+    And ticket running is still answered in quetzal-norte
+    When the heir stops as planned
+    Then ticket unused-2 can be used in quetzal-norte
+    And ticket finished is still answered in toto-centro
+    And ticket unused-1 is still answered in quetzal-norte
+    And every job of the callers was answered completely
+    When an entry host is started in toto-centro
+    And the heir is killed
+    Then no ticket starts anything any more in toto-centro
+    And no task was started twice
+
+  Scenario Outline: All hosts of a failure domain stop under load, <way>
+    Given a site of its own
+      | domains           | toto-centro quetzal-norte |
+      | entry hosts       | 2                         |
+      | stop.drain_min_ms | 4000                      |
+    And 8 callers post to "<called>" through a balancer that is 2500 ms late
+    And tickets of toto-centro/0: unused ones, a finished one and one that runs for 4500 ms
+    When <stop>
+    Then the caller that waited at the stopped host has its whole answer
+    And ticket unused-1 can be used in <asked>
+    And ticket finished is still answered in <asked>
+    And ticket running is still answered in <asked>
+    And every job of the callers was answered completely
+    And no task was started twice
+
+    Examples:
+      | way                         | called                    | asked         | stop                                                                             |
+      | one after the other         | toto-centro               | quetzal-norte | each host of toto-centro is replaced in turn                                     |
+      | two at once, with one fresh | toto-centro quetzal-norte | toto-centro   | "toto-centro/0 toto-centro/1" stop as planned once an entry host was started too |
