--- a/masticwick-proof/src/test/java/org/masticwick/proof/capacity/CapacityNotes.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/capacity/CapacityNotes.java
@@ -1,11 +1,13 @@
 package org.masticwick.proof.capacity;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.version.EndpointSpec;
 import org.masticwick.core.version.Rules;
+import org.masticwick.core.version.ServiceSpec;
 import org.masticwick.proof.support.SiteNote;
 
 /**
@@ -14,6 +16,10 @@
  */
 final class CapacityNotes {
 
+	private static final String SERVICE = "listed-only";
+
+	private static final long MAX_RUN_MILLIS = 30_000;
+
 	private static final int PORT = 8_080;
 
 	private static final int HOSTS_PER_NET = 200;
@@ -38,14 +44,14 @@
 	 * Returns the note with all endpoints and the shares of all teams.
 	 * @param options the size
 	 * @param domains the failure domains
-	 * @param service the service of the endpoints
 	 * @return the note
 	 */
-	static SiteNote size(CapacityOptions options, List<String> domains, String service) {
+	static SiteNote size(CapacityOptions options, List<String> domains) {
 		SiteNote note = new SiteNote("size", 1);
+		note.add(new ServiceSpec(SERVICE, Set.of(), true, MAX_RUN_MILLIS));
 		IntStream.range(0, options.endpointCount())
 			.forEach((index) -> note.add(new EndpointSpec(endpoint(index), domains.get(index % domains.size()),
-					"rack-" + index / RACK_SIZE, service, 8, 64, 64, 131_072, 1)));
+					"rack-" + index / RACK_SIZE, SERVICE, 8, 64, 64, 131_072, 1)));
 		IntStream.range(0, options.teamCount())
 			.forEach((index) -> note.addRule(Rules.TEAM_SHARE_PREFIX + "team-number-" + index, "1.5"));
 		return note;
--- a/masticwick-proof/src/test/java/org/masticwick/proof/capacity/CapacityRun.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/capacity/CapacityRun.java
@@ -25,9 +25,13 @@
  */
 public final class CapacityRun {
 
+	private static final String SERVICE = "shop-counter-fitting";
+
 	private static final Pattern SENT = Pattern
 		.compile("masticwick_peer_sent_bytes_total\\{[^}]*type=\"([^\"]+)\"[^}]*} (\\S+)");
 
+	private static final Pattern REMEMBERED = Pattern.compile("(?m)^masticwick_remembered_(\\w+) (\\S+)");
+
 	private static final long LEASE_MILLIS = TimeUnit.HOURS.toMillis(1);
 
 	private static final Duration SETTLE = Duration.ofMillis(1_500);
@@ -58,7 +62,8 @@
 			.toList();
 		SiteOptions site = SiteOptions.of(domains.toArray(String[]::new))
 			.withWorkers(options.workerCount(), 8)
-			.withEntryHosts(options.hostCount());
+			.withEntryHosts(options.hostCount())
+			.withService(SERVICE);
 		try (Site started = Site.start(site)) {
 			started.awaitReady();
 			new CapacityRun(options, started, domains).run();
@@ -71,7 +76,7 @@
 		System.out.println("hosts="
 				+ this.hosts.stream().map((host) -> host.api().toString()).collect(Collectors.joining(",")) + " pids="
 				+ this.hosts.stream().map((host) -> "" + host.process().pid()).collect(Collectors.joining(",")));
-		this.site.publish(CapacityNotes.size(this.options, this.domains, "meal-application"));
+		this.site.publish(CapacityNotes.size(this.options, this.domains));
 		IntStream.range(0, this.options.endpointCount()).forEach(this::list);
 		pause(Duration.ofSeconds(this.options.warmupSeconds()));
 		IntStream.range(0, this.options.sampleCount()).forEach((index) -> sample());
@@ -116,6 +121,7 @@
 		types.replaceAll((type, bytes) -> Math
 			.rint((bytes - typesBefore.getOrDefault(type, 0.0)) / seconds / this.hosts.size()));
 		System.out.println("peer_sent_bytes_s_by_type " + types);
+		System.out.println("remembered_total " + totals(REMEMBERED));
 	}
 
 	private Map<Long, SocketBytes.Bytes> bytes(SocketBytes now, SocketBytes before, Set<Integer> remotePorts) {
@@ -131,13 +137,17 @@
 	}
 
 	private Map<String, Double> sentByType() {
+		return totals(SENT);
+	}
+
+	private Map<String, Double> totals(Pattern pattern) {
 		Map<String, Double> totals = new HashMap<>();
-		this.hosts.stream().map(EntryHostProcess::api).forEach((api) -> addSent(api, totals));
+		this.hosts.stream().map(EntryHostProcess::api).forEach((api) -> add(pattern, api, totals));
 		return totals;
 	}
 
-	private void addSent(HostAddress api, Map<String, Double> totals) {
-		Matcher matcher = SENT.matcher(this.site.client().send("GET", api, "/metrics").body());
+	private void add(Pattern pattern, HostAddress api, Map<String, Double> totals) {
+		Matcher matcher = pattern.matcher(this.site.client().send("GET", api, "/metrics").body());
 		while (matcher.find()) {
 			totals.merge(matcher.group(1), Double.valueOf(matcher.group(2)), Double::sum);
 		}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/capacity/SnapshotSizes.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/capacity/SnapshotSizes.java
@@ -49,7 +49,7 @@
 				"domains=" + DOMAIN_COUNT);
 		List<String> domains = List.of("d0", "d1", "d2", "d3", "d4", "d5", "d6");
 		SiteNote first = new SiteNote("first", 0).add(new ServiceSpec("meal-application", Set.of(), true, 30_000));
-		String size = CapacityNotes.size(options, domains, "meal-application").text();
+		String size = CapacityNotes.size(options, domains).text();
 		SiteState state = NoteFold.fold(SiteState.EMPTY,
 				List.of(new LogRecord(0, first.text()), new LogRecord(1, size)));
 		long startNanos = System.nanoTime();
--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/SiteOptions.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/SiteOptions.java
@@ -50,6 +50,16 @@
 				this.connectionsPerWorker, this.workerRelays, this.platformOptions, this.entryHostKeys);
 	}
 
+	/**
+	 * Sets the service that all workers run.
+	 * @param name the name of the service
+	 * @return the changed options
+	 */
+	public SiteOptions withService(String name) {
+		return new SiteOptions(this.domains, name, this.workersPerDomain, this.entryHostsPerDomain, this.slotsPerWorker,
+				this.connectionsPerWorker, this.workerRelays, this.platformOptions, this.entryHostKeys);
+	}
+
 	/**
 	 * Sets how many entry hosts a failure domain has.
 	 * @param count the count
