--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -13,6 +15,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
@@ -20,11 +23,11 @@
 import org.masticwick.core.request.Admission;
 import org.masticwick.core.request.Disposition;
 import org.masticwick.core.request.Dropped;
+import org.masticwick.core.request.JobRequest;
 import org.masticwick.core.request.JobSubmission;
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.Start;
 import org.masticwick.core.request.TaskEnd;
-import org.masticwick.core.request.TaskId;
 import org.masticwick.core.request.Turn;
 import org.masticwick.core.version.ServiceSpec;
 import org.masticwick.core.version.SiteVersion;
@@ -45,6 +48,8 @@
 
 	private static final long POLL_MILLIS = 250;
 
+	private static final long CANCEL_REPLY_MILLIS = 250;
+
 	private static final int TIMER_THREAD_COUNT = 2;
 
 	private final Scheduler scheduler;
@@ -59,8 +64,9 @@
 
 	private final RunTimes runTimes;
 
-	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREAD_COUNT,
-			new NamedThreads("dispatch"));
+	private final CancelBatch cancellations;
+
+	private final ScheduledExecutorService timer = newTimer();
 
 	private final Map<String, ActiveJob> jobs = new ConcurrentHashMap<>();
 
@@ -88,6 +94,19 @@
 		this.time = time;
 		this.metrics = metrics;
 		this.runTimes = new RunTimes(minSilenceMillis);
+		this.cancellations = new CancelBatch(client, this.timer, metrics);
+	}
+
+	/**
+	 * Creates the timer. What is cancelled leaves it at once, so that it holds no jobs
+	 * that have ended.
+	 * @return the timer
+	 */
+	private static ScheduledExecutorService newTimer() {
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(TIMER_THREAD_COUNT,
+				new NamedThreads("dispatch"));
+		timer.setRemoveOnCancelPolicy(true);
+		return timer;
 	}
 
 	/**
@@ -105,7 +124,13 @@
 			giveUp(job, rejected.code(), rejected.code(), rejected.detail(), rejected.retryAfterMillis());
 			return;
 		}
-		this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now, TimeUnit.NANOSECONDS);
+		RequestLog.event(logger, job.ticket())
+			.addKeyValue("service", job.request().service())
+			.addKeyValue("version", () -> this.version.get().number())
+			.log("Job admitted");
+		ScheduledFuture<?> deadline = this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now,
+				TimeUnit.NANOSECONDS);
+		job.answer().whenComplete((answer, ex) -> deadline.cancel(false));
 		drive();
 	}
 
@@ -115,7 +140,7 @@
 
 	/**
 	 * Cancels a job: what is queued never starts, and each endpoint that runs tasks of it
-	 * gets one message.
+	 * gets one message, together with those of other jobs that end at about that time.
 	 * @param job the job
 	 */
 	public void cancel(Job job) {
@@ -135,24 +160,25 @@
 
 	private void giveUp(Job job, ErrorCode refusal, ErrorCode failure, String detail, long retryAfterMillis) {
 		if (job.giveUp(refusal, failure, detail, retryAfterMillis)) {
-			this.metrics.problem(job.states().contains(TaskState.STARTED) ? failure : refusal);
-			logger.debug("Job ended without a result: ticket={} code={} detail={}", job.ticketText(), refusal.code(),
-					detail);
+			ErrorCode code = job.states().contains(TaskState.STARTED) ? failure : refusal;
+			this.metrics.problem(code);
+			RequestLog.event(logger, job.ticket())
+				.addKeyValue("code", code.code())
+				.addKeyValue("ran", code.runState().text())
+				.addKeyValue("detail", detail)
+				.log("Job ended without a result");
 		}
 	}
 
 	private void ended(ActiveJob active) {
 		Job job = active.job();
 		this.scheduler.cancel(job.ticketText(), this.time.nanoTime());
-		Map<HostAddress, List<TaskId>> running = job.running()
-			.stream()
-			.collect(Collectors.groupingBy(Job.RunningTask::endpoint,
-					Collectors.mapping(Job.RunningTask::task, Collectors.toList())));
-		running.forEach((endpoint, tasks) -> {
-			this.metrics.message(MessageKind.CANCEL);
-			this.client.cancel(endpoint, tasks);
-		});
-		active.runs().values().forEach(TaskRun::abandon);
+		if (!active.runs().isEmpty()) {
+			active.runs().values().forEach(TaskRun::cancelling);
+			job.running().forEach((task) -> this.cancellations.add(task.endpoint(), task.task()));
+			this.timer.schedule(() -> active.runs().values().forEach(TaskRun::abandon), CANCEL_REPLY_MILLIS,
+					TimeUnit.MILLISECONDS);
+		}
 		this.jobs.remove(job.ticketText(), active);
 		drive();
 	}
@@ -212,16 +238,19 @@
 		long now = this.time.nanoTime();
 		String service = start.endpoint().service();
 		this.metrics.start(service, now - active.submittedNanos());
-		logger.debug("Task starts: ticket={} task={} endpoint={}", start.task().ticket(), start.task().index(),
-				endpoint);
+		taskEvent(active, start).addKeyValue("version", () -> this.version.get().number())
+			.addKeyValue("waited_ms", TimeUnit.NANOSECONDS.toMillis(now - active.submittedNanos()))
+			.log("Task starts");
 		TaskPost post = new TaskPost(start.task(), endpoint, service, start.spec().kind(), start.spec().payload(),
 				start.leaseMillis());
 		TaskRun run = new TaskRun(this.client, this.timer, post, options(service, start.spec().kind()),
-				this::countLookup, (result) -> onEnd(active, start, now, result));
+				() -> onLookup(active, start), (result) -> onEnd(active, start, now, result));
 		active.runs().put(start.task().index(), run);
 		run.begin();
 		if (active.job().ended()) {
-			run.abandon();
+			run.cancelling();
+			this.cancellations.add(endpoint, start.task());
+			this.timer.schedule(run::abandon, CANCEL_REPLY_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -231,7 +260,14 @@
 		return new TaskRun.Options(lookup, this.runTimes.silenceLimitMillis(service, kind), POLL_MILLIS);
 	}
 
-	private void countLookup() {
+	private static LoggingEventBuilder taskEvent(ActiveJob active, Start start) {
+		return RequestLog.event(logger, active.job().ticket())
+			.addKeyValue("task", start.task().index())
+			.addKeyValue("endpoint", start.endpoint().address());
+	}
+
+	private void onLookup(ActiveJob active, Start start) {
+		taskEvent(active, start).log("Task looked up");
 		this.metrics.message(MessageKind.LOOKUP);
 		this.metrics.waste(WasteKind.LOOKUP);
 	}
@@ -241,9 +277,13 @@
 		HostAddress endpoint = start.endpoint().address();
 		long now = this.time.nanoTime();
 		active.runs().remove(index);
+		taskEvent(active, start).addKeyValue("end", result.kind())
+			.addKeyValue("run_ms", TimeUnit.NANOSECONDS.toMillis(now - startedNanos))
+			.addKeyValue("detail", result.detail())
+			.log("Task ended");
 		record(active, start, now - startedNanos, result);
 		Disposition disposition = this.scheduler.ended(start.task(),
-				new TaskEnd(endpoint, result.kind(), now - startedNanos), now);
+				new TaskEnd(endpoint, result.kind(), now - startedNanos, result.busySlotCount()), now);
 		if (disposition instanceof Disposition.GivenUp givenUp) {
 			giveUp(active.job(), givenUp.code(), ErrorCode.JOB_FAILED, "No endpoint took the task " + index,
 					givenUp.retryAfterMillis());
@@ -273,8 +313,12 @@
 	private void succeed(ActiveJob active, Start start, long runNanos, String result) {
 		this.runTimes.observe(start.endpoint().service(), start.spec().kind(), TimeUnit.NANOSECONDS.toMillis(runNanos));
 		if (active.job().succeed(start.task().index(), result)) {
-			this.metrics.complete(this.time.nanoTime() - active.submittedNanos());
-			logger.debug("Job complete: ticket={}", active.job().ticketText());
+			JobRequest request = active.job().request();
+			this.metrics.complete(request.service(), request.urgent(), this.time.nanoTime() - active.submittedNanos());
+			RequestLog.event(logger, active.job().ticket())
+				.addKeyValue("response_ms",
+						TimeUnit.NANOSECONDS.toMillis(this.time.nanoTime() - active.submittedNanos()))
+				.log("Job complete");
 		}
 	}
 
@@ -292,6 +336,26 @@
 		return this.jobs.size();
 	}
 
+	/**
+	 * Returns jobs that have not ended, for the dump of the process.
+	 * @param maxCount how many at most
+	 * @return the jobs
+	 */
+	public List<ActiveJobState> activeJobs(int maxCount) {
+		long now = this.time.nanoTime();
+		return this.jobs.values().stream().limit(maxCount).map((active) -> stateOf(active, now)).toList();
+	}
+
+	private static ActiveJobState stateOf(ActiveJob active, long now) {
+		Job job = active.job();
+		Map<String, Long> taskCounts = job.states()
+			.stream()
+			.collect(Collectors.groupingBy(TaskState::text, TreeMap::new, Collectors.counting()));
+		return new ActiveJobState(RequestLog.shortened(job.ticketText()), job.request().service(), job.request().team(),
+				job.request().urgent(), TimeUnit.NANOSECONDS.toMillis(now - active.submittedNanos()),
+				TimeUnit.NANOSECONDS.toMillis(job.deadlineNanos() - now), taskCounts);
+	}
+
 	/**
 	 * Returns the scheduler, for its load and its state.
 	 * @return the scheduler
@@ -302,6 +366,7 @@
 
 	@Override
 	public void close() {
+		this.cancellations.flush();
 		this.timer.shutdownNow();
 		this.client.close();
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -82,11 +82,10 @@
 	 */
 	public CompletableFuture<Void> handOver() {
 		List<CompletableFuture<Void>> pending = new ArrayList<>();
-		this.books.all()
+		this.books.handOver()
 			.stream()
-			.filter((book) -> !book.expired())
-			.filter(TicketBook::handOver)
-			.map((book) -> Offer.of(book))
+			.filter((book) -> book == this.books.own() || !book.expired())
+			.map(Offer::of)
 			.forEach((offer) -> handOver(offer).ifPresent((heir) -> followUp(offer, heir, pending)));
 		return CompletableFuture.allOf(pending.toArray(CompletableFuture<?>[]::new));
 	}
@@ -98,12 +97,16 @@
 			Outcome outcome = send(offer, heir);
 			if (outcome != Outcome.REFUSED) {
 				this.books.noteHeir(book.mint().home().incarnation(), heir);
-				logger.info("Tickets handed over: incarnation={} heir={} outcome={} jobs={}",
-						book.mint().home().incarnation(), heir, outcome, book.size());
+				logger.atInfo()
+					.addKeyValue("incarnation", book.mint().home().incarnation())
+					.addKeyValue("heir", heir)
+					.addKeyValue("outcome", outcome)
+					.addKeyValue("jobs", book.size())
+					.log("Tickets handed over");
 				return Optional.of(heir);
 			}
 		}
-		logger.warn("No heir for the tickets: incarnation={}", book.mint().home().incarnation());
+		logger.atWarn().addKeyValue("incarnation", book.mint().home().incarnation()).log("No heir for the tickets");
 		return Optional.empty();
 	}
 
@@ -149,16 +152,19 @@
 	 * @return the answer
 	 */
 	public PeerMessage inherit(InheritTickets offered) {
-		if (!this.books.own().held()) {
-			return new InheritAnswer(false);
-		}
 		TicketMint mint = new TicketMint(offered.from(), new TicketKey(offered.key()), offered.nextSequence());
 		TicketBook book = new TicketBook(mint, this.time, offered.homeEpochMillis() - this.time.epochMillis());
 		book.noteExpiry(offered.expiresAtEpochMillis());
 		offered.jobs().forEach((job) -> restore(book, job, offered.from()));
-		this.books.inherit(book);
-		logger.info("Tickets taken over: incarnation={} from={} jobs={}", offered.from().incarnation(),
-				offered.from().peerAddress(), offered.jobs().size());
+		if (!this.books.inherit(book)) {
+			return new InheritAnswer(
+					this.books.find(offered.from().incarnation()).filter(TicketBook::held).isPresent());
+		}
+		logger.atInfo()
+			.addKeyValue("incarnation", offered.from().incarnation())
+			.addKeyValue("from", offered.from().peerAddress())
+			.addKeyValue("jobs", offered.jobs().size())
+			.log("Tickets taken over");
 		return new InheritAnswer(true);
 	}
 
@@ -188,8 +194,9 @@
 				.ifPresent((claim) -> claim.entry().complete(answer));
 		}
 		catch (MasticwickException ex) {
-			logger.debug("An answer from another host came too late: ticket={} reason={}", closed.ticket(),
-					ex.getMessage());
+			RequestLog.event(logger, closed.ticket())
+				.addKeyValue("reason", ex.getMessage())
+				.log("Answer from another host came too late");
 		}
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/version/HostListFollower.java
@@ -23,9 +23,7 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(HostListFollower.class);
 
-	private static final int LEASE_INTERVAL_COUNT = 5;
-
-	private static final int RENEWAL_INTERVAL_COUNT = 2;
+	private static final int RENEWALS_PER_LEASE = 4;
 
 	private static final int REPEAT_INTERVAL_COUNT = 10;
 
@@ -35,6 +33,8 @@
 
 	private final Duration interval;
 
+	private final Duration lease;
+
 	private final RandomGenerator random;
 
 	private final TimeSource time;
@@ -63,18 +63,19 @@
 	 * Creates a follower; {@link #start()} lets it run.
 	 * @param platform where the list is
 	 * @param self the entry of this host
-	 * @param interval how often the list is read at least; the lease is renewed every
-	 * second time
+	 * @param interval how often the list is read at least
+	 * @param lease how long the entry of this host stands unless renewed
 	 * @param random the source of jitter; used by the thread of the follower alone
 	 * @param time the clock
 	 * @param listener is called with each list that differs from the one before, and with
 	 * an unchanged one from time to time
 	 */
-	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, RandomGenerator random,
-			TimeSource time, Consumer<List<PlatformHost>> listener) {
+	public HostListFollower(PlatformClient platform, PlatformHost self, Duration interval, Duration lease,
+			RandomGenerator random, TimeSource time, Consumer<List<PlatformHost>> listener) {
 		this.platform = platform;
 		this.self = self;
 		this.interval = interval;
+		this.lease = lease;
 		this.random = random;
 		this.time = time;
 		this.listener = listener;
@@ -133,8 +134,9 @@
 	private void renewIfDue() {
 		PlatformHost current = this.self;
 		long nowNanos = this.time.nanoTime();
-		if (!current.equals(this.registered) || passed(this.registeredNanos, nowNanos, RENEWAL_INTERVAL_COUNT)) {
-			this.platform.register(current, this.interval.multipliedBy(LEASE_INTERVAL_COUNT));
+		if (!current.equals(this.registered)
+				|| passed(this.registeredNanos, nowNanos, this.lease.dividedBy(RENEWALS_PER_LEASE))) {
+			this.platform.register(current, this.lease);
 			this.registered = current;
 			this.registeredNanos = nowNanos;
 		}
@@ -143,15 +145,15 @@
 	private void read() {
 		List<PlatformHost> hosts = this.platform.hosts();
 		long nowNanos = this.time.nanoTime();
-		if (hosts != this.told || passed(this.toldNanos, nowNanos, REPEAT_INTERVAL_COUNT)) {
+		if (hosts != this.told || passed(this.toldNanos, nowNanos, this.interval.multipliedBy(REPEAT_INTERVAL_COUNT))) {
 			this.listener.accept(hosts);
 			this.told = hosts;
 			this.toldNanos = nowNanos;
 		}
 	}
 
-	private boolean passed(long sinceNanos, long nowNanos, int intervalCount) {
-		return nowNanos - sinceNanos >= this.interval.multipliedBy(intervalCount).toNanos();
+	private static boolean passed(long sinceNanos, long nowNanos, Duration time) {
+		return nowNanos - sinceNanos >= time.toNanos();
 	}
 
 	private void attempt(Runnable call) {
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/version/HostListFollowerTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/HostListFollowerTests.java
@@ -31,8 +31,8 @@
 	private final List<List<PlatformHost>> heard = new CopyOnWriteArrayList<>();
 
 	private HostListFollower start(TimeSource time) {
-		HostListFollower follower = new HostListFollower(this.platform, SELF, Duration.ofMillis(10), new Random(1),
-				time, this.heard::add);
+		HostListFollower follower = new HostListFollower(this.platform, SELF, Duration.ofMillis(10),
+				Duration.ofSeconds(5), new Random(1), time, this.heard::add);
 		follower.start();
 		return follower;
 	}
