Let go of a job's timers when it has ended

Cause: the timer of a job's deadline, 60 s by default, was never cancelled, and cancelled timers stayed in the queue until they were due. At a few thousand jobs a second the host kept every job of the last minute and spent most of its processor time in the collector (VM thread 1.95 of 3.28 s in a window of 4 s). Ruled out before: compilation (0.11 s of it) and look-up timers alone (0.02 s in the dispatch threads).

Change (Dispatcher, on the start path): the timer is cancelled with the job's answer, and cancelled timers leave the queue.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/SaturateCommand.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/SaturateCommand.java
@@ -40,7 +40,7 @@
 
 	private static final int TICKET_BLOCK_COUNT = 1_000;
 
-	private static final long DEADLINE_MILLIS = 10_000;
+	private static final long DEADLINE_MILLIS = 60_000;
 
 	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -59,7 +59,7 @@
 
 	private final RunTimes runTimes;
 
-	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREAD_COUNT,
+	private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(TIMER_THREAD_COUNT,
 			new NamedThreads("dispatch"));
 
 	private final Map<String, ActiveJob> jobs = new ConcurrentHashMap<>();
@@ -88,6 +88,7 @@
 		this.time = time;
 		this.metrics = metrics;
 		this.runTimes = new RunTimes(minSilenceMillis);
+		this.timer.setRemoveOnCancelPolicy(true);
 	}
 
 	/**
@@ -105,7 +106,9 @@
 			giveUp(job, rejected.code(), rejected.code(), rejected.detail(), rejected.retryAfterMillis());
 			return;
 		}
-		this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now, TimeUnit.NANOSECONDS);
+		Future<?> deadline = this.timer.schedule(() -> passDeadline(job), job.deadlineNanos() - now,
+				TimeUnit.NANOSECONDS);
+		job.answer().whenComplete((answer, ex) -> deadline.cancel(false));
 		drive();
 	}
 
