--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
@@ -21,7 +21,15 @@
 		if (owned(endpoint, context)) {
 			return free;
 		}
-		return ownerWaits(endpoint, context) ? 0 : (free - context.overflowReserveCount());
+		return ownerWaits(endpoint, context) ? 0 : (free - reserveCount(endpoint, context));
+	}
+
+	/**
+	 * Returns how many slots to leave free on an endpoint of another host: never so many
+	 * that a host which owns no endpoint could start nothing on idle ones.
+	 */
+	private static int reserveCount(EndpointView endpoint, PlacementContext context) {
+		return Math.min(context.overflowReserveCount(), endpoint.spec().slotCount() / 2);
 	}
 
 	@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -99,7 +99,7 @@
 		Call call = this.posts.newCall(request);
 		CompletableFuture<PostReply> reply = new CompletableFuture<>();
 		call.enqueue(new PostCallback(post.task(), request.tag(WriteState.class), reply));
-		return new OkHttpPost(call, reply);
+		return new OkHttpPost(call, reply, this.posts.connectionPool());
 	}
 
 	@Override
@@ -304,12 +304,16 @@
 	 *
 	 * @param call the call
 	 * @param reply the reply to come
+	 * @param pool the kept connections; what silenced one may have silenced others, so
+	 * none that is idle is used again
 	 */
-	private record OkHttpPost(Call call, CompletableFuture<PostReply> reply) implements PendingPost {
+	private record OkHttpPost(Call call, CompletableFuture<PostReply> reply,
+			ConnectionPool pool) implements PendingPost {
 
 		@Override
 		public void abandon() {
 			this.call.cancel();
+			this.pool.evictAll();
 		}
 
 	}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/CancelBatch.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/CancelBatch.java
@@ -19,12 +19,16 @@
 
 /**
  * Collects cancellations for a short time, so that a wave of them costs an endpoint one
- * message for each part of the wave.
+ * message for each part of the wave. The first part is sent soon, the others are longer.
  */
 final class CancelBatch {
 
 	private static final long COLLECT_MILLIS = 5;
 
+	private static final long WAVE_COLLECT_MILLIS = 25;
+
+	private static final long WAVE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	private static final int MAX_TASK_COUNT = 4096;
 
 	private final EndpointClient client;
@@ -37,6 +41,8 @@
 
 	private final AtomicBoolean planned = new AtomicBoolean();
 
+	private volatile long lastFlushNanos = System.nanoTime() - WAVE_END_NANOS;
+
 	CancelBatch(EndpointClient client, ScheduledExecutorService timer, Metrics metrics) {
 		this.client = client;
 		this.timer = timer;
@@ -51,14 +57,20 @@
 	void add(HostAddress endpoint, TaskId task) {
 		this.waiting.computeIfAbsent(endpoint, (key) -> new ConcurrentLinkedQueue<>()).add(task);
 		if (this.planned.compareAndSet(false, true)) {
-			this.timer.schedule(this::flush, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+			this.timer.schedule(this::flush, collectMillis(), TimeUnit.MILLISECONDS);
 		}
 	}
 
+	private long collectMillis() {
+		boolean inWave = System.nanoTime() - this.lastFlushNanos < WAVE_END_NANOS;
+		return inWave ? WAVE_COLLECT_MILLIS : COLLECT_MILLIS;
+	}
+
 	/**
 	 * Sends what has been collected.
 	 */
 	void flush() {
+		this.lastFlushNanos = System.nanoTime();
 		this.planned.set(false);
 		this.waiting.forEach((endpoint, queue) -> send(endpoint,
 				Stream.generate(queue::poll).takeWhile((task) -> task != null).toList()));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -117,13 +117,20 @@
 	 */
 	public CompletableFuture<HttpAnswer> issue(byte[] body) {
 		Optional<HostAddress> heir = this.books.heirOf(this.self.incarnation());
+		if (this.books.withoutHeir(this.self.incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		if (heir.isEmpty()) {
 			return CompletableFuture.completedFuture(this.issuer.issue(body));
 		}
 		this.metrics.message(MessageKind.FORWARD);
 		return this.transport.call(heir.get(), new Forward(ForwardOperation.ISSUE, "", body, 0))
 			.thenApply(RequestRouter::fromMessage)
-			.exceptionally((ex) -> Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+			.exceptionally((ex) -> stopping());
+	}
+
+	private static HttpAnswer stopping() {
+		return Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0);
 	}
 
 	/**
@@ -163,6 +170,9 @@
 		if (book.isPresent()) {
 			return local(book.get(), request);
 		}
+		if (this.books.withoutHeir(request.ticket().incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		Optional<HostAddress> heir = this.books.heirOf(request.ticket().incarnation());
 		if (heir.isPresent()) {
 			return call(heir.get(), request);
@@ -180,6 +190,9 @@
 			return local(book.get(), request).exceptionallyCompose((ex) -> (causeOf(ex) instanceof NotHolderException)
 					? retry(request, limitNanos) : CompletableFuture.failedFuture(ex));
 		}
+		if (this.books.withoutHeir(request.ticket().incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		Optional<HostAddress> holder = holderOf(request.ticket().incarnation());
 		if (holder.isPresent()) {
 			return call(holder.get(), request).exceptionallyCompose((ex) -> retry(request, limitNanos));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.masticwick.core.process.HostAddress;
@@ -22,6 +23,8 @@
 
 	private final Map<Incarnation, HostAddress> heirs = new ConcurrentHashMap<>();
 
+	private final Set<Incarnation> withoutHeir = ConcurrentHashMap.newKeySet();
+
 	private final TimeSource time;
 
 	private final long lifetimeMillis;
@@ -68,6 +71,24 @@
 		this.heirs.put(incarnation, heir);
 	}
 
+	/**
+	 * Notes that a book was given up and no process took it over, so that none will ever
+	 * start a job under a ticket of it that was not submitted before.
+	 * @param incarnation the incarnation of the book
+	 */
+	void noteNoHeir(Incarnation incarnation) {
+		this.withoutHeir.add(incarnation);
+	}
+
+	/**
+	 * Returns whether a book was given up and no process took it over.
+	 * @param incarnation the incarnation of the book
+	 * @return {@code true} if so
+	 */
+	boolean withoutHeir(Incarnation incarnation) {
+		return this.withoutHeir.contains(incarnation);
+	}
+
 	/**
 	 * Returns to whom this process handed a book over.
 	 * @param incarnation the incarnation of the book
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -103,6 +103,7 @@
 				return Optional.of(heir);
 			}
 		}
+		this.books.noteNoHeir(book.mint().home().incarnation());
 		logger.warn("No heir for the tickets: incarnation={}", book.mint().home().incarnation());
 		return Optional.empty();
 	}
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/job/AnswerSteps.java
@@ -0,0 +1,195 @@
+package org.masticwick.proof.job;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.en.Then;
+
+import org.masticwick.proof.steps.World;
+import org.masticwick.proof.support.ApiClient;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Checks answers to jobs and the counts of starts.
+ */
+public class AnswerSteps {
+
+	/**
+	 * Checks every answer to a job.
+	 * @param name the name of the job
+	 */
+	@Then("every answer to job {word} is complete")
+	public void everyAnswerIsComplete(String name) {
+		SubmittedJob job = SubmittedJob.named(name);
+		assertThat(job.all()).isNotEmpty()
+			.allSatisfy((reply) -> JobCaller.assertComplete(reply, job.ticket(), name, job.shape()));
+	}
+
+	/**
+	 * Checks the latest answer to a job.
+	 * @param name the name of the job
+	 */
+	@Then("job {word} is answered complete")
+	public void jobIsAnsweredComplete(String name) {
+		SubmittedJob job = SubmittedJob.named(name);
+		JobCaller.assertComplete(job.latest(), job.ticket(), name, job.shape());
+	}
+
+	/**
+	 * Checks that a job failed without a part of its results.
+	 * @param name the name of the job
+	 * @param code the code
+	 */
+	@Then("job {word} is answered failed with {word}")
+	public void jobIsAnsweredFailed(String name, String code) {
+		ApiClient.Reply reply = SubmittedJob.named(name).latest();
+		JsonNode problem = reply.json();
+		assertThat(problem.path("code").asText()).as(reply.toString()).isEqualTo(code);
+		assertThat(problem.path("ran").asText()).isNotEqualTo("no");
+		assertThat(problem.has("results")).isFalse();
+		assertThat(problem.path("tasks")).hasSize(SubmittedJob.named(name).shape().taskCount());
+	}
+
+	/**
+	 * Checks that a job is complete or failed.
+	 * @param name the name of the job
+	 */
+	@Then("job {word} is answered complete or failed")
+	public void jobIsAnsweredCompleteOrFailed(String name) {
+		if (SubmittedJob.named(name).latest().status() == 200) {
+			jobIsAnsweredComplete(name);
+		}
+		else {
+			jobIsAnsweredFailed(name, "job-failed");
+		}
+	}
+
+	/**
+	 * Checks that a failure names exactly the tasks that were started as ended.
+	 * @param name the name of the job
+	 * @param states the states that a started task may have, divided by commas
+	 */
+	@Then("the failure of job {word} names the started tasks as {word} and no other")
+	public void failureNamesTheStartedTasks(String name, String states) {
+		SubmittedJob job = SubmittedJob.named(name);
+		Set<String> started = job.starts().keySet();
+		Set<String> allowed = Set.of(states.split(","));
+		Set<String> named = StreamSupport.stream(job.latest().json().path("tasks").spliterator(), false)
+			.filter((task) -> allowed.contains(task.path("state").asText()))
+			.map((task) -> job.ticket() + "." + task.path("index").asInt())
+			.collect(Collectors.toSet());
+		assertThat(named).as(job.latest().body()).isEqualTo(started);
+	}
+
+	/**
+	 * Checks that a job was refused at once, and whether coming back makes sense.
+	 * @param name the name of the job
+	 * @param code the code
+	 * @param again {@code yes} if a time to come back is told
+	 */
+	@Then("job {word} is refused with {word} and a time to come back: {word}")
+	public void jobIsRefused(String name, String code, String again) {
+		ApiClient.Reply reply = SubmittedJob.named(name).latest();
+		assertThat(reply.json().path("code").asText()).as(reply.toString()).isEqualTo(code);
+		assertThat(reply.json().path("ran").asText()).isEqualTo("no");
+		assertThat(reply.json().has("retry_after_ms")).as(reply.toString()).isEqualTo(again.equals("yes"));
+		assertThat(reply.headers().containsKey("Retry-After")).as(reply.toString()).isEqualTo(again.equals("yes"));
+	}
+
+	/**
+	 * Checks that all answers to a job are the same, byte by byte.
+	 * @param name the name of the job
+	 */
+	@Then("all answers to job {word} are the same")
+	public void allAnswersAreTheSame(String name) {
+		assertThat(SubmittedJob.named(name).all().stream().map(ApiClient.Reply::body).distinct()).hasSize(1);
+	}
+
+	/**
+	 * Checks that all answers to a job but the first are the same, byte by byte.
+	 * @param name the name of the job
+	 */
+	@Then("all answers to job {word} but the first are the same")
+	public void laterAnswersAreTheSame(String name) {
+		assertThat(SubmittedJob.named(name).later().stream().map(ApiClient.Reply::body).distinct()).hasSize(1);
+	}
+
+	/**
+	 * Checks that a job was refused before any task was started.
+	 * @param name the name of the job
+	 */
+	@Then("job {word} is refused before its start")
+	public void jobIsRefusedBeforeItsStart(String name) {
+		ApiClient.Reply reply = SubmittedJob.named(name).latest();
+		assertThat(reply.json().path("ran").asText()).as(reply.toString()).isEqualTo("no");
+		assertThat(reply.json().has("retry_after_ms")).as(reply.toString()).isTrue();
+	}
+
+	/**
+	 * Checks that a job is complete, or refused without any start.
+	 * @param name the name of the job
+	 */
+	@Then("job {word} is answered complete, or refused without a start")
+	public void jobIsCompleteOrRefused(String name) {
+		SubmittedJob job = SubmittedJob.named(name);
+		if (job.latest().status() == 200) {
+			JobCaller.assertComplete(job.latest(), job.ticket(), name, job.shape());
+		}
+		else {
+			jobIsRefusedBeforeItsStart(name);
+			noneIsStartedLater(0, name);
+		}
+	}
+
+	/**
+	 * Checks how many tasks of a job were started, each once.
+	 * @param count how many
+	 * @param name the name of the job
+	 */
+	@Then("{int} tasks of job {word} were started once")
+	public void tasksWereStartedOnce(int count, String name) {
+		assertOnce(SubmittedJob.named(name).starts(), count);
+	}
+
+	/**
+	 * Checks that a while later no more tasks of a job were started.
+	 * @param count how many tasks were started
+	 * @param name the name of the job
+	 */
+	@Then("{int} tasks of job {word} were started once, and none later")
+	public void noneIsStartedLater(int count, String name) {
+		await().during(SubmittedJob.QUIET)
+			.atMost(SubmittedJob.QUIET.multipliedBy(5))
+			.untilAsserted(() -> assertOnce(SubmittedJob.named(name).starts(), count));
+	}
+
+	private static void assertOnce(Map<String, Integer> starts, int count) {
+		assertThat(starts).hasSize(count).allSatisfy((task, times) -> assertThat(times).as(task).isEqualTo(1));
+	}
+
+	/**
+	 * Checks that at most some tasks of a job were started.
+	 * @param count how many at most
+	 * @param name the name of the job
+	 */
+	@Then("at most {int} tasks of job {word} were started once")
+	public void atMostWereStarted(int count, String name) {
+		assertThat(SubmittedJob.named(name).starts()).hasSizeLessThanOrEqualTo(count)
+			.allSatisfy((task, times) -> assertThat(times).as(task).isEqualTo(1));
+	}
+
+	/** Takes back the faults of all workers. */
+	@Then("the workers have no faults")
+	public void workersHaveNoFaults() {
+		Map<String, Object> none = Map.of("lose_replies", 0, "double_replies", 0, "truncate_replies", 0,
+				"overlong_replies", 0, "wrong_task_id", 0, "late_reply_ms", 0, "slow_factor", 1, "fail_fraction", 0,
+				"leaving", false, "refuse_all_full", false);
+		World.site().domains().forEach((domain) -> World.site().workers(domain).faultAll(none));
+	}
+
+}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/job/JobCaller.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/job/JobCaller.java
@@ -1,15 +1,16 @@
 package org.masticwick.proof.job;
 
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.StreamSupport;
 
@@ -52,14 +53,37 @@
 	 * Writes the body of a job. Each payload holds its job's name and its place.
 	 * @param job the name of the job
 	 * @param shape the sizes
+	 * @param extra more members; those of {@code task} go into each task
 	 * @return the body
 	 */
-	static String body(String job, Shape shape) {
-		List<Map<String, Object>> tasks = IntStream.range(0, shape.taskCount())
-			.mapToObj((index) -> Map.<String, Object>of("kind", KIND, "payload", payload(job, index, shape)))
-			.toList();
-		return ApiClient.write(Map.of("service", "meal-application", "team", "team", "deadline_ms",
-				shape.deadlineMillis(), "tasks", tasks));
+	static String body(String job, Shape shape, Map<String, Object> extra) {
+		Map<String, Object> members = new TreeMap<>(
+				Map.of("service", "meal-application", "team", "team", "deadline_ms", shape.deadlineMillis()));
+		members.putAll(extra);
+		Object more = members.remove("task");
+		members.put("tasks",
+				IntStream.range(0, shape.taskCount()).mapToObj((index) -> task(job, index, shape, more)).toList());
+		return ApiClient.write(members);
+	}
+
+	private static Map<String, Object> task(String job, int index, Shape shape, Object more) {
+		Map<String, Object> task = new TreeMap<>(Map.of("kind", KIND, "payload", payload(job, index, shape)));
+		if (more instanceof JsonNode fields) {
+			fields.properties().forEach((field) -> task.put(field.getKey(), field.getValue()));
+		}
+		return task;
+	}
+
+	/**
+	 * Reads the members of a JSON object.
+	 * @param text the object
+	 * @return the members
+	 */
+	static Map<String, Object> members(String text) {
+		return ApiClient.read(text)
+			.properties()
+			.stream()
+			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
 	}
 
 	private static String payload(String job, int index, Shape shape) {
@@ -89,25 +113,27 @@
 				this.executor);
 	}
 
+	/**
+	 * Asks for the answer of a job without waiting for the reply.
+	 * @param host where to
+	 * @param ticket the ticket
+	 * @return the reply to come
+	 */
+	CompletableFuture<ApiClient.Reply> state(HostAddress host, String ticket) {
+		return CompletableFuture
+			.supplyAsync(() -> this.client.send("GET", host, "/v1/jobs/" + ticket + "?wait_ms=20000"), this.executor);
+	}
+
 	/**
 	 * Sends a submission again and again until a whole reply tells how the job ended.
-	 * @param hosts where to, one after the other
+	 * @param host where to
 	 * @param ticket the ticket
 	 * @param body the body
-	 * @return the last reply
+	 * @return the last reply to come
 	 */
-	ApiClient.Reply submitUntilEnded(List<HostAddress> hosts, String ticket, String body) {
-		ApiClient.Reply reply = null;
-		for (int attempt = 0; reply == null || open(reply); attempt++) {
-			try {
-				reply = this.client.send("PUT", hosts.get(attempt % hosts.size()), "/v1/jobs/" + ticket, body,
-						Map.of());
-			}
-			catch (UncheckedIOException ex) {
-				assertThat(attempt).as("attempts: " + ex).isLessThan(50);
-			}
-		}
-		return reply;
+	CompletableFuture<ApiClient.Reply> submitUntilEnded(HostAddress host, String ticket, String body) {
+		return submit(host, ticket, body).thenCompose((reply) -> open(reply) ? submitUntilEnded(host, ticket, body)
+				: CompletableFuture.completedFuture(reply));
 	}
 
 	private static boolean open(ApiClient.Reply reply) {
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/job/JobSet.java
@@ -0,0 +1,154 @@
+package org.masticwick.proof.job;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.masticwick.proof.steps.World;
+import org.masticwick.proof.support.ApiClient;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Holds many jobs at once with every reply that came for each.
+ */
+final class JobSet implements AutoCloseable {
+
+	private static final int THREAD_COUNT = 64;
+
+	private final ExecutorService executor = Executors.newFixedThreadPool(THREAD_COUNT);
+
+	private final List<Member> members = new CopyOnWriteArrayList<>();
+
+	/**
+	 * Adds jobs.
+	 * @param more the jobs
+	 */
+	void addAll(List<Member> more) {
+		this.members.addAll(more);
+	}
+
+	List<Member> members() {
+		return List.copyOf(this.members);
+	}
+
+	/**
+	 * Sends a request for each job, many at once, and waits for the replies.
+	 * @param order the jobs in the order of the requests
+	 * @param request the request; its reply may be {@code null} if none came
+	 */
+	void forEach(List<Member> order, Function<Member, ApiClient.Reply> request) {
+		List<CompletableFuture<Void>> sent = order.stream()
+			.map((member) -> run(() -> request.apply(member)).thenAccept(member::add))
+			.toList();
+		sent.forEach(CompletableFuture::join);
+	}
+
+	CompletableFuture<ApiClient.Reply> run(Supplier<ApiClient.Reply> request) {
+		return CompletableFuture.supplyAsync(request, this.executor);
+	}
+
+	/**
+	 * Checks every reply of every job.
+	 * @param failureAllowed whether a job may have failed
+	 */
+	void assertAnswers(boolean failureAllowed) {
+		Map<String, Integer> starts = allStarts();
+		this.members.forEach((member) -> member.assertAnswers(starts, failureAllowed));
+	}
+
+	/**
+	 * Counts the starts of all tasks.
+	 * @return the counts by task id
+	 */
+	static Map<String, Integer> allStarts() {
+		Map<String, Integer> starts = new HashMap<>();
+		World.site()
+			.domains()
+			.forEach((domain) -> World.site()
+				.workers(domain)
+				.starts("")
+				.forEach((task, count) -> starts.merge(task, count, Integer::sum)));
+		return starts;
+	}
+
+	@Override
+	public void close() {
+		this.executor.shutdownNow();
+	}
+
+	/**
+	 * Is one job.
+	 *
+	 * @param name the name
+	 * @param ticket the ticket
+	 * @param shape the sizes
+	 * @param replies the replies that came
+	 */
+	record Member(String name, String ticket, JobCaller.Shape shape, List<ApiClient.Reply> replies) {
+
+		Member(String name, String ticket, JobCaller.Shape shape) {
+			this(name, ticket, shape, new CopyOnWriteArrayList<>());
+		}
+
+		void add(ApiClient.Reply reply) {
+			if (reply != null) {
+				this.replies.add(reply);
+			}
+		}
+
+		String body() {
+			return JobCaller.body(this.name, this.shape, Map.of());
+		}
+
+		/**
+		 * Returns the final answer, if one came.
+		 * @return the last reply that tells how the job ended, or {@code null}
+		 */
+		ApiClient.Reply ended() {
+			return this.replies.stream()
+				.filter((reply) -> reply.status() != 202 && !code(reply).equals("outcome-unknown"))
+				.reduce((first, second) -> second)
+				.orElse(null);
+		}
+
+		void assertAnswers(Map<String, Integer> starts, boolean failureAllowed) {
+			assertThat(ended()).as("an answer to " + this.ticket + ": " + this.replies).isNotNull();
+			this.replies.stream().filter(Objects::nonNull).forEach((reply) -> assertAnswer(reply, starts));
+			assertThat(failureAllowed || !ran(ended()).equals("yes")).as(ended().toString()).isTrue();
+		}
+
+		private void assertAnswer(ApiClient.Reply reply, Map<String, Integer> starts) {
+			if (reply.status() == 200) {
+				JobCaller.assertComplete(reply, this.ticket, this.name, this.shape);
+			}
+			else if (ran(reply).equals("no")) {
+				assertThat(starts.keySet()).as(reply.toString())
+					.noneMatch((task) -> task.startsWith(this.ticket + "."));
+			}
+			else {
+				assertThat(reply.json().has("results")).as(reply.toString()).isFalse();
+			}
+		}
+
+		static String code(ApiClient.Reply reply) {
+			return reply.json().path("code").asText();
+		}
+
+		static String ran(ApiClient.Reply reply) {
+			JsonNode ran = reply.json().path("ran");
+			return ran.asText();
+		}
+
+	}
+
+}
--- a/masticwick-proof/src/test/java/org/masticwick/proof/job/JobSteps.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/job/JobSteps.java
@@ -1,30 +1,47 @@
 package org.masticwick.proof.job;
 
-import java.util.LinkedHashMap;
+import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
-import io.cucumber.java.en.Then;
+import io.cucumber.java.After;
+import io.cucumber.java.Before;
 import io.cucumber.java.en.When;
 
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.proof.steps.World;
 import org.masticwick.proof.support.ApiClient;
-import org.masticwick.proof.support.StandinWorkers;
+import org.masticwick.proof.support.Site;
+import org.masticwick.proof.support.TcpRelay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 import static org.awaitility.Awaitility.await;
 
 /**
- * Submits jobs and checks their answers and the counts of starts.
+ * Submits jobs, again and again, and cancels them.
  */
 public class JobSteps {
 
-	private static final long ANSWER_SECONDS = 40;
+	private static final Duration SHORT_TIMEOUT = Duration.ofMillis(500);
 
-	private final Map<String, SubmittedJob> jobs = new LinkedHashMap<>();
+	private JobCaller caller;
+
+	private TcpRelay callerRelay;
+
+	/** Forgets the jobs of the scenario before. */
+	@Before
+	public void clear() {
+		SubmittedJob.clear();
+	}
+
+	/** Closes the way of the callers. */
+	@After(order = 10)
+	public void closeRelay() {
+		if (this.callerRelay != null) {
+			this.callerRelay.close();
+		}
+	}
 
 	/**
 	 * Submits a job under a ticket of the host that it is sent to.
@@ -36,11 +53,29 @@
 	 */
 	@When("job {word} of {int} tasks of {int} ms within {int} ms is submitted to {word}")
 	public void jobIsSubmitted(String name, int taskCount, int runMillis, int deadlineMillis, String host) {
-		JobCaller caller = new JobCaller(World.site().client());
-		SubmittedJob job = new SubmittedJob(name, caller.tickets(World.host(host), 1).get(0),
-				new JobCaller.Shape(taskCount, runMillis, deadlineMillis));
-		this.jobs.put(name, job);
-		job.answer = caller.submit(World.host(host).api(), job.ticket, job.body);
+		submit(name, new JobCaller.Shape(taskCount, runMillis, deadlineMillis), Map.of(), host);
+	}
+
+	/**
+	 * Submits a job that has more members than the usual ones.
+	 * @param name the name of the job
+	 * @param taskCount how many tasks
+	 * @param runMillis how long each runs
+	 * @param deadlineMillis how long the caller waits
+	 * @param extra the members as a JSON object; those of {@code task} go into each task
+	 * @param host the entry host
+	 */
+	@When("job {word} of {int} tasks of {int} ms within {int} ms with {} is submitted to {word}")
+	public void jobWithMoreIsSubmitted(String name, int taskCount, int runMillis, int deadlineMillis, String extra,
+			String host) {
+		Map<String, Object> members = JobCaller.members(extra);
+		submit(name, new JobCaller.Shape(taskCount, runMillis, deadlineMillis), members, host);
+	}
+
+	private void submit(String name, JobCaller.Shape shape, Map<String, Object> extra, String host) {
+		String ticket = caller().tickets(World.host(host), 1).get(0);
+		SubmittedJob job = new SubmittedJob(name, ticket, shape, JobCaller.body(name, shape, extra));
+		job.add(caller().submit(World.host(host).api(), ticket, job.body()));
 	}
 
 	/**
@@ -50,91 +85,136 @@
 	 */
 	@When("job {word} is submitted again to {word}")
 	public void jobIsSubmittedAgain(String name, String host) {
-		SubmittedJob job = this.jobs.get(name);
-		job.again = new JobCaller(World.site().client()).submit(World.host(host).api(), job.ticket, job.body);
+		SubmittedJob job = SubmittedJob.named(name);
+		job.add(caller().submit(World.host(host).api(), job.ticket(), job.body()));
 	}
 
 	/**
-	 * Waits until tasks were started.
-	 * @param count how many
+	 * Submits a job again until the answer tells how it ended.
 	 * @param name the name of the job
+	 * @param host the entry host
 	 */
-	@When("{int} tasks of job {word} were started")
-	public void tasksWereStarted(int count, String name) {
-		await().atMost(ANSWER_SECONDS, TimeUnit.SECONDS)
-			.untilAsserted(() -> assertThat(starts(name)).hasSizeGreaterThanOrEqualTo(count));
+	@When("job {word} is submitted to {word} until it has ended")
+	public void jobIsSubmittedUntilItHasEnded(String name, String host) {
+		SubmittedJob job = SubmittedJob.named(name);
+		job.add(caller().submitUntilEnded(World.host(host).api(), job.ticket(), job.body()));
 	}
 
 	/**
-	 * Checks the first answer of a job.
+	 * Asks for the answer of a job without its body.
 	 * @param name the name of the job
+	 * @param host the entry host
+	 */
+	@When("the state of job {word} is asked of {word}")
+	public void theStateIsAsked(String name, String host) {
+		SubmittedJob job = SubmittedJob.named(name);
+		job.add(caller().state(World.host(host).api(), job.ticket()));
+	}
+
+	/**
+	 * Cancels a job.
+	 * @param name the name of the job
+	 * @param host the entry host
 	 */
-	@Then("job {word} is answered complete")
-	public void jobIsAnsweredComplete(String name) {
-		SubmittedJob job = this.jobs.get(name);
-		JobCaller.assertComplete(get(job.answer), job.ticket, name, job.shape);
+	@When("job {word} is cancelled at {word}")
+	public void jobIsCancelled(String name, String host) {
+		SubmittedJob job = SubmittedJob.named(name);
+		job.add(caller().cancel(World.host(host).api(), job.ticket()));
 	}
 
 	/**
-	 * Checks the answer to the second submission of a job.
+	 * Fetches the ticket of a job that is submitted later.
 	 * @param name the name of the job
+	 * @param taskCount how many tasks
+	 * @param runMillis how long each runs
+	 * @param host the entry host
 	 */
-	@Then("the second submission of job {word} is answered complete")
-	public void theSecondSubmissionIsAnsweredComplete(String name) {
-		SubmittedJob job = this.jobs.get(name);
-		JobCaller.assertComplete(get(job.again), job.ticket, name, job.shape);
+	@When("a ticket for job {word} of {int} tasks of {int} ms is fetched from {word}")
+	public void ticketIsFetched(String name, int taskCount, int runMillis, String host) {
+		JobCaller.Shape shape = new JobCaller.Shape(taskCount, runMillis, 20_000);
+		String ticket = caller().tickets(World.host(host), 1).get(0);
+		SubmittedJob job = new SubmittedJob(name, ticket, shape, JobCaller.body(name, shape, Map.of()));
+		assertThat(SubmittedJob.named(name)).isSameAs(job);
 	}
 
 	/**
-	 * Checks how many tasks of a job were started, each once.
-	 * @param count how many
+	 * Submits a job from a caller that closes its connection before the answer.
 	 * @param name the name of the job
+	 * @param taskCount how many tasks
+	 * @param runMillis how long each runs
+	 * @param deadlineMillis how long the caller would wait
+	 * @param host the entry host
 	 */
-	@Then("{int} tasks of job {word} were started once")
-	public void tasksWereStartedOnce(int count, String name) {
-		assertThat(starts(name)).hasSize(count).allSatisfy((task, starts) -> assertThat(starts).as(task).isEqualTo(1));
+	@When("job {word} of {int} tasks of {int} ms within {int} ms is submitted to {word} by a caller that goes away")
+	public void callerGoesAway(String name, int taskCount, int runMillis, int deadlineMillis, String host) {
+		JobCaller.Shape shape = new JobCaller.Shape(taskCount, runMillis, deadlineMillis);
+		String ticket = caller().tickets(World.host(host), 1).get(0);
+		SubmittedJob job = new SubmittedJob(name, ticket, shape, JobCaller.body(name, shape, Map.of()));
+		loseReply(job, World.host(host).api());
 	}
 
-	private Map<String, Integer> starts(String name) {
-		Map<String, Integer> counts = new LinkedHashMap<>();
-		String prefix = this.jobs.get(name).ticket + ".";
-		World.site().domains().forEach((domain) -> {
-			StandinWorkers workers = World.site().workers(domain);
-			workers.starts(prefix).forEach((task, count) -> counts.merge(task, count, Integer::sum));
-		});
-		return counts;
+	/**
+	 * Submits a job over a connection that goes silent before the answer.
+	 * @param name the name of the job
+	 * @param taskCount how many tasks
+	 * @param runMillis how long each runs
+	 * @param host the entry host
+	 * @param mode what the network does, as in {@link TcpRelay.Mode}
+	 */
+	@When("job {word} of {int} tasks of {int} ms is submitted to {word} over a connection with {word}")
+	public void connectionGoesSilent(String name, int taskCount, int runMillis, String host, String mode) {
+		this.callerRelay = TcpRelay.to(World.host(host).api());
+		JobCaller.Shape shape = new JobCaller.Shape(taskCount, runMillis, 20_000);
+		String ticket = caller().tickets(World.host(host), 1).get(0);
+		SubmittedJob job = new SubmittedJob(name, ticket, shape, JobCaller.body(name, shape, Map.of()));
+		this.callerRelay.setMode(TcpRelay.Mode.valueOf(mode));
+		loseReply(job, this.callerRelay.address());
+		this.callerRelay.setMode(TcpRelay.Mode.PASS);
 	}
 
-	private static ApiClient.Reply get(CompletableFuture<ApiClient.Reply> reply) {
-		try {
-			return reply.get(ANSWER_SECONDS, TimeUnit.SECONDS);
-		}
-		catch (InterruptedException | TimeoutException | ExecutionException ex) {
-			throw new AssertionError("No answer", ex);
+	private static void loseReply(SubmittedJob job, HostAddress address) {
+		try (ApiClient client = new ApiClient(SHORT_TIMEOUT)) {
+			assertThatExceptionOfType(UncheckedIOException.class)
+				.isThrownBy(() -> client.send("PUT", address, "/v1/jobs/" + job.ticket(), job.body(), Map.of()));
 		}
 	}
 
 	/**
-	 * Is a job of the scenario.
+	 * Waits until tasks were started.
+	 * @param count how many at least
+	 * @param name the name of the job
 	 */
-	private static final class SubmittedJob {
-
-		private final String ticket;
-
-		private final JobCaller.Shape shape;
-
-		private final String body;
+	@When("{int} tasks of job {word} were started")
+	public void tasksWereStarted(int count, String name) {
+		await().atMost(SubmittedJob.ANSWER_TIMEOUT)
+			.untilAsserted(() -> assertThat(SubmittedJob.named(name).starts()).hasSizeGreaterThanOrEqualTo(count));
+	}
 
-		private CompletableFuture<ApiClient.Reply> answer;
+	/**
+	 * Waits, for what the site does meanwhile by its clocks.
+	 * @param millis how long
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	@When("{int} ms pass")
+	public void timePasses(int millis) throws InterruptedException {
+		Thread.sleep(millis);
+	}
 
-		private CompletableFuture<ApiClient.Reply> again;
+	/**
+	 * Makes the open connections to the workers silent for good.
+	 * @param domain the failure domain
+	 */
+	@When("the open connections to the workers of {word} go silent")
+	public void workerConnectionsGoSilent(String domain) {
+		Site site = World.site();
+		site.workers(domain).addresses().forEach((worker) -> site.workerRelay(worker).silenceExisting());
+	}
 
-		private SubmittedJob(String name, String ticket, JobCaller.Shape shape) {
-			this.ticket = ticket;
-			this.shape = shape;
-			this.body = JobCaller.body(name, shape);
+	private JobCaller caller() {
+		if (this.caller == null) {
+			this.caller = new JobCaller(World.site().client());
 		}
-
+		return this.caller;
 	}
 
 }
--- /dev/null
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/job/RandomRun.java
@@ -0,0 +1,170 @@
+package org.masticwick.proof.job;
+
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.masticwick.proof.steps.World;
+import org.masticwick.proof.support.ApiClient;
+import org.masticwick.proof.support.EntryHostProcess;
+import org.masticwick.proof.support.Site;
+
+/**
+ * Submits jobs again and again to random hosts while random faults come. What is drawn
+ * follows from the seed; what meets what depends on the processes.
+ */
+final class RandomRun {
+
+	private static final int CALLER_COUNT = 8;
+
+	private static final int MAX_ATTEMPT_COUNT = 30;
+
+	private static final List<Map<String, Object>> WORKER_FAULTS = List.of(Map.of("lose_replies", 5),
+			Map.of("double_replies", 10), Map.of("late_reply_ms", 400), Map.of("late_reply_ms", 0),
+			Map.of("truncate_replies", 5), Map.of("overlong_replies", 5), Map.of("wrong_task_id", 5),
+			Map.of("refuse_all_full", true, "double_replies", 10), Map.of("refuse_all_full", false));
+
+	private final JobSet jobs;
+
+	private final long seed;
+
+	private final Site site = World.site();
+
+	private final AtomicInteger sequence = new AtomicInteger();
+
+	private volatile boolean over;
+
+	RandomRun(JobSet jobs, long seed) {
+		this.jobs = jobs;
+		this.seed = seed;
+	}
+
+	/**
+	 * Runs, heals all, and asks once more for the answer of each job.
+	 * @param seconds for how long faults and new jobs come
+	 */
+	void run(int seconds) {
+		List<CompletableFuture<ApiClient.Reply>> callers = IntStream.range(0, CALLER_COUNT)
+			.mapToObj((caller) -> this.jobs.run(() -> call(new Random(this.seed + caller + 1))))
+			.toList();
+		harm(new Random(this.seed), seconds);
+		this.over = true;
+		callers.forEach(CompletableFuture::join);
+		Random random = new Random(this.seed);
+		this.jobs.forEach(this.jobs.members(), (job) -> submitUntilEnded(job, random));
+		System.out.println("Random run: jobs=" + this.jobs.members().size() + " complete=" + count("200") + " failed="
+				+ count("502") + " refused=" + count("503"));
+	}
+
+	private long count(String status) {
+		return this.jobs.members()
+			.stream()
+			.filter((job) -> job.ended() != null && Integer.toString(job.ended().status()).equals(status))
+			.count();
+	}
+
+	private ApiClient.Reply call(Random random) {
+		JobCaller caller = new JobCaller(this.site.client());
+		while (!this.over) {
+			EntryHostProcess home = draw(random);
+			JobCaller.Shape shape = new JobCaller.Shape(1 + random.nextInt(5), 20 + random.nextInt(300), 15_000);
+			try {
+				String ticket = caller.tickets(home, 1).get(0);
+				JobSet.Member job = new JobSet.Member("job" + this.sequence.incrementAndGet(), ticket, shape);
+				this.jobs.addAll(List.of(job));
+				CompletableFuture<ApiClient.Reply> doubled = this.jobs.run(() -> submit(job, draw(random)));
+				job.add(submit(job, home));
+				job.add(doubled.join());
+			}
+			catch (UncheckedIOException ex) {
+				// The host gave no ticket; the next round asks another one.
+			}
+		}
+		return null;
+	}
+
+	private ApiClient.Reply submitUntilEnded(JobSet.Member job, Random random) {
+		for (int attempt = 0; attempt < MAX_ATTEMPT_COUNT && job.ended() == null; attempt++) {
+			job.add(submit(job, draw(random)));
+		}
+		return submit(job, draw(random));
+	}
+
+	private ApiClient.Reply submit(JobSet.Member job, EntryHostProcess host) {
+		try {
+			return this.site.client()
+				.send("PUT", host.api(), "/v1/jobs/" + job.ticket() + "?wait_ms=3000", job.body(), Map.of());
+		}
+		catch (UncheckedIOException ex) {
+			return null;
+		}
+	}
+
+	private EntryHostProcess draw(Random random) {
+		List<EntryHostProcess> alive = hosts().filter((host) -> host.process().alive()).toList();
+		return alive.get(random.nextInt(alive.size()));
+	}
+
+	private Stream<EntryHostProcess> hosts() {
+		return this.site.domains().stream().flatMap((domain) -> this.site.entryHosts(domain).stream());
+	}
+
+	private void harm(Random random, int seconds) {
+		long limitNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+		while (System.nanoTime() - limitNanos < 0) {
+			pause(200 + random.nextInt(400));
+			String domain = this.site.domains().get(random.nextInt(this.site.domains().size()));
+			switch (random.nextInt(8)) {
+				case 0 -> kill(domain, random);
+				case 1, 2 -> freeze(domain, random);
+				case 3 -> this.site.workers(domain)
+					.addresses()
+					.forEach((worker) -> this.site.workerRelay(worker).silenceExisting());
+				default -> this.site.workers(domain)
+					.fault(random.nextInt(2), WORKER_FAULTS.get(random.nextInt(WORKER_FAULTS.size())));
+			}
+		}
+		this.site.domains()
+			.forEach((domain) -> this.site.workers(domain)
+				.faultAll(Map.of("refuse_all_full", false, "late_reply_ms", 0, "lose_replies", 0)));
+	}
+
+	private void kill(String domain, Random random) {
+		List<EntryHostProcess> alive = this.site.entryHosts(domain)
+			.stream()
+			.filter((host) -> host.process().alive())
+			.toList();
+		System.out.println("Random run: kill in " + domain);
+		this.site.startEntryHost(domain);
+		alive.get(random.nextInt(alive.size())).process().kill();
+	}
+
+	private void freeze(String domain, Random random) {
+		List<EntryHostProcess> alive = this.site.entryHosts(domain)
+			.stream()
+			.filter((host) -> host.process().alive())
+			.toList();
+		EntryHostProcess frozen = alive.get(random.nextInt(alive.size()));
+		int millis = 300 + random.nextInt(2500);
+		System.out.println("Random run: freeze in " + domain + " for " + millis + " ms");
+		frozen.process().pause();
+		pause(millis);
+		frozen.process().resume();
+	}
+
+	private static void pause(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
