--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
@@ -10,6 +10,12 @@
  */
 final class OwnerPlacement implements PlacementPolicy {
 
+	/**
+	 * Bounds the reserve of small endpoints, so that a host which owns none can start
+	 * tasks on idle ones.
+	 */
+	private static final int RESERVE_DIVISOR = 2;
+
 	@Override
 	public String name() {
 		return "owner";
@@ -24,12 +30,8 @@
 		return ownerWaits(endpoint, context) ? 0 : (free - reserveCount(endpoint, context));
 	}
 
-	/**
-	 * Returns how many slots to leave free on an endpoint of another host: never so many
-	 * that a host which owns no endpoint could start nothing on idle ones.
-	 */
 	private static int reserveCount(EndpointView endpoint, PlacementContext context) {
-		return Math.min(context.overflowReserveCount(), endpoint.spec().slotCount() / 2);
+		return Math.min(context.overflowReserveCount(), endpoint.spec().slotCount() / RESERVE_DIVISOR);
 	}
 
 	@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import okhttp3.Call;
@@ -45,6 +46,8 @@
 
 	private static final MediaType JSON = MediaType.get("application/json");
 
+	private static final Pattern COUNT = Pattern.compile("\\d{1,6}");
+
 	private static final int MAX_CALLS = 4096;
 
 	private static final int MAX_IDLE_CONNECTIONS = 1024;
@@ -247,23 +250,28 @@
 				return readRefusal(response);
 			}
 			if (response.code() == 200) {
-				return new PostReply.Succeeded(readBody(response));
+				return new PostReply.Succeeded(readBody(response), busySlotCount(response));
 			}
 			if ("true".equals(response.header("Task-Started")) && response.code() == 500) {
-				return new PostReply.Failed("the endpoint told a failure");
+				return new PostReply.Failed("the endpoint told a failure", busySlotCount(response));
 			}
 			return new PostReply.Uncertain("status " + response.code());
 		}
 
 		private PostReply readRefusal(Response response) {
 			return switch (response.header("Task-Reason", "")) {
-				case "full" -> new PostReply.Refused(Reason.FULL);
-				case "leaving" -> new PostReply.Refused(Reason.LEAVING);
-				case "never-fits" -> new PostReply.Refused(Reason.NEVER_FITS);
+				case "full" -> new PostReply.Refused(Reason.FULL, busySlotCount(response));
+				case "leaving" -> new PostReply.Refused(Reason.LEAVING, busySlotCount(response));
+				case "never-fits" -> new PostReply.Refused(Reason.NEVER_FITS, busySlotCount(response));
 				default -> new PostReply.Uncertain("a refusal without a known reason");
 			};
 		}
 
+		private int busySlotCount(Response response) {
+			String count = response.header("Task-Busy-Slots", "");
+			return COUNT.matcher(count).matches() ? Integer.parseInt(count) : PostReply.UNKNOWN_COUNT;
+		}
+
 	}
 
 	/**
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -18,6 +17,7 @@
 import org.masticwick.core.connection.MembershipLimits;
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.TimeSource;
@@ -36,6 +36,7 @@
 import org.masticwick.daemon.connection.OkHttpEndpointClient;
 import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.daemon.process.settings.PeerSettings;
+import org.masticwick.daemon.process.settings.PlatformSettings;
 import org.masticwick.daemon.process.settings.RequestSettings;
 import org.masticwick.daemon.process.settings.Settings;
 import org.masticwick.daemon.request.Collector;
@@ -134,6 +135,8 @@
 
 	private final StateDump dump;
 
+	private final StateWatch watch = new StateWatch();
+
 	private volatile PeerMessageHandler messages;
 
 	private volatile HostAddress apiAddress;
@@ -143,14 +146,16 @@
 	EntryHostParts(Settings settings) {
 		this.settings = settings;
 		this.transport = bind(settings);
-		this.self = new EntryHost(settings.host().domain(), this.transport.localAddress(),
+		this.self = new EntryHost(settings.host().domain(), advertisedAddress(settings),
 				Incarnation.create(this.time, this.random));
 		this.platform = new HttpPlatformClient(settings.platform().address(), HttpPlatformSettings.DEFAULT);
-		this.logFollower = new LogFollower(this.platform, this.registry, FollowerSettings.DEFAULT, this.time, random());
+		this.logFollower = new LogFollower(this.platform, this.registry, followerSettings(settings.platform()),
+				this.time, random());
 		this.hostList = new HostListFollower(this.platform,
 				new PlatformHost(this.self.peerAddress(), PlatformHost.Role.ENTRY, this.self.domain(),
 						PlatformHost.State.LIVE),
-				Duration.ofMillis(settings.platform().hostListIntervalMillis()), random(), this::onHostList);
+				Duration.ofMillis(settings.platform().hostListIntervalMillis()),
+				Duration.ofMillis(settings.platform().leaseMillis()), random(), this.time, this::onHostList);
 		this.membership = new Membership(this.self, membershipLimits(settings));
 		this.scheduler = Schedulers.create(schedulerSettings(settings), this.self.domain(), this.self, random());
 		EndpointClient endpoints = new OkHttpEndpointClient(new EndpointLimits(
@@ -158,7 +163,7 @@
 		this.dispatcher = new Dispatcher(this.scheduler, endpoints, this.registry::current, this.time, this.metrics,
 				settings.dispatch().endpointSilenceMinMillis());
 		this.books = new TicketBooks(new TicketMint(this.self, TicketKey.random(), 0), this.time,
-				settings.tickets().lifetimeMillis());
+				settings.tickets().lifetimeMillis(), settings.requests().rememberedBytesMax());
 		this.verdicts = new LateVerdicts(this.transport);
 		JobRequestReader reader = new JobRequestReader(requestLimits(settings.requests()));
 		this.collector = new Collector(reader, this.registry::current,
@@ -167,8 +172,8 @@
 				2 * settings.peers().silenceLimitMillis());
 		this.router = new RequestRouter(this.self, this.books,
 				new TicketIssuer(this.books, settings.tickets().blockCountMax()),
-				new JobService(reader, this.dispatcher, this.registry::known, this.time), this.collector, directory,
-				this.transport, this.metrics, this.time, 3 * settings.peers().silenceLimitMillis());
+				new JobService(reader, this.dispatcher, this::known, this.books::full, this.time), this.collector,
+				directory, this.transport, this.metrics, this.time, 3 * settings.peers().silenceLimitMillis());
 		this.transfer = new TicketTransfer(this.books, directory, this.transport, this.metrics, this.time);
 		RecordRelay relay = new RecordRelay(this.registry);
 		this.heartbeats = new HeartbeatService(heartbeatSettings(settings.peers()), this.transport, this.membership,
@@ -177,8 +182,11 @@
 				this.time);
 		this.messages = new PeerMessages(this.peerWorkers, this.router, this.transfer, relay, this.heartbeats);
 		this.versionReport = new VersionReport(this.registry, this.membership, this::status, this.time);
-		this.dump = dumpOf();
-		addGauges();
+		HostParts parts = new HostParts(this.self, settings, this.time, this.registry, this.versionReport,
+				this.logFollower, this.membership, this.scheduler, this.dispatcher, this.books, this.collector,
+				this.transport.traffic(), this.openRequestCount::get, () -> this.leaving);
+		this.dump = HostDump.of(parts);
+		HostGauges.add(this.metrics, parts);
 	}
 
 	private NettyPeerTransport bind(Settings given) {
@@ -188,6 +196,16 @@
 		return NettyPeerTransport.bind(transportSettings, () -> this.self, new LateMessageHandler(() -> this.messages));
 	}
 
+	private HostAddress advertisedAddress(Settings given) {
+		HostAddress advertised = given.host().peerAdvertisedAddress();
+		return (advertised != null) ? advertised : this.transport.localAddress();
+	}
+
+	private static FollowerSettings followerSettings(PlatformSettings given) {
+		return FollowerSettings.DEFAULT.withPolling(Duration.ofMillis(given.pollWaitMillis()))
+			.withSnapshotRecordCount(given.snapshotIntervalRecordCount());
+	}
+
 	private static RandomGenerator random() {
 		return RandomGenerator.of("L64X128MixRandom");
 	}
@@ -227,6 +245,7 @@
 	void start(HostAddress listening) {
 		this.apiAddress = listening;
 		this.registry.onVersion((version) -> {
+			this.watch.inForce(version.number(), this.registry.nextOffset());
 			this.scheduler.update(version, this.time.nanoTime());
 			this.dispatcher.drive();
 			this.heartbeats.announce();
@@ -241,6 +260,7 @@
 		this.books.sweep();
 		this.collector.sweep();
 		this.verdicts.sweep(this.time.epochMillis());
+		this.watch.look(this.scheduler.snapshot(this.time.nanoTime()), this.logFollower.status());
 	}
 
 	private void onHostList(List<PlatformHost> hosts) {
@@ -267,34 +287,16 @@
 	}
 
 	private boolean ready() {
-		return this.registry.known() && !this.leaving;
-	}
-
-	private void addGauges() {
-		this.metrics.gauge("masticwick_version", "The version in force.", () -> this.registry.current().number());
-		this.metrics.gauge("masticwick_log_offset", "The offset up to which the log was read.",
-				this.registry::nextOffset);
-		this.metrics.gauge("masticwick_active_jobs", "Jobs that have not ended.", this.dispatcher::activeJobCount);
-		this.metrics.gauge("masticwick_remembered_tickets", "Submitted tickets that have not expired.",
-				this.books::rememberedCount);
-		this.metrics.gauge("masticwick_open_requests", "Requests of callers that wait for an answer.",
-				this.openRequestCount::get);
-		this.metrics.traffic(this.transport.traffic()::snapshot);
+		return known() && !this.leaving;
 	}
 
-	private StateDump dumpOf() {
-		StateDump state = new StateDump();
-		state.part("host", () -> Map.of("domain", this.self.domain(), "peer", this.self.peerAddress().toString(),
-				"incarnation", this.self.incarnation().toString(), "leaving", this.leaving));
-		state.part("settings", () -> this.settings.toString());
-		state.part("versions", this.versionReport::report);
-		state.part("log", this.logFollower::status);
-		state.part("scheduler", () -> this.scheduler.snapshot(this.time.nanoTime()).toString());
-		state.part("tickets",
-				() -> Map.of("held", this.books.heldIncarnations().stream().map(Object::toString).toList(),
-						"remembered_count", this.books.rememberedCount(), "collected_count", this.collector.size()));
-		state.part("traffic", this.transport.traffic()::snapshot);
-		return state;
+	/**
+	 * Tells whether there is anything to serve. An empty log is no ground to refuse
+	 * requests for good: it may have lost its records.
+	 * @return {@code true} from the first version on
+	 */
+	private boolean known() {
+		return this.registry.current().number() > 0;
 	}
 
 	/**
@@ -365,14 +367,17 @@
 
 		@Override
 		public CompletableFuture<HttpAnswer> issueTickets(byte[] body) {
-			return EntryHostParts.this.router.issue(body);
+			return counted(EntryHostParts.this.router.issue(body));
 		}
 
 		@Override
 		public CompletableFuture<HttpAnswer> serve(RoutedRequest request) {
+			return counted(EntryHostParts.this.router.serve(request));
+		}
+
+		private CompletableFuture<HttpAnswer> counted(CompletableFuture<HttpAnswer> answer) {
 			EntryHostParts.this.openRequestCount.incrementAndGet();
-			return EntryHostParts.this.router.serve(request)
-				.whenComplete((answer, ex) -> EntryHostParts.this.openRequestCount.decrementAndGet());
+			return answer.whenComplete((given, ex) -> EntryHostParts.this.openRequestCount.decrementAndGet());
 		}
 
 		@Override
@@ -395,6 +400,11 @@
 			return EntryHostParts.this.metrics.scrape();
 		}
 
+		@Override
+		public void refused(ErrorCode code) {
+			EntryHostParts.this.metrics.refusal(code);
+		}
+
 		@Override
 		public HttpAnswer dump() {
 			return EntryHostParts.this.dump.dump();
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.TimeSource;
@@ -29,16 +30,21 @@
 
 	private final long lifetimeMillis;
 
+	private final long maxRememberedBytes;
+
 	/**
 	 * Creates the books of a process that took none over.
 	 * @param mint the mint of the process
 	 * @param time the clock
 	 * @param lifetimeMillis how long tickets live, in milliseconds
+	 * @param maxRememberedBytes how much memory the answers of ended jobs may take before
+	 * no more jobs are taken, in bytes
 	 */
-	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis) {
+	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis, long maxRememberedBytes) {
 		this.own = new TicketBook(mint, time, 0);
 		this.time = time;
 		this.lifetimeMillis = lifetimeMillis;
+		this.maxRememberedBytes = maxRememberedBytes;
 		this.books.put(mint.home().incarnation(), this.own);
 	}
 
@@ -46,11 +52,14 @@
 	 * Issues tickets of this process.
 	 * @param count how many
 	 * @return the tickets
+	 * @throws RequestException if the books were handed over, or the memory for answers
+	 * is used up
 	 */
 	public List<Ticket> issue(int count) {
-		long expiryEpochMillis = this.time.epochMillis() + this.lifetimeMillis;
-		this.own.noteExpiry(expiryEpochMillis);
-		return this.own.mint().issue(count, expiryEpochMillis);
+		if (full()) {
+			throw new RequestException(ErrorCode.OVERLOADED, "The memory for answers is used up until tickets expire");
+		}
+		return this.own.issue(count, this.time.epochMillis() + this.lifetimeMillis);
 	}
 
 	/**
@@ -101,26 +110,27 @@
 	/**
 	 * Takes over a book.
 	 * @param book the book
-	 * @return {@code false} if this process had it already
+	 * @return {@code false} if this process had it already or has handed its books over
 	 */
-	boolean inherit(TicketBook book) {
-		return this.books.putIfAbsent(book.mint().home().incarnation(), book) == null;
+	synchronized boolean inherit(TicketBook book) {
+		return this.own.held() && this.books.putIfAbsent(book.mint().home().incarnation(), book) == null;
 	}
 
 	/**
-	 * Returns the book of this process's own tickets.
-	 * @return the book
+	 * Gives up the right to start jobs under the tickets of all books, and takes no book
+	 * over from now on.
+	 * @return the books that were held until now
 	 */
-	TicketBook own() {
-		return this.own;
+	synchronized List<TicketBook> handOver() {
+		return this.books.values().stream().filter(TicketBook::handOver).toList();
 	}
 
 	/**
-	 * Returns all books.
-	 * @return the books
+	 * Returns the book of this process's own tickets.
+	 * @return the book
 	 */
-	List<TicketBook> all() {
-		return List.copyOf(this.books.values());
+	TicketBook own() {
+		return this.own;
 	}
 
 	/**
@@ -144,6 +154,23 @@
 		this.books.values().removeIf((book) -> book != this.own && book.expired());
 	}
 
+	/**
+	 * Returns how much memory the answers of ended jobs take in all books.
+	 * @return the estimate in bytes
+	 */
+	public long rememberedBytes() {
+		return this.books.values().stream().mapToLong(TicketBook::rememberedBytes).sum();
+	}
+
+	/**
+	 * Returns whether the memory for answers is used up, so that no job may be taken. No
+	 * answer is dropped before its ticket expires.
+	 * @return {@code true} if it is
+	 */
+	public boolean full() {
+		return rememberedBytes() >= this.maxRememberedBytes;
+	}
+
 	/**
 	 * Returns how many tickets are remembered in all books.
 	 * @return the count
