--- a/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -38,6 +39,18 @@
 			assertThat(scheduler.next(1).starts()).isEmpty();
 		}
 
+		@ParameterizedTest
+		@CsvSource({ "1, 1", "1, 2", "2, 1", "2, 2", "1, 3", "2, 3" })
+		void startsOnIdleEndpointWhoeverOwnsIt(int self, int slotCount) {
+			Scheduler scheduler = Schedulers.create(SchedulerSettings.defaults(), Fixtures.DOMAIN,
+					Fixtures.host(Fixtures.DOMAIN, self), new Random(7));
+			scheduler.update(Fixtures.version(1, Map.of("dispatch/placement", "owner"),
+					Fixtures.endpoint(1, Fixtures.DOMAIN, slotCount)), 0);
+			scheduler.peerLoad(Fixtures.host(Fixtures.DOMAIN, 3 - self), LoadReport.EMPTY, 0);
+			scheduler.admit(Fixtures.job("t", 9), 0);
+			assertThat(scheduler.next(0).starts()).isNotEmpty();
+		}
+
 		@Test
 		void startsUrgentJobsFirstButLetsOthersThrough() {
 			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 20));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -176,7 +176,7 @@
 		if (!active.runs().isEmpty()) {
 			active.runs().values().forEach(TaskRun::cancelling);
 			job.running().forEach((task) -> this.cancellations.add(task.endpoint(), task.task()));
-			this.timer.schedule(() -> active.runs().values().forEach(TaskRun::abandon), CANCEL_REPLY_MILLIS,
+			this.timer.schedule(() -> active.runs().values().forEach(this::abandon), CANCEL_REPLY_MILLIS,
 					TimeUnit.MILLISECONDS);
 		}
 		this.jobs.remove(job.ticketText(), active);
@@ -250,7 +250,15 @@
 		if (active.job().ended()) {
 			run.cancelling();
 			this.cancellations.add(endpoint, start.task());
-			this.timer.schedule(run::abandon, CANCEL_REPLY_MILLIS, TimeUnit.MILLISECONDS);
+			this.timer.schedule(() -> abandon(run), CANCEL_REPLY_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void abandon(TaskRun run) {
+		if (!run.ended()) {
+			// The cancellation may have overtaken the post.
+			this.cancellations.add(run.endpoint(), run.task());
+			run.abandon();
 		}
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -141,15 +141,19 @@
 			this.metrics.message(MessageKind.FORWARD);
 			return this.transport.call(heir.get(), new Forward(ForwardOperation.ISSUE, "", body, 0))
 				.thenApply(RequestRouter::fromMessage)
-				.exceptionally((ex) -> Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+				.exceptionally((ex) -> stopping());
 		}
-		if (this.time.nanoTime() - limitNanos >= 0) {
-			return CompletableFuture.completedFuture(Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+		if (this.books.withoutHeir(this.self.incarnation()) || this.time.nanoTime() - limitNanos >= 0) {
+			return CompletableFuture.completedFuture(stopping());
 		}
 		Executor later = CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS);
 		return CompletableFuture.supplyAsync(() -> issue(body, limitNanos), later).thenCompose(Function.identity());
 	}
 
+	private static HttpAnswer stopping() {
+		return Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0);
+	}
+
 	/**
 	 * Issues tickets for a caller of another host.
 	 * @param body the body of the caller's request
@@ -187,6 +191,9 @@
 		if (book.isPresent()) {
 			return local(book.get(), request);
 		}
+		if (this.books.withoutHeir(request.ticket().incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		Optional<HostAddress> heir = this.books.heirOf(request.ticket().incarnation());
 		if (heir.isPresent()) {
 			return call(heir.get(), request);
@@ -222,6 +229,9 @@
 			return local(book.get(), request).exceptionallyCompose((ex) -> (causeOf(ex) instanceof NotHolderException)
 					? retry(request, limitNanos) : CompletableFuture.failedFuture(ex));
 		}
+		if (this.books.withoutHeir(request.ticket().incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		Optional<HostAddress> holder = holderOf(request.ticket().incarnation());
 		if (holder.isPresent()) {
 			return call(holder.get(), request).exceptionallyCompose((ex) -> retry(request, limitNanos));
