--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.request.TaskEnd;
+import org.masticwick.core.request.TaskId;
 import org.masticwick.daemon.connection.EndpointClient;
 import org.masticwick.daemon.connection.EndpointClient.LookupReply;
 import org.masticwick.daemon.connection.EndpointClient.PendingPost;
@@ -149,6 +151,18 @@
 		}
 	}
 
+	boolean ended() {
+		return this.ended.get();
+	}
+
+	HostAddress endpoint() {
+		return this.post.endpoint();
+	}
+
+	TaskId task() {
+		return this.post.task();
+	}
+
 	/**
 	 * Notes that the task is being cancelled: its end is no longer told as a fault of the
 	 * endpoint.
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -106,6 +106,7 @@
 				return Optional.of(heir);
 			}
 		}
+		this.books.noteNoHeir(book.mint().home().incarnation());
 		logger.atWarn().addKeyValue("incarnation", book.mint().home().incarnation()).log("No heir for the tickets");
 		return Optional.empty();
 	}
