Log the ticket of an answered request only where there is one

Cause: a site run by hand (stand-in platform, two workers, two hosts at debug) showed an empty ticket on the lines of /ready and /metrics.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -19,6 +19,7 @@
 import io.jooby.exception.MethodNotAllowedException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
@@ -188,12 +189,7 @@
 
 	private Context send(Context ctx, CompletableFuture<HttpAnswer> done) {
 		HttpAnswer answer = done.exceptionally(ApiServer::internal).join();
-		logger.atDebug()
-			.addKeyValue("method", ctx.getMethod())
-			.addKeyValue("route", () -> ctx.getRoute().getPattern())
-			.addKeyValue("ticket", () -> RequestLog.shortened(ctx.pathMap().getOrDefault("ticket", "")))
-			.addKeyValue("status", answer.status())
-			.log("Request answered");
+		logAnswer(ctx, answer.status());
 		ctx.setResponseCode(answer.status());
 		ctx.setResponseHeader("Content-Type", answer.contentType());
 		if (answer.retryAfterMillis() >= 0) {
@@ -203,6 +199,16 @@
 		return ctx.send(answer.body());
 	}
 
+	private static void logAnswer(Context ctx, int status) {
+		LoggingEventBuilder event = logger.atDebug()
+			.addKeyValue("method", ctx.getMethod())
+			.addKeyValue("route", () -> ctx.getRoute().getPattern())
+			.addKeyValue("status", status);
+		String ticket = ctx.pathMap().get("ticket");
+		((ticket != null) ? event.addKeyValue("ticket", () -> RequestLog.shortened(ticket)) : event)
+			.log("Request answered");
+	}
+
 	private HttpAnswer refuse(ErrorCode code, String detail) {
 		this.backend.refused(code);
 		return Answers.problem(code, detail);
