--- a/masticwick-proof/src/test/java/org/masticwick/proof/site/Callers.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/site/Callers.java
@@ -34,6 +34,8 @@
 
 	private final Map<String, Integer> problems = new ConcurrentHashMap<>();
 
+	private final Queue<String> problemBodies = new ConcurrentLinkedQueue<>();
+
 	private final Queue<String> cutOff = new ConcurrentLinkedQueue<>();
 
 	private final Balancer balancer;
@@ -70,6 +72,14 @@
 		return Map.copyOf(this.problems);
 	}
 
+	/**
+	 * Returns the answers that were not complete.
+	 * @return their bodies
+	 */
+	List<String> problemBodies() {
+		return List.copyOf(this.problemBodies);
+	}
+
 	/**
 	 * Returns the requests that got no whole answer.
 	 * @return what was seen
@@ -110,6 +120,7 @@
 			}
 			else {
 				this.problems.merge(reply.json().path("code").asText("partial"), 1, Integer::sum);
+				this.problemBodies.add(reply.body());
 			}
 		}
 		catch (UncheckedIOException | IllegalStateException ex) {
