--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/OwnerPlacement.java
@@ -10,6 +10,12 @@
  */
 final class OwnerPlacement implements PlacementPolicy {
 
+	/**
+	 * Bounds the reserve of small endpoints, so that a host which owns none can start
+	 * tasks on idle ones.
+	 */
+	private static final int RESERVE_DIVISOR = 2;
+
 	@Override
 	public String name() {
 		return "owner";
@@ -21,7 +27,11 @@
 		if (owned(endpoint, context)) {
 			return free;
 		}
-		return ownerWaits(endpoint, context) ? 0 : (free - context.overflowReserveCount());
+		return ownerWaits(endpoint, context) ? 0 : (free - reserveCount(endpoint, context));
+	}
+
+	private static int reserveCount(EndpointView endpoint, PlacementContext context) {
+		return Math.min(context.overflowReserveCount(), endpoint.spec().slotCount() / RESERVE_DIVISOR);
 	}
 
 	@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -107,7 +107,14 @@
 		CompletableFuture<HttpAnswer> copy = answer.thenApply(Function.identity());
 		return (copy.isDone() ? copy : copy.completeOnTimeout(Answers.running(request.ticket().toString()), waitMillis,
 				TimeUnit.MILLISECONDS))
-			.exceptionally((ex) -> Answers.problem(causeOf(ex)));
+			.exceptionally((ex) -> refused(causeOf(ex)));
+	}
+
+	private HttpAnswer refused(Throwable cause) {
+		if (cause instanceof MasticwickException known) {
+			this.metrics.refusal(known.errorCode());
+		}
+		return Answers.problem(cause);
 	}
 
 	/**
@@ -134,15 +141,19 @@
 			this.metrics.message(MessageKind.FORWARD);
 			return this.transport.call(heir.get(), new Forward(ForwardOperation.ISSUE, "", body, 0))
 				.thenApply(RequestRouter::fromMessage)
-				.exceptionally((ex) -> Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+				.exceptionally((ex) -> stopping());
 		}
-		if (this.time.nanoTime() - limitNanos >= 0) {
-			return CompletableFuture.completedFuture(Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0));
+		if (this.books.withoutHeir(this.self.incarnation()) || this.time.nanoTime() - limitNanos >= 0) {
+			return CompletableFuture.completedFuture(stopping());
 		}
 		Executor later = CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS);
 		return CompletableFuture.supplyAsync(() -> issue(body, limitNanos), later).thenCompose(Function.identity());
 	}
 
+	private static HttpAnswer stopping() {
+		return Answers.problem(ErrorCode.DRAINING, "The host is stopping", 0);
+	}
+
 	/**
 	 * Issues tickets for a caller of another host.
 	 * @param body the body of the caller's request
@@ -174,12 +185,15 @@
 
 	private CompletableFuture<HttpAnswer> forwardedAnswer(RoutedRequest request) {
 		if (request.operation() == ForwardOperation.COLLECT) {
-			return this.collector.collect(request);
+			return collectHere(request);
 		}
 		Optional<TicketBook> book = answeringBook(request);
 		if (book.isPresent()) {
 			return local(book.get(), request);
 		}
+		if (this.books.withoutHeir(request.ticket().incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		Optional<HostAddress> heir = this.books.heirOf(request.ticket().incarnation());
 		if (heir.isPresent()) {
 			return call(heir.get(), request);
@@ -187,6 +201,24 @@
 		return CompletableFuture.failedFuture(new NotHolderException("This host does not hold the ticket"));
 	}
 
+	/**
+	 * Collects for a host that could not reach the holder of a ticket. It may merely be
+	 * cut off from the holder, which then answers by way of this host.
+	 * @param request the request
+	 * @return the answer to come
+	 */
+	private CompletableFuture<HttpAnswer> collectHere(RoutedRequest request) {
+		ForwardOperation operation = (request.body().length > 0) ? ForwardOperation.SUBMIT : ForwardOperation.STATE;
+		RoutedRequest original = request.as(operation);
+		Optional<TicketBook> book = answeringBook(request);
+		if (book.isPresent()) {
+			return local(book.get(), original);
+		}
+		return holderOf(request.ticket().incarnation()).map((holder) -> call(holder, original))
+			.map((answer) -> answer.exceptionallyCompose((ex) -> this.collector.collect(request)))
+			.orElseGet(() -> this.collector.collect(request));
+	}
+
 	private Optional<TicketBook> answeringBook(RoutedRequest request) {
 		return this.books.find(request.ticket().incarnation()).filter((book) -> book.answersFor(request.ticket()));
 	}
@@ -197,6 +229,9 @@
 			return local(book.get(), request).exceptionallyCompose((ex) -> (causeOf(ex) instanceof NotHolderException)
 					? retry(request, limitNanos) : CompletableFuture.failedFuture(ex));
 		}
+		if (this.books.withoutHeir(request.ticket().incarnation())) {
+			return CompletableFuture.completedFuture(stopping());
+		}
 		Optional<HostAddress> holder = holderOf(request.ticket().incarnation());
 		if (holder.isPresent()) {
 			return call(holder.get(), request).exceptionallyCompose((ex) -> retry(request, limitNanos));
@@ -292,7 +327,10 @@
 
 	private CompletableFuture<HttpAnswer> call(HostAddress to, RoutedRequest request) {
 		this.metrics.message(MessageKind.FORWARD);
-		logger.debug("Request goes on: ticket={} operation={} to={}", request.ticket(), request.operation(), to);
+		RequestLog.event(logger, request.ticket())
+			.addKeyValue("operation", request.operation())
+			.addKeyValue("to", to)
+			.log("Request forwarded");
 		return this.transport
 			.call(to,
 					new Forward(request.operation(), request.ticket().toString(), request.body(), request.waitMillis()))
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.request.TaskEnd;
+import org.masticwick.core.request.TaskId;
 import org.masticwick.daemon.connection.EndpointClient;
 import org.masticwick.daemon.connection.EndpointClient.LookupReply;
 import org.masticwick.daemon.connection.EndpointClient.PendingPost;
@@ -45,6 +47,8 @@
 
 	private volatile int unreachableCount;
 
+	private volatile boolean cancelling;
+
 	TaskRun(EndpointClient client, ScheduledExecutorService timer, TaskPost post, Options options, Runnable onLookup,
 			Consumer<Result> onEnd) {
 		this.client = client;
@@ -63,13 +67,13 @@
 
 	private void onReply(PostReply reply) {
 		if (reply instanceof PostReply.Succeeded succeeded) {
-			end(TaskEnd.Kind.SUCCEEDED, succeeded.result(), "");
+			end(new Result(TaskEnd.Kind.SUCCEEDED, succeeded.result(), "", reply.busySlotCount()));
 		}
 		else if (reply instanceof PostReply.Failed failed) {
-			end(TaskEnd.Kind.FAILED, null, failed.detail());
+			end(new Result(TaskEnd.Kind.FAILED, null, failed.detail(), reply.busySlotCount()));
 		}
 		else if (reply instanceof PostReply.Refused refused) {
-			end(kindOf(refused.reason()), null, "");
+			end(new Result(kindOf(refused.reason()), null, "", reply.busySlotCount()));
 		}
 		else if (reply instanceof PostReply.NotSent notSent) {
 			end(TaskEnd.Kind.NOT_CONNECTED, null, notSent.detail());
@@ -147,6 +151,26 @@
 		}
 	}
 
+	boolean ended() {
+		return this.ended.get();
+	}
+
+	HostAddress endpoint() {
+		return this.post.endpoint();
+	}
+
+	TaskId task() {
+		return this.post.task();
+	}
+
+	/**
+	 * Notes that the task is being cancelled: its end is no longer told as a fault of the
+	 * endpoint.
+	 */
+	void cancelling() {
+		this.cancelling = true;
+	}
+
 	/**
 	 * Stops waiting, since the job has ended. The end is told once all the same.
 	 */
@@ -155,6 +179,10 @@
 	}
 
 	private void end(TaskEnd.Kind kind, String result, String detail) {
+		end(new Result(kind, result, detail, TaskEnd.UNKNOWN_COUNT));
+	}
+
+	private void end(Result result) {
 		if (!this.ended.compareAndSet(false, true)) {
 			return;
 		}
@@ -163,7 +191,7 @@
 		if (current != null && !current.reply().isDone()) {
 			current.abandon();
 		}
-		this.onEnd.accept(new Result(kind, result, detail));
+		this.onEnd.accept(this.cancelling ? result.ofCancelledTask() : result);
 	}
 
 	/**
@@ -184,8 +212,20 @@
 	 * @param kind the kind of end
 	 * @param result the result if it succeeded, else {@code null}
 	 * @param detail what went wrong, for people
+	 * @param busySlotCount how many slots of the endpoint were taken when it replied;
+	 * {@link TaskEnd#UNKNOWN_COUNT} if it didn't tell
 	 */
-	record Result(TaskEnd.Kind kind, String result, String detail) {
+	record Result(TaskEnd.Kind kind, String result, String detail, int busySlotCount) {
+
+		/**
+		 * Returns the end of a task that was being cancelled, which is no fault of its
+		 * endpoint.
+		 * @return the end
+		 */
+		Result ofCancelledTask() {
+			boolean stopped = this.kind == TaskEnd.Kind.FAILED || this.kind == TaskEnd.Kind.LOST;
+			return stopped ? new Result(TaskEnd.Kind.CANCELLED, this.result, this.detail, this.busySlotCount) : this;
+		}
 
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.TimeSource;
@@ -22,20 +24,27 @@
 
 	private final Map<Incarnation, HostAddress> heirs = new ConcurrentHashMap<>();
 
+	private final Set<Incarnation> withoutHeir = ConcurrentHashMap.newKeySet();
+
 	private final TimeSource time;
 
 	private final long lifetimeMillis;
 
+	private final long maxRememberedBytes;
+
 	/**
 	 * Creates the books of a process that took none over.
 	 * @param mint the mint of the process
 	 * @param time the clock
 	 * @param lifetimeMillis how long tickets live, in milliseconds
+	 * @param maxRememberedBytes how much memory the answers of ended jobs may take before
+	 * no more jobs are taken, in bytes
 	 */
-	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis) {
+	public TicketBooks(TicketMint mint, TimeSource time, long lifetimeMillis, long maxRememberedBytes) {
 		this.own = new TicketBook(mint, time, 0);
 		this.time = time;
 		this.lifetimeMillis = lifetimeMillis;
+		this.maxRememberedBytes = maxRememberedBytes;
 		this.books.put(mint.home().incarnation(), this.own);
 	}
 
@@ -43,9 +52,13 @@
 	 * Issues tickets of this process.
 	 * @param count how many
 	 * @return the tickets
-	 * @throws RequestException if the books were handed over
+	 * @throws RequestException if the books were handed over, or the memory for answers
+	 * is used up
 	 */
 	public List<Ticket> issue(int count) {
+		if (full()) {
+			throw new RequestException(ErrorCode.OVERLOADED, "The memory for answers is used up until tickets expire");
+		}
 		return this.own.issue(count, this.time.epochMillis() + this.lifetimeMillis);
 	}
 
@@ -67,6 +80,24 @@
 		this.heirs.put(incarnation, heir);
 	}
 
+	/**
+	 * Notes that a book was given up and no process took it over, so that none will ever
+	 * start a job under a ticket of it that was not submitted before.
+	 * @param incarnation the incarnation of the book
+	 */
+	void noteNoHeir(Incarnation incarnation) {
+		this.withoutHeir.add(incarnation);
+	}
+
+	/**
+	 * Returns whether a book was given up and no process took it over.
+	 * @param incarnation the incarnation of the book
+	 * @return {@code true} if so
+	 */
+	boolean withoutHeir(Incarnation incarnation) {
+		return this.withoutHeir.contains(incarnation);
+	}
+
 	/**
 	 * Returns to whom this process handed a book over.
 	 * @param incarnation the incarnation of the book
@@ -123,6 +154,23 @@
 		this.books.values().removeIf((book) -> book != this.own && book.expired());
 	}
 
+	/**
+	 * Returns how much memory the answers of ended jobs take in all books.
+	 * @return the estimate in bytes
+	 */
+	public long rememberedBytes() {
+		return this.books.values().stream().mapToLong(TicketBook::rememberedBytes).sum();
+	}
+
+	/**
+	 * Returns whether the memory for answers is used up, so that no job may be taken. No
+	 * answer is dropped before its ticket expires.
+	 * @return {@code true} if it is
+	 */
+	public boolean full() {
+		return rememberedBytes() >= this.maxRememberedBytes;
+	}
+
 	/**
 	 * Returns how many tickets are remembered in all books.
 	 * @return the count
