--- a/masticwick-proof/src/test/java/org/masticwick/proof/site/StopSteps.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/site/StopSteps.java
@@ -161,8 +161,12 @@
 	public void noTicketStarts(String domain) {
 		Map<String, Integer> before = new TreeMap<>();
 		this.samples.values().forEach((sample) -> before.putAll(starts(sample)));
+		Map<String, CompletableFuture<ApiClient.Reply>> replies = new LinkedHashMap<>();
+		EntryHostProcess host = first(domain);
+		this.samples
+			.forEach((name, sample) -> replies.put(name, CompletableFuture.supplyAsync(() -> submit(host, sample))));
 		this.samples.forEach((name, sample) -> {
-			ApiClient.Reply reply = submit(first(domain), sample);
+			ApiClient.Reply reply = replies.get(name).join();
 			boolean whole = Jobs.complete(reply, TASK_COUNT);
 			boolean told = !reply.json().path("code").asText("").isEmpty() && reply.status() >= 400;
 			assertThat(whole || told).as(name + ": " + reply).isTrue();
--- a/masticwick-proof/src/test/resources/features/site-cuts.feature
+++ b/masticwick-proof/src/test/resources/features/site-cuts.feature
@@ -6,8 +6,8 @@
       | domains                     | toto-centro quetzal-norte solola-lago |
       | workers                     | 1                                     |
       | entry hosts                 | 2                                     |
-      | peers.heartbeat_interval_ms | 250                                   |
-      | peers.silence_limit_ms      | 800                                   |
+      | peers.heartbeat_interval_ms | 200                                   |
+      | peers.silence_limit_ms      | 500                                   |
     And the versions in force are watched
     When "<from platform>" are cut from the platform
     And "<cut>" are cut from the other failure domains
--- a/masticwick-proof/src/test/resources/features/site-stops.feature
+++ b/masticwick-proof/src/test/resources/features/site-stops.feature
@@ -6,6 +6,8 @@
       | domains           | toto-centro quetzal-norte |
       | entry hosts       | 3                         |
       | stop.drain_min_ms | 3000                      |
+      | peers.heartbeat_interval_ms | 250            |
+      | peers.silence_limit_ms | 1000                |
     And 8 callers post to "toto-centro quetzal-norte" through a balancer that is 2000 ms late
     And tickets of toto-centro/0: unused ones, a finished one and one that runs for 3000 ms
     When "toto-centro/0" stops as planned
