--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
@@ -120,7 +120,7 @@
 				reader.milliseconds("deadline_default_ms", MINUTE_MILLIS, 1, HOUR_MILLIS),
 				reader.milliseconds("deadline_max_ms", 10 * MINUTE_MILLIS, 1, HOUR_MILLIS),
 				reader.milliseconds("body_timeout_ms", 10_000, 10, 10 * MINUTE_MILLIS),
-				reader.bytes("remembered_bytes_max", 64L * MEBIBYTE, MEBIBYTE, 64 * GIBIBYTE));
+				reader.bytes("remembered_bytes_max", 48L * MEBIBYTE, MEBIBYTE, 64 * GIBIBYTE));
 		if (requests.deadlineDefaultMillis() > requests.deadlineMaxMillis()) {
 			reader.report("deadline_default_ms", Long.toString(requests.deadlineDefaultMillis()),
 					"at most deadline_max_ms, " + requests.deadlineMaxMillis());
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -16,7 +16,7 @@
 	static final byte[] NO_BODY = {};
 
 	/** Estimates what an entry takes besides the body of its answer. */
-	private static final long ENTRY_BYTES = 512;
+	private static final long ENTRY_BYTES = 320;
 
 	private final byte[] digest;
 
