--- a/masticwick-proof/src/test/java/org/masticwick/proof/support/EntryHostProcess.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/support/EntryHostProcess.java
@@ -21,8 +21,7 @@
 	public static final String MODULE = "masticwick-daemon";
 
 	private static final List<String> JAVA_OPTIONS = List.of("-Xms32m", "-Xmx112m", "-XX:MaxDirectMemorySize=32m",
-			"-XX:MaxMetaspaceSize=64m", "-XX:ReservedCodeCacheSize=32m", "-XX:+UseSerialGC", "-XX:CICompilerCount=2",
-			"-Xss512k");
+			"-XX:MaxMetaspaceSize=64m", "-XX:ReservedCodeCacheSize=32m", "-XX:+UseSerialGC", "-Xss512k");
 
 	private static final String CONFIG_OPTION = "--config";
 
