--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRecorder.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadRecorder.java
@@ -60,6 +60,8 @@
 
 	private final LongAdder completeWorkMillis = new LongAdder();
 
+	private final Map<String, LongAdder> teamWorkMillis = new ConcurrentHashMap<>();
+
 	private final Histogram sendLags = new ConcurrentHistogram(DIGITS);
 
 	LoadRecorder(LoadOptions options) {
@@ -191,6 +193,10 @@
 		return this.completeWorkMillis.sum();
 	}
 
+	Map<String, Long> teamWorkMillis() {
+		return sums(this.teamWorkMillis);
+	}
+
 	Quantiles sendLagsMillis() {
 		return Quantiles.of(this.sendLags, RESPONSE_UNIT_MILLIS);
 	}
@@ -210,6 +216,7 @@
 		if (nowNanos >= warmupNanos && nowNanos < TimeUnit.MILLISECONDS.toNanos(this.options.durationMillis())) {
 			this.completeTasks.add(job.taskCount());
 			this.completeWorkMillis.add(job.workMillis());
+			this.teamWorkMillis.computeIfAbsent(job.teamName(), (team) -> new LongAdder()).add(job.workMillis());
 		}
 		if (job.offsetNanos() >= warmupNanos) {
 			boolean single = job.taskCount() == 1;
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/LoadReport.java
@@ -43,6 +43,8 @@
  * @param resubmissionCount jobs that the tool sent again for that reason
  * @param violations how often each promise was broken
  * @param violationExamples some of them
+ * @param teamWorkMillis the work of complete jobs by team, in milliseconds, from the end
+ * of the warm-up to the last arrival
  * @param timeline what became of the jobs of each second
  */
 record LoadReport(LoadOptions options, int jobCount, long taskCount, double offeredLoad, double goodput,
@@ -52,7 +54,7 @@
 		Map<String, Double> wastedMessages, double wastedPerStartedTask, Map<String, Double> peerMessages,
 		Map<String, Double> peerBytes, Map<String, Double> endpointMessages, double hostProcessorSeconds,
 		long lostConnectionCount, long resubmissionCount, Map<Violation.Type, Long> violations,
-		List<Violation> violationExamples, List<SecondCounts.Row> timeline) {
+		List<Violation> violationExamples, Map<String, Long> teamWorkMillis, List<SecondCounts.Row> timeline) {
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
@@ -83,7 +85,7 @@
 				SiteCounters.under(counts, SiteCounters.PEER_BYTES), SiteCounters.under(counts, SiteCounters.ENDPOINT),
 				counts.getOrDefault(SiteCounters.PROCESSOR_SECONDS, 0.0), client.lostConnectionCount(),
 				client.resubmissionCount(), violations, recorder.violations().stream().limit(EXAMPLE_COUNT).toList(),
-				recorder.timeline());
+				recorder.teamWorkMillis(), recorder.timeline());
 	}
 
 	/**
--- a/masticwick-cli/src/main/java/org/masticwick/cli/load/PlannedJob.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/load/PlannedJob.java
@@ -50,6 +50,14 @@
 		return this.runMillis.length;
 	}
 
+	/**
+	 * Returns the name of its team.
+	 * @return the name
+	 */
+	String teamName() {
+		return "team-" + this.team;
+	}
+
 	/**
 	 * Returns what an endpoint gets for a task.
 	 * @param seed the seed of the run
@@ -70,7 +78,7 @@
 		List<TaskSpec> tasks = IntStream.range(0, taskCount())
 			.mapToObj((task) -> new TaskSpec(this.kind, payload(options.seed(), task), this.declaredMillis[task], 0, 0))
 			.toList();
-		return new JobRequest(service, "team-" + this.team, this.urgent, false, options.deadlineMillis(), tasks);
+		return new JobRequest(service, teamName(), this.urgent, false, options.deadlineMillis(), tasks);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndpointHealth.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndpointHealth.java
@@ -14,7 +14,9 @@
 
 	private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
 
-	private static final int MAX_DOUBLING_COUNT = 6;
+	private static final int MAX_GROWTH_COUNT = 3;
+
+	private static final int GROWTH_BITS = 2;
 
 	private static final int PROBE_COUNT = 3;
 
@@ -65,8 +67,8 @@
 		this.ejected = true;
 		this.probing = false;
 		this.passedProbeCount = 0;
-		this.untilNanos = nowNanos + (FIRST_EJECTION_NANOS << this.ejectionCount);
-		this.ejectionCount = Math.min(MAX_DOUBLING_COUNT, this.ejectionCount + 1);
+		this.untilNanos = nowNanos + (FIRST_EJECTION_NANOS << (GROWTH_BITS * this.ejectionCount));
+		this.ejectionCount = Math.min(MAX_GROWTH_COUNT, this.ejectionCount + 1);
 	}
 
 	/**
