--- a/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/JobClient.java
@@ -197,6 +197,13 @@
 		return this.options;
 	}
 
+	void forgetTicketsOf(HttpUrl host) {
+		int index = this.hosts.indexOf(host);
+		if (index >= 0) {
+			this.stores.get(index).clear();
+		}
+	}
+
 	HttpUrl hostAfter(HttpUrl host) {
 		return this.hosts.get((this.hosts.indexOf(host) + 1) % this.hosts.size());
 	}
--- a/masticwick-cli/src/main/java/org/masticwick/cli/request/Submission.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/Submission.java
@@ -78,6 +78,7 @@
 
 	private void handleLoss(Throwable error) {
 		this.client.counters().countLostConnection();
+		this.client.forgetTicketsOf(this.host);
 		if (!(error instanceof HostUnreachableException unreachable) || unreachable.connected()) {
 			this.connected = true;
 		}
--- a/masticwick-cli/src/main/java/org/masticwick/cli/request/TicketStore.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/request/TicketStore.java
@@ -71,6 +71,13 @@
 		return this.caller.send("POST", url, body, LIMIT).thenApply(this::read);
 	}
 
+	/**
+	 * Drops the tickets that are kept ahead, since their home may be gone.
+	 */
+	void clear() {
+		this.tickets.clear();
+	}
+
 	private CompletableFuture<Void> refill() {
 		CompletableFuture<Void> own = new CompletableFuture<>();
 		CompletableFuture<Void> other = this.pending.compareAndExchange(null, own);
--- a/masticwick-cli/src/test/java/org/masticwick/cli/request/JobClientTests.java
+++ b/masticwick-cli/src/test/java/org/masticwick/cli/request/JobClientTests.java
@@ -217,6 +217,17 @@
 	@Nested
 	class Tickets {
 
+		@Test
+		void ofAHomeThatIsGoneAreDropped() throws IOException {
+			JobClientTests.this.first.enqueue(tickets("t1", "t3"));
+			JobClientTests.this.second.enqueue(json(200, COMPLETE));
+			JobClientTests.this.second.enqueue(tickets("t5", "t6"));
+			Ticket ticket = JobClientTests.this.client.ticketOf(0).join();
+			JobClientTests.this.first.shutdown();
+			JobClientTests.this.client.submit(ticket, REQUEST).join();
+			assertThat(JobClientTests.this.client.ticketFrom(0).join().text()).isEqualTo("t5");
+		}
+
 		@Test
 		void areFetchedInBlocks() throws InterruptedException {
 			JobClientTests.this.first.enqueue(tickets("a", "b"));
