Deliver the answers to an heir in batches, one message at a time

Cause: a stopping host told its heir each answer that did not fit into the transfer in a call of its own, all at once; with a full memory of answers (48 MiB, some 76,000 tickets) that is 40 MB against an outbound bound of 4 MB, and five attempts in a row fail within milliseconds. Ruled out: a larger bound, which only moves it. The transfer itself takes 8 MB of answers, so that it stays well below the 32 MB of a message at 76,000 tickets (worked out).

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -43,9 +43,7 @@
 
 	private static final int RUNNING = 0;
 
-	private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
-	private static final int CLOSE_ATTEMPT_COUNT = 5;
+	private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 	private static final long CALL_LIMIT_SECONDS = 10;
 
@@ -131,20 +129,13 @@
 	}
 
 	private void followUp(Offer offer, HostAddress heir, List<CompletableFuture<Void>> pending) {
-		offer.open()
-			.forEach((ticket,
-					entry) -> pending.add(entry.answer()
-						.thenCompose((answer) -> tell(heir,
-								new ClosedTicket(ticket, answer.status(), answer.contentType(), answer.body()),
-								CLOSE_ATTEMPT_COUNT))));
-	}
-
-	private CompletableFuture<Void> tell(HostAddress heir, ClosedTicket closed, int attemptCount) {
-		this.metrics.message(MessageKind.TRANSFER);
-		return this.transport.call(heir, new CloseTickets(List.of(closed)))
-			.<Void>thenApply((answer) -> null)
-			.exceptionallyCompose((ex) -> (attemptCount > 1) ? tell(heir, closed, attemptCount - 1)
-					: CompletableFuture.completedFuture(null));
+		AnswerDelivery delivery = new AnswerDelivery(this.transport, heir, this.metrics);
+		offer.open().forEach((ticket, entry) -> {
+			CompletableFuture<Void> delivered = entry.answer()
+				.thenCompose((answer) -> delivery
+					.deliver(new ClosedTicket(ticket, answer.status(), answer.contentType(), answer.body())));
+			pending.add(delivered);
+		});
 	}
 
 	/**
--- /dev/null
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/AnswerDeliveryTests.java
@@ -0,0 +1,112 @@
+package org.masticwick.daemon.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.daemon.process.metrics.Metrics;
+import org.masticwick.wire.PeerException;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerMessage.CloseTickets;
+import org.masticwick.wire.PeerMessage.ClosedTicket;
+import org.masticwick.wire.PeerMessage.Pong;
+import org.masticwick.wire.PeerTransport;
+import org.masticwick.wire.TrafficCounters;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link AnswerDelivery}.
+ */
+class AnswerDeliveryTests {
+
+	private static final int HALF_MESSAGE_BYTES = 512 * 1024;
+
+	private static final int ATTEMPT_COUNT = 5;
+
+	private final HeldTransport transport = new HeldTransport();
+
+	private final AnswerDelivery delivery = new AnswerDelivery(this.transport, new HostAddress("127.0.0.1", 7201),
+			new Metrics());
+
+	private CompletableFuture<Void> deliver(int number) {
+		return this.delivery.deliver(new ClosedTicket("t" + number, 200, "", new byte[HALF_MESSAGE_BYTES]));
+	}
+
+	@Test
+	void sendsWhatCameMeanwhileTogetherUpToABound() {
+		List<CompletableFuture<Void>> delivered = IntStream.range(0, 6).mapToObj(this::deliver).toList();
+		assertThat(this.transport.sentCounts()).containsExactly(1);
+		this.transport.answerLast();
+		assertThat(this.transport.sentCounts()).containsExactly(1, 2);
+		this.transport.answerLast();
+		this.transport.answerLast();
+		this.transport.answerLast();
+		assertThat(this.transport.sentCounts()).containsExactly(1, 2, 2, 1);
+		assertThat(delivered).allSatisfy((one) -> assertThat(one).isDone());
+	}
+
+	@Test
+	void triesAgainAndGivesUpInTheEnd() {
+		CompletableFuture<Void> delivered = deliver(0);
+		IntStream.range(0, ATTEMPT_COUNT - 1).forEach((attempt) -> this.transport.failLast());
+		assertThat(delivered).isNotDone();
+		this.transport.failLast();
+		assertThat(delivered).isDone();
+		assertThat(this.transport.sentCounts()).hasSize(ATTEMPT_COUNT);
+	}
+
+	/**
+	 * Holds each call until the test answers it.
+	 */
+	private static final class HeldTransport implements PeerTransport {
+
+		private final List<CloseTickets> sent = new ArrayList<>();
+
+		private CompletableFuture<PeerMessage> last;
+
+		private List<Integer> sentCounts() {
+			return this.sent.stream().map((message) -> message.tickets().size()).toList();
+		}
+
+		private void answerLast() {
+			this.last.complete(new Pong());
+		}
+
+		private void failLast() {
+			this.last.completeExceptionally(new PeerException("cut", null, true));
+		}
+
+		@Override
+		public HostAddress localAddress() {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<PeerMessage> call(HostAddress to, PeerMessage request) {
+			this.sent.add((CloseTickets) request);
+			this.last = new CompletableFuture<>();
+			return this.last;
+		}
+
+		@Override
+		public void send(HostAddress to, PeerMessage message) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public TrafficCounters traffic() {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+}
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
@@ -99,6 +99,16 @@
 			assertThat(inherited.answer().join().body()).asString().isEqualTo("late");
 		}
 
+		@Test
+		void deliversAMemoryOfAnswersThatDoesNotFitIntoOneMessage() {
+			int jobCount = 40;
+			List<Ticket> tickets = TicketTransferTests.this.home.books.issue(jobCount);
+			tickets.forEach((ticket) -> claim(ticket).complete(answer("x".repeat(512 * 1024))));
+			transfer().handOver().join();
+			TicketBook inherited = bookAt(TicketTransferTests.this.first).orElseThrow();
+			assertThat(tickets).allSatisfy((ticket) -> assertThat(inherited.find(ticket).answer()).isDone());
+		}
+
 		@Test
 		void passesInheritedBooksOn() {
 			Ticket ticket = TicketTransferTests.this.home.books.issue(1).get(0);
@@ -207,7 +217,7 @@
 			return hosts.stream()
 				.filter((host) -> host.self.peerAddress().equals(to))
 				.findFirst()
-				.map((host) -> CompletableFuture.completedFuture(host.handle(request)))
+				.map((host) -> CompletableFuture.supplyAsync(() -> host.handle(request)))
 				.orElseThrow();
 		}
 
