--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/CancelBatch.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/CancelBatch.java
@@ -25,7 +25,7 @@
 
 	private static final long COLLECT_MILLIS = 5;
 
-	private static final long WAVE_COLLECT_MILLIS = 25;
+	private static final long WAVE_COLLECT_MILLIS = 50;
 
 	private static final long WAVE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
