Hand tickets over in parts, and pass them on by the last

Now jobs go ahead in parts of 1 MB, which pass no right on, and only the last message, with the key and the count of jobs, does. A part that fails leaves the next heir free to be tried; a transfer of which a part is missing is not taken over. Answers for which the heir has no memory are forgotten, their tickets are not. Ruled out: a larger frame, for which the direct memory of 32 MB is too small. TicketTransferTests shows parts, a missing part and the bound of memory.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketBooks.java
@@ -162,6 +162,16 @@
 		return this.books.values().stream().mapToLong(TicketBook::rememberedBytes).sum();
 	}
 
+	/**
+	 * Returns how much memory there is for answers that another process hands over. It
+	 * goes somewhat beyond what stops new jobs, so that a planned stop under load loses
+	 * little.
+	 * @return the memory in bytes
+	 */
+	long freeBytes() {
+		return Math.max(0, this.maxRememberedBytes / 3 * 4 - rememberedBytes());
+	}
+
 	/**
 	 * Returns whether the memory for answers is used up, so that no job may be taken. No
 	 * answer is dropped before its ticket expires.
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -1,15 +1,12 @@
 package org.masticwick.daemon.request;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,10 +38,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(TicketTransfer.class);
 
-	private static final int RUNNING = 0;
-
-	private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-
 	private static final long CALL_LIMIT_SECONDS = 10;
 
 	private final TicketBooks books;
@@ -57,6 +50,8 @@
 
 	private final TimeSource time;
 
+	private final StagedJobs staged = new StagedJobs();
+
 	/**
 	 * Creates a transfer.
 	 * @param books the books of this process
@@ -110,9 +105,14 @@
 	}
 
 	private Outcome send(Offer offer, HostAddress heir) {
+		boolean staged = offer.parts().stream().allMatch((part) -> call(part, heir) == Outcome.ACCEPTED);
+		return staged ? call(offer.last(), heir) : Outcome.REFUSED;
+	}
+
+	private Outcome call(InheritTickets message, HostAddress heir) {
 		this.metrics.message(MessageKind.TRANSFER);
 		try {
-			PeerMessage answer = this.transport.call(heir, offer.message()).get(CALL_LIMIT_SECONDS, TimeUnit.SECONDS);
+			PeerMessage answer = this.transport.call(heir, message).get(CALL_LIMIT_SECONDS, TimeUnit.SECONDS);
 			return (answer instanceof InheritAnswer given && given.accepted()) ? Outcome.ACCEPTED : Outcome.REFUSED;
 		}
 		catch (ExecutionException ex) {
@@ -144,10 +144,19 @@
 	 * @return the answer
 	 */
 	public PeerMessage inherit(InheritTickets offered) {
+		if (offered.jobCount() == InheritTickets.PART) {
+			return new InheritAnswer(this.staged.add(offered, this.books.freeBytes()));
+		}
+		return this.staged.complete(offered, this.books.freeBytes())
+			.map((jobs) -> inherit(offered, jobs))
+			.orElseGet(() -> new InheritAnswer(false));
+	}
+
+	private InheritAnswer inherit(InheritTickets offered, List<InheritedJob> jobs) {
 		TicketMint mint = new TicketMint(offered.from(), new TicketKey(offered.key()), offered.nextSequence());
 		TicketBook book = new TicketBook(mint, this.time, offered.homeEpochMillis() - this.time.epochMillis());
 		book.noteExpiry(offered.expiresAtEpochMillis());
-		offered.jobs().forEach((job) -> restore(book, job, offered.from()));
+		jobs.forEach((job) -> restore(book, job, offered.from()));
 		if (!this.books.inherit(book)) {
 			return new InheritAnswer(
 					this.books.find(offered.from().incarnation()).filter(TicketBook::held).isPresent());
@@ -155,7 +164,7 @@
 		logger.atInfo()
 			.addKeyValue("incarnation", offered.from().incarnation())
 			.addKeyValue("from", offered.from().peerAddress())
-			.addKeyValue("jobs", offered.jobs().size())
+			.addKeyValue("jobs", jobs.size())
 			.log("Tickets taken over");
 		return new InheritAnswer(true);
 	}
@@ -163,7 +172,7 @@
 	private static void restore(TicketBook book, InheritedJob job, EntryHost from) {
 		Ticket ticket = Ticket.parse(job.ticket());
 		JobEntry entry = new JobEntry(job.digest(), ticket.expiryEpochMillis(), from);
-		if (job.status() != RUNNING) {
+		if (job.status() != Offer.RUNNING) {
 			entry.complete(new HttpAnswer(job.status(), job.contentType(), job.body(), HttpAnswer.NO_RETRY));
 		}
 		book.restore(ticket.sequence(), entry);
@@ -192,46 +201,6 @@
 		}
 	}
 
-	/**
-	 * Is a book that was given up, as the heir gets it.
-	 *
-	 * @param book the book
-	 * @param message the message to the heir
-	 * @param open the tickets whose answers follow
-	 */
-	private record Offer(TicketBook book, InheritTickets message, Map<String, JobEntry> open) {
-
-		static Offer of(TicketBook book) {
-			List<InheritedJob> jobs = new ArrayList<>();
-			Map<String, JobEntry> open = new HashMap<>();
-			AtomicLong answerBytes = new AtomicLong();
-			book.forEach((sequence, entry) -> {
-				String ticket = ticketOf(book, sequence, entry).toString();
-				HttpAnswer answer = entry.answer().getNow(null);
-				if (answer == null || answerBytes.addAndGet(answer.body().length) > MAX_ANSWER_BYTES) {
-					open.put(ticket, entry);
-					jobs.add(new InheritedJob(ticket, entry.digest(), RUNNING, "", new byte[0]));
-				}
-				else {
-					jobs.add(new InheritedJob(ticket, entry.digest(), answer.status(), answer.contentType(),
-							answer.body()));
-				}
-			});
-			TicketMint mint = book.mint();
-			return new Offer(book, new InheritTickets(mint.home(), book.homeEpochMillis(), mint.nextSequence(),
-					mint.key().toBytes(), book.lastExpiryEpochMillis(), jobs), open);
-		}
-
-		private static Ticket ticketOf(TicketBook book, long sequence, JobEntry entry) {
-			EntryHost home = book.mint().home();
-			return book.mint()
-				.key()
-				.sign(new Ticket(home.domain(), home.peerAddress(), home.incarnation(), sequence,
-						entry.expiryEpochMillis(), ""));
-		}
-
-	}
-
 	/**
 	 * Tells what came of an offer.
 	 */
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
@@ -107,6 +107,7 @@
 			transfer().handOver().join();
 			TicketBook inherited = bookAt(TicketTransferTests.this.first).orElseThrow();
 			assertThat(tickets).allSatisfy((ticket) -> assertThat(inherited.find(ticket).answer()).isDone());
+			assertThat(TicketTransferTests.this.transport.partCount).isGreaterThan(1);
 		}
 
 		@Test
@@ -128,6 +129,35 @@
 
 	}
 
+	@Nested
+	class Staging {
+
+		@Test
+		void takesNothingOverIfAPartIsMissing() {
+			TicketTransferTests.this.home.books.issue(1);
+			InheritTickets last = new InheritTickets(TicketTransferTests.this.home.self, 0, 1,
+					TicketKey.random().toBytes(), Long.MAX_VALUE, List.of(), 2);
+			assertThat(TicketTransferTests.this.first.handle(last)).isEqualTo(new InheritAnswer(false));
+			assertThat(bookAt(TicketTransferTests.this.first)).isEmpty();
+		}
+
+		@Test
+		void forgetsAnswersForWhichThereIsNoMemoryButNotTheirTickets() {
+			Host small = new Host(4, 1_000);
+			Ticket ticket = TicketTransferTests.this.home.books.issue(1).get(0);
+			TicketTransferTests.this.home.books.own()
+				.claim(ticket, DIGEST)
+				.orElseThrow()
+				.entry()
+				.complete(answer("x".repeat(100_000)));
+			Offer offer = Offer.of(TicketTransferTests.this.home.books.own());
+			small.handle(offer.last());
+			JobEntry entry = bookAt(small).orElseThrow().claim(ticket, DIGEST).orElseThrow().entry();
+			assertThat(entry.answer().join().status()).isEqualTo(410);
+		}
+
+	}
+
 	@Nested
 	class Failing {
 
@@ -176,20 +206,28 @@
 
 		private final TicketBooks books;
 
+		private TicketTransfer receiving;
+
 		private Host(int number) {
+			this(number, Integer.MAX_VALUE);
+		}
+
+		private Host(int number, long rememberedBytes) {
 			this.self = new EntryHost("hobart", new HostAddress("127.0.0.1", 7200 + number),
 					new Incarnation(1, number));
 			this.books = new TicketBooks(new TicketMint(this.self, TicketKey.random(), 0), TimeSource.system(),
-					LIFETIME_MILLIS, Long.MAX_VALUE);
+					LIFETIME_MILLIS, rememberedBytes);
 		}
 
 		private PeerMessage handle(PeerMessage message) {
-			TicketTransfer receiving = new TicketTransfer(this.books, new FakeDirectory(List.of()),
-					TicketTransferTests.this.transport, new Metrics(), TimeSource.system());
+			if (this.receiving == null) {
+				this.receiving = new TicketTransfer(this.books, new FakeDirectory(List.of()),
+						TicketTransferTests.this.transport, new Metrics(), TimeSource.system());
+			}
 			if (message instanceof InheritTickets offered) {
-				return receiving.inherit(offered);
+				return this.receiving.inherit(offered);
 			}
-			receiving.close((CloseTickets) message);
+			this.receiving.close((CloseTickets) message);
 			return new Pong();
 		}
 
@@ -207,8 +245,11 @@
 			throw new UnsupportedOperationException();
 		}
 
+		private int partCount;
+
 		@Override
 		public CompletableFuture<PeerMessage> call(HostAddress to, PeerMessage request) {
+			this.partCount += (request instanceof InheritTickets) ? 1 : 0;
 			if (this.faults.containsKey(to)) {
 				return this.faults.get(to).apply(request);
 			}
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -106,19 +106,26 @@
 	}
 
 	/**
-	 * Passes the unexpired tickets of a stopping host to its heir.
+	 * Passes the unexpired tickets of a stopping host to its heir. Many jobs come in
+	 * parts before; only the last message, which has the key, passes the tickets on.
 	 *
-	 * @param from the stopping host
-	 * @param homeEpochMillis when the stopping host started, in milliseconds since the
-	 * epoch
+	 * @param from the host that issued the tickets
+	 * @param homeEpochMillis the time by the clock of that host, in milliseconds since
+	 * the epoch
 	 * @param nextSequence the first sequence number that no ticket was issued for
 	 * @param key the key of the integrity check of the tickets
 	 * @param expiresAtEpochMillis when the last of the tickets expires, in milliseconds
 	 * since the epoch
-	 * @param jobs the jobs that have ended
+	 * @param jobs the submitted jobs, or some of them
+	 * @param jobCount how many jobs there are in all messages, or {@value #PART} in a
+	 * part
 	 */
 	record InheritTickets(EntryHost from, long homeEpochMillis, long nextSequence, byte[] key,
-			long expiresAtEpochMillis, List<InheritedJob> jobs) implements PeerMessage {
+			long expiresAtEpochMillis, List<InheritedJob> jobs, int jobCount) implements PeerMessage {
+
+		/** Stands for the count of jobs in all messages but the last. */
+		public static final int PART = -1;
+
 	}
 
 	/**
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
@@ -65,13 +65,14 @@
 
 	static final RecordType<PeerMessage.InheritTickets> INHERIT_TICKETS = new RecordType<>(
 			(values) -> new PeerMessage.InheritTickets(values.get(0), values.get(1), values.get(2), values.get(3),
-					values.get(4), values.get(5)),
+					values.get(4), values.get(5), values.get(6)),
 			RecordType.required(CoreTypes.ENTRY_HOST, PeerMessage.InheritTickets::from),
 			RecordType.required(BasicTypes.LONG, PeerMessage.InheritTickets::homeEpochMillis),
 			RecordType.required(BasicTypes.LONG, PeerMessage.InheritTickets::nextSequence),
 			RecordType.required(BasicTypes.BYTES, PeerMessage.InheritTickets::key),
 			RecordType.required(BasicTypes.LONG, PeerMessage.InheritTickets::expiresAtEpochMillis),
-			RecordType.required(BasicTypes.list(inheritedJob()), PeerMessage.InheritTickets::jobs));
+			RecordType.required(BasicTypes.list(inheritedJob()), PeerMessage.InheritTickets::jobs),
+			RecordType.required(BasicTypes.INT, PeerMessage.InheritTickets::jobCount));
 
 	static final RecordType<PeerMessage.InheritAnswer> INHERIT_ANSWER = new RecordType<>(
 			(values) -> new PeerMessage.InheritAnswer(values.get(0)),
