Send no task on a kept connection that the endpoint has closed

Ruled out: repeating the post, which may start it twice. A connection that was idle for 500 ms is now read once for its end before it is used.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -86,6 +86,7 @@
 			.readTimeout(0, TimeUnit.MILLISECONDS)
 			.writeTimeout(this.limits.questionMillis(), TimeUnit.MILLISECONDS)
 			.callTimeout(callMillis, TimeUnit.MILLISECONDS)
+			.addNetworkInterceptor(new StaleConnectionGuard())
 			.eventListenerFactory((call) -> new WriteWatch(call))
 			.build();
 	}
--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/StaleConnectionGuard.java
@@ -0,0 +1,62 @@
+package org.masticwick.daemon.connection;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Collections;
+import java.util.Map;
+import java.util.WeakHashMap;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.Connection;
+import okhttp3.Interceptor;
+import okhttp3.Response;
+
+/**
+ * Sends no request on a kept connection that the endpoint has closed. OkHttp looks for
+ * that only after ten seconds without use; until then the request would be written, and
+ * nobody could tell whether it has arrived.
+ */
+final class StaleConnectionGuard implements Interceptor {
+
+	private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private static final int PROBE_MILLIS = 1;
+
+	private final Map<Connection, Long> lastUseNanos = Collections.synchronizedMap(new WeakHashMap<>());
+
+	@Override
+	public Response intercept(Chain chain) throws IOException {
+		Connection connection = chain.connection();
+		Long last = this.lastUseNanos.get(connection);
+		if (last != null && System.nanoTime() - last > IDLE_NANOS && ended(connection.socket())) {
+			connection.socket().close();
+			throw new IOException("The endpoint has closed the connection");
+		}
+		try {
+			return chain.proceed(chain.request());
+		}
+		finally {
+			this.lastUseNanos.put(connection, System.nanoTime());
+		}
+	}
+
+	private static boolean ended(Socket socket) throws IOException {
+		int timeoutMillis = socket.getSoTimeout();
+		socket.setSoTimeout(PROBE_MILLIS);
+		try {
+			socket.getInputStream().read();
+			return true;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+		catch (IOException ex) {
+			return true;
+		}
+		finally {
+			socket.setSoTimeout(timeoutMillis);
+		}
+	}
+
+}
