Split the endpoint client and the assembly of the host; lose no early cancel

The entry now remembers that it is wanted. JobServiceTests times out without the check and passes with it. Behaviour is otherwise as it was; the contract tests of the client are unchanged.

--- /dev/null
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/PostCallback.java
@@ -0,0 +1,58 @@
+package org.masticwick.daemon.connection;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Response;
+
+import org.masticwick.core.request.TaskId;
+import org.masticwick.daemon.connection.EndpointClient.PostReply;
+
+/**
+ * Turns the outcome of a post into its reply.
+ */
+final class PostCallback implements Callback {
+
+	private final TaskId task;
+
+	private final EndpointReplies replies;
+
+	private final Runnable onForeignReply;
+
+	private final CompletableFuture<PostReply> reply;
+
+	PostCallback(TaskId task, EndpointReplies replies, Runnable onForeignReply, CompletableFuture<PostReply> reply) {
+		this.task = task;
+		this.replies = replies;
+		this.onForeignReply = onForeignReply;
+		this.reply = reply;
+	}
+
+	@Override
+	public void onFailure(Call call, IOException ex) {
+		String detail = String.valueOf(ex.getMessage());
+		boolean begun = WriteWatch.of(call.request()).begun();
+		this.reply.complete(begun ? new PostReply.Uncertain(detail) : new PostReply.NotSent(detail));
+	}
+
+	@Override
+	public void onResponse(Call call, Response response) {
+		try (response) {
+			this.reply.complete(read(response));
+		}
+		catch (IOException ex) {
+			this.reply.complete(new PostReply.Uncertain(String.valueOf(ex.getMessage())));
+		}
+	}
+
+	private PostReply read(Response response) throws IOException {
+		if (!EndpointReplies.isFor(response, this.task)) {
+			this.onForeignReply.run();
+			return new PostReply.Uncertain("the answer is not for this task");
+		}
+		return this.replies.post(response);
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostParts.java
@@ -1,6 +1,5 @@
 package org.masticwick.daemon.process;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -12,9 +11,7 @@
 import java.util.random.RandomGenerator;
 
 import org.masticwick.core.connection.ListedHost;
-import org.masticwick.core.connection.LoadBudget;
 import org.masticwick.core.connection.Membership;
-import org.masticwick.core.connection.MembershipLimits;
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.ErrorCode;
@@ -23,21 +20,15 @@
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.core.request.EndpointState;
 import org.masticwick.core.request.Scheduler;
-import org.masticwick.core.request.SchedulerSettings;
 import org.masticwick.core.request.Schedulers;
 import org.masticwick.core.request.TicketKey;
 import org.masticwick.core.request.TicketMint;
 import org.masticwick.core.version.HistoryPosition;
 import org.masticwick.daemon.connection.EndpointClient;
-import org.masticwick.daemon.connection.EndpointLimits;
 import org.masticwick.daemon.connection.HeartbeatService;
-import org.masticwick.daemon.connection.HeartbeatSettings;
 import org.masticwick.daemon.connection.NamedThreads;
 import org.masticwick.daemon.connection.OkHttpEndpointClient;
 import org.masticwick.daemon.process.metrics.Metrics;
-import org.masticwick.daemon.process.settings.PeerSettings;
-import org.masticwick.daemon.process.settings.PlatformSettings;
-import org.masticwick.daemon.process.settings.RequestSettings;
 import org.masticwick.daemon.process.settings.Settings;
 import org.masticwick.daemon.request.Collector;
 import org.masticwick.daemon.request.Dispatcher;
@@ -45,14 +36,12 @@
 import org.masticwick.daemon.request.JobRequestReader;
 import org.masticwick.daemon.request.JobService;
 import org.masticwick.daemon.request.LateVerdicts;
-import org.masticwick.daemon.request.RequestLimits;
 import org.masticwick.daemon.request.RequestRouter;
 import org.masticwick.daemon.request.RoutedRequest;
 import org.masticwick.daemon.request.TaskFinder;
 import org.masticwick.daemon.request.TicketBooks;
 import org.masticwick.daemon.request.TicketIssuer;
 import org.masticwick.daemon.request.TicketTransfer;
-import org.masticwick.daemon.version.FollowerSettings;
 import org.masticwick.daemon.version.HostListFollower;
 import org.masticwick.daemon.version.LogFollower;
 import org.masticwick.daemon.version.RecentRecords;
@@ -64,7 +53,6 @@
 import org.masticwick.wire.NettyPeerTransport;
 import org.masticwick.wire.PeerMessageHandler;
 import org.masticwick.wire.PeerTransport;
-import org.masticwick.wire.PeerTransportSettings;
 
 /**
  * Creates the parts of an entry host and ties them together.
@@ -73,20 +61,8 @@
 
 	private static final int PEER_WORKER_COUNT = 4;
 
-	private static final int RETRY_BURST_COUNT = 20;
-
 	private static final long SWEEP_SECONDS = 5;
 
-	private static final int SUSPECT_HEARTBEAT_COUNT = 3;
-
-	private static final int SUMMARY_LOST_FACTOR = 4;
-
-	private static final long DEPARTED_MILLIS = TimeUnit.MINUTES.toMillis(1);
-
-	private static final int MAX_PEER_COUNT = 1_024;
-
-	private static final long QUESTION_MILLIS = 2_000;
-
 	private final Settings settings;
 
 	private final TimeSource time = TimeSource.system();
@@ -151,23 +127,23 @@
 		this.self = new EntryHost(settings.host().domain(), advertisedAddress(settings),
 				Incarnation.create(this.time, this.random));
 		this.platform = new HttpPlatformClient(settings.platform().address(), HttpPlatformSettings.DEFAULT);
-		this.logFollower = new LogFollower(this.platform, this.registry, followerSettings(settings.platform()),
+		this.logFollower = new LogFollower(this.platform, this.registry, PartSettings.follower(settings.platform()),
 				this.time, random());
 		this.hostList = new HostListFollower(this.platform,
 				new PlatformHost(this.self.peerAddress(), PlatformHost.Role.ENTRY, this.self.domain(),
 						PlatformHost.State.LIVE),
 				Duration.ofMillis(settings.platform().hostListIntervalMillis()),
 				Duration.ofMillis(settings.platform().leaseMillis()), random(), this.time, this::onHostList);
-		this.membership = new Membership(this.self, membershipLimits(settings));
-		this.scheduler = Schedulers.create(schedulerSettings(settings), this.self.domain(), this.self, random());
-		EndpointClient endpoints = new OkHttpEndpointClient(new EndpointLimits(
-				settings.dispatch().connectTimeoutMillis(), QUESTION_MILLIS, settings.requests().resultBytesMax()));
+		this.membership = new Membership(this.self, PartSettings.membership(settings));
+		this.scheduler = Schedulers.create(PartSettings.scheduler(settings.dispatch()), this.self.domain(), this.self,
+				random());
+		EndpointClient endpoints = new OkHttpEndpointClient(PartSettings.endpoints(settings));
 		this.dispatcher = new Dispatcher(this.scheduler, endpoints, this.registry::current, this.time, this.metrics,
 				settings.dispatch().endpointSilenceMinMillis());
 		this.books = new TicketBooks(new TicketMint(this.self, TicketKey.random(), 0), this.time,
 				settings.tickets().lifetimeMillis(), settings.requests().rememberedBytesMax());
 		this.verdicts = new LateVerdicts(this.transport);
-		JobRequestReader reader = new JobRequestReader(requestLimits(settings.requests()));
+		JobRequestReader reader = new JobRequestReader(PartSettings.requests(settings.requests()));
 		this.collector = new Collector(reader, this.registry::current,
 				new TaskFinder(endpoints, this.metrics, this.time), this.time, this.verdicts::keep);
 		MembershipDirectory directory = new MembershipDirectory(this.membership, this.time,
@@ -178,8 +154,8 @@
 				directory, this.transport, this.metrics, this.time, 3 * settings.peers().silenceLimitMillis());
 		this.transfer = new TicketTransfer(this.books, directory, this.transport, this.metrics, this.time);
 		RecordRelay relay = new RecordRelay(this.registry);
-		this.heartbeats = new HeartbeatService(heartbeatSettings(settings.peers()), this.transport, this.membership,
-				this::status,
+		this.heartbeats = new HeartbeatService(PartSettings.heartbeats(settings.peers()), this.transport,
+				this.membership, this::status,
 				new PeerEvents(this.scheduler, relay, this.transport, this.verdicts, this.time, this.peerWorkers),
 				this.time);
 		this.messages = new PeerMessages(this.peerWorkers, this.router, this.transfer, relay, this.heartbeats);
@@ -192,10 +168,8 @@
 	}
 
 	private NettyPeerTransport bind(Settings given) {
-		InetSocketAddress address = given.host().peerAddress();
-		PeerTransportSettings transportSettings = PeerTransportSettings.of(address.getHostString(), address.getPort())
-			.withSilenceLimitMillis(given.peers().callSilenceLimitMillis());
-		return NettyPeerTransport.bind(transportSettings, () -> this.self, new LateMessageHandler(() -> this.messages));
+		return NettyPeerTransport.bind(PartSettings.transport(given), () -> this.self,
+				new LateMessageHandler(() -> this.messages));
 	}
 
 	private HostAddress advertisedAddress(Settings given) {
@@ -203,44 +177,10 @@
 		return (advertised != null) ? advertised : this.transport.localAddress();
 	}
 
-	private static FollowerSettings followerSettings(PlatformSettings given) {
-		return FollowerSettings.DEFAULT.withPolling(Duration.ofMillis(given.pollWaitMillis()))
-			.withSnapshotRecordCount(given.snapshotIntervalRecordCount());
-	}
-
 	private static RandomGenerator random() {
 		return RandomGenerator.of("L64X128MixRandom");
 	}
 
-	private static MembershipLimits membershipLimits(Settings settings) {
-		PeerSettings peers = settings.peers();
-		long suspectMillis = SUSPECT_HEARTBEAT_COUNT * peers.heartbeatIntervalMillis();
-		long summaryMillis = SUMMARY_LOST_FACTOR * peers.silenceLimitMillis();
-		return new MembershipLimits(Math.min(suspectMillis, peers.silenceLimitMillis()), peers.silenceLimitMillis(),
-				summaryMillis, 2 * summaryMillis, DEPARTED_MILLIS, 2 * settings.tickets().lifetimeMillis(),
-				MAX_PEER_COUNT);
-	}
-
-	private static SchedulerSettings schedulerSettings(Settings settings) {
-		return SchedulerSettings.builder()
-			.queueLimitCount(settings.dispatch().queueTaskCountMax())
-			.maxWait(Duration.ofMillis(settings.dispatch().queueWaitMaxMillis()))
-			.retryBudget(settings.dispatch().retryBudgetFraction(), RETRY_BURST_COUNT)
-			.build();
-	}
-
-	private static RequestLimits requestLimits(RequestSettings requests) {
-		return new RequestLimits(requests.bodyBytesMax(), requests.payloadBytesMax(), requests.jobTaskCountMax(),
-				requests.deadlineDefaultMillis(), requests.deadlineMaxMillis(), requests.waitMaxMillis());
-	}
-
-	private static HeartbeatSettings heartbeatSettings(PeerSettings peers) {
-		HeartbeatSettings defaults = HeartbeatSettings.of(peers.seeds());
-		return new HeartbeatSettings(peers.heartbeatIntervalMillis(), defaults.summaryIntervalMillis(),
-				defaults.relayIntervalMillis(), defaults.wholeLoadIntervalMillis(), defaults.linkCount(),
-				LoadBudget.defaults(), peers.seeds());
-	}
-
 	/**
 	 * Starts what runs by itself.
 	 * @param listening where callers reach this host
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobEntry.java
@@ -26,6 +26,8 @@
 
 	private final AtomicReference<Job> job = new AtomicReference<>();
 
+	private volatile boolean cancelWanted;
+
 	private final EntryHost runsAt;
 
 	/**
@@ -79,6 +81,21 @@
 		return (running != null) ? running.adopt(given) : this.answer.complete(given);
 	}
 
+	/**
+	 * Notes that the caller wants the job cancelled, which may not have begun to run yet.
+	 */
+	void wantCancel() {
+		this.cancelWanted = true;
+	}
+
+	/**
+	 * Returns whether the caller wants the job cancelled.
+	 * @return {@code true} if it does
+	 */
+	boolean cancelWanted() {
+		return this.cancelWanted;
+	}
+
 	/**
 	 * Returns the job while it runs on this host.
 	 * @return the job, or {@code null}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/JobService.java
@@ -102,6 +102,9 @@
 	private void run(JobEntry entry, Job job) {
 		entry.run(job);
 		this.dispatcher.submit(job);
+		if (entry.cancelWanted()) {
+			this.dispatcher.cancel(job);
+		}
 	}
 
 	private static CompletableFuture<HttpAnswer> attach(JobEntry entry, byte[] digest) {
@@ -141,6 +144,7 @@
 				.complete(Answers.problem(ErrorCode.CANCELLED_NOT_RUN, "The ticket was cancelled before its job came"));
 			return entry.answer();
 		}
+		entry.wantCancel();
 		Job job = entry.job();
 		if (job != null) {
 			this.dispatcher.cancel(job);
