--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -70,11 +68,7 @@
 
 	private final Map<String, ActiveJob> jobs = new ConcurrentHashMap<>();
 
-	private final AtomicLong wakeNanos = new AtomicLong(Turn.NEVER);
-
-	private final AtomicBoolean turnWanted = new AtomicBoolean();
-
-	private final AtomicBoolean turnRunning = new AtomicBoolean();
+	private final TurnLoop turns;
 
 	/**
 	 * Creates a dispatcher.
@@ -95,6 +89,7 @@
 		this.metrics = metrics;
 		this.runTimes = new RunTimes(minSilenceMillis);
 		this.cancellations = new CancelBatch(client, this.timer, metrics);
+		this.turns = new TurnLoop(this.timer, time, this::turn);
 	}
 
 	/**
@@ -184,40 +179,17 @@
 	}
 
 	/**
-	 * Starts what can start now. Turns are taken by one thread at a time; a call that
-	 * meets a running turn asks it for one more.
+	 * Starts what can start now.
 	 */
 	public void drive() {
-		this.turnWanted.set(true);
-		while (this.turnWanted.get() && this.turnRunning.compareAndSet(false, true)) {
-			try {
-				this.turnWanted.set(false);
-				turn();
-			}
-			finally {
-				this.turnRunning.set(false);
-			}
-		}
+		this.turns.drive();
 	}
 
-	private void turn() {
-		long now = this.time.nanoTime();
+	private long turn(long now) {
 		Turn turn = this.scheduler.next(now);
 		turn.dropped().forEach(this::drop);
 		turn.starts().forEach(this::start);
-		wakeAt(turn.nextWakeNanos(), now);
-	}
-
-	private void wakeAt(long nanos, long now) {
-		if (nanos == Turn.NEVER) {
-			return;
-		}
-		long planned = this.wakeNanos.get();
-		if (planned != Turn.NEVER && planned - nanos <= 0 && planned - now > 0) {
-			return;
-		}
-		this.wakeNanos.set(nanos);
-		this.timer.schedule(this::drive, Math.max(nanos - now, 0), TimeUnit.NANOSECONDS);
+		return turn.nextWakeNanos();
 	}
 
 	private void drop(Dropped dropped) {
