--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/version/HistoryTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/HistoryTests.java
@@ -17,6 +17,7 @@
 import org.masticwick.core.version.ReleaseNote;
 import org.masticwick.core.version.SiteRecord;
 import org.masticwick.core.version.SiteRecordCodec;
+import org.masticwick.platform.FakePlatform;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/version/LogFollowerTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/LogFollowerTests.java
@@ -16,6 +16,7 @@
 import org.masticwick.core.version.SiteRecord;
 import org.masticwick.core.version.SiteRecordCodec;
 import org.masticwick.core.version.SiteVersion;
+import org.masticwick.platform.FakePlatform;
 import org.masticwick.platform.PlatformHost;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/version/SimulatedHost.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/version/SimulatedHost.java
@@ -7,6 +7,7 @@
 
 import org.masticwick.core.process.TimeSource;
 import org.masticwick.core.version.SiteState;
+import org.masticwick.platform.FakePlatform;
 import org.masticwick.platform.PlatformException;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/masticwick-platform/src/test/java/org/masticwick/platform/FakePlatform.java
+++ b/masticwick-platform/src/test/java/org/masticwick/platform/FakePlatform.java
@@ -13,7 +13,7 @@
 /**
  * Keeps one stream and the list of hosts in memory, and fails on request.
  */
-final class FakePlatform implements PlatformClient {
+public final class FakePlatform implements PlatformClient {
 
 	private final List<LogRecord> records = new ArrayList<>();
 
@@ -25,31 +25,31 @@
 
 	private boolean losingReplies;
 
-	synchronized void down(boolean value) {
+	public synchronized void down(boolean value) {
 		this.down = value;
 		notifyAll();
 	}
 
-	synchronized void losingReplies(boolean value) {
+	public synchronized void losingReplies(boolean value) {
 		this.losingReplies = value;
 	}
 
-	synchronized void truncate(long endOffset) {
+	public synchronized void truncate(long endOffset) {
 		this.records.removeIf((record) -> record.offset() >= endOffset);
 		this.beginOffset = Math.min(this.beginOffset, endOffset);
 		notifyAll();
 	}
 
-	synchronized void expire(long offset) {
+	public synchronized void expire(long offset) {
 		this.records.removeIf((record) -> record.offset() < offset);
 		this.beginOffset = Math.max(this.beginOffset, offset);
 	}
 
-	synchronized List<LogRecord> records() {
+	public synchronized List<LogRecord> records() {
 		return List.copyOf(this.records);
 	}
 
-	synchronized long endOffset() {
+	public synchronized long endOffset() {
 		return this.beginOffset + this.records.size();
 	}
 
