--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/HostReadOutTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/HostReadOutTests.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.regex.Matcher;
@@ -29,7 +28,6 @@
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.SchedulerSettings;
 import org.masticwick.core.request.Schedulers;
-import org.masticwick.core.request.TaskId;
 import org.masticwick.core.request.TaskSpec;
 import org.masticwick.core.request.Ticket;
 import org.masticwick.core.request.TicketKey;
@@ -38,7 +36,7 @@
 import org.masticwick.core.version.Rules;
 import org.masticwick.core.version.ServiceSpec;
 import org.masticwick.core.version.SiteVersion;
-import org.masticwick.daemon.connection.EndpointClient;
+import org.masticwick.daemon.connection.SilentEndpoint;
 import org.masticwick.daemon.process.metrics.MessageKind;
 import org.masticwick.daemon.process.metrics.Metrics;
 import org.masticwick.daemon.process.metrics.WasteKind;
@@ -130,7 +128,7 @@
 			Scheduler scheduler = Schedulers.create(SchedulerSettings.builder().build(), "d1",
 					HostReadOutTests.this.parts.self(), new Random(7));
 			scheduler.update(version, System.nanoTime());
-			return new Dispatcher(scheduler, new SilentEndpoints(), () -> version, TimeSource.system(), this.metrics,
+			return new Dispatcher(scheduler, new SilentEndpoint(), () -> version, TimeSource.system(), this.metrics,
 					60_000);
 		}
 
@@ -235,40 +233,4 @@
 
 	}
 
-	/**
-	 * Takes tasks and never answers.
-	 */
-	private static final class SilentEndpoints implements EndpointClient {
-
-		@Override
-		public PendingPost post(TaskPost post) {
-			return new PendingPost() {
-
-				@Override
-				public CompletableFuture<PostReply> reply() {
-					return new CompletableFuture<>();
-				}
-
-				@Override
-				public void abandon() {
-				}
-
-			};
-		}
-
-		@Override
-		public CompletableFuture<LookupReply> lookup(HostAddress endpoint, TaskId task) {
-			return new CompletableFuture<>();
-		}
-
-		@Override
-		public void cancel(HostAddress endpoint, List<TaskId> tasks) {
-		}
-
-		@Override
-		public void close() {
-		}
-
-	}
-
 }
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/AnswerDeliveryTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/AnswerDeliveryTests.java
@@ -14,8 +14,6 @@
 import org.masticwick.wire.PeerMessage.CloseTickets;
 import org.masticwick.wire.PeerMessage.ClosedTicket;
 import org.masticwick.wire.PeerMessage.Pong;
-import org.masticwick.wire.PeerTransport;
-import org.masticwick.wire.TrafficCounters;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -63,7 +61,7 @@
 	/**
 	 * Holds each call until the test answers it.
 	 */
-	private static final class HeldTransport implements PeerTransport {
+	private static final class HeldTransport extends CallOnlyTransport {
 
 		private final List<CloseTickets> sent = new ArrayList<>();
 
@@ -81,11 +79,6 @@
 			this.last.completeExceptionally(new PeerException("cut", null, true));
 		}
 
-		@Override
-		public HostAddress localAddress() {
-			throw new UnsupportedOperationException();
-		}
-
 		@Override
 		public CompletableFuture<PeerMessage> call(HostAddress to, PeerMessage request) {
 			this.sent.add((CloseTickets) request);
@@ -93,20 +86,6 @@
 			return this.last;
 		}
 
-		@Override
-		public void send(HostAddress to, PeerMessage message) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public TrafficCounters traffic() {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void close() {
-		}
-
 	}
 
 }
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/JobServiceTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/JobServiceTests.java
@@ -2,10 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
@@ -19,7 +17,6 @@
 import org.masticwick.core.request.Scheduler;
 import org.masticwick.core.request.SchedulerSettings;
 import org.masticwick.core.request.Schedulers;
-import org.masticwick.core.request.TaskId;
 import org.masticwick.core.request.Ticket;
 import org.masticwick.core.request.TicketKey;
 import org.masticwick.core.request.TicketMint;
@@ -27,7 +24,7 @@
 import org.masticwick.core.version.Rules;
 import org.masticwick.core.version.ServiceSpec;
 import org.masticwick.core.version.SiteVersion;
-import org.masticwick.daemon.connection.EndpointClient;
+import org.masticwick.daemon.connection.SilentEndpoint;
 import org.masticwick.daemon.process.metrics.Metrics;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -75,40 +72,4 @@
 		}
 	}
 
-	/**
-	 * Takes tasks and never answers.
-	 */
-	private static final class SilentEndpoint implements EndpointClient {
-
-		@Override
-		public PendingPost post(TaskPost post) {
-			return new PendingPost() {
-
-				@Override
-				public CompletableFuture<PostReply> reply() {
-					return new CompletableFuture<>();
-				}
-
-				@Override
-				public void abandon() {
-				}
-
-			};
-		}
-
-		@Override
-		public CompletableFuture<LookupReply> lookup(HostAddress endpoint, TaskId task) {
-			return new CompletableFuture<>();
-		}
-
-		@Override
-		public void cancel(HostAddress endpoint, List<TaskId> tasks) {
-		}
-
-		@Override
-		public void close() {
-		}
-
-	}
-
 }
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/RequestRouterTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/RequestRouterTests.java
@@ -28,8 +28,6 @@
 import org.masticwick.wire.PeerMessage.Forward;
 import org.masticwick.wire.PeerMessage.ForwardAnswer;
 import org.masticwick.wire.PeerMessage.ForwardOperation;
-import org.masticwick.wire.PeerTransport;
-import org.masticwick.wire.TrafficCounters;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -181,37 +179,18 @@
 	/**
 	 * Answers calls as the test says and remembers them.
 	 */
-	private static final class FakeTransport implements PeerTransport {
+	private static final class FakeTransport extends CallOnlyTransport {
 
 		private final Map<HostAddress, Function<PeerMessage, CompletableFuture<PeerMessage>>> answers = new HashMap<>();
 
 		private final List<Forward> calls = new ArrayList<>();
 
-		@Override
-		public HostAddress localAddress() {
-			throw new UnsupportedOperationException();
-		}
-
 		@Override
 		public synchronized CompletableFuture<PeerMessage> call(HostAddress to, PeerMessage request) {
 			this.calls.add((Forward) request);
 			return this.answers.get(to).apply(request);
 		}
 
-		@Override
-		public void send(HostAddress to, PeerMessage message) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public TrafficCounters traffic() {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void close() {
-		}
-
 	}
 
 	/**
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
@@ -28,8 +28,6 @@
 import org.masticwick.wire.PeerMessage.InheritAnswer;
 import org.masticwick.wire.PeerMessage.InheritTickets;
 import org.masticwick.wire.PeerMessage.Pong;
-import org.masticwick.wire.PeerTransport;
-import org.masticwick.wire.TrafficCounters;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -236,15 +234,10 @@
 	/**
 	 * Carries messages between the hosts of the test.
 	 */
-	private final class FakeTransport implements PeerTransport {
+	private final class FakeTransport extends CallOnlyTransport {
 
 		private final Map<HostAddress, Function<PeerMessage, CompletableFuture<PeerMessage>>> faults = new HashMap<>();
 
-		@Override
-		public HostAddress localAddress() {
-			throw new UnsupportedOperationException();
-		}
-
 		private int partCount;
 
 		@Override
@@ -262,20 +255,6 @@
 				.orElseThrow();
 		}
 
-		@Override
-		public void send(HostAddress to, PeerMessage message) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public TrafficCounters traffic() {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void close() {
-		}
-
 	}
 
 	/**
