Keep no slot idle while work waits, whoever owns its endpoint

Cause: a host leaves the last slots of an endpoint to its owner, also while its own work waits and the owner has none; on an endpoint of two slots one stayed idle for as long as the task on the other one ran (25 s in the proof of refusals, whose setup needs both, and which so failed when the ports made the other host owner). Ruled out: the reserve for small jobs, which is none below ten slots, and a lost cancellation. Now the reserve fades within 250 ms without a start. SchedulerTests.keepsNoSlotIdleForLongWhoeverOwnsIt fails without the fading.

--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
@@ -160,8 +160,9 @@
 	 * @return the context
 	 */
 	PlacementContext placementContext(ServiceState service, long nowNanos) {
+		int reserveCount = service.overflowReserve().count(this.rules.weighting().overflowReserveCount(), nowNanos);
 		return new PlacementContext(nowNanos, service.spec().name(), service.runTimes().meanNanos(), this.self,
-				this.hosts, this.ownership, this.peers, this.rules.weighting().overflowReserveCount(), this.random);
+				this.hosts, this.ownership, this.peers, reserveCount, this.random);
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/ServiceState.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/ServiceState.java
@@ -17,6 +17,8 @@
 
 	private final SmallJobReserve smallJobReserve = new SmallJobReserve();
 
+	private final OverflowReserve overflowReserve = new OverflowReserve();
+
 	private final ServiceQueue queue;
 
 	private ServiceSpec spec;
@@ -132,6 +134,10 @@
 		return this.smallJobReserve;
 	}
 
+	OverflowReserve overflowReserve() {
+		return this.overflowReserve;
+	}
+
 	RetryBudget retryBudget() {
 		return this.retryBudget;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/StartPlanner.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/StartPlanner.java
@@ -231,6 +231,7 @@
 		this.state.running().put(id, task);
 		endpoint.started(task);
 		this.service.addRunning(1);
+		this.service.overflowReserve().started();
 		this.state.count(Counter.STARTS, 1);
 		this.state.count(Counter.PROBES, probe ? 1 : 0);
 		this.starts.add(new Start(id, task.spec(), endpoint.spec(), leaseMillis(job), probe));
--- a/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/request/SchedulerTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,21 @@
 			assertThat(scheduler.next(0).starts()).isNotEmpty();
 		}
 
+		@ParameterizedTest
+		@CsvSource({ "1, 1", "2, 1", "1, 2", "2, 2", "1, 8", "2, 8" })
+		void keepsNoSlotIdleForLongWhoeverOwnsIt(int self, int slotCount) {
+			Scheduler scheduler = Schedulers.create(SchedulerSettings.defaults(), Fixtures.DOMAIN,
+					Fixtures.host(Fixtures.DOMAIN, self), new Random(7));
+			scheduler.update(Fixtures.version(1, Map.of("dispatch/placement", "owner"),
+					Fixtures.endpoint(1, Fixtures.DOMAIN, slotCount)), 0);
+			scheduler.peerLoad(Fixtures.host(Fixtures.DOMAIN, 3 - self), LoadReport.EMPTY, 0);
+			scheduler.admit(Fixtures.job("t", 20), 0);
+			int startCount = IntStream.rangeClosed(0, 100)
+				.map((turn) -> scheduler.next(turn * 20_000_000L).starts().size())
+				.sum();
+			assertThat(startCount).isEqualTo(slotCount);
+		}
+
 		@Test
 		void startsUrgentJobsFirstButLetsOthersThrough() {
 			Scheduler scheduler = Fixtures.scheduler(Fixtures.endpoint(1, Fixtures.DOMAIN, 20));
