Tell an heir's heir where the inherited jobs run

Cause: a book that is handed on a second time named the host that had issued its tickets as the one that runs the open jobs. That one was long gone, so the second heir collected at once, and jobs that the first heir still had in its queue were answered as home-lost in a planned stop (seen once in the proof of a host, its heir and the heir's heir). Ruled out: news of the heir that came late, since the message names the issuer by construction. Now the message tells who hands over. TicketTransferTests.tellsTheHeirsHeirWhereAnInheritedJobRuns failed before.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Offer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Offer.java
@@ -34,9 +34,10 @@
 	/**
 	 * Makes the offer of a book that was given up.
 	 * @param book the book
+	 * @param holder the process that gave it up
 	 * @return the offer
 	 */
-	static Offer of(TicketBook book) {
+	static Offer of(TicketBook book, EntryHost holder) {
 		List<InheritTickets> parts = new ArrayList<>();
 		List<InheritedJob> jobs = new ArrayList<>();
 		Map<String, JobEntry> open = new HashMap<>();
@@ -49,7 +50,7 @@
 			}
 			partBytes[0] += ENTRY_BYTES + job.body().length;
 			if (partBytes[0] > MAX_PART_BYTES && !jobs.isEmpty()) {
-				parts.add(message(book, NOTHING, List.copyOf(jobs), InheritTickets.PART));
+				parts.add(message(book, holder, NOTHING, List.copyOf(jobs), InheritTickets.PART));
 				jobs.clear();
 				partBytes[0] = ENTRY_BYTES + job.body().length;
 			}
@@ -57,7 +58,7 @@
 			jobCount[0]++;
 		});
 		byte[] key = book.mint().key().toBytes();
-		return new Offer(book, parts, message(book, key, List.copyOf(jobs), jobCount[0]), open);
+		return new Offer(book, parts, message(book, holder, key, List.copyOf(jobs), jobCount[0]), open);
 	}
 
 	private static InheritedJob toJob(String ticket, JobEntry entry) {
@@ -68,9 +69,10 @@
 		return new InheritedJob(ticket, entry.digest(), answer.status(), answer.contentType(), answer.body());
 	}
 
-	private static InheritTickets message(TicketBook book, byte[] key, List<InheritedJob> jobs, int jobCount) {
+	private static InheritTickets message(TicketBook book, EntryHost holder, byte[] key, List<InheritedJob> jobs,
+			int jobCount) {
 		TicketMint mint = book.mint();
-		return new InheritTickets(mint.home(), book.homeEpochMillis(), mint.nextSequence(), key,
+		return new InheritTickets(mint.home(), holder, book.homeEpochMillis(), mint.nextSequence(), key,
 				book.lastExpiryEpochMillis(), jobs, jobCount);
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketTransfer.java
@@ -78,7 +78,7 @@
 		this.books.handOver()
 			.stream()
 			.filter((book) -> book == this.books.own() || !book.expired())
-			.map(Offer::of)
+			.map((book) -> Offer.of(book, this.books.own().mint().home()))
 			.forEach((offer) -> handOver(offer).ifPresent((heir) -> followUp(offer, heir, pending)));
 		return CompletableFuture.allOf(pending.toArray(CompletableFuture<?>[]::new));
 	}
@@ -156,7 +156,7 @@
 		TicketMint mint = new TicketMint(offered.from(), new TicketKey(offered.key()), offered.nextSequence());
 		TicketBook book = new TicketBook(mint, this.time, offered.homeEpochMillis() - this.time.epochMillis());
 		book.noteExpiry(offered.expiresAtEpochMillis());
-		jobs.forEach((job) -> restore(book, job, offered.from()));
+		jobs.forEach((job) -> restore(book, job, offered.holder()));
 		if (!this.books.inherit(book)) {
 			return new InheritAnswer(
 					this.books.find(offered.from().incarnation()).filter(TicketBook::held).isPresent());
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
@@ -121,6 +121,19 @@
 			assertThat(bookAt(TicketTransferTests.this.second).orElseThrow().claim(ticket, DIGEST)).isPresent();
 		}
 
+		@Test
+		void tellsTheHeirsHeirWhereAnInheritedJobRuns() {
+			Ticket ticket = TicketTransferTests.this.home.books.issue(1).get(0);
+			transfer().handOver().join();
+			bookAt(TicketTransferTests.this.first).orElseThrow().claim(ticket, DIGEST);
+			new TicketTransfer(TicketTransferTests.this.first.books,
+					new FakeDirectory(List.of(TicketTransferTests.this.second.self)),
+					TicketTransferTests.this.transport, new Metrics(), TimeSource.system())
+				.handOver();
+			JobEntry entry = bookAt(TicketTransferTests.this.second).orElseThrow().find(ticket);
+			assertThat(entry.runsAt()).isEqualTo(TicketTransferTests.this.first.self);
+		}
+
 		private JobEntry claim(Ticket ticket) {
 			return TicketTransferTests.this.home.books.own().claim(ticket, DIGEST).orElseThrow().entry();
 		}
@@ -133,8 +146,9 @@
 		@Test
 		void takesNothingOverIfAPartIsMissing() {
 			TicketTransferTests.this.home.books.issue(1);
-			InheritTickets last = new InheritTickets(TicketTransferTests.this.home.self, 0, 1,
-					TicketKey.random().toBytes(), Long.MAX_VALUE, List.of(), 2);
+			InheritTickets last = new InheritTickets(TicketTransferTests.this.home.self,
+					TicketTransferTests.this.home.self, 0, 1, TicketKey.random().toBytes(), Long.MAX_VALUE, List.of(),
+					2);
 			assertThat(TicketTransferTests.this.first.handle(last)).isEqualTo(new InheritAnswer(false));
 			assertThat(bookAt(TicketTransferTests.this.first)).isEmpty();
 		}
@@ -148,7 +162,7 @@
 				.orElseThrow()
 				.entry()
 				.complete(answer("x".repeat(100_000)));
-			Offer offer = Offer.of(TicketTransferTests.this.home.books.own());
+			Offer offer = Offer.of(TicketTransferTests.this.home.books.own(), TicketTransferTests.this.home.self);
 			small.handle(offer.last());
 			JobEntry entry = bookAt(small).orElseThrow().claim(ticket, DIGEST).orElseThrow().entry();
 			assertThat(entry.answer().join().status()).isEqualTo(410);
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -110,6 +110,7 @@
 	 * parts before; only the last message, which has the key, passes the tickets on.
 	 *
 	 * @param from the host that issued the tickets
+	 * @param holder the stopping host, which runs the open jobs to their end
 	 * @param homeEpochMillis the time by the clock of that host, in milliseconds since
 	 * the epoch
 	 * @param nextSequence the first sequence number that no ticket was issued for
@@ -120,7 +121,7 @@
 	 * @param jobCount how many jobs there are in all messages, or {@value #PART} in a
 	 * part
 	 */
-	record InheritTickets(EntryHost from, long homeEpochMillis, long nextSequence, byte[] key,
+	record InheritTickets(EntryHost from, EntryHost holder, long homeEpochMillis, long nextSequence, byte[] key,
 			long expiresAtEpochMillis, List<InheritedJob> jobs, int jobCount) implements PeerMessage {
 
 		/** Stands for the count of jobs in all messages but the last. */
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageTypes.java
@@ -65,8 +65,9 @@
 
 	static final RecordType<PeerMessage.InheritTickets> INHERIT_TICKETS = new RecordType<>(
 			(values) -> new PeerMessage.InheritTickets(values.get(0), values.get(1), values.get(2), values.get(3),
-					values.get(4), values.get(5), values.get(6)),
+					values.get(4), values.get(5), values.get(6), values.get(7)),
 			RecordType.required(CoreTypes.ENTRY_HOST, PeerMessage.InheritTickets::from),
+			RecordType.required(CoreTypes.ENTRY_HOST, PeerMessage.InheritTickets::holder),
 			RecordType.required(BasicTypes.LONG, PeerMessage.InheritTickets::homeEpochMillis),
 			RecordType.required(BasicTypes.LONG, PeerMessage.InheritTickets::nextSequence),
 			RecordType.required(BasicTypes.BYTES, PeerMessage.InheritTickets::key),
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
@@ -53,7 +53,7 @@
 		return Stream.of(new PeerMessage.FetchRecords(5, 3, 100),
 				new PeerMessage.Forward(PeerMessage.ForwardOperation.SUBMIT, "ticket", BYTES, 30_000),
 				new PeerMessage.Forward(PeerMessage.ForwardOperation.COLLECT, "", new byte[0], 0),
-				new PeerMessage.InheritTickets(HOST, 1, 2, BYTES, 3,
+				new PeerMessage.InheritTickets(HOST, HOST, 1, 2, BYTES, 3,
 						List.of(new PeerMessage.InheritedJob("ticket", BYTES, 200, "application/json", BYTES)), 1),
 				new PeerMessage.CloseTickets(List.of(new PeerMessage.ClosedTicket("ticket", 502, "a/b", BYTES))));
 	}
