--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointChoice.java
@@ -0,0 +1,75 @@
+package org.masticwick.core.pool;
+
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Chooses the endpoint for a task: the one that the task fills best, and among such ones
+ * the faster.
+ */
+final class EndpointChoice {
+
+	/** What a factor of one in speed is worth, in thousandths of a core left over. */
+	private static final double SLOWNESS_MILLICORES = 20_000;
+
+	/** What running away from the data costs, in thousandths of a core left over. */
+	private static final double FAR_FROM_DATA_MILLICORES = 1_000_000;
+
+	private final long silenceLimitMillis;
+
+	EndpointChoice(long silenceLimitMillis) {
+		this.silenceLimitMillis = silenceLimitMillis;
+	}
+
+	/**
+	 * Chooses an endpoint.
+	 * @param task the task
+	 * @param endpoints the endpoints of the pool
+	 * @param nowMillis the time in milliseconds
+	 * @return the endpoint, or empty if the task has to wait
+	 */
+	Optional<PooledEndpoint> choose(PooledTask task, Collection<PooledEndpoint> endpoints, long nowMillis) {
+		PooledEndpoint best = null;
+		double bestCost = Double.MAX_VALUE;
+		for (PooledEndpoint endpoint : endpoints) {
+			if (endpoint.free().fits(task.step().need()) && suits(endpoint, task, nowMillis)) {
+				double cost = cost(endpoint, task.step());
+				if (cost < bestCost) {
+					best = endpoint;
+					bestCost = cost;
+				}
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	/**
+	 * Returns whether an endpoint could ever run a task.
+	 * @param task the task
+	 * @param endpoint the endpoint
+	 * @return whether it could if it were empty
+	 */
+	boolean couldRun(PooledTask task, PooledEndpoint endpoint) {
+		EndpointEntry entry = endpoint.entry();
+		return endpoint.isListed() && entry.service().equals(task.job().terms().service())
+				&& entry.capacity().fits(task.step().need()) && hasLabel(entry, task.step().requiredLabel());
+	}
+
+	private boolean suits(PooledEndpoint endpoint, PooledTask task, long nowMillis) {
+		StepSpec step = task.step();
+		return endpoint.takesTasks(nowMillis, this.silenceLimitMillis) && couldRun(task, endpoint)
+				&& (step.maxPerEndpoint() == 0 || endpoint.countOfStep(task) < step.maxPerEndpoint());
+	}
+
+	private static boolean hasLabel(EndpointEntry entry, String label) {
+		return label.isEmpty() || entry.labels().contains(label);
+	}
+
+	private static double cost(PooledEndpoint endpoint, StepSpec step) {
+		double leftMillicores = endpoint.free().cpuMillicores() - step.need().cpuMillicores();
+		double slownessMillicores = SLOWNESS_MILLICORES * endpoint.health().slowness();
+		boolean far = !hasLabel(endpoint.entry(), step.dataRack());
+		return leftMillicores + slownessMillicores + (far ? FAR_FROM_DATA_MILLICORES : 0);
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -0,0 +1,156 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * An endpoint of a pool and what the owner has ordered on it.
+ */
+final class PooledEndpoint {
+
+	private final Map<TaskRun, Placement> placements = new LinkedHashMap<>();
+
+	private final EndpointHealth health = new EndpointHealth();
+
+	private EndpointEntry entry;
+
+	private Resources used = Resources.NONE;
+
+	private long heardMillis;
+
+	private long bornEpochMillis;
+
+	private long acknowledgedEndNumber;
+
+	private int foreignRunCount;
+
+	private boolean listed = true;
+
+	private long fullUntilMillis;
+
+	PooledEndpoint(EndpointEntry entry) {
+		this.entry = entry;
+		this.bornEpochMillis = entry.bornEpochMillis();
+		this.heardMillis = Long.MIN_VALUE / 2;
+	}
+
+	EndpointEntry entry() {
+		return this.entry;
+	}
+
+	void entry(EndpointEntry newest) {
+		this.entry = newest;
+		this.listed = true;
+	}
+
+	boolean isListed() {
+		return this.listed;
+	}
+
+	void unlist() {
+		this.listed = false;
+	}
+
+	EndpointHealth health() {
+		return this.health;
+	}
+
+	long heardMillis() {
+		return this.heardMillis;
+	}
+
+	void heard(long nowMillis) {
+		this.heardMillis = nowMillis;
+	}
+
+	long bornEpochMillis() {
+		return this.bornEpochMillis;
+	}
+
+	long acknowledgedEndNumber() {
+		return this.acknowledgedEndNumber;
+	}
+
+	void acknowledge(long endNumber) {
+		this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, endNumber);
+	}
+
+	void reborn(long newBornEpochMillis) {
+		this.bornEpochMillis = newBornEpochMillis;
+		this.acknowledgedEndNumber = 0;
+		this.foreignRunCount = 0;
+	}
+
+	int foreignRunCount() {
+		return this.foreignRunCount;
+	}
+
+	void foreignRunCount(int count) {
+		this.foreignRunCount = count;
+	}
+
+	/**
+	 * Leaves the endpoint alone for a while, as it has less room than it should.
+	 * @param untilMillis until when, in milliseconds
+	 */
+	void fullUntil(long untilMillis) {
+		this.fullUntilMillis = untilMillis;
+	}
+
+	Resources free() {
+		return this.entry.capacity().minus(this.used);
+	}
+
+	int placementCount() {
+		return this.placements.size();
+	}
+
+	List<Placement> placements() {
+		return new ArrayList<>(this.placements.values());
+	}
+
+	Optional<Placement> placement(TaskRun run) {
+		return Optional.ofNullable(this.placements.get(run));
+	}
+
+	void add(Placement placement) {
+		this.placements.put(placement.run(), placement);
+		this.used = this.used.plus(placement.task().step().need());
+	}
+
+	void remove(Placement placement) {
+		if (this.placements.remove(placement.run()) != null) {
+			this.used = this.used.minus(placement.task().step().need());
+		}
+	}
+
+	/**
+	 * Returns whether the endpoint may get a task now, if the task fits.
+	 * @param nowMillis the time in milliseconds
+	 * @param silenceLimitMillis after how long without an answer it gets none, in
+	 * milliseconds
+	 * @return whether it may
+	 */
+	boolean takesTasks(long nowMillis, long silenceLimitMillis) {
+		return this.listed && this.entry.ready() && this.foreignRunCount == 0 && nowMillis >= this.fullUntilMillis
+				&& nowMillis - this.heardMillis <= silenceLimitMillis
+				&& this.health.admits(this.placements.size(), nowMillis);
+	}
+
+	/**
+	 * Returns how many tasks of a step run here.
+	 * @param task a task of the step
+	 * @return the number
+	 */
+	int countOfStep(PooledTask task) {
+		return (int) this.placements.values()
+			.stream()
+			.filter((placement) -> placement.task().job() == task.job())
+			.filter((placement) -> placement.task().id().step() == task.id().step())
+			.count();
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -0,0 +1,244 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * A job in a pool, from its admission until no run of it is left.
+ */
+public final class PooledJob {
+
+	/** Up to this many times the objective an answer is late but still of use. */
+	private static final int LATE_FACTOR = 3;
+
+	private final JobSpec spec;
+
+	private final JobTerms terms;
+
+	private final long sequence;
+
+	private final long arrivedMillis;
+
+	private final double expectedMillis;
+
+	private final List<List<PooledTask>> tasks;
+
+	private final int[] openTaskCounts;
+
+	private final boolean[] opened;
+
+	private final Deque<PooledTask> ready = new ArrayDeque<>();
+
+	private JobOrigin origin;
+
+	private int placementCount;
+
+	private boolean started;
+
+	private boolean finished;
+
+	PooledJob(JobSpec spec, JobTerms terms, JobOrigin origin, long sequence, long arrivedMillis, RunTimes runTimes) {
+		this.spec = spec;
+		this.terms = terms;
+		this.origin = origin;
+		this.sequence = sequence;
+		this.arrivedMillis = arrivedMillis;
+		this.expectedMillis = chainMillis(spec, terms, runTimes);
+		this.tasks = IntStream.range(0, spec.steps().size()).mapToObj(this::tasksOf).toList();
+		this.openTaskCounts = spec.steps().stream().mapToInt(StepSpec::taskCount).toArray();
+		this.opened = new boolean[spec.steps().size()];
+		openSteps();
+	}
+
+	private static double chainMillis(JobSpec spec, JobTerms terms, RunTimes runTimes) {
+		double[] endMillis = new double[spec.steps().size()];
+		double longestMillis = 0;
+		for (int number = 0; number < endMillis.length; number++) {
+			StepSpec step = spec.steps().get(number);
+			double startMillis = step.after().stream().mapToDouble((earlier) -> endMillis[earlier]).max().orElse(0);
+			endMillis[number] = startMillis + runTimes.expectedMillis(terms.queue(), step.estimatedMillis());
+			longestMillis = Math.max(longestMillis, endMillis[number]);
+		}
+		return longestMillis;
+	}
+
+	private List<PooledTask> tasksOf(int number) {
+		StepSpec step = this.spec.steps().get(number);
+		return IntStream.range(0, step.taskCount())
+			.mapToObj((index) -> new PooledTask(this, new TaskId(this.spec.jobId(), 0, number, index), step))
+			.toList();
+	}
+
+	private void openSteps() {
+		for (int number = 0; number < this.opened.length; number++) {
+			if (!this.opened[number] && isOpen(number)) {
+				this.opened[number] = true;
+				this.ready.addAll(this.tasks.get(number));
+			}
+		}
+	}
+
+	private boolean isOpen(int number) {
+		return this.spec.steps().get(number).after().stream().allMatch((earlier) -> this.openTaskCounts[earlier] == 0);
+	}
+
+	/**
+	 * Returns what the caller submitted.
+	 * @return the specification
+	 */
+	public JobSpec spec() {
+		return this.spec;
+	}
+
+	/**
+	 * Returns the terms of the job's queue.
+	 * @return the terms
+	 */
+	public JobTerms terms() {
+		return this.terms;
+	}
+
+	/**
+	 * Returns who waits for the answer.
+	 * @return the origin
+	 */
+	public JobOrigin origin() {
+		return this.origin;
+	}
+
+	/**
+	 * Returns when the job came to the pool.
+	 * @return the time in milliseconds
+	 */
+	public long arrivedMillis() {
+		return this.arrivedMillis;
+	}
+
+	void origin(JobOrigin newest) {
+		this.origin = newest;
+	}
+
+	long sequence() {
+		return this.sequence;
+	}
+
+	/**
+	 * Returns how long the longest chain of steps is expected to run.
+	 * @return the time in milliseconds
+	 */
+	public double expectedMillis() {
+		return this.expectedMillis;
+	}
+
+	/**
+	 * Returns how long the job may take to be on time.
+	 * @return the objective in milliseconds
+	 */
+	double objectiveMillis() {
+		return this.terms.stretch() * this.expectedMillis + this.terms.targetLatencyMillis();
+	}
+
+	/**
+	 * Returns the last moment at which the job can start and be on time.
+	 * @return the time in milliseconds
+	 */
+	long latestStartMillis() {
+		return this.arrivedMillis + (long) (objectiveMillis() - this.expectedMillis);
+	}
+
+	/**
+	 * Returns the moment after which an answer is of no use to the caller.
+	 * @return the time in milliseconds
+	 */
+	long uselessAfterMillis() {
+		return Math.min(this.arrivedMillis + (long) (LATE_FACTOR * objectiveMillis()), deadlineMillis());
+	}
+
+	/**
+	 * Returns the moment at which the caller stops waiting.
+	 * @return the time in milliseconds
+	 */
+	long deadlineMillis() {
+		return this.arrivedMillis + this.terms.budgetMillis();
+	}
+
+	Deque<PooledTask> ready() {
+		return this.ready;
+	}
+
+	/**
+	 * Returns the work of the tasks that could start now.
+	 * @return the work in thousandths of a core times milliseconds
+	 */
+	double readyWork() {
+		return this.ready.stream().mapToDouble((task) -> task.step().need().cpuMillicores()).sum()
+				* this.expectedMillis;
+	}
+
+	boolean isStarted() {
+		return this.started;
+	}
+
+	void markStarted() {
+		this.started = true;
+	}
+
+	boolean isFinished() {
+		return this.finished;
+	}
+
+	void markFinished() {
+		this.finished = true;
+		this.ready.clear();
+	}
+
+	int placementCount() {
+		return this.placementCount;
+	}
+
+	void addPlacement() {
+		this.placementCount++;
+	}
+
+	void removePlacement() {
+		this.placementCount--;
+	}
+
+	/**
+	 * Takes note that a task is done.
+	 * @param task the task
+	 * @return whether all tasks of the job are done
+	 */
+	boolean taskDone(PooledTask task) {
+		task.markDone();
+		this.openTaskCounts[task.id().step()]--;
+		openSteps();
+		return IntStream.of(this.openTaskCounts).allMatch((count) -> count == 0);
+	}
+
+	/**
+	 * Goes on with the numbers of the runs of an earlier submission of the same job.
+	 * @param earlier the earlier submission
+	 */
+	void continueRunsOf(PooledJob earlier) {
+		List<PooledTask> others = earlier.allTasks();
+		List<PooledTask> own = allTasks();
+		IntStream.range(0, Math.min(own.size(), others.size()))
+			.forEach((index) -> own.get(index).continueRunsOf(others.get(index)));
+	}
+
+	List<PooledTask> allTasks() {
+		List<PooledTask> all = new ArrayList<>();
+		this.tasks.forEach(all::addAll);
+		return all;
+	}
+
+	@Override
+	public String toString() {
+		return this.spec.jobId() + "@" + this.terms.queue();
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -0,0 +1,198 @@
+package org.masticwick.core.pool;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Keeps track of the runs on endpoints and finds out which have certainly ended.
+ */
+final class RunLedger {
+
+	/** From this many times the expected run time on, a run counts as slow. */
+	private static final double SLOW_FACTOR = 3;
+
+	/** The shortest time after which a run can count as slow, in milliseconds. */
+	private static final long MIN_SLOW_MILLIS = 120;
+
+	/** How often a task is started elsewhere since it was slow. */
+	private static final int MAX_SLOW_RESTARTS = 1;
+
+	/** How long an endpoint without the room it should have is left alone. */
+	private static final long FULL_PAUSE_MILLIS = 20;
+
+	private final PoolSettings settings;
+
+	private final PoolActions actions;
+
+	private final EndHandler endHandler;
+
+	RunLedger(PoolSettings settings, PoolActions actions, EndHandler endHandler) {
+		this.settings = settings;
+		this.actions = actions;
+		this.endHandler = endHandler;
+	}
+
+	void noteBirth(PooledEndpoint endpoint, long bornEpochMillis, long nowMillis) {
+		if (bornEpochMillis <= endpoint.bornEpochMillis()) {
+			return;
+		}
+		boolean known = endpoint.bornEpochMillis() > 0;
+		endpoint.reborn(bornEpochMillis);
+		if (known) {
+			endAll(endpoint, EndKind.LOST, nowMillis);
+		}
+	}
+
+	void endAll(PooledEndpoint endpoint, EndKind kind, long nowMillis) {
+		endpoint.placements().forEach((placement) -> end(placement, kind, nowMillis));
+	}
+
+	void startRefused(Placement placement, StartRefusal refusal, long nowMillis) {
+		PooledEndpoint endpoint = placement.endpoint();
+		switch (refusal) {
+			case NO_CAPACITY -> endpoint.fullUntil(nowMillis + FULL_PAUSE_MILLIS);
+			case UNHEALTHY -> endpoint.health().refused(nowMillis);
+			case NOT_SENT, WRONG_INCARNATION, FENCED -> endpoint.heard(Long.MIN_VALUE / 2);
+			default -> {
+			}
+		}
+		end(placement, EndKind.LOST, nowMillis);
+	}
+
+	void stop(Placement placement, long nowMillis) {
+		if (placement.isStopping()) {
+			return;
+		}
+		placement.stopSent(nowMillis);
+		this.actions.stop(placement.endpoint().entry(), placement.run());
+	}
+
+	void reported(PooledEndpoint endpoint, EndpointReport report, long askedMillis, long nowMillis) {
+		noteBirth(endpoint, report.bornEpochMillis(), nowMillis);
+		report.ended()
+			.stream()
+			.filter((ended) -> ended.number() > endpoint.acknowledgedEndNumber())
+			.forEach((ended) -> takeEnd(endpoint, ended, nowMillis));
+		int foreignCount = 0;
+		Set<TaskRun> runningRuns = new HashSet<>();
+		for (RunningTask running : report.running()) {
+			runningRuns.add(running.run());
+			foreignCount += takeRunning(endpoint, running, nowMillis) ? 0 : 1;
+		}
+		endpoint.foreignRunCount(foreignCount);
+		endpoint.placements()
+			.stream()
+			.filter((placement) -> !runningRuns.contains(placement.run()))
+			.filter((placement) -> isCertainlyOver(placement, askedMillis))
+			.forEach((placement) -> end(placement, EndKind.LOST, nowMillis));
+	}
+
+	private boolean takeRunning(PooledEndpoint endpoint, RunningTask running, long nowMillis) {
+		return endpoint.placement(running.run()).map((placement) -> {
+			placement.accept(nowMillis);
+			placement.percent(running.percent());
+			return true;
+		}).orElseGet(() -> {
+			this.actions.stop(endpoint.entry(), running.run());
+			return false;
+		});
+	}
+
+	/**
+	 * Returns whether a run that is in neither list is over. One that was accepted before
+	 * the lists were asked for would be in one of them; one that was stopped before can't
+	 * begin any more.
+	 */
+	private boolean isCertainlyOver(Placement placement, long askedMillis) {
+		if (placement.stopConfirmedMillis() >= 0) {
+			return askedMillis > placement.stopConfirmedMillis() + this.settings.stopMillis();
+		}
+		return placement.isAccepted() && placement.acceptedMillis() < askedMillis;
+	}
+
+	private void takeEnd(PooledEndpoint endpoint, EndedTask ended, long nowMillis) {
+		endpoint.acknowledge(ended.number());
+		endpoint.placement(ended.run()).ifPresent((placement) -> {
+			judge(placement, ended.kind(), nowMillis);
+			end(placement, ended.kind(), nowMillis);
+		});
+	}
+
+	private void judge(Placement placement, EndKind kind, long nowMillis) {
+		EndpointHealth health = placement.endpoint().health();
+		if (kind == EndKind.DONE) {
+			double runMillis = nowMillis - placement.orderedMillis();
+			health.succeeded(runMillis / placement.expectedMillis());
+		}
+		else if (kind == EndKind.FAILED) {
+			health.failed(placement.task().job().spec().jobId(), nowMillis);
+		}
+	}
+
+	private void end(Placement placement, EndKind kind, long nowMillis) {
+		placement.endpoint().remove(placement);
+		this.endHandler.ended(placement, kind, nowMillis);
+	}
+
+	void tick(Collection<PooledEndpoint> endpoints, Predicate<Placement> hasRoomElsewhere, long nowMillis) {
+		List.copyOf(endpoints)
+			.stream()
+			.flatMap((endpoint) -> endpoint.placements().stream())
+			.forEach((placement) -> check(placement, hasRoomElsewhere, nowMillis));
+	}
+
+	private void check(Placement placement, Predicate<Placement> hasRoomElsewhere, long nowMillis) {
+		if (placement.isStopping()) {
+			stopAgain(placement, nowMillis);
+		}
+		else if (isSlow(placement, nowMillis)) {
+			countSlow(placement, nowMillis);
+			if (placement.task().slowRestartCount() < MAX_SLOW_RESTARTS && hasRoomElsewhere.test(placement)) {
+				placement.task().countSlowRestart();
+				stop(placement, nowMillis);
+			}
+		}
+	}
+
+	/** Blames the endpoint, but not for a task that was slow elsewhere too. */
+	private static void countSlow(Placement placement, long nowMillis) {
+		if (!placement.isCountedAsSlow() && placement.task().slowRestartCount() == 0) {
+			placement.endpoint().health().slow(nowMillis);
+		}
+		placement.countAsSlow();
+	}
+
+	private void stopAgain(Placement placement, long nowMillis) {
+		if (nowMillis - placement.stopSentMillis() >= this.settings.stopRetryMillis()) {
+			placement.stopSent(nowMillis);
+			this.actions.stop(placement.endpoint().entry(), placement.run());
+		}
+	}
+
+	private static boolean isSlow(Placement placement, long nowMillis) {
+		double elapsedMillis = nowMillis - placement.orderedMillis();
+		return placement.isAccepted() && elapsedMillis > MIN_SLOW_MILLIS
+				&& elapsedMillis > placement.expectedMillis() / 2
+				&& placement.projectedMillis(nowMillis) > SLOW_FACTOR * placement.expectedMillis();
+	}
+
+	/**
+	 * Hears of the certain end of a run.
+	 */
+	@FunctionalInterface
+	interface EndHandler {
+
+		/**
+		 * Takes note of an end.
+		 * @param placement the run, no longer on its endpoint
+		 * @param kind how it ended
+		 * @param nowMillis the time in milliseconds
+		 */
+		void ended(Placement placement, EndKind kind, long nowMillis);
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/StepSpec.java
@@ -0,0 +1,27 @@
+package org.masticwick.core.pool;
+
+import java.util.List;
+
+/**
+ * Describes tasks of a job that are alike.
+ *
+ * @param taskCount the number of tasks
+ * @param need what each task takes
+ * @param estimatedMillis the caller's rough estimate of a task's run time in milliseconds
+ * @param after the numbers of the steps that must be done first
+ * @param requiredLabel the label that an endpoint must have, or an empty string
+ * @param dataRack the label of the rack that holds the data, or an empty string
+ * @param maxPerEndpoint how many tasks of the step may run on one endpoint, or 0 for any
+ * number
+ */
+public record StepSpec(int taskCount, Resources need, long estimatedMillis, List<Integer> after, String requiredLabel,
+		String dataRack, int maxPerEndpoint) {
+
+	/**
+	 * Copies the list.
+	 */
+	public StepSpec {
+		after = List.copyOf(after);
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskRun.java
@@ -0,0 +1,16 @@
+package org.masticwick.core.pool;
+
+/**
+ * Identifies one start of a task.
+ *
+ * @param task the task
+ * @param number the number of the start, from 1
+ */
+public record TaskRun(TaskId task, int number) {
+
+	@Override
+	public String toString() {
+		return this.task + "#" + this.number;
+	}
+
+}
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/Masticwickd.java
@@ -12,11 +12,11 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 
 import org.masticwick.daemon.process.EntryHostProcess;
-import org.masticwick.daemon.process.Logging;
 import org.masticwick.daemon.process.StartFailedException;
 import org.masticwick.daemon.process.settings.InvalidSettingsException;
 import org.masticwick.daemon.process.settings.Settings;
 import org.masticwick.daemon.process.settings.SettingsLoader;
+import org.masticwick.log.Logging;
 
 /**
  * Runs an entry host until it is told to stop.
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/Settings.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/Settings.java
@@ -1,5 +1,7 @@
 package org.masticwick.daemon.process.settings;
 
+import org.masticwick.log.LogSettings;
+
 /**
  * Holds all settings of an entry host, one record for each section of the file.
  *
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/SettingsReader.java
@@ -12,6 +12,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 
 import org.masticwick.core.request.JobRequest;
+import org.masticwick.log.LogFormat;
+import org.masticwick.log.LogSettings;
 
 /**
  * Reads all sections of a settings file with their defaults and bounds.
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/LoggingTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/LoggingTests.java
@@ -20,10 +20,11 @@
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.request.EndpointState;
 import org.masticwick.core.request.SchedulerSnapshot;
-import org.masticwick.daemon.process.settings.LogFormat;
-import org.masticwick.daemon.process.settings.LogSettings;
 import org.masticwick.daemon.request.RequestLog;
 import org.masticwick.daemon.version.FollowerStatus;
+import org.masticwick.log.LogFormat;
+import org.masticwick.log.LogSettings;
+import org.masticwick.log.Logging;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/settings/SettingsLoaderTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/settings/SettingsLoaderTests.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.log.LogFormat;
+import org.masticwick.log.LogSettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/SharedLog.java
@@ -0,0 +1,39 @@
+package org.masticwick.fleet.connection;
+
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Calls to the shared log. All answers fail with {@link CallException}.
+ */
+public interface SharedLog {
+
+	/**
+	 * Reads the newest record of each key.
+	 * @param topic the topic
+	 * @param afterKey the key to go on after, or an empty string
+	 * @return the records; pages are not of one moment
+	 */
+	CompletableFuture<LogPage> newest(SharedTopic topic, String afterKey);
+
+	/**
+	 * Reads records in the order in which they were written.
+	 * @param topic the topic
+	 * @param fromOffset where to begin
+	 * @param waitMillis how long to wait for a record, in milliseconds
+	 * @return the records
+	 */
+	CompletableFuture<LogPage> read(SharedTopic topic, long fromOffset, long waitMillis);
+
+	/**
+	 * Appends a record.
+	 * @param topic the topic
+	 * @param key the key
+	 * @param value the value, or {@code null} to delete the key
+	 * @param expectedEnd where the topic must end for the call to have an effect, or
+	 * empty
+	 * @return the offset of the record
+	 */
+	CompletableFuture<Long> append(SharedTopic topic, String key, byte[] value, OptionalLong expectedEnd);
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -0,0 +1,224 @@
+package org.masticwick.fleet.connection;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows a topic of the shared log: the newest record of each key first, then each
+ * further record. Starts anew when records it needs have expired.
+ */
+public final class TopicFollower {
+
+	private static final Logger logger = LoggerFactory.getLogger(TopicFollower.class);
+
+	/** The first wait after a failed call, in milliseconds. */
+	private static final long MIN_BACKOFF_MILLIS = 100;
+
+	/** The longest wait after failed calls, a part of what a change may take. */
+	private static final long MAX_BACKOFF_MILLIS = 500;
+
+	private final EventLoop eventLoop;
+
+	private final SharedLog log;
+
+	private final SharedTopic topic;
+
+	private final Listener listener;
+
+	private final LongSupplier nowMillis;
+
+	private final Pace pace;
+
+	private final Set<String> seenKeys = new HashSet<>();
+
+	private long nextOffset = -1;
+
+	private long firstPageOffset = -1;
+
+	private long backoffMillis = MIN_BACKOFF_MILLIS;
+
+	private long answeredMillis = Long.MIN_VALUE / 2;
+
+	private boolean lost;
+
+	private boolean stopped;
+
+	/**
+	 * Creates a follower that has not begun.
+	 * @param eventLoop the event loop
+	 * @param log the shared log
+	 * @param topic the topic
+	 * @param pace how often and how long to ask
+	 * @param nowMillis tells the time in milliseconds
+	 * @param listener hears of the records
+	 */
+	public TopicFollower(EventLoop eventLoop, SharedLog log, SharedTopic topic, Pace pace, LongSupplier nowMillis,
+			Listener listener) {
+		this.eventLoop = eventLoop;
+		this.log = log;
+		this.topic = topic;
+		this.pace = pace;
+		this.nowMillis = nowMillis;
+		this.listener = listener;
+	}
+
+	/**
+	 * Begins to follow.
+	 */
+	public void start() {
+		this.stopped = false;
+		this.nextOffset = -1;
+		load("");
+	}
+
+	/**
+	 * Ends following.
+	 */
+	public void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Returns where the next record of the topic is expected.
+	 * @return the offset, or a negative number if nothing was read yet
+	 */
+	public long nextOffset() {
+		return this.nextOffset;
+	}
+
+	/**
+	 * Returns when the log answered last.
+	 * @return the time in milliseconds
+	 */
+	public long answeredMillis() {
+		return this.answeredMillis;
+	}
+
+	private void load(String afterKey) {
+		if (this.stopped) {
+			return;
+		}
+		if (afterKey.isEmpty()) {
+			this.seenKeys.clear();
+			this.firstPageOffset = -1;
+		}
+		this.log.newest(this.topic, afterKey).whenComplete(guarded(this::loaded));
+	}
+
+	private void loaded(LogPage page) {
+		if (this.firstPageOffset < 0) {
+			this.firstPageOffset = page.nextOffset();
+		}
+		page.records().forEach((each) -> this.seenKeys.add(each.key()));
+		page.records().forEach(this.listener::record);
+		if (page.lastKey() != null) {
+			load(page.lastKey());
+			return;
+		}
+		this.nextOffset = this.firstPageOffset;
+		this.listener.loaded(Set.copyOf(this.seenKeys));
+		read();
+	}
+
+	private void read() {
+		if (!this.stopped) {
+			this.log.read(this.topic, this.nextOffset, this.pace.waitMillis()).whenComplete(guarded(this::readOn));
+		}
+	}
+
+	private void readOn(LogPage page) {
+		page.records().forEach(this.listener::record);
+		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
+		if (this.pace.pauseMillis() > 0) {
+			this.eventLoop.schedule(this::read, this.pace.pauseMillis(), TimeUnit.MILLISECONDS);
+		}
+		else {
+			read();
+		}
+	}
+
+	private BiConsumer<LogPage, Throwable> guarded(Consumer<LogPage> next) {
+		return (page, error) -> {
+			if (error == null) {
+				answered();
+				next.accept(page);
+			}
+			else {
+				failed(error);
+			}
+		};
+	}
+
+	private void answered() {
+		this.answeredMillis = this.nowMillis.getAsLong();
+		this.backoffMillis = MIN_BACKOFF_MILLIS;
+		if (this.lost) {
+			this.lost = false;
+			logger.atInfo().addKeyValue("topic", this.topic).log("Shared log answers again");
+		}
+	}
+
+	private void failed(Throwable error) {
+		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		if (!this.lost) {
+			this.lost = true;
+			logger.atWarn()
+				.addKeyValue("topic", this.topic)
+				.addKeyValue("reason", cause.getMessage())
+				.addKeyValue("next_offset", this.nextOffset)
+				.log("Shared log does not answer");
+		}
+		boolean expired = cause instanceof CallException call && call.code() == CallException.Code.EXPIRED;
+		this.eventLoop.schedule(() -> retry(expired), this.backoffMillis, TimeUnit.MILLISECONDS);
+		this.backoffMillis = Math.min(2 * this.backoffMillis, MAX_BACKOFF_MILLIS);
+	}
+
+	private void retry(boolean expired) {
+		if (expired || this.nextOffset < 0) {
+			load("");
+		}
+		else {
+			read();
+		}
+	}
+
+	/**
+	 * Tells how often and how long to ask for records.
+	 *
+	 * @param waitMillis how long a call waits for a record, in milliseconds
+	 * @param pauseMillis how long to wait between calls, in milliseconds
+	 */
+	public record Pace(long waitMillis, long pauseMillis) {
+	}
+
+	/**
+	 * Hears of the records of a topic.
+	 */
+	public interface Listener {
+
+		/**
+		 * Takes a record. Records may come twice and, while a topic is loaded, out of
+		 * order.
+		 * @param record the record
+		 */
+		void record(KeyedRecord record);
+
+		/**
+		 * Takes note that the newest record of each key has been read.
+		 * @param keys the keys that there are
+		 */
+		default void loaded(Set<String> keys) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -0,0 +1,412 @@
+package org.masticwick.fleet.process;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.masticwick.core.pool.JobOrigin;
+import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.PoolReport;
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.connection.CallerServer;
+import org.masticwick.fleet.connection.EndpointCalls;
+import org.masticwick.fleet.connection.KeyedRecord;
+import org.masticwick.fleet.connection.SharedLog;
+import org.masticwick.fleet.connection.SharedTopic;
+import org.masticwick.fleet.connection.TopicFollower;
+import org.masticwick.fleet.request.CallerFormat;
+import org.masticwick.fleet.version.InvalidRecordException;
+import org.masticwick.fleet.version.SiteFormat;
+import org.masticwick.fleet.version.VersionHolder;
+import org.masticwick.wire.NettyPeerTransport;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerMessageHandler;
+import org.masticwick.wire.PeerTransport;
+import org.masticwick.wire.PeerTransportSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Assembles an entry host and drives it: all its parts run on one event loop.
+ */
+public final class FleetHost implements PeerMessageHandler, PoolOwner.Listener {
+
+	private static final Logger logger = LoggerFactory.getLogger(FleetHost.class);
+
+	private static final String MEMBER_PREFIX = "host/";
+
+	private static final String VERSION_KEY = "config";
+
+	/** How often what is due by time is done. */
+	private static final long TICK_MILLIS = 50;
+
+	/** A third of the silence limit between hosts, so that one report may be lost. */
+	private static final long REPORT_MILLIS = 125;
+
+	/** How long a look for a new version waits; half of what a change may take. */
+	private static final TopicFollower.Pace VERSION_PACE = new TopicFollower.Pace(1_000, 0);
+
+	private static final TopicFollower.Pace MEMBER_PACE = new TopicFollower.Pace(1_000, 0);
+
+	/** Endpoints write all the time, so that their records are fetched in batches. */
+	private static final TopicFollower.Pace ENDPOINT_PACE = new TopicFollower.Pace(0, 400);
+
+	/** How long an entry that is missing once the log is back may take to return. */
+	private static final long UNLIST_DELAY_MILLIS = 2_500;
+
+	/** How long before its end a stop gives up what still runs. */
+	private static final long STOP_MARGIN_MILLIS = 1_200;
+
+	/** How long a stopping host still takes requests, until the balancer has noticed. */
+	private static final long MIN_STOP_MILLIS = 2_600;
+
+	private final EventLoopGroup eventLoops;
+
+	private final EventLoop eventLoop;
+
+	private final FleetSettings settings;
+
+	private final MemberRecord self;
+
+	private final SharedLog log;
+
+	private final FleetMetrics metrics = new FleetMetrics();
+
+	private final VersionHolder versions;
+
+	private final PeerTable peers;
+
+	private final PoolDirectory directory;
+
+	private final Ownership ownership;
+
+	private final JobRouter router;
+
+	private final TopicFollower versionFollower;
+
+	private final TopicFollower memberFollower;
+
+	private final TopicFollower endpointFollower;
+
+	private final RequestHandler requests;
+
+	private final CallerServer callers;
+
+	private final CallerServer readiness;
+
+	private final Map<JobOrigin, CompletableFuture<PeerMessage>> calls = new ConcurrentHashMap<>();
+
+	private PeerTransport transport;
+
+	private boolean registered;
+
+	private boolean leaving;
+
+	private long leaveMillis;
+
+	/**
+	 * Creates a host that has not started.
+	 * @param eventLoops one event loop
+	 * @param settings the settings
+	 * @param entryHost the identity of this run
+	 * @param log calls to the shared log
+	 * @param endpointCalls calls to endpoints
+	 * @param siteFormat reads what others publish
+	 * @param callerFormat reads and writes what callers see
+	 */
+	public FleetHost(EventLoopGroup eventLoops, FleetSettings settings, EntryHost entryHost, SharedLog log,
+			EndpointCalls endpointCalls, SiteFormat siteFormat, CallerFormat callerFormat) {
+		this.eventLoops = eventLoops;
+		this.eventLoop = eventLoops.next();
+		this.settings = settings;
+		this.log = log;
+		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
+				entryHost.incarnation());
+		this.versions = new VersionHolder(siteFormat);
+		this.peers = new PeerTable(Clock.nowMillis());
+		this.directory = new PoolDirectory(this.self, this.peers);
+		this.ownership = new Ownership(this.eventLoop, this.self, this.peers, this.directory, log, endpointCalls,
+				siteFormat, this.metrics, this);
+		this.router = new JobRouter(this.eventLoop, this.self, this.directory, callerFormat, this.metrics);
+		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::operatorRecord);
+		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::memberRecord);
+		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, ENDPOINT_PACE,
+				Clock::nowMillis, new EndpointListener());
+		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this.metrics);
+		this.callers = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::caller);
+		this.readiness = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::operator);
+		this.ownership.onChange(this::ownershipChanged);
+	}
+
+	private TopicFollower follower(SharedTopic topic, TopicFollower.Pace pace, TopicFollower.Listener listener) {
+		return new TopicFollower(this.eventLoop, this.log, topic, pace, Clock::nowMillis, listener);
+	}
+
+	/**
+	 * Opens the listeners and begins to follow the shared log.
+	 */
+	public void start() {
+		this.transport = NettyPeerTransport.bind(
+				PeerTransportSettings.of(this.settings.peerAddress().ip(), this.settings.peerAddress().port())
+					.withSilenceLimitMillis(PeerTable.SILENCE_LIMIT_MILLIS),
+				() -> new EntryHost(this.self.domain(), this.self.peerAddress(), this.self.incarnation()), this,
+				this.eventLoops);
+		this.router.transport(this.transport);
+		this.callers.listen(this.settings.callerAddress());
+		this.readiness.listen(this.settings.readinessAddress());
+		this.readiness.listen(this.settings.metricsAddress());
+		this.eventLoop.execute(this::begin);
+	}
+
+	private void begin() {
+		logger.atInfo()
+			.addKeyValue("host", this.self.hostName())
+			.addKeyValue("domain", this.self.domain())
+			.addKeyValue("incarnation", this.self.incarnation())
+			.addKeyValue("peer_address", this.self.peerAddress())
+			.log("Entry host started");
+		this.versionFollower.start();
+		this.memberFollower.start();
+		register();
+		this.eventLoop.scheduleAtFixedRate(guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.eventLoop.scheduleAtFixedRate(guarded(this::report), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private static Runnable guarded(Runnable action) {
+		return () -> {
+			try {
+				action.run();
+			}
+			catch (RuntimeException ex) {
+				logger.error("Periodic work failed", ex);
+			}
+		};
+	}
+
+	private void register() {
+		this.log
+			.append(SharedTopic.MEMBERS, MEMBER_PREFIX + this.self.hostName(), this.self.toBytes(),
+					OptionalLong.empty())
+			.whenComplete((offset, error) -> {
+				this.registered = error == null;
+				if (!this.registered) {
+					this.eventLoop.schedule(this::register, 2 * REPORT_MILLIS, TimeUnit.MILLISECONDS);
+				}
+			});
+	}
+
+	private void tick() {
+		long nowMillis = Clock.nowMillis();
+		this.peers.takeLost(nowMillis).forEach(this::peerLost);
+		this.ownership.tick(this.memberFollower);
+		if (this.leaving) {
+			checkStop(nowMillis);
+		}
+	}
+
+	private void peerLost(HostAddress peer) {
+		logger.atWarn()
+			.addKeyValue("peer", peer)
+			.addKeyValue("domain", this.peers.member(peer).map(MemberRecord::domain).orElse("unknown"))
+			.log("Peer lost");
+		this.ownership.originLost(peer.toString());
+	}
+
+	private void report() {
+		List<PoolReport> pools = this.directory.own().map((owner) -> List.of(owner.report())).orElse(List.of());
+		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.number(), this.leaving, pools,
+				this.directory.heardOwners(Clock.nowMillis()));
+		this.peers.addresses()
+			.stream()
+			.filter((address) -> !address.equals(this.self.peerAddress()))
+			.forEach((address) -> this.transport.send(address, report));
+	}
+
+	private void operatorRecord(KeyedRecord published) {
+		if (published.key().equals(VERSION_KEY) && published.value() != null) {
+			this.versions.offer(published.value(), "log");
+		}
+	}
+
+	private void memberRecord(KeyedRecord member) {
+		if (member.key().startsWith(Ownership.CLAIM_PREFIX)) {
+			this.ownership.claimRead(member);
+		}
+		else if (member.key().startsWith(MEMBER_PREFIX) && member.value() != null) {
+			hostRead(member);
+		}
+	}
+
+	private void hostRead(KeyedRecord host) {
+		try {
+			MemberRecord member = MemberRecord.read(host.value());
+			if (!member.peerAddress().equals(this.self.peerAddress()) && this.peers.add(member)) {
+				logger.atInfo()
+					.addKeyValue("peer", member.peerAddress())
+					.addKeyValue("host", member.hostName())
+					.log("Peer known");
+			}
+		}
+		catch (InvalidRecordException ex) {
+			logger.atWarn()
+				.addKeyValue("key", host.key())
+				.addKeyValue("reason", ex.getMessage())
+				.log("Member passed over");
+		}
+	}
+
+	private void ownershipChanged(boolean owns) {
+		if (owns) {
+			this.endpointFollower.start();
+		}
+		else {
+			this.endpointFollower.stop();
+		}
+	}
+
+	private boolean isReady() {
+		return !this.leaving && this.versions.number() > 0 && !this.directory.candidates(Clock.nowMillis()).isEmpty();
+	}
+
+	@Override
+	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
+		if (message instanceof PeerMessage.HostReport report) {
+			hostReported(from, report);
+		}
+		else if (message instanceof PeerMessage.SubmitJob submission) {
+			return submitted(from, submission);
+		}
+		else if (message instanceof PeerMessage.CancelJob cancel) {
+			this.directory.ownOf(cancel.pool())
+				.ifPresent(
+						(owner) -> owner.cancel(cancel.jobId(), new JobOrigin(from.toString(), cancel.callNumber())));
+		}
+		else if (message instanceof PeerMessage.PublishedVersion published) {
+			this.versions.offer(published.content(), "peer " + from);
+		}
+		return CompletableFuture.completedFuture(null);
+	}
+
+	private void hostReported(HostAddress from, PeerMessage.HostReport report) {
+		long nowMillis = Clock.nowMillis();
+		if (!this.peers.isHeard(from, nowMillis)) {
+			logger.atInfo().addKeyValue("peer", from).log("Peer heard");
+		}
+		this.peers.reported(from, report, nowMillis);
+		report.pools().forEach((pool) -> this.directory.reportSeen(pool.pool()));
+		if (report.versionNumber() < this.versions.number()) {
+			this.versions.content()
+				.ifPresent((content) -> this.transport.send(from,
+						new PeerMessage.PublishedVersion(this.versions.number(), content)));
+		}
+	}
+
+	private CompletionStage<PeerMessage> submitted(HostAddress from, PeerMessage.SubmitJob submission) {
+		Optional<PoolOwner> owner = this.directory.ownOf(submission.pool());
+		if (owner.isEmpty()) {
+			return CompletableFuture.completedFuture(new PeerMessage.JobAnswer(Ownership.notOwner()));
+		}
+		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
+		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+		this.calls.put(origin, answer);
+		owner.get().submit(submission.job(), submission.terms(), origin);
+		return answer;
+	}
+
+	@Override
+	public void answered(JobOrigin origin, String jobId, JobOutcome outcome) {
+		if (origin.host().equals(this.self.hostName())) {
+			this.router.answered(origin.callNumber(), outcome);
+			return;
+		}
+		CompletableFuture<PeerMessage> answer = this.calls.remove(origin);
+		if (answer != null) {
+			answer.complete(new PeerMessage.JobAnswer(outcome));
+		}
+	}
+
+	@Override
+	public void fenced(PoolOwner owner) {
+		this.eventLoop.execute(() -> this.ownership.stepDown(owner, "fenced"));
+	}
+
+	@Override
+	public void disconnected(HostAddress peer) {
+		this.peers.disconnected(peer, Clock.nowMillis());
+	}
+
+	/**
+	 * Stops without cutting off a request, and ends the event loop when all is done.
+	 */
+	public void leave() {
+		this.eventLoop.execute(() -> {
+			if (this.leaving) {
+				return;
+			}
+			this.leaving = true;
+			this.leaveMillis = Clock.nowMillis();
+			logger.atInfo()
+				.addKeyValue("host", this.self.hostName())
+				.addKeyValue("open_requests", this.router.pendingCount())
+				.log("Entry host is stopping");
+			this.callers.leave();
+			this.ownership.leave();
+			report();
+		});
+	}
+
+	private void checkStop(long nowMillis) {
+		long sinceMillis = nowMillis - this.leaveMillis;
+		boolean late = sinceMillis > this.settings.stopGraceMillis() - STOP_MARGIN_MILLIS;
+		if (late || this.directory.own().filter((owner) -> owner.jobCount() > 0).isEmpty()) {
+			this.ownership.release();
+		}
+		boolean idle = this.router.pendingCount() == 0 && this.directory.own().isEmpty();
+		if (sinceMillis >= MIN_STOP_MILLIS && idle || late) {
+			logger.atInfo()
+				.addKeyValue("host", this.self.hostName())
+				.addKeyValue("open_requests", this.router.pendingCount())
+				.addKeyValue("after_ms", sinceMillis)
+				.log("Entry host stopped");
+			this.eventLoops.shutdownGracefully(STOP_MARGIN_MILLIS / 10, STOP_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	/**
+	 * Waits until the event loop has ended.
+	 */
+	public void awaitEnd() {
+		this.eventLoops.terminationFuture().awaitUninterruptibly();
+	}
+
+	/**
+	 * Takes the records of endpoints, and believes only after a while that one is gone.
+	 */
+	private final class EndpointListener implements TopicFollower.Listener {
+
+		@Override
+		public void record(KeyedRecord endpoint) {
+			FleetHost.this.ownership.endpointRead(endpoint);
+		}
+
+		@Override
+		public void loaded(Set<String> keys) {
+			Set<String> missing = new HashSet<>(FleetHost.this.ownership.endpointIds());
+			missing.removeAll(keys);
+			missing.forEach((id) -> FleetHost.this.eventLoop.schedule(() -> FleetHost.this.ownership.endpointGone(id),
+					UNLIST_DELAY_MILLIS, TimeUnit.MILLISECONDS));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -0,0 +1,97 @@
+package org.masticwick.fleet.process;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.StartRefusal;
+
+/**
+ * Counters and latency histograms of an entry host.
+ */
+public final class FleetMetrics {
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter answers = Counter.builder()
+		.name("masticwick_job_answers_total")
+		.help("Final answers to callers, by outcome")
+		.labelNames("outcome")
+		.register(this.registry);
+
+	private final Histogram latency = Histogram.builder()
+		.name("masticwick_job_seconds")
+		.help("Time from a submission to its answer, by outcome")
+		.labelNames("outcome")
+		.classicOnly()
+		.classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
+		.register(this.registry);
+
+	private final Counter starts = counter("masticwick_starts_ordered_total", "Starts ordered from endpoints");
+
+	private final Counter refusals = Counter.builder()
+		.name("masticwick_starts_refused_total")
+		.help("Starts that endpoints refused, by reason")
+		.labelNames("reason")
+		.register(this.registry);
+
+	private final Counter stops = counter("masticwick_stops_ordered_total", "Stops ordered from endpoints");
+
+	private final Counter renewals = counter("masticwick_lease_renewals_total", "Renewals of leases of endpoints");
+
+	private final Counter failedRenewals = counter("masticwick_lease_renewals_failed_total",
+			"Renewals of leases without an answer");
+
+	private final Counter claims = counter("masticwick_pool_claims_total", "Claims on pools written to the log");
+
+	private Counter counter(String name, String help) {
+		return Counter.builder().name(name).help(help).register(this.registry);
+	}
+
+	void answered(JobOutcome.Kind kind, long tookMillis) {
+		this.answers.labelValues(kind.name()).inc();
+		this.latency.labelValues(kind.name()).observe(tookMillis / MILLIS_PER_SECOND);
+	}
+
+	void startOrdered() {
+		this.starts.inc();
+	}
+
+	void startRefused(StartRefusal refusal) {
+		this.refusals.labelValues(refusal.name()).inc();
+	}
+
+	void stopOrdered() {
+		this.stops.inc();
+	}
+
+	void leaseRenewed() {
+		this.renewals.inc();
+	}
+
+	void renewalFailed() {
+		this.failedRenewals.inc();
+	}
+
+	void claimWritten() {
+		this.claims.inc();
+	}
+
+	byte[] toText() {
+		try (ByteArrayOutputStream out = new ByteArrayOutputStream()) {
+			new PrometheusTextFormatWriter(false).write(out, this.registry.scrape());
+			return out.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -0,0 +1,288 @@
+package org.masticwick.fleet.process;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.masticwick.core.pool.JobOrigin;
+import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.request.CallerExchange;
+import org.masticwick.fleet.request.CallerFormat;
+import org.masticwick.fleet.request.CallerReply;
+import org.masticwick.fleet.request.PoolChoice;
+import org.masticwick.wire.PeerException;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings the jobs of this host's callers to a pool and its answers back. A job that a
+ * pool has certainly not run may go to another one; one that may have run never does.
+ */
+final class JobRouter {
+
+	private static final Logger logger = LoggerFactory.getLogger(JobRouter.class);
+
+	private static final int OK = 200;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int BAD_GATEWAY = 502;
+
+	private static final int MAX_POOLS_TRIED = 2;
+
+	/** How long a job waits for a pool to have an owner, in milliseconds. */
+	private static final long OWNER_WAIT_MILLIS = 600;
+
+	private static final long OWNER_RETRY_MILLIS = 40;
+
+	private static final long NO_OWNER_RETRY_AFTER_MILLIS = 1_000;
+
+	private final EventLoop eventLoop;
+
+	private final MemberRecord self;
+
+	private final PoolDirectory directory;
+
+	private final CallerFormat format;
+
+	private final FleetMetrics metrics;
+
+	private final PoolChoice choice = new PoolChoice();
+
+	private final Map<Long, RoutedJob> pending = new HashMap<>();
+
+	private PeerTransport transport;
+
+	private long nextCallNumber;
+
+	JobRouter(EventLoop eventLoop, MemberRecord self, PoolDirectory directory, CallerFormat format,
+			FleetMetrics metrics) {
+		this.eventLoop = eventLoop;
+		this.self = self;
+		this.directory = directory;
+		this.format = format;
+		this.metrics = metrics;
+	}
+
+	void transport(PeerTransport peers) {
+		this.transport = peers;
+	}
+
+	int pendingCount() {
+		return this.pending.size();
+	}
+
+	void route(JobSpec job, JobTerms terms, CallerExchange exchange) {
+		RoutedJob routed = new RoutedJob(this.nextCallNumber++, job, terms, exchange, Clock.nowMillis());
+		this.pending.put(routed.callNumber, routed);
+		exchange.onLeave(() -> callerLeft(routed));
+		submit(routed);
+	}
+
+	private void submit(RoutedJob routed) {
+		if (!this.pending.containsKey(routed.callNumber)) {
+			return;
+		}
+		long nowMillis = Clock.nowMillis();
+		List<PoolChoice.Candidate> candidates = this.directory.candidates(nowMillis);
+		Optional<PoolChoice.Candidate> chosen = this.choice.choose(candidates, routed.neededMillicores(), routed.tried);
+		if (chosen.isEmpty()) {
+			noPool(routed, nowMillis);
+			return;
+		}
+		String pool = chosen.get().pool();
+		routed.pool = pool;
+		routed.tried.add(pool);
+		logger.atInfo()
+			.addKeyValue("job", routed.job.jobId())
+			.addKeyValue("queue", routed.terms.queue())
+			.addKeyValue("version", routed.terms.versionNumber())
+			.addKeyValue("pool", pool)
+			.addKeyValue("free_millicores", chosen.get().freeMillicores())
+			.addKeyValue("backlog_ms", Math.round(chosen.get().backlogMillis()))
+			.addKeyValue("pools", candidates.size())
+			.log("Job routed");
+		send(routed, pool, nowMillis);
+	}
+
+	private void noPool(RoutedJob routed, long nowMillis) {
+		if (routed.lastRefusal != null) {
+			answer(routed, routed.lastRefusal);
+		}
+		else if (nowMillis - routed.receivedMillis >= OWNER_WAIT_MILLIS) {
+			answer(routed, new JobOutcome(JobOutcome.Kind.REFUSED, NO_OWNER_RETRY_AFTER_MILLIS, "no-pool-owner"));
+		}
+		else {
+			this.eventLoop.schedule(() -> submit(routed), OWNER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void send(RoutedJob routed, String pool, long nowMillis) {
+		JobTerms terms = routed.termsAt(nowMillis);
+		routed.owner = null;
+		Optional<PoolOwner> own = this.directory.ownOf(pool);
+		if (own.isPresent()) {
+			own.get().submit(routed.job, terms, origin(routed));
+			return;
+		}
+		Optional<HostAddress> owner = this.directory.ownerAddress(pool);
+		if (owner.isEmpty()) {
+			noPool(routed, nowMillis);
+			return;
+		}
+		routed.owner = owner.get();
+		this.directory.noteSent(pool, routed.neededMillicores());
+		this.transport.call(owner.get(), new PeerMessage.SubmitJob(pool, routed.callNumber, routed.job, terms))
+			.whenComplete((message, error) -> answeredByPeer(routed, message, error));
+	}
+
+	private void answeredByPeer(RoutedJob routed, PeerMessage message, Throwable error) {
+		if (message instanceof PeerMessage.JobAnswer jobAnswer) {
+			outcome(routed, jobAnswer.outcome());
+		}
+		else if (error != null && !maySent(error)) {
+			outcome(routed, JobOutcome.of(JobOutcome.Kind.REFUSED, "owner-unreachable"));
+		}
+		else {
+			outcome(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-lost"));
+		}
+	}
+
+	private static boolean maySent(Throwable error) {
+		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		return !(cause instanceof PeerException peer) || peer.sent();
+	}
+
+	/**
+	 * Takes the answer of the pool that this host owns.
+	 * @param callNumber the call
+	 * @param outcome the answer
+	 */
+	void answered(long callNumber, JobOutcome outcome) {
+		RoutedJob routed = this.pending.get(callNumber);
+		if (routed != null) {
+			outcome(routed, outcome);
+		}
+	}
+
+	private void outcome(RoutedJob routed, JobOutcome outcome) {
+		boolean notRun = outcome.kind() == JobOutcome.Kind.REFUSED;
+		if (notRun && routed.tried.size() < MAX_POOLS_TRIED) {
+			routed.lastRefusal = outcome;
+			submit(routed);
+		}
+		else {
+			answer(routed, outcome);
+		}
+	}
+
+	private void answer(RoutedJob routed, JobOutcome outcome) {
+		if (this.pending.remove(routed.callNumber) == null) {
+			return;
+		}
+		long tookMillis = Clock.nowMillis() - routed.receivedMillis;
+		CallerReply reply = reply(outcome);
+		this.metrics.answered(outcome.kind(), tookMillis);
+		logger.atInfo()
+			.addKeyValue("job", routed.job.jobId())
+			.addKeyValue("queue", routed.terms.queue())
+			.addKeyValue("pool", routed.pool)
+			.addKeyValue("outcome", outcome.kind())
+			.addKeyValue("reason", outcome.reason())
+			.addKeyValue("status", reply.status())
+			.addKeyValue("took_ms", tookMillis)
+			.log("Job answered");
+		routed.exchange.reply(reply);
+	}
+
+	private CallerReply reply(JobOutcome outcome) {
+		return switch (outcome.kind()) {
+			case COMPLETED -> new CallerReply(OK, this.format.writeEnded(true), 0);
+			case FAILED -> new CallerReply(OK, this.format.writeEnded(false), 0);
+			case REFUSED -> CallerReply.later(UNAVAILABLE, Math.max(1, outcome.retryAfterMillis()));
+			case UNCERTAIN -> CallerReply.of(BAD_GATEWAY);
+		};
+	}
+
+	private void callerLeft(RoutedJob routed) {
+		if (this.pending.remove(routed.callNumber) == null) {
+			return;
+		}
+		logger.atInfo()
+			.addKeyValue("job", routed.job.jobId())
+			.addKeyValue("pool", routed.pool)
+			.addKeyValue("after_ms", Clock.nowMillis() - routed.receivedMillis)
+			.log("Caller left before the answer");
+		if (routed.owner != null) {
+			this.transport.send(routed.owner,
+					new PeerMessage.CancelJob(routed.pool, routed.callNumber, routed.job.jobId()));
+		}
+		else if (routed.pool != null) {
+			this.directory.ownOf(routed.pool).ifPresent((owner) -> owner.cancel(routed.job.jobId(), origin(routed)));
+		}
+	}
+
+	private JobOrigin origin(RoutedJob routed) {
+		return new JobOrigin(this.self.hostName(), routed.callNumber);
+	}
+
+	/**
+	 * A job on its way.
+	 */
+	private static final class RoutedJob {
+
+		private final long callNumber;
+
+		private final JobSpec job;
+
+		private final JobTerms terms;
+
+		private final CallerExchange exchange;
+
+		private final long receivedMillis;
+
+		private final Set<String> tried = new HashSet<>();
+
+		private String pool;
+
+		private HostAddress owner;
+
+		private JobOutcome lastRefusal;
+
+		private RoutedJob(long callNumber, JobSpec job, JobTerms terms, CallerExchange exchange, long receivedMillis) {
+			this.callNumber = callNumber;
+			this.job = job;
+			this.terms = terms;
+			this.exchange = exchange;
+			this.receivedMillis = receivedMillis;
+		}
+
+		private long neededMillicores() {
+			return this.job.steps()
+				.stream()
+				.mapToLong((step) -> step.taskCount() * step.need().cpuMillicores())
+				.max()
+				.orElse(0);
+		}
+
+		private JobTerms termsAt(long nowMillis) {
+			long leftMillis = this.terms.budgetMillis() - (nowMillis - this.receivedMillis);
+			return new JobTerms(this.terms.queue(), this.terms.service(), this.terms.priority(),
+					this.terms.maxAttempts(), this.terms.stretch(), this.terms.targetLatencyMillis(),
+					Math.max(1, leftMillis), this.terms.versionNumber());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
@@ -0,0 +1,53 @@
+package org.masticwick.fleet.process;
+
+import java.io.IOException;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.fleet.version.InvalidRecordException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * What an entry host writes of itself to the shared log, as a member or as the owner of a
+ * pool.
+ *
+ * @param hostName the name of the host
+ * @param domain its failure domain
+ * @param peerAddress where its peers connect
+ * @param incarnation the run of its process
+ */
+record MemberRecord(String hostName, String domain, HostAddress peerAddress, Incarnation incarnation) {
+
+	private static final int FIELD_COUNT = 4;
+
+	byte[] toBytes() {
+		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+			out.packArrayHeader(FIELD_COUNT);
+			out.packString(this.hostName);
+			out.packString(this.domain);
+			out.packString(this.peerAddress.toString());
+			out.packString(this.incarnation.toString());
+			return out.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new InvalidRecordException("Member can't be written: " + ex.getMessage());
+		}
+	}
+
+	static MemberRecord read(byte[] bytes) {
+		try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+			if (in.unpackArrayHeader() < FIELD_COUNT) {
+				throw new InvalidRecordException("Member with too few fields");
+			}
+			return new MemberRecord(in.unpackString(), in.unpackString(), HostAddress.parse(in.unpackString()),
+					Incarnation.parse(in.unpackString()));
+		}
+		catch (IOException | MessagePackException | IllegalArgumentException ex) {
+			throw new InvalidRecordException("Member can't be read: " + ex.getMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -0,0 +1,168 @@
+package org.masticwick.fleet.process;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobTerms;
+import org.masticwick.fleet.request.CallerExchange;
+import org.masticwick.fleet.request.CallerFormat;
+import org.masticwick.fleet.request.CallerReply;
+import org.masticwick.fleet.request.CallerRequest;
+import org.masticwick.fleet.request.SubmittedJob;
+import org.masticwick.fleet.version.InvalidRecordException;
+import org.masticwick.fleet.version.QueueRule;
+import org.masticwick.fleet.version.SiteVersion;
+import org.masticwick.fleet.version.VersionHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Answers what can be answered at once, and routes the rest. A request sees one version.
+ */
+final class RequestHandler {
+
+	private static final Logger logger = LoggerFactory.getLogger(RequestHandler.class);
+
+	private static final int OK = 200;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int NOT_ALLOWED = 405;
+
+	private static final int GONE = 410;
+
+	private static final int TOO_LARGE = 413;
+
+	private static final int UNAVAILABLE = 503;
+
+	/** What a caller waits who does not tell, in milliseconds. */
+	private static final long DEFAULT_WAIT_MILLIS = 10_000;
+
+	/** When to come back to a host without a version, in milliseconds. */
+	private static final long NO_VERSION_RETRY_MILLIS = 1_000;
+
+	/** When to come back with a kind of job that is not offered, in milliseconds. */
+	private static final long UNSUPPORTED_RETRY_MILLIS = 60_000;
+
+	private static final String METRICS_PATH = "/metrics";
+
+	private final VersionHolder versions;
+
+	private final JobRouter router;
+
+	private final CallerFormat format;
+
+	private final BooleanSupplier ready;
+
+	private final FleetMetrics metrics;
+
+	RequestHandler(VersionHolder versions, JobRouter router, CallerFormat format, BooleanSupplier ready,
+			FleetMetrics metrics) {
+		this.versions = versions;
+		this.router = router;
+		this.format = format;
+		this.ready = ready;
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Handles a request of the balancer or of an operator.
+	 * @param request the request
+	 * @param exchange its answer
+	 */
+	void operator(CallerRequest request, CallerExchange exchange) {
+		if (request.path().equals(this.format.readinessPath())) {
+			exchange.reply(CallerReply.of(this.ready.getAsBoolean() ? OK : UNAVAILABLE));
+		}
+		else if (request.path().equals(METRICS_PATH)) {
+			exchange.reply(new CallerReply(OK, this.metrics.toText(), 0));
+		}
+		else {
+			exchange.reply(CallerReply.of(NOT_FOUND));
+		}
+	}
+
+	/**
+	 * Handles a request of a caller.
+	 * @param request the request
+	 * @param exchange its answer
+	 */
+	void caller(CallerRequest request, CallerExchange exchange) {
+		Optional<SiteVersion> version = this.versions.version();
+		if (version.isEmpty()) {
+			refuse(request, exchange, CallerReply.later(UNAVAILABLE, NO_VERSION_RETRY_MILLIS), "no-version", 0);
+			return;
+		}
+		long number = version.get().number();
+		Optional<QueueRule> queue = version.get().queueOf(request.hostName(), request.path());
+		if (queue.isEmpty()) {
+			refuse(request, exchange, CallerReply.of(NOT_FOUND), "no-queue", number);
+			return;
+		}
+		String jobId = request.path().substring(queue.get().pathPrefix().length());
+		switch (request.method()) {
+			case "POST" -> submit(request, exchange, version.get(), queue.get(), jobId);
+			case "GET" -> show(exchange, jobId);
+			case "DELETE" -> exchange.reply(CallerReply.of(GONE));
+			default -> refuse(request, exchange, CallerReply.of(NOT_ALLOWED), "method", number);
+		}
+	}
+
+	private void show(CallerExchange exchange, String jobId) {
+		if (jobId.isEmpty()) {
+			exchange.reply(new CallerReply(OK, this.format.writeWaiting(0), 0));
+		}
+		else {
+			exchange.reply(CallerReply.of(GONE));
+		}
+	}
+
+	private void submit(CallerRequest request, CallerExchange exchange, SiteVersion version, QueueRule queue,
+			String jobId) {
+		if (jobId.isEmpty()) {
+			refuse(request, exchange, CallerReply.of(BAD_REQUEST), "no-job-id", version.number());
+			return;
+		}
+		if (request.body().length > version.limits().maxBodyBytes()) {
+			refuse(request, exchange, CallerReply.of(TOO_LARGE), "body-too-large", version.number());
+			return;
+		}
+		SubmittedJob job;
+		try {
+			job = this.format.readJob(request.body());
+		}
+		catch (InvalidRecordException ex) {
+			refuse(request, exchange, CallerReply.of(BAD_REQUEST), ex.getMessage(), version.number());
+			return;
+		}
+		if (!job.waitsForEnd() || !job.unsupported().isEmpty() || queue.advised()) {
+			refuse(request, exchange, CallerReply.later(UNAVAILABLE, UNSUPPORTED_RETRY_MILLIS),
+					"not-offered " + job.unsupported(), version.number());
+			return;
+		}
+		this.router.route(new JobSpec(jobId, job.payload(), job.steps()), terms(request, version, queue), exchange);
+	}
+
+	private static JobTerms terms(CallerRequest request, SiteVersion version, QueueRule queue) {
+		long waitMillis = (request.waitMillis() > 0) ? request.waitMillis() : DEFAULT_WAIT_MILLIS;
+		long budgetMillis = (queue.timeoutMillis() > 0) ? Math.min(waitMillis, queue.timeoutMillis()) : waitMillis;
+		return new JobTerms(queue.name(), queue.service(), queue.priority(), queue.maxAttempts(), queue.stretch(),
+				queue.targetLatencyMillis(), budgetMillis, version.number());
+	}
+
+	private static void refuse(CallerRequest request, CallerExchange exchange, CallerReply reply, String reason,
+			long versionNumber) {
+		logger.atInfo()
+			.addKeyValue("path", request.path())
+			.addKeyValue("host_name", request.hostName())
+			.addKeyValue("status", reply.status())
+			.addKeyValue("reason", reason)
+			.addKeyValue("version", versionNumber)
+			.log("Request refused");
+		exchange.reply(reply);
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/request/CallerRequest.java
@@ -0,0 +1,13 @@
+package org.masticwick.fleet.request;
+
+/**
+ * A request of a caller.
+ *
+ * @param method the HTTP method
+ * @param hostName the virtual host
+ * @param path the path
+ * @param waitMillis how long the caller waits, in milliseconds, or 0 if it does not tell
+ * @param body the body
+ */
+public record CallerRequest(String method, String hostName, String path, long waitMillis, byte[] body) {
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/request/PoolChoice.java
@@ -0,0 +1,62 @@
+package org.masticwick.fleet.request;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the pool that a job is sent to: the one of the own failure domain as long as
+ * the job fits there, else the one with the most room, else the one with the least
+ * waiting.
+ */
+public final class PoolChoice {
+
+	/**
+	 * How much less must wait elsewhere for a job to leave its domain, in milliseconds.
+	 */
+	private static final double MIN_GAIN_MILLIS = 10;
+
+	/**
+	 * Chooses.
+	 * @param candidates the pools whose owners are heard
+	 * @param neededMillicores what all tasks of the job take together
+	 * @param tried the pools that refused the job
+	 * @return the pool, or empty if there is none left
+	 */
+	public Optional<Candidate> choose(List<Candidate> candidates, long neededMillicores, Set<String> tried) {
+		List<Candidate> open = candidates.stream().filter((each) -> !tried.contains(each.pool())).toList();
+		if (open.stream().anyMatch((each) -> !each.doubtful())) {
+			open = open.stream().filter((each) -> !each.doubtful()).toList();
+		}
+		Optional<Candidate> local = open.stream().filter(Candidate::local).findFirst();
+		if (local.isPresent() && local.get().freeMillicores() >= neededMillicores) {
+			return local;
+		}
+		Optional<Candidate> roomiest = open.stream().max(Comparator.comparingLong(Candidate::freeMillicores));
+		if (roomiest.isPresent() && roomiest.get().freeMillicores() >= neededMillicores) {
+			return roomiest;
+		}
+		return leastWaiting(open, local);
+	}
+
+	private static Optional<Candidate> leastWaiting(List<Candidate> open, Optional<Candidate> local) {
+		Optional<Candidate> least = open.stream().min(Comparator.comparingDouble(Candidate::backlogMillis));
+		boolean stays = local.isPresent() && least.isPresent()
+				&& local.get().backlogMillis() - least.get().backlogMillis() < MIN_GAIN_MILLIS;
+		return stays ? local : least;
+	}
+
+	/**
+	 * A pool as it looks from this host.
+	 *
+	 * @param pool the name
+	 * @param local whether it is of the own failure domain
+	 * @param doubtful whether its owner has not been heard for a while
+	 * @param freeMillicores what is free, less what was sent there since its last report
+	 * @param backlogMillis how long all that waits takes there
+	 */
+	public record Candidate(String pool, boolean local, boolean doubtful, long freeMillicores, double backlogMillis) {
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/request/SubmittedJob.java
@@ -0,0 +1,27 @@
+package org.masticwick.fleet.request;
+
+import java.util.List;
+
+import org.masticwick.core.pool.StepSpec;
+
+/**
+ * The body of a submission.
+ *
+ * @param payload what each task is given to run
+ * @param steps the steps
+ * @param waitsForEnd whether the caller waits for the end of the job, which then needs
+ * not be stored
+ * @param unsupported what the job asks for that this host does not offer; empty if
+ * nothing
+ */
+public record SubmittedJob(String payload, List<StepSpec> steps, boolean waitsForEnd, List<String> unsupported) {
+
+	/**
+	 * Copies the lists.
+	 */
+	public SubmittedJob {
+		steps = List.copyOf(steps);
+		unsupported = List.copyOf(unsupported);
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives as long as a request of a caller.
+ */
+package org.masticwick.fleet.request;
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/JsonLineEncoder.java
+++ b/masticwick-log/src/main/java/org/masticwick/log/JsonLineEncoder.java
@@ -1,4 +1,4 @@
-package org.masticwick.daemon.process;
+package org.masticwick.log;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/settings/LogFormat.java
+++ b/masticwick-log/src/main/java/org/masticwick/log/LogFormat.java
@@ -1,4 +1,4 @@
-package org.masticwick.daemon.process.settings;
+package org.masticwick.log;
 
 /**
  * Names the forms of a log line.
--- a/masticwick-wire/src/main/java/org/masticwick/wire/NettyPeerTransport.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/NettyPeerTransport.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
+import io.netty.channel.EventLoopGroup;
+
 import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.internal.ConnectionContext;
@@ -26,9 +28,9 @@
 
 	private final PeerChannels channels;
 
-	private NettyPeerTransport(ConnectionContext context) {
+	private NettyPeerTransport(ConnectionContext context, PeerChannels channels) {
 		this.traffic = context.traffic();
-		this.channels = new PeerChannels(context);
+		this.channels = channels;
 	}
 
 	/**
@@ -42,7 +44,24 @@
 	 */
 	public static NettyPeerTransport bind(PeerTransportSettings settings, Supplier<EntryHost> identity,
 			PeerMessageHandler handler) {
-		return new NettyPeerTransport(new ConnectionContext(settings, identity, handler, new TrafficCounters()));
+		ConnectionContext context = new ConnectionContext(settings, identity, handler, new TrafficCounters());
+		return new NettyPeerTransport(context, new PeerChannels(context));
+	}
+
+	/**
+	 * Opens the listener and runs on event loops of the caller, which are left open when
+	 * the transport is closed.
+	 * @param settings the settings
+	 * @param identity tells who this host is, or {@code null} as long as it is not known
+	 * @param handler handles the messages of peers, on these event loops
+	 * @param eventLoops the event loops
+	 * @return the transport
+	 * @throws PeerException if the address can't be had
+	 */
+	public static NettyPeerTransport bind(PeerTransportSettings settings, Supplier<EntryHost> identity,
+			PeerMessageHandler handler, EventLoopGroup eventLoops) {
+		ConnectionContext context = new ConnectionContext(settings, identity, handler, new TrafficCounters());
+		return new NettyPeerTransport(context, new PeerChannels(context, eventLoops));
 	}
 
 	@Override
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -6,6 +6,10 @@
 import org.masticwick.core.connection.HostSummary;
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.connection.ServiceLoad;
+import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.EntryHost;
 
 /**
@@ -220,4 +224,55 @@
 	record ClosedTicket(String ticket, int status, String contentType, byte[] body) {
 	}
 
+	/**
+	 * Tells all peers that the sender lives, which version it has in force, and how the
+	 * pools are that it owns.
+	 *
+	 * @param versionNumber the version in force, or 0 for none
+	 * @param leaving whether the sender is about to stop
+	 * @param pools the pools that it owns
+	 * @param heardOwners the pools whose owner the sender hears
+	 */
+	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools,
+			List<String> heardOwners) implements PeerMessage {
+	}
+
+	/**
+	 * Asks the owner of a pool to run a job. The answer comes when the job has ended.
+	 *
+	 * @param pool the pool
+	 * @param callNumber the number of the call on the sender
+	 * @param job the job
+	 * @param terms the terms of its queue
+	 */
+	record SubmitJob(String pool, long callNumber, JobSpec job, JobTerms terms) implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link SubmitJob}.
+	 *
+	 * @param outcome what became of the job
+	 */
+	record JobAnswer(JobOutcome outcome) implements PeerMessage {
+	}
+
+	/**
+	 * Tells the owner of a pool that nobody waits for a job any more.
+	 *
+	 * @param pool the pool
+	 * @param callNumber the number of the call that submitted it
+	 * @param jobId the job
+	 */
+	record CancelJob(String pool, long callNumber, String jobId) implements PeerMessage {
+	}
+
+	/**
+	 * Brings a peer the version in force, as it was published.
+	 *
+	 * @param versionNumber the version
+	 * @param content the published bytes
+	 */
+	record PublishedVersion(long versionNumber, byte[] content) implements PeerMessage {
+	}
+
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -37,7 +37,17 @@
 
 	PONG(12, PeerMessage.Pong.class, MessageTypes.PONG),
 
-	ERROR_ANSWER(13, PeerMessage.ErrorAnswer.class, MessageTypes.ERROR_ANSWER);
+	ERROR_ANSWER(13, PeerMessage.ErrorAnswer.class, MessageTypes.ERROR_ANSWER),
+
+	HOST_REPORT(14, PeerMessage.HostReport.class, PoolMessageTypes.HOST_REPORT),
+
+	SUBMIT_JOB(15, PeerMessage.SubmitJob.class, PoolMessageTypes.SUBMIT_JOB),
+
+	JOB_ANSWER(16, PeerMessage.JobAnswer.class, PoolMessageTypes.JOB_ANSWER),
+
+	CANCEL_JOB(17, PeerMessage.CancelJob.class, PoolMessageTypes.CANCEL_JOB),
+
+	PUBLISHED_VERSION(18, PeerMessage.PublishedVersion.class, PoolMessageTypes.PUBLISHED_VERSION);
 
 	/** The bound on messages that have none of their own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
@@ -44,8 +44,9 @@
 
 	private static final int NORMAL_CACHE_COUNT = 8;
 
-	private final EventLoopGroup eventLoops = new NioEventLoopGroup(THREAD_COUNT,
-			new DefaultThreadFactory("peer", true));
+	private final EventLoopGroup eventLoops;
+
+	private final boolean ownsEventLoops;
 
 	private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
@@ -62,7 +63,23 @@
 	 * @throws PeerException if the address can't be had
 	 */
 	public PeerChannels(ConnectionContext context) {
+		this(context, new NioEventLoopGroup(THREAD_COUNT, new DefaultThreadFactory("peer", true)), true);
+	}
+
+	/**
+	 * Opens the listener on event loops of the caller.
+	 * @param context what all connections share
+	 * @param eventLoops the event loops, which stay open
+	 * @throws PeerException if the address can't be had
+	 */
+	public PeerChannels(ConnectionContext context, EventLoopGroup eventLoops) {
+		this(context, eventLoops, false);
+	}
+
+	private PeerChannels(ConnectionContext context, EventLoopGroup eventLoops, boolean ownsEventLoops) {
 		this.context = context;
+		this.eventLoops = eventLoops;
+		this.ownsEventLoops = ownsEventLoops;
 		this.listener = listen();
 	}
 
@@ -89,6 +106,13 @@
 		this.listener.close().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
 		this.channels.writeAndFlush(Unpooled.EMPTY_BUFFER).awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
 		this.channels.close().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
+		closeEventLoops();
+	}
+
+	private void closeEventLoops() {
+		if (!this.ownsEventLoops) {
+			return;
+		}
 		this.eventLoops.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
 	}
@@ -105,7 +129,7 @@
 			.bind(settings.bindIp(), settings.bindPort())
 			.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
-			this.eventLoops.shutdownGracefully();
+			closeEventLoops();
 			throw new PeerException("Can't listen on " + settings.bindIp() + ":" + settings.bindPort(), bound.cause(),
 					false);
 		}
