--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -101,11 +101,8 @@
 		});
 	}
 
-	/**
-	 * Returns whether a run that is in neither list is over. One that was accepted before
-	 * the lists were asked for would be in one of them; one that was stopped before can't
-	 * begin any more.
-	 */
+	// One that was accepted before the lists were asked for would be in one of them; one
+	// that was stopped before can't begin any more.
 	private boolean isCertainlyOver(Placement placement, long askedMillis) {
 		if (placement.stopConfirmedMillis() >= 0) {
 			return askedMillis > placement.stopConfirmedMillis() + this.settings.stopMillis();
@@ -157,7 +154,7 @@
 		}
 	}
 
-	/** Blames the endpoint, but not for a task that was slow elsewhere too. */
+	// A task that was slow elsewhere too says nothing of this endpoint.
 	private static void countSlow(Placement placement, long nowMillis) {
 		if (!placement.isCountedAsSlow() && placement.task().slowRestartCount() == 0) {
 			placement.endpoint().health().slow(nowMillis);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerConnection.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
+
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerReply;
 import org.masticwick.fleet.request.CallerRequest;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerServer.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerServer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerRequest;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/HttpCaller.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/HttpCaller.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+
 import org.masticwick.core.process.HostAddress;
 
 /**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/HttpExchangeHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/HttpExchangeHandler.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+
 import org.masticwick.core.process.HostAddress;
 
 /**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -13,6 +13,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.PoolReport;
@@ -33,8 +36,6 @@
 import org.masticwick.wire.PeerMessageHandler;
 import org.masticwick.wire.PeerTransport;
 import org.masticwick.wire.PeerTransportSettings;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Assembles an entry host and drives it: all its parts run on one event loop.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.StartRefusal;
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -10,6 +10,9 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
@@ -22,8 +25,6 @@
 import org.masticwick.wire.PeerException;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerTransport;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Brings the jobs of this host's callers to a pool and its answers back. A job that a
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
@@ -2,14 +2,15 @@
 
 import java.io.IOException;
 
-import org.masticwick.core.process.HostAddress;
-import org.masticwick.core.process.Incarnation;
-import org.masticwick.fleet.version.InvalidRecordException;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.fleet.version.InvalidRecordException;
+
 /**
  * What an entry host writes of itself to the shared log, as a member or as the owner of a
  * pool.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -7,6 +7,9 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.fleet.connection.EndpointCalls;
@@ -16,8 +19,6 @@
 import org.masticwick.fleet.connection.TopicFollower;
 import org.masticwick.fleet.version.InvalidRecordException;
 import org.masticwick.fleet.version.SiteFormat;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Claims the pool of the own failure domain when nobody owns it, owns it as long as
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -9,6 +9,9 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.EndpointReport;
 import org.masticwick.core.pool.JobOrigin;
@@ -24,8 +27,6 @@
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Owns a pool of endpoints: keeps their leases, carries out what the scheduler decides,
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -3,6 +3,9 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.fleet.request.CallerExchange;
@@ -14,8 +17,6 @@
 import org.masticwick.fleet.version.QueueRule;
 import org.masticwick.fleet.version.SiteVersion;
 import org.masticwick.fleet.version.VersionHolder;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Answers what can be answered at once, and routes the rest. A request sees one version.
