--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -19,6 +19,8 @@
 
 	private int percent;
 
+	private long percentMillis = -1;
+
 	private boolean countedAsSlow;
 
 	private boolean stopping;
@@ -69,12 +71,22 @@
 		}
 	}
 
-	int percent() {
-		return this.percent;
+	/**
+	 * Takes note of the progress of the run.
+	 * @param reachedPercent how much of the work is done
+	 * @param nowMillis the time in milliseconds
+	 */
+	void progressed(int reachedPercent, long nowMillis) {
+		this.percent = reachedPercent;
+		this.percentMillis = nowMillis;
 	}
 
-	void percent(int reachedPercent) {
-		this.percent = reachedPercent;
+	/**
+	 * Returns how long the run had taken when its progress was told last.
+	 * @return the time in milliseconds, or 0 if it was never told
+	 */
+	long observedMillis() {
+		return (this.percentMillis < 0) ? 0 : this.percentMillis - this.orderedMillis;
 	}
 
 	boolean isCountedAsSlow() {
@@ -108,14 +120,21 @@
 		}
 	}
 
+	/**
+	 * Describes how far the run is.
+	 * @return the description, for logs
+	 */
+	String progress() {
+		return this.percent + "% after " + observedMillis() + " ms, expected " + Math.round(this.expectedMillis)
+				+ " ms";
+	}
+
 	/**
 	 * Returns how long the run will take in all, judged by its progress.
-	 * @param nowMillis the time in milliseconds
 	 * @return the run time in milliseconds
 	 */
-	double projectedMillis(long nowMillis) {
-		double elapsedMillis = nowMillis - this.orderedMillis;
-		return elapsedMillis * 100 / Math.max(1, this.percent);
+	double projectedMillis() {
+		return observedMillis() * 100.0 / Math.max(1, this.percent);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
@@ -18,8 +18,9 @@
 	 * Orders an endpoint to stop a run, or never to start it.
 	 * @param endpoint the endpoint
 	 * @param run the run
+	 * @param reason why, for the log
 	 */
-	void stop(EndpointEntry endpoint, TaskRun run);
+	void stop(EndpointEntry endpoint, TaskRun run, String reason);
 
 	/**
 	 * Answers a job.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -220,7 +220,7 @@
 	 */
 	public void startUnanswered(String endpointId, TaskRun run, long nowMillis) {
 		find(endpointId, run).filter((placement) -> !placement.isAccepted())
-			.ifPresent((placement) -> this.ledger.stop(placement, nowMillis));
+			.ifPresent((placement) -> this.ledger.stop(placement, "start-unanswered", nowMillis));
 	}
 
 	/**
@@ -393,7 +393,7 @@
 				.stream()
 				.map(PooledTask::placement)
 				.filter((placement) -> placement != null)
-				.forEach((placement) -> this.ledger.stop(placement, nowMillis));
+				.forEach((placement) -> this.ledger.stop(placement, outcome.reason(), nowMillis));
 		}
 		this.actions.answer(job, outcome);
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -15,7 +15,7 @@
 	private static final double SLOW_FACTOR = 3;
 
 	/** The shortest time after which a run can count as slow, in milliseconds. */
-	private static final long MIN_SLOW_MILLIS = 120;
+	private static final long MIN_SLOW_MILLIS = 60;
 
 	/** How often a task is started elsewhere since it was slow. */
 	private static final int MAX_SLOW_RESTARTS = 1;
@@ -62,12 +62,12 @@
 		end(placement, EndKind.LOST, nowMillis);
 	}
 
-	void stop(Placement placement, long nowMillis) {
+	void stop(Placement placement, String reason, long nowMillis) {
 		if (placement.isStopping()) {
 			return;
 		}
 		placement.stopSent(nowMillis);
-		this.actions.stop(placement.endpoint().entry(), placement.run());
+		this.actions.stop(placement.endpoint().entry(), placement.run(), reason);
 	}
 
 	void reported(PooledEndpoint endpoint, EndpointReport report, long askedMillis, long nowMillis) {
@@ -93,10 +93,10 @@
 	private boolean takeRunning(PooledEndpoint endpoint, RunningTask running, long nowMillis) {
 		return endpoint.placement(running.run()).map((placement) -> {
 			placement.accept(nowMillis);
-			placement.percent(running.percent());
+			placement.progressed(running.percent(), nowMillis);
 			return true;
 		}).orElseGet(() -> {
-			this.actions.stop(endpoint.entry(), running.run());
+			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
 			return false;
 		});
 	}
@@ -145,11 +145,11 @@
 		if (placement.isStopping()) {
 			stopAgain(placement, nowMillis);
 		}
-		else if (isSlow(placement, nowMillis)) {
+		else if (isSlow(placement)) {
 			countSlow(placement, nowMillis);
 			if (placement.task().slowRestartCount() < MAX_SLOW_RESTARTS && hasRoomElsewhere.test(placement)) {
 				placement.task().countSlowRestart();
-				stop(placement, nowMillis);
+				stop(placement, "slow: " + placement.progress(), nowMillis);
 			}
 		}
 	}
@@ -165,15 +165,13 @@
 	private void stopAgain(Placement placement, long nowMillis) {
 		if (nowMillis - placement.stopSentMillis() >= this.settings.stopRetryMillis()) {
 			placement.stopSent(nowMillis);
-			this.actions.stop(placement.endpoint().entry(), placement.run());
+			this.actions.stop(placement.endpoint().entry(), placement.run(), "no-effect-yet");
 		}
 	}
 
-	private static boolean isSlow(Placement placement, long nowMillis) {
-		double elapsedMillis = nowMillis - placement.orderedMillis();
-		return placement.isAccepted() && elapsedMillis > MIN_SLOW_MILLIS
-				&& elapsedMillis > placement.expectedMillis() / 2
-				&& placement.projectedMillis(nowMillis) > SLOW_FACTOR * placement.expectedMillis();
+	private static boolean isSlow(Placement placement) {
+		return placement.observedMillis() > Math.max(MIN_SLOW_MILLIS, placement.expectedMillis() / 2)
+				&& placement.projectedMillis() > SLOW_FACTOR * placement.expectedMillis();
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -109,6 +109,7 @@
 			.addKeyValue("job", routed.job.jobId())
 			.addKeyValue("queue", routed.terms.queue())
 			.addKeyValue("version", routed.terms.versionNumber())
+			.addKeyValue("budget_ms", routed.terms.budgetMillis())
 			.addKeyValue("pool", pool)
 			.addKeyValue("free_millicores", chosen.get().freeMillicores())
 			.addKeyValue("backlog_ms", Math.round(chosen.get().backlogMillis()))
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -264,8 +264,14 @@
 	}
 
 	@Override
-	public void stop(EndpointEntry endpoint, TaskRun run) {
+	public void stop(EndpointEntry endpoint, TaskRun run, String reason) {
 		this.metrics.stopOrdered();
+		logger.atInfo()
+			.addKeyValue("job", run.task().jobId())
+			.addKeyValue("task", run)
+			.addKeyValue("endpoint", endpoint.id())
+			.addKeyValue("reason", reason)
+			.log("Stop ordered");
 		this.calls.stop(endpoint, run, this.claim.fencingToken()).whenComplete((taken, error) -> {
 			if (error == null && taken) {
 				this.scheduler.stopConfirmed(endpoint.id(), run, Clock.nowMillis());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -149,7 +149,7 @@
 
 	private static JobTerms terms(CallerRequest request, SiteVersion version, QueueRule queue) {
 		long waitMillis = (request.waitMillis() > 0) ? request.waitMillis() : DEFAULT_WAIT_MILLIS;
-		long budgetMillis = (queue.timeoutMillis() > 0) ? Math.min(waitMillis, queue.timeoutMillis()) : waitMillis;
+		long budgetMillis = waitMillis;
 		return new JobTerms(queue.name(), queue.service(), queue.priority(), queue.maxAttempts(), queue.stretch(),
 				queue.targetLatencyMillis(), budgetMillis, version.number());
 	}
