--- a/masticwick-core/src/main/java/org/masticwick/core/pool/AdmissionRule.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/AdmissionRule.java
@@ -9,8 +9,11 @@
  */
 final class AdmissionRule {
 
-	/** How much work may wait for a late job to be taken, in milliseconds of the pool. */
-	private static final double MAX_BACKLOG_FOR_LATE_MILLIS = 150;
+	/**
+	 * How much work may wait for a late job to be taken or kept, in milliseconds of the
+	 * pool.
+	 */
+	private static final double MAX_BACKLOG_FOR_LATE_MILLIS = 60;
 
 	private static final long MIN_RETRY_MILLIS = 500;
 
@@ -33,6 +36,19 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns whether a job that has not begun gives way to those that are on time.
+	 * @param job the job
+	 * @param backlogMillis how long all that waits takes, in milliseconds
+	 * @param nowMillis the time in milliseconds
+	 * @return whether it is refused
+	 */
+	boolean givesWay(PooledJob job, double backlogMillis, long nowMillis) {
+		boolean tooLate = nowMillis + job.expectedMillis() > job.uselessAfterMillis();
+		boolean late = nowMillis > job.latestStartMillis();
+		return tooLate || late && backlogMillis > MAX_BACKLOG_FOR_LATE_MILLIS;
+	}
+
 	/**
 	 * Refuses a job that waited in vain.
 	 * @param backlogMillis how long all that waits takes, in milliseconds
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/request/PoolChoice.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolChoice.java
@@ -1,4 +1,4 @@
-package org.masticwick.fleet.request;
+package org.masticwick.core.pool;
 
 import java.util.Comparator;
 import java.util.List;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -295,7 +295,7 @@
 				JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
 				finish(job, new JobOutcome(kind, (long) backlogMillis(), "deadline"), nowMillis);
 			}
-			else if (!job.isStarted() && nowMillis + job.expectedMillis() > job.uselessAfterMillis()) {
+			else if (!job.isStarted() && this.admission.givesWay(job, backlogMillis(), nowMillis)) {
 				finish(job, this.admission.waitedInVain(backlogMillis()), nowMillis);
 			}
 		});
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -11,6 +11,12 @@
  */
 public final class PooledJob {
 
+	/**
+	 * How much longer than expected a run may well take: estimates are off by half, and
+	 * endpoints by a quarter.
+	 */
+	private static final double RUN_TIME_MARGIN = 1.5;
+
 	/** Up to this many times the objective an answer is late but still of use. */
 	private static final int LATE_FACTOR = 3;
 
@@ -142,11 +148,11 @@
 	}
 
 	/**
-	 * Returns the last moment at which the job can start and be on time.
+	 * Returns the last moment at which the job can start and will most likely be on time.
 	 * @return the time in milliseconds
 	 */
 	long latestStartMillis() {
-		return this.arrivedMillis + (long) (objectiveMillis() - this.expectedMillis);
+		return this.arrivedMillis + (long) (objectiveMillis() - RUN_TIME_MARGIN * this.expectedMillis);
 	}
 
 	/**
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolPlayMain.java
@@ -0,0 +1,41 @@
+package org.masticwick.core.pool;
+
+import java.util.Map;
+import java.util.stream.LongStream;
+
+/**
+ * Prints what callers get from different numbers of pools at different loads.
+ */
+public final class PoolPlayMain {
+
+	private PoolPlayMain() {
+	}
+
+	public static void main(String[] arguments) {
+		double[] scales = { 0.6, 1.0, 1.15, 1.5 };
+		for (double scale : scales) {
+			for (int poolCount : new int[] { 1, 3, 7 }) {
+				print(scale, poolCount);
+			}
+		}
+	}
+
+	private static void print(double scale, int poolCount) {
+		StringBuilder line = new StringBuilder();
+		double[] sums = new double[2];
+		LongStream.rangeClosed(1, 3).forEach((seed) -> {
+			Map<String, PoolPlay.Result> results = new PoolPlay(PoolPlay.Load.mix(scale, 1.6), poolCount, seed).run();
+			sums[0] += results.values().stream().mapToDouble(PoolPlay.Result::earned).sum();
+			sums[1] += results.values().stream().mapToDouble(PoolPlay.Result::owed).sum();
+			if (seed == 1) {
+				results.forEach((queue,
+						result) -> line.append(String.format(" %s %.2f/%.2f/%.2f/%.3f", queue, result.inAimShare(),
+								result.lateShare(), result.share(JobOutcome.Kind.REFUSED),
+								result.share(JobOutcome.Kind.UNCERTAIN))));
+			}
+		});
+		System.out.printf("scale %.2f pools %d worth %.3f in aim/late/refused/uncertain:%s%n", scale, poolCount,
+				sums[0] / sums[1], line);
+	}
+
+}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -21,7 +21,7 @@
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerFormat;
 import org.masticwick.fleet.request.CallerReply;
-import org.masticwick.fleet.request.PoolChoice;
+import org.masticwick.core.pool.PoolChoice;
 import org.masticwick.wire.PeerException;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerTransport;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -10,7 +10,7 @@
 
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.process.HostAddress;
-import org.masticwick.fleet.request.PoolChoice;
+import org.masticwick.core.pool.PoolChoice;
 
 /**
  * Tells which pools there are, who owns each, and how each is loaded as far as this host
