--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobOutcome.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobOutcome.java
@@ -34,7 +34,10 @@
 		REFUSED,
 
 		/** Tasks may have run; what still runs is being stopped. */
-		UNCERTAIN
+		UNCERTAIN,
+
+		/** No task was started here, as another host owns the pool or is about to. */
+		NOT_OWNER
 
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -188,6 +188,85 @@
 		}
 	}
 
+	/**
+	 * Takes note that another owner orders an endpoint: what runs there is lost to this
+	 * one.
+	 * @param endpointId the endpoint
+	 * @param nowMillis the time in milliseconds
+	 */
+	public void endpointRevoked(String endpointId, long nowMillis) {
+		PooledEndpoint endpoint = this.endpoints.remove(endpointId);
+		if (endpoint == null) {
+			return;
+		}
+		endpoint.placements().forEach((placement) -> {
+			endpoint.remove(placement);
+			placement.task().placement(null);
+			PooledJob job = placement.task().job();
+			job.removePlacement();
+			if (job.isFinished()) {
+				release(job, nowMillis);
+			}
+			else {
+				finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-of-another-owner"), nowMillis);
+			}
+		});
+	}
+
+	/**
+	 * Returns all that the next owner needs to go on.
+	 * @param nowMillis the time in milliseconds
+	 * @return the endpoints and the jobs that are not answered
+	 */
+	public PoolTransfer transfer(long nowMillis) {
+		return new PoolTransfer(this.endpoints.values().stream().map(PooledEndpoint::transfer).toList(),
+				this.jobs.values().stream().map((job) -> job.transfer(nowMillis)).toList());
+	}
+
+	/**
+	 * Goes on with the jobs of another owner, whose endpoints are listed already.
+	 * @param transfers the jobs
+	 * @param nowMillis the time in milliseconds
+	 */
+	public void adopt(List<JobTransfer> transfers, long nowMillis) {
+		transfers.stream()
+			.filter((transfer) -> !this.jobs.containsKey(transfer.spec().jobId()))
+			.forEach((transfer) -> adopt(transfer, nowMillis));
+		dispatch(nowMillis);
+	}
+
+	private void adopt(JobTransfer transfer, long nowMillis) {
+		PooledJob job = new PooledJob(transfer.spec(), transfer.terms(), transfer.origin(), this.nextSequence++,
+				nowMillis - transfer.ageMillis(), this.runTimes);
+		this.jobs.put(transfer.spec().jobId(), job);
+		Map<TaskId, PooledTask> tasks = new HashMap<>();
+		job.allTasks().forEach((task) -> tasks.put(task.id(), task));
+		transfer.tasks().forEach((state) -> adopt(job, tasks.get(state.task()), state, nowMillis));
+		if (!job.ready().isEmpty()) {
+			this.queue.add(job, nowMillis);
+		}
+	}
+
+	private void adopt(PooledJob job, PooledTask task, TaskTransfer state, long nowMillis) {
+		task.adopt(state);
+		if (state.runCount() > 0) {
+			job.markStarted();
+		}
+		PooledEndpoint endpoint = this.endpoints.get(state.endpointId());
+		if (state.done()) {
+			job.ready().remove(task);
+			job.taskDone(task);
+		}
+		else if (endpoint != null) {
+			job.ready().remove(task);
+			long orderedMillis = nowMillis - state.orderedAgoMillis();
+			Placement placement = place(task, task.currentRun(), endpoint, orderedMillis);
+			if (state.accepted()) {
+				placement.accept(orderedMillis);
+			}
+		}
+	}
+
 	/**
 	 * Takes note that an endpoint accepted a start.
 	 * @param endpointId the endpoint
@@ -336,12 +415,18 @@
 			job.markStarted();
 			this.queue.add(job, nowMillis);
 		}
+		Placement placement = place(task, task.nextRun(), endpoint, nowMillis);
+		this.actions.start(endpoint.entry(), placement.run(), job.spec().payload());
+	}
+
+	private Placement place(PooledTask task, TaskRun run, PooledEndpoint endpoint, long orderedMillis) {
+		PooledJob job = task.job();
 		double expectedMillis = this.runTimes.expectedMillis(job.terms().queue(), task.step().estimatedMillis());
-		Placement placement = new Placement(task, task.nextRun(), endpoint, nowMillis, expectedMillis);
+		Placement placement = new Placement(task, run, endpoint, orderedMillis, expectedMillis);
 		task.placement(placement);
 		endpoint.add(placement);
 		job.addPlacement();
-		this.actions.start(endpoint.entry(), placement.run(), job.spec().payload());
+		return placement;
 	}
 
 	private void runEnded(Placement placement, EndKind kind, long nowMillis) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -37,6 +37,15 @@
 		this.heardMillis = Long.MIN_VALUE / 2;
 	}
 
+	/**
+	 * Returns the entry with the birth that the endpoint itself told last.
+	 * @return the entry
+	 */
+	EndpointEntry transfer() {
+		return new EndpointEntry(this.entry.id(), this.entry.service(), this.entry.address(), this.entry.domain(),
+				this.entry.ready(), this.entry.capacity(), this.entry.labels(), this.bornEpochMillis);
+	}
+
 	EndpointEntry entry() {
 		return this.entry;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -236,6 +236,11 @@
 			.forEach((index) -> own.get(index).continueRunsOf(others.get(index)));
 	}
 
+	JobTransfer transfer(long nowMillis) {
+		List<TaskTransfer> states = allTasks().stream().map((task) -> task.transfer(nowMillis)).toList();
+		return new JobTransfer(this.spec, this.terms, this.origin, nowMillis - this.arrivedMillis, states);
+	}
+
 	List<PooledTask> allTasks() {
 		List<PooledTask> all = new ArrayList<>();
 		this.tasks.forEach(all::addAll);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -48,6 +48,26 @@
 		this.runCount = earlier.runCount;
 	}
 
+	TaskTransfer transfer(long nowMillis) {
+		boolean placed = this.placement != null;
+		return new TaskTransfer(this.id, this.done, this.runCount, this.failureCount,
+				placed ? this.placement.endpoint().entry().id() : "",
+				placed ? nowMillis - this.placement.orderedMillis() : 0, placed && this.placement.isAccepted());
+	}
+
+	/**
+	 * Takes over what another owner counted.
+	 * @param transfer the state there
+	 */
+	void adopt(TaskTransfer transfer) {
+		this.runCount = transfer.runCount();
+		this.failureCount = transfer.failureCount();
+	}
+
+	TaskRun currentRun() {
+		return new TaskRun(this.id, this.runCount);
+	}
+
 	int countFailure() {
 		this.failureCount++;
 		return this.failureCount;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -23,6 +23,11 @@
 	/** How long an endpoint without the room it should have is left alone. */
 	private static final long FULL_PAUSE_MILLIS = 20;
 
+	/**
+	 * After how long a start that nothing is heard of is taken back; two answers' time.
+	 */
+	private static final long UNACCEPTED_MILLIS = 250;
+
 	private final PoolSettings settings;
 
 	private final PoolActions actions;
@@ -145,6 +150,9 @@
 		if (placement.isStopping()) {
 			stopAgain(placement, nowMillis);
 		}
+		else if (!placement.isAccepted() && nowMillis - placement.orderedMillis() > UNACCEPTED_MILLIS) {
+			stop(placement, "start-unconfirmed", nowMillis);
+		}
 		else if (isSlow(placement)) {
 			countSlow(placement, nowMillis);
 			if (placement.task().slowRestartCount() < MAX_SLOW_RESTARTS && hasRoomElsewhere.test(placement)) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerConnection.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerConnection.java
@@ -67,7 +67,8 @@
 		String hostName = request.headers().get(HttpHeaderNames.HOST, "");
 		int colon = hostName.indexOf(':');
 		return new CallerRequest(request.method().name(), (colon < 0) ? hostName : hostName.substring(0, colon),
-				path(request.uri()), waitMillis(request), ByteBufUtil.getBytes(request.content()));
+				path(request.uri()), query(request.uri()), waitMillis(request),
+				ByteBufUtil.getBytes(request.content()));
 	}
 
 	private static String path(String target) {
@@ -75,6 +76,11 @@
 		return (query < 0) ? target : target.substring(0, query);
 	}
 
+	private static String query(String target) {
+		int query = target.indexOf('?');
+		return (query < 0) ? "" : target.substring(query + 1);
+	}
+
 	private long waitMillis(FullHttpRequest request) {
 		String text = request.headers().get(this.waitHeader, "");
 		try {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/SharedLog.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/SharedLog.java
@@ -1,5 +1,6 @@
 package org.masticwick.fleet.connection;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -26,14 +27,13 @@
 	CompletableFuture<LogPage> read(SharedTopic topic, long fromOffset, long waitMillis);
 
 	/**
-	 * Appends a record.
+	 * Appends records, all or none.
 	 * @param topic the topic
-	 * @param key the key
-	 * @param value the value, or {@code null} to delete the key
+	 * @param records the records
 	 * @param expectedEnd where the topic must end for the call to have an effect, or
 	 * empty
-	 * @return the offset of the record
+	 * @return the offset of the first record; the others follow in the order given
 	 */
-	CompletableFuture<Long> append(SharedTopic topic, String key, byte[] value, OptionalLong expectedEnd);
+	CompletableFuture<Long> append(SharedTopic topic, List<NewRecord> records, OptionalLong expectedEnd);
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -36,7 +36,7 @@
 
 	private final LongSupplier nowMillis;
 
-	private final Pace pace;
+	private Pace pace;
 
 	private final Set<String> seenKeys = new HashSet<>();
 
@@ -50,8 +50,6 @@
 
 	private boolean lost;
 
-	private boolean stopped;
-
 	/**
 	 * Creates a follower that has not begun.
 	 * @param eventLoop the event loop
@@ -75,16 +73,15 @@
 	 * Begins to follow.
 	 */
 	public void start() {
-		this.stopped = false;
-		this.nextOffset = -1;
 		load("");
 	}
 
 	/**
-	 * Ends following.
+	 * Changes how often and how long to ask, from the next call on.
+	 * @param next the new pace
 	 */
-	public void stop() {
-		this.stopped = true;
+	public void pace(Pace next) {
+		this.pace = next;
 	}
 
 	/**
@@ -104,9 +101,6 @@
 	}
 
 	private void load(String afterKey) {
-		if (this.stopped) {
-			return;
-		}
 		if (afterKey.isEmpty()) {
 			this.seenKeys.clear();
 			this.firstPageOffset = -1;
@@ -130,9 +124,7 @@
 	}
 
 	private void read() {
-		if (!this.stopped) {
-			this.log.read(this.topic, this.nextOffset, this.pace.waitMillis()).whenComplete(guarded(this::readOn));
-		}
+		this.log.read(this.topic, this.nextOffset, this.pace.waitMillis()).whenComplete(guarded(this::readOn));
 	}
 
 	private void readOn(LogPage page) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
@@ -5,13 +5,26 @@
 import java.util.stream.Stream;
 
 /**
- * Decides whether this host should claim a pool. The first by name of the hosts that live
- * in the failure domain claims it; who claims at the same time is told apart by the
- * shared log, and orders of an owner that is not one any more are refused by the
- * endpoints.
+ * Decides whether this host should claim a pool that has no owner, or whose owner nobody
+ * hears. On a small site one host owns all pools, so that no job waits in one while
+ * another has room; a failure domain that is cut off has an owner of its own until it is
+ * back. On a larger site each failure domain has its own.
+ * <p>
+ * Hosts take their turn: those that own pools already, then by name, each a little later
+ * than the one before. Who claims at the same time is told apart by the shared log, and
+ * orders of an owner that is not one any more are refused by the endpoints.
  */
 final class ClaimRule {
 
+	/** How much later the next in turn may claim, should the one before not manage to. */
+	private static final long TURN_MILLIS = 300;
+
+	/** How much later a host claims that hears no other host of the failure domain. */
+	private static final long ALONE_MILLIS = 2_500;
+
+	/** How long hosts try to claim by the shared log before a deputy steps in. */
+	private static final long STEP_IN_MILLIS = 250;
+
 	private final MemberRecord self;
 
 	ClaimRule(MemberRecord self) {
@@ -21,42 +34,75 @@
 	/**
 	 * Decides.
 	 * @param situation what is known
-	 * @return whether to claim the pool
+	 * @return whether to claim the pool now
 	 */
 	boolean shouldClaim(Situation situation) {
-		PoolClaim claim = situation.claim();
-		if (claim != null && claim.owner() != null && ownerStays(claim.owner(), situation)) {
+		if (ownerStays(situation) || !isInReach(situation)) {
+			return false;
+		}
+		long turn = turn(situation);
+		boolean alone = situation.othersInDomain() && !hearsDomain(situation);
+		return situation.orphanedMillis() >= turn * TURN_MILLIS + (alone ? ALONE_MILLIS : 0);
+	}
+
+	/**
+	 * Decides whether this host, a deputy, orders the endpoints of its failure domain
+	 * without asking the shared log.
+	 * @param situation what is known
+	 * @return whether to step in now
+	 */
+	boolean shouldStepIn(Situation situation) {
+		if (ownerStays(situation) || !situation.settled()) {
 			return false;
 		}
-		return isFirst(situation.livingMembers());
+		int turn = situation.claim().turnOf(this.self.hostName());
+		boolean alone = situation.othersInDomain() && !hearsDomain(situation);
+		return situation.orphanedMillis() >= STEP_IN_MILLIS + turn * TURN_MILLIS + (alone ? ALONE_MILLIS : 0);
 	}
 
-	private boolean ownerStays(MemberRecord owner, Situation situation) {
-		if (owner.hostName().equals(this.self.hostName())) {
-			return owner.incarnation().equals(this.self.incarnation());
+	private boolean ownerStays(Situation situation) {
+		PoolClaim claim = situation.claim();
+		if (claim == null || claim.owner() == null || claim.owner().hostName().equals(this.self.hostName())) {
+			return !situation.settled() && claim == null;
 		}
 		return situation.ownerHeard() || situation.ownerHeardByOthers() || !situation.settled();
 	}
 
-	private boolean isFirst(List<MemberRecord> living) {
-		return Stream.concat(Stream.of(this.self), living.stream())
-			.min(Comparator.comparing(MemberRecord::hostName))
-			.filter((first) -> first.hostName().equals(this.self.hostName()))
-			.isPresent();
+	private boolean isInReach(Situation situation) {
+		boolean local = situation.domain().equals(this.self.domain());
+		return local || situation.merged() && hearsDomain(situation);
+	}
+
+	private static boolean hearsDomain(Situation situation) {
+		return situation.living().stream().anyMatch((member) -> member.domain().equals(situation.domain()));
+	}
+
+	private long turn(Situation situation) {
+		List<MemberRecord> candidates = Stream.concat(Stream.of(this.self), situation.living().stream())
+			.filter((member) -> situation.merged() || member.domain().equals(situation.domain()))
+			.sorted(Comparator.comparing((MemberRecord member) -> !situation.owners().contains(member.hostName()))
+				.thenComparing(MemberRecord::hostName))
+			.toList();
+		return candidates.indexOf(this.self);
 	}
 
 	/**
-	 * What is known of a pool and its failure domain.
+	 * What is known of a pool.
 	 *
+	 * @param domain the failure domain, which the pool is named after
 	 * @param claim the newest claim, or {@code null} if there was none
 	 * @param ownerHeard whether this host hears the owner
 	 * @param ownerHeardByOthers whether a peer says that it hears the owner
 	 * @param settled whether this host has run long enough to have heard those that live
-	 * @param livingMembers the other members of the failure domain that are heard and
-	 * stay
+	 * @param orphanedMillis for how long the owner has not been heard, in milliseconds
+	 * @param merged whether one host should own all pools
+	 * @param othersInDomain whether other hosts of the failure domain are known
+	 * @param living the other members that are heard and stay
+	 * @param owners the names of hosts that own a pool
 	 */
-	record Situation(PoolClaim claim, boolean ownerHeard, boolean ownerHeardByOthers, boolean settled,
-			List<MemberRecord> livingMembers) {
+	record Situation(String domain, PoolClaim claim, boolean ownerHeard, boolean ownerHeardByOthers, boolean settled,
+			long orphanedMillis, boolean merged, boolean othersInDomain, List<MemberRecord> living,
+			List<String> owners) {
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
@@ -29,6 +29,8 @@
 
 	private boolean closed;
 
+	private boolean renewing;
+
 	EndpointLease(LeaseSettings settings, EndpointEntry entry) {
 		this.settings = settings;
 		this.entry = entry;
@@ -42,6 +44,18 @@
 		this.entry = newest;
 	}
 
+	/**
+	 * Returns whether a renewal is under way or due.
+	 * @return whether one is
+	 */
+	boolean isRenewing() {
+		return this.renewing;
+	}
+
+	void renewing(boolean underWay) {
+		this.renewing = underWay;
+	}
+
 	boolean isClosed() {
 		return this.closed;
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -24,6 +24,7 @@
 import org.masticwick.fleet.connection.CallerServer;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.KeyedRecord;
+import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
 import org.masticwick.fleet.connection.SharedTopic;
 import org.masticwick.fleet.connection.TopicFollower;
@@ -62,6 +63,9 @@
 	/** Endpoints write all the time, so that their records are fetched in batches. */
 	private static final TopicFollower.Pace ENDPOINT_PACE = new TopicFollower.Pace(0, 400);
 
+	/** Hosts that own no pool only need to know the endpoints when they step in. */
+	private static final TopicFollower.Pace SLOW_ENDPOINT_PACE = new TopicFollower.Pace(0, 2_000);
+
 	/** How long an entry that is missing once the log is back may take to return. */
 	private static final long UNLIST_DELAY_MILLIS = 2_500;
 
@@ -71,6 +75,14 @@
 	/** How long a stopping host still takes requests, until the balancer has noticed. */
 	private static final long MIN_STOP_MILLIS = 2_600;
 
+	private static final PeerMessage MOVED = new PeerMessage.ErrorAnswer("moved", "Another host answers this job");
+
+	/**
+	 * How long after its pools a host ends the calls on them, so that callers' hosts
+	 * know.
+	 */
+	private static final long MOVED_MILLIS = 1_000;
+
 	private final EventLoopGroup eventLoops;
 
 	private final EventLoop eventLoop;
@@ -91,6 +103,8 @@
 
 	private final Ownership ownership;
 
+	private final PoolHandover handover;
+
 	private final JobRouter router;
 
 	private final TopicFollower versionFollower;
@@ -136,12 +150,14 @@
 		this.versions = new VersionHolder(siteFormat);
 		this.peers = new PeerTable(Clock.nowMillis());
 		this.directory = new PoolDirectory(this.self, this.peers);
-		this.ownership = new Ownership(this.eventLoop, this.self, this.peers, this.directory, log, endpointCalls,
-				siteFormat, this.metrics, this);
 		this.router = new JobRouter(this.eventLoop, this.self, this.directory, callerFormat, this.metrics);
 		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::operatorRecord);
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::memberRecord);
-		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, ENDPOINT_PACE,
+		this.ownership = new Ownership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory, log,
+				endpointCalls, siteFormat, this.metrics, this, this.memberFollower);
+		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
+				this.router);
+		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, SLOW_ENDPOINT_PACE,
 				Clock::nowMillis, new EndpointListener());
 		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this.metrics);
 		this.callers = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::caller);
@@ -163,6 +179,7 @@
 				() -> new EntryHost(this.self.domain(), this.self.peerAddress(), this.self.incarnation()), this,
 				this.eventLoops);
 		this.router.transport(this.transport);
+		this.handover.transport(this.transport);
 		this.callers.listen(this.settings.callerAddress());
 		this.readiness.listen(this.settings.readinessAddress());
 		this.readiness.listen(this.settings.metricsAddress());
@@ -178,6 +195,7 @@
 			.log("Entry host started");
 		this.versionFollower.start();
 		this.memberFollower.start();
+		this.endpointFollower.start();
 		register();
 		this.eventLoop.scheduleAtFixedRate(guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 		this.eventLoop.scheduleAtFixedRate(guarded(this::report), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
@@ -195,9 +213,8 @@
 	}
 
 	private void register() {
-		this.log
-			.append(SharedTopic.MEMBERS, MEMBER_PREFIX + this.self.hostName(), this.self.toBytes(),
-					OptionalLong.empty())
+		this.log.append(SharedTopic.MEMBERS,
+				List.of(new NewRecord(MEMBER_PREFIX + this.self.hostName(), this.self.toBytes())), OptionalLong.empty())
 			.whenComplete((offset, error) -> {
 				this.registered = error == null;
 				if (!this.registered) {
@@ -209,7 +226,8 @@
 	private void tick() {
 		long nowMillis = Clock.nowMillis();
 		this.peers.takeLost(nowMillis).forEach(this::peerLost);
-		this.ownership.tick(this.memberFollower);
+		this.ownership.tick();
+		this.handover.tick();
 		if (this.leaving) {
 			checkStop(nowMillis);
 		}
@@ -221,10 +239,14 @@
 			.addKeyValue("domain", this.peers.member(peer).map(MemberRecord::domain).orElse("unknown"))
 			.log("Peer lost");
 		this.ownership.originLost(peer.toString());
+		this.router.peerLost(peer);
 	}
 
 	private void report() {
-		List<PoolReport> pools = this.directory.own().map((owner) -> List.of(owner.report())).orElse(List.of());
+		List<PoolReport> pools = this.directory.own()
+			.filter((owner) -> !owner.isFrozen())
+			.map(PoolOwner::reports)
+			.orElse(List.of());
 		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.number(), this.leaving, pools,
 				this.directory.heardOwners(Clock.nowMillis()));
 		this.peers.addresses()
@@ -267,12 +289,14 @@
 	}
 
 	private void ownershipChanged(boolean owns) {
+		this.endpointFollower.pace(owns ? ENDPOINT_PACE : SLOW_ENDPOINT_PACE);
 		if (owns) {
-			this.endpointFollower.start();
-		}
-		else {
-			this.endpointFollower.stop();
+			return;
 		}
+		List<CompletableFuture<PeerMessage>> moved = List.copyOf(this.calls.values());
+		this.calls.clear();
+		this.eventLoop.schedule(() -> moved.forEach((call) -> call.complete(MOVED)), MOVED_MILLIS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	private boolean isReady() {
@@ -284,17 +308,30 @@
 		if (message instanceof PeerMessage.HostReport report) {
 			hostReported(from, report);
 		}
+		else if (message instanceof PeerMessage.Hello hello) {
+			this.peers.greeted(from, hello.sender().incarnation());
+		}
 		else if (message instanceof PeerMessage.SubmitJob submission) {
 			return submitted(from, submission);
 		}
 		else if (message instanceof PeerMessage.CancelJob cancel) {
-			this.directory.ownOf(cancel.pool())
+			this.directory.own()
 				.ifPresent(
 						(owner) -> owner.cancel(cancel.jobId(), new JobOrigin(from.toString(), cancel.callNumber())));
 		}
 		else if (message instanceof PeerMessage.PublishedVersion published) {
 			this.versions.offer(published.content(), "peer " + from);
 		}
+		else if (message instanceof PeerMessage.HandOverPools pools) {
+			return this.handover.take(pools);
+		}
+		else if (message instanceof PeerMessage.JobsMoved moved) {
+			this.router.moved(moved.callNumbers(), from);
+		}
+		else if (message instanceof PeerMessage.JobFinished finished) {
+			this.router.answered(finished.callNumber(), finished.outcome());
+			return CompletableFuture.completedFuture(new PeerMessage.Acknowledged());
+		}
 		return CompletableFuture.completedFuture(null);
 	}
 
@@ -305,6 +342,7 @@
 		}
 		this.peers.reported(from, report, nowMillis);
 		report.pools().forEach((pool) -> this.directory.reportSeen(pool.pool()));
+		this.ownership.peerOwns(report.pools());
 		if (report.versionNumber() < this.versions.number()) {
 			this.versions.content()
 				.ifPresent((content) -> this.transport.send(from,
@@ -313,9 +351,10 @@
 	}
 
 	private CompletionStage<PeerMessage> submitted(HostAddress from, PeerMessage.SubmitJob submission) {
-		Optional<PoolOwner> owner = this.directory.ownOf(submission.pool());
+		Optional<PoolOwner> owner = this.directory.ownOf(submission.pool()).filter((own) -> !own.isFrozen());
 		if (owner.isEmpty()) {
-			return CompletableFuture.completedFuture(new PeerMessage.JobAnswer(Ownership.notOwner()));
+			return CompletableFuture
+				.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "not-the-owner")));
 		}
 		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
@@ -326,19 +365,27 @@
 
 	@Override
 	public void answered(JobOrigin origin, String jobId, JobOutcome outcome) {
-		if (origin.host().equals(this.self.hostName())) {
+		if (origin.host().equals(this.self.peerAddress().toString())) {
 			this.router.answered(origin.callNumber(), outcome);
 			return;
 		}
 		CompletableFuture<PeerMessage> answer = this.calls.remove(origin);
 		if (answer != null) {
 			answer.complete(new PeerMessage.JobAnswer(outcome));
+			return;
 		}
+		HostAddress home = HostAddress.parse(origin.host());
+		PeerMessage finished = new PeerMessage.JobFinished(origin.callNumber(), outcome);
+		this.transport.call(home, finished).whenComplete((message, error) -> {
+			if (error != null) {
+				this.eventLoop.schedule(() -> this.transport.call(home, finished), TICK_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		});
 	}
 
 	@Override
-	public void fenced(PoolOwner owner) {
-		this.eventLoop.execute(() -> this.ownership.stepDown(owner, "fenced"));
+	public void fenced(String pool) {
+		this.eventLoop.execute(() -> this.ownership.lose(pool, "fenced"));
 	}
 
 	@Override
@@ -362,14 +409,17 @@
 				.log("Entry host is stopping");
 			this.callers.leave();
 			this.ownership.leave();
+			this.handover.leave();
 			report();
+			this.handover.tick();
 		});
 	}
 
 	private void checkStop(long nowMillis) {
 		long sinceMillis = nowMillis - this.leaveMillis;
 		boolean late = sinceMillis > this.settings.stopGraceMillis() - STOP_MARGIN_MILLIS;
-		if (late || this.directory.own().filter((owner) -> owner.jobCount() > 0).isEmpty()) {
+		if (late || sinceMillis >= MIN_STOP_MILLIS
+				&& this.directory.own().filter((own) -> own.jobCount() > 0).isEmpty()) {
 			this.ownership.release();
 		}
 		boolean idle = this.router.pendingCount() == 0 && this.directory.own().isEmpty();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetSettings.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetSettings.java
@@ -1,5 +1,7 @@
 package org.masticwick.fleet.process;
 
+import java.util.List;
+
 import org.masticwick.core.process.HostAddress;
 
 /**
@@ -7,12 +9,13 @@
  *
  * @param hostName the name of the host
  * @param domain the failure domain
+ * @param domains the names of all failure domains
  * @param callerAddress where callers connect
  * @param readinessAddress where the balancer asks whether the host takes requests
  * @param peerAddress where other entry hosts connect
  * @param metricsAddress where metrics and the state are served
  * @param stopGraceMillis how long the process has to stop after a signal, in milliseconds
  */
-public record FleetSettings(String hostName, String domain, HostAddress callerAddress, HostAddress readinessAddress,
-		HostAddress peerAddress, HostAddress metricsAddress, long stopGraceMillis) {
+public record FleetSettings(String hostName, String domain, List<String> domains, HostAddress callerAddress,
+		HostAddress readinessAddress, HostAddress peerAddress, HostAddress metricsAddress, long stopGraceMillis) {
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
@@ -17,11 +18,11 @@
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.PoolChoice;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerFormat;
 import org.masticwick.fleet.request.CallerReply;
-import org.masticwick.core.pool.PoolChoice;
 import org.masticwick.wire.PeerException;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerTransport;
@@ -43,7 +44,7 @@
 	private static final int MAX_POOLS_TRIED = 2;
 
 	/** How long a job waits for a pool to have an owner, in milliseconds. */
-	private static final long OWNER_WAIT_MILLIS = 600;
+	private static final long OWNER_WAIT_MILLIS = 900;
 
 	private static final long OWNER_RETRY_MILLIS = 40;
 
@@ -133,7 +134,7 @@
 	private void send(RoutedJob routed, String pool, long nowMillis) {
 		JobTerms terms = routed.termsAt(nowMillis);
 		routed.owner = null;
-		Optional<PoolOwner> own = this.directory.ownOf(pool);
+		Optional<PoolOwner> own = this.directory.ownOf(pool).filter((owner) -> !owner.isFrozen());
 		if (own.isPresent()) {
 			own.get().submit(routed.job, terms, origin(routed));
 			return;
@@ -150,6 +151,9 @@
 	}
 
 	private void answeredByPeer(RoutedJob routed, PeerMessage message, Throwable error) {
+		if (routed.moved && !(message instanceof PeerMessage.JobAnswer)) {
+			return;
+		}
 		if (message instanceof PeerMessage.JobAnswer jobAnswer) {
 			outcome(routed, jobAnswer.outcome());
 		}
@@ -178,7 +182,35 @@
 		}
 	}
 
+	/**
+	 * Takes note that another host answers some jobs from now on.
+	 * @param callNumbers the calls
+	 * @param owner that host
+	 */
+	void moved(List<Long> callNumbers, HostAddress owner) {
+		callNumbers.stream().map(this.pending::get).filter(Objects::nonNull).forEach((routed) -> {
+			routed.moved = true;
+			routed.owner = owner.equals(this.self.peerAddress()) ? null : owner;
+		});
+	}
+
+	/**
+	 * Gives up the jobs that a lost host had taken over.
+	 * @param peer the host
+	 */
+	void peerLost(HostAddress peer) {
+		List.copyOf(this.pending.values())
+			.stream()
+			.filter((routed) -> routed.moved && peer.equals(routed.owner))
+			.forEach((routed) -> outcome(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-lost")));
+	}
+
 	private void outcome(RoutedJob routed, JobOutcome outcome) {
+		if (outcome.kind() == JobOutcome.Kind.NOT_OWNER && this.pending.containsKey(routed.callNumber)) {
+			routed.tried.clear();
+			noPool(routed, Clock.nowMillis());
+			return;
+		}
 		boolean notRun = outcome.kind() == JobOutcome.Kind.REFUSED;
 		if (notRun && routed.tried.size() < MAX_POOLS_TRIED) {
 			routed.lastRefusal = outcome;
@@ -214,6 +246,7 @@
 			case FAILED -> new CallerReply(OK, this.format.writeEnded(false), 0);
 			case REFUSED -> CallerReply.later(UNAVAILABLE, Math.max(1, outcome.retryAfterMillis()));
 			case UNCERTAIN -> CallerReply.of(BAD_GATEWAY);
+			case NOT_OWNER -> CallerReply.later(UNAVAILABLE, NO_OWNER_RETRY_AFTER_MILLIS);
 		};
 	}
 
@@ -236,7 +269,7 @@
 	}
 
 	private JobOrigin origin(RoutedJob routed) {
-		return new JobOrigin(this.self.hostName(), routed.callNumber);
+		return new JobOrigin(this.self.peerAddress().toString(), routed.callNumber);
 	}
 
 	/**
@@ -260,6 +293,8 @@
 
 		private HostAddress owner;
 
+		private boolean moved;
+
 		private JobOutcome lastRefusal;
 
 		private RoutedJob(long callNumber, JobSpec job, JobTerms terms, CallerExchange exchange, long receivedMillis) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
@@ -5,6 +5,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
 import org.masticwick.core.process.HostAddress;
@@ -26,11 +27,7 @@
 
 	byte[] toBytes() {
 		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-			out.packArrayHeader(FIELD_COUNT);
-			out.packString(this.hostName);
-			out.packString(this.domain);
-			out.packString(this.peerAddress.toString());
-			out.packString(this.incarnation.toString());
+			write(out);
 			return out.toByteArray();
 		}
 		catch (IOException ex) {
@@ -38,13 +35,25 @@
 		}
 	}
 
+	void write(MessagePacker out) throws IOException {
+		out.packArrayHeader(FIELD_COUNT);
+		out.packString(this.hostName);
+		out.packString(this.domain);
+		out.packString(this.peerAddress.toString());
+		out.packString(this.incarnation.toString());
+	}
+
+	static MemberRecord read(MessageUnpacker in) throws IOException {
+		if (in.unpackArrayHeader() != FIELD_COUNT) {
+			throw new InvalidRecordException("Member with another number of fields");
+		}
+		return new MemberRecord(in.unpackString(), in.unpackString(), HostAddress.parse(in.unpackString()),
+				Incarnation.parse(in.unpackString()));
+	}
+
 	static MemberRecord read(byte[] bytes) {
 		try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-			if (in.unpackArrayHeader() < FIELD_COUNT) {
-				throw new InvalidRecordException("Member with too few fields");
-			}
-			return new MemberRecord(in.unpackString(), in.unpackString(), HostAddress.parse(in.unpackString()),
-					Incarnation.parse(in.unpackString()));
+			return read(in);
 		}
 		catch (IOException | MessagePackException | IllegalArgumentException ex) {
 			throw new InvalidRecordException("Member can't be read: " + ex.getMessage());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -1,19 +1,28 @@
 package org.masticwick.fleet.process;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 import org.masticwick.core.pool.EndpointEntry;
-import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.PoolReport;
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.KeyedRecord;
+import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
 import org.masticwick.fleet.connection.SharedTopic;
 import org.masticwick.fleet.connection.TopicFollower;
@@ -21,8 +30,8 @@
 import org.masticwick.fleet.version.SiteFormat;
 
 /**
- * Claims the pool of the own failure domain when nobody owns it, owns it as long as
- * nobody else has claimed it since, and lets go of it before the process stops.
+ * Claims pools that nobody owns, owns them as long as nobody else has claimed them since,
+ * and lets go of them before the process stops.
  */
 final class Ownership {
 
@@ -34,10 +43,15 @@
 	/** How long a claim whose answer is lost may still show up in the log. */
 	private static final long CLAIM_RETRY_MILLIS = 400;
 
+	/** Up to how many endpoints one host can own; a third of a small host's processor. */
+	private static final int MAX_MERGED_ENDPOINTS = 100;
+
 	private final EventLoop eventLoop;
 
 	private final MemberRecord self;
 
+	private final Set<String> domains;
+
 	private final PeerTable peers;
 
 	private final PoolDirectory directory;
@@ -54,19 +68,28 @@
 
 	private final Map<String, EndpointEntry> endpoints = new HashMap<>();
 
-	private final PoolOwner.Listener answerListener;
+	private final Map<String, Long> orphanedSinceMillis = new HashMap<>();
+
+	private final PoolOwner.Listener ownerListener;
+
+	private final TopicFollower members;
 
 	private Consumer<Boolean> ownershipListener = (owns) -> {
 	};
 
-	private long claimSentMillis = Long.MIN_VALUE / 2;
+	private long nextClaimMillis = Long.MIN_VALUE / 2;
+
+	private long knownEnd;
 
 	private boolean leaving;
 
-	Ownership(EventLoop eventLoop, MemberRecord self, PeerTable peers, PoolDirectory directory, SharedLog log,
-			EndpointCalls calls, SiteFormat format, FleetMetrics metrics, PoolOwner.Listener answerListener) {
+	Ownership(EventLoop eventLoop, MemberRecord self, Collection<String> domains, PeerTable peers,
+			PoolDirectory directory, SharedLog log, EndpointCalls calls, SiteFormat format, FleetMetrics metrics,
+			PoolOwner.Listener ownerListener, TopicFollower members) {
 		this.eventLoop = eventLoop;
 		this.self = self;
+		this.domains = new TreeSet<>(domains);
+		this.domains.add(self.domain());
 		this.peers = peers;
 		this.directory = directory;
 		this.log = log;
@@ -74,54 +97,125 @@
 		this.format = format;
 		this.metrics = metrics;
 		this.rule = new ClaimRule(self);
-		this.answerListener = answerListener;
+		this.ownerListener = ownerListener;
+		this.members = members;
 	}
 
 	void onChange(Consumer<Boolean> listener) {
 		this.ownershipListener = listener;
 	}
 
-	void tick(TopicFollower members) {
+	/**
+	 * Returns whether one host should own all pools.
+	 * @return whether the site is small enough
+	 */
+	boolean isMerged() {
+		return this.endpoints.size() <= MAX_MERGED_ENDPOINTS;
+	}
+
+	void tick() {
 		long nowMillis = Clock.nowMillis();
-		if (!this.leaving && members.nextOffset() >= 0 && this.directory.own().isEmpty()
-				&& nowMillis - this.claimSentMillis > CLAIM_RETRY_MILLIS
-				&& this.rule.shouldClaim(situation(nowMillis))) {
-			claim(members.nextOffset(), nowMillis);
+		this.domains.forEach((pool) -> watchOwner(pool, nowMillis));
+		if (!this.leaving) {
+			claimOrphans(nowMillis);
+			stepIn(nowMillis);
 		}
 		this.directory.own().ifPresent(PoolOwner::tick);
 	}
 
-	private ClaimRule.Situation situation(long nowMillis) {
-		String pool = this.self.domain();
-		PoolClaim claim = this.directory.claim(pool).orElse(null);
-		boolean heard = this.directory.ownerAddress(pool)
-			.filter((address) -> this.peers.isHeard(address, nowMillis))
-			.isPresent();
-		return new ClaimRule.Situation(claim, heard, this.peers.someoneHearsOwner(pool, nowMillis),
-				this.peers.isSettled(nowMillis), this.peers.heardIn(this.self.domain(), nowMillis));
+	private void claimOrphans(long nowMillis) {
+		if (this.members.nextOffset() < 0 || nowMillis < this.nextClaimMillis) {
+			return;
+		}
+		List<String> orphans = this.domains.stream()
+			.filter((pool) -> this.directory.ownOf(pool).isEmpty())
+			.filter((pool) -> this.rule.shouldClaim(situation(pool, nowMillis)))
+			.toList();
+		if (!orphans.isEmpty()) {
+			claim(orphans, nowMillis);
+		}
 	}
 
-	private void claim(long expectedEnd, long nowMillis) {
-		this.claimSentMillis = nowMillis;
+	// In a failure domain that is cut off, the shared log may be out of reach too.
+	private void stepIn(long nowMillis) {
 		String pool = this.self.domain();
+		Optional<PoolClaim> claim = this.directory.claim(pool)
+			.filter((known) -> known.turnOf(this.self.hostName()) >= 0)
+			.filter((known) -> this.directory.ownOf(pool).isEmpty())
+			.filter((known) -> this.rule.shouldStepIn(situation(pool, nowMillis)));
+		claim.ifPresent((known) -> claimed(known.of(this.self)));
+	}
+
+	private void watchOwner(String pool, long nowMillis) {
+		if (this.directory.hearsOwner(pool, nowMillis)) {
+			this.orphanedSinceMillis.remove(pool);
+		}
+		else {
+			this.orphanedSinceMillis.putIfAbsent(pool, nowMillis);
+		}
+	}
+
+	private ClaimRule.Situation situation(String pool, long nowMillis) {
+		List<MemberRecord> living = this.peers.heard(nowMillis);
+		List<String> owners = living.stream()
+			.filter((member) -> this.directory.poolCount(member.peerAddress()) > 0)
+			.map(MemberRecord::hostName)
+			.toList();
+		long orphanedMillis = nowMillis - this.orphanedSinceMillis.getOrDefault(pool, nowMillis);
+		return new ClaimRule.Situation(pool, this.directory.claim(pool).orElse(null),
+				this.directory.hearsOwner(pool, nowMillis), this.peers.someoneHearsOwner(pool, nowMillis),
+				this.peers.isSettled(nowMillis), orphanedMillis, isMerged(), this.peers.hasMembersIn(pool), living,
+				owners);
+	}
+
+	/**
+	 * Claims pools, all or none.
+	 * @param pools the pools
+	 * @param nowMillis the time in milliseconds
+	 * @return ends when the shared log has the claims; fails if it has not, or may have
+	 */
+	CompletableFuture<Void> claim(List<String> pools, long nowMillis) {
+		this.nextClaimMillis = nowMillis + CLAIM_RETRY_MILLIS;
+		long expectedEnd = Math.max(this.members.nextOffset(), this.knownEnd);
+		List<ClaimRecord> claims = pools.stream().map(this::claimRecord).toList();
+		List<NewRecord> records = IntStream.range(0, pools.size())
+			.mapToObj((index) -> new NewRecord(CLAIM_PREFIX + pools.get(index), claims.get(index).toBytes()))
+			.toList();
 		logger.atInfo()
-			.addKeyValue("pool", pool)
+			.addKeyValue("pools", pools)
 			.addKeyValue("expected_end", expectedEnd)
-			.addKeyValue("claim_before", this.directory.claim(pool).orElse(null))
-			.log("Claiming a pool");
+			.addKeyValue("owners_before", pools.stream().map(this.directory::ownerAddress).toList())
+			.log("Claiming pools");
 		this.metrics.claimWritten();
-		this.log.append(SharedTopic.MEMBERS, CLAIM_PREFIX + pool, this.self.toBytes(), OptionalLong.of(expectedEnd))
-			.whenComplete((offset, error) -> {
-				if (error == null) {
-					claimed(new PoolClaim(pool, this.self, PoolClaim.tokenAt(offset)));
-				}
-				else {
-					logger.atInfo()
-						.addKeyValue("pool", pool)
-						.addKeyValue("reason", error.getMessage())
-						.log("Claim without success");
-				}
-			});
+		return this.log.append(SharedTopic.MEMBERS, records, OptionalLong.of(expectedEnd))
+			.whenComplete((offset, error) -> claimAnswered(pools, claims, offset, error))
+			.thenApply((offset) -> null);
+	}
+
+	private ClaimRecord claimRecord(String pool) {
+		List<String> deputies = Stream.concat(Stream.of(this.self), this.peers.members().stream())
+			.filter((member) -> member.domain().equals(pool))
+			.map(MemberRecord::hostName)
+			.distinct()
+			.sorted()
+			.limit(PoolClaim.MAX_DEPUTIES)
+			.toList();
+		return new ClaimRecord(this.self, deputies);
+	}
+
+	private void claimAnswered(List<String> pools, List<ClaimRecord> claims, Long offset, Throwable error) {
+		if (error != null) {
+			logger.atInfo()
+				.addKeyValue("pools", pools)
+				.addKeyValue("reason", error.getMessage())
+				.log("Claim without success");
+			return;
+		}
+		this.nextClaimMillis = Long.MIN_VALUE / 2;
+		this.knownEnd = Math.max(this.knownEnd, offset + pools.size());
+		IntStream.range(0, pools.size())
+			.forEach((index) -> claimed(new PoolClaim(pools.get(index), this.self, PoolClaim.tokenAt(offset + index),
+					claims.get(index).deputies())));
 	}
 
 	/**
@@ -131,8 +225,13 @@
 	void claimRead(KeyedRecord claimRecord) {
 		String pool = claimRecord.key().substring(CLAIM_PREFIX.length());
 		try {
-			MemberRecord owner = (claimRecord.value() != null) ? MemberRecord.read(claimRecord.value()) : null;
-			claimed(new PoolClaim(pool, owner, PoolClaim.tokenAt(claimRecord.offset())));
+			long token = PoolClaim.tokenAt(claimRecord.offset());
+			if (claimRecord.value() == null) {
+				claimed(new PoolClaim(pool, null, token, List.of()));
+				return;
+			}
+			ClaimRecord claim = ClaimRecord.read(claimRecord.value());
+			claimed(new PoolClaim(pool, claim.owner(), token, claim.deputies()));
 		}
 		catch (InvalidRecordException ex) {
 			logger.atWarn()
@@ -151,52 +250,83 @@
 			.addKeyValue("owner", (claim.owner() != null) ? claim.owner().hostName() : "none")
 			.addKeyValue("fencing_token", claim.fencingToken())
 			.log("Pool claimed");
-		this.directory.ownOf(claim.pool()).ifPresent((owner) -> stepDown(owner, "newer-claim"));
-		if (this.self.equals(claim.owner()) && !this.leaving && claim.pool().equals(this.self.domain())) {
+		if (this.self.equals(claim.owner())) {
 			takeOver(claim);
 		}
+		else {
+			lose(claim.pool(), "newer-claim");
+		}
 	}
 
 	private void takeOver(PoolClaim claim) {
-		PoolOwner owner = new PoolOwner(this.eventLoop, this.calls, claim, this.metrics, this.answerListener);
+		Optional<PoolOwner> present = this.directory.own();
+		PoolOwner owner = present
+			.orElseGet(() -> new PoolOwner(this.eventLoop, this.calls, this.metrics, this.ownerListener));
+		owner.add(claim);
 		this.directory.own(owner);
 		this.endpoints.values().forEach(owner::endpointListed);
-		this.ownershipListener.accept(true);
+		if (present.isEmpty()) {
+			this.ownershipListener.accept(true);
+		}
 	}
 
 	/**
 	 * Lets go of a pool that another host orders.
-	 * @param owner the owner that ends
+	 * @param pool the pool
 	 * @param reason why, for the log
 	 */
-	void stepDown(PoolOwner owner, String reason) {
-		if (this.directory.own().filter((current) -> current == owner).isEmpty()) {
-			return;
+	void lose(String pool, String reason) {
+		this.directory.ownOf(pool).filter((owner) -> !owner.isFrozen()).ifPresent((owner) -> {
+			logger.atInfo().addKeyValue("pool", pool).addKeyValue("reason", reason).log("No longer the owner");
+			owner.remove(pool);
+			if (owner.pools().isEmpty()) {
+				end(owner);
+			}
+		});
+	}
+
+	/**
+	 * Takes note of the pools that a peer says it owns.
+	 * @param reports the pools
+	 */
+	void peerOwns(List<PoolReport> reports) {
+		reports.forEach((report) -> this.directory.ownOf(report.pool())
+			.filter((owner) -> owner.token(report.pool()) < report.fencingToken())
+			.ifPresent((owner) -> lose(report.pool(), "peer-with-higher-token")));
+	}
+
+	/**
+	 * Ends an owner whose pools have gone to another host.
+	 * @param owner the owner
+	 */
+	void end(PoolOwner owner) {
+		if (this.directory.own().filter((current) -> current == owner).isPresent()) {
+			this.directory.own(null);
+			this.ownershipListener.accept(false);
 		}
-		logger.atInfo()
-			.addKeyValue("pool", owner.claim().pool())
-			.addKeyValue("fencing_token", owner.claim().fencingToken())
-			.addKeyValue("reason", reason)
-			.log("No longer the owner");
-		this.directory.own(null);
-		owner.close();
-		this.ownershipListener.accept(false);
 	}
 
 	/**
-	 * Claims nothing any more, and lets go of the own pool once its jobs are answered.
+	 * Claims nothing any more.
 	 */
 	void leave() {
 		this.leaving = true;
 	}
 
 	/**
-	 * Lets go of the own pool, and says so in the log.
+	 * Gives up all jobs and lets go of all pools, and says so in the log.
 	 */
 	void release() {
 		this.directory.own().ifPresent((owner) -> {
-			stepDown(owner, "stop");
-			this.log.append(SharedTopic.MEMBERS, CLAIM_PREFIX + owner.claim().pool(), null, OptionalLong.empty());
+			logger.atInfo()
+				.addKeyValue("pools", owner.pools())
+				.addKeyValue("open_jobs", owner.jobCount())
+				.log("Letting go of all pools");
+			Set<String> pools = owner.pools();
+			owner.close();
+			end(owner);
+			List<NewRecord> deletions = pools.stream().map((pool) -> NewRecord.deletion(CLAIM_PREFIX + pool)).toList();
+			this.log.append(SharedTopic.MEMBERS, deletions, OptionalLong.empty());
 		});
 	}
 
@@ -225,9 +355,6 @@
 	}
 
 	private void endpointSeen(EndpointEntry entry) {
-		if (!entry.domain().equals(this.self.domain())) {
-			return;
-		}
 		EndpointEntry before = this.endpoints.put(entry.id(), entry);
 		if (before == null || before.ready() != entry.ready() || before.bornEpochMillis() != entry.bornEpochMillis()) {
 			logger.atInfo()
@@ -251,7 +378,7 @@
 	}
 
 	/**
-	 * Returns the endpoints of the own failure domain that are listed.
+	 * Returns the endpoints that are listed.
 	 * @return their names
 	 */
 	Set<String> endpointIds() {
@@ -266,8 +393,4 @@
 		this.directory.own().ifPresent((owner) -> owner.originLost(hostName));
 	}
 
-	static JobOutcome notOwner() {
-		return JobOutcome.of(JobOutcome.Kind.REFUSED, "not-the-owner");
-	}
-
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
 import org.masticwick.wire.PeerMessage;
 
 /**
@@ -48,6 +50,30 @@
 		return unknown;
 	}
 
+	/**
+	 * Takes note of the run of a peer's process.
+	 * @param address the peer
+	 * @param incarnation the run
+	 */
+	void greeted(HostAddress address, Incarnation incarnation) {
+		Peer peer = this.peers.get(address);
+		if (peer != null && peer.member != null && peer.member.incarnation().compareTo(incarnation) < 0) {
+			peer.member = new MemberRecord(peer.member.hostName(), peer.member.domain(), address, incarnation);
+		}
+	}
+
+	/**
+	 * Returns whether the very process of a member is heard.
+	 * @param member the member
+	 * @param nowMillis the time in milliseconds
+	 * @return whether it is, and was not started again since
+	 */
+	boolean isHeard(MemberRecord member, long nowMillis) {
+		return isHeard(member.peerAddress(), nowMillis) && member(member.peerAddress())
+			.filter((known) -> known.incarnation().compareTo(member.incarnation()) <= 0)
+			.isPresent();
+	}
+
 	Collection<HostAddress> addresses() {
 		return List.copyOf(this.peers.keySet());
 	}
@@ -55,6 +81,9 @@
 	void reported(HostAddress from, PeerMessage.HostReport report, long nowMillis) {
 		Peer peer = this.peers.computeIfAbsent(from, (address) -> new Peer());
 		peer.report = report;
+		if (nowMillis - peer.heardMillis > SILENCE_LIMIT_MILLIS) {
+			peer.heardSinceMillis = nowMillis;
+		}
 		peer.heardMillis = nowMillis;
 		peer.lostHandled = false;
 	}
@@ -81,6 +110,16 @@
 		return (peer != null) ? nowMillis - peer.heardMillis : Long.MAX_VALUE / 2;
 	}
 
+	/**
+	 * Returns for how long a peer has been heard without a gap.
+	 * @param address the peer
+	 * @param nowMillis the time in milliseconds
+	 * @return the time in milliseconds, 0 if it is not heard
+	 */
+	long heardForMillis(HostAddress address, long nowMillis) {
+		return isHeard(address, nowMillis) ? nowMillis - this.peers.get(address).heardSinceMillis : 0;
+	}
+
 	Optional<PeerMessage.HostReport> report(HostAddress address) {
 		return Optional.ofNullable(this.peers.get(address)).map((peer) -> peer.report);
 	}
@@ -90,22 +129,39 @@
 	}
 
 	/**
-	 * Returns the members of a failure domain that are heard and stay.
-	 * @param domain the failure domain
+	 * Returns the members that are heard and stay.
 	 * @param nowMillis the time in milliseconds
 	 * @return the members
 	 */
-	List<MemberRecord> heardIn(String domain, long nowMillis) {
+	List<MemberRecord> heard(long nowMillis) {
 		return this.peers.entrySet()
 			.stream()
 			.filter((entry) -> isHeard(entry.getKey(), nowMillis))
 			.map(Map.Entry::getValue)
-			.filter((peer) -> peer.member != null && peer.member.domain().equals(domain))
-			.filter((peer) -> peer.report == null || !peer.report.leaving())
+			.filter((peer) -> peer.member != null && peer.report != null && !peer.report.leaving())
 			.map((peer) -> peer.member)
 			.toList();
 	}
 
+	/**
+	 * Returns all members that are known, heard or not.
+	 * @return the members
+	 */
+	List<MemberRecord> members() {
+		return this.peers.values().stream().map((peer) -> peer.member).filter(Objects::nonNull).toList();
+	}
+
+	/**
+	 * Returns whether there are other members in a failure domain, heard or not.
+	 * @param domain the failure domain
+	 * @return whether there are
+	 */
+	boolean hasMembersIn(String domain) {
+		return this.peers.values()
+			.stream()
+			.anyMatch((peer) -> peer.member != null && peer.member.domain().equals(domain));
+	}
+
 	/**
 	 * Returns whether a peer hears the owner of a pool itself.
 	 * @param pool the pool
@@ -180,6 +236,8 @@
 
 		private long heardMillis = Long.MIN_VALUE / 2;
 
+		private long heardSinceMillis;
+
 		private boolean lostHandled;
 
 		private List<PoolReport> pools() {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -1,16 +1,16 @@
 package org.masticwick.fleet.process;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.masticwick.core.pool.PoolChoice;
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.process.HostAddress;
-import org.masticwick.core.pool.PoolChoice;
 
 /**
  * Tells which pools there are, who owns each, and how each is loaded as far as this host
@@ -61,7 +61,7 @@
 	}
 
 	Optional<PoolOwner> ownOf(String pool) {
-		return own().filter((owner) -> owner.claim().pool().equals(pool));
+		return own().filter((owner) -> owner.owns(pool));
 	}
 
 	/**
@@ -70,6 +70,9 @@
 	 * @return the peer address, or empty if nobody owns it
 	 */
 	Optional<HostAddress> ownerAddress(String pool) {
+		if (ownOf(pool).isPresent()) {
+			return Optional.of(this.self.peerAddress());
+		}
 		PoolClaim claim = this.claims.get(pool);
 		Optional<PeerTable.OwnerReport> reported = this.peers.ownerOf(pool);
 		if (claim == null || reported.isPresent() && reported.get().report().fencingToken() > claim.fencingToken()) {
@@ -79,16 +82,42 @@
 	}
 
 	/**
-	 * Returns the pools whose owner this host hears.
+	 * Returns the pools whose owner this host hears, or is.
 	 * @param nowMillis the time in milliseconds
 	 * @return the names
 	 */
 	List<String> heardOwners(long nowMillis) {
-		return pools().stream().filter((pool) -> candidate(pool, nowMillis) != null).toList();
+		return pools().stream().filter((pool) -> hearsOwner(pool, nowMillis)).toList();
 	}
 
+	/**
+	 * Returns whether this host hears the owner of a pool, or is it.
+	 * @param pool the pool
+	 * @param nowMillis the time in milliseconds
+	 * @return whether it does
+	 */
+	boolean hearsOwner(String pool, long nowMillis) {
+		if (ownOf(pool).isPresent()) {
+			return true;
+		}
+		PoolClaim claim = this.claims.get(pool);
+		Optional<HostAddress> address = ownerAddress(pool);
+		if (claim != null && claim.owner() != null && address.filter(claim.owner().peerAddress()::equals).isPresent()) {
+			return this.peers.isHeard(claim.owner(), nowMillis);
+		}
+		return address.filter((other) -> this.peers.isHeard(other, nowMillis)).isPresent();
+	}
+
+	/**
+	 * Returns the owners that a job can be sent to, each with one of its pools.
+	 * @param nowMillis the time in milliseconds
+	 * @return the candidates
+	 */
 	List<PoolChoice.Candidate> candidates(long nowMillis) {
-		return pools().stream().map((pool) -> candidate(pool, nowMillis)).filter(Objects::nonNull).toList();
+		Map<HostAddress, PoolChoice.Candidate> byOwner = new LinkedHashMap<>();
+		pools().forEach((pool) -> candidate(pool, nowMillis).ifPresent((candidate) -> byOwner
+			.merge(ownerAddress(pool).orElseThrow(), candidate, (first, second) -> second.local() ? second : first)));
+		return List.copyOf(byOwner.values());
 	}
 
 	void noteSent(String pool, long millicores) {
@@ -103,23 +132,31 @@
 		return new TreeSet<>(this.claims.keySet());
 	}
 
-	private PoolChoice.Candidate candidate(String pool, long nowMillis) {
+	/**
+	 * Counts the pools of an owner.
+	 * @param address the owner
+	 * @return the number
+	 */
+	long poolCount(HostAddress address) {
+		return pools().stream().filter((pool) -> ownerAddress(pool).filter(address::equals).isPresent()).count();
+	}
+
+	private Optional<PoolChoice.Candidate> candidate(String pool, long nowMillis) {
 		boolean local = pool.equals(this.self.domain());
 		if (ownOf(pool).isPresent()) {
-			PoolLoad load = this.own.report().load();
-			return new PoolChoice.Candidate(pool, local, false, load.freeMillicores(), load.backlogMillis());
+			PoolLoad load = this.own.load();
+			return this.own.isFrozen() ? Optional.empty() : Optional
+				.of(new PoolChoice.Candidate(pool, local, false, load.freeMillicores(), load.backlogMillis()));
 		}
 		return ownerAddress(pool).filter((address) -> !address.equals(this.self.peerAddress()))
 			.filter((address) -> this.peers.isHeard(address, nowMillis))
-			.flatMap((address) -> remote(pool, address, local, nowMillis))
-			.orElse(null);
+			.flatMap((address) -> remote(pool, address, local, nowMillis));
 	}
 
 	private Optional<PoolChoice.Candidate> remote(String pool, HostAddress address, boolean local, long nowMillis) {
 		boolean doubtful = this.peers.ageMillis(address, nowMillis) > PeerTable.DOUBT_MILLIS;
 		long sentMillicores = this.sent.containsKey(pool) ? this.sent.get(pool).millicores : 0;
 		return this.peers.report(address)
-			.filter((report) -> !report.leaving())
 			.flatMap((report) -> report.pools().stream().filter((each) -> each.pool().equals(pool)).findFirst())
 			.map((report) -> new PoolChoice.Candidate(pool, local, doubtful,
 					report.load().freeMillicores() - sentMillicores, report.load().backlogMillis()));
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -0,0 +1,195 @@
+package org.masticwick.fleet.process;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.pool.JobOrigin;
+import org.masticwick.core.pool.JobTransfer;
+import org.masticwick.core.pool.PoolTransfer;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerTransport;
+
+/**
+ * Hands pools with their running jobs from one entry host to another: before a planned
+ * stop, and back to the owner of the other pools after a cut. The new owner claims the
+ * pools first, so that the endpoints obey nobody else from then on.
+ */
+final class PoolHandover {
+
+	private static final Logger logger = LoggerFactory.getLogger(PoolHandover.class);
+
+	/**
+	 * How long the new owner may take; tasks go on meanwhile, as their leases last
+	 * longer.
+	 */
+	private static final long TIMEOUT_MILLIS = 350;
+
+	/** The wait before a handover that failed is tried again. */
+	private static final long RETRY_MILLIS = 700;
+
+	/** How long two owners must have heard each other before one gives way. */
+	private static final long STABLE_MILLIS = 3_000;
+
+	private final EventLoop eventLoop;
+
+	private final MemberRecord self;
+
+	private final PeerTable peers;
+
+	private final PoolDirectory directory;
+
+	private final Ownership ownership;
+
+	private final JobRouter router;
+
+	private PeerTransport transport;
+
+	private long nextTryMillis = Long.MIN_VALUE / 2;
+
+	private boolean leaving;
+
+	PoolHandover(EventLoop eventLoop, MemberRecord self, PeerTable peers, PoolDirectory directory, Ownership ownership,
+			JobRouter router) {
+		this.eventLoop = eventLoop;
+		this.self = self;
+		this.peers = peers;
+		this.directory = directory;
+		this.ownership = ownership;
+		this.router = router;
+	}
+
+	void transport(PeerTransport peerTransport) {
+		this.transport = peerTransport;
+	}
+
+	void leave() {
+		this.leaving = true;
+		this.nextTryMillis = Long.MIN_VALUE / 2;
+	}
+
+	void tick() {
+		long nowMillis = Clock.nowMillis();
+		Optional<PoolOwner> owner = this.directory.own().filter((each) -> !each.isFrozen());
+		if (owner.isEmpty() || nowMillis < this.nextTryMillis) {
+			return;
+		}
+		Optional<MemberRecord> next = this.leaving ? successor(nowMillis) : greaterOwner(owner.get(), nowMillis);
+		next.ifPresent((member) -> handOver(owner.get(), member, nowMillis));
+	}
+
+	// Who started last is the least likely to be stopped next. Where each failure domain
+	// has
+	// an owner of its own, it goes to a host of the same domain.
+	private Optional<MemberRecord> successor(long nowMillis) {
+		boolean merged = this.ownership.isMerged();
+		return this.peers.heard(nowMillis)
+			.stream()
+			.filter((member) -> merged || member.domain().equals(this.self.domain()))
+			.max(Comparator.comparing((MemberRecord member) -> this.directory.poolCount(member.peerAddress()))
+				.thenComparing(MemberRecord::incarnation));
+	}
+
+	private Optional<MemberRecord> greaterOwner(PoolOwner owner, long nowMillis) {
+		if (!this.ownership.isMerged()) {
+			return Optional.empty();
+		}
+		int ownCount = owner.pools().size();
+		return this.peers.heard(nowMillis)
+			.stream()
+			.filter((member) -> this.peers.heardForMillis(member.peerAddress(), nowMillis) >= STABLE_MILLIS)
+			.filter((member) -> isGreater(member, ownCount))
+			.findFirst();
+	}
+
+	private boolean isGreater(MemberRecord member, int ownCount) {
+		long count = this.directory.poolCount(member.peerAddress());
+		boolean first = member.hostName().compareTo(this.self.hostName()) < 0;
+		return count > ownCount || count == ownCount && first;
+	}
+
+	private void handOver(PoolOwner owner, MemberRecord to, long nowMillis) {
+		this.nextTryMillis = nowMillis + RETRY_MILLIS;
+		List<String> pools = List.copyOf(owner.pools());
+		PoolTransfer transfer = owner.freeze();
+		logger.atInfo()
+			.addKeyValue("pools", pools)
+			.addKeyValue("to", to.hostName())
+			.addKeyValue("jobs", transfer.jobs().size())
+			.log("Handing pools over");
+		CompletableFuture<PeerMessage> answer = this.transport.call(to.peerAddress(),
+				new PeerMessage.HandOverPools(pools, transfer));
+		this.eventLoop.schedule(() -> answer.complete(null), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		answer.whenComplete((message, error) -> handedOver(owner, pools, message));
+	}
+
+	private void handedOver(PoolOwner owner, List<String> pools, PeerMessage answer) {
+		boolean lost = pools.stream().anyMatch((pool) -> claimedByOther(pool));
+		logger.atInfo()
+			.addKeyValue("pools", pools)
+			.addKeyValue("acknowledged", answer instanceof PeerMessage.Acknowledged)
+			.addKeyValue("claimed_by_other", lost)
+			.log("Handover answered");
+		if (answer instanceof PeerMessage.Acknowledged || lost) {
+			this.ownership.end(owner);
+		}
+		else {
+			owner.unfreeze();
+		}
+	}
+
+	private boolean claimedByOther(String pool) {
+		return this.directory.claim(pool).filter((claim) -> !this.self.equals(claim.owner())).isPresent();
+	}
+
+	/**
+	 * Takes pools that another host hands over.
+	 * @param message the pools
+	 * @return the answer to that host
+	 */
+	CompletionStage<PeerMessage> take(PeerMessage.HandOverPools message) {
+		if (this.leaving || this.directory.own().filter(PoolOwner::isFrozen).isPresent()) {
+			return CompletableFuture
+				.completedFuture(new PeerMessage.ErrorAnswer("busy", "This host is about to let go of its own pools"));
+		}
+		return this.ownership.claim(message.pools(), Clock.nowMillis()).thenApply((nothing) -> {
+			adopt(message.transfer());
+			return new PeerMessage.Acknowledged();
+		});
+	}
+
+	private void adopt(PoolTransfer transfer) {
+		logger.atInfo()
+			.addKeyValue("jobs", transfer.jobs().size())
+			.addKeyValue("endpoints", transfer.endpoints().size())
+			.log("Pools taken over");
+		Map<String, List<Long>> callNumbers = transfer.jobs()
+			.stream()
+			.map(JobTransfer::origin)
+			.collect(Collectors.groupingBy(JobOrigin::host,
+					Collectors.mapping(JobOrigin::callNumber, Collectors.toCollection(ArrayList::new))));
+		callNumbers.forEach((host, numbers) -> tellMoved(HostAddress.parse(host), numbers));
+		this.directory.own().ifPresent((owner) -> owner.adopt(transfer));
+	}
+
+	private void tellMoved(HostAddress home, List<Long> callNumbers) {
+		if (home.equals(this.self.peerAddress())) {
+			this.router.moved(callNumbers, home);
+		}
+		else {
+			this.transport.send(home, new PeerMessage.JobsMoved(callNumbers));
+		}
+	}
+
+}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
@@ -19,9 +21,11 @@
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolActions;
+import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolScheduler;
 import org.masticwick.core.pool.PoolSettings;
+import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.PooledJob;
 import org.masticwick.core.pool.StartRefusal;
 import org.masticwick.core.pool.TaskRun;
@@ -29,8 +33,9 @@
 import org.masticwick.fleet.connection.EndpointCalls;
 
 /**
- * Owns a pool of endpoints: keeps their leases, carries out what the scheduler decides,
- * and brings it what the endpoints answer. All calls come on the event loop.
+ * Owns one pool of endpoints or several, which it schedules as one: keeps their leases,
+ * carries out what the scheduler decides, and brings it what the endpoints answer. All
+ * calls come on the event loop.
  */
 final class PoolOwner implements PoolActions {
 
@@ -43,7 +48,7 @@
 
 	private final EndpointCalls calls;
 
-	private final PoolClaim claim;
+	private final Map<String, PoolClaim> claims = new TreeMap<>();
 
 	private final LeaseSettings leaseSettings = LeaseSettings.defaults();
 
@@ -57,27 +62,88 @@
 
 	private final Map<String, EndpointLease> leases = new HashMap<>();
 
-	private boolean closed;
+	private boolean frozen;
 
-	PoolOwner(EventLoop eventLoop, EndpointCalls calls, PoolClaim claim, FleetMetrics metrics, Listener listener) {
+	PoolOwner(EventLoop eventLoop, EndpointCalls calls, FleetMetrics metrics, Listener listener) {
 		this.eventLoop = eventLoop;
 		this.calls = calls;
-		this.claim = claim;
 		this.metrics = metrics;
 		this.listener = listener;
 		this.scheduler = new PoolScheduler(this.poolSettings, this);
 	}
 
-	PoolClaim claim() {
-		return this.claim;
+	Set<String> pools() {
+		return Set.copyOf(this.claims.keySet());
 	}
 
-	PoolReport report() {
-		return new PoolReport(this.claim.pool(), this.claim.fencingToken(), this.scheduler.load(Clock.nowMillis()));
+	boolean owns(String pool) {
+		return this.claims.containsKey(pool);
+	}
+
+	void add(PoolClaim claim) {
+		this.claims.put(claim.pool(), claim);
+	}
+
+	/**
+	 * Loses a pool to another owner.
+	 * @param pool the pool
+	 */
+	void remove(String pool) {
+		this.claims.remove(pool);
+		long nowMillis = Clock.nowMillis();
+		List.copyOf(this.leases.values())
+			.stream()
+			.filter((lease) -> lease.entry().domain().equals(pool))
+			.forEach((lease) -> {
+				forget(lease);
+				this.scheduler.endpointRevoked(lease.entry().id(), nowMillis);
+			});
+	}
+
+	List<PoolReport> reports() {
+		PoolLoad load = load();
+		return this.claims.values()
+			.stream()
+			.map((claim) -> new PoolReport(claim.pool(), claim.fencingToken(), load))
+			.toList();
+	}
+
+	PoolLoad load() {
+		return this.scheduler.load(Clock.nowMillis());
+	}
+
+	boolean isFrozen() {
+		return this.frozen;
+	}
+
+	/**
+	 * Orders nothing any more, as the pools are about to be handed over.
+	 * @return what the next owner needs
+	 */
+	PoolTransfer freeze() {
+		this.frozen = true;
+		return this.scheduler.transfer(Clock.nowMillis());
+	}
+
+	/**
+	 * Goes on, as the pools were not handed over.
+	 */
+	void unfreeze() {
+		this.frozen = false;
+		List.copyOf(this.leases.values()).stream().filter((lease) -> !lease.isRenewing()).forEach(this::renew);
+	}
+
+	/**
+	 * Goes on with the jobs of the last owner.
+	 * @param transfer what it handed over
+	 */
+	void adopt(PoolTransfer transfer) {
+		transfer.endpoints().forEach(this::endpointListed);
+		this.scheduler.adopt(transfer.jobs(), Clock.nowMillis());
 	}
 
 	int jobCount() {
-		return this.scheduler.load(Clock.nowMillis()).jobCount();
+		return load().jobCount();
 	}
 
 	void submit(JobSpec job, JobTerms terms, JobOrigin origin) {
@@ -97,12 +163,11 @@
 	 */
 	void close() {
 		this.scheduler.abandon(Clock.nowMillis());
-		this.closed = true;
-		this.leases.values().forEach(EndpointLease::close);
+		this.frozen = true;
 	}
 
 	void endpointListed(EndpointEntry entry) {
-		if (this.closed) {
+		if (this.frozen || !owns(entry.domain())) {
 			return;
 		}
 		this.scheduler.endpointListed(entry, Clock.nowMillis());
@@ -121,6 +186,9 @@
 	}
 
 	void tick() {
+		if (this.frozen) {
+			return;
+		}
 		long nowMillis = Clock.nowMillis();
 		List.copyOf(this.leases.values()).forEach((lease) -> checkLease(lease, nowMillis));
 		this.scheduler.tick(nowMillis);
@@ -130,7 +198,7 @@
 		boolean silent = lease.isSilent(nowMillis, this.poolSettings.silenceLimitMillis());
 		if (lease.changeSilence(silent)) {
 			logger.atInfo()
-				.addKeyValue("pool", this.claim.pool())
+				.addKeyValue("pool", lease.entry().domain())
 				.addKeyValue("endpoint", lease.entry().id())
 				.addKeyValue("silent", silent)
 				.log("Endpoint reachability changed");
@@ -141,9 +209,10 @@
 	}
 
 	private void renew(EndpointLease lease) {
-		if (lease.isClosed()) {
+		if (lease.isClosed() || this.frozen) {
 			return;
 		}
+		lease.renewing(true);
 		long nowMillis = Clock.nowMillis();
 		String id = lease.entry().id();
 		boolean busy = this.scheduler.isBusy(id);
@@ -152,13 +221,14 @@
 		OptionalLong leaseEndMillis = extend ? lease.renew(nowMillis) : OptionalLong.empty();
 		this.metrics.leaseRenewed();
 		this.calls
-			.renew(lease.entry(), this.claim.fencingToken(), this.scheduler.acknowledgedEndNumber(id), leaseEndMillis,
+			.renew(lease.entry(), token(lease.entry()), this.scheduler.acknowledgedEndNumber(id), leaseEndMillis,
 					waitMillis, waitMillis + this.leaseSettings.marginMillis())
 			.whenComplete((report, error) -> renewed(lease, nowMillis, report, error));
 	}
 
 	private void renewed(EndpointLease lease, long askedMillis, Optional<EndpointReport> report, Throwable error) {
-		if (lease.isClosed()) {
+		lease.renewing(false);
+		if (lease.isClosed() || this.frozen) {
 			return;
 		}
 		if (error != null) {
@@ -180,28 +250,49 @@
 			renew(lease);
 			return;
 		}
+		forget(lease);
+	}
+
+	private void forget(EndpointLease lease) {
 		lease.close();
 		this.leases.remove(lease.entry().id());
 	}
 
+	private long token(EndpointEntry endpoint) {
+		return token(endpoint.domain());
+	}
+
+	/**
+	 * Returns the token with which a pool is ordered.
+	 * @param pool the pool
+	 * @return the token, or 0 if this host does not own the pool
+	 */
+	long token(String pool) {
+		PoolClaim claim = this.claims.get(pool);
+		return (claim != null) ? claim.fencingToken() : 0;
+	}
+
 	private void renewFailed(EndpointLease lease, CallException error) {
 		this.metrics.renewalFailed();
 		if (error.code() == CallException.Code.TIMEOUT) {
 			renew(lease);
 			return;
 		}
+		lease.renewing(true);
 		this.eventLoop.schedule(() -> renewOrForget(lease), UNREACHABLE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void fenced(EndpointLease lease) {
-		if (!this.closed) {
-			logger.atWarn()
-				.addKeyValue("pool", this.claim.pool())
-				.addKeyValue("endpoint", lease.entry().id())
-				.addKeyValue("fencing_token", this.claim.fencingToken())
-				.log("Order refused, as another owner has a higher fencing token");
-			this.listener.fenced(this);
+		String pool = lease.entry().domain();
+		if (this.frozen || !owns(pool)) {
+			return;
 		}
+		logger.atWarn()
+			.addKeyValue("pool", pool)
+			.addKeyValue("endpoint", lease.entry().id())
+			.addKeyValue("fencing_token", token(lease.entry()))
+			.log("Order refused, as another owner has a higher fencing token");
+		this.listener.fenced(pool);
 	}
 
 	@Override
@@ -213,14 +304,17 @@
 			.addKeyValue("job", run.task().jobId())
 			.addKeyValue("task", run)
 			.addKeyValue("endpoint", endpoint.id())
-			.addKeyValue("token", this.claim.fencingToken())
+			.addKeyValue("token", token(endpoint))
 			.log("Start ordered");
 		this.metrics.startOrdered();
-		this.calls.start(endpoint, run, payload, this.claim.fencingToken(), leaseEndMillis.orElse(0))
+		this.calls.start(endpoint, run, payload, token(endpoint), leaseEndMillis.orElse(0))
 			.whenComplete((refusal, error) -> startAnswered(lease, run, refusal, error));
 	}
 
 	private void startAnswered(EndpointLease lease, TaskRun run, Optional<StartRefusal> refusal, Throwable error) {
+		if (this.frozen) {
+			return;
+		}
 		String id = lease.entry().id();
 		long nowMillis = Clock.nowMillis();
 		if (error != null) {
@@ -272,8 +366,8 @@
 			.addKeyValue("endpoint", endpoint.id())
 			.addKeyValue("reason", reason)
 			.log("Stop ordered");
-		this.calls.stop(endpoint, run, this.claim.fencingToken()).whenComplete((taken, error) -> {
-			if (error == null && taken) {
+		this.calls.stop(endpoint, run, token(endpoint)).whenComplete((taken, error) -> {
+			if (error == null && taken && !this.frozen) {
 				this.scheduler.stopConfirmed(endpoint.id(), run, Clock.nowMillis());
 			}
 			else if (error != null) {
@@ -288,7 +382,7 @@
 			.addKeyValue("job", job.spec().jobId())
 			.addKeyValue("queue", job.terms().queue())
 			.addKeyValue("version", job.terms().versionNumber())
-			.addKeyValue("pool", this.claim.pool())
+			.addKeyValue("pools", pools())
 			.addKeyValue("outcome", outcome.kind())
 			.addKeyValue("reason", outcome.reason())
 			.addKeyValue("took_ms", Clock.nowMillis() - job.arrivedMillis())
@@ -322,9 +416,9 @@
 
 		/**
 		 * Takes note that another owner has a higher token.
-		 * @param owner the owner that has been shut out
+		 * @param pool the pool that this host has been shut out of
 		 */
-		void fenced(PoolOwner owner);
+		void fenced(String pool);
 
 	}
 
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -10,6 +10,7 @@
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolReport;
+import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.process.EntryHost;
 
 /**
@@ -275,4 +276,39 @@
 	record PublishedVersion(long versionNumber, byte[] content) implements PeerMessage {
 	}
 
+	/**
+	 * Asks a peer to own the pools of the sender from now on. Answered with
+	 * {@link Acknowledged} once the shared log says so; with anything else, the sender
+	 * goes on.
+	 *
+	 * @param pools the names of the pools
+	 * @param transfer their endpoints and jobs
+	 */
+	record HandOverPools(List<String> pools, PoolTransfer transfer) implements PeerMessage {
+	}
+
+	/**
+	 * Tells the entry host of callers that the sender answers some of its jobs from now
+	 * on.
+	 *
+	 * @param callNumbers the numbers of the calls that submitted them
+	 */
+	record JobsMoved(List<Long> callNumbers) implements PeerMessage {
+	}
+
+	/**
+	 * Brings the entry host of a caller the answer on a job that has moved.
+	 *
+	 * @param callNumber the number of the call that submitted it
+	 * @param outcome what became of the job
+	 */
+	record JobFinished(long callNumber, JobOutcome outcome) implements PeerMessage {
+	}
+
+	/**
+	 * Says that what a call asked for is done.
+	 */
+	record Acknowledged() implements PeerMessage {
+	}
+
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -47,7 +47,15 @@
 
 	CANCEL_JOB(17, PeerMessage.CancelJob.class, PoolMessageTypes.CANCEL_JOB),
 
-	PUBLISHED_VERSION(18, PeerMessage.PublishedVersion.class, PoolMessageTypes.PUBLISHED_VERSION);
+	PUBLISHED_VERSION(18, PeerMessage.PublishedVersion.class, PoolMessageTypes.PUBLISHED_VERSION),
+
+	HAND_OVER_POOLS(19, PeerMessage.HandOverPools.class, PoolMessageTypes.HAND_OVER_POOLS),
+
+	JOBS_MOVED(20, PeerMessage.JobsMoved.class, PoolMessageTypes.JOBS_MOVED),
+
+	JOB_FINISHED(21, PeerMessage.JobFinished.class, PoolMessageTypes.JOB_FINISHED),
+
+	ACKNOWLEDGED(22, PeerMessage.Acknowledged.class, PoolMessageTypes.ACKNOWLEDGED);
 
 	/** The bound on messages that have none of their own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -1,14 +1,22 @@
 package org.masticwick.wire.internal;
 
 import java.util.List;
+import java.util.Set;
 
+import org.masticwick.core.pool.EndpointEntry;
+import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.JobTransfer;
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
+import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.Resources;
 import org.masticwick.core.pool.StepSpec;
+import org.masticwick.core.pool.TaskId;
+import org.masticwick.core.pool.TaskTransfer;
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.PeerMessage;
 
 /**
@@ -104,6 +112,70 @@
 			RecordType.required(BasicTypes.LONG, PeerMessage.PublishedVersion::versionNumber),
 			RecordType.required(BasicTypes.BYTES, PeerMessage.PublishedVersion::content));
 
+	private static final RecordType<TaskId> TASK = new RecordType<>(
+			(values) -> new TaskId(values.get(0), values.get(1), values.get(2), values.get(3)),
+			RecordType.required(BasicTypes.TEXT, TaskId::jobId),
+			RecordType.optional(BasicTypes.INT, TaskId::occurrence, 0),
+			RecordType.optional(BasicTypes.INT, TaskId::step, 0),
+			RecordType.optional(BasicTypes.INT, TaskId::index, 0));
+
+	private static final RecordType<TaskTransfer> TASK_TRANSFER = new RecordType<>(
+			(values) -> new TaskTransfer(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
+					values.get(5), values.get(6)),
+			RecordType.required(TASK, TaskTransfer::task),
+			RecordType.optional(BasicTypes.BOOLEAN, TaskTransfer::done, false),
+			RecordType.optional(BasicTypes.INT, TaskTransfer::runCount, 0),
+			RecordType.optional(BasicTypes.INT, TaskTransfer::failureCount, 0),
+			RecordType.optional(BasicTypes.TEXT, TaskTransfer::endpointId, ""),
+			RecordType.optional(BasicTypes.LONG, TaskTransfer::orderedAgoMillis, 0L),
+			RecordType.optional(BasicTypes.BOOLEAN, TaskTransfer::accepted, false));
+
+	private static final RecordType<JobOrigin> ORIGIN = new RecordType<>(
+			(values) -> new JobOrigin(values.get(0), values.get(1)),
+			RecordType.required(BasicTypes.TEXT, JobOrigin::host),
+			RecordType.required(BasicTypes.LONG, JobOrigin::callNumber));
+
+	private static final RecordType<JobTransfer> JOB_TRANSFER = new RecordType<>(
+			(values) -> new JobTransfer(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4)),
+			RecordType.required(JOB, JobTransfer::spec), RecordType.required(TERMS, JobTransfer::terms),
+			RecordType.required(ORIGIN, JobTransfer::origin),
+			RecordType.required(BasicTypes.LONG, JobTransfer::ageMillis),
+			RecordType.required(BasicTypes.list(TASK_TRANSFER), JobTransfer::tasks));
+
+	private static final RecordType<EndpointEntry> ENDPOINT = new RecordType<>(
+			(values) -> new EndpointEntry(values.get(0), values.get(1), HostAddress.parse(values.get(2)), values.get(3),
+					values.get(4), values.get(5), Set.copyOf(values.<List<String>>get(6)), values.get(7)),
+			RecordType.required(BasicTypes.TEXT, EndpointEntry::id),
+			RecordType.required(BasicTypes.TEXT, EndpointEntry::service),
+			RecordType.required(BasicTypes.TEXT, (entry) -> entry.address().toString()),
+			RecordType.required(BasicTypes.TEXT, EndpointEntry::domain),
+			RecordType.required(BasicTypes.BOOLEAN, EndpointEntry::ready),
+			RecordType.required(RESOURCES, EndpointEntry::capacity),
+			RecordType.required(BasicTypes.list(BasicTypes.TEXT), (entry) -> List.copyOf(entry.labels())),
+			RecordType.optional(BasicTypes.LONG, EndpointEntry::bornEpochMillis, 0L));
+
+	private static final RecordType<PoolTransfer> TRANSFER = new RecordType<>(
+			(values) -> new PoolTransfer(values.get(0), values.get(1)),
+			RecordType.required(BasicTypes.list(ENDPOINT), PoolTransfer::endpoints),
+			RecordType.required(BasicTypes.list(JOB_TRANSFER), PoolTransfer::jobs));
+
+	static final RecordType<PeerMessage.HandOverPools> HAND_OVER_POOLS = new RecordType<>(
+			(values) -> new PeerMessage.HandOverPools(values.get(0), values.get(1)),
+			RecordType.required(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HandOverPools::pools),
+			RecordType.required(TRANSFER, PeerMessage.HandOverPools::transfer));
+
+	static final RecordType<PeerMessage.JobsMoved> JOBS_MOVED = new RecordType<>(
+			(values) -> new PeerMessage.JobsMoved(values.get(0)),
+			RecordType.required(BasicTypes.list(BasicTypes.LONG), PeerMessage.JobsMoved::callNumbers));
+
+	static final RecordType<PeerMessage.JobFinished> JOB_FINISHED = new RecordType<>(
+			(values) -> new PeerMessage.JobFinished(values.get(0), values.get(1)),
+			RecordType.required(BasicTypes.LONG, PeerMessage.JobFinished::callNumber),
+			RecordType.required(OUTCOME, PeerMessage.JobFinished::outcome));
+
+	static final RecordType<PeerMessage.Acknowledged> ACKNOWLEDGED = new RecordType<>(
+			(values) -> new PeerMessage.Acknowledged());
+
 	private PoolMessageTypes() {
 	}
 
