--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
@@ -25,6 +25,9 @@
 	/** How long hosts try to claim by the shared log before a deputy steps in. */
 	private static final long STEP_IN_MILLIS = 250;
 
+	/** How long a new owner may take to be heard by all. */
+	private static final long NEW_OWNER_MILLIS = 800;
+
 	private final MemberRecord self;
 
 	ClaimRule(MemberRecord self) {
@@ -37,6 +40,9 @@
 	 * @return whether to claim the pool now
 	 */
 	boolean shouldClaim(Situation situation) {
+		if (isOwnEarlierClaim(situation)) {
+			return true;
+		}
 		if (ownerStays(situation) || !isInReach(situation)) {
 			return false;
 		}
@@ -52,7 +58,7 @@
 	 * @return whether to step in now
 	 */
 	boolean shouldStepIn(Situation situation) {
-		if (ownerStays(situation) || !situation.settled()) {
+		if (ownerStays(situation)) {
 			return false;
 		}
 		int turn = situation.claim().turnOf(this.self.hostName());
@@ -60,12 +66,19 @@
 		return situation.orphanedMillis() >= STEP_IN_MILLIS + turn * TURN_MILLIS + (alone ? ALONE_MILLIS : 0);
 	}
 
-	private boolean ownerStays(Situation situation) {
+	// This host owned the pool before it was started again, and nobody has claimed it
+	// since.
+	private boolean isOwnEarlierClaim(Situation situation) {
 		PoolClaim claim = situation.claim();
-		if (claim == null || claim.owner() == null || claim.owner().hostName().equals(this.self.hostName())) {
-			return !situation.settled() && claim == null;
+		return claim != null && claim.owner() != null && claim.owner().hostName().equals(this.self.hostName());
+	}
+
+	private static boolean ownerStays(Situation situation) {
+		boolean owned = situation.claim() != null && situation.claim().owner() != null;
+		if (!situation.settled() || owned && situation.claimAgeMillis() < NEW_OWNER_MILLIS) {
+			return true;
 		}
-		return situation.ownerHeard() || situation.ownerHeardByOthers() || !situation.settled();
+		return owned && (situation.ownerHeard() || situation.ownerHeardByOthers());
 	}
 
 	private boolean isInReach(Situation situation) {
@@ -91,6 +104,7 @@
 	 *
 	 * @param domain the failure domain, which the pool is named after
 	 * @param claim the newest claim, or {@code null} if there was none
+	 * @param claimAgeMillis how long ago this host heard of that claim, in milliseconds
 	 * @param ownerHeard whether this host hears the owner
 	 * @param ownerHeardByOthers whether a peer says that it hears the owner
 	 * @param settled whether this host has run long enough to have heard those that live
@@ -100,9 +114,9 @@
 	 * @param living the other members that are heard and stay
 	 * @param owners the names of hosts that own a pool
 	 */
-	record Situation(String domain, PoolClaim claim, boolean ownerHeard, boolean ownerHeardByOthers, boolean settled,
-			long orphanedMillis, boolean merged, boolean othersInDomain, List<MemberRecord> living,
-			List<String> owners) {
+	record Situation(String domain, PoolClaim claim, long claimAgeMillis, boolean ownerHeard,
+			boolean ownerHeardByOthers, boolean settled, long orphanedMillis, boolean merged, boolean othersInDomain,
+			List<MemberRecord> living, List<String> owners) {
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
@@ -25,7 +25,7 @@
 
 	private boolean lapseReported = true;
 
-	private boolean silent;
+	private boolean silent = true;
 
 	private boolean closed;
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -19,7 +19,6 @@
 
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.PoolReport;
-import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.NewRecord;
@@ -163,9 +162,9 @@
 			.toList();
 		long orphanedMillis = nowMillis - this.orphanedSinceMillis.getOrDefault(pool, nowMillis);
 		return new ClaimRule.Situation(pool, this.directory.claim(pool).orElse(null),
-				this.directory.hearsOwner(pool, nowMillis), this.peers.someoneHearsOwner(pool, nowMillis),
-				this.peers.isSettled(nowMillis), orphanedMillis, isMerged(), this.peers.hasMembersIn(pool), living,
-				owners);
+				this.directory.claimAgeMillis(pool, nowMillis), this.directory.hearsOwner(pool, nowMillis),
+				this.peers.someoneHearsOwner(pool, nowMillis), this.peers.isSettled(nowMillis), orphanedMillis,
+				isMerged(), this.peers.hasMembersIn(pool), living, owners);
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -28,6 +28,9 @@
 	/** How long a peer may take to connect again before it counts as lost. */
 	private static final long RECONNECT_MILLIS = 200;
 
+	/** How long a host that has just started may take to hear those that live. */
+	private static final long SETTLE_MILLIS = 1_200;
+
 	private final Map<HostAddress, Peer> peers = new HashMap<>();
 
 	private final long beganMillis;
@@ -216,7 +219,7 @@
 	 * @return whether silence means something
 	 */
 	boolean isSettled(long nowMillis) {
-		return nowMillis - this.beganMillis > SILENCE_LIMIT_MILLIS;
+		return nowMillis - this.beganMillis > SETTLE_MILLIS;
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -24,6 +24,8 @@
 
 	private final Map<String, PoolClaim> claims = new HashMap<>();
 
+	private final Map<String, Long> claimedMillis = new HashMap<>();
+
 	/** What was sent to a pool since its last report, in thousandths of a core. */
 	private final Map<String, Sent> sent = new HashMap<>();
 
@@ -45,9 +47,20 @@
 			return false;
 		}
 		this.claims.put(claim.pool(), claim);
+		this.claimedMillis.put(claim.pool(), Clock.nowMillis());
 		return true;
 	}
 
+	/**
+	 * Returns how long ago this host heard of the newest claim on a pool.
+	 * @param pool the pool
+	 * @param nowMillis the time in milliseconds
+	 * @return the time in milliseconds
+	 */
+	long claimAgeMillis(String pool, long nowMillis) {
+		return nowMillis - this.claimedMillis.getOrDefault(pool, nowMillis);
+	}
+
 	Optional<PoolClaim> claim(String pool) {
 		return Optional.ofNullable(this.claims.get(pool));
 	}
@@ -149,11 +162,16 @@
 				.of(new PoolChoice.Candidate(pool, local, false, load.freeMillicores(), load.backlogMillis()));
 		}
 		return ownerAddress(pool).filter((address) -> !address.equals(this.self.peerAddress()))
-			.filter((address) -> this.peers.isHeard(address, nowMillis))
 			.flatMap((address) -> remote(pool, address, local, nowMillis));
 	}
 
 	private Optional<PoolChoice.Candidate> remote(String pool, HostAddress address, boolean local, long nowMillis) {
+		if (!this.peers.isHeard(address, nowMillis)) {
+			// Right after its start a host has heard nobody, and tries the owner all the
+			// same.
+			return this.peers.isSettled(nowMillis) ? Optional.empty()
+					: Optional.of(new PoolChoice.Candidate(pool, local, true, 0, 0));
+		}
 		boolean doubtful = this.peers.ageMillis(address, nowMillis) > PeerTable.DOUBT_MILLIS;
 		long sentMillicores = this.sent.containsKey(pool) ? this.sent.get(pool).millicores : 0;
 		return this.peers.report(address)
