--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -19,6 +20,7 @@
 
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.PoolReport;
+import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.NewRecord;
@@ -42,6 +44,9 @@
 	/** How long a claim whose answer is lost may still show up in the log. */
 	private static final long CLAIM_RETRY_MILLIS = 400;
 
+	/** How long the records that a claim did not expect may take to be read. */
+	private static final long CONFLICT_RETRY_MILLIS = 40;
+
 	/** Up to how many endpoints one host can own; a third of a small host's processor. */
 	private static final int MAX_MERGED_ENDPOINTS = 100;
 
@@ -208,6 +213,9 @@
 				.addKeyValue("pools", pools)
 				.addKeyValue("reason", error.getMessage())
 				.log("Claim without success");
+			if (isConflict(error)) {
+				this.nextClaimMillis = Clock.nowMillis() + CONFLICT_RETRY_MILLIS;
+			}
 			return;
 		}
 		this.nextClaimMillis = Long.MIN_VALUE / 2;
@@ -217,6 +225,11 @@
 					claims.get(index).deputies())));
 	}
 
+	private static boolean isConflict(Throwable error) {
+		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		return cause instanceof CallException call && call.code() == CallException.Code.CONFLICT;
+	}
+
 	/**
 	 * Takes a record of the members' topic that is a claim.
 	 * @param claimRecord the record
