--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -47,8 +47,6 @@
 
 	private static final String MEMBER_PREFIX = "host/";
 
-	private static final String VERSION_KEY = "config";
-
 	/** How often what is due by time is done. */
 	private static final long TICK_MILLIS = 50;
 
@@ -93,6 +91,8 @@
 
 	private final SharedLog log;
 
+	private final String versionKey;
+
 	private final FleetMetrics metrics = new FleetMetrics();
 
 	private final VersionHolder versions;
@@ -145,6 +145,7 @@
 		this.eventLoop = eventLoops.next();
 		this.settings = settings;
 		this.log = log;
+		this.versionKey = siteFormat.versionKey();
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
 				entryHost.incarnation());
 		this.versions = new VersionHolder(siteFormat);
@@ -256,7 +257,7 @@
 	}
 
 	private void operatorRecord(KeyedRecord published) {
-		if (published.key().equals(VERSION_KEY) && published.value() != null) {
+		if (published.key().equals(this.versionKey) && published.value() != null) {
 			this.versions.offer(published.value(), "log");
 		}
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -260,7 +260,7 @@
 		logger.atInfo()
 			.addKeyValue("pool", claim.pool())
 			.addKeyValue("owner", (claim.owner() != null) ? claim.owner().hostName() : "none")
-			.addKeyValue("fencing_token", claim.fencingToken())
+			.addKeyValue("token", claim.fencingToken())
 			.log("Pool claimed");
 		if (this.self.equals(claim.owner())) {
 			takeOver(claim);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -290,7 +290,7 @@
 		logger.atWarn()
 			.addKeyValue("pool", pool)
 			.addKeyValue("endpoint", lease.entry().id())
-			.addKeyValue("fencing_token", token(lease.entry()))
+			.addKeyValue("token", token(lease.entry()))
 			.log("Order refused, as another owner has a higher fencing token");
 		this.listener.fenced(pool);
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/version/SiteFormat.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/version/SiteFormat.java
@@ -7,6 +7,12 @@
  */
 public interface SiteFormat {
 
+	/**
+	 * Returns the key under which versions are published.
+	 * @return the key
+	 */
+	String versionKey();
+
 	/**
 	 * Reads a published version.
 	 * @param content the bytes
