--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolChoiceTests.java
@@ -0,0 +1,59 @@
+package org.masticwick.core.pool;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link PoolChoice}.
+ */
+class PoolChoiceTests {
+
+	private final PoolChoice choice = new PoolChoice();
+
+	private static PoolChoice.Candidate pool(String name, boolean local, long freeMillicores, double backlogMillis) {
+		return new PoolChoice.Candidate(name, local, false, freeMillicores, backlogMillis);
+	}
+
+	private String chosen(Set<String> tried, PoolChoice.Candidate... candidates) {
+		return this.choice.choose(List.of(candidates), 50_000, tried).map(PoolChoice.Candidate::pool).orElse("none");
+	}
+
+	@Test
+	void staysInTheFailureDomainAsLongAsTheJobFits() {
+		assertThat(chosen(Set.of(), pool("local", true, 50_000, 0), pool("other", false, 900_000, 0)))
+			.isEqualTo("local");
+	}
+
+	@Test
+	void goesWhereThereIsRoom() {
+		assertThat(chosen(Set.of(), pool("local", true, 10_000, 0), pool("other", false, 60_000, 0)))
+			.isEqualTo("other");
+	}
+
+	@Test
+	void goesWhereTheLeastWaitsIfThereIsNoRoom() {
+		assertThat(chosen(Set.of(), pool("local", true, 0, 200), pool("other", false, 0, 90))).isEqualTo("other");
+	}
+
+	@Test
+	void doesNotLeaveTheFailureDomainForALittle() {
+		assertThat(chosen(Set.of(), pool("local", true, 0, 95), pool("other", false, 0, 90))).isEqualTo("local");
+	}
+
+	@Test
+	void neverTriesAPoolTwice() {
+		assertThat(chosen(Set.of("local"), pool("local", true, 90_000, 0))).isEqualTo("none");
+	}
+
+	@Test
+	void avoidsAnOwnerThatHasNotBeenHeardForAWhile() {
+		PoolChoice.Candidate doubtful = new PoolChoice.Candidate("local", true, true, 900_000, 0);
+		assertThat(chosen(Set.of(), doubtful, pool("other", false, 0, 90))).isEqualTo("other");
+		assertThat(chosen(Set.of(), doubtful)).isEqualTo("local");
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -0,0 +1,411 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.masticwick.core.process.HostAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link PoolScheduler}.
+ */
+class PoolSchedulerTests {
+
+	private static final JobOrigin ORIGIN = new JobOrigin("host-1", 1);
+
+	private static final JobOrigin OTHER_ORIGIN = new JobOrigin("host-2", 7);
+
+	private final RecordedActions actions = new RecordedActions();
+
+	private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), this.actions);
+
+	private long endCount;
+
+	@BeforeEach
+	void listEndpoints() {
+		list("a", 64_000, 0);
+		list("b", 64_000, 0);
+	}
+
+	private void list(String id, long cpuMillicores, long bornEpochMillis) {
+		this.scheduler.endpointListed(entry(id, cpuMillicores, true, bornEpochMillis), 0);
+		report(id, List.of(), List.of(), 0, 1);
+	}
+
+	private static EndpointEntry entry(String id, long cpuMillicores, boolean ready, long bornEpochMillis) {
+		return new EndpointEntry(id, "service", new HostAddress("10.0.0.1", 80), "domain", ready,
+				new Resources(cpuMillicores, 1_000, 0), Set.of("kind-a"), bornEpochMillis);
+	}
+
+	private void report(String id, List<RunningTask> running, List<EndedTask> ended, long askedMillis, long nowMillis) {
+		this.scheduler.reported(id, new EndpointReport(0, nowMillis, running, ended), askedMillis, nowMillis);
+	}
+
+	private void end(RecordedActions.Start start, EndKind kind, long nowMillis) {
+		List<RunningTask> others = runningBeside(start);
+		this.endCount++;
+		report(start.endpointId(), others, List.of(new EndedTask(this.endCount, start.run(), kind)), nowMillis - 1,
+				nowMillis);
+	}
+
+	private List<RunningTask> runningBeside(RecordedActions.Start start) {
+		List<RunningTask> running = new ArrayList<>();
+		this.actions.starts()
+			.stream()
+			.filter((other) -> other.endpointId().equals(start.endpointId()) && !other.equals(start))
+			.forEach((other) -> running.add(new RunningTask(other.run(), 50)));
+		return running;
+	}
+
+	private RecordedActions.Start lastStart() {
+		return this.actions.starts().get(this.actions.starts().size() - 1);
+	}
+
+	private JobOutcome lastOutcome() {
+		return this.actions.answers().get(this.actions.answers().size() - 1).outcome();
+	}
+
+	private static StepSpec step(int taskCount, long cpuMillicores, long estimatedMillis, Integer... after) {
+		return new StepSpec(taskCount, new Resources(cpuMillicores, 1, 0), estimatedMillis, Arrays.asList(after), "",
+				"", 0);
+	}
+
+	private static JobSpec job(String id, StepSpec... steps) {
+		return new JobSpec(id, "payload", List.of(steps));
+	}
+
+	private static JobTerms terms(int maxAttempts) {
+		return new JobTerms("queue", "service", 0, maxAttempts, 1.6, 60, 5_000, 3);
+	}
+
+	private void submit(JobSpec job, long nowMillis) {
+		this.scheduler.submit(job, terms(2), ORIGIN, nowMillis);
+	}
+
+	@Nested
+	class Admission {
+
+		@Test
+		void startsAllTasksAtOnceWhereThereIsRoom() {
+			submit(job("j", step(4, 30_000, 100)), 10);
+			assertThat(PoolSchedulerTests.this.actions.starts()).extracting(RecordedActions.Start::endpointId)
+				.containsExactlyInAnyOrder("a", "a", "b", "b");
+		}
+
+		@Test
+		void refusesForTheTimeBeingWhatNoEndpointCanHold() {
+			submit(job("j", step(1, 65_000, 100)), 10);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.REFUSED);
+			assertThat(lastOutcome().retryAfterMillis()).isPositive();
+		}
+
+		@Test
+		void refusesAtOnceWhatCanOnlyBeLateWhileOthersWait() {
+			IntStream.range(0, 30).forEach((number) -> submit(job("j" + number, step(2, 60_000, 200)), 10));
+			assertThat(PoolSchedulerTests.this.actions.answers()).isNotEmpty()
+				.allSatisfy((answer) -> assertThat(answer.outcome().kind()).isEqualTo(JobOutcome.Kind.REFUSED));
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+		}
+
+		@Test
+		void aRefusedJobIsNeverStarted() {
+			IntStream.range(0, 30).forEach((number) -> submit(job("j" + number, step(2, 60_000, 200)), 10));
+			List<String> refused = PoolSchedulerTests.this.actions.answers()
+				.stream()
+				.map(RecordedActions.Answer::jobId)
+				.toList();
+			IntStream.range(0, 20).forEach((round) -> {
+				end(lastStart(), EndKind.DONE, 50 + 10 * round);
+				PoolSchedulerTests.this.scheduler.tick(55 + 10 * round);
+			});
+			assertThat(PoolSchedulerTests.this.actions.starts())
+				.noneMatch((start) -> refused.contains(start.run().task().jobId()));
+		}
+
+		@Test
+		void givesUpAtTheCallersDeadlineAndSaysThatItRan() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.tick(10 + 5_000);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.UNCERTAIN);
+			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(lastStart().run());
+		}
+
+	}
+
+	@Nested
+	class Order {
+
+		@Test
+		void aStepWaitsForAllTasksOfTheStepsBefore() {
+			submit(job("j", step(2, 1_000, 100), step(1, 1_000, 100, 0)), 10);
+			List<RecordedActions.Start> first = List.copyOf(PoolSchedulerTests.this.actions.starts());
+			assertThat(first).hasSize(2);
+			end(first.get(0), EndKind.DONE, 100);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			end(first.get(1), EndKind.DONE, 110);
+			assertThat(lastStart().run().task().step()).isEqualTo(1);
+		}
+
+		@Test
+		void whatHasTheLeastSlackStartsFirst() {
+			submit(job("full", step(2, 64_000, 100)), 10);
+			submit(job("long", step(1, 64_000, 1_000)), 10);
+			submit(job("short", step(1, 64_000, 60)), 10);
+			end(PoolSchedulerTests.this.actions.starts().get(0), EndKind.DONE, 20);
+			assertThat(lastStart().run().task().jobId()).isEqualTo("short");
+		}
+
+	}
+
+	@Nested
+	class Restart {
+
+		@ParameterizedTest
+		@EnumSource(value = EndKind.class, names = { "LAPSED", "BROKEN", "ALONE", "STOPPED", "LOST" })
+		void startsAgainWithAHigherNumberAfterACertainEnd(EndKind kind) {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			end(lastStart(), kind, 50);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			assertThat(lastStart().run().number()).isEqualTo(2);
+		}
+
+		@Test
+		void failsTheJobWhenItsAttemptsAreUsedUp() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			end(lastStart(), EndKind.FAILED, 50);
+			end(lastStart(), EndKind.FAILED, 90);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.FAILED);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+		}
+
+		@Test
+		void aStartWithoutAnAnswerIsTakenBackBeforeItIsMadeElsewhere() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start start = lastStart();
+			PoolSchedulerTests.this.scheduler.startUnanswered(start.endpointId(), start.run(), 130);
+			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(start.run());
+			report(start.endpointId(), List.of(), List.of(), 131, 140);
+			assertThat(PoolSchedulerTests.this.actions.starts()).as("before the stop is confirmed").hasSize(1);
+			PoolSchedulerTests.this.scheduler.stopConfirmed(start.endpointId(), start.run(), 150);
+			report(start.endpointId(), List.of(), List.of(), 160, 170);
+			assertThat(PoolSchedulerTests.this.actions.starts()).as("within the time of a stop").hasSize(1);
+			report(start.endpointId(), List.of(), List.of(), 210, 215);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+		}
+
+		@Test
+		void aRunOnASilentEndpointCountsUntilItsLeaseHasLapsed() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start start = lastStart();
+			PoolSchedulerTests.this.scheduler.startAccepted(start.endpointId(), start.run(), 11);
+			report(start.endpointId().equals("a") ? "b" : "a", List.of(), List.of(), 600, 601);
+			PoolSchedulerTests.this.scheduler.tick(600);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(1);
+			PoolSchedulerTests.this.scheduler.leaseLapsed(start.endpointId(), 800);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			assertThat(lastStart().endpointId()).isNotEqualTo(start.endpointId());
+		}
+
+		@Test
+		void anAcceptedRunThatIsInNeitherListIsLost() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start start = lastStart();
+			PoolSchedulerTests.this.scheduler.startAccepted(start.endpointId(), start.run(), 12);
+			report(start.endpointId(), List.of(), List.of(), 11, 13);
+			assertThat(PoolSchedulerTests.this.actions.starts()).as("asked before the start").hasSize(1);
+			report(start.endpointId(), List.of(), List.of(), 14, 16);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+		}
+
+		@Test
+		void aNewLifeOfAnEndpointEndsWhatRanInTheLast() {
+			list("a", 64_000, 1_000);
+			list("b", 1_000, 1_000);
+			submit(job("j", step(1, 60_000, 100)), 10);
+			assertThat(lastStart().endpointId()).isEqualTo("a");
+			PoolSchedulerTests.this.scheduler.endpointListed(entry("a", 64_000, true, 2_000), 50);
+			report("a", List.of(), List.of(), 51, 52);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			assertThat(PoolSchedulerTests.this.scheduler.acknowledgedEndNumber("a")).isZero();
+		}
+
+		@Test
+		void aRunFarSlowerThanExpectedMovesElsewhere() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start start = lastStart();
+			PoolSchedulerTests.this.scheduler.startAccepted(start.endpointId(), start.run(), 11);
+			report(start.endpointId(), List.of(new RunningTask(start.run(), 10)), List.of(), 149, 150);
+			report(start.endpointId().equals("a") ? "b" : "a", List.of(), List.of(), 149, 150);
+			PoolSchedulerTests.this.scheduler.tick(151);
+			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(start.run());
+		}
+
+		@Test
+		void progressThatWasToldLongAgoIsNotTakenForSlowness() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start start = lastStart();
+			PoolSchedulerTests.this.scheduler.startAccepted(start.endpointId(), start.run(), 11);
+			report(start.endpointId(), List.of(new RunningTask(start.run(), 2)), List.of(), 12, 13);
+			report(start.endpointId().equals("a") ? "b" : "a", List.of(), List.of(), 139, 140);
+			PoolSchedulerTests.this.scheduler.tick(140);
+			assertThat(PoolSchedulerTests.this.actions.stops()).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Resubmission {
+
+		@Test
+		void joinsTheJobThatIsThereAlready() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.submit(job("j", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 20);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(1);
+			end(lastStart(), EndKind.DONE, 100);
+			assertThat(PoolSchedulerTests.this.actions.answers()).hasSize(2);
+			assertThat(PoolSchedulerTests.this.actions.answers().get(1).origin()).isEqualTo(OTHER_ORIGIN);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.COMPLETED);
+		}
+
+		@Test
+		void waitsForTheEndOfTheRunsOfTheFirstSubmission() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start first = lastStart();
+			PoolSchedulerTests.this.scheduler.cancel("j", ORIGIN, 20);
+			PoolSchedulerTests.this.scheduler.submit(job("j", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 30);
+			assertThat(PoolSchedulerTests.this.actions.starts()).as("while the first still runs").hasSize(1);
+			end(first, EndKind.STOPPED, 40);
+			PoolSchedulerTests.this.scheduler.tick(41);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			assertThat(lastStart().run().number()).isEqualTo(2);
+		}
+
+		@Test
+		void theJobsOfALostEntryHostAreStopped() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.originLost(ORIGIN.host(), 600);
+			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(lastStart().run());
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.UNCERTAIN);
+		}
+
+	}
+
+	@Nested
+	class Owners {
+
+		@Test
+		void whatTheLastOwnerLeftRunningIsStoppedBeforeAnythingStartsThere() {
+			TaskRun foreign = new TaskRun(new TaskId("other", 0, 0, 0), 1);
+			report("a", List.of(new RunningTask(foreign, 10)), List.of(), 5, 6);
+			report("b", List.of(new RunningTask(foreign, 10)), List.of(), 5, 6);
+			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(foreign, foreign);
+			submit(job("j", step(1, 1_000, 100)), 10);
+			assertThat(PoolSchedulerTests.this.actions.starts()).isEmpty();
+			report("a", List.of(), List.of(), 60, 61);
+			assertThat(lastStart().endpointId()).isEqualTo("a");
+		}
+
+		@Test
+		void theNextOwnerGoesOnWithRunningTasks() {
+			submit(job("j", step(2, 1_000, 100), step(1, 1_000, 100, 0)), 10);
+			List<RecordedActions.Start> starts = List.copyOf(PoolSchedulerTests.this.actions.starts());
+			starts.forEach(
+					(start) -> PoolSchedulerTests.this.scheduler.startAccepted(start.endpointId(), start.run(), 11));
+			end(starts.get(0), EndKind.DONE, 60);
+			PoolTransfer transfer = PoolSchedulerTests.this.scheduler.transfer(70);
+			RecordedActions nextActions = new RecordedActions();
+			PoolScheduler next = new PoolScheduler(PoolSettings.defaults(), nextActions);
+			transfer.endpoints().forEach((endpoint) -> next.endpointListed(endpoint, 1_000));
+			next.adopt(transfer.jobs(), 1_000);
+			assertThat(nextActions.starts()).as("the running task is not started again").isEmpty();
+			RecordedActions.Start running = starts.get(1);
+			next.reported(running.endpointId(),
+					new EndpointReport(0, 1, List.of(), List.of(new EndedTask(9, running.run(), EndKind.DONE))), 1_010,
+					1_011);
+			assertThat(nextActions.starts()).hasSize(1);
+			RecordedActions.Start last = nextActions.starts().get(0);
+			assertThat(last.run().task().step()).isEqualTo(1);
+			next.reported(last.endpointId(),
+					new EndpointReport(0, 1, List.of(), List.of(new EndedTask(10, last.run(), EndKind.DONE))), 1_100,
+					1_101);
+			assertThat(nextActions.answers()).hasSize(1);
+			assertThat(nextActions.answers().get(0).outcome().kind()).isEqualTo(JobOutcome.Kind.COMPLETED);
+			assertThat(nextActions.answers().get(0).origin()).isEqualTo(ORIGIN);
+		}
+
+		@Test
+		void aJobWithRunsOnEndpointsOfAnotherOwnerIsAnsweredAsUncertain() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.endpointRevoked(lastStart().endpointId(), 50);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.UNCERTAIN);
+		}
+
+		@Test
+		void anOwnerThatEndsRefusesWhatItHasNotBegun() {
+			submit(job("running", step(2, 64_000, 100)), 10);
+			submit(job("waiting", step(1, 64_000, 500)), 10);
+			PoolSchedulerTests.this.scheduler.abandon(20);
+			assertThat(PoolSchedulerTests.this.actions.answers())
+				.filteredOn((answer) -> answer.jobId().equals("waiting"))
+				.allSatisfy((answer) -> assertThat(answer.outcome().kind()).isEqualTo(JobOutcome.Kind.REFUSED));
+			assertThat(PoolSchedulerTests.this.actions.answers())
+				.filteredOn((answer) -> answer.jobId().equals("running"))
+				.allSatisfy((answer) -> assertThat(answer.outcome().kind()).isEqualTo(JobOutcome.Kind.UNCERTAIN));
+		}
+
+	}
+
+	@Nested
+	class Endpoints {
+
+		@Test
+		void aLeavingEndpointGetsNoNewTasks() {
+			PoolSchedulerTests.this.scheduler.endpointListed(entry("a", 64_000, false, 0), 5);
+			submit(job("j", step(2, 30_000, 100)), 10);
+			assertThat(PoolSchedulerTests.this.actions.starts()).extracting(RecordedActions.Start::endpointId)
+				.containsOnly("b");
+		}
+
+		@Test
+		void aSilentEndpointGetsNoNewTasks() {
+			report("b", List.of(), List.of(), 899, 900);
+			submit(job("j", step(2, 30_000, 100)), 901);
+			assertThat(PoolSchedulerTests.this.actions.starts()).extracting(RecordedActions.Start::endpointId)
+				.containsOnly("b");
+		}
+
+		@Test
+		void anEndpointThatFailsTasksOfSeveralJobsGetsNoMoreForAWhile() {
+			PoolSchedulerTests.this.scheduler.endpointUnlisted("b", 5);
+			submit(job("j1", step(1, 1_000, 100)), 10);
+			end(lastStart(), EndKind.FAILED, 20);
+			end(lastStart(), EndKind.FAILED, 30);
+			submit(job("j2", step(1, 1_000, 100)), 40);
+			end(lastStart(), EndKind.FAILED, 50);
+			int startCount = PoolSchedulerTests.this.actions.starts().size();
+			submit(job("j3", step(1, 1_000, 100)), 60);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(startCount);
+		}
+
+		@Test
+		void theLoadTellsWhatIsFree() {
+			submit(job("j", step(1, 30_000, 100)), 10);
+			PoolLoad load = PoolSchedulerTests.this.scheduler.load(10);
+			assertThat(load.totalMillicores()).isEqualTo(128_000);
+			assertThat(load.freeMillicores()).isEqualTo(98_000);
+			assertThat(load.jobCount()).isEqualTo(1);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -0,0 +1,50 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Records what a scheduler decides.
+ */
+final class RecordedActions implements PoolActions {
+
+	private final List<Start> starts = new ArrayList<>();
+
+	private final List<TaskRun> stops = new ArrayList<>();
+
+	private final List<Answer> answers = new ArrayList<>();
+
+	@Override
+	public void start(EndpointEntry endpoint, TaskRun run, String payload) {
+		this.starts.add(new Start(endpoint.id(), run));
+	}
+
+	@Override
+	public void stop(EndpointEntry endpoint, TaskRun run, String reason) {
+		this.stops.add(run);
+	}
+
+	@Override
+	public void answer(PooledJob job, JobOutcome outcome) {
+		this.answers.add(new Answer(job.spec().jobId(), job.origin(), outcome));
+	}
+
+	List<Start> starts() {
+		return this.starts;
+	}
+
+	List<TaskRun> stops() {
+		return this.stops;
+	}
+
+	List<Answer> answers() {
+		return this.answers;
+	}
+
+	record Start(String endpointId, TaskRun run) {
+	}
+
+	record Answer(String jobId, JobOrigin origin, JobOutcome outcome) {
+	}
+
+}
