--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ClaimRuleTests.java
@@ -0,0 +1,137 @@
+package org.masticwick.fleet.process;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ClaimRule} and {@link PoolClaim}.
+ */
+class ClaimRuleTests {
+
+	private static final MemberRecord SELF = member("b", "d1", 1);
+
+	private final ClaimRule rule = new ClaimRule(SELF);
+
+	private static MemberRecord member(String name, String domain, long started) {
+		return new MemberRecord(name, domain, new HostAddress("10.0.0." + (int) name.charAt(0), 1),
+				new Incarnation(started, 1));
+	}
+
+	private static PoolClaim claim(MemberRecord owner) {
+		return new PoolClaim("d1", owner, PoolClaim.tokenAt(4), List.of("a", "b", "c"));
+	}
+
+	private static ClaimRule.Situation orphan(String domain, PoolClaim claim, long orphanedMillis,
+			MemberRecord... living) {
+		return new ClaimRule.Situation(domain, claim, 60_000, false, false, true, orphanedMillis, true, true,
+				List.of(living), List.of());
+	}
+
+	@Nested
+	class Claims {
+
+		@ParameterizedTest
+		@CsvSource({ "true, false, true, 60000, false", "false, true, true, 60000, false",
+				"false, false, false, 60000, false", "false, false, true, 100, false",
+				"false, false, true, 60000, true" })
+		void onlyWhenNobodyHearsTheOwner(boolean heard, boolean heardByOthers, boolean settled, long claimAgeMillis,
+				boolean expected) {
+			ClaimRule.Situation situation = new ClaimRule.Situation("d1", claim(member("a", "d1", 1)), claimAgeMillis,
+					heard, heardByOthers, settled, 10_000, true, true, List.of(member("c", "d1", 1)), List.of());
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(situation)).isEqualTo(expected);
+		}
+
+		@Test
+		void takesTurnsByName() {
+			PoolClaim lost = claim(member("x", "d1", 1));
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 0, member("c", "d1", 1)))).isTrue();
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 0, member("a", "d1", 1)))).isFalse();
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 300, member("a", "d1", 1)))).isTrue();
+		}
+
+		@Test
+		void leavesAFailureDomainAloneThatItDoesNotHear() {
+			PoolClaim lost = claim(member("x", "d2", 1));
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d2", lost, 10_000, member("c", "d1", 1))))
+				.isFalse();
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d2", lost, 10_000, member("c", "d2", 1)))).isTrue();
+		}
+
+		@Test
+		void waitsLongerIfItHearsNobodyAtAll() {
+			PoolClaim lost = claim(member("x", "d1", 1));
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 2_000))).isFalse();
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 2_500))).isTrue();
+		}
+
+		@Test
+		void claimsAtOnceWhatItOwnedBeforeItsRestart() {
+			ClaimRule.Situation situation = new ClaimRule.Situation("d2", claim(member("b", "d1", 0)), 0, false, false,
+					false, 0, true, true, List.of(), List.of());
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(situation)).isTrue();
+		}
+
+		@Test
+		void onALargeSiteOnlyHostsOfTheFailureDomainClaim() {
+			ClaimRule.Situation situation = new ClaimRule.Situation("d2", claim(member("x", "d2", 1)), 60_000, false,
+					false, true, 60_000, false, true, List.of(member("c", "d2", 1)), List.of());
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(situation)).isFalse();
+		}
+
+	}
+
+	@Nested
+	class Deputies {
+
+		@Test
+		void stepInAfterTheirTurn() {
+			ClaimRule.Situation early = orphan("d1", claim(member("x", "d2", 1)), 500, member("c", "d1", 1));
+			ClaimRule.Situation late = orphan("d1", claim(member("x", "d2", 1)), 550, member("c", "d1", 1));
+			assertThat(ClaimRuleTests.this.rule.shouldStepIn(early)).isFalse();
+			assertThat(ClaimRuleTests.this.rule.shouldStepIn(late)).isTrue();
+		}
+
+		@Test
+		void haveTokensOfTheirOwnBetweenTwoClaims() {
+			PoolClaim first = claim(member("x", "d2", 1));
+			long second = PoolClaim.tokenAt(5);
+			List<Long> tokens = List.of("a", "b", "c")
+				.stream()
+				.map((name) -> first.of(member(name, "d1", 1)).fencingToken())
+				.toList();
+			assertThat(tokens).doesNotHaveDuplicates()
+				.allSatisfy((token) -> assertThat(token).isGreaterThan(first.fencingToken()).isLessThan(second));
+		}
+
+		@Test
+		void keepTheTokensOfTheClaimWhenOneFollowsTheOther() {
+			PoolClaim first = claim(member("x", "d2", 1));
+			PoolClaim byC = first.of(member("c", "d1", 1));
+			assertThat(byC.of(member("a", "d1", 1)).fencingToken())
+				.isEqualTo(first.of(member("a", "d1", 1)).fencingToken());
+		}
+
+	}
+
+	@Nested
+	class Records {
+
+		@Test
+		void areReadBack() {
+			ClaimRecord written = new ClaimRecord(SELF, List.of("a", "b"));
+			assertThat(ClaimRecord.read(written.toBytes())).isEqualTo(written);
+			assertThat(MemberRecord.read(SELF.toBytes())).isEqualTo(SELF);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -0,0 +1,179 @@
+package org.masticwick.fleet.process;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticwick.fleet.connection.HttpReply;
+import org.masticwick.fleet.connection.SharedTopic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FleetHost}: several hosts on loopback.
+ */
+class FleetHostTests {
+
+	private static final long RUN_MILLIS = 150;
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private final FleetSite site = new FleetSite(RUN_MILLIS);
+
+	@AfterEach
+	void close() {
+		this.site.close();
+	}
+
+	private void startAll() {
+		List.of("e1", "e2").forEach((id) -> this.site.listEndpoint(id, "d1", true));
+		List.of("e3", "e4").forEach((id) -> this.site.listEndpoint(id, "d2", true));
+		this.site.start("host-1", "d1");
+		this.site.start("host-2", "d1");
+		this.site.start("host-3", "d2");
+		List.of("host-1", "host-2", "host-3").forEach(this::awaitReady);
+	}
+
+	private void awaitReady(String host) {
+		Awaitility.await().atMost(LIMIT).until(() -> this.site.isReady(host));
+	}
+
+	private static String text(HttpReply reply) {
+		return reply.status() + " " + new String(reply.body(), StandardCharsets.UTF_8);
+	}
+
+	private String submit(String host, String jobId) {
+		return text(this.site.submit(host, jobId, 2).orTimeout(LIMIT.toSeconds(), TimeUnit.SECONDS).join());
+	}
+
+	private void awaitServed(String host, String prefix) {
+		int[] number = new int[1];
+		Awaitility.await().atMost(LIMIT).until(() -> submit(host, prefix + number[0]++).equals("200 completed"));
+	}
+
+	@Nested
+	class Serving {
+
+		@Test
+		void answersJobsOfAnyHost() {
+			startAll();
+			assertThat(submit("host-1", "j1")).isEqualTo("200 completed");
+			assertThat(submit("host-2", "j2")).isEqualTo("200 completed");
+			assertThat(submit("host-3", "j3")).isEqualTo("200 completed");
+			assertThat(FleetHostTests.this.site.endpoints().startCount()).isEqualTo(6);
+			assertThat(FleetHostTests.this.site.endpoints().doubled()).isEmpty();
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "POST, /q/, 2, 400", "POST, /q/j, x, 400", "POST, /other/j, 2, 404", "GET, /q/j, '', 410",
+				"DELETE, /q/j, '', 410", "GET, /q/, '', 200", "PATCH, /q/j, '', 405" })
+		void answersWhatItCanAtOnce(String method, String path, String body, int status) {
+			startAll();
+			assertThat(FleetHostTests.this.site.call("host-1", method, path, body).join().status()).isEqualTo(status);
+		}
+
+		@Test
+		void aBodyBeyondTheLimitIsRefused() {
+			startAll();
+			String body = "1".repeat(1_001);
+			assertThat(FleetHostTests.this.site.call("host-1", "POST", "/q/j", body).join().status()).isEqualTo(413);
+		}
+
+		@Test
+		void countsItsAnswers() {
+			startAll();
+			submit("host-1", "j1");
+			assertThat(FleetHostTests.this.site.metrics("host-1"))
+				.contains("masticwick_job_answers_total{outcome=\"COMPLETED\"} 1.0");
+		}
+
+		@Test
+		void anUnreadableVersionChangesNothing() {
+			startAll();
+			FleetHostTests.this.site.log()
+				.append(SharedTopic.OPERATORS, List.of(FleetSite.record("version", "nonsense")));
+			FleetHostTests.this.site.log().append(SharedTopic.ENDPOINTS, List.of(FleetSite.record("e9", "nonsense")));
+			assertThat(submit("host-1", "j1")).isEqualTo("200 completed");
+		}
+
+	}
+
+	@Nested
+	class Stopping {
+
+		@Test
+		void handsRunningJobsToAnotherHost() {
+			startAll();
+			List<CompletableFuture<HttpReply>> jobs = IntStream.range(0, 12)
+				.mapToObj((number) -> FleetHostTests.this.site.submit("host-" + (1 + number % 3), "j" + number, 1))
+				.toList();
+			Awaitility.await().atMost(LIMIT).until(() -> FleetHostTests.this.site.endpoints().runningCount() > 0);
+			FleetHostTests.this.site.leave("host-1");
+			jobs.forEach(
+					(job) -> assertThat(text(job.orTimeout(20, TimeUnit.SECONDS).join())).isEqualTo("200 completed"));
+			assertThat(FleetHostTests.this.site.endpoints().doubled()).isEmpty();
+			awaitServed("host-2", "after-");
+		}
+
+	}
+
+	@Nested
+	class Losing {
+
+		@Test
+		void anotherHostTakesOverAndStartsNothingTwice() {
+			startAll();
+			List<CompletableFuture<HttpReply>> jobs = IntStream.range(0, 6)
+				.mapToObj((number) -> FleetHostTests.this.site.submit("host-3", "j" + number, 1))
+				.toList();
+			Awaitility.await().atMost(LIMIT).until(() -> FleetHostTests.this.site.endpoints().runningCount() > 0);
+			FleetHostTests.this.site.kill("host-1");
+			jobs.forEach((job) -> assertThat(job.orTimeout(20, TimeUnit.SECONDS).join().status()).isIn(200, 502, 503));
+			awaitServed("host-2", "after-");
+			awaitServed("host-3", "then-");
+			assertThat(FleetHostTests.this.site.endpoints().doubled()).isEmpty();
+		}
+
+		@Test
+		void aDeputyStepsInWithoutTheSharedLog() {
+			startAll();
+			List.of("host-2", "host-3").forEach(FleetHostTests.this.site.log()::cutOff);
+			FleetHostTests.this.site.kill("host-1");
+			awaitServed("host-2", "after-");
+			awaitServed("host-3", "then-");
+			assertThat(FleetHostTests.this.site.endpoints().doubled()).isEmpty();
+		}
+
+		@Test
+		void thePoolsAreOneAgainOnceTheSharedLogIsBack() {
+			startAll();
+			List.of("host-2", "host-3").forEach(FleetHostTests.this.site.log()::cutOff);
+			FleetHostTests.this.site.kill("host-1");
+			awaitServed("host-3", "after-");
+			List.of("host-2", "host-3").forEach(FleetHostTests.this.site.log()::reach);
+			awaitServed("host-2", "then-");
+			awaitServed("host-3", "at-last-");
+			assertThat(FleetHostTests.this.site.endpoints().doubled()).isEmpty();
+		}
+
+		@Test
+		void aHostWithoutTheSharedLogFollowsVersionsThroughItsPeers() {
+			startAll();
+			FleetHostTests.this.site.log().cutOff("host-3");
+			FleetHostTests.this.site.publish(7);
+			assertThat(submit("host-3", "j1")).isEqualTo("200 completed");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -0,0 +1,231 @@
+package org.masticwick.fleet.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+
+import org.masticwick.core.pool.EndpointEntry;
+import org.masticwick.core.pool.Resources;
+import org.masticwick.core.pool.StepSpec;
+import org.masticwick.core.process.EntryHost;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+import org.masticwick.fleet.connection.HttpCall;
+import org.masticwick.fleet.connection.HttpCaller;
+import org.masticwick.fleet.connection.HttpReply;
+import org.masticwick.fleet.connection.NewRecord;
+import org.masticwick.fleet.connection.SharedTopic;
+import org.masticwick.fleet.request.CallerFormat;
+import org.masticwick.fleet.request.SubmittedJob;
+import org.masticwick.fleet.version.InvalidRecordException;
+import org.masticwick.fleet.version.QueueRule;
+import org.masticwick.fleet.version.RequestLimits;
+import org.masticwick.fleet.version.SiteFormat;
+import org.masticwick.fleet.version.SiteVersion;
+
+/**
+ * Entry hosts on loopback with a log and endpoints in memory. A version is published as
+ * its number, an endpoint as its failure domain and whether it is ready.
+ */
+final class FleetSite implements AutoCloseable {
+
+	static final String IP = "127.0.0.1";
+
+	private final MemoryLog log = new MemoryLog();
+
+	private final MemoryEndpoints endpoints;
+
+	private final Map<String, Host> hosts = new HashMap<>();
+
+	private final EventLoopGroup callerLoops = new NioEventLoopGroup(1);
+
+	private final HttpCaller caller = new HttpCaller(this.callerLoops.next(), 1_000, 4);
+
+	private long nextIncarnation = 1;
+
+	FleetSite(long runMillis) {
+		this.endpoints = new MemoryEndpoints(runMillis);
+		publish(1);
+	}
+
+	MemoryLog log() {
+		return this.log;
+	}
+
+	MemoryEndpoints endpoints() {
+		return this.endpoints;
+	}
+
+	void publish(long number) {
+		this.log.append(SharedTopic.OPERATORS, List.of(record("version", Long.toString(number))));
+	}
+
+	void listEndpoint(String id, String domain, boolean ready) {
+		this.log.append(SharedTopic.ENDPOINTS, List.of(record(id, domain + "," + ready)));
+	}
+
+	static NewRecord record(String key, String value) {
+		return new NewRecord(key, value.getBytes(StandardCharsets.UTF_8));
+	}
+
+	void start(String name, String domain) {
+		int[] ports = freePorts(4);
+		EventLoopGroup loops = new NioEventLoopGroup(1);
+		FleetSettings settings = new FleetSettings(name, domain, List.of("d1", "d2"), new HostAddress(IP, ports[0]),
+				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000);
+		EntryHost identity = new EntryHost(domain, settings.peerAddress(), new Incarnation(this.nextIncarnation++, 1));
+		FleetHost host = new FleetHost(loops, settings, identity, this.log.seenBy(name, loops.next()),
+				this.endpoints.seenBy(loops.next()), new TextFormat(), new TextCallers());
+		host.start();
+		this.hosts.put(name, new Host(settings, host, loops));
+	}
+
+	/**
+	 * Ends a host as a kill does.
+	 * @param name the host
+	 */
+	void kill(String name) {
+		Host host = this.hosts.remove(name);
+		host.loops().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+	}
+
+	void leave(String name) {
+		this.hosts.get(name).host().leave();
+	}
+
+	boolean isReady(String name) {
+		return call(this.hosts.get(name).settings().readinessAddress(), "GET", "/ready", "").join().status() == 200;
+	}
+
+	String metrics(String name) {
+		HttpReply reply = call(this.hosts.get(name).settings().metricsAddress(), "GET", "/metrics", "").join();
+		return new String(reply.body(), StandardCharsets.UTF_8);
+	}
+
+	CompletableFuture<HttpReply> submit(String name, String jobId, int taskCount) {
+		return call(this.hosts.get(name).settings().callerAddress(), "POST", "/q/" + jobId,
+				Integer.toString(taskCount));
+	}
+
+	CompletableFuture<HttpReply> call(String name, String method, String path, String body) {
+		return call(this.hosts.get(name).settings().callerAddress(), method, path, body);
+	}
+
+	private CompletableFuture<HttpReply> call(HostAddress to, String method, String path, String body) {
+		HttpCall call = new HttpCall(method, path, Map.of("Host", "site", "wait-millis", "8000"),
+				body.getBytes(StandardCharsets.UTF_8), 10_000);
+		return this.caller.call(to, call);
+	}
+
+	@Override
+	public void close() {
+		List.copyOf(this.hosts.keySet()).forEach(this::kill);
+		this.callerLoops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	private static int[] freePorts(int count) {
+		List<ServerSocket> sockets = new ArrayList<>();
+		try {
+			for (int index = 0; index < count; index++) {
+				sockets.add(new ServerSocket(0, 1, InetAddress.getByName(IP)));
+			}
+			int[] ports = sockets.stream().mapToInt(ServerSocket::getLocalPort).toArray();
+			for (ServerSocket socket : sockets) {
+				socket.close();
+			}
+			return ports;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private record Host(FleetSettings settings, FleetHost host, EventLoopGroup loops) {
+	}
+
+	/**
+	 * Reads what the site publishes.
+	 */
+	static final class TextFormat implements SiteFormat {
+
+		@Override
+		public String versionKey() {
+			return "version";
+		}
+
+		@Override
+		public SiteVersion readVersion(byte[] content) {
+			try {
+				long number = Long.parseLong(new String(content, StandardCharsets.UTF_8));
+				QueueRule queue = new QueueRule("queue", "site", "/q/", "service", 0, 2, 2, 200, 0, false);
+				return new SiteVersion(number, List.of(queue), new RequestLimits(1_000, 1_000));
+			}
+			catch (NumberFormatException ex) {
+				throw new InvalidRecordException("no number");
+			}
+		}
+
+		@Override
+		public EndpointEntry readEndpoint(String endpointId, byte[] content) {
+			String[] parts = new String(content, StandardCharsets.UTF_8).split(",");
+			if (parts.length != 2) {
+				throw new InvalidRecordException("no endpoint");
+			}
+			return new EndpointEntry(endpointId, "service", new HostAddress(IP, 9), parts[0],
+					Boolean.parseBoolean(parts[1]), new Resources(8_000, 100, 0), Set.of(), 1);
+		}
+
+	}
+
+	/**
+	 * Reads a job as the number of its tasks.
+	 */
+	static final class TextCallers implements CallerFormat {
+
+		@Override
+		public String waitHeader() {
+			return "wait-millis";
+		}
+
+		@Override
+		public String readinessPath() {
+			return "/ready";
+		}
+
+		@Override
+		public SubmittedJob readJob(byte[] body) {
+			try {
+				int taskCount = Integer.parseInt(new String(body, StandardCharsets.UTF_8));
+				StepSpec step = new StepSpec(taskCount, new Resources(1_000, 1, 0), 100, List.of(), "", "", 0);
+				return new SubmittedJob("payload", List.of(step), true, List.of());
+			}
+			catch (NumberFormatException ex) {
+				throw new InvalidRecordException("no number of tasks");
+			}
+		}
+
+		@Override
+		public byte[] writeEnded(boolean completed) {
+			return (completed ? "completed" : "failed").getBytes(StandardCharsets.UTF_8);
+		}
+
+		@Override
+		public byte[] writeWaiting(int waitingCount) {
+			return Integer.toString(waitingCount).getBytes(StandardCharsets.UTF_8);
+		}
+
+	}
+
+}
