Keep endpoints whose entry has lapsed in use for as long as they may come back

Entries that lapse while their endpoint can't reach the log come back within two seconds. A deletion now counts after 2.5 s only; the test failed before.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -64,9 +64,6 @@
 	/** Hosts that own no pool only need to know the endpoints when they step in. */
 	private static final TopicFollower.Pace SLOW_ENDPOINT_PACE = new TopicFollower.Pace(0, 2_000);
 
-	/** How long an entry that is missing once the log is back may take to return. */
-	private static final long UNLIST_DELAY_MILLIS = 2_500;
-
 	/** How long before its end a stop gives up what still runs. */
 	private static final long STOP_MARGIN_MILLIS = 1_200;
 
@@ -455,8 +452,7 @@
 		public void loaded(Set<String> keys) {
 			Set<String> missing = new HashSet<>(FleetHost.this.ownership.endpointIds());
 			missing.removeAll(keys);
-			missing.forEach((id) -> FleetHost.this.eventLoop.schedule(() -> FleetHost.this.ownership.endpointGone(id),
-					UNLIST_DELAY_MILLIS, TimeUnit.MILLISECONDS));
+			missing.forEach(FleetHost.this.ownership::endpointMissing);
 		}
 
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -50,6 +50,11 @@
 	/** Up to how many endpoints one host can own; a third of a small host's processor. */
 	private static final int MAX_MERGED_ENDPOINTS = 100;
 
+	/**
+	 * An entry that lapsed while the log was away is back two seconds after its return.
+	 */
+	private static final long MISSING_MILLIS = 2_500;
+
 	private final EventLoop eventLoop;
 
 	private final MemberRecord self;
@@ -72,6 +77,8 @@
 
 	private final Map<String, EndpointEntry> endpoints = new HashMap<>();
 
+	private final Map<String, Long> missingSinceMillis = new HashMap<>();
+
 	private final Map<String, Long> orphanedSinceMillis = new HashMap<>();
 
 	private final PoolOwner.Listener ownerListener;
@@ -119,6 +126,7 @@
 
 	void tick() {
 		long nowMillis = Clock.nowMillis();
+		dropMissing(nowMillis);
 		this.domains.forEach((pool) -> watchOwner(pool, nowMillis));
 		if (!this.leaving) {
 			claimOrphans(nowMillis);
@@ -349,7 +357,7 @@
 	void endpointRead(KeyedRecord endpointRecord) {
 		String id = endpointRecord.key();
 		if (endpointRecord.value() == null) {
-			endpointGone(id);
+			endpointMissing(id);
 			return;
 		}
 		try {
@@ -367,6 +375,7 @@
 	}
 
 	private void endpointSeen(EndpointEntry entry) {
+		this.missingSinceMillis.remove(entry.id());
 		EndpointEntry before = this.endpoints.put(entry.id(), entry);
 		if (before == null || before.ready() != entry.ready() || before.bornEpochMillis() != entry.bornEpochMillis()) {
 			logger.atInfo()
@@ -379,10 +388,25 @@
 	}
 
 	/**
-	 * Takes note that an endpoint is not listed any more.
+	 * Takes note that an endpoint is not listed. It counts as gone only if that lasts, as
+	 * entries also lapse while their endpoint is cut off from the log.
 	 * @param id the endpoint
 	 */
-	void endpointGone(String id) {
+	void endpointMissing(String id) {
+		if (this.endpoints.containsKey(id)) {
+			this.missingSinceMillis.putIfAbsent(id, Clock.nowMillis());
+		}
+	}
+
+	private void dropMissing(long nowMillis) {
+		List.copyOf(this.missingSinceMillis.entrySet())
+			.stream()
+			.filter((missing) -> nowMillis - missing.getValue() >= MISSING_MILLIS)
+			.forEach((missing) -> endpointGone(missing.getKey()));
+	}
+
+	private void endpointGone(String id) {
+		this.missingSinceMillis.remove(id);
 		if (this.endpoints.remove(id) != null) {
 			logger.atInfo().addKeyValue("endpoint", id).log("Endpoint no longer listed");
 			this.directory.own().ifPresent((owner) -> owner.endpointUnlisted(id));
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.masticwick.fleet.connection.HttpReply;
+import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedTopic;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -97,6 +99,18 @@
 				.contains("masticwick_job_answers_total{outcome=\"COMPLETED\"} 1.0");
 		}
 
+		@Test
+		void endpointsWhoseEntriesHaveJustLapsedStayInUse() {
+			startAll();
+			FleetHostTests.this.site.log()
+				.append(SharedTopic.ENDPOINTS, Stream.of("e1", "e2", "e3", "e4").map(NewRecord::deletion).toList());
+			long endMillis = Clock.nowMillis() + 1_200;
+			int number = 0;
+			while (Clock.nowMillis() < endMillis) {
+				assertThat(submit("host-1", "j" + number++)).isEqualTo("200 completed");
+			}
+		}
+
 		@Test
 		void anUnreadableVersionChangesNothing() {
 			startAll();
