--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/MemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/MemoryEndpoints.java
@@ -107,10 +107,17 @@
 		endpoint.token = token;
 		leaseEnd.ifPresent((end) -> endpoint.leaseEndMillis = Math.max(endpoint.leaseEndMillis, end));
 		endpoint.ended.removeIf((ended) -> ended.number() <= acknowledged);
-		List<RunningTask> running = endpoint.running.keySet().stream().map((run) -> new RunningTask(run, 50)).toList();
+		List<RunningTask> running = endpoint.running.entrySet()
+			.stream()
+			.map((each) -> new RunningTask(each.getKey(), percent(each.getValue())))
+			.toList();
 		return Optional.of(new EndpointReport(1, now(), running, List.copyOf(endpoint.ended)));
 	}
 
+	private int percent(long beganMillis) {
+		return (int) Math.min(99, (now() - beganMillis) * 100 / this.runMillis);
+	}
+
 	private final class Endpoint {
 
 		private final Map<TaskRun, Long> running = new HashMap<>();
