Refuse what comes late to a stopping host, and answer the rest before the end

From 2.6 s on requests are now refused, which have not run, those taken before have until 5.5 s, and what is left then is answered.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -65,9 +65,12 @@
 	private static final TopicFollower.Pace SLOW_ENDPOINT_PACE = new TopicFollower.Pace(0, 2_000);
 
 	/** How long before its end a stop gives up what still runs. */
-	private static final long STOP_MARGIN_MILLIS = 1_200;
+	private static final long STOP_MARGIN_MILLIS = 500;
 
-	/** How long a stopping host still takes requests, until the balancer has noticed. */
+	/**
+	 * How long a stopping host still takes requests, until the balancer has noticed; what
+	 * comes later is refused, as it might not end in time.
+	 */
 	private static final long MIN_STOP_MILLIS = 2_600;
 
 	private static final PeerMessage MOVED = new PeerMessage.ErrorAnswer("moved", "Another host answers this job");
@@ -157,7 +160,8 @@
 				this.router);
 		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, SLOW_ENDPOINT_PACE,
 				Clock::nowMillis, new EndpointListener());
-		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this.metrics);
+		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this::isClosing,
+				this.metrics);
 		this.callers = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::caller);
 		this.readiness = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::operator);
 		this.ownership.onChange(this::ownershipChanged);
@@ -301,6 +305,10 @@
 		return !this.leaving && this.versions.number() > 0 && !this.directory.candidates(Clock.nowMillis()).isEmpty();
 	}
 
+	private boolean isClosing() {
+		return this.leaving && Clock.nowMillis() - this.leaveMillis >= MIN_STOP_MILLIS;
+	}
+
 	@Override
 	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
 		if (message instanceof PeerMessage.HostReport report) {
@@ -427,6 +435,7 @@
 				.addKeyValue("open_requests", this.router.pendingCount())
 				.addKeyValue("after_ms", sinceMillis)
 				.log("Entry host stopped");
+			this.router.giveUpAll();
 			this.eventLoops.shutdownGracefully(STOP_MARGIN_MILLIS / 10, STOP_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
 		}
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -205,6 +205,14 @@
 			.forEach((routed) -> outcome(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-lost")));
 	}
 
+	/**
+	 * Answers all callers, as the process is about to end.
+	 */
+	void giveUpAll() {
+		List.copyOf(this.pending.values())
+			.forEach((routed) -> answer(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "host-stops")));
+	}
+
 	private void outcome(RoutedJob routed, JobOutcome outcome) {
 		if (outcome.kind() == JobOutcome.Kind.NOT_OWNER && this.pending.containsKey(routed.callNumber)) {
 			routed.tried.clear();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -45,6 +45,9 @@
 	/** When to come back to a host without a version, in milliseconds. */
 	private static final long NO_VERSION_RETRY_MILLIS = 1_000;
 
+	/** When to come back, to another host, after one that stops; in milliseconds. */
+	private static final long STOPPING_RETRY_MILLIS = 100;
+
 	/** When to come back with a kind of job that is not offered, in milliseconds. */
 	private static final long UNSUPPORTED_RETRY_MILLIS = 60_000;
 
@@ -58,14 +61,17 @@
 
 	private final BooleanSupplier ready;
 
+	private final BooleanSupplier closing;
+
 	private final FleetMetrics metrics;
 
 	RequestHandler(VersionHolder versions, JobRouter router, CallerFormat format, BooleanSupplier ready,
-			FleetMetrics metrics) {
+			BooleanSupplier closing, FleetMetrics metrics) {
 		this.versions = versions;
 		this.router = router;
 		this.format = format;
 		this.ready = ready;
+		this.closing = closing;
 		this.metrics = metrics;
 	}
 
@@ -123,6 +129,11 @@
 
 	private void submit(CallerRequest request, CallerExchange exchange, SiteVersion version, QueueRule queue,
 			String jobId) {
+		if (this.closing.getAsBoolean()) {
+			refuse(request, exchange, CallerReply.later(UNAVAILABLE, STOPPING_RETRY_MILLIS), "host-stops",
+					version.number());
+			return;
+		}
 		if (jobId.isEmpty()) {
 			refuse(request, exchange, CallerReply.of(BAD_REQUEST), "no-job-id", version.number());
 			return;
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -141,6 +141,32 @@
 
 	}
 
+	@Nested
+	class StoppingLate {
+
+		private final FleetSite site = new FleetSite(5_000);
+
+		@AfterEach
+		void close() {
+			this.site.close();
+		}
+
+		@Test
+		void refusesWhatComesLateAndAnswersWhatItTookBefore() {
+			this.site.listEndpoint("e1", "d1", true);
+			this.site.start("host-1", "d1");
+			this.site.start("host-2", "d1");
+			Awaitility.await().atMost(LIMIT).until(() -> this.site.isReady("host-1") && this.site.isReady("host-2"));
+			CompletableFuture<HttpReply> taken = this.site.submit("host-1", "j1", 1);
+			Awaitility.await().atMost(LIMIT).until(() -> this.site.endpoints().runningCount() > 0);
+			this.site.leave("host-1");
+			Awaitility.await().pollDelay(Duration.ofMillis(2_700)).until(() -> true);
+			assertThat(this.site.submit("host-1", "late", 1).join().status()).isEqualTo(503);
+			assertThat(text(taken.orTimeout(20, TimeUnit.SECONDS).join())).isEqualTo("200 completed");
+		}
+
+	}
+
 	@Nested
 	class Losing {
 
