--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobSpec.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobSpec.java
@@ -23,8 +23,8 @@
 	 * Returns the number of tasks of all steps.
 	 * @return the number
 	 */
-	public int taskCount() {
-		return this.steps.stream().mapToInt(StepSpec::taskCount).sum();
+	public long taskCount() {
+		return this.steps.stream().mapToLong(StepSpec::taskCount).sum();
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -51,6 +51,9 @@
 	/** When to come back with a kind of job that is not offered, in milliseconds. */
 	private static final long UNSUPPORTED_RETRY_MILLIS = 60_000;
 
+	/** Many times the largest job that is to be carried, which has 560 tasks. */
+	private static final long MAX_TASK_COUNT = 10_000;
+
 	private static final String METRICS_PATH = "/metrics";
 
 	private final VersionHolder versions;
@@ -155,7 +158,12 @@
 					"not-offered " + job.unsupported(), version.number());
 			return;
 		}
-		this.router.route(new JobSpec(jobId, job.payload(), job.steps()), terms(request, version, queue), exchange);
+		JobSpec spec = new JobSpec(jobId, job.payload(), job.steps());
+		if (spec.taskCount() > MAX_TASK_COUNT) {
+			refuse(request, exchange, CallerReply.of(BAD_REQUEST), "too-many-tasks", version.number());
+			return;
+		}
+		this.router.route(spec, terms(request, version, queue), exchange);
 	}
 
 	private static JobTerms terms(CallerRequest request, SiteVersion version, QueueRule queue) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -77,8 +77,8 @@
 		}
 
 		@ParameterizedTest
-		@CsvSource({ "POST, /q/, 2, 400", "POST, /q/j, x, 400", "POST, /other/j, 2, 404", "GET, /q/j, '', 410",
-				"DELETE, /q/j, '', 410", "GET, /q/, '', 200", "PATCH, /q/j, '', 405" })
+		@CsvSource({ "POST, /q/, 2, 400", "POST, /q/j, x, 400", "POST, /q/j, 2000000000, 400", "POST, /other/j, 2, 404",
+				"GET, /q/j, '', 410", "DELETE, /q/j, '', 410", "GET, /q/, '', 200", "PATCH, /q/j, '', 405" })
 		void answersWhatItCanAtOnce(String method, String path, String body, int status) {
 			startAll();
 			assertThat(FleetHostTests.this.site.call("host-1", method, path, body).join().status()).isEqualTo(status);
