--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -74,11 +74,11 @@
 	/**
 	 * Takes note of the progress of the run.
 	 * @param reachedPercent how much of the work is done
-	 * @param nowMillis the time in milliseconds
+	 * @param writtenMillis when the endpoint said so, in milliseconds
 	 */
-	void progressed(int reachedPercent, long nowMillis) {
+	void progressed(int reachedPercent, long writtenMillis) {
 		this.percent = reachedPercent;
-		this.percentMillis = nowMillis;
+		this.percentMillis = Math.max(this.orderedMillis, writtenMillis);
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -11,6 +11,9 @@
  */
 final class PooledEndpoint {
 
+	/** How fast clocks may drift apart, as a share; more than endpoints may be slow. */
+	private static final double MAX_DRIFT = 0.03;
+
 	private final Map<TaskRun, Placement> placements = new LinkedHashMap<>();
 
 	private final EndpointHealth health = new EndpointHealth();
@@ -21,6 +24,10 @@
 
 	private long heardMillis;
 
+	private double clockOffsetMillis;
+
+	private long clockToldMillis = -1;
+
 	private long bornEpochMillis;
 
 	private long acknowledgedEndNumber;
@@ -75,6 +82,29 @@
 		this.heardMillis = nowMillis;
 	}
 
+	/**
+	 * Takes note of the endpoint's clock. Of all reports the one that came with the least
+	 * delay tells best how the clocks differ; older ones count less, as clocks drift.
+	 * @param clockMillis the endpoint's clock when it wrote its report
+	 * @param nowMillis when the report came, in milliseconds
+	 */
+	void clockTold(long clockMillis, long nowMillis) {
+		double driftMillis = MAX_DRIFT * (nowMillis - this.clockToldMillis);
+		boolean first = this.clockToldMillis < 0;
+		double offsetMillis = clockMillis - nowMillis;
+		this.clockOffsetMillis = first ? offsetMillis : Math.max(offsetMillis, this.clockOffsetMillis - driftMillis);
+		this.clockToldMillis = nowMillis;
+	}
+
+	/**
+	 * Returns when a report was written, by the owner's clock.
+	 * @param clockMillis the endpoint's clock in the report
+	 * @return the time in milliseconds
+	 */
+	long writtenMillis(long clockMillis) {
+		return Math.round(clockMillis - this.clockOffsetMillis);
+	}
+
 	long bornEpochMillis() {
 		return this.bornEpochMillis;
 	}
@@ -91,6 +121,7 @@
 		this.bornEpochMillis = newBornEpochMillis;
 		this.acknowledgedEndNumber = 0;
 		this.foreignRunCount = 0;
+		this.clockToldMillis = -1;
 	}
 
 	int foreignRunCount() {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -77,6 +77,8 @@
 
 	void reported(PooledEndpoint endpoint, EndpointReport report, long askedMillis, long nowMillis) {
 		noteBirth(endpoint, report.bornEpochMillis(), nowMillis);
+		endpoint.clockTold(report.clockMillis(), nowMillis);
+		long writtenMillis = endpoint.writtenMillis(report.clockMillis());
 		report.ended()
 			.stream()
 			.filter((ended) -> ended.number() > endpoint.acknowledgedEndNumber())
@@ -85,7 +87,7 @@
 		Set<TaskRun> runningRuns = new HashSet<>();
 		for (RunningTask running : report.running()) {
 			runningRuns.add(running.run());
-			foreignCount += takeRunning(endpoint, running, nowMillis) ? 0 : 1;
+			foreignCount += takeRunning(endpoint, running, writtenMillis, nowMillis) ? 0 : 1;
 		}
 		endpoint.foreignRunCount(foreignCount);
 		endpoint.placements()
@@ -95,10 +97,10 @@
 			.forEach((placement) -> end(placement, EndKind.LOST, nowMillis));
 	}
 
-	private boolean takeRunning(PooledEndpoint endpoint, RunningTask running, long nowMillis) {
+	private boolean takeRunning(PooledEndpoint endpoint, RunningTask running, long writtenMillis, long nowMillis) {
 		return endpoint.placement(running.run()).map((placement) -> {
 			placement.accept(nowMillis);
-			placement.progressed(running.percent(), nowMillis);
+			placement.progressed(running.percent(), writtenMillis);
 			return true;
 		}).orElseGet(() -> {
 			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -250,6 +250,18 @@
 			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(start.run());
 		}
 
+		@Test
+		void aReportThatComesLateDoesNotMakeARunLookSlow() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start start = lastStart();
+			PoolSchedulerTests.this.scheduler.startAccepted(start.endpointId(), start.run(), 11);
+			report(start.endpointId().equals("a") ? "b" : "a", List.of(), List.of(), 399, 400);
+			PoolSchedulerTests.this.scheduler.reported(start.endpointId(),
+					new EndpointReport(0, 80, List.of(new RunningTask(start.run(), 70)), List.of()), 20, 400);
+			PoolSchedulerTests.this.scheduler.tick(401);
+			assertThat(PoolSchedulerTests.this.actions.stops()).isEmpty();
+		}
+
 		@Test
 		void progressThatWasToldLongAgoIsNotTakenForSlowness() {
 			submit(job("j", step(1, 1_000, 100)), 10);
