--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/HttpCaller.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/HttpCaller.java
@@ -72,17 +72,6 @@
 		return answer;
 	}
 
-	/**
-	 * Closes the unused connections to an address.
-	 * @param to the address
-	 */
-	public void forget(HostAddress to) {
-		Deque<HttpExchangeHandler> unused = this.idle.remove(to);
-		if (unused != null) {
-			unused.forEach(HttpExchangeHandler::close);
-		}
-	}
-
 	private HttpExchangeHandler takeIdle(HostAddress to) {
 		Deque<HttpExchangeHandler> unused = this.idle.get(to);
 		while (unused != null && !unused.isEmpty()) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -123,8 +123,6 @@
 
 	private PeerTransport transport;
 
-	private boolean registered;
-
 	private boolean leaving;
 
 	private long leaveMillis;
@@ -218,8 +216,7 @@
 		this.log.append(SharedTopic.MEMBERS,
 				List.of(new NewRecord(MEMBER_PREFIX + this.self.hostName(), this.self.toBytes())), OptionalLong.empty())
 			.whenComplete((offset, error) -> {
-				this.registered = error == null;
-				if (!this.registered) {
+				if (error != null) {
 					this.eventLoop.schedule(this::register, 2 * REPORT_MILLIS, TimeUnit.MILLISECONDS);
 				}
 			});
