Unwrap the errors of futures in one place, and remove state that nothing reads

The same line stood in four classes; TopicFollower kept a time that nobody asked for; a counter had a class of its own. No behaviour changes. Tests of the module masticwick-fleet pass (37 of FleetHost, ClaimRule, EndpointLease).

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallException.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallException.java
@@ -1,5 +1,7 @@
 package org.masticwick.fleet.connection;
 
+import java.util.concurrent.CompletionException;
+
 /**
  * Thrown when a call over HTTP has no usable answer.
  */
@@ -32,6 +34,15 @@
 		this.status = status;
 	}
 
+	/**
+	 * Takes off what a future wraps around the error that it ended with.
+	 * @param error the error of a future
+	 * @return the error behind it
+	 */
+	public static Throwable unwrapped(Throwable error) {
+		return (error instanceof CompletionException) ? error.getCause() : error;
+	}
+
 	/**
 	 * Returns what went wrong.
 	 * @return the code
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -2,11 +2,9 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -34,8 +32,6 @@
 
 	private final Listener listener;
 
-	private final LongSupplier nowMillis;
-
 	private Pace pace;
 
 	private final Set<String> seenKeys = new HashSet<>();
@@ -46,8 +42,6 @@
 
 	private long backoffMillis = MIN_BACKOFF_MILLIS;
 
-	private long answeredMillis = Long.MIN_VALUE / 2;
-
 	private boolean lost;
 
 	/**
@@ -56,16 +50,13 @@
 	 * @param log the shared log
 	 * @param topic the topic
 	 * @param pace how often and how long to ask
-	 * @param nowMillis tells the time in milliseconds
 	 * @param listener hears of the records
 	 */
-	public TopicFollower(EventLoop eventLoop, SharedLog log, SharedTopic topic, Pace pace, LongSupplier nowMillis,
-			Listener listener) {
+	public TopicFollower(EventLoop eventLoop, SharedLog log, SharedTopic topic, Pace pace, Listener listener) {
 		this.eventLoop = eventLoop;
 		this.log = log;
 		this.topic = topic;
 		this.pace = pace;
-		this.nowMillis = nowMillis;
 		this.listener = listener;
 	}
 
@@ -92,14 +83,6 @@
 		return this.nextOffset;
 	}
 
-	/**
-	 * Returns when the log answered last.
-	 * @return the time in milliseconds
-	 */
-	public long answeredMillis() {
-		return this.answeredMillis;
-	}
-
 	private void load(String afterKey) {
 		if (afterKey.isEmpty()) {
 			this.seenKeys.clear();
@@ -151,7 +134,6 @@
 	}
 
 	private void answered() {
-		this.answeredMillis = this.nowMillis.getAsLong();
 		this.backoffMillis = MIN_BACKOFF_MILLIS;
 		if (this.lost) {
 			this.lost = false;
@@ -160,7 +142,7 @@
 	}
 
 	private void failed(Throwable error) {
-		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		Throwable cause = CallException.unwrapped(error);
 		if (!this.lost) {
 			this.lost = true;
 			logger.atWarn()
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -157,7 +157,7 @@
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
 		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, SLOW_ENDPOINT_PACE,
-				Clock::nowMillis, new EndpointListener());
+				new EndpointListener());
 		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this::isClosing,
 				this.metrics);
 		this.callers = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::caller);
@@ -166,7 +166,7 @@
 	}
 
 	private TopicFollower follower(SharedTopic topic, TopicFollower.Pace pace, TopicFollower.Listener listener) {
-		return new TopicFollower(this.eventLoop, this.log, topic, pace, Clock::nowMillis, listener);
+		return new TopicFollower(this.eventLoop, this.log, topic, pace, listener);
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -20,6 +19,7 @@
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolChoice;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerFormat;
 import org.masticwick.fleet.request.CallerReply;
@@ -166,7 +166,7 @@
 	}
 
 	private static boolean maySent(Throwable error) {
-		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		Throwable cause = CallException.unwrapped(error);
 		return !(cause instanceof PeerException peer) || peer.sent();
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -234,7 +233,7 @@
 	}
 
 	private static boolean isConflict(Throwable error) {
-		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		Throwable cause = CallException.unwrapped(error);
 		return cause instanceof CallException call && call.code() == CallException.Code.CONFLICT;
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -27,7 +27,7 @@
 	private final Map<String, Long> claimedMillis = new HashMap<>();
 
 	/** What was sent to a pool since its last report, in thousandths of a core. */
-	private final Map<String, Sent> sent = new HashMap<>();
+	private final Map<String, Long> sentMillicores = new HashMap<>();
 
 	private PoolOwner own;
 
@@ -134,11 +134,11 @@
 	}
 
 	void noteSent(String pool, long millicores) {
-		this.sent.computeIfAbsent(pool, (name) -> new Sent()).millicores += millicores;
+		this.sentMillicores.merge(pool, millicores, Long::sum);
 	}
 
 	void reportSeen(String pool) {
-		this.sent.remove(pool);
+		this.sentMillicores.remove(pool);
 	}
 
 	private Set<String> pools() {
@@ -173,17 +173,11 @@
 					: Optional.of(new PoolChoice.Candidate(pool, local, true, 0, 0));
 		}
 		boolean doubtful = this.peers.ageMillis(address, nowMillis) > PeerTable.DOUBT_MILLIS;
-		long sentMillicores = this.sent.containsKey(pool) ? this.sent.get(pool).millicores : 0;
+		long waitingMillicores = this.sentMillicores.getOrDefault(pool, 0L);
 		return this.peers.report(address)
 			.flatMap((report) -> report.pools().stream().filter((each) -> each.pool().equals(pool)).findFirst())
 			.map((report) -> new PoolChoice.Candidate(pool, local, doubtful,
-					report.load().freeMillicores() - sentMillicores, report.load().backlogMillis()));
-	}
-
-	private static final class Sent {
-
-		private long millicores;
-
+					report.load().freeMillicores() - waitingMillicores, report.load().backlogMillis()));
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -7,7 +7,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -394,7 +393,7 @@
 	}
 
 	private static CallException cause(Throwable error) {
-		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		Throwable cause = CallException.unwrapped(error);
 		if (cause instanceof CallException call) {
 			return call;
 		}
