--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
@@ -10,9 +10,10 @@
  * another has room; a failure domain that is cut off has an owner of its own until it is
  * back. On a larger site each failure domain has its own.
  * <p>
- * Hosts take their turn: those that own pools already, then by name, each a little later
- * than the one before. Who claims at the same time is told apart by the shared log, and
- * orders of an owner that is not one any more are refused by the endpoints.
+ * Hosts take their turn: those that own pools already, then the strongest, then by name,
+ * each a little later than the one before. Who claims at the same time is told apart by
+ * the shared log, and orders of an owner that is not one any more are refused by the
+ * endpoints.
  */
 final class ClaimRule {
 
@@ -94,7 +95,7 @@
 		List<MemberRecord> candidates = Stream.concat(Stream.of(this.self), situation.living().stream())
 			.filter((member) -> situation.merged() || member.domain().equals(situation.domain()))
 			.sorted(Comparator.comparing((MemberRecord member) -> !situation.owners().contains(member.hostName()))
-				.thenComparing(MemberRecord::hostName))
+				.thenComparing(MemberRecord.STRONGEST_FIRST))
 			.toList();
 		return candidates.indexOf(this.self);
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -145,7 +145,7 @@
 		this.log = log;
 		this.versionKey = siteFormat.versionKey();
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
-				entryHost.incarnation());
+				entryHost.incarnation(), settings.processorMillicores());
 		this.versions = new VersionHolder(siteFormat);
 		this.peers = new PeerTable(Clock.nowMillis());
 		this.directory = new PoolDirectory(this.self, this.peers);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetSettings.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetSettings.java
@@ -15,7 +15,9 @@
  * @param peerAddress where other entry hosts connect
  * @param metricsAddress where metrics and the state are served
  * @param stopGraceMillis how long the process has to stop after a signal, in milliseconds
+ * @param processorMillicores how much processor the host has, in thousandths of a core
  */
 public record FleetSettings(String hostName, String domain, List<String> domains, HostAddress callerAddress,
-		HostAddress readinessAddress, HostAddress peerAddress, HostAddress metricsAddress, long stopGraceMillis) {
+		HostAddress readinessAddress, HostAddress peerAddress, HostAddress metricsAddress, long stopGraceMillis,
+		int processorMillicores) {
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
@@ -1,6 +1,7 @@
 package org.masticwick.fleet.process;
 
 import java.io.IOException;
+import java.util.Comparator;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -20,10 +21,17 @@
  * @param domain its failure domain
  * @param peerAddress where its peers connect
  * @param incarnation the run of its process
+ * @param processorMillicores how much processor it has, in thousandths of a core
  */
-record MemberRecord(String hostName, String domain, HostAddress peerAddress, Incarnation incarnation) {
+record MemberRecord(String hostName, String domain, HostAddress peerAddress, Incarnation incarnation,
+		int processorMillicores) {
 
-	private static final int FIELD_COUNT = 4;
+	/** Those that should own pools first: the strongest, then by name. */
+	static final Comparator<MemberRecord> STRONGEST_FIRST = Comparator.comparingInt(MemberRecord::processorMillicores)
+		.reversed()
+		.thenComparing(MemberRecord::hostName);
+
+	private static final int FIELD_COUNT = 5;
 
 	byte[] toBytes() {
 		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -41,6 +49,7 @@
 		out.packString(this.domain);
 		out.packString(this.peerAddress.toString());
 		out.packString(this.incarnation.toString());
+		out.packInt(this.processorMillicores);
 	}
 
 	static MemberRecord read(MessageUnpacker in) throws IOException {
@@ -48,7 +57,7 @@
 			throw new InvalidRecordException("Member with another number of fields");
 		}
 		return new MemberRecord(in.unpackString(), in.unpackString(), HostAddress.parse(in.unpackString()),
-				Incarnation.parse(in.unpackString()));
+				Incarnation.parse(in.unpackString()), in.unpackInt());
 	}
 
 	static MemberRecord read(byte[] bytes) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -206,9 +206,9 @@
 	private ClaimRecord claimRecord(String pool) {
 		List<String> deputies = Stream.concat(Stream.of(this.self), this.peers.members().stream())
 			.filter((member) -> member.domain().equals(pool))
+			.sorted(MemberRecord.STRONGEST_FIRST)
 			.map(MemberRecord::hostName)
 			.distinct()
-			.sorted()
 			.limit(PoolClaim.MAX_DEPUTIES)
 			.toList();
 		return new ClaimRecord(this.self, deputies);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -61,7 +61,8 @@
 	void greeted(HostAddress address, Incarnation incarnation) {
 		Peer peer = this.peers.get(address);
 		if (peer != null && peer.member != null && peer.member.incarnation().compareTo(incarnation) < 0) {
-			peer.member = new MemberRecord(peer.member.hostName(), peer.member.domain(), address, incarnation);
+			peer.member = new MemberRecord(peer.member.hostName(), peer.member.domain(), address, incarnation,
+					peer.member.processorMillicores());
 		}
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -42,6 +42,9 @@
 	/** How long two owners must have heard each other before one gives way. */
 	private static final long STABLE_MILLIS = 3_000;
 
+	/** How much more processor makes a handover worth its cost, as a factor. */
+	private static final double STRONGER_FACTOR = 1.5;
+
 	private final EventLoop eventLoop;
 
 	private final MemberRecord self;
@@ -85,7 +88,8 @@
 		if (owner.isEmpty() || nowMillis < this.nextTryMillis) {
 			return;
 		}
-		Optional<MemberRecord> next = this.leaving ? successor(nowMillis) : greaterOwner(owner.get(), nowMillis);
+		Optional<MemberRecord> next = this.leaving ? successor(nowMillis)
+				: greaterOwner(owner.get(), nowMillis).or(() -> strongerHost(nowMillis));
 		next.ifPresent((member) -> handOver(owner.get(), member, nowMillis));
 	}
 
@@ -98,9 +102,23 @@
 			.stream()
 			.filter((member) -> merged || member.domain().equals(this.self.domain()))
 			.max(Comparator.comparing((MemberRecord member) -> this.directory.poolCount(member.peerAddress()))
+				.thenComparing(MemberRecord::processorMillicores)
 				.thenComparing(MemberRecord::incarnation));
 	}
 
+	// On a site with hosts of several sizes, an owner that stood in for a strong host
+	// that
+	// was away gives way once that is back.
+	private Optional<MemberRecord> strongerHost(long nowMillis) {
+		boolean merged = this.ownership.isMerged();
+		return this.peers.heard(nowMillis)
+			.stream()
+			.filter((member) -> merged || member.domain().equals(this.self.domain()))
+			.filter((member) -> this.peers.heardForMillis(member.peerAddress(), nowMillis) >= STABLE_MILLIS)
+			.filter((member) -> member.processorMillicores() >= STRONGER_FACTOR * this.self.processorMillicores())
+			.min(MemberRecord.STRONGEST_FIRST);
+	}
+
 	private Optional<MemberRecord> greaterOwner(PoolOwner owner, long nowMillis) {
 		if (!this.ownership.isMerged()) {
 			return Optional.empty();
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ClaimRuleTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ClaimRuleTests.java
@@ -22,8 +22,12 @@
 	private final ClaimRule rule = new ClaimRule(SELF);
 
 	private static MemberRecord member(String name, String domain, long started) {
+		return member(name, domain, started, 750);
+	}
+
+	private static MemberRecord member(String name, String domain, long started, int processorMillicores) {
 		return new MemberRecord(name, domain, new HostAddress("10.0.0." + (int) name.charAt(0), 1),
-				new Incarnation(started, 1));
+				new Incarnation(started, 1), processorMillicores);
 	}
 
 	private static PoolClaim claim(MemberRecord owner) {
@@ -58,6 +62,16 @@
 			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 300, member("a", "d1", 1)))).isTrue();
 		}
 
+		@Test
+		void theStrongestHostGoesFirst() {
+			PoolClaim lost = claim(member("x", "d1", 1));
+			MemberRecord weak = member("a", "d1", 1, 360);
+			MemberRecord strong = member("c", "d1", 1, 1_500);
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 0, weak))).isTrue();
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 0, weak, strong))).isFalse();
+			assertThat(ClaimRuleTests.this.rule.shouldClaim(orphan("d1", lost, 300, weak, strong))).isTrue();
+		}
+
 		@Test
 		void leavesAFailureDomainAloneThatItDoesNotHear() {
 			PoolClaim lost = claim(member("x", "d2", 1));
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -84,7 +84,8 @@
 		int[] ports = freePorts(4);
 		EventLoopGroup loops = new NioEventLoopGroup(1);
 		FleetSettings settings = new FleetSettings(name, domain, List.of("d1", "d2"), new HostAddress(IP, ports[0]),
-				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000);
+				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000,
+				750);
 		EntryHost identity = new EntryHost(domain, settings.peerAddress(), new Incarnation(this.nextIncarnation++, 1));
 		FleetHost host = new FleetHost(loops, settings, identity, this.log.seenBy(name, loops.next()),
 				this.endpoints.seenBy(loops.next()), new TextFormat(), new TextCallers());
