--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobActions.java
@@ -0,0 +1,47 @@
+package org.masticwick.core.pool;
+
+/**
+ * Keeps durable jobs in the shared log and answers those who wait for that. No method may
+ * call the jobs back before it returns.
+ */
+public interface DurableJobActions {
+
+	/**
+	 * Writes what a job is.
+	 * @param pool the pool that the job belongs to
+	 * @param job the job
+	 */
+	void define(String pool, DurableJob job);
+
+	/**
+	 * Writes how far a job is; a later call for the same job replaces one that was not
+	 * carried out yet. {@link DurableJobs#stored} tells when that is done.
+	 * @param pool the pool that the job belongs to
+	 * @param jobId the job
+	 * @param revision the number of the change
+	 */
+	void write(String pool, String jobId, long revision);
+
+	/**
+	 * Removes a job that has ended.
+	 * @param pool the pool that the job belongs to
+	 * @param jobId the job
+	 * @param progressToo whether its state need not be told any more either
+	 */
+	void remove(String pool, String jobId, boolean progressToo);
+
+	/**
+	 * Answers who submitted a job.
+	 * @param origin who waits
+	 * @param jobId the job
+	 * @param outcome the answer
+	 */
+	void answer(JobOrigin origin, String jobId, JobOutcome outcome);
+
+	/**
+	 * Answers who cancelled a job, as it has ended.
+	 * @param jobId the job
+	 */
+	void cancelled(String jobId);
+
+}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
@@ -0,0 +1,76 @@
+package org.masticwick.core.pool;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Tells which ends of an endpoint were taken in, and up to which one it may forget them:
+ * an end of a durable job is kept until the shared log has it.
+ */
+final class EndCursor {
+
+	/** Ends that belong to no known task, but may belong to a job that is still read. */
+	private final Set<Long> unresolved = new HashSet<>();
+
+	/** Ends that the endpoint has to keep. */
+	private final TreeSet<Long> kept = new TreeSet<>();
+
+	private long lastNumber;
+
+	/**
+	 * Returns whether an end was not taken in yet.
+	 * @param number the number of the end
+	 * @return whether it is new, or could not be told before
+	 */
+	boolean isOpen(long number) {
+		return number > this.lastNumber || this.unresolved.contains(number);
+	}
+
+	void takenIn(long number) {
+		this.lastNumber = Math.max(this.lastNumber, number);
+		if (this.unresolved.remove(number)) {
+			this.kept.remove(number);
+		}
+	}
+
+	/**
+	 * Takes in an end whose task is not known yet.
+	 * @param number the number of the end
+	 */
+	void unresolved(long number) {
+		this.lastNumber = Math.max(this.lastNumber, number);
+		this.unresolved.add(number);
+		this.kept.add(number);
+	}
+
+	/**
+	 * Takes in an end that the endpoint has to keep until it is stored.
+	 * @param number the number of the end
+	 */
+	void takenInUnstored(long number) {
+		takenIn(number);
+		this.kept.add(number);
+	}
+
+	void stored(long number) {
+		this.kept.remove(number);
+	}
+
+	/**
+	 * Returns whether the endpoint keeps ends that were taken in.
+	 * @return whether it would list them at once when asked
+	 */
+	boolean hasKept() {
+		return !this.kept.isEmpty();
+	}
+
+	/**
+	 * Returns up to which end the endpoint may forget its list.
+	 * @return the number of the end, or 0
+	 */
+	long acknowledgedNumber() {
+		return this.kept.isEmpty() ? this.lastNumber : this.kept.first() - 1;
+	}
+
+}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointChoice.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointChoice.java
@@ -32,7 +32,7 @@
 		PooledEndpoint best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (PooledEndpoint endpoint : endpoints) {
-			if (endpoint.free().fits(task.step().need()) && suits(endpoint, task, nowMillis)) {
+			if (endpoint.free().fits(task.step().reserved()) && suits(endpoint, task, nowMillis)) {
 				double cost = cost(endpoint, task.step());
 				if (cost < bestCost) {
 					best = endpoint;
@@ -58,6 +58,7 @@
 	private boolean suits(PooledEndpoint endpoint, PooledTask task, long nowMillis) {
 		StepSpec step = task.step();
 		return endpoint.takesTasks(nowMillis, this.silenceLimitMillis) && couldRun(task, endpoint)
+				&& !endpoint.disturbs(step)
 				&& (step.maxPerEndpoint() == 0 || endpoint.countOfStep(task) < step.maxPerEndpoint());
 	}
 
@@ -66,7 +67,7 @@
 	}
 
 	private static double cost(PooledEndpoint endpoint, StepSpec step) {
-		double leftMillicores = endpoint.free().cpuMillicores() - step.need().cpuMillicores();
+		double leftMillicores = endpoint.free().cpuMillicores() - step.reserved().cpuMillicores();
 		double slownessMillicores = SLOWNESS_MILLICORES * endpoint.health().slowness();
 		boolean far = !hasLabel(endpoint.entry(), step.dataRack());
 		return leftMillicores + slownessMillicores + (far ? FAR_FROM_DATA_MILLICORES : 0);
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
@@ -0,0 +1,115 @@
+package org.masticwick.core.pool;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The endpoints of the pools that one owner orders.
+ */
+final class EndpointTable {
+
+	private final Map<String, PooledEndpoint> endpoints = new LinkedHashMap<>();
+
+	private final EndpointChoice choice;
+
+	private final long silenceLimitMillis;
+
+	EndpointTable(long silenceLimitMillis) {
+		this.silenceLimitMillis = silenceLimitMillis;
+		this.choice = new EndpointChoice(silenceLimitMillis);
+	}
+
+	PooledEndpoint listed(EndpointEntry entry) {
+		PooledEndpoint endpoint = this.endpoints.computeIfAbsent(entry.id(), (id) -> new PooledEndpoint(entry));
+		endpoint.entry(entry);
+		return endpoint;
+	}
+
+	/**
+	 * Takes note that an endpoint is not listed any more; it gets no new tasks.
+	 * @param endpointId the endpoint
+	 */
+	void unlisted(String endpointId) {
+		find(endpointId).ifPresent((endpoint) -> {
+			endpoint.unlist();
+			dropIfGone(endpoint);
+		});
+	}
+
+	/**
+	 * Forgets an endpoint that is not listed and holds no run.
+	 * @param endpoint the endpoint
+	 */
+	void dropIfGone(PooledEndpoint endpoint) {
+		if (!endpoint.isListed() && endpoint.placementCount() == 0) {
+			this.endpoints.remove(endpoint.entry().id());
+		}
+	}
+
+	Optional<PooledEndpoint> remove(String endpointId) {
+		return Optional.ofNullable(this.endpoints.remove(endpointId));
+	}
+
+	Optional<PooledEndpoint> find(String endpointId) {
+		return Optional.ofNullable(this.endpoints.get(endpointId));
+	}
+
+	Optional<Placement> find(String endpointId, TaskRun run) {
+		return find(endpointId).flatMap((endpoint) -> endpoint.placement(run));
+	}
+
+	Collection<PooledEndpoint> all() {
+		return this.endpoints.values();
+	}
+
+	List<EndpointEntry> transfer() {
+		return all().stream().map(PooledEndpoint::transfer).toList();
+	}
+
+	/**
+	 * Chooses where to start a task.
+	 * @param task the task
+	 * @param nowMillis the time in milliseconds
+	 * @return the endpoint, or empty if none has room
+	 */
+	Optional<PooledEndpoint> choose(PooledTask task, long nowMillis) {
+		return this.choice.choose(task, all(), nowMillis);
+	}
+
+	boolean hasRoomElsewhere(Placement placement, long nowMillis) {
+		return all().stream()
+			.filter((endpoint) -> endpoint != placement.endpoint())
+			.anyMatch((endpoint) -> this.choice.choose(placement.task(), List.of(endpoint), nowMillis).isPresent());
+	}
+
+	/**
+	 * Returns whether each task of a job could run on some endpoint, if that were idle.
+	 * The tasks of a step are alike.
+	 * @param job the job
+	 * @return whether it could be done
+	 */
+	boolean couldRun(PooledJob job) {
+		return job.firstTasks()
+			.stream()
+			.allMatch((task) -> all().stream().anyMatch((endpoint) -> this.choice.couldRun(task, endpoint)));
+	}
+
+	long totalMillicores() {
+		return all().stream()
+			.filter((endpoint) -> endpoint.isListed() && endpoint.entry().ready())
+			.filter((endpoint) -> !endpoint.health().isSuspected())
+			.mapToLong((endpoint) -> endpoint.entry().capacity().cpuMillicores())
+			.sum();
+	}
+
+	long freeMillicores(long nowMillis) {
+		return all().stream()
+			.filter((endpoint) -> endpoint.takesTasks(nowMillis, this.silenceLimitMillis))
+			.mapToLong((endpoint) -> Math.max(0, endpoint.free().cpuMillicores()))
+			.sum();
+	}
+
+}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobOrigin.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobOrigin.java
@@ -7,4 +7,8 @@
  * @param callNumber the number of the call on that host
  */
 public record JobOrigin(String host, long callNumber) {
+
+	/** Nobody waits. */
+	public static final JobOrigin NONE = new JobOrigin("", 0);
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobOutcome.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobOutcome.java
@@ -37,7 +37,10 @@
 		UNCERTAIN,
 
 		/** No task was started here, as another host owns the pool or is about to. */
-		NOT_OWNER
+		NOT_OWNER,
+
+		/** The job is kept and will be done. */
+		ACCEPTED
 
 	}
 
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PlacementMisses.java
@@ -0,0 +1,47 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Remembers for one round of starts what had no place, so that what needs as much or more
+ * is not tried again. That keeps a round short while many jobs wait.
+ */
+final class PlacementMisses {
+
+	private final List<Miss> misses = new ArrayList<>();
+
+	/**
+	 * Returns whether a task certainly has no place.
+	 * @param task the task
+	 * @return whether one that needs no more had none
+	 */
+	boolean covers(PooledTask task) {
+		return this.misses.stream().anyMatch((miss) -> miss.covers(task));
+	}
+
+	void add(PooledTask task) {
+		this.misses.add(new Miss(task.job().terms().service(), task.step()));
+	}
+
+	int count() {
+		return this.misses.size();
+	}
+
+	private record Miss(String service, StepSpec step) {
+
+		private boolean covers(PooledTask task) {
+			StepSpec other = task.step();
+			return isOrdinary() && this.service.equals(task.job().terms().service())
+					&& this.step.requiredLabel().equals(other.requiredLabel())
+					&& other.reserved().fits(this.step.reserved());
+		}
+
+		// A miss for a reason of its own says nothing of other tasks.
+		private boolean isOrdinary() {
+			return this.step.maxPerEndpoint() == 0 && this.step.traits().equals(StepTraits.USUAL);
+		}
+
+	}
+
+}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
@@ -11,8 +11,9 @@
 	 * @param endpoint the endpoint
 	 * @param run the run
 	 * @param payload what to run
+	 * @param checkpoint where to go on from, or an empty string
 	 */
-	void start(EndpointEntry endpoint, TaskRun run, String payload);
+	void start(EndpointEntry endpoint, TaskRun run, String payload, String checkpoint);
 
 	/**
 	 * Orders an endpoint to stop a run, or never to start it.
@@ -29,4 +30,12 @@
 	 */
 	void answer(PooledJob job, JobOutcome outcome);
 
+	/**
+	 * Takes note that a run of a durable job has ended. The endpoint keeps the end until
+	 * {@link PoolScheduler#endStored} says that it need not.
+	 * @param job the job
+	 * @param end the end
+	 */
+	void ended(PooledJob job, EndReference end);
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -1,12 +1,13 @@
 package org.masticwick.core.pool;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 /**
  * Decides for the owner of a pool which job is taken, which task starts where and when,
@@ -17,14 +18,14 @@
  */
 public final class PoolScheduler {
 
-	/** After how many jobs in a row without a place the rest has to wait. */
-	private static final int MAX_JOBS_WITHOUT_PLACE = 40;
+	/** After how many kinds of task without a place a round of starts ends. */
+	private static final int MAX_MISSES = 40;
 
 	private final PoolSettings settings;
 
 	private final PoolActions actions;
 
-	private final Map<String, PooledEndpoint> endpoints = new LinkedHashMap<>();
+	private final EndpointTable endpoints;
 
 	private final Map<String, PooledJob> jobs = new HashMap<>();
 
@@ -40,10 +41,18 @@
 
 	private final AdmissionRule admission = new AdmissionRule();
 
-	private final EndpointChoice choice;
+	private final TaskStarter starter;
 
 	private final RunLedger ledger;
 
+	/**
+	 * Tasks of durable jobs whose endpoint went to another owner, and when their runs are
+	 * certainly over, in milliseconds.
+	 */
+	private final Map<PooledTask, Long> uncertain = new LinkedHashMap<>();
+
+	private BooleanSupplier unreadJobs = () -> false;
+
 	private long nextSequence;
 
 	/**
@@ -54,8 +63,18 @@
 	public PoolScheduler(PoolSettings settings, PoolActions actions) {
 		this.settings = settings;
 		this.actions = actions;
-		this.choice = new EndpointChoice(settings.silenceLimitMillis());
-		this.ledger = new RunLedger(settings, actions, this::runEnded);
+		this.endpoints = new EndpointTable(settings.silenceLimitMillis());
+		this.starter = new TaskStarter(this.endpoints, this.runTimes, actions);
+		this.ledger = new RunLedger(settings, actions, new LedgerJobs());
+	}
+
+	/**
+	 * Tells how to find out whether durable jobs of the pool are still to be read; until
+	 * then unknown runs are left alone.
+	 * @param supplier the question
+	 */
+	public void unreadJobs(BooleanSupplier supplier) {
+		this.unreadJobs = supplier;
 	}
 
 	/**
@@ -101,27 +120,22 @@
 	}
 
 	private Optional<JobOutcome> refusal(PooledJob job, long nowMillis) {
-		if (!couldRun(job)) {
+		if (!this.endpoints.couldRun(job)) {
 			return Optional.of(this.admission.refuse("no-fitting-endpoint", backlogMillis()));
 		}
+		if (job.spec().schedule().isTimed() || job.firstTasks().stream().anyMatch(PooledTask::isLongRunning)) {
+			return Optional.empty();
+		}
 		double waitMillis = drainMillis(this.queue.workBefore(job.latestStartMillis(), nowMillis));
 		return this.admission.refusal(job, waitMillis, backlogMillis(), nowMillis);
 	}
 
-	private boolean couldRun(PooledJob job) {
-		return job.allTasks()
-			.stream()
-			.allMatch((task) -> this.endpoints.values()
-				.stream()
-				.anyMatch((endpoint) -> this.choice.couldRun(task, endpoint)));
-	}
-
 	private double backlogMillis() {
 		return drainMillis(this.queue.work());
 	}
 
 	private double drainMillis(double work) {
-		double usable = totalCpuMillicores() * this.settings.usableShare();
+		double usable = this.endpoints.totalMillicores() * this.settings.usableShare();
 		return (usable > 0) ? work / usable : 0;
 	}
 
@@ -155,7 +169,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void abandon(long nowMillis) {
-		List.copyOf(this.jobs.values()).forEach((job) -> {
+		callersJobs().toList().forEach((job) -> {
 			JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
 			finish(job, new JobOutcome(kind, 0, "owner-changed"), nowMillis);
 		});
@@ -167,8 +181,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void endpointListed(EndpointEntry entry, long nowMillis) {
-		PooledEndpoint endpoint = this.endpoints.computeIfAbsent(entry.id(), (id) -> new PooledEndpoint(entry));
-		endpoint.entry(entry);
+		PooledEndpoint endpoint = this.endpoints.listed(entry);
 		this.ledger.noteBirth(endpoint, entry.bornEpochMillis(), nowMillis);
 	}
 
@@ -178,14 +191,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void endpointUnlisted(String endpointId, long nowMillis) {
-		PooledEndpoint endpoint = this.endpoints.get(endpointId);
-		if (endpoint == null) {
-			return;
-		}
-		endpoint.unlist();
-		if (endpoint.placementCount() == 0) {
-			this.endpoints.remove(endpointId);
-		}
+		this.endpoints.unlisted(endpointId);
 	}
 
 	/**
@@ -195,22 +201,26 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void endpointRevoked(String endpointId, long nowMillis) {
-		PooledEndpoint endpoint = this.endpoints.remove(endpointId);
-		if (endpoint == null) {
-			return;
+		this.endpoints.remove(endpointId)
+			.ifPresent((endpoint) -> endpoint.placements()
+				.forEach((placement) -> revoked(endpoint, placement, nowMillis)));
+	}
+
+	private void revoked(PooledEndpoint endpoint, Placement placement, long nowMillis) {
+		PooledTask task = placement.task();
+		PooledJob job = task.job();
+		endpoint.remove(placement);
+		task.placement(null);
+		job.removePlacement();
+		if (job.isFinished()) {
+			release(job, nowMillis);
+		}
+		else if (job.spec().durable()) {
+			this.uncertain.put(task, nowMillis + this.settings.strayRunMillis());
+		}
+		else {
+			finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-of-another-owner"), nowMillis);
 		}
-		endpoint.placements().forEach((placement) -> {
-			endpoint.remove(placement);
-			placement.task().placement(null);
-			PooledJob job = placement.task().job();
-			job.removePlacement();
-			if (job.isFinished()) {
-				release(job, nowMillis);
-			}
-			else {
-				finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-of-another-owner"), nowMillis);
-			}
-		});
 	}
 
 	/**
@@ -219,8 +229,13 @@
 	 * @return the endpoints and the jobs that are not answered
 	 */
 	public PoolTransfer transfer(long nowMillis) {
-		return new PoolTransfer(this.endpoints.values().stream().map(PooledEndpoint::transfer).toList(),
-				this.jobs.values().stream().map((job) -> job.transfer(nowMillis)).toList());
+		return new PoolTransfer(this.endpoints.transfer(),
+				callersJobs().map((job) -> job.transfer(nowMillis)).toList());
+	}
+
+	// Durable jobs are read from the shared log by the next owner.
+	private Stream<PooledJob> callersJobs() {
+		return this.jobs.values().stream().filter((job) -> !job.spec().durable());
 	}
 
 	/**
@@ -238,11 +253,14 @@
 	private void adopt(JobTransfer transfer, long nowMillis) {
 		PooledJob job = new PooledJob(transfer.spec(), transfer.terms(), transfer.origin(), this.nextSequence++,
 				nowMillis - transfer.ageMillis(), this.runTimes);
-		this.jobs.put(transfer.spec().jobId(), job);
-		Map<TaskId, PooledTask> tasks = new HashMap<>();
-		job.allTasks().forEach((task) -> tasks.put(task.id(), task));
-		transfer.tasks().forEach((state) -> adopt(job, tasks.get(state.task()), state, nowMillis));
-		if (!job.ready().isEmpty()) {
+		this.jobs.put(job.key(), job);
+		transfer.tasks()
+			.forEach((state) -> job.task(state.task()).ifPresent((task) -> adopt(job, task, state, nowMillis)));
+		enqueueReady(job, nowMillis);
+	}
+
+	private void enqueueReady(PooledJob job, long nowMillis) {
+		if (!job.isHeld() && !job.ready().isEmpty() && !this.queue.contains(job)) {
 			this.queue.add(job, nowMillis);
 		}
 	}
@@ -252,15 +270,15 @@
 		if (state.runCount() > 0) {
 			job.markStarted();
 		}
-		PooledEndpoint endpoint = this.endpoints.get(state.endpointId());
+		Optional<PooledEndpoint> endpoint = this.endpoints.find(state.endpointId());
 		if (state.done()) {
 			job.ready().remove(task);
 			job.taskDone(task);
 		}
-		else if (endpoint != null) {
+		else if (endpoint.isPresent()) {
 			job.ready().remove(task);
 			long orderedMillis = nowMillis - state.orderedAgoMillis();
-			Placement placement = place(task, task.currentRun(), endpoint, orderedMillis);
+			Placement placement = this.starter.place(task, task.currentRun(), endpoint.get(), orderedMillis);
 			if (state.accepted()) {
 				placement.accept(orderedMillis);
 			}
@@ -274,7 +292,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void startAccepted(String endpointId, TaskRun run, long nowMillis) {
-		find(endpointId, run).ifPresent((placement) -> placement.accept(nowMillis));
+		this.endpoints.find(endpointId, run).ifPresent((placement) -> placement.accept(nowMillis));
 	}
 
 	/**
@@ -285,7 +303,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void startRefused(String endpointId, TaskRun run, StartRefusal refusal, long nowMillis) {
-		find(endpointId, run).ifPresent((placement) -> {
+		this.endpoints.find(endpointId, run).ifPresent((placement) -> {
 			this.ledger.startRefused(placement, refusal, nowMillis);
 			dispatch(nowMillis);
 		});
@@ -298,7 +316,8 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void startUnanswered(String endpointId, TaskRun run, long nowMillis) {
-		find(endpointId, run).filter((placement) -> !placement.isAccepted())
+		this.endpoints.find(endpointId, run)
+			.filter((placement) -> !placement.isAccepted())
 			.ifPresent((placement) -> this.ledger.stop(placement, "start-unanswered", nowMillis));
 	}
 
@@ -309,7 +328,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void stopConfirmed(String endpointId, TaskRun run, long nowMillis) {
-		find(endpointId, run).ifPresent((placement) -> placement.stopConfirmed(nowMillis));
+		this.endpoints.find(endpointId, run).ifPresent((placement) -> placement.stopConfirmed(nowMillis));
 	}
 
 	/**
@@ -320,16 +339,12 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void reported(String endpointId, EndpointReport report, long askedMillis, long nowMillis) {
-		PooledEndpoint endpoint = this.endpoints.get(endpointId);
-		if (endpoint == null) {
-			return;
-		}
-		endpoint.heard(nowMillis);
-		this.ledger.reported(endpoint, report, askedMillis, nowMillis);
-		if (!endpoint.isListed() && endpoint.placementCount() == 0) {
-			this.endpoints.remove(endpointId);
-		}
-		dispatch(nowMillis);
+		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
+			endpoint.heard(nowMillis);
+			this.ledger.reported(endpoint, report, askedMillis, nowMillis);
+			this.endpoints.dropIfGone(endpoint);
+			dispatch(nowMillis);
+		});
 	}
 
 	/**
@@ -339,15 +354,11 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void leaseLapsed(String endpointId, long nowMillis) {
-		PooledEndpoint endpoint = this.endpoints.get(endpointId);
-		if (endpoint == null) {
-			return;
-		}
-		this.ledger.endAll(endpoint, EndKind.LAPSED, nowMillis);
-		if (!endpoint.isListed()) {
-			this.endpoints.remove(endpointId);
-		}
-		dispatch(nowMillis);
+		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
+			this.ledger.endAll(endpoint, EndKind.LAPSED, nowMillis);
+			this.endpoints.dropIfGone(endpoint);
+			dispatch(nowMillis);
+		});
 	}
 
 	/**
@@ -356,20 +367,29 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void tick(long nowMillis) {
-		this.ledger.tick(this.endpoints.values(), (placement) -> hasRoomElsewhere(placement, nowMillis), nowMillis);
+		this.ledger.tick(this.endpoints.all(), (placement) -> this.endpoints.hasRoomElsewhere(placement, nowMillis),
+				nowMillis);
 		giveUp(nowMillis);
+		restartUncertain(nowMillis);
 		dispatch(nowMillis);
 	}
 
-	private boolean hasRoomElsewhere(Placement placement, long nowMillis) {
-		return this.endpoints.values()
+	private void restartUncertain(long nowMillis) {
+		List<PooledTask> over = this.uncertain.entrySet()
 			.stream()
-			.filter((endpoint) -> endpoint != placement.endpoint())
-			.anyMatch((endpoint) -> this.choice.choose(placement.task(), List.of(endpoint), nowMillis).isPresent());
+			.filter((entry) -> nowMillis >= entry.getValue())
+			.map(Map.Entry::getKey)
+			.toList();
+		over.forEach((task) -> {
+			this.uncertain.remove(task);
+			if (!task.job().isFinished() && !task.isDone()) {
+				restart(task, nowMillis);
+			}
+		});
 	}
 
 	private void giveUp(long nowMillis) {
-		List.copyOf(this.jobs.values()).forEach((job) -> {
+		callersJobs().toList().forEach((job) -> {
 			if (nowMillis >= job.deadlineMillis()) {
 				JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
 				finish(job, new JobOutcome(kind, (long) backlogMillis(), "deadline"), nowMillis);
@@ -381,52 +401,25 @@
 	}
 
 	private void dispatch(long nowMillis) {
-		int withoutPlace = 0;
+		PlacementMisses misses = new PlacementMisses();
 		for (PooledJob job : this.queue.inOrder(nowMillis)) {
-			if (!place(job, nowMillis)) {
-				withoutPlace++;
-			}
-			if (withoutPlace >= MAX_JOBS_WITHOUT_PLACE) {
+			startReady(job, misses, nowMillis);
+			if (misses.count() >= MAX_MISSES) {
 				return;
 			}
 		}
 	}
 
-	private boolean place(PooledJob job, long nowMillis) {
-		boolean placed = false;
-		while (!job.ready().isEmpty()) {
-			PooledTask task = job.ready().peek();
-			Optional<PooledEndpoint> endpoint = this.choice.choose(task, this.endpoints.values(), nowMillis);
-			if (endpoint.isEmpty()) {
-				return placed;
-			}
-			job.ready().poll();
-			start(task, endpoint.get(), nowMillis);
-			placed = true;
-		}
-		this.queue.remove(job);
-		return placed;
-	}
-
-	private void start(PooledTask task, PooledEndpoint endpoint, long nowMillis) {
-		PooledJob job = task.job();
-		if (!job.isStarted()) {
+	private void startReady(PooledJob job, PlacementMisses misses, long nowMillis) {
+		boolean started = this.starter.startReady(job, misses, nowMillis);
+		if (started && !job.isStarted()) {
 			this.queue.remove(job);
 			job.markStarted();
-			this.queue.add(job, nowMillis);
+			enqueueReady(job, nowMillis);
+		}
+		else if (job.ready().isEmpty()) {
+			this.queue.remove(job);
 		}
-		Placement placement = place(task, task.nextRun(), endpoint, nowMillis);
-		this.actions.start(endpoint.entry(), placement.run(), job.spec().payload());
-	}
-
-	private Placement place(PooledTask task, TaskRun run, PooledEndpoint endpoint, long orderedMillis) {
-		PooledJob job = task.job();
-		double expectedMillis = this.runTimes.expectedMillis(job.terms().queue(), task.step().estimatedMillis());
-		Placement placement = new Placement(task, run, endpoint, orderedMillis, expectedMillis);
-		task.placement(placement);
-		endpoint.add(placement);
-		job.addPlacement();
-		return placement;
 	}
 
 	private void runEnded(Placement placement, EndKind kind, long nowMillis) {
@@ -436,48 +429,89 @@
 		job.removePlacement();
 		if (job.isFinished()) {
 			release(job, nowMillis);
-			return;
 		}
+		else if (task.step().traits().gang()) {
+			gangMemberEnded(placement, kind, nowMillis);
+		}
+		else if (task.step().traits().longRunning()) {
+			restart(task, nowMillis);
+		}
+		else {
+			if (kind == EndKind.DONE) {
+				this.runTimes.observe(job.terms().queue(), nowMillis - placement.orderedMillis());
+			}
+			taskEnded(task, kind, nowMillis);
+		}
+	}
+
+	private void taskEnded(PooledTask task, EndKind kind, long nowMillis) {
 		if (kind == EndKind.DONE) {
-			taskDone(placement, nowMillis);
+			taskDone(task, nowMillis);
 		}
-		else if (kind == EndKind.FAILED && task.countFailure() >= job.terms().maxAttempts()) {
-			finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
+		else if (kind == EndKind.FAILED && task.countFailure() >= task.job().terms().maxAttempts()) {
+			finish(task.job(), JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
 		}
 		else {
 			restart(task, nowMillis);
 		}
 	}
 
-	private void taskDone(Placement placement, long nowMillis) {
-		PooledJob job = placement.task().job();
-		this.runTimes.observe(job.terms().queue(), nowMillis - placement.orderedMillis());
-		if (job.taskDone(placement.task())) {
+	// One end as done stands for all members. After any other end the run of the whole
+	// gang is over, and it starts again when all members have certainly ended.
+	private void gangMemberEnded(Placement placement, EndKind kind, long nowMillis) {
+		PooledTask task = placement.task();
+		PooledJob job = task.job();
+		List<PooledTask> members = job.tasksOfStep(task.id().step());
+		if (task.isDone()) {
+			return;
+		}
+		if (kind == EndKind.DONE && !task.step().traits().longRunning()) {
+			members.forEach((member) -> taskDone(member, nowMillis));
+			return;
+		}
+		members.stream()
+			.map(PooledTask::placement)
+			.filter(Objects::nonNull)
+			.forEach((other) -> this.ledger.stop(other, "gang-member-ended", nowMillis));
+		if (kind == EndKind.FAILED && !task.step().traits().longRunning()
+				&& members.get(0).countGangFailure(placement.run().number()) >= job.terms().maxAttempts()) {
+			finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
+		}
+		else if (members.stream().allMatch((member) -> member.placement() == null)) {
+			job.ready().addAll(members);
+			enqueueReady(job, nowMillis);
+		}
+	}
+
+	private void taskDone(PooledTask task, long nowMillis) {
+		PooledJob job = task.job();
+		if (task.isDone()) {
+			return;
+		}
+		if (job.taskDone(task)) {
 			finish(job, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done"), nowMillis);
 		}
-		else if (!job.ready().isEmpty() && !this.queue.contains(job)) {
-			this.queue.add(job, nowMillis);
+		else {
+			enqueueReady(job, nowMillis);
 		}
 	}
 
 	private void restart(PooledTask task, long nowMillis) {
 		task.job().ready().addFirst(task);
-		if (!this.queue.contains(task.job())) {
-			this.queue.add(task.job(), nowMillis);
-		}
+		enqueueReady(task.job(), nowMillis);
 	}
 
 	private void finish(PooledJob job, JobOutcome outcome, long nowMillis) {
 		this.queue.remove(job);
-		this.jobs.remove(job.spec().jobId());
-		this.deferred.remove(job.spec().jobId(), job);
+		this.jobs.remove(job.key());
+		this.deferred.remove(job.key(), job);
 		job.markFinished();
 		if (job.placementCount() > 0) {
-			this.lingering.put(job.spec().jobId(), job);
+			this.lingering.put(job.key(), job);
 			job.allTasks()
 				.stream()
 				.map(PooledTask::placement)
-				.filter((placement) -> placement != null)
+				.filter(Objects::nonNull)
 				.forEach((placement) -> this.ledger.stop(placement, outcome.reason(), nowMillis));
 		}
 		this.actions.answer(job, outcome);
@@ -487,17 +521,99 @@
 		if (job.placementCount() > 0) {
 			return;
 		}
-		String jobId = job.spec().jobId();
-		this.lingering.remove(jobId, job);
-		PooledJob next = this.deferred.remove(jobId);
+		this.lingering.remove(job.key(), job);
+		PooledJob next = this.deferred.remove(job.key());
 		if (next != null) {
 			next.continueRunsOf(job);
 			this.queue.add(next, nowMillis);
 		}
 	}
 
-	private Optional<Placement> find(String endpointId, TaskRun run) {
-		return Optional.ofNullable(this.endpoints.get(endpointId)).flatMap((endpoint) -> endpoint.placement(run));
+	/**
+	 * Tells whether a durable job would be taken.
+	 * @param spec the job
+	 * @param terms the terms of its queue
+	 * @param nowMillis the time in milliseconds
+	 * @return the refusal, or empty if the job would be taken
+	 */
+	public Optional<JobOutcome> refusalOf(JobSpec spec, JobTerms terms, long nowMillis) {
+		return refusal(new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimes),
+				nowMillis);
+	}
+
+	/**
+	 * Runs an occurrence of a durable job.
+	 * @param job the job
+	 * @param occurrence the number of the occurrence
+	 * @param kept how far its tasks are
+	 * @param held whether to wait for {@link #hold} to let it go on
+	 * @param arrivedMillis when it was due, in milliseconds
+	 * @param nowMillis the time in milliseconds
+	 * @return the job as it runs
+	 */
+	PooledJob begin(DurableJob job, int occurrence, List<TaskProgress> kept, boolean held, long arrivedMillis,
+			long nowMillis) {
+		PooledJob begun = new PooledJob(job.spec(), occurrence, job.terms(), JobOrigin.NONE, this.nextSequence++,
+				arrivedMillis, this.runTimes);
+		begun.restore(kept);
+		begun.hold(held);
+		this.jobs.put(begun.key(), begun);
+		enqueueReady(begun, nowMillis);
+		return begun;
+	}
+
+	/**
+	 * Holds a durable job back, or lets it go on.
+	 * @param job the job
+	 * @param back whether to start nothing of it
+	 * @param nowMillis the time in milliseconds
+	 */
+	void hold(PooledJob job, boolean back, long nowMillis) {
+		job.hold(back);
+		if (back) {
+			this.queue.remove(job);
+		}
+		else if (!job.isFinished()) {
+			enqueueReady(job, nowMillis);
+		}
+	}
+
+	/**
+	 * Stops the runs of a durable job on the endpoints of other failure domains.
+	 * @param job the job
+	 * @param domain the failure domain whose endpoints go on
+	 * @param nowMillis the time in milliseconds
+	 */
+	void stopOutside(PooledJob job, String domain, long nowMillis) {
+		job.allTasks()
+			.stream()
+			.map(PooledTask::placement)
+			.filter(Objects::nonNull)
+			.filter((placement) -> !placement.endpoint().entry().domain().equals(domain))
+			.forEach((placement) -> this.ledger.stop(placement, "pool-out-of-reach", nowMillis));
+	}
+
+	/**
+	 * Ends a durable job and stops what runs of it.
+	 * @param job the job
+	 * @param reason why, for the log
+	 * @param nowMillis the time in milliseconds
+	 */
+	void drop(PooledJob job, String reason, long nowMillis) {
+		if (!job.isFinished()) {
+			finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
+			dispatch(nowMillis);
+		}
+	}
+
+	/**
+	 * Lets an endpoint forget an end, as the shared log has it.
+	 * @param end the end
+	 */
+	public void endStored(EndReference end) {
+		this.endpoints.find(end.endpointId())
+			.filter((endpoint) -> endpoint.bornEpochMillis() == end.bornEpochMillis())
+			.ifPresent((endpoint) -> endpoint.ends().stored(end.number()));
 	}
 
 	/**
@@ -506,8 +622,16 @@
 	 * @return the number of the last end that was taken note of, or 0
 	 */
 	public long acknowledgedEndNumber(String endpointId) {
-		PooledEndpoint endpoint = this.endpoints.get(endpointId);
-		return (endpoint != null) ? endpoint.acknowledgedEndNumber() : 0;
+		return this.endpoints.find(endpointId).map((endpoint) -> endpoint.ends().acknowledgedNumber()).orElse(0L);
+	}
+
+	/**
+	 * Returns whether an endpoint lists ends that were taken in and are not stored yet.
+	 * @param endpointId the endpoint
+	 * @return whether it does
+	 */
+	public boolean hasUnstoredEnds(String endpointId) {
+		return this.endpoints.find(endpointId).filter((endpoint) -> endpoint.ends().hasKept()).isPresent();
 	}
 
 	/**
@@ -516,7 +640,7 @@
 	 * @return whether it matters
 	 */
 	public boolean knows(String endpointId) {
-		return this.endpoints.containsKey(endpointId);
+		return this.endpoints.find(endpointId).isPresent();
 	}
 
 	/**
@@ -525,8 +649,9 @@
 	 * @return whether it is busy
 	 */
 	public boolean isBusy(String endpointId) {
-		PooledEndpoint endpoint = this.endpoints.get(endpointId);
-		return endpoint != null && endpoint.placementCount() + endpoint.foreignRunCount() > 0;
+		return this.endpoints.find(endpointId)
+			.filter((endpoint) -> endpoint.placementCount() + endpoint.foreignRunCount() > 0)
+			.isPresent();
 	}
 
 	/**
@@ -535,25 +660,62 @@
 	 * @return the load
 	 */
 	public PoolLoad load(long nowMillis) {
-		long freeMillicores = usable(nowMillis).stream()
-			.mapToLong((endpoint) -> Math.max(0, endpoint.free().cpuMillicores()))
-			.sum();
-		return new PoolLoad(totalCpuMillicores(), freeMillicores, backlogMillis(), this.jobs.size());
+		return new PoolLoad(this.endpoints.totalMillicores(), this.endpoints.freeMillicores(nowMillis), backlogMillis(),
+				this.jobs.size());
 	}
 
-	private long totalCpuMillicores() {
-		return this.endpoints.values()
-			.stream()
-			.filter((endpoint) -> endpoint.isListed() && endpoint.entry().ready())
-			.filter((endpoint) -> !endpoint.health().isSuspected())
-			.mapToLong((endpoint) -> endpoint.entry().capacity().cpuMillicores())
-			.sum();
-	}
+	/**
+	 * Lets the ledger find jobs.
+	 */
+	private final class LedgerJobs implements RunLedger.Jobs {
+
+		@Override
+		public void ended(Placement placement, EndKind kind, long nowMillis) {
+			runEnded(placement, kind, nowMillis);
+		}
+
+		@Override
+		public void endedElsewhere(PooledTask task, EndedTask end, long nowMillis) {
+			boolean waits = task.placement() == null && !task.isDone();
+			if (task.job().isFinished() || task.step().traits().longRunning()) {
+				return;
+			}
+			if (end.kind() == EndKind.DONE) {
+				task.job().ready().remove(task);
+				taskDone(task, nowMillis);
+			}
+			else if (waits && !task.step().traits().gang()) {
+				task.job().ready().remove(task);
+				taskEnded(task, end.kind(), nowMillis);
+			}
+		}
+
+		@Override
+		public Optional<PooledTask> durableTask(TaskId id) {
+			String key = PooledJob.key(id.jobId(), id.occurrence());
+			return Optional.ofNullable(PoolScheduler.this.jobs.get(key))
+				.or(() -> Optional.ofNullable(PoolScheduler.this.lingering.get(key)))
+				.filter((job) -> job.spec().durable())
+				.flatMap((job) -> job.task(id));
+		}
+
+		@Override
+		public boolean mayBeUnread() {
+			return PoolScheduler.this.unreadJobs.getAsBoolean();
+		}
+
+		@Override
+		public Placement adopt(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis) {
+			PoolScheduler.this.uncertain.remove(task);
+			task.job().ready().remove(task);
+			task.job().markStarted();
+			if (task.job().ready().isEmpty()) {
+				PoolScheduler.this.queue.remove(task.job());
+			}
+			task.run(Math.max(run.number(), task.runCount()));
+			return PoolScheduler.this.starter.place(task, run, endpoint, nowMillis);
+		}
 
-	private Collection<PooledEndpoint> usable(long nowMillis) {
-		List<PooledEndpoint> usable = new ArrayList<>(this.endpoints.values());
-		usable.removeIf((endpoint) -> !endpoint.takesTasks(nowMillis, this.settings.silenceLimitMillis()));
-		return usable;
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolSettings.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolSettings.java
@@ -10,8 +10,11 @@
  * milliseconds
  * @param usableShare the part of the capacity that can be filled, as tasks don't fit
  * without gaps
+ * @param strayRunMillis after how long a run on an endpoint that another owner orders is
+ * certainly over, in milliseconds
  */
-public record PoolSettings(long silenceLimitMillis, long stopMillis, long stopRetryMillis, double usableShare) {
+public record PoolSettings(long silenceLimitMillis, long stopMillis, long stopRetryMillis, double usableShare,
+		long strayRunMillis) {
 
 	/** Two renewals of a lease and the time for one answer. */
 	private static final long DEFAULT_SILENCE_LIMIT_MILLIS = 450;
@@ -24,13 +27,16 @@
 	/** Two tasks of 27 cores on 64. */
 	private static final double DEFAULT_USABLE_SHARE = 0.84;
 
+	/** The longest lease, and as long again for an owner to notice. */
+	private static final long DEFAULT_STRAY_RUN_MILLIS = 2_000;
+
 	/**
 	 * Returns the default settings.
 	 * @return the settings
 	 */
 	public static PoolSettings defaults() {
 		return new PoolSettings(DEFAULT_SILENCE_LIMIT_MILLIS, DEFAULT_STOP_MILLIS, DEFAULT_STOP_RETRY_MILLIS,
-				DEFAULT_USABLE_SHARE);
+				DEFAULT_USABLE_SHARE, DEFAULT_STRAY_RUN_MILLIS);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -30,7 +30,11 @@
 
 	private long bornEpochMillis;
 
-	private long acknowledgedEndNumber;
+	private EndCursor ends = new EndCursor();
+
+	private int servingCount;
+
+	private int backfillCount;
 
 	private int foreignRunCount;
 
@@ -109,17 +113,13 @@
 		return this.bornEpochMillis;
 	}
 
-	long acknowledgedEndNumber() {
-		return this.acknowledgedEndNumber;
-	}
-
-	void acknowledge(long endNumber) {
-		this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, endNumber);
+	EndCursor ends() {
+		return this.ends;
 	}
 
 	void reborn(long newBornEpochMillis) {
 		this.bornEpochMillis = newBornEpochMillis;
-		this.acknowledgedEndNumber = 0;
+		this.ends = new EndCursor();
 		this.foreignRunCount = 0;
 		this.clockToldMillis = -1;
 	}
@@ -158,15 +158,41 @@
 
 	void add(Placement placement) {
 		this.placements.put(placement.run(), placement);
-		this.used = this.used.plus(placement.task().step().need());
+		reserve(placement.task().step());
 	}
 
 	void remove(Placement placement) {
 		if (this.placements.remove(placement.run()) != null) {
-			this.used = this.used.minus(placement.task().step().need());
+			release(placement.task().step());
 		}
 	}
 
+	/**
+	 * Sets aside what a task of a step takes.
+	 * @param step the step
+	 */
+	void reserve(StepSpec step) {
+		this.used = this.used.plus(step.reserved());
+		this.servingCount += step.traits().serving() ? 1 : 0;
+		this.backfillCount += step.traits().backfill() ? 1 : 0;
+	}
+
+	void release(StepSpec step) {
+		this.used = this.used.minus(step.reserved());
+		this.servingCount -= step.traits().serving() ? 1 : 0;
+		this.backfillCount -= step.traits().backfill() ? 1 : 0;
+	}
+
+	/**
+	 * Returns whether a task would disturb others here or be disturbed: backfill slows
+	 * tasks that serve users.
+	 * @param step the step of the task
+	 * @return whether they must not run beside each other
+	 */
+	boolean disturbs(StepSpec step) {
+		return step.traits().backfill() && this.servingCount > 0 || step.traits().serving() && this.backfillCount > 0;
+	}
+
 	/**
 	 * Returns whether the endpoint may get a task now, if the task fits.
 	 * @param nowMillis the time in milliseconds
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 /**
@@ -22,6 +23,8 @@
 
 	private final JobSpec spec;
 
+	private final int occurrence;
+
 	private final JobTerms terms;
 
 	private final long sequence;
@@ -46,8 +49,16 @@
 
 	private boolean finished;
 
+	private boolean held;
+
 	PooledJob(JobSpec spec, JobTerms terms, JobOrigin origin, long sequence, long arrivedMillis, RunTimes runTimes) {
+		this(spec, 0, terms, origin, sequence, arrivedMillis, runTimes);
+	}
+
+	PooledJob(JobSpec spec, int occurrence, JobTerms terms, JobOrigin origin, long sequence, long arrivedMillis,
+			RunTimes runTimes) {
 		this.spec = spec;
+		this.occurrence = occurrence;
 		this.terms = terms;
 		this.origin = origin;
 		this.sequence = sequence;
@@ -74,7 +85,8 @@
 	private List<PooledTask> tasksOf(int number) {
 		StepSpec step = this.spec.steps().get(number);
 		return IntStream.range(0, step.taskCount())
-			.mapToObj((index) -> new PooledTask(this, new TaskId(this.spec.jobId(), 0, number, index), step))
+			.mapToObj((index) -> new PooledTask(this, new TaskId(this.spec.jobId(), this.occurrence, number, index),
+					step))
 			.toList();
 	}
 
@@ -184,6 +196,38 @@
 				* this.expectedMillis;
 	}
 
+	/**
+	 * Returns the number of the repetition that this is.
+	 * @return the number, from 0
+	 */
+	public int occurrence() {
+		return this.occurrence;
+	}
+
+	/**
+	 * Returns what tells this from other jobs and from other occurrences of the same job.
+	 * @return the key
+	 */
+	String key() {
+		return key(this.spec.jobId(), this.occurrence);
+	}
+
+	static String key(String jobId, int occurrence) {
+		return (occurrence == 0) ? jobId : jobId + "/" + occurrence;
+	}
+
+	boolean isHeld() {
+		return this.held;
+	}
+
+	/**
+	 * Holds the job back, or lets it go on: no task of it is started meanwhile.
+	 * @param back whether to hold it back
+	 */
+	void hold(boolean back) {
+		this.held = back;
+	}
+
 	boolean isStarted() {
 		return this.started;
 	}
@@ -222,7 +266,7 @@
 		task.markDone();
 		this.openTaskCounts[task.id().step()]--;
 		openSteps();
-		return IntStream.of(this.openTaskCounts).allMatch((count) -> count == 0);
+		return isComplete();
 	}
 
 	/**
@@ -241,6 +285,57 @@
 		return new JobTransfer(this.spec, this.terms, this.origin, nowMillis - this.arrivedMillis, states);
 	}
 
+	/**
+	 * Returns the first task of each step, which stands for the others.
+	 * @return the tasks
+	 */
+	List<PooledTask> firstTasks() {
+		return this.tasks.stream().map((step) -> step.get(0)).toList();
+	}
+
+	List<PooledTask> tasksOfStep(int number) {
+		return this.tasks.get(number);
+	}
+
+	Optional<PooledTask> task(TaskId id) {
+		if (id.step() >= this.tasks.size() || id.index() >= this.tasks.get(id.step()).size()) {
+			return Optional.empty();
+		}
+		return Optional.of(this.tasks.get(id.step()).get(id.index()));
+	}
+
+	/**
+	 * Tells how far the job is.
+	 * @return the progress of the tasks of which some run has ended
+	 */
+	List<TaskProgress> progress() {
+		return allTasks().stream().flatMap((task) -> task.progress().stream()).toList();
+	}
+
+	/**
+	 * Goes on from what is kept of the job.
+	 * @param kept the progress of its tasks
+	 */
+	void restore(List<TaskProgress> kept) {
+		kept.forEach(
+				(progress) -> task(new TaskId(this.spec.jobId(), this.occurrence, progress.step(), progress.index()))
+					.ifPresent((task) -> restore(task, progress)));
+	}
+
+	private void restore(PooledTask task, TaskProgress progress) {
+		task.restore(progress);
+		this.started = true;
+		if (progress.done() && !task.isDone()) {
+			this.ready.remove(task);
+			taskDone(task);
+			this.ready.removeIf(PooledTask::isDone);
+		}
+	}
+
+	boolean isComplete() {
+		return IntStream.of(this.openTaskCounts).allMatch((count) -> count == 0);
+	}
+
 	List<PooledTask> allTasks() {
 		List<PooledTask> all = new ArrayList<>();
 		this.tasks.forEach(all::addAll);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -1,5 +1,7 @@
 package org.masticwick.core.pool;
 
+import java.util.Optional;
+
 /**
  * A task of a job in a pool.
  */
@@ -17,6 +19,12 @@
 
 	private int slowRestartCount;
 
+	private int endedRun;
+
+	private String checkpoint = "";
+
+	private int failedGangRun;
+
 	private boolean done;
 
 	private Placement placement;
@@ -40,8 +48,71 @@
 	}
 
 	TaskRun nextRun() {
-		this.runCount++;
-		return new TaskRun(this.id, this.runCount);
+		return run(this.runCount + 1);
+	}
+
+	/**
+	 * Numbers the next run.
+	 * @param number the number, above that of any run before
+	 * @return the run
+	 */
+	TaskRun run(int number) {
+		this.runCount = number;
+		return currentRun();
+	}
+
+	int runCount() {
+		return this.runCount;
+	}
+
+	int endedRun() {
+		return this.endedRun;
+	}
+
+	void runEnded(int number) {
+		this.endedRun = Math.max(this.endedRun, number);
+		this.runCount = Math.max(this.runCount, number);
+	}
+
+	String checkpoint() {
+		return this.checkpoint;
+	}
+
+	/**
+	 * Takes the newest checkpoint, if there is one.
+	 * @param newest the checkpoint, or an empty string
+	 */
+	void checkpoint(String newest) {
+		if (!newest.isEmpty()) {
+			this.checkpoint = newest;
+		}
+	}
+
+	/**
+	 * Tells how far the task is.
+	 * @return the progress, or empty if no run has ended
+	 */
+	Optional<TaskProgress> progress() {
+		if (this.endedRun == 0 && !this.done) {
+			return Optional.empty();
+		}
+		return Optional.of(new TaskProgress(this.id.step(), this.id.index(), this.done, this.endedRun,
+				this.failureCount, this.checkpoint));
+	}
+
+	/**
+	 * Goes on from what is kept of the task.
+	 * @param kept the progress
+	 */
+	void restore(TaskProgress kept) {
+		this.endedRun = kept.endedRun();
+		this.runCount = kept.endedRun();
+		this.failureCount = kept.failureCount();
+		this.checkpoint = kept.checkpoint();
+	}
+
+	boolean isLongRunning() {
+		return this.step.traits().longRunning();
 	}
 
 	void continueRunsOf(PooledTask earlier) {
@@ -73,6 +144,19 @@
 		return this.failureCount;
 	}
 
+	/**
+	 * Counts a failed run of a gang, of which each member may list an end.
+	 * @param number the number of the run
+	 * @return how many runs have failed
+	 */
+	int countGangFailure(int number) {
+		if (number > this.failedGangRun) {
+			this.failedGangRun = number;
+			countFailure();
+		}
+		return this.failureCount;
+	}
+
 	int slowRestartCount() {
 		return this.slowRestartCount;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -32,12 +33,12 @@
 
 	private final PoolActions actions;
 
-	private final EndHandler endHandler;
+	private final Jobs jobs;
 
-	RunLedger(PoolSettings settings, PoolActions actions, EndHandler endHandler) {
+	RunLedger(PoolSettings settings, PoolActions actions, Jobs jobs) {
 		this.settings = settings;
 		this.actions = actions;
-		this.endHandler = endHandler;
+		this.jobs = jobs;
 	}
 
 	void noteBirth(PooledEndpoint endpoint, long bornEpochMillis, long nowMillis) {
@@ -81,7 +82,7 @@
 		long writtenMillis = endpoint.writtenMillis(report.clockMillis());
 		report.ended()
 			.stream()
-			.filter((ended) -> ended.number() > endpoint.acknowledgedEndNumber())
+			.filter((ended) -> endpoint.ends().isOpen(ended.number()))
 			.forEach((ended) -> takeEnd(endpoint, ended, nowMillis));
 		int foreignCount = 0;
 		Set<TaskRun> runningRuns = new HashSet<>();
@@ -98,14 +99,25 @@
 	}
 
 	private boolean takeRunning(PooledEndpoint endpoint, RunningTask running, long writtenMillis, long nowMillis) {
-		return endpoint.placement(running.run()).map((placement) -> {
-			placement.accept(nowMillis);
-			placement.progressed(running.percent(), writtenMillis);
-			return true;
-		}).orElseGet(() -> {
-			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
-			return false;
+		Optional<Placement> placement = endpoint.placement(running.run())
+			.or(() -> adopt(endpoint, running.run(), nowMillis));
+		placement.ifPresent((known) -> {
+			known.accept(nowMillis);
+			known.progressed(running.percent(), writtenMillis);
+			known.task().checkpoint(running.checkpoint());
 		});
+		if (placement.isEmpty() && !this.jobs.mayBeUnread()) {
+			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
+		}
+		return placement.isPresent();
+	}
+
+	// The owner before this one started it.
+	private Optional<Placement> adopt(PooledEndpoint endpoint, TaskRun run, long nowMillis) {
+		return this.jobs.durableTask(run.task())
+			.filter((task) -> !task.job().isFinished() && !task.isDone())
+			.filter((task) -> task.placement() == null && run.number() > task.endedRun())
+			.map((task) -> this.jobs.adopt(task, run, endpoint, nowMillis));
 	}
 
 	// One that was accepted before the lists were asked for would be in one of them; one
@@ -118,11 +130,36 @@
 	}
 
 	private void takeEnd(PooledEndpoint endpoint, EndedTask ended, long nowMillis) {
-		endpoint.acknowledge(ended.number());
-		endpoint.placement(ended.run()).ifPresent((placement) -> {
-			judge(placement, ended.kind(), nowMillis);
-			end(placement, ended.kind(), nowMillis);
-		});
+		Optional<Placement> placement = endpoint.placement(ended.run());
+		Optional<PooledTask> durable = placement.map(Placement::task)
+			.filter((task) -> task.job().spec().durable())
+			.or(() -> this.jobs.durableTask(ended.run().task()));
+		if (placement.isEmpty() && durable.isEmpty() && this.jobs.mayBeUnread()) {
+			endpoint.ends().unresolved(ended.number());
+			return;
+		}
+		boolean counted = durable.filter((task) -> ended.run().number() <= task.endedRun()).isPresent();
+		if (durable.isEmpty() || counted) {
+			endpoint.ends().takenIn(ended.number());
+		}
+		else {
+			durableEnded(endpoint, durable.get(), ended);
+		}
+		if (placement.isPresent()) {
+			judge(placement.get(), ended.kind(), nowMillis);
+			end(placement.get(), ended.kind(), nowMillis);
+		}
+		else if (durable.isPresent() && !counted) {
+			this.jobs.endedElsewhere(durable.get(), ended, nowMillis);
+		}
+	}
+
+	private void durableEnded(PooledEndpoint endpoint, PooledTask task, EndedTask ended) {
+		endpoint.ends().takenInUnstored(ended.number());
+		task.runEnded(ended.run().number());
+		task.checkpoint(ended.checkpoint());
+		this.actions.ended(task.job(),
+				new EndReference(endpoint.entry().id(), endpoint.bornEpochMillis(), ended.number()));
 	}
 
 	private void judge(Placement placement, EndKind kind, long nowMillis) {
@@ -138,7 +175,7 @@
 
 	private void end(Placement placement, EndKind kind, long nowMillis) {
 		placement.endpoint().remove(placement);
-		this.endHandler.ended(placement, kind, nowMillis);
+		this.jobs.ended(placement, kind, nowMillis);
 	}
 
 	void tick(Collection<PooledEndpoint> endpoints, Predicate<Placement> hasRoomElsewhere, long nowMillis) {
@@ -155,7 +192,7 @@
 		else if (!placement.isAccepted() && nowMillis - placement.orderedMillis() > UNACCEPTED_MILLIS) {
 			stop(placement, "start-unconfirmed", nowMillis);
 		}
-		else if (isSlow(placement)) {
+		else if (mayMove(placement) && isSlow(placement)) {
 			countSlow(placement, nowMillis);
 			if (placement.task().slowRestartCount() < MAX_SLOW_RESTARTS && hasRoomElsewhere.test(placement)) {
 				placement.task().countSlowRestart();
@@ -179,25 +216,61 @@
 		}
 	}
 
+	private static boolean mayMove(Placement placement) {
+		StepTraits traits = placement.task().step().traits();
+		return !traits.gang() && !traits.longRunning() && !traits.backfill();
+	}
+
 	private static boolean isSlow(Placement placement) {
 		return placement.observedMillis() > Math.max(MIN_SLOW_MILLIS, placement.expectedMillis() / 2)
 				&& placement.projectedMillis() > SLOW_FACTOR * placement.expectedMillis();
 	}
 
 	/**
-	 * Hears of the certain end of a run.
+	 * Knows the jobs whose runs are kept.
 	 */
-	@FunctionalInterface
-	interface EndHandler {
+	interface Jobs {
 
 		/**
-		 * Takes note of an end.
+		 * Takes note of the certain end of a run.
 		 * @param placement the run, no longer on its endpoint
 		 * @param kind how it ended
 		 * @param nowMillis the time in milliseconds
 		 */
 		void ended(Placement placement, EndKind kind, long nowMillis);
 
+		/**
+		 * Takes note of the end of a run that an earlier owner started.
+		 * @param task the task
+		 * @param end the end
+		 * @param nowMillis the time in milliseconds
+		 */
+		void endedElsewhere(PooledTask task, EndedTask end, long nowMillis);
+
+		/**
+		 * Finds a task of a durable job.
+		 * @param id the task
+		 * @return the task, or empty if it is not known
+		 */
+		Optional<PooledTask> durableTask(TaskId id);
+
+		/**
+		 * Returns whether a run that is not known may belong to a job that is still to be
+		 * read from the shared log.
+		 * @return whether it may
+		 */
+		boolean mayBeUnread();
+
+		/**
+		 * Goes on with a run that an earlier owner started.
+		 * @param task the task
+		 * @param run the run
+		 * @param endpoint where it runs
+		 * @param nowMillis the time in milliseconds
+		 * @return the placement
+		 */
+		Placement adopt(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis);
+
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunningTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunningTask.java
@@ -1,10 +1,21 @@
 package org.masticwick.core.pool;
 
 /**
- * One run that an endpoint holds.
+ * A task that an endpoint says is running.
  *
  * @param run the run
- * @param percent how much of its work is done, in hundredths
+ * @param percent its progress in hundredths
+ * @param checkpoint its newest checkpoint, or an empty string
  */
-public record RunningTask(TaskRun run, int percent) {
+public record RunningTask(TaskRun run, int percent, String checkpoint) {
+
+	/**
+	 * Creates a running task without a checkpoint.
+	 * @param run the run
+	 * @param percent its progress in hundredths
+	 */
+	public RunningTask(TaskRun run, int percent) {
+		this(run, percent, "");
+	}
+
 }
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
@@ -0,0 +1,104 @@
+package org.masticwick.core.pool;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Starts the tasks of a job that are ready and have a place: each by itself, those of a
+ * gang all at once or not at all.
+ */
+final class TaskStarter {
+
+	private final EndpointTable endpoints;
+
+	private final RunTimes runTimes;
+
+	private final PoolActions actions;
+
+	TaskStarter(EndpointTable endpoints, RunTimes runTimes, PoolActions actions) {
+		this.endpoints = endpoints;
+		this.runTimes = runTimes;
+		this.actions = actions;
+	}
+
+	/**
+	 * Starts what has a place.
+	 * @param job the job
+	 * @param misses what had no place in this round
+	 * @param nowMillis the time in milliseconds
+	 * @return whether a task was started
+	 */
+	boolean startReady(PooledJob job, PlacementMisses misses, long nowMillis) {
+		boolean started = false;
+		while (!job.ready().isEmpty()) {
+			PooledTask task = job.ready().peek();
+			if (misses.covers(task)) {
+				return started;
+			}
+			boolean placed = task.step().traits().gang() ? startGang(job, task.id().step(), nowMillis)
+					: startOne(task, nowMillis);
+			if (!placed) {
+				misses.add(task);
+				return started;
+			}
+			started = true;
+		}
+		return started;
+	}
+
+	private boolean startOne(PooledTask task, long nowMillis) {
+		Optional<PooledEndpoint> endpoint = this.endpoints.choose(task, nowMillis);
+		endpoint.ifPresent((chosen) -> {
+			task.job().ready().poll();
+			start(task, task.nextRun(), chosen, nowMillis);
+		});
+		return endpoint.isPresent();
+	}
+
+	private boolean startGang(PooledJob job, int step, long nowMillis) {
+		List<PooledTask> members = job.tasksOfStep(step);
+		Map<PooledTask, PooledEndpoint> places = new LinkedHashMap<>();
+		for (PooledTask member : members) {
+			Optional<PooledEndpoint> endpoint = this.endpoints.choose(member, nowMillis);
+			if (endpoint.isEmpty()) {
+				break;
+			}
+			endpoint.get().reserve(member.step());
+			places.put(member, endpoint.get());
+		}
+		places.forEach((member, endpoint) -> endpoint.release(member.step()));
+		if (places.size() < members.size()) {
+			return false;
+		}
+		int number = 1 + members.stream().mapToInt(PooledTask::runCount).max().orElse(0);
+		job.ready().removeAll(members);
+		places.forEach((member, endpoint) -> start(member, member.run(number), endpoint, nowMillis));
+		return true;
+	}
+
+	private void start(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis) {
+		place(task, run, endpoint, nowMillis);
+		this.actions.start(endpoint.entry(), run, task.job().spec().payload(), task.checkpoint());
+	}
+
+	/**
+	 * Takes note that a run is on an endpoint, or on its way to it.
+	 * @param task the task
+	 * @param run the run
+	 * @param endpoint the endpoint
+	 * @param orderedMillis when it was ordered, in milliseconds
+	 * @return the placement
+	 */
+	Placement place(PooledTask task, TaskRun run, PooledEndpoint endpoint, long orderedMillis) {
+		PooledJob job = task.job();
+		double expectedMillis = this.runTimes.expectedMillis(job.terms().queue(), task.step().estimatedMillis());
+		Placement placement = new Placement(task, run, endpoint, orderedMillis, expectedMillis);
+		task.placement(placement);
+		endpoint.add(placement);
+		job.addPlacement();
+		return placement;
+	}
+
+}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolPlay.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolPlay.java
@@ -330,7 +330,7 @@
 		}
 
 		@Override
-		public void start(EndpointEntry entry, TaskRun run, String payload) {
+		public void start(EndpointEntry entry, TaskRun run, String payload, String checkpoint) {
 			Endpoint endpoint = this.endpoints.get(entry.id());
 			at(1, () -> begin(endpoint, run));
 		}
@@ -362,6 +362,11 @@
 			at(1, () -> end(endpoint, run, EndKind.STOPPED));
 		}
 
+		@Override
+		public void ended(PooledJob job, EndReference end) {
+			throw new IllegalStateException("no durable jobs are played");
+		}
+
 		@Override
 		public void answer(PooledJob job, JobOutcome outcome) {
 			at(HOP_MILLIS, () -> answered(job, outcome));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -14,9 +14,11 @@
 
 	private final List<Answer> answers = new ArrayList<>();
 
+	private final List<EndReference> ends = new ArrayList<>();
+
 	@Override
-	public void start(EndpointEntry endpoint, TaskRun run, String payload) {
-		this.starts.add(new Start(endpoint.id(), run));
+	public void start(EndpointEntry endpoint, TaskRun run, String payload, String checkpoint) {
+		this.starts.add(new Start(endpoint.id(), run, checkpoint));
 	}
 
 	@Override
@@ -29,6 +31,15 @@
 		this.answers.add(new Answer(job.spec().jobId(), job.origin(), outcome));
 	}
 
+	@Override
+	public void ended(PooledJob job, EndReference end) {
+		this.ends.add(end);
+	}
+
+	List<EndReference> ends() {
+		return this.ends;
+	}
+
 	List<Start> starts() {
 		return this.starts;
 	}
@@ -41,7 +52,7 @@
 		return this.answers;
 	}
 
-	record Start(String endpointId, TaskRun run) {
+	record Start(String endpointId, TaskRun run, String checkpoint) {
 	}
 
 	record Answer(String jobId, JobOrigin origin, JobOutcome outcome) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallException.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallException.java
@@ -79,6 +79,9 @@
 		/** The log does not end where the call expected it to. */
 		CONFLICT,
 
+		/** A writer with a higher epoch has taken over. */
+		FENCED,
+
 		/** The records asked for have expired. */
 		EXPIRED,
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/EndpointCalls.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/EndpointCalls.java
@@ -19,13 +19,14 @@
 	 * @param endpoint the endpoint
 	 * @param run the run
 	 * @param payload what to run
+	 * @param checkpoint where to go on from, or an empty string
 	 * @param fencingToken the token of the owner
 	 * @param leaseEndMillis until when all tasks of the endpoint may run, by its clock,
 	 * in milliseconds
 	 * @return empty if the task runs, else why not
 	 */
 	CompletableFuture<Optional<StartRefusal>> start(EndpointEntry endpoint, TaskRun run, String payload,
-			long fencingToken, long leaseEndMillis);
+			String checkpoint, long fencingToken, long leaseEndMillis);
 
 	/**
 	 * Orders an endpoint to stop a run, or never to start it.
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
@@ -0,0 +1,378 @@
+package org.masticwick.fleet.process;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.pool.DurableJob;
+import org.masticwick.core.pool.DurableJobActions;
+import org.masticwick.core.pool.DurableJobs;
+import org.masticwick.core.pool.DurableProgress;
+import org.masticwick.core.pool.JobOrigin;
+import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.PoolScheduler;
+import org.masticwick.fleet.connection.JobLog;
+import org.masticwick.fleet.connection.KeyedRecord;
+import org.masticwick.wire.DurableJobCodec;
+import org.masticwick.wire.MalformedMessageException;
+import org.masticwick.wire.PeerMessage;
+
+/**
+ * Keeps the durable jobs of an owner's pools in the shared log, a partition for each
+ * pool. A job belongs to one pool: whoever owns that runs it, on all endpoints it owns.
+ * All calls come on the event loop.
+ */
+final class DurableJobKeeper implements DurableJobActions, JobJournal.Listener {
+
+	private static final Logger logger = LoggerFactory.getLogger(DurableJobKeeper.class);
+
+	private static final String DEFINITION_PREFIX = "d/";
+
+	private static final String PROGRESS_PREFIX = "p/";
+
+	private static final byte[] NOTHING = {};
+
+	/** When to come back while the shared log does not take jobs, in milliseconds. */
+	private static final long UNWRITABLE_RETRY_MILLIS = 1_000;
+
+	/**
+	 * After how long runs of unknown jobs are stopped though the log could not be read,
+	 * so that the endpoints can be used.
+	 */
+	private static final long UNREAD_MILLIS = 1_000;
+
+	/**
+	 * After how long no run of an earlier owner goes on anywhere: the time in which that
+	 * one notices, and the longest lease.
+	 */
+	private static final long SETTLE_MILLIS = 2_000;
+
+	/**
+	 * After how long without an answer of its endpoints a pool may have another owner.
+	 */
+	private static final long OUT_OF_REACH_MILLIS = 500;
+
+	private final EventLoop eventLoop;
+
+	private final JobLog log;
+
+	private final List<String> domains;
+
+	private final DurableJobs jobs;
+
+	private final Listener listener;
+
+	private final Map<String, Pool> pools = new HashMap<>();
+
+	private final Map<String, List<CompletableFuture<PeerMessage>>> cancels = new HashMap<>();
+
+	private boolean closed;
+
+	DurableJobKeeper(EventLoop eventLoop, JobLog log, List<String> domains, PoolScheduler scheduler,
+			Listener listener) {
+		this.eventLoop = eventLoop;
+		this.log = log;
+		this.domains = domains;
+		this.listener = listener;
+		this.jobs = new DurableJobs(scheduler, this);
+	}
+
+	static DurableJobs.Moment now() {
+		return new DurableJobs.Moment(Clock.nowMillis(), System.currentTimeMillis());
+	}
+
+	DurableJobs jobs() {
+		return this.jobs;
+	}
+
+	/**
+	 * Takes over the jobs of a pool.
+	 * @param claim the claim on the pool
+	 */
+	void add(PoolClaim claim) {
+		int partition = this.domains.indexOf(claim.pool());
+		if (partition < 0 || partition >= this.log.partitionCount()) {
+			return;
+		}
+		remove(claim.pool());
+		JobJournal journal = new JobJournal(this.eventLoop, this.log, claim.pool(), partition, claim.fencingToken(),
+				this);
+		this.pools.put(claim.pool(), new Pool(journal, Clock.nowMillis()));
+		journal.open();
+	}
+
+	void remove(String pool) {
+		Pool known = this.pools.remove(pool);
+		if (known != null) {
+			known.journal.close();
+			this.jobs.forget(pool, now());
+		}
+	}
+
+	void close() {
+		this.closed = true;
+		this.pools.values().forEach((pool) -> pool.journal.close());
+	}
+
+	/**
+	 * Returns whether a run of an unknown job may be one that is still to be read.
+	 * @return whether it may
+	 */
+	boolean mayBeUnread() {
+		long nowMillis = Clock.nowMillis();
+		return this.pools.values()
+			.stream()
+			.anyMatch((pool) -> !pool.journal.isLoaded() && nowMillis - pool.takenMillis < UNREAD_MILLIS);
+	}
+
+	/**
+	 * Takes a job or refuses it.
+	 * @param spec the job
+	 * @param terms the terms of its queue
+	 * @param origin who waits for the answer
+	 */
+	void submit(JobSpec spec, JobTerms terms, JobOrigin origin) {
+		Optional<String> pool = this.pools.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().journal.isWritable())
+			.map(Map.Entry::getKey)
+			.max(Comparator.comparingInt(this.listener::endpointCount).thenComparing(Comparator.reverseOrder()));
+		if (pool.isEmpty() && this.jobs.status(spec.jobId()).isEmpty()) {
+			answer(origin, spec.jobId(),
+					new JobOutcome(JobOutcome.Kind.REFUSED, UNWRITABLE_RETRY_MILLIS, "log-takes-no-jobs"));
+			return;
+		}
+		this.jobs.submit(pool.orElse(""), spec, terms, origin, now());
+	}
+
+	/**
+	 * Answers a question about jobs.
+	 * @param query the question
+	 * @return the answer
+	 */
+	CompletableFuture<PeerMessage> query(PeerMessage.JobQuery query) {
+		return switch (query.kind()) {
+			case STATUS -> CompletableFuture.completedFuture(status(query.name()));
+			case WAITING -> CompletableFuture.completedFuture(
+					new PeerMessage.JobQueryAnswer(isComplete(), List.of(), this.jobs.waitingCount(query.name())));
+			case CANCEL -> cancel(query.name());
+		};
+	}
+
+	private PeerMessage.JobQueryAnswer status(String jobId) {
+		return new PeerMessage.JobQueryAnswer(isComplete(), this.jobs.status(jobId).stream().toList(), 0);
+	}
+
+	private boolean isComplete() {
+		return this.pools.values().stream().allMatch((pool) -> pool.journal.isLoaded());
+	}
+
+	private CompletableFuture<PeerMessage> cancel(String jobId) {
+		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+		this.cancels.computeIfAbsent(jobId, (id) -> new ArrayList<>()).add(answer);
+		if (!this.jobs.cancel(jobId, now())) {
+			cancelled(jobId);
+		}
+		else {
+			logger.atInfo().addKeyValue("job", jobId).log("Durable job is being cancelled");
+		}
+		return answer;
+	}
+
+	void tick() {
+		DurableJobs.Moment time = now();
+		this.jobs.tick(time);
+		this.pools.forEach((name, pool) -> {
+			if (!pool.settled && (this.listener.isCertain(pool.takenMillis)
+					|| time.nowMillis() - pool.takenMillis >= SETTLE_MILLIS)) {
+				pool.settled = true;
+			}
+			boolean inReach = this.listener.heardMillis(name) >= time.nowMillis() - OUT_OF_REACH_MILLIS;
+			this.jobs.hold(name, !pool.settled || !inReach, time);
+			if (!inReach) {
+				this.jobs.stopOutside(name, time);
+			}
+		});
+	}
+
+	@Override
+	public void loaded(String pool, List<KeyedRecord> records) {
+		Map<String, DurableJob> definitions = new HashMap<>();
+		Map<String, DurableProgress> progress = new HashMap<>();
+		records.forEach((each) -> read(each, definitions, progress));
+		DurableJobs.Moment time = now();
+		progress.forEach((jobId, kept) -> {
+			DurableJob job = definitions.get(jobId);
+			if (job != null) {
+				this.jobs.recover(pool, job, kept, time);
+			}
+			else {
+				this.jobs.recoverEnded(pool, jobId, kept);
+			}
+		});
+		logger.atInfo()
+			.addKeyValue("pool", pool)
+			.addKeyValue("active", definitions.size())
+			.addKeyValue("known", progress.size())
+			.log("Durable jobs taken over");
+	}
+
+	// A definition without progress was never accepted.
+	private static void read(KeyedRecord kept, Map<String, DurableJob> definitions,
+			Map<String, DurableProgress> progress) {
+		String jobId = kept.key().substring(DEFINITION_PREFIX.length());
+		try {
+			if (kept.value() == null) {
+				return;
+			}
+			if (kept.key().startsWith(DEFINITION_PREFIX)) {
+				definitions.put(jobId, DurableJobCodec.readJob(kept.value()));
+			}
+			else if (kept.key().startsWith(PROGRESS_PREFIX)) {
+				progress.put(jobId, DurableJobCodec.readProgress(kept.value()));
+			}
+		}
+		catch (MalformedMessageException ex) {
+			logger.atError()
+				.addKeyValue("key", kept.key())
+				.addKeyValue("offset", kept.offset())
+				.addKeyValue("reason", ex.getMessage())
+				.log("Record of a durable job can't be read");
+		}
+	}
+
+	@Override
+	public void fenced(String pool) {
+		if (!this.closed) {
+			this.listener.journalFenced(pool);
+		}
+	}
+
+	@Override
+	public void define(String pool, DurableJob job) {
+		put(pool, DEFINITION_PREFIX + job.spec().jobId(), DurableJobCodec.write(job));
+	}
+
+	@Override
+	public void write(String pool, String jobId, long revision) {
+		Pool known = this.pools.get(pool);
+		if (known != null) {
+			known.journal.put(PROGRESS_PREFIX + jobId, () -> progressBytes(jobId),
+					() -> this.jobs.stored(jobId, revision, now()));
+		}
+	}
+
+	private byte[] progressBytes(String jobId) {
+		return this.jobs.progress(jobId).map(DurableJobCodec::write).orElse(NOTHING);
+	}
+
+	@Override
+	public void remove(String pool, String jobId, boolean progressToo) {
+		put(pool, DEFINITION_PREFIX + jobId, NOTHING);
+		if (progressToo) {
+			put(pool, PROGRESS_PREFIX + jobId, NOTHING);
+		}
+		this.jobs.status(jobId)
+			.ifPresent((status) -> logger.atInfo()
+				.addKeyValue("job", jobId)
+				.addKeyValue("pool", pool)
+				.addKeyValue("status", status)
+				.log("Durable job ended"));
+	}
+
+	private void put(String pool, String key, byte[] content) {
+		Pool known = this.pools.get(pool);
+		if (known != null) {
+			known.journal.put(key, () -> content, () -> {
+			});
+		}
+	}
+
+	@Override
+	public void answer(JobOrigin origin, String jobId, JobOutcome outcome) {
+		logger.atInfo()
+			.addKeyValue("job", jobId)
+			.addKeyValue("outcome", outcome.kind())
+			.addKeyValue("reason", outcome.reason())
+			.addKeyValue("retry_after_ms", outcome.retryAfterMillis())
+			.log("Durable job answered by its pool");
+		this.eventLoop.execute(() -> this.listener.submitted(origin, jobId, outcome));
+	}
+
+	@Override
+	public void cancelled(String jobId) {
+		List<CompletableFuture<PeerMessage>> waiting = this.cancels.remove(jobId);
+		if (waiting != null) {
+			PeerMessage answer = status(jobId);
+			waiting.forEach((each) -> each.complete(answer));
+		}
+	}
+
+	/**
+	 * Knows the endpoints of the pools and those who wait for answers.
+	 */
+	interface Listener {
+
+		/**
+		 * Answers who submitted a job.
+		 * @param origin who waits
+		 * @param jobId the job
+		 * @param outcome the answer
+		 */
+		void submitted(JobOrigin origin, String jobId, JobOutcome outcome);
+
+		/**
+		 * Takes note that another owner writes the jobs of a pool.
+		 * @param pool the pool
+		 */
+		void journalFenced(String pool);
+
+		/**
+		 * Returns whether all endpoints of the site are owned and were heard.
+		 * @param sinceMillis since when, in milliseconds
+		 * @return whether no run can go on that is not known
+		 */
+		boolean isCertain(long sinceMillis);
+
+		/**
+		 * Returns when an endpoint of a pool was last heard.
+		 * @param pool the pool
+		 * @return the time in milliseconds
+		 */
+		long heardMillis(String pool);
+
+		/**
+		 * Counts the endpoints of a pool.
+		 * @param pool the pool
+		 * @return the number
+		 */
+		int endpointCount(String pool);
+
+	}
+
+	private static final class Pool {
+
+		private final JobJournal journal;
+
+		private final long takenMillis;
+
+		private boolean settled;
+
+		private Pool(JobJournal journal, long takenMillis) {
+			this.journal = journal;
+			this.takenMillis = takenMillis;
+		}
+
+	}
+
+}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
@@ -70,6 +70,10 @@
 		this.heardMillis = nowMillis;
 	}
 
+	long heardMillis() {
+		return this.heardMillis;
+	}
+
 	boolean isSilent(long nowMillis, long limitMillis) {
 		return nowMillis - this.heardMillis > limitMillis;
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -23,6 +23,7 @@
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.CallerServer;
 import org.masticwick.fleet.connection.EndpointCalls;
+import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
@@ -113,6 +114,8 @@
 
 	private final TopicFollower endpointFollower;
 
+	private final JobQueries queries;
+
 	private final RequestHandler requests;
 
 	private final CallerServer callers;
@@ -133,12 +136,13 @@
 	 * @param settings the settings
 	 * @param entryHost the identity of this run
 	 * @param log calls to the shared log
+	 * @param jobLog calls to the part of the log that keeps durable jobs
 	 * @param endpointCalls calls to endpoints
 	 * @param siteFormat reads what others publish
 	 * @param callerFormat reads and writes what callers see
 	 */
 	public FleetHost(EventLoopGroup eventLoops, FleetSettings settings, EntryHost entryHost, SharedLog log,
-			EndpointCalls endpointCalls, SiteFormat siteFormat, CallerFormat callerFormat) {
+			JobLog jobLog, EndpointCalls endpointCalls, SiteFormat siteFormat, CallerFormat callerFormat) {
 		this.eventLoops = eventLoops;
 		this.eventLoop = eventLoops.next();
 		this.settings = settings;
@@ -153,13 +157,14 @@
 		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::operatorRecord);
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::memberRecord);
 		this.ownership = new Ownership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory, log,
-				endpointCalls, siteFormat, this.metrics, this, this.memberFollower);
+				jobLog, endpointCalls, siteFormat, this.metrics, this, this.memberFollower);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
 		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, SLOW_ENDPOINT_PACE,
 				new EndpointListener());
-		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this::isClosing,
-				this.metrics);
+		this.queries = new JobQueries(this.eventLoop, this.directory, settings.domains(), callerFormat);
+		this.requests = new RequestHandler(this.versions, this.router, this.queries, callerFormat, this::isReady,
+				this::isClosing, this.metrics);
 		this.callers = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::caller);
 		this.readiness = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::operator);
 		this.ownership.onChange(this::ownershipChanged);
@@ -179,6 +184,7 @@
 				() -> new EntryHost(this.self.domain(), this.self.peerAddress(), this.self.incarnation()), this,
 				this.eventLoops);
 		this.router.transport(this.transport);
+		this.queries.transport(this.transport);
 		this.handover.transport(this.transport);
 		this.callers.listen(this.settings.callerAddress());
 		this.readiness.listen(this.settings.readinessAddress());
@@ -247,7 +253,8 @@
 			.map(PoolOwner::reports)
 			.orElse(List.of());
 		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.number(), this.leaving, pools,
-				this.directory.heardOwners(Clock.nowMillis()));
+				this.directory.heardOwners(Clock.nowMillis()),
+				this.directory.own().filter(PoolOwner::keepsJobs).isPresent());
 		this.peers.addresses()
 			.stream()
 			.filter((address) -> !address.equals(this.self.peerAddress()))
@@ -322,6 +329,9 @@
 				.ifPresent(
 						(owner) -> owner.cancel(cancel.jobId(), new JobOrigin(from.toString(), cancel.callNumber())));
 		}
+		else if (message instanceof PeerMessage.JobQuery query) {
+			return this.queries.answer(query);
+		}
 		else if (message instanceof PeerMessage.PublishedVersion published) {
 			this.versions.offer(published.content(), "peer " + from);
 		}
@@ -391,6 +401,11 @@
 		this.eventLoop.execute(() -> this.ownership.lose(pool, "fenced"));
 	}
 
+	@Override
+	public boolean mayHaveDurableJobs() {
+		return this.peers.mayHaveDurableJobs();
+	}
+
 	@Override
 	public void disconnected(HostAddress peer) {
 		this.peers.disconnected(peer, Clock.nowMillis());
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobJournal.java
@@ -0,0 +1,241 @@
+package org.masticwick.fleet.process;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.fleet.connection.CallException;
+import org.masticwick.fleet.connection.JobLog;
+import org.masticwick.fleet.connection.KeyedRecord;
+import org.masticwick.fleet.connection.LogPage;
+import org.masticwick.fleet.connection.NewRecord;
+
+/**
+ * Writes the durable jobs of one pool to its partition of the shared log, and reads what
+ * the owner before has written. The epoch is the fencing token of the pool: once it is
+ * set, an earlier owner can't add anything that was not read. One call is under way at a
+ * time and takes all that waits; one without an answer is repeated with the same number,
+ * so that it has an effect once. All calls come on the event loop.
+ */
+final class JobJournal {
+
+	private static final Logger logger = LoggerFactory.getLogger(JobJournal.class);
+
+	/** How much goes in one call; a part of what the log takes at once. */
+	private static final int MAX_BATCH_BYTES = 512 * 1024;
+
+	private static final int MAX_BATCH_COUNT = 500;
+
+	private static final long RETRY_MILLIS = 100;
+
+	private final EventLoop eventLoop;
+
+	private final JobLog log;
+
+	private final String pool;
+
+	private final int partition;
+
+	private final long epoch;
+
+	private final Listener listener;
+
+	private final Map<String, KeyedRecord> read = new LinkedHashMap<>();
+
+	private final Map<String, Change> waiting = new LinkedHashMap<>();
+
+	private long sequence;
+
+	private boolean loaded;
+
+	private boolean busy;
+
+	private boolean failing;
+
+	private boolean closed;
+
+	JobJournal(EventLoop eventLoop, JobLog log, String pool, int partition, long epoch, Listener listener) {
+		this.eventLoop = eventLoop;
+		this.log = log;
+		this.pool = pool;
+		this.partition = partition;
+		this.epoch = epoch;
+		this.listener = listener;
+	}
+
+	/**
+	 * Shuts earlier writers out and reads what they have written.
+	 */
+	void open() {
+		if (this.closed) {
+			return;
+		}
+		this.log.appendJobs(this.partition, this.epoch, this.sequence, List.of())
+			.thenCompose((nothing) -> this.log.newestJobs(this.partition, ""))
+			.whenComplete(this::pageRead);
+	}
+
+	private void pageRead(LogPage page, Throwable error) {
+		if (this.closed) {
+			return;
+		}
+		if (error != null) {
+			failed("open", error, this::open);
+			return;
+		}
+		page.records().forEach((each) -> this.read.put(each.key(), each));
+		if (page.lastKey() != null) {
+			this.log.newestJobs(this.partition, page.lastKey()).whenComplete(this::pageRead);
+			return;
+		}
+		this.loaded = true;
+		answered();
+		logger.atInfo()
+			.addKeyValue("pool", this.pool)
+			.addKeyValue("partition", this.partition)
+			.addKeyValue("epoch", this.epoch)
+			.addKeyValue("records", this.read.size())
+			.log("Durable jobs read");
+		List<KeyedRecord> all = List.copyOf(this.read.values());
+		this.read.clear();
+		this.listener.loaded(this.pool, all);
+		flush();
+	}
+
+	boolean isLoaded() {
+		return this.loaded;
+	}
+
+	/**
+	 * Returns whether new jobs can be expected to be written soon.
+	 * @return whether the last call was answered
+	 */
+	boolean isWritable() {
+		return this.loaded && !this.failing;
+	}
+
+	/**
+	 * Writes a record; replaces one with the same key that still waits.
+	 * @param key the key
+	 * @param content gives the value when it is written
+	 * @param stored what to do when the log has it
+	 */
+	void put(String key, Supplier<byte[]> content, Runnable stored) {
+		if (!this.closed) {
+			this.waiting.put(key, new Change(content, stored));
+			flush();
+		}
+	}
+
+	private void flush() {
+		if (this.busy || !this.loaded || this.closed || this.waiting.isEmpty()) {
+			return;
+		}
+		this.busy = true;
+		// What else happens in this turn of the event loop goes along.
+		this.eventLoop.execute(this::writeWaiting);
+	}
+
+	private void writeWaiting() {
+		List<NewRecord> records = new ArrayList<>();
+		List<Runnable> stored = new ArrayList<>();
+		int lengthBytes = 0;
+		for (String key : List.copyOf(this.waiting.keySet())) {
+			if (records.size() >= MAX_BATCH_COUNT || lengthBytes >= MAX_BATCH_BYTES) {
+				break;
+			}
+			Change change = this.waiting.remove(key);
+			NewRecord next = new NewRecord(key, change.content().get());
+			lengthBytes += next.value().length;
+			records.add(next);
+			stored.add(change.stored());
+		}
+		this.sequence++;
+		write(records, stored);
+	}
+
+	private void write(List<NewRecord> records, List<Runnable> stored) {
+		if (this.closed) {
+			return;
+		}
+		this.log.appendJobs(this.partition, this.epoch, this.sequence, records).whenComplete((nothing, error) -> {
+			if (this.closed) {
+				return;
+			}
+			if (error != null) {
+				failed("append", error, () -> write(records, stored));
+				return;
+			}
+			answered();
+			this.busy = false;
+			stored.forEach(Runnable::run);
+			flush();
+		});
+	}
+
+	private void answered() {
+		if (this.failing) {
+			this.failing = false;
+			logger.atInfo().addKeyValue("pool", this.pool).log("Durable jobs are written again");
+		}
+	}
+
+	private void failed(String call, Throwable error, Runnable again) {
+		Throwable cause = CallException.unwrapped(error);
+		if (cause instanceof CallException known && known.code() == CallException.Code.FENCED) {
+			close();
+			this.listener.fenced(this.pool);
+			return;
+		}
+		if (!this.failing) {
+			this.failing = true;
+			logger.atWarn()
+				.addKeyValue("pool", this.pool)
+				.addKeyValue("call", call)
+				.addKeyValue("epoch", this.epoch)
+				.addKeyValue("sequence", this.sequence)
+				.addKeyValue("reason", cause.getMessage())
+				.log("Durable jobs can't be written");
+		}
+		this.eventLoop.schedule(again, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Writes nothing any more.
+	 */
+	void close() {
+		this.closed = true;
+		this.waiting.clear();
+	}
+
+	private record Change(Supplier<byte[]> content, Runnable stored) {
+	}
+
+	/**
+	 * Hears what the journal holds.
+	 */
+	interface Listener {
+
+		/**
+		 * Takes what earlier owners have written.
+		 * @param pool the pool
+		 * @param records the newest record of each key
+		 */
+		void loaded(String pool, List<KeyedRecord> records);
+
+		/**
+		 * Takes note that another owner has taken over.
+		 * @param pool the pool
+		 */
+		void fenced(String pool);
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
@@ -0,0 +1,154 @@
+package org.masticwick.fleet.process;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.pool.JobStatus;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.request.CallerExchange;
+import org.masticwick.fleet.request.CallerFormat;
+import org.masticwick.fleet.request.CallerReply;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerTransport;
+
+/**
+ * Answers callers' questions about durable jobs: asks the owners of all pools, as any of
+ * them may have the job. That a job is unknown is only said when all have said so.
+ */
+final class JobQueries {
+
+	private static final Logger logger = LoggerFactory.getLogger(JobQueries.class);
+
+	private static final int OK = 200;
+
+	private static final int GONE = 410;
+
+	private static final int UNAVAILABLE = 503;
+
+	/** How long an owner may take; longer than it takes to notice that it is lost. */
+	private static final long TIMEOUT_MILLIS = 1_500;
+
+	/** When to ask again while an owner can't be asked, in milliseconds. */
+	private static final long RETRY_MILLIS = 1_000;
+
+	private static final PeerMessage.JobQueryAnswer NOT_ASKED = new PeerMessage.JobQueryAnswer(false, List.of(), 0);
+
+	private final EventLoop eventLoop;
+
+	private final PoolDirectory directory;
+
+	private final List<String> domains;
+
+	private final CallerFormat format;
+
+	private PeerTransport transport;
+
+	JobQueries(EventLoop eventLoop, PoolDirectory directory, List<String> domains, CallerFormat format) {
+		this.eventLoop = eventLoop;
+		this.directory = directory;
+		this.domains = domains;
+		this.format = format;
+	}
+
+	void transport(PeerTransport peers) {
+		this.transport = peers;
+	}
+
+	/**
+	 * Answers the question of a peer.
+	 * @param query the question
+	 * @return the answer of the pools that this host owns
+	 */
+	CompletableFuture<PeerMessage> answer(PeerMessage.JobQuery query) {
+		return this.directory.own()
+			.filter((owner) -> !owner.isFrozen())
+			.map((owner) -> owner.query(query))
+			.orElse(CompletableFuture.completedFuture(NOT_ASKED));
+	}
+
+	/**
+	 * Tells a caller the state of a job.
+	 * @param jobId the job
+	 * @param exchange the answer
+	 */
+	void status(String jobId, CallerExchange exchange) {
+		ask(new PeerMessage.JobQuery(PeerMessage.JobQueryKind.STATUS, jobId))
+			.thenAccept((answers) -> reply(jobId, answers, exchange));
+	}
+
+	/**
+	 * Cancels a job for a caller.
+	 * @param jobId the job
+	 * @param exchange the answer
+	 */
+	void cancel(String jobId, CallerExchange exchange) {
+		ask(new PeerMessage.JobQuery(PeerMessage.JobQueryKind.CANCEL, jobId))
+			.thenAccept((answers) -> reply(jobId, answers, exchange));
+	}
+
+	private void reply(String jobId, List<PeerMessage.JobQueryAnswer> answers, CallerExchange exchange) {
+		Optional<JobStatus> found = answers.stream().flatMap((answer) -> answer.found().stream()).findFirst();
+		CallerReply reply = found.map((status) -> new CallerReply(OK, this.format.writeStatus(status), 0))
+			.orElseGet(() -> isComplete(answers) ? CallerReply.of(GONE) : CallerReply.later(UNAVAILABLE, RETRY_MILLIS));
+		logger.atInfo()
+			.addKeyValue("job", jobId)
+			.addKeyValue("status", reply.status())
+			.addKeyValue("found", found.map(JobStatus::name).orElse("no"))
+			.addKeyValue("owners_asked", answers.size())
+			.log("Question about a durable job answered");
+		exchange.reply(reply);
+	}
+
+	/**
+	 * Tells a caller how many jobs of a queue wait.
+	 * @param queue the queue
+	 * @param exchange the answer
+	 */
+	void waiting(String queue, CallerExchange exchange) {
+		ask(new PeerMessage.JobQuery(PeerMessage.JobQueryKind.WAITING, queue)).thenAccept((answers) -> {
+			int count = answers.stream().mapToInt(PeerMessage.JobQueryAnswer::count).sum();
+			exchange.reply(isComplete(answers) ? new CallerReply(OK, this.format.writeWaiting(count), 0)
+					: CallerReply.later(UNAVAILABLE, RETRY_MILLIS));
+		});
+	}
+
+	private static boolean isComplete(List<PeerMessage.JobQueryAnswer> answers) {
+		return answers.stream().allMatch(PeerMessage.JobQueryAnswer::complete);
+	}
+
+	private CompletableFuture<List<PeerMessage.JobQueryAnswer>> ask(PeerMessage.JobQuery query) {
+		List<CompletableFuture<PeerMessage.JobQueryAnswer>> answers = new ArrayList<>();
+		Set<HostAddress> asked = new HashSet<>();
+		this.domains.forEach((pool) -> {
+			Optional<HostAddress> owner = this.directory.hearsOwner(pool, Clock.nowMillis())
+					? this.directory.ownerAddress(pool) : Optional.empty();
+			if (owner.isEmpty()) {
+				answers.add(CompletableFuture.completedFuture(NOT_ASKED));
+			}
+			else if (asked.add(owner.get())) {
+				answers.add(ask(pool, owner.get(), query));
+			}
+		});
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+			.thenApply((nothing) -> answers.stream().map(CompletableFuture::join).toList());
+	}
+
+	private CompletableFuture<PeerMessage.JobQueryAnswer> ask(String pool, HostAddress owner,
+			PeerMessage.JobQuery query) {
+		CompletableFuture<PeerMessage> answer = this.directory.ownOf(pool).isPresent() ? answer(query)
+				: this.transport.call(owner, query);
+		this.eventLoop.schedule(() -> answer.complete(NOT_ASKED), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		return answer
+			.handle((message, error) -> (message instanceof PeerMessage.JobQueryAnswer told) ? told : NOT_ASKED);
+	}
+
+}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -16,6 +16,7 @@
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolChoice;
 import org.masticwick.core.process.HostAddress;
@@ -250,6 +251,7 @@
 
 	private CallerReply reply(JobOutcome outcome) {
 		return switch (outcome.kind()) {
+			case ACCEPTED -> new CallerReply(OK, this.format.writeStatus(JobStatus.PENDING), 0);
 			case COMPLETED -> new CallerReply(OK, this.format.writeEnded(true), 0);
 			case FAILED -> new CallerReply(OK, this.format.writeEnded(false), 0);
 			case REFUSED -> CallerReply.later(UNAVAILABLE, Math.max(1, outcome.retryAfterMillis()));
@@ -267,6 +269,9 @@
 			.addKeyValue("pool", routed.pool)
 			.addKeyValue("after_ms", Clock.nowMillis() - routed.receivedMillis)
 			.log("Caller left before the answer");
+		if (routed.job.durable()) {
+			return;
+		}
 		if (routed.owner != null) {
 			this.transport.send(routed.owner,
 					new PeerMessage.CancelJob(routed.pool, routed.callNumber, routed.job.jobId()));
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/Ownership.java
@@ -21,6 +21,7 @@
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
+import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
@@ -66,6 +67,8 @@
 
 	private final SharedLog log;
 
+	private final JobLog jobLog;
+
 	private final EndpointCalls calls;
 
 	private final SiteFormat format;
@@ -94,8 +97,8 @@
 	private boolean leaving;
 
 	Ownership(EventLoop eventLoop, MemberRecord self, Collection<String> domains, PeerTable peers,
-			PoolDirectory directory, SharedLog log, EndpointCalls calls, SiteFormat format, FleetMetrics metrics,
-			PoolOwner.Listener ownerListener, TopicFollower members) {
+			PoolDirectory directory, SharedLog log, JobLog jobLog, EndpointCalls calls, SiteFormat format,
+			FleetMetrics metrics, PoolOwner.Listener ownerListener, TopicFollower members) {
 		this.eventLoop = eventLoop;
 		this.self = self;
 		this.domains = new TreeSet<>(domains);
@@ -103,6 +106,7 @@
 		this.peers = peers;
 		this.directory = directory;
 		this.log = log;
+		this.jobLog = jobLog;
 		this.calls = calls;
 		this.format = format;
 		this.metrics = metrics;
@@ -279,8 +283,8 @@
 
 	private void takeOver(PoolClaim claim) {
 		Optional<PoolOwner> present = this.directory.own();
-		PoolOwner owner = present
-			.orElseGet(() -> new PoolOwner(this.eventLoop, this.calls, this.metrics, this.ownerListener));
+		PoolOwner owner = present.orElseGet(() -> new PoolOwner(this.eventLoop, this.calls, this.jobLog,
+				List.copyOf(this.domains), this.metrics, this.ownerListener));
 		owner.add(claim);
 		this.directory.own(owner);
 		this.endpoints.values().forEach(owner::endpointListed);
@@ -321,6 +325,7 @@
 	void end(PoolOwner owner) {
 		if (this.directory.own().filter((current) -> current == owner).isPresent()) {
 			this.directory.own(null);
+			owner.discard();
 			this.ownershipListener.accept(false);
 		}
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -179,6 +179,19 @@
 			.anyMatch((peer) -> peer.report.heardOwners().contains(pool));
 	}
 
+	/**
+	 * Returns whether there may be durable jobs that have not ended.
+	 * @return {@code false} if all reports of owners say that there are none
+	 */
+	boolean mayHaveDurableJobs() {
+		List<PeerMessage.HostReport> owners = this.peers.values()
+			.stream()
+			.map((peer) -> peer.report)
+			.filter((report) -> report != null && !report.pools().isEmpty())
+			.toList();
+		return owners.isEmpty() || owners.stream().anyMatch(PeerMessage.HostReport::keepsJobs);
+	}
+
 	/**
 	 * Returns the newest report on a pool and who sent it.
 	 * @param pool the pool
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -7,12 +7,15 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.pool.EndReference;
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.EndpointReport;
 import org.masticwick.core.pool.JobOrigin;
@@ -30,6 +33,8 @@
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
+import org.masticwick.fleet.connection.JobLog;
+import org.masticwick.wire.PeerMessage;
 
 /**
  * Owns one pool of endpoints or several, which it schedules as one: keeps their leases,
@@ -43,6 +48,9 @@
 	/** The wait before an endpoint that can't be reached is asked again. */
 	private static final long UNREACHABLE_PAUSE_MILLIS = 100;
 
+	/** Some times as long as the shared log takes to answer. */
+	private static final long UNSTORED_PAUSE_MILLIS = 15;
+
 	private final EventLoop eventLoop;
 
 	private final EndpointCalls calls;
@@ -61,14 +69,22 @@
 
 	private final Map<String, EndpointLease> leases = new HashMap<>();
 
+	private final DurableJobKeeper durableJobs;
+
+	private final int siteDomainCount;
+
 	private boolean frozen;
 
-	PoolOwner(EventLoop eventLoop, EndpointCalls calls, FleetMetrics metrics, Listener listener) {
+	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
+			Listener listener) {
 		this.eventLoop = eventLoop;
 		this.calls = calls;
 		this.metrics = metrics;
 		this.listener = listener;
 		this.scheduler = new PoolScheduler(this.poolSettings, this);
+		this.siteDomainCount = domains.size();
+		this.durableJobs = new DurableJobKeeper(eventLoop, jobLog, domains, this.scheduler, new Endpoints());
+		this.scheduler.unreadJobs(() -> listener.mayHaveDurableJobs() && this.durableJobs.mayBeUnread());
 	}
 
 	Set<String> pools() {
@@ -81,6 +97,7 @@
 
 	void add(PoolClaim claim) {
 		this.claims.put(claim.pool(), claim);
+		this.durableJobs.add(claim);
 	}
 
 	/**
@@ -89,6 +106,7 @@
 	 */
 	void remove(String pool) {
 		this.claims.remove(pool);
+		this.durableJobs.remove(pool);
 		long nowMillis = Clock.nowMillis();
 		List.copyOf(this.leases.values())
 			.stream()
@@ -146,6 +164,10 @@
 	}
 
 	void submit(JobSpec job, JobTerms terms, JobOrigin origin) {
+		if (job.durable()) {
+			this.durableJobs.submit(job, terms, origin);
+			return;
+		}
 		this.scheduler.submit(job, terms, origin, Clock.nowMillis());
 	}
 
@@ -153,6 +175,14 @@
 		this.scheduler.cancel(jobId, origin, Clock.nowMillis());
 	}
 
+	CompletableFuture<PeerMessage> query(PeerMessage.JobQuery query) {
+		return this.durableJobs.query(query);
+	}
+
+	boolean keepsJobs() {
+		return this.durableJobs.jobs().isActive();
+	}
+
 	void originLost(String hostName) {
 		this.scheduler.originLost(hostName, Clock.nowMillis());
 	}
@@ -163,6 +193,15 @@
 	void close() {
 		this.scheduler.abandon(Clock.nowMillis());
 		this.frozen = true;
+		this.durableJobs.close();
+	}
+
+	/**
+	 * Ends without giving up jobs, as another host goes on with them.
+	 */
+	void discard() {
+		this.frozen = true;
+		this.durableJobs.close();
 	}
 
 	void endpointListed(EndpointEntry entry) {
@@ -190,6 +229,7 @@
 		}
 		long nowMillis = Clock.nowMillis();
 		List.copyOf(this.leases.values()).forEach((lease) -> checkLease(lease, nowMillis));
+		this.durableJobs.tick();
 		this.scheduler.tick(nowMillis);
 	}
 
@@ -245,11 +285,18 @@
 	}
 
 	private void renewOrForget(EndpointLease lease) {
-		if (this.scheduler.knows(lease.entry().id())) {
+		String id = lease.entry().id();
+		if (!this.scheduler.knows(id)) {
+			forget(lease);
+		}
+		else if (this.scheduler.hasUnstoredEnds(id)) {
+			// It would answer at once, with the same ends.
+			lease.renewing(true);
+			this.eventLoop.schedule(() -> renew(lease), UNSTORED_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		else {
 			renew(lease);
-			return;
 		}
-		forget(lease);
 	}
 
 	private void forget(EndpointLease lease) {
@@ -295,7 +342,7 @@
 	}
 
 	@Override
-	public void start(EndpointEntry endpoint, TaskRun run, String payload) {
+	public void start(EndpointEntry endpoint, TaskRun run, String payload, String checkpoint) {
 		EndpointLease lease = this.leases.get(endpoint.id());
 		long nowMillis = Clock.nowMillis();
 		OptionalLong leaseEndMillis = lease.renew(nowMillis);
@@ -306,7 +353,7 @@
 			.addKeyValue("token", token(endpoint))
 			.log("Start ordered");
 		this.metrics.startOrdered();
-		this.calls.start(endpoint, run, payload, token(endpoint), leaseEndMillis.orElse(0))
+		this.calls.start(endpoint, run, payload, checkpoint, token(endpoint), leaseEndMillis.orElse(0))
 			.whenComplete((refusal, error) -> startAnswered(lease, run, refusal, error));
 	}
 
@@ -388,10 +435,19 @@
 			.addKeyValue("expected_ms", Math.round(job.expectedMillis()))
 			.addKeyValue("retry_after_ms", outcome.retryAfterMillis())
 			.log("Job answered by its pool");
+		if (job.spec().durable()) {
+			this.eventLoop.execute(() -> this.durableJobs.jobs().ended(job, outcome, DurableJobKeeper.now()));
+			return;
+		}
 		JobOrigin origin = job.origin();
 		this.eventLoop.execute(() -> this.listener.answered(origin, job.spec().jobId(), outcome));
 	}
 
+	@Override
+	public void ended(PooledJob job, EndReference end) {
+		this.durableJobs.jobs().runEnded(job, end, DurableJobKeeper.now());
+	}
+
 	private static CallException cause(Throwable error) {
 		Throwable cause = CallException.unwrapped(error);
 		if (cause instanceof CallException call) {
@@ -419,6 +475,51 @@
 		 */
 		void fenced(String pool);
 
+		/**
+		 * Returns whether there may be durable jobs that this host does not know.
+		 * @return {@code false} if other hosts have said that there are none
+		 */
+		boolean mayHaveDurableJobs();
+
+	}
+
+	/**
+	 * Tells of the endpoints, and passes answers on.
+	 */
+	private final class Endpoints implements DurableJobKeeper.Listener {
+
+		@Override
+		public void submitted(JobOrigin origin, String jobId, JobOutcome outcome) {
+			PoolOwner.this.listener.answered(origin, jobId, outcome);
+		}
+
+		@Override
+		public void journalFenced(String pool) {
+			if (!PoolOwner.this.frozen && owns(pool)) {
+				PoolOwner.this.listener.fenced(pool);
+			}
+		}
+
+		@Override
+		public boolean isCertain(long sinceMillis) {
+			return PoolOwner.this.claims.size() == PoolOwner.this.siteDomainCount
+					&& PoolOwner.this.leases.values().stream().allMatch((lease) -> lease.heardMillis() > sinceMillis);
+		}
+
+		@Override
+		public long heardMillis(String pool) {
+			return leasesOf(pool).mapToLong(EndpointLease::heardMillis).max().orElse(Long.MIN_VALUE / 2);
+		}
+
+		@Override
+		public int endpointCount(String pool) {
+			return (int) leasesOf(pool).count();
+		}
+
+		private Stream<EndpointLease> leasesOf(String pool) {
+			return PoolOwner.this.leases.values().stream().filter((lease) -> lease.entry().domain().equals(pool));
+		}
+
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -33,8 +33,6 @@
 
 	private static final int NOT_ALLOWED = 405;
 
-	private static final int GONE = 410;
-
 	private static final int TOO_LARGE = 413;
 
 	private static final int UNAVAILABLE = 503;
@@ -60,6 +58,8 @@
 
 	private final JobRouter router;
 
+	private final JobQueries queries;
+
 	private final CallerFormat format;
 
 	private final BooleanSupplier ready;
@@ -68,10 +68,11 @@
 
 	private final FleetMetrics metrics;
 
-	RequestHandler(VersionHolder versions, JobRouter router, CallerFormat format, BooleanSupplier ready,
-			BooleanSupplier closing, FleetMetrics metrics) {
+	RequestHandler(VersionHolder versions, JobRouter router, JobQueries queries, CallerFormat format,
+			BooleanSupplier ready, BooleanSupplier closing, FleetMetrics metrics) {
 		this.versions = versions;
 		this.router = router;
+		this.queries = queries;
 		this.format = format;
 		this.ready = ready;
 		this.closing = closing;
@@ -115,18 +116,18 @@
 		String jobId = request.path().substring(queue.get().pathPrefix().length());
 		switch (request.method()) {
 			case "POST" -> submit(request, exchange, version.get(), queue.get(), jobId);
-			case "GET" -> show(exchange, jobId);
-			case "DELETE" -> exchange.reply(CallerReply.of(GONE));
+			case "GET" -> show(exchange, queue.get(), jobId);
+			case "DELETE" -> this.queries.cancel(jobId, exchange);
 			default -> refuse(request, exchange, CallerReply.of(NOT_ALLOWED), "method", number);
 		}
 	}
 
-	private void show(CallerExchange exchange, String jobId) {
+	private void show(CallerExchange exchange, QueueRule queue, String jobId) {
 		if (jobId.isEmpty()) {
-			exchange.reply(new CallerReply(OK, this.format.writeWaiting(0), 0));
+			this.queries.waiting(queue.name(), exchange);
 		}
 		else {
-			exchange.reply(CallerReply.of(GONE));
+			this.queries.status(jobId, exchange);
 		}
 	}
 
@@ -153,12 +154,12 @@
 			refuse(request, exchange, CallerReply.of(BAD_REQUEST), ex.getMessage(), version.number());
 			return;
 		}
-		if (!job.waitsForEnd() || !job.unsupported().isEmpty() || queue.advised()) {
+		if (!job.unsupported().isEmpty() || queue.advised()) {
 			refuse(request, exchange, CallerReply.later(UNAVAILABLE, UNSUPPORTED_RETRY_MILLIS),
 					"not-offered " + job.unsupported(), version.number());
 			return;
 		}
-		JobSpec spec = new JobSpec(jobId, job.payload(), job.steps());
+		JobSpec spec = new JobSpec(jobId, job.payload(), job.steps(), !job.waitsForEnd(), job.schedule());
 		if (spec.taskCount() > MAX_TASK_COUNT) {
 			refuse(request, exchange, CallerReply.of(BAD_REQUEST), "too-many-tasks", version.number());
 			return;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/request/CallerFormat.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/request/CallerFormat.java
@@ -1,5 +1,7 @@
 package org.masticwick.fleet.request;
 
+import org.masticwick.core.pool.JobStatus;
+
 /**
  * Reads and writes the bodies that callers see.
  */
@@ -32,6 +34,13 @@
 	 */
 	byte[] writeEnded(boolean completed);
 
+	/**
+	 * Writes the state of a durable job.
+	 * @param status the state
+	 * @return the body
+	 */
+	byte[] writeStatus(JobStatus status);
+
 	/**
 	 * Writes how many jobs of a queue wait.
 	 * @param waitingCount the number
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/request/SubmittedJob.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/request/SubmittedJob.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.masticwick.core.pool.JobSchedule;
 import org.masticwick.core.pool.StepSpec;
 
 /**
@@ -11,10 +12,12 @@
  * @param steps the steps
  * @param waitsForEnd whether the caller waits for the end of the job, which then needs
  * not be stored
+ * @param schedule when the steps run
  * @param unsupported what the job asks for that this host does not offer; empty if
  * nothing
  */
-public record SubmittedJob(String payload, List<StepSpec> steps, boolean waitsForEnd, List<String> unsupported) {
+public record SubmittedJob(String payload, List<StepSpec> steps, boolean waitsForEnd, JobSchedule schedule,
+		List<String> unsupported) {
 
 	/**
 	 * Copies the lists.
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -17,6 +17,8 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 
 import org.masticwick.core.pool.EndpointEntry;
+import org.masticwick.core.pool.JobSchedule;
+import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.Resources;
 import org.masticwick.core.pool.StepSpec;
 import org.masticwick.core.process.EntryHost;
@@ -88,7 +90,8 @@
 				750);
 		EntryHost identity = new EntryHost(domain, settings.peerAddress(), new Incarnation(this.nextIncarnation++, 1));
 		FleetHost host = new FleetHost(loops, settings, identity, this.log.seenBy(name, loops.next()),
-				this.endpoints.seenBy(loops.next()), new TextFormat(), new TextCallers());
+				this.log.seenBy(name, loops.next()), this.endpoints.seenBy(loops.next()), new TextFormat(),
+				new TextCallers());
 		host.start();
 		this.hosts.put(name, new Host(settings, host, loops));
 	}
@@ -191,7 +194,7 @@
 	}
 
 	/**
-	 * Reads a job as the number of its tasks.
+	 * Reads a job as the number of its tasks, with a letter in front if it is durable.
 	 */
 	static final class TextCallers implements CallerFormat {
 
@@ -208,9 +211,11 @@
 		@Override
 		public SubmittedJob readJob(byte[] body) {
 			try {
-				int taskCount = Integer.parseInt(new String(body, StandardCharsets.UTF_8));
+				String text = new String(body, StandardCharsets.UTF_8);
+				int taskCount = Integer.parseInt(text.replaceFirst("^d", ""));
 				StepSpec step = new StepSpec(taskCount, new Resources(1_000, 1, 0), 100, List.of(), "", "", 0);
-				return new SubmittedJob("payload", List.of(step), true, List.of());
+				return new SubmittedJob("payload", List.of(step), !text.startsWith("d"), JobSchedule.AT_ONCE,
+						List.of());
 			}
 			catch (NumberFormatException ex) {
 				throw new InvalidRecordException("no number of tasks");
@@ -222,6 +227,11 @@
 			return (completed ? "completed" : "failed").getBytes(StandardCharsets.UTF_8);
 		}
 
+		@Override
+		public byte[] writeStatus(JobStatus status) {
+			return status.name().getBytes(StandardCharsets.UTF_8);
+		}
+
 		@Override
 		public byte[] writeWaiting(int waitingCount) {
 			return Integer.toString(waitingCount).getBytes(StandardCharsets.UTF_8);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/MemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/MemoryEndpoints.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -33,6 +35,10 @@
 
 	private final List<TaskId> doubled = new ArrayList<>();
 
+	private final Set<TaskId> done = new HashSet<>();
+
+	private final List<TaskId> startedAgain = new ArrayList<>();
+
 	private final long runMillis;
 
 	private int startCount;
@@ -45,6 +51,19 @@
 		return List.copyOf(this.doubled);
 	}
 
+	/**
+	 * Returns the tasks that were started after they were done.
+	 * @return the tasks
+	 */
+	synchronized List<TaskId> startedAgain() {
+		return List.copyOf(this.startedAgain);
+	}
+
+	synchronized int doneCount() {
+		sweep();
+		return this.done.size();
+	}
+
 	synchronized int startCount() {
 		return this.startCount;
 	}
@@ -79,6 +98,9 @@
 		endpoint.leaseEndMillis = Math.max(endpoint.leaseEndMillis, leaseEnd);
 		if (endpoint.running.putIfAbsent(run, now()) == null) {
 			this.startCount++;
+			if (this.done.contains(run.task())) {
+				this.startedAgain.add(run.task());
+			}
 			if (this.runningCounts.merge(run.task(), 1, Integer::sum) > 1) {
 				this.doubled.add(run.task());
 			}
@@ -146,6 +168,9 @@
 			if (this.running.remove(run) != null) {
 				this.endCount++;
 				this.ended.add(new EndedTask(this.endCount, run, kind));
+				if (kind == EndKind.DONE) {
+					MemoryEndpoints.this.done.add(run.task());
+				}
 				MemoryEndpoints.this.runningCounts.merge(run.task(), -1, Integer::sum);
 			}
 		}
@@ -168,7 +193,7 @@
 
 		@Override
 		public CompletableFuture<Optional<StartRefusal>> start(EndpointEntry endpoint, TaskRun run, String payload,
-				long fencingToken, long leaseEndMillis) {
+				String checkpoint, long fencingToken, long leaseEndMillis) {
 			return later(MemoryEndpoints.this.start(endpoint, run, fencingToken, leaseEndMillis), 1);
 		}
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/MemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/MemoryLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import io.netty.channel.EventLoop;
 
 import org.masticwick.fleet.connection.CallException;
+import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.LogPage;
 import org.masticwick.fleet.connection.NewRecord;
@@ -30,6 +32,8 @@
 
 	private final Map<SharedTopic, List<KeyedRecord>> topics = new EnumMap<>(SharedTopic.class);
 
+	private final Map<Integer, JobPartition> jobPartitions = new HashMap<>();
+
 	private final Set<String> cutOff = ConcurrentHashMap.newKeySet();
 
 	MemoryLog() {
@@ -80,11 +84,52 @@
 	 * @param eventLoop the event loop on which answers come
 	 * @return the log
 	 */
-	SharedLog seenBy(String host, EventLoop eventLoop) {
+	View seenBy(String host, EventLoop eventLoop) {
 		return new View(host, eventLoop);
 	}
 
-	private final class View implements SharedLog {
+	private synchronized LogPage newestJobs(int partition) {
+		Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+		jobs(partition).records.forEach((each) -> newest.put(each.key(), each));
+		List<KeyedRecord> records = newest.values().stream().filter((each) -> each.value() != null).toList();
+		return new LogPage(records, jobs(partition).records.size(), null);
+	}
+
+	private synchronized Void appendJobs(int partition, long epoch, long sequence, List<NewRecord> records) {
+		JobPartition jobs = jobs(partition);
+		if (epoch < jobs.epoch) {
+			throw new CallException(CallException.Code.FENCED, "A higher epoch was there");
+		}
+		if (epoch > jobs.epoch) {
+			jobs.epoch = epoch;
+			jobs.sequence = sequence - 1;
+		}
+		if (sequence == jobs.sequence + 1) {
+			records.forEach((each) -> jobs.records.add(
+					new KeyedRecord(jobs.records.size(), each.key(), (each.value().length > 0) ? each.value() : null)));
+			jobs.sequence = sequence;
+		}
+		return null;
+	}
+
+	private JobPartition jobs(int partition) {
+		return this.jobPartitions.computeIfAbsent(partition, (number) -> new JobPartition());
+	}
+
+	private static final class JobPartition {
+
+		private final List<KeyedRecord> records = new ArrayList<>();
+
+		private long epoch;
+
+		private long sequence;
+
+	}
+
+	/**
+	 * The log as one host sees it.
+	 */
+	final class View implements SharedLog, JobLog {
 
 		private final String host;
 
@@ -146,6 +191,21 @@
 			return answer(() -> appendAt(topic, records, expectedEnd));
 		}
 
+		@Override
+		public int partitionCount() {
+			return 4;
+		}
+
+		@Override
+		public CompletableFuture<LogPage> newestJobs(int partition, String afterKey) {
+			return answer(() -> MemoryLog.this.newestJobs(partition));
+		}
+
+		@Override
+		public CompletableFuture<Void> appendJobs(int partition, long epoch, long sequence, List<NewRecord> records) {
+			return answer(() -> MemoryLog.this.appendJobs(partition, epoch, sequence, records));
+		}
+
 	}
 
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.masticwick.core.connection.ServiceLoad;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolTransfer;
@@ -233,9 +234,11 @@
 	 * @param leaving whether the sender is about to stop
 	 * @param pools the pools that it owns
 	 * @param heardOwners the pools whose owner the sender hears
+	 * @param keepsJobs whether the sender owns pools with durable jobs that have not
+	 * ended
 	 */
-	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools,
-			List<String> heardOwners) implements PeerMessage {
+	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> heardOwners,
+			boolean keepsJobs) implements PeerMessage {
 	}
 
 	/**
@@ -311,4 +314,39 @@
 	record Acknowledged() implements PeerMessage {
 	}
 
+	/**
+	 * Asks the owner of pools about its durable jobs.
+	 *
+	 * @param kind what to tell or do
+	 * @param name the job, or the queue whose waiting jobs are counted
+	 */
+	record JobQuery(JobQueryKind kind, String name) implements PeerMessage {
+	}
+
+	/**
+	 * What is asked about durable jobs.
+	 */
+	enum JobQueryKind {
+
+		/** Tell the state of a job. */
+		STATUS,
+
+		/** Cancel a job; the answer comes when the shared log has it. */
+		CANCEL,
+
+		/** Count the jobs of a queue of which no task has started. */
+		WAITING
+
+	}
+
+	/**
+	 * Answers a question about durable jobs.
+	 *
+	 * @param complete whether the sender knows all jobs of its pools
+	 * @param found the state of the job, or empty if the sender does not know it
+	 * @param count how many jobs wait
+	 */
+	record JobQueryAnswer(boolean complete, List<JobStatus> found, int count) implements PeerMessage {
+	}
+
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -55,7 +55,11 @@
 
 	JOB_FINISHED(21, PeerMessage.JobFinished.class, PoolMessageTypes.JOB_FINISHED),
 
-	ACKNOWLEDGED(22, PeerMessage.Acknowledged.class, PoolMessageTypes.ACKNOWLEDGED);
+	ACKNOWLEDGED(22, PeerMessage.Acknowledged.class, PoolMessageTypes.ACKNOWLEDGED),
+
+	JOB_QUERY(23, PeerMessage.JobQuery.class, PoolMessageTypes.JOB_QUERY),
+
+	JOB_QUERY_ANSWER(24, PeerMessage.JobQueryAnswer.class, PoolMessageTypes.JOB_QUERY_ANSWER);
 
 	/** The bound on messages that have none of their own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -3,18 +3,26 @@
 import java.util.List;
 import java.util.Set;
 
+import org.masticwick.core.pool.DurableJob;
+import org.masticwick.core.pool.DurableProgress;
+import org.masticwick.core.pool.DurableState;
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobSchedule;
 import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.JobTransfer;
+import org.masticwick.core.pool.OccurrenceProgress;
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.Resources;
 import org.masticwick.core.pool.StepSpec;
+import org.masticwick.core.pool.StepTraits;
 import org.masticwick.core.pool.TaskId;
+import org.masticwick.core.pool.TaskProgress;
 import org.masticwick.core.pool.TaskTransfer;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.PeerMessage;
@@ -37,21 +45,37 @@
 			RecordType.optional(BasicTypes.LONG, Resources::memoryMegabytes, 0L),
 			RecordType.optional(BasicTypes.INT, Resources::gpuCount, 0));
 
+	private static final RecordType<StepTraits> TRAITS = new RecordType<>(
+			(values) -> new StepTraits(values.get(0), values.get(1), values.get(2), values.get(3)),
+			RecordType.optional(BasicTypes.BOOLEAN, StepTraits::gang, false),
+			RecordType.optional(BasicTypes.BOOLEAN, StepTraits::longRunning, false),
+			RecordType.optional(BasicTypes.BOOLEAN, StepTraits::backfill, false),
+			RecordType.optional(BasicTypes.BOOLEAN, StepTraits::serving, false));
+
 	private static final RecordType<StepSpec> STEP = new RecordType<>(
 			(values) -> new StepSpec(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
-					values.get(5), values.get(6)),
+					values.get(5), values.get(6), values.get(7)),
 			RecordType.required(BasicTypes.INT, StepSpec::taskCount), RecordType.required(RESOURCES, StepSpec::need),
 			RecordType.optional(BasicTypes.LONG, StepSpec::estimatedMillis, 0L),
 			RecordType.optional(BasicTypes.list(BasicTypes.INT), StepSpec::after, List.of()),
 			RecordType.optional(BasicTypes.TEXT, StepSpec::requiredLabel, ""),
 			RecordType.optional(BasicTypes.TEXT, StepSpec::dataRack, ""),
-			RecordType.optional(BasicTypes.INT, StepSpec::maxPerEndpoint, 0));
+			RecordType.optional(BasicTypes.INT, StepSpec::maxPerEndpoint, 0),
+			RecordType.optional(TRAITS, StepSpec::traits, StepTraits.USUAL));
+
+	private static final RecordType<JobSchedule> SCHEDULE = new RecordType<>(
+			(values) -> new JobSchedule(values.get(0), values.get(1), values.get(2)),
+			RecordType.required(BasicTypes.INT, JobSchedule::count),
+			RecordType.required(BasicTypes.LONG, JobSchedule::firstEpochMillis),
+			RecordType.required(BasicTypes.LONG, JobSchedule::intervalMillis));
 
 	private static final RecordType<JobSpec> JOB = new RecordType<>(
-			(values) -> new JobSpec(values.get(0), values.get(1), values.get(2)),
+			(values) -> new JobSpec(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4)),
 			RecordType.required(BasicTypes.TEXT, JobSpec::jobId),
 			RecordType.required(BasicTypes.TEXT, JobSpec::payload),
-			RecordType.required(BasicTypes.list(STEP), JobSpec::steps));
+			RecordType.required(BasicTypes.list(STEP), JobSpec::steps),
+			RecordType.optional(BasicTypes.BOOLEAN, JobSpec::durable, false),
+			RecordType.optional(SCHEDULE, JobSpec::schedule, JobSchedule.AT_ONCE));
 
 	private static final RecordType<JobTerms> TERMS = new RecordType<>(
 			(values) -> new JobTerms(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
@@ -84,11 +108,13 @@
 			RecordType.required(LOAD, PoolReport::load));
 
 	static final RecordType<PeerMessage.HostReport> HOST_REPORT = new RecordType<>(
-			(values) -> new PeerMessage.HostReport(values.get(0), values.get(1), values.get(2), values.get(3)),
+			(values) -> new PeerMessage.HostReport(values.get(0), values.get(1), values.get(2), values.get(3),
+					values.get(4)),
 			RecordType.required(BasicTypes.LONG, PeerMessage.HostReport::versionNumber),
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::leaving, false),
 			RecordType.optional(BasicTypes.list(POOL), PeerMessage.HostReport::pools, List.of()),
-			RecordType.optional(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HostReport::heardOwners, List.of()));
+			RecordType.optional(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HostReport::heardOwners, List.of()),
+			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::keepsJobs, false));
 
 	static final RecordType<PeerMessage.SubmitJob> SUBMIT_JOB = new RecordType<>(
 			(values) -> new PeerMessage.SubmitJob(values.get(0), values.get(1), values.get(2), values.get(3)),
@@ -176,6 +202,45 @@
 	static final RecordType<PeerMessage.Acknowledged> ACKNOWLEDGED = new RecordType<>(
 			(values) -> new PeerMessage.Acknowledged());
 
+	static final RecordType<PeerMessage.JobQuery> JOB_QUERY = new RecordType<>(
+			(values) -> new PeerMessage.JobQuery(values.get(0), values.get(1)),
+			RecordType.required(BasicTypes.enumeration(PeerMessage.JobQueryKind.values()), PeerMessage.JobQuery::kind),
+			RecordType.required(BasicTypes.TEXT, PeerMessage.JobQuery::name));
+
+	static final RecordType<PeerMessage.JobQueryAnswer> JOB_QUERY_ANSWER = new RecordType<>(
+			(values) -> new PeerMessage.JobQueryAnswer(values.get(0), values.get(1), values.get(2)),
+			RecordType.required(BasicTypes.BOOLEAN, PeerMessage.JobQueryAnswer::complete),
+			RecordType.optional(BasicTypes.list(BasicTypes.enumeration(JobStatus.values())),
+					PeerMessage.JobQueryAnswer::found, List.of()),
+			RecordType.optional(BasicTypes.INT, PeerMessage.JobQueryAnswer::count, 0));
+
+	static final RecordType<DurableJob> DURABLE_JOB = new RecordType<>(
+			(values) -> new DurableJob(values.get(0), values.get(1), values.get(2)),
+			RecordType.required(JOB, DurableJob::spec), RecordType.required(TERMS, DurableJob::terms),
+			RecordType.required(BasicTypes.LONG, DurableJob::acceptedEpochMillis));
+
+	private static final RecordType<TaskProgress> TASK_PROGRESS = new RecordType<>(
+			(values) -> new TaskProgress(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
+					values.get(5)),
+			RecordType.optional(BasicTypes.INT, TaskProgress::step, 0),
+			RecordType.optional(BasicTypes.INT, TaskProgress::index, 0),
+			RecordType.optional(BasicTypes.BOOLEAN, TaskProgress::done, false),
+			RecordType.optional(BasicTypes.INT, TaskProgress::endedRun, 1),
+			RecordType.optional(BasicTypes.INT, TaskProgress::failureCount, 0),
+			RecordType.optional(BasicTypes.TEXT, TaskProgress::checkpoint, ""));
+
+	private static final RecordType<OccurrenceProgress> OCCURRENCE = new RecordType<>(
+			(values) -> new OccurrenceProgress(values.get(0), values.get(1), values.get(2)),
+			RecordType.optional(BasicTypes.INT, OccurrenceProgress::occurrence, 0),
+			RecordType.optional(BasicTypes.BOOLEAN, OccurrenceProgress::completed, false),
+			RecordType.optional(BasicTypes.list(TASK_PROGRESS), OccurrenceProgress::tasks, List.of()));
+
+	static final RecordType<DurableProgress> DURABLE_PROGRESS = new RecordType<>(
+			(values) -> new DurableProgress(values.get(0), values.get(1), values.get(2)),
+			RecordType.required(BasicTypes.enumeration(DurableState.values()), DurableProgress::state),
+			RecordType.required(BasicTypes.LONG, DurableProgress::changedEpochMillis),
+			RecordType.optional(BasicTypes.list(OCCURRENCE), DurableProgress::occurrences, List.of()));
+
 	private PoolMessageTypes() {
 	}
 
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
@@ -12,7 +12,9 @@
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobSchedule;
 import org.masticwick.core.pool.JobSpec;
+import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.JobTransfer;
 import org.masticwick.core.pool.PoolLoad;
@@ -20,6 +22,7 @@
 import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.Resources;
 import org.masticwick.core.pool.StepSpec;
+import org.masticwick.core.pool.StepTraits;
 import org.masticwick.core.pool.TaskId;
 import org.masticwick.core.pool.TaskTransfer;
 import org.masticwick.core.process.EntryHost;
@@ -80,16 +83,17 @@
 	}
 
 	private static Stream<PeerMessage> pools() {
-		StepSpec step = new StepSpec(8, new Resources(27_000, 64, 1), 60, List.of(0), "kind-a", "rack-1", 2);
-		JobSpec job = new JobSpec("5c0e7a21d94b36f8", "payload", List.of(step, step));
+		StepSpec step = new StepSpec(8, new Resources(27_000, 64, 1), 60, List.of(0), "kind-a", "rack-1", 2,
+				new StepTraits(true, false, true, false));
+		JobSpec job = new JobSpec("5c0e7a21d94b36f8", "payload", List.of(step, step), true, new JobSchedule(3, 7, 500));
 		JobTerms terms = new JobTerms("queue", "service", 2, 4, 1.6, 60, 1_500, 7);
 		PoolReport report = new PoolReport("hobart", 33, new PoolLoad(64_000, -1, 12, 3));
 		TaskTransfer task = new TaskTransfer(new TaskId("5c0e7a21d94b36f8", 0, 1, 7), false, 2, 1, "e-1", 40, true);
 		EndpointEntry endpoint = new EndpointEntry("e-1", "service", new HostAddress("10.0.0.1", 80), "hobart", true,
 				new Resources(64_000, 1_024, 0), Set.of("kind-a"), 5);
 		JobTransfer transfer = new JobTransfer(job, terms, new JobOrigin("10.0.0.1:7", 9), 120, List.of(task));
-		return Stream.of(new PeerMessage.HostReport(7, true, List.of(report), List.of("hobart")),
-				new PeerMessage.HostReport(0, false, List.of(), List.of()),
+		return Stream.of(new PeerMessage.HostReport(7, true, List.of(report), List.of("hobart"), true),
+				new PeerMessage.HostReport(0, false, List.of(), List.of(), false),
 				new PeerMessage.SubmitJob("hobart", 3, job, terms),
 				new PeerMessage.JobAnswer(new JobOutcome(JobOutcome.Kind.REFUSED, 500, "would-be-late")),
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
@@ -98,7 +102,9 @@
 						new PoolTransfer(List.of(endpoint), List.of(transfer))),
 				new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
-				new PeerMessage.Acknowledged());
+				new PeerMessage.Acknowledged(),
+				new PeerMessage.JobQuery(PeerMessage.JobQueryKind.CANCEL, "5c0e7a21d94b36f8"),
+				new PeerMessage.JobQueryAnswer(true, List.of(JobStatus.RUNNING), 3));
 	}
 
 }
