--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -358,11 +358,11 @@
 	}
 
 	/**
-	 * Returns whether there are jobs that have not ended.
+	 * Returns whether there are jobs, or were not long ago.
 	 * @return whether there are
 	 */
-	public boolean isActive() {
-		return this.entries.values().stream().anyMatch((entry) -> !entry.ended);
+	public boolean isUsed() {
+		return !this.entries.isEmpty();
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
@@ -10,6 +10,9 @@
  */
 final class EndCursor {
 
+	/** Well under the 500 ends that an endpoint lists at once. */
+	private static final int MAX_UNRESOLVED = 300;
+
 	/** Ends that belong to no known task, but may belong to a job that is still read. */
 	private final Set<Long> unresolved = new HashSet<>();
 
@@ -34,6 +37,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the endpoint may keep more ends that can't be told yet. It lists a
+	 * bounded number, so that new ones would not be seen any more.
+	 * @return whether it may
+	 */
+	boolean mayKeepMore() {
+		return this.unresolved.size() < MAX_UNRESOLVED;
+	}
+
 	/**
 	 * Takes in an end whose task is not known yet.
 	 * @param number the number of the end
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 /**
@@ -51,7 +50,7 @@
 	 */
 	private final Map<PooledTask, Long> uncertain = new LinkedHashMap<>();
 
-	private BooleanSupplier unreadJobs = () -> false;
+	private UnreadJobs unreadJobs = UnreadJobs.NONE;
 
 	private long nextSequence;
 
@@ -69,12 +68,11 @@
 	}
 
 	/**
-	 * Tells how to find out whether durable jobs of the pool are still to be read; until
-	 * then unknown runs are left alone.
-	 * @param supplier the question
+	 * Sets who knows whether durable jobs are still to be read.
+	 * @param unread who knows
 	 */
-	public void unreadJobs(BooleanSupplier supplier) {
-		this.unreadJobs = supplier;
+	public void unreadJobs(UnreadJobs unread) {
+		this.unreadJobs = unread;
 	}
 
 	/**
@@ -700,8 +698,13 @@
 		}
 
 		@Override
-		public boolean mayBeUnread() {
-			return PoolScheduler.this.unreadJobs.getAsBoolean();
+		public boolean hasUnread() {
+			return PoolScheduler.this.unreadJobs.exist();
+		}
+
+		@Override
+		public boolean awaitsUnread() {
+			return PoolScheduler.this.unreadJobs.areAwaited();
 		}
 
 		@Override
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -106,7 +106,7 @@
 			known.progressed(running.percent(), writtenMillis);
 			known.task().checkpoint(running.checkpoint());
 		});
-		if (placement.isEmpty() && !this.jobs.mayBeUnread()) {
+		if (placement.isEmpty() && !this.jobs.awaitsUnread()) {
 			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
 		}
 		return placement.isPresent();
@@ -134,7 +134,7 @@
 		Optional<PooledTask> durable = placement.map(Placement::task)
 			.filter((task) -> task.job().spec().durable())
 			.or(() -> this.jobs.durableTask(ended.run().task()));
-		if (placement.isEmpty() && durable.isEmpty() && this.jobs.mayBeUnread()) {
+		if (placement.isEmpty() && durable.isEmpty() && this.jobs.hasUnread() && endpoint.ends().mayKeepMore()) {
 			endpoint.ends().unresolved(ended.number());
 			return;
 		}
@@ -255,11 +255,18 @@
 		Optional<PooledTask> durableTask(TaskId id);
 
 		/**
-		 * Returns whether a run that is not known may belong to a job that is still to be
-		 * read from the shared log.
-		 * @return whether it may
+		 * Returns whether an end that is not known may belong to a job that is still to
+		 * be read from the shared log.
+		 * @return whether it may, so that the endpoint has to keep it
 		 */
-		boolean mayBeUnread();
+		boolean hasUnread();
+
+		/**
+		 * Returns whether runs that are not known should go on, as their jobs will be
+		 * read soon.
+		 * @return whether they should
+		 */
+		boolean awaitsUnread();
 
 		/**
 		 * Goes on with a run that an earlier owner started.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -75,6 +75,14 @@
 		this.pace = next;
 	}
 
+	/**
+	 * Returns whether the log answered the last call.
+	 * @return whether it did
+	 */
+	public boolean isAnswered() {
+		return !this.lost && this.nextOffset >= 0;
+	}
+
 	/**
 	 * Returns where the next record of the topic is expected.
 	 * @return the offset, or a negative number if nothing was read yet
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -21,6 +22,7 @@
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolScheduler;
+import org.masticwick.core.pool.UnreadJobs;
 import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.wire.DurableJobCodec;
@@ -32,7 +34,7 @@
  * pool. A job belongs to one pool: whoever owns that runs it, on all endpoints it owns.
  * All calls come on the event loop.
  */
-final class DurableJobKeeper implements DurableJobActions, JobJournal.Listener {
+final class DurableJobKeeper implements DurableJobActions, JobJournal.Listener, UnreadJobs {
 
 	private static final Logger logger = LoggerFactory.getLogger(DurableJobKeeper.class);
 
@@ -74,7 +76,7 @@
 
 	private final Map<String, Pool> pools = new HashMap<>();
 
-	private final Map<String, List<CompletableFuture<PeerMessage>>> cancels = new HashMap<>();
+	private final Map<String, List<Runnable>> cancels = new HashMap<>();
 
 	private boolean closed;
 
@@ -124,15 +126,32 @@
 		this.pools.values().forEach((pool) -> pool.journal.close());
 	}
 
+	@Override
+	public boolean exist() {
+		return unread().findAny().isPresent() && this.listener.mayHaveUnknownJobs();
+	}
+
+	@Override
+	public boolean areAwaited() {
+		long sinceMillis = Clock.nowMillis() - UNREAD_MILLIS;
+		return unread().anyMatch((pool) -> pool.takenMillis > sinceMillis) && this.listener.mayHaveUnknownJobs();
+	}
+
+	private Stream<Pool> unread() {
+		return this.pools.values().stream().filter((pool) -> !pool.journal.isLoaded());
+	}
+
 	/**
-	 * Returns whether a run of an unknown job may be one that is still to be read.
-	 * @return whether it may
+	 * Returns since when the shared log does not take jobs of some pool.
+	 * @return the time in milliseconds, or a negative number if it does
 	 */
-	boolean mayBeUnread() {
-		long nowMillis = Clock.nowMillis();
+	long unwritableSinceMillis() {
 		return this.pools.values()
 			.stream()
-			.anyMatch((pool) -> !pool.journal.isLoaded() && nowMillis - pool.takenMillis < UNREAD_MILLIS);
+			.mapToLong((pool) -> pool.journal.failingSinceMillis())
+			.filter((millis) -> millis >= 0)
+			.min()
+			.orElse(-1);
 	}
 
 	/**
@@ -162,30 +181,32 @@
 	 */
 	CompletableFuture<PeerMessage> query(PeerMessage.JobQuery query) {
 		return switch (query.kind()) {
-			case STATUS -> CompletableFuture.completedFuture(status(query.name()));
+			case STATUS -> CompletableFuture.completedFuture(status(query));
 			case WAITING -> CompletableFuture.completedFuture(
-					new PeerMessage.JobQueryAnswer(isComplete(), List.of(), this.jobs.waitingCount(query.name())));
-			case CANCEL -> cancel(query.name());
+					new PeerMessage.JobQueryAnswer(knowsAll(query), List.of(), this.jobs.waitingCount(query.name())));
+			case CANCEL -> cancel(query);
 		};
 	}
 
-	private PeerMessage.JobQueryAnswer status(String jobId) {
-		return new PeerMessage.JobQueryAnswer(isComplete(), this.jobs.status(jobId).stream().toList(), 0);
+	private PeerMessage.JobQueryAnswer status(PeerMessage.JobQuery query) {
+		return new PeerMessage.JobQueryAnswer(knowsAll(query), this.jobs.status(query.name()).stream().toList(), 0);
 	}
 
-	private boolean isComplete() {
-		return this.pools.values().stream().allMatch((pool) -> pool.journal.isLoaded());
+	// Who asks may not have heard yet that a pool has another owner now.
+	private boolean knowsAll(PeerMessage.JobQuery query) {
+		return query.pools().stream().map(this.pools::get).allMatch((pool) -> pool != null && pool.journal.isLoaded());
 	}
 
-	private CompletableFuture<PeerMessage> cancel(String jobId) {
-		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-		this.cancels.computeIfAbsent(jobId, (id) -> new ArrayList<>()).add(answer);
-		if (!this.jobs.cancel(jobId, now())) {
-			cancelled(jobId);
-		}
-		else {
-			logger.atInfo().addKeyValue("job", jobId).log("Durable job is being cancelled");
+	private CompletableFuture<PeerMessage> cancel(PeerMessage.JobQuery query) {
+		String jobId = query.name();
+		boolean known = this.jobs.status(jobId).isPresent();
+		logger.atInfo().addKeyValue("job", jobId).addKeyValue("known", known).log("Durable job is to be cancelled");
+		if (!known) {
+			return CompletableFuture.completedFuture(status(query));
 		}
+		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+		this.cancels.computeIfAbsent(jobId, (id) -> new ArrayList<>()).add(() -> answer.complete(status(query)));
+		this.jobs.cancel(jobId, now());
 		return answer;
 	}
 
@@ -311,10 +332,9 @@
 
 	@Override
 	public void cancelled(String jobId) {
-		List<CompletableFuture<PeerMessage>> waiting = this.cancels.remove(jobId);
+		List<Runnable> waiting = this.cancels.remove(jobId);
 		if (waiting != null) {
-			PeerMessage answer = status(jobId);
-			waiting.forEach((each) -> each.complete(answer));
+			waiting.forEach(Runnable::run);
 		}
 	}
 
@@ -337,6 +357,12 @@
 		 */
 		void journalFenced(String pool);
 
+		/**
+		 * Returns whether there may be jobs that this host does not know.
+		 * @return whether there may
+		 */
+		boolean mayHaveUnknownJobs();
+
 		/**
 		 * Returns whether all endpoints of the site are owned and were heard.
 		 * @param sinceMillis since when, in milliseconds
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -162,7 +162,8 @@
 				this.router);
 		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, SLOW_ENDPOINT_PACE,
 				new EndpointListener());
-		this.queries = new JobQueries(this.eventLoop, this.directory, settings.domains(), callerFormat);
+		this.queries = new JobQueries(this.eventLoop, this.self.peerAddress(), this.directory, settings.domains(),
+				callerFormat);
 		this.requests = new RequestHandler(this.versions, this.router, this.queries, callerFormat, this::isReady,
 				this::isClosing, this.metrics);
 		this.callers = new CallerServer(this.eventLoop, callerFormat.waitHeader(), this.requests::caller);
@@ -254,7 +255,7 @@
 			.orElse(List.of());
 		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.number(), this.leaving, pools,
 				this.directory.heardOwners(Clock.nowMillis()),
-				this.directory.own().filter(PoolOwner::keepsJobs).isPresent());
+				this.directory.own().filter(PoolOwner::keepsJobs).isPresent(), this.memberFollower.isAnswered());
 		this.peers.addresses()
 			.stream()
 			.filter((address) -> !address.equals(this.self.peerAddress()))
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobJournal.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobJournal.java
@@ -57,7 +57,7 @@
 
 	private boolean busy;
 
-	private boolean failing;
+	private long failingSinceMillis = -1;
 
 	private boolean closed;
 
@@ -118,7 +118,15 @@
 	 * @return whether the last call was answered
 	 */
 	boolean isWritable() {
-		return this.loaded && !this.failing;
+		return this.loaded && this.failingSinceMillis < 0;
+	}
+
+	/**
+	 * Returns since when the log does not answer.
+	 * @return the time in milliseconds, or a negative number if it does
+	 */
+	long failingSinceMillis() {
+		return this.failingSinceMillis;
 	}
 
 	/**
@@ -181,8 +189,8 @@
 	}
 
 	private void answered() {
-		if (this.failing) {
-			this.failing = false;
+		if (this.failingSinceMillis >= 0) {
+			this.failingSinceMillis = -1;
 			logger.atInfo().addKeyValue("pool", this.pool).log("Durable jobs are written again");
 		}
 	}
@@ -194,8 +202,8 @@
 			this.listener.fenced(this.pool);
 			return;
 		}
-		if (!this.failing) {
-			this.failing = true;
+		if (this.failingSinceMillis < 0) {
+			this.failingSinceMillis = Clock.nowMillis();
 			logger.atWarn()
 				.addKeyValue("pool", this.pool)
 				.addKeyValue("call", call)
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
@@ -1,12 +1,11 @@
 package org.masticwick.fleet.process;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -46,13 +45,17 @@
 
 	private final PoolDirectory directory;
 
+	private final HostAddress self;
+
 	private final List<String> domains;
 
 	private final CallerFormat format;
 
 	private PeerTransport transport;
 
-	JobQueries(EventLoop eventLoop, PoolDirectory directory, List<String> domains, CallerFormat format) {
+	JobQueries(EventLoop eventLoop, HostAddress self, PoolDirectory directory, List<String> domains,
+			CallerFormat format) {
+		this.self = self;
 		this.eventLoop = eventLoop;
 		this.directory = directory;
 		this.domains = domains;
@@ -81,8 +84,7 @@
 	 * @param exchange the answer
 	 */
 	void status(String jobId, CallerExchange exchange) {
-		ask(new PeerMessage.JobQuery(PeerMessage.JobQueryKind.STATUS, jobId))
-			.thenAccept((answers) -> reply(jobId, answers, exchange));
+		ask(PeerMessage.JobQueryKind.STATUS, jobId).thenAccept((answers) -> reply(jobId, answers, exchange));
 	}
 
 	/**
@@ -91,8 +93,7 @@
 	 * @param exchange the answer
 	 */
 	void cancel(String jobId, CallerExchange exchange) {
-		ask(new PeerMessage.JobQuery(PeerMessage.JobQueryKind.CANCEL, jobId))
-			.thenAccept((answers) -> reply(jobId, answers, exchange));
+		ask(PeerMessage.JobQueryKind.CANCEL, jobId).thenAccept((answers) -> reply(jobId, answers, exchange));
 	}
 
 	private void reply(String jobId, List<PeerMessage.JobQueryAnswer> answers, CallerExchange exchange) {
@@ -114,7 +115,7 @@
 	 * @param exchange the answer
 	 */
 	void waiting(String queue, CallerExchange exchange) {
-		ask(new PeerMessage.JobQuery(PeerMessage.JobQueryKind.WAITING, queue)).thenAccept((answers) -> {
+		ask(PeerMessage.JobQueryKind.WAITING, queue).thenAccept((answers) -> {
 			int count = answers.stream().mapToInt(PeerMessage.JobQueryAnswer::count).sum();
 			exchange.reply(isComplete(answers) ? new CallerReply(OK, this.format.writeWaiting(count), 0)
 					: CallerReply.later(UNAVAILABLE, RETRY_MILLIS));
@@ -125,27 +126,28 @@
 		return answers.stream().allMatch(PeerMessage.JobQueryAnswer::complete);
 	}
 
-	private CompletableFuture<List<PeerMessage.JobQueryAnswer>> ask(PeerMessage.JobQuery query) {
-		List<CompletableFuture<PeerMessage.JobQueryAnswer>> answers = new ArrayList<>();
-		Set<HostAddress> asked = new HashSet<>();
-		this.domains.forEach((pool) -> {
-			Optional<HostAddress> owner = this.directory.hearsOwner(pool, Clock.nowMillis())
-					? this.directory.ownerAddress(pool) : Optional.empty();
-			if (owner.isEmpty()) {
-				answers.add(CompletableFuture.completedFuture(NOT_ASKED));
-			}
-			else if (asked.add(owner.get())) {
-				answers.add(ask(pool, owner.get(), query));
-			}
-		});
+	private CompletableFuture<List<PeerMessage.JobQueryAnswer>> ask(PeerMessage.JobQueryKind kind, String name) {
+		Map<Optional<HostAddress>, List<String>> poolsByOwner = this.domains.stream()
+			.collect(Collectors.groupingBy(this::heardOwner));
+		List<CompletableFuture<PeerMessage.JobQueryAnswer>> answers = poolsByOwner.entrySet()
+			.stream()
+			.map((entry) -> ask(entry.getKey(), new PeerMessage.JobQuery(kind, name, entry.getValue())))
+			.toList();
 		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
 			.thenApply((nothing) -> answers.stream().map(CompletableFuture::join).toList());
 	}
 
-	private CompletableFuture<PeerMessage.JobQueryAnswer> ask(String pool, HostAddress owner,
-			PeerMessage.JobQuery query) {
-		CompletableFuture<PeerMessage> answer = this.directory.ownOf(pool).isPresent() ? answer(query)
-				: this.transport.call(owner, query);
+	private Optional<HostAddress> heardOwner(String pool) {
+		return this.directory.hearsOwner(pool, Clock.nowMillis()) ? this.directory.ownerAddress(pool)
+				: Optional.empty();
+	}
+
+	private CompletableFuture<PeerMessage.JobQueryAnswer> ask(Optional<HostAddress> owner, PeerMessage.JobQuery query) {
+		if (owner.isEmpty()) {
+			return CompletableFuture.completedFuture(NOT_ASKED);
+		}
+		CompletableFuture<PeerMessage> answer = owner.get().equals(this.self) ? answer(query)
+				: this.transport.call(owner.get(), query);
 		this.eventLoop.schedule(() -> answer.complete(NOT_ASKED), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		return answer
 			.handle((message, error) -> (message instanceof PeerMessage.JobQueryAnswer told) ? told : NOT_ASKED);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -42,6 +42,9 @@
 	/** How long two owners must have heard each other before one gives way. */
 	private static final long STABLE_MILLIS = 3_000;
 
+	/** After how long without the shared log durable jobs go to a host that has it. */
+	private static final long LOG_LOST_MILLIS = 1_000;
+
 	/** How much more processor makes a handover worth its cost, as a factor. */
 	private static final double STRONGER_FACTOR = 1.5;
 
@@ -89,7 +92,8 @@
 			return;
 		}
 		Optional<MemberRecord> next = this.leaving ? successor(nowMillis)
-				: greaterOwner(owner.get(), nowMillis).or(() -> strongerHost(nowMillis));
+				: hostWithLog(owner.get(), nowMillis).or(() -> greaterOwner(owner.get(), nowMillis))
+					.or(() -> strongerHost(nowMillis));
 		next.ifPresent((member) -> handOver(owner.get(), member, nowMillis));
 	}
 
@@ -106,6 +110,22 @@
 				.thenComparing(MemberRecord::incarnation));
 	}
 
+	// Durable jobs need the shared log, which may turn single hosts away.
+	private Optional<MemberRecord> hostWithLog(PoolOwner owner, long nowMillis) {
+		long sinceMillis = owner.jobsUnwritableSinceMillis();
+		if (sinceMillis < 0 || nowMillis - sinceMillis < LOG_LOST_MILLIS) {
+			return Optional.empty();
+		}
+		boolean merged = this.ownership.isMerged();
+		return this.peers.heard(nowMillis)
+			.stream()
+			.filter((member) -> merged || member.domain().equals(this.self.domain()))
+			.filter((member) -> this.peers.report(member.peerAddress())
+				.filter(PeerMessage.HostReport::reachesLog)
+				.isPresent())
+			.min(MemberRecord.STRONGEST_FIRST);
+	}
+
 	// On a site with hosts of several sizes, an owner that stood in for a strong host
 	// that
 	// was away gives way once that is back.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -84,7 +84,7 @@
 		this.scheduler = new PoolScheduler(this.poolSettings, this);
 		this.siteDomainCount = domains.size();
 		this.durableJobs = new DurableJobKeeper(eventLoop, jobLog, domains, this.scheduler, new Endpoints());
-		this.scheduler.unreadJobs(() -> listener.mayHaveDurableJobs() && this.durableJobs.mayBeUnread());
+		this.scheduler.unreadJobs(this.durableJobs);
 	}
 
 	Set<String> pools() {
@@ -180,7 +180,15 @@
 	}
 
 	boolean keepsJobs() {
-		return this.durableJobs.jobs().isActive();
+		return this.durableJobs.jobs().isUsed();
+	}
+
+	/**
+	 * Returns since when the shared log does not take this owner's durable jobs.
+	 * @return the time in milliseconds, or a negative number if it does or there are none
+	 */
+	long jobsUnwritableSinceMillis() {
+		return keepsJobs() ? this.durableJobs.unwritableSinceMillis() : -1;
 	}
 
 	void originLost(String hostName) {
@@ -500,6 +508,11 @@
 			}
 		}
 
+		@Override
+		public boolean mayHaveUnknownJobs() {
+			return PoolOwner.this.listener.mayHaveDurableJobs();
+		}
+
 		@Override
 		public boolean isCertain(long sinceMillis) {
 			return PoolOwner.this.claims.size() == PoolOwner.this.siteDomainCount
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -234,11 +234,11 @@
 	 * @param leaving whether the sender is about to stop
 	 * @param pools the pools that it owns
 	 * @param heardOwners the pools whose owner the sender hears
-	 * @param keepsJobs whether the sender owns pools with durable jobs that have not
-	 * ended
+	 * @param keepsJobs whether the sender owns pools with durable jobs
+	 * @param reachesLog whether the shared log answers the sender
 	 */
 	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> heardOwners,
-			boolean keepsJobs) implements PeerMessage {
+			boolean keepsJobs, boolean reachesLog) implements PeerMessage {
 	}
 
 	/**
@@ -319,8 +319,9 @@
 	 *
 	 * @param kind what to tell or do
 	 * @param name the job, or the queue whose waiting jobs are counted
+	 * @param pools the pools that the sender believes to be owned by the receiver
 	 */
-	record JobQuery(JobQueryKind kind, String name) implements PeerMessage {
+	record JobQuery(JobQueryKind kind, String name, List<String> pools) implements PeerMessage {
 	}
 
 	/**
@@ -342,7 +343,7 @@
 	/**
 	 * Answers a question about durable jobs.
 	 *
-	 * @param complete whether the sender knows all jobs of its pools
+	 * @param complete whether the sender owns the pools and knows all their jobs
 	 * @param found the state of the job, or empty if the sender does not know it
 	 * @param count how many jobs wait
 	 */
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -109,12 +109,13 @@
 
 	static final RecordType<PeerMessage.HostReport> HOST_REPORT = new RecordType<>(
 			(values) -> new PeerMessage.HostReport(values.get(0), values.get(1), values.get(2), values.get(3),
-					values.get(4)),
+					values.get(4), values.get(5)),
 			RecordType.required(BasicTypes.LONG, PeerMessage.HostReport::versionNumber),
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::leaving, false),
 			RecordType.optional(BasicTypes.list(POOL), PeerMessage.HostReport::pools, List.of()),
 			RecordType.optional(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HostReport::heardOwners, List.of()),
-			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::keepsJobs, false));
+			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::keepsJobs, false),
+			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::reachesLog, true));
 
 	static final RecordType<PeerMessage.SubmitJob> SUBMIT_JOB = new RecordType<>(
 			(values) -> new PeerMessage.SubmitJob(values.get(0), values.get(1), values.get(2), values.get(3)),
@@ -203,9 +204,10 @@
 			(values) -> new PeerMessage.Acknowledged());
 
 	static final RecordType<PeerMessage.JobQuery> JOB_QUERY = new RecordType<>(
-			(values) -> new PeerMessage.JobQuery(values.get(0), values.get(1)),
+			(values) -> new PeerMessage.JobQuery(values.get(0), values.get(1), values.get(2)),
 			RecordType.required(BasicTypes.enumeration(PeerMessage.JobQueryKind.values()), PeerMessage.JobQuery::kind),
-			RecordType.required(BasicTypes.TEXT, PeerMessage.JobQuery::name));
+			RecordType.required(BasicTypes.TEXT, PeerMessage.JobQuery::name),
+			RecordType.required(BasicTypes.list(BasicTypes.TEXT), PeerMessage.JobQuery::pools));
 
 	static final RecordType<PeerMessage.JobQueryAnswer> JOB_QUERY_ANSWER = new RecordType<>(
 			(values) -> new PeerMessage.JobQueryAnswer(values.get(0), values.get(1), values.get(2)),
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
@@ -92,8 +92,8 @@
 		EndpointEntry endpoint = new EndpointEntry("e-1", "service", new HostAddress("10.0.0.1", 80), "hobart", true,
 				new Resources(64_000, 1_024, 0), Set.of("kind-a"), 5);
 		JobTransfer transfer = new JobTransfer(job, terms, new JobOrigin("10.0.0.1:7", 9), 120, List.of(task));
-		return Stream.of(new PeerMessage.HostReport(7, true, List.of(report), List.of("hobart"), true),
-				new PeerMessage.HostReport(0, false, List.of(), List.of(), false),
+		return Stream.of(new PeerMessage.HostReport(7, true, List.of(report), List.of("hobart"), true, false),
+				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true),
 				new PeerMessage.SubmitJob("hobart", 3, job, terms),
 				new PeerMessage.JobAnswer(new JobOutcome(JobOutcome.Kind.REFUSED, 500, "would-be-late")),
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
@@ -103,7 +103,7 @@
 				new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
 				new PeerMessage.Acknowledged(),
-				new PeerMessage.JobQuery(PeerMessage.JobQueryKind.CANCEL, "5c0e7a21d94b36f8"),
+				new PeerMessage.JobQuery(PeerMessage.JobQueryKind.CANCEL, "5c0e7a21d94b36f8", List.of("hobart")),
 				new PeerMessage.JobQueryAnswer(true, List.of(JobStatus.RUNNING), 3));
 	}
 
