--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +45,8 @@
 
 	private boolean lost;
 
+	private Future<?> paused;
+
 	/**
 	 * Creates a follower that has not begun.
 	 * @param eventLoop the event loop
@@ -73,6 +76,9 @@
 	 */
 	public void pace(Pace next) {
 		this.pace = next;
+		if (this.paused != null && this.paused.cancel(false)) {
+			goOn();
+		}
 	}
 
 	/**
@@ -103,7 +109,25 @@
 		}
 		this.nextOffset = this.firstPageOffset;
 		this.listener.loaded(Set.copyOf(this.seenKeys));
-		read();
+		pauseOrGoOn();
+	}
+
+	private void pauseOrGoOn() {
+		if (this.pace.pauseMillis() == 0) {
+			goOn();
+			return;
+		}
+		this.paused = this.eventLoop.schedule(this::goOn, this.pace.pauseMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void goOn() {
+		this.paused = null;
+		if (this.pace.reload()) {
+			load("");
+		}
+		else {
+			read();
+		}
 	}
 
 	private void read() {
@@ -113,12 +137,7 @@
 	private void readOn(LogPage page) {
 		page.records().forEach(this.listener::record);
 		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
-		if (this.pace.pauseMillis() > 0) {
-			this.eventLoop.schedule(this::read, this.pace.pauseMillis(), TimeUnit.MILLISECONDS);
-		}
-		else {
-			read();
-		}
+		pauseOrGoOn();
 	}
 
 	private BiConsumer<LogPage, Throwable> guarded(Consumer<LogPage> next) {
@@ -170,8 +189,38 @@
 	 *
 	 * @param waitMillis how long a call waits for a record, in milliseconds
 	 * @param pauseMillis how long to wait between calls, in milliseconds
+	 * @param reload whether to ask for the newest record of each key, instead of all
+	 * records since the last call
 	 */
-	public record Pace(long waitMillis, long pauseMillis) {
+	public record Pace(long waitMillis, long pauseMillis, boolean reload) {
+
+		/**
+		 * Asks again at once, with calls that wait.
+		 * @param waitMillis how long a call waits for a record, in milliseconds
+		 * @return the pace
+		 */
+		public static Pace waiting(long waitMillis) {
+			return new Pace(waitMillis, 0, false);
+		}
+
+		/**
+		 * Fetches records in batches.
+		 * @param pauseMillis how long to wait between calls, in milliseconds
+		 * @return the pace
+		 */
+		public static Pace pausing(long pauseMillis) {
+			return new Pace(0, pauseMillis, false);
+		}
+
+		/**
+		 * Fetches the newest record of each key from time to time.
+		 * @param pauseMillis how long to wait between calls, in milliseconds
+		 * @return the pace
+		 */
+		public static Pace reloading(long pauseMillis) {
+			return new Pace(0, pauseMillis, true);
+		}
+
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -54,15 +54,18 @@
 	private static final long REPORT_MILLIS = 125;
 
 	/** How long a look for a new version waits; half of what a change may take. */
-	private static final TopicFollower.Pace VERSION_PACE = new TopicFollower.Pace(1_000, 0);
+	private static final TopicFollower.Pace VERSION_PACE = TopicFollower.Pace.waiting(1_000);
 
-	private static final TopicFollower.Pace MEMBER_PACE = new TopicFollower.Pace(1_000, 0);
+	private static final TopicFollower.Pace MEMBER_PACE = TopicFollower.Pace.waiting(1_000);
 
 	/** Endpoints write all the time, so that their records are fetched in batches. */
-	private static final TopicFollower.Pace ENDPOINT_PACE = new TopicFollower.Pace(0, 400);
+	private static final TopicFollower.Pace ENDPOINT_PACE = TopicFollower.Pace.pausing(400);
 
-	/** Hosts that own no pool only need to know the endpoints when they step in. */
-	private static final TopicFollower.Pace SLOW_ENDPOINT_PACE = new TopicFollower.Pace(0, 2_000);
+	/**
+	 * Hosts that own no pool only need to know the endpoints when they step in. Each
+	 * writes some five times meanwhile, of which they read the last.
+	 */
+	private static final TopicFollower.Pace STANDBY_ENDPOINT_PACE = TopicFollower.Pace.reloading(8_000);
 
 	/** How long before its end a stop gives up what still runs. */
 	private static final long STOP_MARGIN_MILLIS = 500;
@@ -123,6 +126,8 @@
 
 	private PeerTransport transport;
 
+	private final ReportAudience audience;
+
 	private boolean leaving;
 
 	private long leaveMillis;
@@ -146,6 +151,7 @@
 		this.versionKey = siteFormat.versionKey();
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
 				entryHost.incarnation(), settings.processorMillicores());
+		this.audience = new ReportAudience(this.self);
 		this.versions = new VersionHolder(siteFormat);
 		this.peers = new PeerTable(Clock.nowMillis());
 		this.directory = new PoolDirectory(this.self, this.peers);
@@ -156,7 +162,7 @@
 				endpointCalls, siteFormat, this.metrics, this, this.memberFollower);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
-		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, SLOW_ENDPOINT_PACE,
+		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STANDBY_ENDPOINT_PACE,
 				new EndpointListener());
 		this.requests = new RequestHandler(this.versions, this.router, callerFormat, this::isReady, this::isClosing,
 				this.metrics);
@@ -248,9 +254,9 @@
 			.orElse(List.of());
 		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.number(), this.leaving, pools,
 				this.directory.heardOwners(Clock.nowMillis()));
-		this.peers.addresses()
-			.stream()
-			.filter((address) -> !address.equals(this.self.peerAddress()))
+		this.audience
+			.of(this.ownership.isMerged(), this.directory.own().isPresent(), this.peers.addresses(), this.peers::member,
+					this.directory::isOwner)
 			.forEach((address) -> this.transport.send(address, report));
 	}
 
@@ -288,7 +294,7 @@
 	}
 
 	private void ownershipChanged(boolean owns) {
-		this.endpointFollower.pace(owns ? ENDPOINT_PACE : SLOW_ENDPOINT_PACE);
+		this.endpointFollower.pace(owns ? ENDPOINT_PACE : STANDBY_ENDPOINT_PACE);
 		if (owns) {
 			return;
 		}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -145,6 +145,15 @@
 		return new TreeSet<>(this.claims.keySet());
 	}
 
+	/**
+	 * Returns whether a host owns a pool, as far as is known.
+	 * @param address the host
+	 * @return whether it does
+	 */
+	boolean isOwner(HostAddress address) {
+		return poolCount(address) > 0;
+	}
+
 	/**
 	 * Counts the pools of an owner.
 	 * @param address the owner
--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ReportAudienceTests.java
@@ -0,0 +1,57 @@
+package org.masticwick.fleet.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ReportAudience}.
+ */
+class ReportAudienceTests {
+
+	private static final Map<HostAddress, MemberRecord> MEMBERS = Stream
+		.of(member("self", "d1", 1), member("near", "d1", 2), member("far", "d2", 3), member("far-owner", "d2", 4))
+		.collect(Collectors.toMap(MemberRecord::peerAddress, (member) -> member));
+
+	private final ReportAudience audience = new ReportAudience(MEMBERS.get(address(1)));
+
+	private static HostAddress address(int number) {
+		return new HostAddress("10.0.0." + number, 1);
+	}
+
+	private static MemberRecord member(String name, String domain, int number) {
+		return new MemberRecord(name, domain, address(number), new Incarnation(1, 1), 750);
+	}
+
+	private String audience(boolean smallSite, boolean owner, List<HostAddress> peers) {
+		return this.audience
+			.of(smallSite, owner, peers, (address) -> Optional.ofNullable(MEMBERS.get(address)), address(4)::equals)
+			.stream()
+			.map((address) -> Optional.ofNullable(MEMBERS.get(address)).map(MemberRecord::hostName).orElse("unknown"))
+			.sorted()
+			.collect(Collectors.joining(" "));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "true, false, far far-owner near", "false, false, far-owner near", "false, true, far far-owner near" })
+	void isAsLargeAsTheSiteNeeds(boolean smallSite, boolean owner, String expected) {
+		assertThat(audience(smallSite, owner, List.copyOf(MEMBERS.keySet()))).isEqualTo(expected);
+	}
+
+	@Test
+	void holdsPeersOfWhichOnlyTheAddressIsKnown() {
+		assertThat(audience(false, false, List.of(address(9)))).isEqualTo("unknown");
+	}
+
+}
