--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
@@ -1,7 +1,7 @@
 package org.masticwick.core.pool;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.TreeSet;
 
 /**
@@ -13,8 +13,11 @@
 	/** Well under the 500 ends that an endpoint lists at once. */
 	private static final int MAX_UNRESOLVED = 300;
 
+	/** Some times as long as failure domains are usually cut off, in milliseconds. */
+	private static final long MAX_UNRESOLVED_MILLIS = 20_000;
+
 	/** Ends that belong to no known task, but may belong to a job that is still read. */
-	private final Set<Long> unresolved = new HashSet<>();
+	private final Map<Long, Long> unresolvedSinceMillis = new HashMap<>();
 
 	/** Ends that the endpoint has to keep. */
 	private final TreeSet<Long> kept = new TreeSet<>();
@@ -27,32 +30,39 @@
 	 * @return whether it is new, or could not be told before
 	 */
 	boolean isOpen(long number) {
-		return number > this.lastNumber || this.unresolved.contains(number);
+		return number > this.lastNumber || this.unresolvedSinceMillis.containsKey(number);
 	}
 
 	void takenIn(long number) {
 		this.lastNumber = Math.max(this.lastNumber, number);
-		if (this.unresolved.remove(number)) {
+		if (this.unresolvedSinceMillis.remove(number) != null) {
 			this.kept.remove(number);
 		}
 	}
 
 	/**
-	 * Returns whether the endpoint may keep more ends that can't be told yet. It lists a
+	 * Returns whether the endpoint may keep an end that can't be told yet. It lists a
 	 * bounded number, so that new ones would not be seen any more.
+	 * @param number the number of the end
+	 * @param nowMillis the time in milliseconds
 	 * @return whether it may
 	 */
-	boolean mayKeepMore() {
-		return this.unresolved.size() < MAX_UNRESOLVED;
+	boolean mayKeepUnresolved(long number, long nowMillis) {
+		Long sinceMillis = this.unresolvedSinceMillis.get(number);
+		if (sinceMillis != null) {
+			return nowMillis - sinceMillis < MAX_UNRESOLVED_MILLIS;
+		}
+		return this.unresolvedSinceMillis.size() < MAX_UNRESOLVED;
 	}
 
 	/**
 	 * Takes in an end whose task is not known yet.
 	 * @param number the number of the end
+	 * @param nowMillis the time in milliseconds
 	 */
-	void unresolved(long number) {
+	void unresolved(long number, long nowMillis) {
 		this.lastNumber = Math.max(this.lastNumber, number);
-		this.unresolved.add(number);
+		this.unresolvedSinceMillis.putIfAbsent(number, nowMillis);
 		this.kept.add(number);
 	}
 
@@ -77,6 +87,15 @@
 		return !this.kept.isEmpty();
 	}
 
+	/**
+	 * Returns whether the endpoint keeps ends that can't be told yet, which may take
+	 * long.
+	 * @return whether it does
+	 */
+	boolean hasUnresolved() {
+		return !this.unresolvedSinceMillis.isEmpty();
+	}
+
 	/**
 	 * Returns up to which end the endpoint may forget its list.
 	 * @return the number of the end, or 0
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -476,7 +476,7 @@
 			finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
 		}
 		else if (members.stream().allMatch((member) -> member.placement() == null)) {
-			job.ready().addAll(members);
+			members.forEach(job::restart);
 			enqueueReady(job, nowMillis);
 		}
 	}
@@ -495,7 +495,7 @@
 	}
 
 	private void restart(PooledTask task, long nowMillis) {
-		task.job().ready().addFirst(task);
+		task.job().restart(task);
 		enqueueReady(task.job(), nowMillis);
 	}
 
@@ -632,6 +632,15 @@
 		return this.endpoints.find(endpointId).filter((endpoint) -> endpoint.ends().hasKept()).isPresent();
 	}
 
+	/**
+	 * Returns whether an endpoint lists ends of jobs that are not known yet.
+	 * @param endpointId the endpoint
+	 * @return whether it does
+	 */
+	public boolean hasUnresolvedEnds(String endpointId) {
+		return this.endpoints.find(endpointId).filter((endpoint) -> endpoint.ends().hasUnresolved()).isPresent();
+	}
+
 	/**
 	 * Returns whether an endpoint is listed, or still holds runs.
 	 * @param endpointId the endpoint
@@ -698,8 +707,8 @@
 		}
 
 		@Override
-		public boolean hasUnread() {
-			return PoolScheduler.this.unreadJobs.exist();
+		public boolean mayBeUnread(String jobId) {
+			return PoolScheduler.this.unreadJobs.mayInclude(jobId);
 		}
 
 		@Override
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -94,7 +94,7 @@
 		for (int number = 0; number < this.opened.length; number++) {
 			if (!this.opened[number] && isOpen(number)) {
 				this.opened[number] = true;
-				this.ready.addAll(this.tasks.get(number));
+				this.tasks.get(number).stream().filter(PooledTask::isWaiting).forEach(this.ready::add);
 			}
 		}
 	}
@@ -183,6 +183,17 @@
 		return this.arrivedMillis + this.terms.budgetMillis();
 	}
 
+	/**
+	 * Has a task started again, first of all. If an earlier owner started it and the
+	 * steps before are not known to be done yet, it waits for that.
+	 * @param task the task
+	 */
+	void restart(PooledTask task) {
+		if (this.opened[task.id().step()]) {
+			this.ready.addFirst(task);
+		}
+	}
+
 	Deque<PooledTask> ready() {
 		return this.ready;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -165,6 +165,14 @@
 		this.slowRestartCount++;
 	}
 
+	/**
+	 * Returns whether the task is neither done nor on an endpoint.
+	 * @return whether it can be started
+	 */
+	boolean isWaiting() {
+		return !this.done && this.placement == null;
+	}
+
 	boolean isDone() {
 		return this.done;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -134,8 +134,9 @@
 		Optional<PooledTask> durable = placement.map(Placement::task)
 			.filter((task) -> task.job().spec().durable())
 			.or(() -> this.jobs.durableTask(ended.run().task()));
-		if (placement.isEmpty() && durable.isEmpty() && this.jobs.hasUnread() && endpoint.ends().mayKeepMore()) {
-			endpoint.ends().unresolved(ended.number());
+		if (placement.isEmpty() && durable.isEmpty() && this.jobs.mayBeUnread(ended.run().task().jobId())
+				&& endpoint.ends().mayKeepUnresolved(ended.number(), nowMillis)) {
+			endpoint.ends().unresolved(ended.number(), nowMillis);
 			return;
 		}
 		boolean counted = durable.filter((task) -> ended.run().number() <= task.endedRun()).isPresent();
@@ -255,11 +256,12 @@
 		Optional<PooledTask> durableTask(TaskId id);
 
 		/**
-		 * Returns whether an end that is not known may belong to a job that is still to
-		 * be read from the shared log.
-		 * @return whether it may, so that the endpoint has to keep it
+		 * Returns whether a job that is not known may be a durable one that is still to
+		 * be read from the shared log, by this host or another one.
+		 * @param jobId the job
+		 * @return whether it may, so that endpoints have to keep its ends
 		 */
-		boolean hasUnread();
+		boolean mayBeUnread(String jobId);
 
 		/**
 		 * Returns whether runs that are not known should go on, as their jobs will be
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/UnreadJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/UnreadJobs.java
@@ -10,7 +10,7 @@
 	UnreadJobs NONE = new UnreadJobs() {
 
 		@Override
-		public boolean exist() {
+		public boolean mayInclude(String jobId) {
 			return false;
 		}
 
@@ -22,10 +22,11 @@
 	};
 
 	/**
-	 * Returns whether there may be some.
-	 * @return whether there may
+	 * Returns whether a job that is not known may be one of them.
+	 * @param jobId the job
+	 * @return whether it may
 	 */
-	boolean exist();
+	boolean mayInclude(String jobId);
 
 	/**
 	 * Returns whether it is worth while to wait for them before unknown runs are stopped.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
@@ -1,11 +1,9 @@
 package org.masticwick.fleet.process;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
@@ -17,6 +15,7 @@
 import org.masticwick.core.pool.DurableJobActions;
 import org.masticwick.core.pool.DurableJobs;
 import org.masticwick.core.pool.DurableProgress;
+import org.masticwick.core.pool.HomePool;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
@@ -127,8 +126,9 @@
 	}
 
 	@Override
-	public boolean exist() {
-		return unread().findAny().isPresent() && this.listener.mayHaveUnknownJobs();
+	public boolean mayInclude(String jobId) {
+		Pool home = this.pools.get(HomePool.of(jobId, this.domains));
+		return (home == null || !home.journal.isLoaded()) && this.listener.mayHaveUnknownJobs();
 	}
 
 	@Override
@@ -156,22 +156,22 @@
 
 	/**
 	 * Takes a job or refuses it.
+	 * @param pool the pool that it belongs to
 	 * @param spec the job
 	 * @param terms the terms of its queue
 	 * @param origin who waits for the answer
 	 */
-	void submit(JobSpec spec, JobTerms terms, JobOrigin origin) {
-		Optional<String> pool = this.pools.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().journal.isWritable())
-			.map(Map.Entry::getKey)
-			.max(Comparator.comparingInt(this.listener::endpointCount).thenComparing(Comparator.reverseOrder()));
-		if (pool.isEmpty() && this.jobs.status(spec.jobId()).isEmpty()) {
-			answer(origin, spec.jobId(),
-					new JobOutcome(JobOutcome.Kind.REFUSED, UNWRITABLE_RETRY_MILLIS, "log-takes-no-jobs"));
+	void submit(String pool, JobSpec spec, JobTerms terms, JobOrigin origin) {
+		Pool known = this.pools.get(pool);
+		boolean present = this.jobs.status(spec.jobId()).isPresent();
+		if (present || known != null && known.journal.isWritable()) {
+			this.jobs.submit(pool, spec, terms, origin, now());
 			return;
 		}
-		this.jobs.submit(pool.orElse(""), spec, terms, origin, now());
+		// While the pool's jobs are not all read, this one may be among them.
+		boolean mayBeKnown = known != null && !known.journal.isLoaded();
+		answer(origin, spec.jobId(), new JobOutcome(JobOutcome.Kind.REFUSED, UNWRITABLE_RETRY_MILLIS,
+				mayBeKnown ? "jobs-not-read-yet" : "log-takes-no-jobs"));
 	}
 
 	/**
@@ -214,8 +214,7 @@
 		DurableJobs.Moment time = now();
 		this.jobs.tick(time);
 		this.pools.forEach((name, pool) -> {
-			if (!pool.settled && (this.listener.isCertain(pool.takenMillis)
-					|| time.nowMillis() - pool.takenMillis >= SETTLE_MILLIS)) {
+			if (!pool.settled && isSettled(pool, time.nowMillis())) {
 				pool.settled = true;
 			}
 			boolean inReach = this.listener.heardMillis(name) >= time.nowMillis() - OUT_OF_REACH_MILLIS;
@@ -226,8 +225,15 @@
 		});
 	}
 
+	// What endpoints told before the jobs were read was not understood.
+	private boolean isSettled(Pool pool, long nowMillis) {
+		return pool.loadedMillis >= 0
+				&& (this.listener.isCertain(pool.loadedMillis) || nowMillis - pool.loadedMillis >= SETTLE_MILLIS);
+	}
+
 	@Override
 	public void loaded(String pool, List<KeyedRecord> records) {
+		this.pools.get(pool).loadedMillis = Clock.nowMillis();
 		Map<String, DurableJob> definitions = new HashMap<>();
 		Map<String, DurableProgress> progress = new HashMap<>();
 		records.forEach((each) -> read(each, definitions, progress));
@@ -377,13 +383,6 @@
 		 */
 		long heardMillis(String pool);
 
-		/**
-		 * Counts the endpoints of a pool.
-		 * @param pool the pool
-		 * @return the number
-		 */
-		int endpointCount(String pool);
-
 	}
 
 	private static final class Pool {
@@ -392,6 +391,8 @@
 
 		private final long takenMillis;
 
+		private long loadedMillis = -1;
+
 		private boolean settled;
 
 		private Pool(JobJournal journal, long takenMillis) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -159,7 +159,8 @@
 		this.versions = new VersionHolder(siteFormat);
 		this.peers = new PeerTable(Clock.nowMillis());
 		this.directory = new PoolDirectory(this.self, this.peers);
-		this.router = new JobRouter(this.eventLoop, this.self, this.directory, callerFormat, this.metrics);
+		this.router = new JobRouter(this.eventLoop, this.self, settings.domains(), this.directory, callerFormat,
+				this.metrics);
 		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::operatorRecord);
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::memberRecord);
 		this.ownership = new Ownership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory, log,
@@ -379,7 +380,7 @@
 		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 		this.calls.put(origin, answer);
-		owner.get().submit(submission.job(), submission.terms(), origin);
+		owner.get().submit(submission.pool(), submission.job(), submission.terms(), origin);
 		return answer;
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
@@ -11,6 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.pool.HomePool;
 import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.request.CallerExchange;
@@ -20,8 +21,9 @@
 import org.masticwick.wire.PeerTransport;
 
 /**
- * Answers callers' questions about durable jobs: asks the owners of all pools, as any of
- * them may have the job. That a job is unknown is only said when all have said so.
+ * Answers callers' questions about durable jobs: asks the owners of the pools that they
+ * belong to. That a job is unknown is only said by an owner that has read all jobs of the
+ * pool.
  */
 final class JobQueries {
 
@@ -84,7 +86,8 @@
 	 * @param exchange the answer
 	 */
 	void status(String jobId, CallerExchange exchange) {
-		ask(PeerMessage.JobQueryKind.STATUS, jobId).thenAccept((answers) -> reply(jobId, answers, exchange));
+		ask(PeerMessage.JobQueryKind.STATUS, jobId, List.of(HomePool.of(jobId, this.domains)))
+			.thenAccept((answers) -> reply(jobId, answers, exchange));
 	}
 
 	/**
@@ -93,7 +96,8 @@
 	 * @param exchange the answer
 	 */
 	void cancel(String jobId, CallerExchange exchange) {
-		ask(PeerMessage.JobQueryKind.CANCEL, jobId).thenAccept((answers) -> reply(jobId, answers, exchange));
+		ask(PeerMessage.JobQueryKind.CANCEL, jobId, List.of(HomePool.of(jobId, this.domains)))
+			.thenAccept((answers) -> reply(jobId, answers, exchange));
 	}
 
 	private void reply(String jobId, List<PeerMessage.JobQueryAnswer> answers, CallerExchange exchange) {
@@ -115,7 +119,7 @@
 	 * @param exchange the answer
 	 */
 	void waiting(String queue, CallerExchange exchange) {
-		ask(PeerMessage.JobQueryKind.WAITING, queue).thenAccept((answers) -> {
+		ask(PeerMessage.JobQueryKind.WAITING, queue, this.domains).thenAccept((answers) -> {
 			int count = answers.stream().mapToInt(PeerMessage.JobQueryAnswer::count).sum();
 			exchange.reply(isComplete(answers) ? new CallerReply(OK, this.format.writeWaiting(count), 0)
 					: CallerReply.later(UNAVAILABLE, RETRY_MILLIS));
@@ -126,8 +130,9 @@
 		return answers.stream().allMatch(PeerMessage.JobQueryAnswer::complete);
 	}
 
-	private CompletableFuture<List<PeerMessage.JobQueryAnswer>> ask(PeerMessage.JobQueryKind kind, String name) {
-		Map<Optional<HostAddress>, List<String>> poolsByOwner = this.domains.stream()
+	private CompletableFuture<List<PeerMessage.JobQueryAnswer>> ask(PeerMessage.JobQueryKind kind, String name,
+			List<String> pools) {
+		Map<Optional<HostAddress>, List<String>> poolsByOwner = pools.stream()
 			.collect(Collectors.groupingBy(this::heardOwner));
 		List<CompletableFuture<PeerMessage.JobQueryAnswer>> answers = poolsByOwner.entrySet()
 			.stream()
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.pool.HomePool;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
@@ -55,6 +56,8 @@
 
 	private final MemberRecord self;
 
+	private final List<String> domains;
+
 	private final PoolDirectory directory;
 
 	private final CallerFormat format;
@@ -69,8 +72,9 @@
 
 	private long nextCallNumber;
 
-	JobRouter(EventLoop eventLoop, MemberRecord self, PoolDirectory directory, CallerFormat format,
-			FleetMetrics metrics) {
+	JobRouter(EventLoop eventLoop, MemberRecord self, List<String> domains, PoolDirectory directory,
+			CallerFormat format, FleetMetrics metrics) {
+		this.domains = domains;
 		this.eventLoop = eventLoop;
 		this.self = self;
 		this.directory = directory;
@@ -98,7 +102,7 @@
 			return;
 		}
 		long nowMillis = Clock.nowMillis();
-		List<PoolChoice.Candidate> candidates = this.directory.candidates(nowMillis);
+		List<PoolChoice.Candidate> candidates = candidates(routed, nowMillis);
 		Optional<PoolChoice.Candidate> chosen = this.choice.choose(candidates, routed.neededMillicores(), routed.tried);
 		if (chosen.isEmpty()) {
 			noPool(routed, nowMillis);
@@ -120,6 +124,13 @@
 		send(routed, pool, nowMillis);
 	}
 
+	private List<PoolChoice.Candidate> candidates(RoutedJob routed, long nowMillis) {
+		if (!routed.job.durable()) {
+			return this.directory.candidates(nowMillis);
+		}
+		return this.directory.candidate(HomePool.of(routed.job.jobId(), this.domains), nowMillis).stream().toList();
+	}
+
 	private void noPool(RoutedJob routed, long nowMillis) {
 		if (routed.lastRefusal != null) {
 			answer(routed, routed.lastRefusal);
@@ -137,7 +148,7 @@
 		routed.owner = null;
 		Optional<PoolOwner> own = this.directory.ownOf(pool).filter((owner) -> !owner.isFrozen());
 		if (own.isPresent()) {
-			own.get().submit(routed.job, terms, origin(routed));
+			own.get().submit(pool, routed.job, terms, origin(routed));
 			return;
 		}
 		Optional<HostAddress> owner = this.directory.ownerAddress(pool);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -163,7 +163,13 @@
 		return pools().stream().filter((pool) -> ownerAddress(pool).filter(address::equals).isPresent()).count();
 	}
 
-	private Optional<PoolChoice.Candidate> candidate(String pool, long nowMillis) {
+	/**
+	 * Returns the owner of a pool, if a job can be sent to it.
+	 * @param pool the pool
+	 * @param nowMillis the time in milliseconds
+	 * @return the candidate
+	 */
+	Optional<PoolChoice.Candidate> candidate(String pool, long nowMillis) {
 		boolean local = pool.equals(this.self.domain());
 		if (ownOf(pool).isPresent()) {
 			PoolLoad load = this.own.load();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -51,6 +51,9 @@
 	/** Some times as long as the shared log takes to answer. */
 	private static final long UNSTORED_PAUSE_MILLIS = 15;
 
+	/** As long as a renewal of a busy endpoint waits for ends. */
+	private static final long UNRESOLVED_PAUSE_MILLIS = 100;
+
 	private final EventLoop eventLoop;
 
 	private final EndpointCalls calls;
@@ -163,9 +166,9 @@
 		return load().jobCount();
 	}
 
-	void submit(JobSpec job, JobTerms terms, JobOrigin origin) {
+	void submit(String pool, JobSpec job, JobTerms terms, JobOrigin origin) {
 		if (job.durable()) {
-			this.durableJobs.submit(job, terms, origin);
+			this.durableJobs.submit(pool, job, terms, origin);
 			return;
 		}
 		this.scheduler.submit(job, terms, origin, Clock.nowMillis());
@@ -300,7 +303,8 @@
 		else if (this.scheduler.hasUnstoredEnds(id)) {
 			// It would answer at once, with the same ends.
 			lease.renewing(true);
-			this.eventLoop.schedule(() -> renew(lease), UNSTORED_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+			long pauseMillis = this.scheduler.hasUnresolvedEnds(id) ? UNRESOLVED_PAUSE_MILLIS : UNSTORED_PAUSE_MILLIS;
+			this.eventLoop.schedule(() -> renew(lease), pauseMillis, TimeUnit.MILLISECONDS);
 		}
 		else {
 			renew(lease);
@@ -524,11 +528,6 @@
 			return leasesOf(pool).mapToLong(EndpointLease::heardMillis).max().orElse(Long.MIN_VALUE / 2);
 		}
 
-		@Override
-		public int endpointCount(String pool) {
-			return (int) leasesOf(pool).count();
-		}
-
 		private Stream<EndpointLease> leasesOf(String pool) {
 			return PoolOwner.this.leases.values().stream().filter((lease) -> lease.entry().domain().equals(pool));
 		}
