--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -557,6 +557,7 @@
 		begun.hold(held);
 		this.jobs.put(begun.key(), begun);
 		enqueueReady(begun, nowMillis);
+		dispatch(nowMillis);
 		return begun;
 	}
 
@@ -573,6 +574,7 @@
 		}
 		else if (!job.isFinished()) {
 			enqueueReady(job, nowMillis);
+			dispatch(nowMillis);
 		}
 	}
 
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -0,0 +1,484 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.masticwick.core.process.HostAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link DurableJobs} with the scheduler that runs them.
+ */
+class DurableJobsTests {
+
+	private static final String POOL = "domain";
+
+	private static final JobOrigin ORIGIN = new JobOrigin("host-1", 1);
+
+	private static final long EPOCH_MILLIS = 1_700_000_000_000L;
+
+	private final RecordedActions actions = new RecordedActions();
+
+	private final Keeper keeper = new Keeper();
+
+	private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), this.actions);
+
+	private final DurableJobs jobs = new DurableJobs(this.scheduler, this.keeper);
+
+	private final Map<String, List<RunningTask>> running = new HashMap<>();
+
+	private final Map<String, List<EndedTask>> ended = new HashMap<>();
+
+	private boolean unread;
+
+	@BeforeEach
+	void listEndpoints() {
+		this.scheduler.unreadJobs(new UnreadJobs() {
+
+			@Override
+			public boolean mayInclude(String jobId) {
+				return DurableJobsTests.this.unread;
+			}
+
+			@Override
+			public boolean areAwaited() {
+				return DurableJobsTests.this.unread;
+			}
+
+		});
+		List.of("a", "b").forEach((id) -> {
+			this.running.put(id, new ArrayList<>());
+			this.ended.put(id, new ArrayList<>());
+			this.scheduler.endpointListed(new EndpointEntry(id, "service", new HostAddress("10.0.0.1", 80), POOL, true,
+					new Resources(64_000, 1_000, 0), Set.of(), 0), 0);
+			report(id, 1);
+		});
+	}
+
+	private static DurableJobs.Moment at(long millis) {
+		return new DurableJobs.Moment(millis, EPOCH_MILLIS + millis);
+	}
+
+	private static StepSpec step(int taskCount, long cpuMillicores, StepTraits traits, Integer... after) {
+		return new StepSpec(taskCount, new Resources(cpuMillicores, 1, 0), 100, List.of(after), "", "", 0, traits);
+	}
+
+	private static JobSpec job(StepSpec... steps) {
+		return new JobSpec("j", "payload", List.of(steps), true, JobSchedule.AT_ONCE);
+	}
+
+	private static JobTerms terms() {
+		return new JobTerms("queue", "service", 0, 2, 1.6, 60, 5_000, 3);
+	}
+
+	private void report(String id, long nowMillis) {
+		this.scheduler.reported(id,
+				new EndpointReport(0, nowMillis, List.copyOf(this.running.get(id)), List.copyOf(this.ended.get(id))),
+				nowMillis - 1, nowMillis);
+	}
+
+	private void submit(JobSpec job, long nowMillis) {
+		this.jobs.submit(POOL, job, terms(), ORIGIN, at(nowMillis));
+	}
+
+	private void accept(JobSpec job, long nowMillis) {
+		submit(job, nowMillis);
+		storeAll(nowMillis);
+	}
+
+	// The shared log takes all that waits.
+	private void storeAll(long nowMillis) {
+		Map<String, Long> writes = Map.copyOf(this.keeper.writes);
+		this.keeper.writes.clear();
+		writes.forEach((jobId, revision) -> this.jobs.stored(jobId, revision, at(nowMillis)));
+	}
+
+	private List<RecordedActions.Start> starts() {
+		return this.actions.starts();
+	}
+
+	private RecordedActions.Start start(int index) {
+		return starts().get(index);
+	}
+
+	private void end(RecordedActions.Start start, EndKind kind, String checkpoint, long nowMillis) {
+		endRun(start.endpointId(), start.run(), kind, checkpoint);
+		report(start.endpointId(), nowMillis);
+		passOnAnswers(nowMillis);
+	}
+
+	private void endRun(String endpointId, TaskRun run, EndKind kind, String checkpoint) {
+		List<EndedTask> ends = this.ended.get(endpointId);
+		ends.add(new EndedTask(ends.size() + 1, run, kind, checkpoint));
+	}
+
+	// Does what the owner of the pool does with what the scheduler decides.
+	private void passOnAnswers(long nowMillis) {
+		this.actions.endedJobs().forEach((ended) -> this.jobs.runEnded(ended.job(), ended.end(), at(nowMillis)));
+		this.actions.endedJobs().clear();
+		this.actions.answered().forEach((answer) -> this.jobs.ended(answer.job(), answer.outcome(), at(nowMillis)));
+		this.actions.answered().clear();
+	}
+
+	private DurableProgress progress() {
+		return this.jobs.progress("j").orElseThrow();
+	}
+
+	@Nested
+	class Accepting {
+
+		@Test
+		void answersAndStartsOnlyWhenTheLogHasTheJob() {
+			submit(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			assertThat(DurableJobsTests.this.keeper.answers).isEmpty();
+			assertThat(starts()).isEmpty();
+			assertThat(DurableJobsTests.this.jobs.status("j")).isEmpty();
+			storeAll(20);
+			assertThat(DurableJobsTests.this.keeper.answers).extracting(JobOutcome::kind)
+				.containsExactly(JobOutcome.Kind.ACCEPTED);
+			assertThat(starts()).hasSize(1);
+		}
+
+		@Test
+		void takesAJobThatIsSubmittedAgainForTheSame() {
+			accept(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			submit(job(step(1, 1_000, StepTraits.USUAL)), 30);
+			assertThat(DurableJobsTests.this.keeper.answers).extracting(JobOutcome::kind)
+				.containsExactly(JobOutcome.Kind.ACCEPTED, JobOutcome.Kind.ACCEPTED);
+			assertThat(starts()).hasSize(1);
+		}
+
+		@Test
+		void refusesWhatNoEndpointCanHold() {
+			submit(job(step(1, 65_000, StepTraits.USUAL)), 10);
+			assertThat(DurableJobsTests.this.keeper.answers).extracting(JobOutcome::kind)
+				.containsExactly(JobOutcome.Kind.REFUSED);
+			assertThat(DurableJobsTests.this.keeper.writes).isEmpty();
+		}
+
+		@Test
+		void tellsThatTheFateIsUnknownWhenTheLogDoesNotAnswer() {
+			submit(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			DurableJobsTests.this.jobs.tick(at(5_100));
+			assertThat(DurableJobsTests.this.keeper.answers).extracting(JobOutcome::kind)
+				.containsExactly(JobOutcome.Kind.UNCERTAIN);
+			storeAll(6_000);
+			assertThat(DurableJobsTests.this.jobs.status("j")).isPresent();
+		}
+
+	}
+
+	@Nested
+	class Ending {
+
+		@Test
+		void anEndIsAcknowledgedWhenTheLogHasIt() {
+			accept(job(step(2, 1_000, StepTraits.USUAL)), 10);
+			end(start(0), EndKind.DONE, "", 50);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedEndNumber(start(0).endpointId())).isZero();
+			assertThat(DurableJobsTests.this.scheduler.hasUnstoredEnds(start(0).endpointId())).isTrue();
+			storeAll(60);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedEndNumber(start(0).endpointId())).isEqualTo(1);
+		}
+
+		@Test
+		void isToldWhenTheLogHasIt() {
+			accept(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			end(start(0), EndKind.DONE, "", 50);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.RUNNING);
+			storeAll(60);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+		@Test
+		void failsAfterAsManyFailuresAsTheQueueAllows() {
+			accept(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			end(start(0), EndKind.FAILED, "", 50);
+			end(start(1), EndKind.FAILED, "", 90);
+			storeAll(100);
+			assertThat(starts()).hasSize(2);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.FAILED);
+		}
+
+		@ParameterizedTest
+		@EnumSource(value = EndKind.class, names = { "STOPPED", "LAPSED", "LOST" })
+		void goesOnFromTheNewestCheckpoint(EndKind kind) {
+			accept(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			end(start(0), kind, "half", 50);
+			assertThat(start(1).checkpoint()).isEqualTo("half");
+			assertThat(start(1).run().number()).isEqualTo(2);
+		}
+
+	}
+
+	@Nested
+	class Cancelling {
+
+		@Test
+		void stopsAtOnceAndIsToldWhenTheLogHasIt() {
+			accept(job(step(2, 1_000, StepTraits.USUAL)), 10);
+			assertThat(DurableJobsTests.this.jobs.cancel("j", at(20))).isTrue();
+			assertThat(DurableJobsTests.this.actions.stops()).hasSize(2);
+			assertThat(DurableJobsTests.this.keeper.cancelled).isEmpty();
+			storeAll(30);
+			assertThat(DurableJobsTests.this.keeper.cancelled).containsExactly("j");
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.CANCELLED);
+		}
+
+		@Test
+		void doesNotKnowOtherJobs() {
+			assertThat(DurableJobsTests.this.jobs.cancel("other", at(20))).isFalse();
+		}
+
+	}
+
+	@Nested
+	class TakingOver {
+
+		private final DurableJob kept = new DurableJob(
+				job(step(2, 1_000, StepTraits.USUAL), step(1, 1_000, StepTraits.USUAL, 0)), terms(), EPOCH_MILLIS);
+
+		private void recover(TaskProgress... tasks) {
+			DurableJobsTests.this.jobs.recover(POOL, this.kept, new DurableProgress(DurableState.ACTIVE, EPOCH_MILLIS,
+					List.of(new OccurrenceProgress(0, false, List.of(tasks)))), at(100));
+			DurableJobsTests.this.unread = false;
+		}
+
+		private void letGoOn() {
+			DurableJobsTests.this.jobs.hold(POOL, false, at(200));
+			DurableJobsTests.this.scheduler.tick(200);
+		}
+
+		@Test
+		void startsNothingBeforeAllIsCertain() {
+			recover();
+			DurableJobsTests.this.scheduler.tick(150);
+			assertThat(starts()).isEmpty();
+			letGoOn();
+			assertThat(starts()).hasSize(2);
+		}
+
+		@Test
+		void startsOnlyWhatIsNotDone() {
+			recover(new TaskProgress(0, 0, true, 1, 0, ""), new TaskProgress(0, 1, false, 3, 1, "half"));
+			letGoOn();
+			assertThat(starts()).singleElement().satisfies((start) -> {
+				assertThat(start.run()).isEqualTo(new TaskRun(new TaskId("j", 0, 0, 1), 4));
+				assertThat(start.checkpoint()).isEqualTo("half");
+			});
+		}
+
+		@Test
+		void goesOnWithWhatRuns() {
+			TaskRun run = new TaskRun(new TaskId("j", 0, 0, 0), 2);
+			DurableJobsTests.this.running.get("a").add(new RunningTask(run, 40));
+			DurableJobsTests.this.unread = true;
+			report("a", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).isEmpty();
+			recover();
+			report("a", 110);
+			letGoOn();
+			assertThat(starts()).extracting((start) -> start.run().task().index()).containsExactly(1);
+		}
+
+		@Test
+		void stopsRunsOfJobsThatAreNotKept() {
+			TaskRun run = new TaskRun(new TaskId("other", 0, 0, 0), 2);
+			DurableJobsTests.this.running.get("a").add(new RunningTask(run, 40));
+			report("a", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(run);
+		}
+
+		@Test
+		void anEndThatWasListedBeforeTheJobWasReadCounts() {
+			DurableJobsTests.this.unread = true;
+			endRun("a", new TaskRun(new TaskId("j", 0, 0, 0), 1), EndKind.DONE, "");
+			report("a", 50);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedEndNumber("a")).isZero();
+			recover();
+			report("a", 110);
+			passOnAnswers(110);
+			letGoOn();
+			assertThat(starts()).extracting((start) -> start.run().task().index()).containsExactly(1);
+			assertThat(progress().occurrences().get(0).tasks()).extracting(TaskProgress::done).containsExactly(true);
+		}
+
+		@Test
+		void anEndThatCanNeverBeToldIsGivenUpAfterAWhile() {
+			DurableJobsTests.this.unread = true;
+			endRun("a", new TaskRun(new TaskId("other", 0, 0, 0), 1), EndKind.DONE, "");
+			report("a", 50);
+			report("a", 19_000);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedEndNumber("a")).isZero();
+			report("a", 21_000);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedEndNumber("a")).isEqualTo(1);
+		}
+
+		// Found on the bench: the earlier owner could not write that the first step was
+		// done.
+		@Test
+		void aStepThatOpensLateIsNotStartedAgain() {
+			TaskRun later = new TaskRun(new TaskId("j", 0, 1, 0), 1);
+			DurableJobsTests.this.running.get("b").add(new RunningTask(later, 40));
+			endRun("a", new TaskRun(new TaskId("j", 0, 0, 0), 1), EndKind.DONE, "");
+			endRun("a", new TaskRun(new TaskId("j", 0, 0, 1), 1), EndKind.DONE, "");
+			DurableJobsTests.this.unread = true;
+			recover();
+			report("b", 110);
+			report("a", 120);
+			letGoOn();
+			assertThat(starts()).isEmpty();
+		}
+
+		@Test
+		void aTaskOfALaterStepWaitsForTheEarlierOneAfterItsRunIsLost() {
+			TaskRun later = new TaskRun(new TaskId("j", 0, 1, 0), 1);
+			DurableJobsTests.this.running.get("b").add(new RunningTask(later, 40));
+			recover();
+			report("b", 110);
+			DurableJobsTests.this.running.get("b").clear();
+			report("b", 130);
+			letGoOn();
+			assertThat(starts()).extracting((start) -> start.run().task().step()).containsOnly(0);
+		}
+
+		@Test
+		void jobsOfAPoolThatIsLostAreStopped() {
+			accept(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			DurableJobsTests.this.jobs.forget(POOL, at(20));
+			assertThat(DurableJobsTests.this.actions.stops()).hasSize(1);
+			assertThat(DurableJobsTests.this.jobs.status("j")).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Kinds {
+
+		private static final StepTraits GANG = new StepTraits(true, false, false, false);
+
+		private static final StepTraits LONG_RUNNING = new StepTraits(false, true, false, false);
+
+		private static final StepTraits BACKFILL = new StepTraits(false, true, true, false);
+
+		private static final StepTraits SERVING = new StepTraits(false, true, false, true);
+
+		@Test
+		void occurrencesRunWhenTheyAreDue() {
+			JobSpec timed = new JobSpec("j", "payload", List.of(step(1, 1_000, StepTraits.USUAL)), true,
+					new JobSchedule(3, EPOCH_MILLIS + 100, 50));
+			accept(timed, 10);
+			DurableJobsTests.this.jobs.tick(at(99));
+			assertThat(starts()).isEmpty();
+			DurableJobsTests.this.jobs.tick(at(100));
+			DurableJobsTests.this.scheduler.tick(100);
+			assertThat(starts()).hasSize(1);
+			DurableJobsTests.this.jobs.tick(at(200));
+			DurableJobsTests.this.scheduler.tick(200);
+			assertThat(starts()).extracting((start) -> start.run().task().occurrence()).containsExactly(0, 1, 2);
+		}
+
+		@Test
+		void aTimedJobIsCompletedWithItsLastOccurrence() {
+			JobSpec timed = new JobSpec("j", "payload", List.of(step(1, 1_000, StepTraits.USUAL)), true,
+					new JobSchedule(2, EPOCH_MILLIS + 1, 1));
+			accept(timed, 10);
+			DurableJobsTests.this.scheduler.tick(10);
+			end(start(1), EndKind.DONE, "", 50);
+			storeAll(60);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.RUNNING);
+			end(start(0), EndKind.DONE, "", 70);
+			storeAll(80);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+		@ParameterizedTest
+		@EnumSource(value = EndKind.class, names = { "DONE", "FAILED", "STOPPED", "LAPSED" })
+		void longRunningTasksAreStartedAgainHoweverTheyEnd(EndKind kind) {
+			accept(job(step(1, 1_000, LONG_RUNNING)), 10);
+			end(start(0), kind, "", 50);
+			end(start(1), kind, "", 90);
+			end(start(2), kind, "", 130);
+			assertThat(starts()).hasSize(4);
+		}
+
+		@Test
+		void aGangStartsWholeOrNotAtAll() {
+			accept(job(step(3, 60_000, GANG)), 10);
+			assertThat(starts()).isEmpty();
+			assertThat(DurableJobsTests.this.scheduler.load(11).freeMillicores()).isEqualTo(128_000);
+		}
+
+		@Test
+		void aGangStartsAgainTogetherWithOneNumber() {
+			accept(job(step(2, 60_000, GANG)), 10);
+			assertThat(starts()).hasSize(2);
+			end(start(0), EndKind.FAILED, "", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(start(1).run());
+			assertThat(starts()).hasSize(2);
+			end(start(1), EndKind.BROKEN, "", 60);
+			assertThat(starts().subList(2, 4)).extracting((start) -> start.run().number()).containsOnly(2);
+		}
+
+		@Test
+		void oneEndAsDoneStandsForTheWholeGang() {
+			accept(job(step(2, 60_000, GANG)), 10);
+			end(start(0), EndKind.DONE, "", 50);
+			storeAll(60);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+		@Test
+		void backfillTakesNoProcessorAndKeepsAwayFromTasksThatServe() {
+			accept(job(step(1, 64_000, SERVING), step(2, 64_000, BACKFILL)), 10);
+			String serving = start(0).endpointId();
+			assertThat(starts()).hasSize(3);
+			assertThat(starts().subList(1, 3)).extracting(RecordedActions.Start::endpointId).doesNotContain(serving);
+		}
+
+	}
+
+	private static final class Keeper implements DurableJobActions {
+
+		private final Map<String, Long> writes = new HashMap<>();
+
+		private final List<JobOutcome> answers = new ArrayList<>();
+
+		private final List<String> cancelled = new ArrayList<>();
+
+		@Override
+		public void define(String pool, DurableJob job) {
+		}
+
+		@Override
+		public void write(String pool, String jobId, long revision) {
+			this.writes.put(jobId, revision);
+		}
+
+		@Override
+		public void remove(String pool, String jobId, boolean progressToo) {
+		}
+
+		@Override
+		public void answer(JobOrigin origin, String jobId, JobOutcome outcome) {
+			this.answers.add(outcome);
+		}
+
+		@Override
+		public void cancelled(String jobId) {
+			this.cancelled.add(jobId);
+		}
+
+	}
+
+}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -14,7 +14,9 @@
 
 	private final List<Answer> answers = new ArrayList<>();
 
-	private final List<EndReference> ends = new ArrayList<>();
+	private final List<EndedRun> endedJobs = new ArrayList<>();
+
+	private final List<AnsweredJob> answered = new ArrayList<>();
 
 	@Override
 	public void start(EndpointEntry endpoint, TaskRun run, String payload, String checkpoint) {
@@ -29,15 +31,20 @@
 	@Override
 	public void answer(PooledJob job, JobOutcome outcome) {
 		this.answers.add(new Answer(job.spec().jobId(), job.origin(), outcome));
+		this.answered.add(new AnsweredJob(job, outcome));
 	}
 
 	@Override
 	public void ended(PooledJob job, EndReference end) {
-		this.ends.add(end);
+		this.endedJobs.add(new EndedRun(job, end));
+	}
+
+	List<EndedRun> endedJobs() {
+		return this.endedJobs;
 	}
 
-	List<EndReference> ends() {
-		return this.ends;
+	List<AnsweredJob> answered() {
+		return this.answered;
 	}
 
 	List<Start> starts() {
@@ -55,6 +62,12 @@
 	record Start(String endpointId, TaskRun run, String checkpoint) {
 	}
 
+	record EndedRun(PooledJob job, EndReference end) {
+	}
+
+	record AnsweredJob(PooledJob job, JobOutcome outcome) {
+	}
+
 	record Answer(String jobId, JobOrigin origin, JobOutcome outcome) {
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -261,8 +261,7 @@
 			.map(PoolOwner::reports)
 			.orElse(List.of());
 		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.number(), this.leaving, pools,
-				this.directory.heardOwners(Clock.nowMillis()),
-				this.directory.own().filter(PoolOwner::keepsJobs).isPresent(), this.memberFollower.isAnswered());
+				this.directory.heardOwners(Clock.nowMillis()), knowsDurableJobs(), this.memberFollower.isAnswered());
 		this.audience
 			.of(this.ownership.isMerged(), this.directory.own().isPresent(), this.peers.addresses(), this.peers::member,
 					this.directory::isOwner)
@@ -411,7 +410,11 @@
 
 	@Override
 	public boolean mayHaveDurableJobs() {
-		return this.peers.mayHaveDurableJobs();
+		return knowsDurableJobs() || this.peers.mayHaveDurableJobs();
+	}
+
+	private boolean knowsDurableJobs() {
+		return this.router.hasSeenDurableJobs() || this.directory.own().filter(PoolOwner::keepsJobs).isPresent();
 	}
 
 	@Override
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -72,6 +72,8 @@
 
 	private long nextCallNumber;
 
+	private boolean durableJobsSeen;
+
 	JobRouter(EventLoop eventLoop, MemberRecord self, List<String> domains, PoolDirectory directory,
 			CallerFormat format, FleetMetrics metrics) {
 		this.domains = domains;
@@ -90,7 +92,16 @@
 		return this.pending.size();
 	}
 
+	/**
+	 * Returns whether callers of this host have submitted durable jobs.
+	 * @return whether they have
+	 */
+	boolean hasSeenDurableJobs() {
+		return this.durableJobsSeen;
+	}
+
 	void route(JobSpec job, JobTerms terms, CallerExchange exchange) {
+		this.durableJobsSeen |= job.durable();
 		RoutedJob routed = new RoutedJob(this.nextCallNumber++, job, terms, exchange, Clock.nowMillis());
 		this.pending.put(routed.callNumber, routed);
 		exchange.onLeave(() -> callerLeft(routed));
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -180,16 +180,17 @@
 	}
 
 	/**
-	 * Returns whether there may be durable jobs that have not ended.
-	 * @return {@code false} if all reports of owners say that there are none
+	 * Returns whether there may be durable jobs.
+	 * @return {@code false} if an owner was heard and no peer knows of any
 	 */
 	boolean mayHaveDurableJobs() {
-		List<PeerMessage.HostReport> owners = this.peers.values()
+		List<PeerMessage.HostReport> reports = this.peers.values()
 			.stream()
 			.map((peer) -> peer.report)
-			.filter((report) -> report != null && !report.pools().isEmpty())
+			.filter(Objects::nonNull)
 			.toList();
-		return owners.isEmpty() || owners.stream().anyMatch(PeerMessage.HostReport::keepsJobs);
+		return reports.stream().allMatch((report) -> report.pools().isEmpty())
+				|| reports.stream().anyMatch(PeerMessage.HostReport::knowsDurableJobs);
 	}
 
 	/**
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -234,11 +234,11 @@
 	 * @param leaving whether the sender is about to stop
 	 * @param pools the pools that it owns
 	 * @param heardOwners the pools whose owner the sender hears
-	 * @param keepsJobs whether the sender owns pools with durable jobs
+	 * @param knowsDurableJobs whether the sender has had to do with durable jobs
 	 * @param reachesLog whether the shared log answers the sender
 	 */
 	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> heardOwners,
-			boolean keepsJobs, boolean reachesLog) implements PeerMessage {
+			boolean knowsDurableJobs, boolean reachesLog) implements PeerMessage {
 	}
 
 	/**
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -114,7 +114,7 @@
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::leaving, false),
 			RecordType.optional(BasicTypes.list(POOL), PeerMessage.HostReport::pools, List.of()),
 			RecordType.optional(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HostReport::heardOwners, List.of()),
-			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::keepsJobs, false),
+			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::knowsDurableJobs, false),
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::reachesLog, true));
 
 	static final RecordType<PeerMessage.SubmitJob> SUBMIT_JOB = new RecordType<>(
