--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -1,12 +1,7 @@
 package org.masticwick.core.pool;
 
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /**
  * Decides for the owner of a pool which job is taken, which task starts where and when,
@@ -26,15 +21,7 @@
 
 	private final EndpointTable endpoints;
 
-	private final Map<String, PooledJob> jobs = new HashMap<>();
-
-	/** Answered jobs with runs whose end is not certain yet. */
-	private final Map<String, PooledJob> lingering = new HashMap<>();
-
-	/** Jobs submitted again that wait for the end of the runs of the first submission. */
-	private final Map<String, PooledJob> deferred = new HashMap<>();
-
-	private final JobQueue queue = new JobQueue();
+	private final JobTable jobs;
 
 	private final RunTimes runTimes = new RunTimes();
 
@@ -44,13 +31,7 @@
 
 	private final RunLedger ledger;
 
-	/**
-	 * Tasks of durable jobs whose endpoint went to another owner, and when their runs are
-	 * certainly over, in milliseconds.
-	 */
-	private final Map<PooledTask, Long> uncertain = new LinkedHashMap<>();
-
-	private UnreadJobs unreadJobs = UnreadJobs.NONE;
+	private final RunEnds ends;
 
 	private long nextSequence;
 
@@ -64,7 +45,9 @@
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.silenceLimitMillis());
 		this.starter = new TaskStarter(this.endpoints, this.runTimes, actions);
-		this.ledger = new RunLedger(settings, actions, new LedgerJobs());
+		this.jobs = new JobTable(actions, this::stop);
+		this.ends = new RunEnds(this.jobs, this.runTimes, this.starter, this::stop, settings.strayRunMillis());
+		this.ledger = new RunLedger(settings, actions, this.ends);
 	}
 
 	/**
@@ -72,7 +55,11 @@
 	 * @param unread who knows
 	 */
 	public void unreadJobs(UnreadJobs unread) {
-		this.unreadJobs = unread;
+		this.ends.unreadJobs(unread);
+	}
+
+	private void stop(Placement placement, String reason, long nowMillis) {
+		this.ledger.stop(placement, reason, nowMillis);
 	}
 
 	/**
@@ -83,9 +70,9 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void submit(JobSpec spec, JobTerms terms, JobOrigin origin, long nowMillis) {
-		PooledJob present = this.jobs.get(spec.jobId());
-		if (present != null) {
-			attach(present, origin);
+		Optional<PooledJob> present = this.jobs.find(spec.jobId());
+		if (present.isPresent()) {
+			attach(present.get(), origin);
 			return;
 		}
 		PooledJob job = new PooledJob(spec, terms, origin, this.nextSequence++, nowMillis, this.runTimes);
@@ -94,8 +81,8 @@
 			this.actions.answer(job, refusal.get());
 			return;
 		}
-		this.jobs.put(spec.jobId(), job);
-		enqueue(job, nowMillis);
+		this.jobs.add(job);
+		this.jobs.enqueue(job, nowMillis);
 		dispatch(nowMillis);
 	}
 
@@ -107,16 +94,6 @@
 		}
 	}
 
-	private void enqueue(PooledJob job, long nowMillis) {
-		PooledJob earlier = this.lingering.get(job.spec().jobId());
-		if (earlier == null) {
-			this.queue.add(job, nowMillis);
-			return;
-		}
-		job.continueRunsOf(earlier);
-		this.deferred.put(job.spec().jobId(), job);
-	}
-
 	private Optional<JobOutcome> refusal(PooledJob job, long nowMillis) {
 		if (!this.endpoints.couldRun(job)) {
 			return Optional.of(this.admission.refuse("no-fitting-endpoint", backlogMillis()));
@@ -124,12 +101,12 @@
 		if (job.spec().schedule().isTimed() || job.firstTasks().stream().anyMatch(PooledTask::isLongRunning)) {
 			return Optional.empty();
 		}
-		double waitMillis = drainMillis(this.queue.workBefore(job.latestStartMillis(), nowMillis));
+		double waitMillis = drainMillis(this.jobs.queue().workBefore(job.latestStartMillis(), nowMillis));
 		return this.admission.refusal(job, waitMillis, backlogMillis(), nowMillis);
 	}
 
 	private double backlogMillis() {
-		return drainMillis(this.queue.work());
+		return drainMillis(this.jobs.queue().work());
 	}
 
 	private double drainMillis(double work) {
@@ -144,11 +121,10 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void cancel(String jobId, JobOrigin origin, long nowMillis) {
-		PooledJob job = this.jobs.get(jobId);
-		if (job != null && job.origin().equals(origin)) {
-			finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "caller-left"), nowMillis);
+		this.jobs.find(jobId).filter((job) -> job.origin().equals(origin)).ifPresent((job) -> {
+			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "caller-left"), nowMillis);
 			dispatch(nowMillis);
-		}
+		});
 	}
 
 	/**
@@ -157,8 +133,11 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void originLost(String host, long nowMillis) {
-		List<PooledJob> lost = this.jobs.values().stream().filter((job) -> job.origin().host().equals(host)).toList();
-		lost.forEach((job) -> finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "entry-host-lost"), nowMillis));
+		this.jobs.callersJobs()
+			.stream()
+			.filter((job) -> job.origin().host().equals(host))
+			.forEach((job) -> this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "entry-host-lost"),
+					nowMillis));
 		dispatch(nowMillis);
 	}
 
@@ -167,9 +146,9 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	public void abandon(long nowMillis) {
-		callersJobs().toList().forEach((job) -> {
+		this.jobs.callersJobs().forEach((job) -> {
 			JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
-			finish(job, new JobOutcome(kind, 0, "owner-changed"), nowMillis);
+			this.jobs.finish(job, new JobOutcome(kind, 0, "owner-changed"), nowMillis);
 		});
 	}
 
@@ -201,24 +180,7 @@
 	public void endpointRevoked(String endpointId, long nowMillis) {
 		this.endpoints.remove(endpointId)
 			.ifPresent((endpoint) -> endpoint.placements()
-				.forEach((placement) -> revoked(endpoint, placement, nowMillis)));
-	}
-
-	private void revoked(PooledEndpoint endpoint, Placement placement, long nowMillis) {
-		PooledTask task = placement.task();
-		PooledJob job = task.job();
-		endpoint.remove(placement);
-		task.placement(null);
-		job.removePlacement();
-		if (job.isFinished()) {
-			release(job, nowMillis);
-		}
-		else if (job.spec().durable()) {
-			this.uncertain.put(task, nowMillis + this.settings.strayRunMillis());
-		}
-		else {
-			finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-of-another-owner"), nowMillis);
-		}
+				.forEach((placement) -> this.ends.revoked(endpoint, placement, nowMillis)));
 	}
 
 	/**
@@ -228,12 +190,7 @@
 	 */
 	public PoolTransfer transfer(long nowMillis) {
 		return new PoolTransfer(this.endpoints.transfer(),
-				callersJobs().map((job) -> job.transfer(nowMillis)).toList());
-	}
-
-	// Durable jobs are read from the shared log by the next owner.
-	private Stream<PooledJob> callersJobs() {
-		return this.jobs.values().stream().filter((job) -> !job.spec().durable());
+				this.jobs.callersJobs().stream().map((job) -> job.transfer(nowMillis)).toList());
 	}
 
 	/**
@@ -243,7 +200,7 @@
 	 */
 	public void adopt(List<JobTransfer> transfers, long nowMillis) {
 		transfers.stream()
-			.filter((transfer) -> !this.jobs.containsKey(transfer.spec().jobId()))
+			.filter((transfer) -> !this.jobs.find(transfer.spec().jobId()).isPresent())
 			.forEach((transfer) -> adopt(transfer, nowMillis));
 		dispatch(nowMillis);
 	}
@@ -251,16 +208,10 @@
 	private void adopt(JobTransfer transfer, long nowMillis) {
 		PooledJob job = new PooledJob(transfer.spec(), transfer.terms(), transfer.origin(), this.nextSequence++,
 				nowMillis - transfer.ageMillis(), this.runTimes);
-		this.jobs.put(job.key(), job);
+		this.jobs.add(job);
 		transfer.tasks()
 			.forEach((state) -> job.task(state.task()).ifPresent((task) -> adopt(job, task, state, nowMillis)));
-		enqueueReady(job, nowMillis);
-	}
-
-	private void enqueueReady(PooledJob job, long nowMillis) {
-		if (!job.isHeld() && !job.ready().isEmpty() && !this.queue.contains(job)) {
-			this.queue.add(job, nowMillis);
-		}
+		this.jobs.enqueueReady(job, nowMillis);
 	}
 
 	private void adopt(PooledJob job, PooledTask task, TaskTransfer state, long nowMillis) {
@@ -368,39 +319,25 @@
 		this.ledger.tick(this.endpoints.all(), (placement) -> this.endpoints.hasRoomElsewhere(placement, nowMillis),
 				nowMillis);
 		giveUp(nowMillis);
-		restartUncertain(nowMillis);
+		this.ends.restartUncertain(nowMillis);
 		dispatch(nowMillis);
 	}
 
-	private void restartUncertain(long nowMillis) {
-		List<PooledTask> over = this.uncertain.entrySet()
-			.stream()
-			.filter((entry) -> nowMillis >= entry.getValue())
-			.map(Map.Entry::getKey)
-			.toList();
-		over.forEach((task) -> {
-			this.uncertain.remove(task);
-			if (!task.job().isFinished() && !task.isDone()) {
-				restart(task, nowMillis);
-			}
-		});
-	}
-
 	private void giveUp(long nowMillis) {
-		callersJobs().toList().forEach((job) -> {
+		this.jobs.callersJobs().forEach((job) -> {
 			if (nowMillis >= job.deadlineMillis()) {
 				JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
-				finish(job, new JobOutcome(kind, (long) backlogMillis(), "deadline"), nowMillis);
+				this.jobs.finish(job, new JobOutcome(kind, (long) backlogMillis(), "deadline"), nowMillis);
 			}
 			else if (!job.isStarted() && this.admission.givesWay(job, backlogMillis(), nowMillis)) {
-				finish(job, this.admission.waitedInVain(backlogMillis()), nowMillis);
+				this.jobs.finish(job, this.admission.waitedInVain(backlogMillis()), nowMillis);
 			}
 		});
 	}
 
 	private void dispatch(long nowMillis) {
 		PlacementMisses misses = new PlacementMisses();
-		for (PooledJob job : this.queue.inOrder(nowMillis)) {
+		for (PooledJob job : this.jobs.queue().inOrder(nowMillis)) {
 			startReady(job, misses, nowMillis);
 			if (misses.count() >= MAX_MISSES) {
 				return;
@@ -411,119 +348,12 @@
 	private void startReady(PooledJob job, PlacementMisses misses, long nowMillis) {
 		boolean started = this.starter.startReady(job, misses, nowMillis);
 		if (started && !job.isStarted()) {
-			this.queue.remove(job);
+			this.jobs.queue().remove(job);
 			job.markStarted();
-			enqueueReady(job, nowMillis);
+			this.jobs.enqueueReady(job, nowMillis);
 		}
 		else if (job.ready().isEmpty()) {
-			this.queue.remove(job);
-		}
-	}
-
-	private void runEnded(Placement placement, EndKind kind, long nowMillis) {
-		PooledTask task = placement.task();
-		PooledJob job = task.job();
-		task.placement(null);
-		job.removePlacement();
-		if (job.isFinished()) {
-			release(job, nowMillis);
-		}
-		else if (task.step().traits().gang()) {
-			gangMemberEnded(placement, kind, nowMillis);
-		}
-		else if (task.step().traits().longRunning()) {
-			restart(task, nowMillis);
-		}
-		else {
-			if (kind == EndKind.DONE) {
-				this.runTimes.observe(job.terms().queue(), nowMillis - placement.orderedMillis());
-			}
-			taskEnded(task, kind, nowMillis);
-		}
-	}
-
-	private void taskEnded(PooledTask task, EndKind kind, long nowMillis) {
-		if (kind == EndKind.DONE) {
-			taskDone(task, nowMillis);
-		}
-		else if (kind == EndKind.FAILED && task.countFailure() >= task.job().terms().maxAttempts()) {
-			finish(task.job(), JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
-		}
-		else {
-			restart(task, nowMillis);
-		}
-	}
-
-	// One end as done stands for all members. After any other end the run of the whole
-	// gang is over, and it starts again when all members have certainly ended.
-	private void gangMemberEnded(Placement placement, EndKind kind, long nowMillis) {
-		PooledTask task = placement.task();
-		PooledJob job = task.job();
-		List<PooledTask> members = job.tasksOfStep(task.id().step());
-		if (task.isDone()) {
-			return;
-		}
-		if (kind == EndKind.DONE && !task.step().traits().longRunning()) {
-			members.forEach((member) -> taskDone(member, nowMillis));
-			return;
-		}
-		members.stream()
-			.map(PooledTask::placement)
-			.filter(Objects::nonNull)
-			.forEach((other) -> this.ledger.stop(other, "gang-member-ended", nowMillis));
-		if (kind == EndKind.FAILED && !task.step().traits().longRunning()
-				&& members.get(0).countGangFailure(placement.run().number()) >= job.terms().maxAttempts()) {
-			finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
-		}
-		else if (members.stream().allMatch((member) -> member.placement() == null)) {
-			members.forEach(job::restart);
-			enqueueReady(job, nowMillis);
-		}
-	}
-
-	private void taskDone(PooledTask task, long nowMillis) {
-		PooledJob job = task.job();
-		if (task.isDone()) {
-			return;
-		}
-		if (job.taskDone(task)) {
-			finish(job, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done"), nowMillis);
-		}
-		else {
-			enqueueReady(job, nowMillis);
-		}
-	}
-
-	private void restart(PooledTask task, long nowMillis) {
-		task.job().restart(task);
-		enqueueReady(task.job(), nowMillis);
-	}
-
-	private void finish(PooledJob job, JobOutcome outcome, long nowMillis) {
-		this.queue.remove(job);
-		this.jobs.remove(job.key());
-		this.deferred.remove(job.key(), job);
-		job.markFinished();
-		if (job.placementCount() > 0) {
-			this.lingering.put(job.key(), job);
-			job.allTasks()
-				.stream()
-				.map(PooledTask::placement)
-				.filter(Objects::nonNull)
-				.forEach((placement) -> this.ledger.stop(placement, outcome.reason(), nowMillis));
-		}
-		this.actions.answer(job, outcome);
-	}
-
-	private void release(PooledJob job, long nowMillis) {
-		if (job.placementCount() > 0) {
-			return;
-		}
-		this.lingering.remove(job.key(), job);
-		PooledJob next = this.deferred.remove(job.key());
-		if (next != null) {
-			next.continueRunsOf(job);
-			this.queue.add(next, nowMillis);
+			this.jobs.queue().remove(job);
 		}
 	}
 
@@ -555,8 +385,8 @@
 				arrivedMillis, this.runTimes);
 		begun.restore(kept);
 		begun.hold(held);
-		this.jobs.put(begun.key(), begun);
-		enqueueReady(begun, nowMillis);
+		this.jobs.add(begun);
+		this.jobs.enqueueReady(begun, nowMillis);
 		dispatch(nowMillis);
 		return begun;
 	}
@@ -570,10 +400,10 @@
 	void hold(PooledJob job, boolean back, long nowMillis) {
 		job.hold(back);
 		if (back) {
-			this.queue.remove(job);
+			this.jobs.queue().remove(job);
 		}
 		else if (!job.isFinished()) {
-			enqueueReady(job, nowMillis);
+			this.jobs.enqueueReady(job, nowMillis);
 			dispatch(nowMillis);
 		}
 	}
@@ -585,10 +415,7 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	void stopOutside(PooledJob job, String domain, long nowMillis) {
-		job.allTasks()
-			.stream()
-			.map(PooledTask::placement)
-			.filter(Objects::nonNull)
+		JobTable.placements(job.allTasks().stream())
 			.filter((placement) -> !placement.endpoint().entry().domain().equals(domain))
 			.forEach((placement) -> this.ledger.stop(placement, "pool-out-of-reach", nowMillis));
 	}
@@ -601,7 +428,7 @@
 	 */
 	void drop(PooledJob job, String reason, long nowMillis) {
 		if (!job.isFinished()) {
-			finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
+			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
 			dispatch(nowMillis);
 		}
 	}
@@ -670,66 +497,7 @@
 	 */
 	public PoolLoad load(long nowMillis) {
 		return new PoolLoad(this.endpoints.totalMillicores(), this.endpoints.freeMillicores(nowMillis), backlogMillis(),
-				this.jobs.size());
-	}
-
-	/**
-	 * Lets the ledger find jobs.
-	 */
-	private final class LedgerJobs implements RunLedger.Jobs {
-
-		@Override
-		public void ended(Placement placement, EndKind kind, long nowMillis) {
-			runEnded(placement, kind, nowMillis);
-		}
-
-		@Override
-		public void endedElsewhere(PooledTask task, EndedTask end, long nowMillis) {
-			boolean waits = task.placement() == null && !task.isDone();
-			if (task.job().isFinished() || task.step().traits().longRunning()) {
-				return;
-			}
-			if (end.kind() == EndKind.DONE) {
-				task.job().ready().remove(task);
-				taskDone(task, nowMillis);
-			}
-			else if (waits && !task.step().traits().gang()) {
-				task.job().ready().remove(task);
-				taskEnded(task, end.kind(), nowMillis);
-			}
-		}
-
-		@Override
-		public Optional<PooledTask> durableTask(TaskId id) {
-			String key = PooledJob.key(id.jobId(), id.occurrence());
-			return Optional.ofNullable(PoolScheduler.this.jobs.get(key))
-				.or(() -> Optional.ofNullable(PoolScheduler.this.lingering.get(key)))
-				.filter((job) -> job.spec().durable())
-				.flatMap((job) -> job.task(id));
-		}
-
-		@Override
-		public boolean mayBeUnread(String jobId) {
-			return PoolScheduler.this.unreadJobs.mayInclude(jobId);
-		}
-
-		@Override
-		public boolean awaitsUnread() {
-			return PoolScheduler.this.unreadJobs.areAwaited();
-		}
-
-		@Override
-		public Placement adopt(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis) {
-			PoolScheduler.this.uncertain.remove(task);
-			task.job().ready().remove(task);
-			task.job().markStarted();
-			if (task.job().ready().isEmpty()) {
-				PoolScheduler.this.queue.remove(task.job());
-			}
-			task.run(Math.max(run.number(), task.runCount()));
-			return PoolScheduler.this.starter.place(task, run, endpoint, nowMillis);
-		}
-
+				this.jobs.count());
 	}
 
 }
