--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -131,6 +131,8 @@
 
 	private final ReportAudience audience;
 
+	private final VersionPull versionPull = new VersionPull();
+
 	private boolean leaving;
 
 	private long leaveMillis;
@@ -241,6 +243,7 @@
 		this.peers.takeLost(nowMillis).forEach(this::peerLost);
 		this.ownership.tick();
 		this.handover.tick();
+		pullVersion(nowMillis);
 		if (this.leaving) {
 			checkStop(nowMillis);
 		}
@@ -339,8 +342,8 @@
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.queries.answer(query);
 		}
-		else if (message instanceof PeerMessage.PublishedVersion published) {
-			this.versions.offer(published.content(), "peer " + from);
+		else if (message instanceof PeerMessage.FetchVersion) {
+			return fetchVersion();
 		}
 		else if (message instanceof PeerMessage.HandOverPools pools) {
 			return this.handover.take(pools);
@@ -363,11 +366,25 @@
 		this.peers.reported(from, report, nowMillis);
 		report.pools().forEach((pool) -> this.directory.reportSeen(pool.pool()));
 		this.ownership.peerOwns(report.pools());
-		if (report.versionNumber() < this.versions.number()) {
-			this.versions.content()
-				.ifPresent((content) -> this.transport.send(from,
-						new PeerMessage.PublishedVersion(this.versions.number(), content)));
-		}
+		this.versionPull.told(from, report.versionNumber(), this.versions.number(), nowMillis);
+	}
+
+	private void pullVersion(long nowMillis) {
+		this.versionPull.next(this.versions.number(), nowMillis)
+			.ifPresent((peer) -> this.transport.call(peer, new PeerMessage.FetchVersion())
+				.whenComplete((answer, error) -> {
+					if (answer instanceof PeerMessage.PublishedVersion published
+							&& published.versionNumber() > this.versions.number()) {
+						this.versions.offer(published.content(), "peer " + peer);
+					}
+				}));
+	}
+
+	private CompletionStage<PeerMessage> fetchVersion() {
+		PeerMessage answer = this.versions.content()
+			.map((content) -> (PeerMessage) new PeerMessage.PublishedVersion(this.versions.number(), content))
+			.orElse(new PeerMessage.ErrorAnswer("no-version", "This host has no version yet"));
+		return CompletableFuture.completedFuture(answer);
 	}
 
 	private CompletionStage<PeerMessage> submitted(HostAddress from, PeerMessage.SubmitJob submission) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -270,6 +270,12 @@
 	record CancelJob(String pool, long callNumber, String jobId) implements PeerMessage {
 	}
 
+	/**
+	 * Asks for the version in force at the receiver, as the sender has an older one.
+	 */
+	record FetchVersion() implements PeerMessage {
+	}
+
 	/**
 	 * Brings a peer the version in force, as it was published.
 	 *
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -59,7 +59,9 @@
 
 	JOB_QUERY(23, PeerMessage.JobQuery.class, PoolMessageTypes.JOB_QUERY),
 
-	JOB_QUERY_ANSWER(24, PeerMessage.JobQueryAnswer.class, PoolMessageTypes.JOB_QUERY_ANSWER);
+	JOB_QUERY_ANSWER(24, PeerMessage.JobQueryAnswer.class, PoolMessageTypes.JOB_QUERY_ANSWER),
+
+	FETCH_VERSION(25, PeerMessage.FetchVersion.class, PoolMessageTypes.FETCH_VERSION);
 
 	/** The bound on messages that have none of their own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -200,6 +200,9 @@
 			RecordType.required(BasicTypes.LONG, PeerMessage.JobFinished::callNumber),
 			RecordType.required(OUTCOME, PeerMessage.JobFinished::outcome));
 
+	static final RecordType<PeerMessage.FetchVersion> FETCH_VERSION = new RecordType<>(
+			(values) -> new PeerMessage.FetchVersion());
+
 	static final RecordType<PeerMessage.Acknowledged> ACKNOWLEDGED = new RecordType<>(
 			(values) -> new PeerMessage.Acknowledged());
 
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/Examples.java
@@ -102,7 +102,7 @@
 						new PoolTransfer(List.of(endpoint), List.of(transfer))),
 				new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
-				new PeerMessage.Acknowledged(),
+				new PeerMessage.Acknowledged(), new PeerMessage.FetchVersion(),
 				new PeerMessage.JobQuery(PeerMessage.JobQueryKind.CANCEL, "5c0e7a21d94b36f8", List.of("hobart")),
 				new PeerMessage.JobQueryAnswer(true, List.of(JobStatus.RUNNING), 3));
 	}
