--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 /**
@@ -19,12 +21,20 @@
 	/** How long the state of a job that has ended can be asked for. */
 	private static final long KEPT_MILLIS = 150_000;
 
+	/** How often jobs are forgotten that ended long ago. */
+	private static final long SWEEP_MILLIS = 1_000;
+
 	private final PoolScheduler scheduler;
 
 	private final DurableJobActions actions;
 
 	private final Map<String, Entry> entries = new HashMap<>();
 
+	/** Pools of whose jobs nothing is started for now. */
+	private final Set<String> heldPools = new HashSet<>();
+
+	private long nextSweepMillis = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates an owner's jobs, of which there are none yet.
 	 * @param scheduler runs them
@@ -56,6 +66,7 @@
 		}
 		Entry entry = new Entry(pool, new DurableJob(spec, terms, time.epochMillis()));
 		entry.waiting.add(origin);
+		entry.held = this.heldPools.contains(pool);
 		this.entries.put(spec.jobId(), entry);
 		this.actions.define(pool, entry.job);
 		write(entry, DurableState.ACTIVE, time);
@@ -211,6 +222,7 @@
 		entry.storedRevision = 1;
 		entry.revision = 1;
 		entry.held = true;
+		this.heldPools.add(pool);
 		this.entries.put(job.spec().jobId(), entry);
 		if (entry.state != DurableState.ACTIVE) {
 			ended(entry);
@@ -264,7 +276,11 @@
 	 * @param time the time
 	 */
 	public void hold(String pool, boolean back, Moment time) {
-		entriesOf(pool).stream().filter((entry) -> entry.held != back).forEach((entry) -> {
+		boolean changed = back ? this.heldPools.add(pool) : this.heldPools.remove(pool);
+		if (!changed) {
+			return;
+		}
+		entriesOf(pool).forEach((entry) -> {
 			entry.held = back;
 			entry.occurrences.values().forEach((job) -> this.scheduler.hold(job, back, time.nowMillis()));
 		});
@@ -314,15 +330,30 @@
 	 * @param time the time
 	 */
 	public void tick(Moment time) {
-		List<Entry> all = new ArrayList<>(this.entries.values());
-		all.stream().filter(Entry::isAccepted).forEach((entry) -> beginDue(entry, time));
-		all.stream().filter((entry) -> !entry.isAccepted()).forEach((entry) -> giveUpWaiting(entry, time));
-		all.stream()
+		List<Entry> open = this.entries.values().stream().filter((entry) -> !entry.ended).toList();
+		open.forEach((entry) -> {
+			if (entry.isAccepted()) {
+				beginDue(entry, time);
+			}
+			else {
+				giveUpWaiting(entry, time);
+			}
+		});
+		if (time.nowMillis() >= this.nextSweepMillis) {
+			this.nextSweepMillis = time.nowMillis() + SWEEP_MILLIS;
+			sweep(time);
+		}
+	}
+
+	private void sweep(Moment time) {
+		List<Entry> old = this.entries.values()
+			.stream()
 			.filter((entry) -> entry.ended && time.epochMillis() - entry.changedEpochMillis > KEPT_MILLIS)
-			.forEach((entry) -> {
-				this.entries.remove(entry.jobId());
-				this.actions.remove(entry.pool, entry.jobId(), true);
-			});
+			.toList();
+		old.forEach((entry) -> {
+			this.entries.remove(entry.jobId());
+			this.actions.remove(entry.pool, entry.jobId(), true);
+		});
 	}
 
 	/**
