Tell the owner of a durable job of ends on endpoints that have gone to another owner

That one kept the end unacknowledged, as the job was not its own, and the job's owner started the task again after 2 s. The end is now told to the owner of the job's pool, which writes it; only then the endpoint may forget it. The tests of SplitOwners hold that.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobActions.java
@@ -30,6 +30,12 @@
 	 */
 	void remove(String pool, String jobId, boolean progressToo);
 
+	/**
+	 * Takes note that the shared log has an end.
+	 * @param end the end
+	 */
+	void endStored(EndReference end);
+
 	/**
 	 * Answers who submitted a job.
 	 * @param origin who waits
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -109,7 +109,7 @@
 		entry.storedRevision = Math.max(entry.storedRevision, revision);
 		List<StoredEnd> stored = entry.ends.stream().filter((end) -> end.revision() <= revision).toList();
 		entry.ends.removeAll(stored);
-		stored.forEach((end) -> this.scheduler.endStored(end.end()));
+		stored.forEach((end) -> this.actions.endStored(end.end()));
 		if (first) {
 			entry.waiting.forEach((origin) -> this.actions.answer(origin, jobId, accepted()));
 			entry.waiting.clear();
@@ -181,6 +181,21 @@
 		}
 	}
 
+	/**
+	 * Takes note that a run has ended on an endpoint of another owner.
+	 * @param end the end, which {@link DurableJobActions#endStored} names once the shared
+	 * log has it
+	 * @param ended what ended and how
+	 * @param time the time
+	 * @return whether the end is to be written; if not, the job is not known, or the end
+	 * is
+	 */
+	public boolean strayEnded(EndReference end, EndedTask ended, Moment time) {
+		Optional<PooledJob> job = this.scheduler.endedAtAnotherOwner(ended, time.nowMillis());
+		job.ifPresent((known) -> runEnded(known, end, time));
+		return job.isPresent();
+	}
+
 	/**
 	 * Cancels a job. {@link DurableJobActions#cancelled} tells when the shared log has
 	 * it.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndCursor.java
@@ -16,12 +16,17 @@
 	/** Some times as long as failure domains are usually cut off, in milliseconds. */
 	private static final long MAX_UNRESOLVED_MILLIS = 20_000;
 
+	/** How long another owner may take to write an end, in milliseconds. */
+	private static final long TELL_AGAIN_MILLIS = 500;
+
 	/** Ends that belong to no known task, but may belong to a job that is still read. */
 	private final Map<Long, Long> unresolvedSinceMillis = new HashMap<>();
 
 	/** Ends that the endpoint has to keep. */
 	private final TreeSet<Long> kept = new TreeSet<>();
 
+	private final Map<Long, Long> toldMillis = new HashMap<>();
+
 	private long lastNumber;
 
 	/**
@@ -37,6 +42,7 @@
 		this.lastNumber = Math.max(this.lastNumber, number);
 		if (this.unresolvedSinceMillis.remove(number) != null) {
 			this.kept.remove(number);
+			this.toldMillis.remove(number);
 		}
 	}
 
@@ -66,6 +72,21 @@
 		this.kept.add(number);
 	}
 
+	/**
+	 * Returns whether another owner should be told of an end that can't be told here.
+	 * @param number the number of the end
+	 * @param nowMillis the time in milliseconds
+	 * @return whether that was not done just before
+	 */
+	boolean shouldTell(long number, long nowMillis) {
+		Long toldMillis = this.toldMillis.get(number);
+		if (toldMillis != null && nowMillis - toldMillis < TELL_AGAIN_MILLIS) {
+			return false;
+		}
+		this.toldMillis.put(number, nowMillis);
+		return true;
+	}
+
 	/**
 	 * Takes in an end that the endpoint has to keep until it is stored.
 	 * @param number the number of the end
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
@@ -38,4 +38,13 @@
 	 */
 	void ended(PooledJob job, EndReference end);
 
+	/**
+	 * Takes note of the end of a run that this owner does not know, and that may belong
+	 * to a durable job of another one. The endpoint keeps the end until
+	 * {@link PoolScheduler#strayEndTaken} says that the other owner has it.
+	 * @param end the end
+	 * @param ended what ended and how
+	 */
+	void strayEnded(EndReference end, EndedTask ended);
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -433,6 +433,34 @@
 		}
 	}
 
+	/**
+	 * Lets an endpoint forget an end, as the owner of its job has it.
+	 * @param end the end
+	 */
+	public void strayEndTaken(EndReference end) {
+		this.endpoints.find(end.endpointId())
+			.filter((endpoint) -> endpoint.bornEpochMillis() == end.bornEpochMillis())
+			.ifPresent((endpoint) -> endpoint.ends().takenIn(end.number()));
+	}
+
+	/**
+	 * Takes note of the end of a run on an endpoint of another owner.
+	 * @param ended the end
+	 * @param nowMillis the time in milliseconds
+	 * @return the job, or empty if it is not known or the end is counted already
+	 */
+	Optional<PooledJob> endedAtAnotherOwner(EndedTask ended, long nowMillis) {
+		Optional<PooledTask> task = this.ends.durableTask(ended.run().task())
+			.filter((known) -> ended.run().number() > known.endedRun());
+		task.ifPresent((known) -> {
+			known.runEnded(ended.run().number());
+			known.checkpoint(ended.checkpoint());
+			this.ends.endedElsewhere(known, ended, nowMillis);
+			dispatch(nowMillis);
+		});
+		return task.map(PooledTask::job);
+	}
+
 	/**
 	 * Lets an endpoint forget an end, as the shared log has it.
 	 * @param end the end
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunEnds.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunEnds.java
@@ -158,6 +158,7 @@
 	@Override
 	public void endedElsewhere(PooledTask task, EndedTask end, long nowMillis) {
 		boolean waits = task.placement() == null && !task.isDone();
+		this.uncertain.remove(task);
 		if (task.job().isFinished() || task.step().traits().longRunning()) {
 			return;
 		}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunLedger.java
@@ -137,6 +137,9 @@
 		if (placement.isEmpty() && durable.isEmpty() && this.jobs.mayBeUnread(ended.run().task().jobId())
 				&& endpoint.ends().mayKeepUnresolved(ended.number(), nowMillis)) {
 			endpoint.ends().unresolved(ended.number(), nowMillis);
+			if (endpoint.ends().shouldTell(ended.number(), nowMillis)) {
+				this.actions.strayEnded(reference(endpoint, ended), ended);
+			}
 			return;
 		}
 		boolean counted = durable.filter((task) -> ended.run().number() <= task.endedRun()).isPresent();
@@ -159,8 +162,11 @@
 		endpoint.ends().takenInUnstored(ended.number());
 		task.runEnded(ended.run().number());
 		task.checkpoint(ended.checkpoint());
-		this.actions.ended(task.job(),
-				new EndReference(endpoint.entry().id(), endpoint.bornEpochMillis(), ended.number()));
+		this.actions.ended(task.job(), reference(endpoint, ended));
+	}
+
+	private static EndReference reference(PooledEndpoint endpoint, EndedTask ended) {
+		return new EndReference(endpoint.entry().id(), endpoint.bornEpochMillis(), ended.number());
 	}
 
 	private void judge(Placement placement, EndKind kind, long nowMillis) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -362,6 +362,78 @@
 
 	}
 
+	@Nested
+	class SplitOwners {
+
+		private static final EndReference END = new EndReference("a", 0, 1);
+
+		private RecordedActions.Start startOnLostEndpoint() {
+			accept(job(step(1, 1_000, StepTraits.USUAL)), 10);
+			RecordedActions.Start first = start(0);
+			DurableJobsTests.this.scheduler.endpointRevoked(first.endpointId(), 20);
+			return first;
+		}
+
+		// Found on the bench: the endpoint went to another owner just as the task was
+		// done.
+		@Test
+		void aTaskThatWasDoneAtAnotherOwnerIsNotStartedAgain() {
+			RecordedActions.Start first = startOnLostEndpoint();
+			assertThat(DurableJobsTests.this.jobs.strayEnded(END, new EndedTask(1, first.run(), EndKind.DONE), at(100)))
+				.isTrue();
+			passOnAnswers(100);
+			DurableJobsTests.this.scheduler.tick(2_500);
+			assertThat(starts()).hasSize(1);
+			assertThat(DurableJobsTests.this.keeper.storedEnds).isEmpty();
+			storeAll(110);
+			assertThat(DurableJobsTests.this.keeper.storedEnds).containsExactly(END);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+		@Test
+		void aTaskThatWasStoppedThereStartsOnceMore() {
+			RecordedActions.Start first = startOnLostEndpoint();
+			DurableJobsTests.this.jobs.strayEnded(END, new EndedTask(1, first.run(), EndKind.STOPPED, "half"), at(100));
+			DurableJobsTests.this.scheduler.tick(120);
+			report("b", 2_400);
+			report("a", 2_400);
+			DurableJobsTests.this.scheduler.tick(2_500);
+			assertThat(starts()).hasSize(2);
+			assertThat(start(1).checkpoint()).isEqualTo("half");
+		}
+
+		@Test
+		void aTaskOfWhichNothingIsHeardStartsAgainWhenItsRunIsCertainlyOver() {
+			startOnLostEndpoint();
+			List.of("a", "b").forEach((id) -> report(id, 1_900));
+			DurableJobsTests.this.scheduler.tick(1_900);
+			assertThat(starts()).hasSize(1);
+			List.of("a", "b").forEach((id) -> report(id, 2_030));
+			DurableJobsTests.this.scheduler.tick(2_030);
+			assertThat(starts()).hasSize(2);
+		}
+
+		@Test
+		void endsOfUnknownJobsAreNotWritten() {
+			TaskRun run = new TaskRun(new TaskId("other", 0, 0, 0), 1);
+			assertThat(DurableJobsTests.this.jobs.strayEnded(END, new EndedTask(1, run, EndKind.DONE), at(100)))
+				.isFalse();
+		}
+
+		@Test
+		void theOtherOwnerIsToldUntilItHasTheEnd() {
+			DurableJobsTests.this.unread = true;
+			endRun("a", new TaskRun(new TaskId("other", 0, 0, 0), 1), EndKind.DONE, "");
+			report("a", 50);
+			report("a", 100);
+			report("a", 600);
+			assertThat(DurableJobsTests.this.actions.strayEnds()).containsExactly(END, END);
+			DurableJobsTests.this.scheduler.strayEndTaken(END);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedEndNumber("a")).isEqualTo(1);
+		}
+
+	}
+
 	@Nested
 	class Kinds {
 
@@ -448,7 +520,7 @@
 
 	}
 
-	private static final class Keeper implements DurableJobActions {
+	private final class Keeper implements DurableJobActions {
 
 		private final Map<String, Long> writes = new HashMap<>();
 
@@ -456,6 +528,8 @@
 
 		private final List<String> cancelled = new ArrayList<>();
 
+		private final List<EndReference> storedEnds = new ArrayList<>();
+
 		@Override
 		public void define(String pool, DurableJob job) {
 		}
@@ -465,6 +539,12 @@
 			this.writes.put(jobId, revision);
 		}
 
+		@Override
+		public void endStored(EndReference end) {
+			this.storedEnds.add(end);
+			DurableJobsTests.this.scheduler.endStored(end);
+		}
+
 		@Override
 		public void remove(String pool, String jobId, boolean progressToo) {
 		}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolPlay.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolPlay.java
@@ -367,6 +367,11 @@
 			throw new IllegalStateException("no durable jobs are played");
 		}
 
+		@Override
+		public void strayEnded(EndReference end, EndedTask ended) {
+			throw new IllegalStateException("no durable jobs are played");
+		}
+
 		@Override
 		public void answer(PooledJob job, JobOutcome outcome) {
 			at(HOP_MILLIS, () -> answered(job, outcome));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -14,6 +14,8 @@
 
 	private final List<Answer> answers = new ArrayList<>();
 
+	private final List<EndReference> strayEnds = new ArrayList<>();
+
 	private final List<EndedRun> endedJobs = new ArrayList<>();
 
 	private final List<AnsweredJob> answered = new ArrayList<>();
@@ -39,6 +41,15 @@
 		this.endedJobs.add(new EndedRun(job, end));
 	}
 
+	@Override
+	public void strayEnded(EndReference end, EndedTask ended) {
+		this.strayEnds.add(end);
+	}
+
+	List<EndReference> strayEnds() {
+		return this.strayEnds;
+	}
+
 	List<EndedRun> endedJobs() {
 		return this.endedJobs;
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobKeeper.java
@@ -15,6 +15,7 @@
 import org.masticwick.core.pool.DurableJobActions;
 import org.masticwick.core.pool.DurableJobs;
 import org.masticwick.core.pool.DurableProgress;
+import org.masticwick.core.pool.EndReference;
 import org.masticwick.core.pool.HomePool;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
@@ -77,6 +78,9 @@
 
 	private final Map<String, List<Runnable>> cancels = new HashMap<>();
 
+	/** Ends that other owners told and that are being written. */
+	private final Map<EndReference, CompletableFuture<PeerMessage>> strayEnds = new HashMap<>();
+
 	private boolean closed;
 
 	DurableJobKeeper(EventLoop eventLoop, JobLog log, List<String> domains, PoolScheduler scheduler,
@@ -210,6 +214,29 @@
 		return answer;
 	}
 
+	/**
+	 * Takes note of the end of a run on an endpoint of another owner.
+	 * @param stray the end
+	 * @return acknowledged when the shared log has it, or when the job is not kept here
+	 */
+	CompletableFuture<PeerMessage> strayEnded(PeerMessage.StrayEnd stray) {
+		Pool home = this.pools.get(HomePool.of(stray.ended().run().task().jobId(), this.domains));
+		if (home == null || !home.journal.isLoaded()) {
+			return CompletableFuture
+				.completedFuture(new PeerMessage.ErrorAnswer("not-read", "The jobs of the pool are not known here"));
+		}
+		if (this.strayEnds.containsKey(stray.end()) || this.jobs.strayEnded(stray.end(), stray.ended(), now())) {
+			logger.atInfo()
+				.addKeyValue("job", stray.ended().run().task().jobId())
+				.addKeyValue("task", stray.ended().run())
+				.addKeyValue("endpoint", stray.end().endpointId())
+				.addKeyValue("kind", stray.ended().kind())
+				.log("End of a run told by another owner");
+			return this.strayEnds.computeIfAbsent(stray.end(), (end) -> new CompletableFuture<>());
+		}
+		return CompletableFuture.completedFuture(new PeerMessage.Acknowledged());
+	}
+
 	void tick() {
 		DurableJobs.Moment time = now();
 		this.jobs.tick(time);
@@ -303,6 +330,16 @@
 		return this.jobs.progress(jobId).map(DurableJobCodec::write).orElse(NOTHING);
 	}
 
+	@Override
+	public void endStored(EndReference end) {
+		CompletableFuture<PeerMessage> told = this.strayEnds.remove(end);
+		if (told != null) {
+			told.complete(new PeerMessage.Acknowledged());
+			return;
+		}
+		this.listener.endStored(end);
+	}
+
 	@Override
 	public void remove(String pool, String jobId, boolean progressToo) {
 		put(pool, DEFINITION_PREFIX + jobId, NOTHING);
@@ -349,6 +386,12 @@
 	 */
 	interface Listener {
 
+		/**
+		 * Lets an endpoint forget an end, as the shared log has it.
+		 * @param end the end
+		 */
+		void endStored(EndReference end);
+
 		/**
 		 * Answers who submitted a job.
 		 * @param origin who waits
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -16,6 +16,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.masticwick.core.pool.HomePool;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.PoolReport;
@@ -342,6 +343,9 @@
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.queries.answer(query);
 		}
+		else if (message instanceof PeerMessage.StrayEnd stray) {
+			return strayEndTold(stray);
+		}
 		else if (message instanceof PeerMessage.FetchVersion) {
 			return fetchVersion();
 		}
@@ -425,6 +429,25 @@
 		this.eventLoop.execute(() -> this.ownership.lose(pool, "fenced"));
 	}
 
+	private CompletionStage<PeerMessage> strayEndTold(PeerMessage.StrayEnd stray) {
+		return this.directory.own()
+			.filter((owner) -> !owner.isFrozen())
+			.map((owner) -> owner.strayEnded(stray))
+			.orElse(CompletableFuture
+				.completedFuture(new PeerMessage.ErrorAnswer("not-the-owner", "This host owns no pools")));
+	}
+
+	@Override
+	public CompletionStage<PeerMessage> strayEnded(PeerMessage.StrayEnd stray) {
+		String home = HomePool.of(stray.ended().run().task().jobId(), this.settings.domains());
+		return this.directory.ownerAddress(home)
+			.filter((owner) -> !owner.equals(this.self.peerAddress()))
+			.filter((owner) -> this.directory.hearsOwner(home, Clock.nowMillis()))
+			.map((owner) -> this.transport.call(owner, stray))
+			.orElse(CompletableFuture
+				.completedFuture(new PeerMessage.ErrorAnswer("no-owner", "The owner of the job is not heard")));
+	}
+
 	@Override
 	public boolean mayHaveDurableJobs() {
 		return knowsDurableJobs() || this.peers.mayHaveDurableJobs();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -16,6 +17,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.masticwick.core.pool.EndReference;
+import org.masticwick.core.pool.EndedTask;
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.EndpointReport;
 import org.masticwick.core.pool.JobOrigin;
@@ -182,6 +184,10 @@
 		return this.durableJobs.query(query);
 	}
 
+	CompletableFuture<PeerMessage> strayEnded(PeerMessage.StrayEnd stray) {
+		return this.durableJobs.strayEnded(stray);
+	}
+
 	boolean keepsJobs() {
 		return this.durableJobs.jobs().isUsed();
 	}
@@ -455,6 +461,16 @@
 		this.eventLoop.execute(() -> this.listener.answered(origin, job.spec().jobId(), outcome));
 	}
 
+	@Override
+	public void strayEnded(EndReference end, EndedTask ended) {
+		this.eventLoop.execute(
+				() -> this.listener.strayEnded(new PeerMessage.StrayEnd(end, ended)).whenComplete((answer, error) -> {
+					if (answer instanceof PeerMessage.Acknowledged && !this.frozen) {
+						this.scheduler.strayEndTaken(end);
+					}
+				}));
+	}
+
 	@Override
 	public void ended(PooledJob job, EndReference end) {
 		this.durableJobs.jobs().runEnded(job, end, DurableJobKeeper.now());
@@ -493,6 +509,13 @@
 		 */
 		boolean mayHaveDurableJobs();
 
+		/**
+		 * Tells the owner of a job of the end of a run that is not known here.
+		 * @param stray the end
+		 * @return the answer of that owner
+		 */
+		CompletionStage<PeerMessage> strayEnded(PeerMessage.StrayEnd stray);
+
 	}
 
 	/**
@@ -500,6 +523,11 @@
 	 */
 	private final class Endpoints implements DurableJobKeeper.Listener {
 
+		@Override
+		public void endStored(EndReference end) {
+			PoolOwner.this.scheduler.endStored(end);
+		}
+
 		@Override
 		public void submitted(JobOrigin origin, String jobId, JobOutcome outcome) {
 			PoolOwner.this.listener.answered(origin, jobId, outcome);
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -6,6 +6,8 @@
 import org.masticwick.core.connection.HostSummary;
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.connection.ServiceLoad;
+import org.masticwick.core.pool.EndReference;
+import org.masticwick.core.pool.EndedTask;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobStatus;
@@ -346,6 +348,16 @@
 
 	}
 
+	/**
+	 * Tells the owner of a durable job that a run of it has ended on an endpoint that the
+	 * sender owns. It is acknowledged when the shared log has it.
+	 *
+	 * @param end the end
+	 * @param ended what ended and how
+	 */
+	record StrayEnd(EndReference end, EndedTask ended) implements PeerMessage {
+	}
+
 	/**
 	 * Answers a question about durable jobs.
 	 *
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -61,7 +61,9 @@
 
 	JOB_QUERY_ANSWER(24, PeerMessage.JobQueryAnswer.class, PoolMessageTypes.JOB_QUERY_ANSWER),
 
-	FETCH_VERSION(25, PeerMessage.FetchVersion.class, PoolMessageTypes.FETCH_VERSION);
+	FETCH_VERSION(25, PeerMessage.FetchVersion.class, PoolMessageTypes.FETCH_VERSION),
+
+	STRAY_END(26, PeerMessage.StrayEnd.class, PoolMessageTypes.STRAY_END);
 
 	/** The bound on messages that have none of their own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -6,6 +6,9 @@
 import org.masticwick.core.pool.DurableJob;
 import org.masticwick.core.pool.DurableProgress;
 import org.masticwick.core.pool.DurableState;
+import org.masticwick.core.pool.EndKind;
+import org.masticwick.core.pool.EndReference;
+import org.masticwick.core.pool.EndedTask;
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
@@ -23,6 +26,7 @@
 import org.masticwick.core.pool.StepTraits;
 import org.masticwick.core.pool.TaskId;
 import org.masticwick.core.pool.TaskProgress;
+import org.masticwick.core.pool.TaskRun;
 import org.masticwick.core.pool.TaskTransfer;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.PeerMessage;
@@ -200,6 +204,27 @@
 			RecordType.required(BasicTypes.LONG, PeerMessage.JobFinished::callNumber),
 			RecordType.required(OUTCOME, PeerMessage.JobFinished::outcome));
 
+	private static final RecordType<EndReference> END_REFERENCE = new RecordType<>(
+			(values) -> new EndReference(values.get(0), values.get(1), values.get(2)),
+			RecordType.required(BasicTypes.TEXT, EndReference::endpointId),
+			RecordType.required(BasicTypes.LONG, EndReference::bornEpochMillis),
+			RecordType.required(BasicTypes.LONG, EndReference::number));
+
+	private static final RecordType<TaskRun> RUN = new RecordType<>(
+			(values) -> new TaskRun(values.get(0), values.get(1)), RecordType.required(TASK, TaskRun::task),
+			RecordType.required(BasicTypes.INT, TaskRun::number));
+
+	private static final RecordType<EndedTask> ENDED_TASK = new RecordType<>(
+			(values) -> new EndedTask(values.get(0), values.get(1), values.get(2), values.get(3)),
+			RecordType.required(BasicTypes.LONG, EndedTask::number), RecordType.required(RUN, EndedTask::run),
+			RecordType.required(BasicTypes.enumeration(EndKind.values()), EndedTask::kind),
+			RecordType.optional(BasicTypes.TEXT, EndedTask::checkpoint, ""));
+
+	static final RecordType<PeerMessage.StrayEnd> STRAY_END = new RecordType<>(
+			(values) -> new PeerMessage.StrayEnd(values.get(0), values.get(1)),
+			RecordType.required(END_REFERENCE, PeerMessage.StrayEnd::end),
+			RecordType.required(ENDED_TASK, PeerMessage.StrayEnd::ended));
+
 	static final RecordType<PeerMessage.FetchVersion> FETCH_VERSION = new RecordType<>(
 			(values) -> new PeerMessage.FetchVersion());
 
