--- a/masticwick-proof/src/test/java/org/masticwick/proof/job/JobSteps.java
+++ b/masticwick-proof/src/test/java/org/masticwick/proof/job/JobSteps.java
@@ -3,6 +3,7 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import io.cucumber.java.After;
 import io.cucumber.java.Before;
@@ -122,6 +123,20 @@
 		job.add(caller().cancel(World.host(host).api(), job.ticket()));
 	}
 
+	/**
+	 * Cancels a ticket and waits for the answer, so that nothing sent later can overtake
+	 * it.
+	 * @param name the name of the job
+	 * @param host the entry host
+	 */
+	@When("the ticket of job {word} has been cancelled at {word}")
+	public void ticketHasBeenCancelled(String name, String host) {
+		SubmittedJob job = SubmittedJob.named(name);
+		CompletableFuture<ApiClient.Reply> answer = caller().cancel(World.host(host).api(), job.ticket());
+		job.add(answer);
+		answer.join();
+	}
+
 	/**
 	 * Fetches the ticket of a job that is submitted later.
 	 * @param name the name of the job
--- a/masticwick-proof/src/test/resources/features/job-refusals.feature
+++ b/masticwick-proof/src/test/resources/features/job-refusals.feature
@@ -67,7 +67,7 @@
       | dispatch.queue_task_count_max | 560     |
       | dispatch.queue_wait_max_ms    | 3600000 |
     When a ticket for job sealed of 2 tasks of 10 ms is fetched from toto-centro/0
-    And job sealed is cancelled at toto-centro/0
+    And the ticket of job sealed has been cancelled at toto-centro/0
     And job sealed is submitted again to toto-centro/0
     And job sealed is submitted again to toto-centro/1
     Then job sealed is refused with cancelled and a time to come back: no
