Start a gang or a long-running task again when the word of another owner makes its end certain

Found in the last read of the change: such word ended the wait without a start, and a gang that lost one member was started whole beside the others. The two new tests of SplitOwners failed before.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -27,6 +27,8 @@
 
 	private boolean done;
 
+	private boolean uncertain;
+
 	private Placement placement;
 
 	PooledTask(PooledJob job, TaskId id, StepSpec step) {
@@ -166,11 +168,19 @@
 	}
 
 	/**
-	 * Returns whether the task is neither done nor on an endpoint.
+	 * Returns whether the task is neither done nor on an endpoint, as far as is certain.
 	 * @return whether it can be started
 	 */
 	boolean isWaiting() {
-		return !this.done && this.placement == null;
+		return !this.done && this.placement == null && !this.uncertain;
+	}
+
+	/**
+	 * Takes note of whether a run may go on at an endpoint of another owner.
+	 * @param mayRun whether it may
+	 */
+	void uncertain(boolean mayRun) {
+		this.uncertain = mayRun;
 	}
 
 	boolean isDone() {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunEnds.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunEnds.java
@@ -96,11 +96,35 @@
 				&& members.get(0).countGangFailure(placement.run().number()) >= job.terms().maxAttempts()) {
 			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
 		}
-		else if (members.stream().allMatch((member) -> member.placement() == null)) {
+		else {
+			restartGang(members, nowMillis);
+		}
+	}
+
+	private void restartGang(List<PooledTask> members, long nowMillis) {
+		if (members.stream().allMatch(PooledTask::isWaiting)) {
 			this.jobs.restart(members, nowMillis);
 		}
 	}
 
+	// What is certain now can start again: a member of a gang with all others.
+	private void restartCertain(PooledTask task, long nowMillis) {
+		if (task.job().isFinished() || !task.isWaiting()) {
+			return;
+		}
+		if (task.step().traits().gang()) {
+			restartGang(task.job().tasksOfStep(task.id().step()), nowMillis);
+		}
+		else {
+			this.jobs.restart(List.of(task), nowMillis);
+		}
+	}
+
+	private boolean takeUncertain(PooledTask task) {
+		task.uncertain(false);
+		return this.uncertain.remove(task) != null;
+	}
+
 	private void taskDone(PooledTask task, long nowMillis) {
 		PooledJob job = task.job();
 		if (task.isDone()) {
@@ -125,10 +149,8 @@
 			.map(Map.Entry::getKey)
 			.toList();
 		over.forEach((task) -> {
-			this.uncertain.remove(task);
-			if (!task.job().isFinished() && !task.isDone()) {
-				this.jobs.restart(List.of(task), nowMillis);
-			}
+			takeUncertain(task);
+			restartCertain(task, nowMillis);
 		});
 	}
 
@@ -149,24 +171,39 @@
 		}
 		else if (job.spec().durable()) {
 			this.uncertain.put(task, nowMillis + this.strayRunMillis);
+			task.uncertain(true);
+			stopRestOfGang(task, nowMillis);
 		}
 		else {
 			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-of-another-owner"), nowMillis);
 		}
 	}
 
+	private void stopRestOfGang(PooledTask task, long nowMillis) {
+		if (task.step().traits().gang()) {
+			JobTable.placements(task.job().tasksOfStep(task.id().step()).stream())
+				.forEach((other) -> this.stopper.stop(other, "gang-member-lost", nowMillis));
+		}
+	}
+
 	@Override
 	public void endedElsewhere(PooledTask task, EndedTask end, long nowMillis) {
-		boolean waits = task.placement() == null && !task.isDone();
-		this.uncertain.remove(task);
-		if (task.job().isFinished() || task.step().traits().longRunning()) {
+		boolean wasUncertain = takeUncertain(task);
+		StepTraits traits = task.step().traits();
+		if (task.job().isFinished()) {
 			return;
 		}
-		if (end.kind() == EndKind.DONE) {
-			task.job().ready().remove(task);
-			taskDone(task, nowMillis);
+		if (end.kind() == EndKind.DONE && !traits.longRunning()) {
+			List<PooledTask> done = traits.gang() ? task.job().tasksOfStep(task.id().step()) : List.of(task);
+			task.job().ready().removeAll(done);
+			done.forEach((each) -> taskDone(each, nowMillis));
+		}
+		else if (traits.gang() || traits.longRunning()) {
+			if (wasUncertain) {
+				restartCertain(task, nowMillis);
+			}
 		}
-		else if (waits && !task.step().traits().gang()) {
+		else if (task.isWaiting()) {
 			task.job().ready().remove(task);
 			taskEnded(task, end.kind(), nowMillis);
 		}
@@ -190,7 +227,7 @@
 
 	@Override
 	public Placement adopt(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis) {
-		this.uncertain.remove(task);
+		takeUncertain(task);
 		task.job().ready().remove(task);
 		task.job().markStarted();
 		if (task.job().ready().isEmpty()) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
@@ -59,6 +59,9 @@
 
 	private boolean startGang(PooledJob job, int step, long nowMillis) {
 		List<PooledTask> members = job.tasksOfStep(step);
+		if (!members.stream().allMatch(PooledTask::isWaiting)) {
+			return false;
+		}
 		Map<PooledTask, PooledEndpoint> places = new LinkedHashMap<>();
 		for (PooledTask member : members) {
 			Optional<PooledEndpoint> endpoint = this.endpoints.choose(member, nowMillis);
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -413,6 +413,37 @@
 			assertThat(starts()).hasSize(2);
 		}
 
+		// Found in review: the word of the other owner ended the wait, and nothing else
+		// started the task again.
+		@Test
+		void aLongRunningTaskThatWasStoppedThereStartsAgain() {
+			accept(job(step(1, 1_000, new StepTraits(false, true, false, false))), 10);
+			RecordedActions.Start first = start(0);
+			DurableJobsTests.this.scheduler.endpointRevoked(first.endpointId(), 20);
+			DurableJobsTests.this.jobs.strayEnded(END, new EndedTask(1, first.run(), EndKind.STOPPED), at(100));
+			assertThat(starts()).hasSize(2);
+		}
+
+		// Found in review: the lost member started the whole gang again beside the
+		// others.
+		@Test
+		void aGangThatLostAMemberStartsAgainWhenAllHaveEnded() {
+			accept(job(step(2, 40_000, new StepTraits(true, false, false, false))), 10);
+			RecordedActions.Start lost = start(0);
+			RecordedActions.Start other = start(1);
+			DurableJobsTests.this.scheduler.endpointListed(new EndpointEntry("c", "service",
+					new HostAddress("10.0.0.1", 80), POOL, true, new Resources(64_000, 1_000, 0), Set.of(), 0), 10);
+			DurableJobsTests.this.running.put("c", new ArrayList<>());
+			DurableJobsTests.this.ended.put("c", new ArrayList<>());
+			DurableJobsTests.this.scheduler.endpointRevoked(lost.endpointId(), 20);
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(other.run());
+			end(other, EndKind.STOPPED, "", 60);
+			report("c", 70);
+			assertThat(starts()).hasSize(2);
+			DurableJobsTests.this.jobs.strayEnded(END, new EndedTask(1, lost.run(), EndKind.STOPPED), at(100));
+			assertThat(starts().subList(2, 4)).extracting((start) -> start.run().number()).containsOnly(2);
+		}
+
 		@Test
 		void endsOfUnknownJobsAreNotWritten() {
 			TaskRun run = new TaskRun(new TaskId("other", 0, 0, 0), 1);
