Find the possible next owners, and the ends of one life of an endpoint, in one place each

The same filter stood three times in PoolHandover and twice in PoolScheduler. No behaviour changes; formatter, linter and the tests of PoolScheduler, DurableJobs, DurableHost (Losing) and FleetHost (Stopping, StoppingLate) pass.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -438,9 +438,7 @@
 	 * @param end the end
 	 */
 	public void strayEndTaken(EndReference end) {
-		this.endpoints.find(end.endpointId())
-			.filter((endpoint) -> endpoint.bornEpochMillis() == end.bornEpochMillis())
-			.ifPresent((endpoint) -> endpoint.ends().takenIn(end.number()));
+		endsOf(end).ifPresent((ends) -> ends.takenIn(end.number()));
 	}
 
 	/**
@@ -466,9 +464,13 @@
 	 * @param end the end
 	 */
 	public void endStored(EndReference end) {
-		this.endpoints.find(end.endpointId())
+		endsOf(end).ifPresent((ends) -> ends.stored(end.number()));
+	}
+
+	private Optional<EndCursor> endsOf(EndReference end) {
+		return this.endpoints.find(end.endpointId())
 			.filter((endpoint) -> endpoint.bornEpochMillis() == end.bornEpochMillis())
-			.ifPresent((endpoint) -> endpoint.ends().stored(end.number()));
+			.map(PooledEndpoint::ends);
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -101,10 +102,7 @@
 	// has
 	// an owner of its own, it goes to a host of the same domain.
 	private Optional<MemberRecord> successor(long nowMillis) {
-		boolean merged = this.ownership.isMerged();
-		return this.peers.heard(nowMillis)
-			.stream()
-			.filter((member) -> merged || member.domain().equals(this.self.domain()))
+		return possibleOwners(nowMillis)
 			.max(Comparator.comparing((MemberRecord member) -> this.directory.poolCount(member.peerAddress()))
 				.thenComparing(MemberRecord::processorMillicores)
 				.thenComparing(MemberRecord::incarnation));
@@ -116,10 +114,7 @@
 		if (sinceMillis < 0 || nowMillis - sinceMillis < LOG_LOST_MILLIS) {
 			return Optional.empty();
 		}
-		boolean merged = this.ownership.isMerged();
-		return this.peers.heard(nowMillis)
-			.stream()
-			.filter((member) -> merged || member.domain().equals(this.self.domain()))
+		return possibleOwners(nowMillis)
 			.filter((member) -> this.peers.report(member.peerAddress())
 				.filter(PeerMessage.HostReport::reachesLog)
 				.isPresent())
@@ -130,10 +125,7 @@
 	// that
 	// was away gives way once that is back.
 	private Optional<MemberRecord> strongerHost(long nowMillis) {
-		boolean merged = this.ownership.isMerged();
-		return this.peers.heard(nowMillis)
-			.stream()
-			.filter((member) -> merged || member.domain().equals(this.self.domain()))
+		return possibleOwners(nowMillis)
 			.filter((member) -> this.peers.heardForMillis(member.peerAddress(), nowMillis) >= STABLE_MILLIS)
 			.filter((member) -> member.processorMillicores() >= STRONGER_FACTOR * this.self.processorMillicores())
 			.min(MemberRecord.STRONGEST_FIRST);
@@ -157,6 +149,14 @@
 		return count > ownCount || count == ownCount && first;
 	}
 
+	// On a large site each failure domain keeps its pool.
+	private Stream<MemberRecord> possibleOwners(long nowMillis) {
+		boolean merged = this.ownership.isMerged();
+		return this.peers.heard(nowMillis)
+			.stream()
+			.filter((member) -> merged || member.domain().equals(this.self.domain()));
+	}
+
 	private void handOver(PoolOwner owner, MemberRecord to, long nowMillis) {
 		this.nextTryMillis = nowMillis + RETRY_MILLIS;
 		List<String> pools = List.copyOf(owner.pools());
