Keep an index of the owners that peers report

Cause: each look at the owner of a pool walked the reports of all peers, and the state that claims are decided on did so for each peer and pool, 20 times a second, on every host. With 47 hosts and 5 pools that is about a million steps a second, of which a host with a reachable owner for each pool needs none.

Change: PeerTable keeps the owner by pool and rebuilds it when a peer's tokens change; the state of the site is only gathered for a pool whose owner is not reachable.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -283,7 +283,7 @@
 				this.memberFollower.isLogReachable());
 		this.reportRecipients
 			.select(this.ownership.isSingleOwnerSite(), this.directory.localOwner().isPresent(), this.peers.addresses(),
-					this.peers::member, this.directory::isOwner)
+					this.peers::member, this.directory.owners())
 			.forEach((address) -> this.transport.send(address, report));
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.HostAddress;
@@ -39,6 +40,9 @@
 
 	private final Map<HostAddress, Peer> peers = new HashMap<>();
 
+	/** The peer that reports a pool with the highest fencing token, by pool. */
+	private final Map<String, ReportedOwner> ownerByPool = new HashMap<>();
+
 	private final long startedMillis;
 
 	PeerTable(long nowMillis) {
@@ -90,7 +94,11 @@
 
 	void recordReport(HostAddress from, PeerMessage.HostReport report, long nowMillis) {
 		Peer peer = this.peers.computeIfAbsent(from, (address) -> new Peer());
+		boolean ownershipChanged = !hasSameTokens(peer.pools(), report.pools());
 		peer.report = report;
+		if (ownershipChanged) {
+			rebuildOwners();
+		}
 		if (nowMillis - peer.lastContactMillis > PEER_TIMEOUT_MILLIS) {
 			peer.contactSinceMillis = nowMillis;
 		}
@@ -201,22 +209,26 @@
 				|| reports.stream().anyMatch(PeerMessage.HostReport::hasSeenDurableJobs);
 	}
 
+	private static boolean hasSameTokens(List<PoolReport> first, List<PoolReport> second) {
+		return first.size() == second.size() && IntStream.range(0, first.size())
+			.allMatch((index) -> first.get(index).pool().equals(second.get(index).pool())
+					&& first.get(index).fencingToken() == second.get(index).fencingToken());
+	}
+
+	private void rebuildOwners() {
+		this.ownerByPool.clear();
+		this.peers.forEach((address, peer) -> peer.pools()
+			.forEach((report) -> this.ownerByPool.merge(report.pool(),
+					new ReportedOwner(address, report.fencingToken()), ReportedOwner::higherToken)));
+	}
+
 	/**
-	 * Returns the report on a pool with the highest fencing token, and its sender.
+	 * Returns the peer that reports a pool with the highest fencing token.
 	 * @param pool the name of the pool
-	 * @return the report, or empty if no peer has reported the pool
+	 * @return the owner, or empty if no peer has reported the pool
 	 */
-	Optional<OwnerReport> highestTokenReport(String pool) {
-		OwnerReport highest = null;
-		for (Map.Entry<HostAddress, Peer> entry : this.peers.entrySet()) {
-			for (PoolReport report : entry.getValue().pools()) {
-				if (report.pool().equals(pool)
-						&& (highest == null || report.fencingToken() > highest.report().fencingToken())) {
-					highest = new OwnerReport(entry.getKey(), report);
-				}
-			}
-		}
-		return Optional.ofNullable(highest);
+	Optional<ReportedOwner> reportedOwner(String pool) {
+		return Optional.ofNullable(this.ownerByPool.get(pool));
 	}
 
 	/**
@@ -247,12 +259,17 @@
 	}
 
 	/**
-	 * A report on a pool and its sender.
+	 * A peer that reports to own a pool.
 	 *
-	 * @param owner the peer address of the sender
-	 * @param report the report on the pool
+	 * @param address the peer address of the host
+	 * @param fencingToken its fencing token for the pool
 	 */
-	record OwnerReport(HostAddress owner, PoolReport report) {
+	record ReportedOwner(HostAddress address, long fencingToken) {
+
+		private static ReportedOwner higherToken(ReportedOwner first, ReportedOwner second) {
+			return (second.fencingToken > first.fencingToken) ? second : first;
+		}
+
 	}
 
 	private static final class Peer {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolSelector;
@@ -91,9 +92,9 @@
 			return Optional.of(this.self.peerAddress());
 		}
 		PoolClaim claim = this.claims.get(pool);
-		Optional<PeerTable.OwnerReport> reported = this.peers.highestTokenReport(pool);
-		if (claim == null || reported.isPresent() && reported.get().report().fencingToken() > claim.fencingToken()) {
-			return reported.map(PeerTable.OwnerReport::owner);
+		Optional<PeerTable.ReportedOwner> reported = this.peers.reportedOwner(pool);
+		if (claim == null || reported.isPresent() && reported.get().fencingToken() > claim.fencingToken()) {
+			return reported.map(PeerTable.ReportedOwner::address);
 		}
 		return Optional.ofNullable(claim.owner()).map(MemberRecord::peerAddress);
 	}
@@ -151,12 +152,11 @@
 	}
 
 	/**
-	 * Returns whether a host owns any pool, by the newest claims and reports.
-	 * @param hostAddress the peer address of the host
-	 * @return whether it owns one
+	 * Returns the hosts that own a pool, by the newest claims and reports.
+	 * @return their peer addresses
 	 */
-	boolean isOwner(HostAddress hostAddress) {
-		return poolCount(hostAddress) > 0;
+	Set<HostAddress> owners() {
+		return this.claims.keySet().stream().flatMap((pool) -> ownerAddress(pool).stream()).collect(Collectors.toSet());
 	}
 
 	/**
@@ -165,7 +165,10 @@
 	 * @return the number of pools
 	 */
 	long poolCount(HostAddress hostAddress) {
-		return pools().stream().filter((pool) -> ownerAddress(pool).filter(hostAddress::equals).isPresent()).count();
+		return this.claims.keySet()
+			.stream()
+			.filter((pool) -> ownerAddress(pool).filter(hostAddress::equals).isPresent())
+			.count();
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -19,6 +19,7 @@
 
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.PoolReport;
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.JobLog;
@@ -155,6 +156,7 @@
 		}
 		List<String> claimablePools = this.domains.stream()
 			.filter((pool) -> this.directory.localOwnerOf(pool).isEmpty())
+			.filter((pool) -> !isOwnedByReachablePeer(pool))
 			.filter((pool) -> this.rule.shouldClaim(situation(pool, nowMillis)))
 			.toList();
 		if (!claimablePools.isEmpty()) {
@@ -169,10 +171,20 @@
 		Optional<PoolClaim> claim = this.directory.claim(pool)
 			.filter((poolClaim) -> poolClaim.standbyRank(this.self.hostName()) >= 0)
 			.filter((poolClaim) -> this.directory.localOwnerOf(pool).isEmpty())
+			.filter((poolClaim) -> !isOwnedByReachablePeer(pool))
 			.filter((poolClaim) -> this.rule.shouldAssumeStandbyOwnership(situation(pool, nowMillis)));
 		claim.ifPresent((poolClaim) -> applyClaim(poolClaim.forStandby(this.self)));
 	}
 
+	// Spares the state of the whole site where nothing is to be decided.
+	private boolean isOwnedByReachablePeer(String pool) {
+		boolean claimedByPeer = this.directory.claim(pool)
+			.map(PoolClaim::owner)
+			.filter((owner) -> !owner.hostName().equals(this.self.hostName()))
+			.isPresent();
+		return claimedByPeer && !this.ownerUnreachableSinceMillis.containsKey(pool);
+	}
+
 	private void trackOwnerReachability(String pool, long nowMillis) {
 		if (this.directory.isOwnerReachable(pool, nowMillis)) {
 			this.ownerUnreachableSinceMillis.remove(pool);
@@ -184,8 +196,9 @@
 
 	private ClaimRule.Situation situation(String pool, long nowMillis) {
 		List<MemberRecord> reachableMembers = this.peers.reachableMembers(nowMillis);
+		Set<HostAddress> owners = this.directory.owners();
 		List<String> ownerHostNames = reachableMembers.stream()
-			.filter((member) -> this.directory.poolCount(member.peerAddress()) > 0)
+			.filter((member) -> owners.contains(member.peerAddress()))
 			.map(MemberRecord::hostName)
 			.toList();
 		long ownerUnreachableMillis = nowMillis - this.ownerUnreachableSinceMillis.getOrDefault(pool, nowMillis);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ReportRecipients.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ReportRecipients.java
@@ -3,8 +3,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
-import java.util.function.Predicate;
 
 import org.masticwick.core.process.HostAddress;
 
@@ -31,15 +31,15 @@
 	 * @param peers the addresses of all peers
 	 * @param memberByAddress finds the member with an address; one without a member
 	 * record receives reports
-	 * @param isOwner tests whether a host owns a pool
+	 * @param owners the addresses of the hosts that own a pool
 	 * @return the addresses of the recipients, without this host
 	 */
 	List<HostAddress> select(boolean singleOwnerSite, boolean ownsPool, Collection<HostAddress> peers,
-			Function<HostAddress, Optional<MemberRecord>> memberByAddress, Predicate<HostAddress> isOwner) {
+			Function<HostAddress, Optional<MemberRecord>> memberByAddress, Set<HostAddress> owners) {
 		return peers.stream()
 			.filter((peer) -> !peer.equals(this.self.peerAddress()))
 			.filter((peer) -> singleOwnerSite || ownsPool || mayShareDomain(memberByAddress.apply(peer))
-					|| isOwner.test(peer))
+					|| owners.contains(peer))
 			.toList();
 	}
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ReportRecipientsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ReportRecipientsTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -37,7 +38,7 @@
 	private String recipientNames(boolean singleOwnerSite, boolean ownsPool, List<HostAddress> peers) {
 		return this.recipients
 			.select(singleOwnerSite, ownsPool, peers, (address) -> Optional.ofNullable(MEMBERS.get(address)),
-					address(4)::equals)
+					Set.of(address(4)))
 			.stream()
 			.map((address) -> Optional.ofNullable(MEMBERS.get(address)).map(MemberRecord::hostName).orElse("unknown"))
 			.sorted()
