Report to peers as often as shared work needs

Cause: each host reported 8 times a second to each host of its failure domain and to each owner, on connections of one direction, which the transport pinged 4 times a second as nothing came back: some 450 messages a second on a host at rest of the large site, 1,500 on an owner.

Change: PeerReporter sends at the short interval only where a loss must be noticed fast (jobs run for the other's callers, or the peer may have to replace this host), else at three times that, and at once after a change of owners. A report announces the interval, by which its receiver judges the sender. Idle connections without pending calls are no longer pinged; a host that misses the reports of a peer tells it in its own, and that peer replaces its connection. The 500 ms of the sum in PLATFORM.md hold as before: frequent reports are announced before the first job is sent, and expected from the origins of jobs that are adopted.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -53,8 +53,7 @@
 	/** The interval of timeout checks, claims, handovers and scheduling passes. */
 	private static final long TICK_INTERVAL_MILLIS = 50;
 
-	/** A quarter of the peer timeout, so that single reports may be lost. */
-	private static final long REPORT_INTERVAL_MILLIS = 125;
+	private static final long REGISTRATION_RETRY_MILLIS = 250;
 
 	/**
 	 * A read for a new version waits for half of the time that a change may take to
@@ -138,7 +137,7 @@
 
 	private PeerTransport transport;
 
-	private final ReportRecipients reportRecipients;
+	private final PeerReporter reporter;
 
 	private final VersionPull versionPull = new VersionPull();
 
@@ -166,7 +165,6 @@
 		this.versionKey = siteFormat.versionKey();
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
 				entryHost.incarnation(), settings.processorMillicores());
-		this.reportRecipients = new ReportRecipients(this.self);
 		this.versions = new VersionHolder(siteFormat);
 		this.peers = new PeerTable(Clock.nowMillis());
 		this.directory = new PoolDirectory(this.self, this.peers);
@@ -176,6 +174,9 @@
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
 				log, jobLog, endpointCalls, siteFormat, this.metrics, this, this.memberFollower);
+		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
+				this::hostState);
+		this.router.reporter(this.reporter);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
 		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STANDBY_ENDPOINT_PACE,
@@ -201,10 +202,12 @@
 	public void start() {
 		this.transport = NettyPeerTransport.bind(
 				PeerTransportSettings.of(this.settings.peerAddress().ip(), this.settings.peerAddress().port())
-					.withIdleTimeoutMillis(PeerTable.PEER_TIMEOUT_MILLIS),
+					.withIdleTimeoutMillis(PeerTable.PEER_TIMEOUT_MILLIS)
+					.withIdleCheck(PeerTransportSettings.IdleCheck.PENDING_CALLS),
 				() -> new EntryHost(this.self.domain(), this.self.peerAddress(), this.self.incarnation()), this,
 				this.eventLoops);
 		this.router.transport(this.transport);
+		this.reporter.transport(this.transport);
 		this.jobQueries.transport(this.transport);
 		this.handover.transport(this.transport);
 		this.callerServer.listen(this.settings.callerAddress());
@@ -226,8 +229,8 @@
 		register();
 		this.eventLoop.scheduleAtFixedRate(guarded(this::tick), TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
-		this.eventLoop.scheduleAtFixedRate(guarded(this::report), REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.eventLoop.scheduleAtFixedRate(guarded(this::report), PeerMessage.HostReport.SHORT_INTERVAL_MILLIS,
+				PeerMessage.HostReport.SHORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private static Runnable guarded(Runnable action) {
@@ -248,7 +251,7 @@
 					OptionalLong.empty())
 			.whenComplete((offset, error) -> {
 				if (error != null) {
-					this.eventLoop.schedule(this::register, 2 * REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+					this.eventLoop.schedule(this::register, REGISTRATION_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 				}
 			});
 	}
@@ -274,17 +277,19 @@
 	}
 
 	private void report() {
+		long nowMillis = Clock.nowMillis();
+		this.reporter.recordSharedWork(this.router.pendingOwners(), nowMillis);
+		this.reporter.report(nowMillis);
+	}
+
+	private PeerReporter.HostState hostState() {
 		List<PoolReport> pools = this.directory.localOwner()
 			.filter((owner) -> !owner.isFrozen())
 			.map(PoolOwner::reports)
 			.orElse(List.of());
-		PeerMessage.HostReport report = new PeerMessage.HostReport(this.versions.activeNumber(), this.stopping, pools,
+		return new PeerReporter.HostState(this.versions.activeNumber(), this.stopping, pools,
 				this.directory.poolsWithReachableOwner(Clock.nowMillis()), hasSeenDurableJobs(),
 				this.memberFollower.isLogReachable());
-		this.reportRecipients
-			.select(this.ownership.isSingleOwnerSite(), this.directory.localOwner().isPresent(), this.peers.addresses(),
-					this.peers::member, this.directory.owners())
-			.forEach((address) -> this.transport.send(address, report));
 	}
 
 	private void applyOperatorRecord(KeyedRecord operatorRecord) {
@@ -384,6 +389,9 @@
 			logger.atInfo().addKeyValue("peer", from).log("Peer became reachable");
 		}
 		this.peers.recordReport(from, report, nowMillis);
+		if (!report.recipientReachable()) {
+			this.reporter.handleMissedReports(from, nowMillis);
+		}
 		report.pools().forEach((pool) -> this.directory.resetSent(pool.pool()));
 		this.ownership.applyPeerReports(report.pools());
 		this.versionPull.recordPeerVersion(from, report.versionNumber(), this.versions.activeNumber(), nowMillis);
@@ -414,6 +422,7 @@
 			return CompletableFuture
 				.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "not-the-owner")));
 		}
+		this.reporter.recordSharedWork(from, Clock.nowMillis());
 		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 		this.pendingCalls.put(origin, answer);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -71,6 +72,8 @@
 
 	private PeerTransport transport;
 
+	private PeerReporter reporter;
+
 	private long nextCallNumber;
 
 	private boolean durableJobsSeen;
@@ -89,6 +92,22 @@
 		this.transport = peerTransport;
 	}
 
+	void reporter(PeerReporter peerReporter) {
+		this.reporter = peerReporter;
+	}
+
+	/**
+	 * Returns the peers that run jobs of this host's callers.
+	 * @return their peer addresses
+	 */
+	Set<HostAddress> pendingOwners() {
+		return this.pendingJobs.values()
+			.stream()
+			.map((routed) -> routed.owner)
+			.filter(Objects::nonNull)
+			.collect(Collectors.toSet());
+	}
+
 	int pendingCount() {
 		return this.pendingJobs.size();
 	}
@@ -171,6 +190,7 @@
 		}
 		routed.owner = owner.get();
 		this.directory.recordSent(pool, routed.peakMillicores());
+		this.reporter.recordSharedWork(owner.get(), nowMillis);
 		this.transport.call(owner.get(), new PeerMessage.SubmitJob(pool, routed.callNumber, routed.job, terms))
 			.whenComplete((message, error) -> handlePeerAnswer(routed, message, error));
 	}
@@ -218,6 +238,7 @@
 			routed.handedOver = true;
 			routed.owner = owner.equals(this.self.peerAddress()) ? null : owner;
 		});
+		this.reporter.recordSharedWork(pendingOwners(), Clock.nowMillis());
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -11,7 +11,7 @@
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
-import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerMessage.HostReport;
 
 /**
  * The other entry hosts: their member records, their newest reports and the times of last
@@ -20,15 +20,25 @@
 final class PeerTable {
 
 	/**
-	 * After how long without a report a peer counts as lost; see docs/design/PLATFORM.md.
+	 * After how long without a report a peer counts as lost that reports at the short
+	 * interval; see docs/design/PLATFORM.md.
 	 */
 	static final long PEER_TIMEOUT_MILLIS = 500;
 
+	/** How many reports of a peer must be missing in a row before it counts as lost. */
+	private static final int LOST_REPORT_COUNT = 3;
+
 	/**
-	 * After how long without a report a peer is suspect, and avoided if there is another
-	 * choice.
+	 * How many reports of a peer must be missing in a row before it is suspect, and
+	 * avoided if there is another choice.
 	 */
-	static final long SUSPECT_MILLIS = 260;
+	private static final int SUSPECT_REPORT_COUNT = 2;
+
+	/** How much later than announced a report may arrive. */
+	private static final long MAX_REPORT_DELAY_MILLIS = 125;
+
+	/** How much later than announced a report of a peer may be that is not suspect. */
+	private static final long USUAL_REPORT_DELAY_MILLIS = 10;
 
 	/** How long a disconnected peer may take to reconnect before it counts as lost. */
 	private static final long RECONNECT_MILLIS = 200;
@@ -92,16 +102,17 @@
 		return List.copyOf(this.peers.keySet());
 	}
 
-	void recordReport(HostAddress from, PeerMessage.HostReport report, long nowMillis) {
+	void recordReport(HostAddress from, HostReport report, long nowMillis) {
 		Peer peer = this.peers.computeIfAbsent(from, (address) -> new Peer());
 		boolean ownershipChanged = !hasSameTokens(peer.pools(), report.pools());
+		if (nowMillis - peer.lastContactMillis > peer.timeoutMillis()) {
+			peer.contactSinceMillis = nowMillis;
+		}
 		peer.report = report;
+		peer.intervalMillis = report.intervalMillis();
 		if (ownershipChanged) {
 			rebuildOwners();
 		}
-		if (nowMillis - peer.lastContactMillis > PEER_TIMEOUT_MILLIS) {
-			peer.contactSinceMillis = nowMillis;
-		}
 		peer.lastContactMillis = nowMillis;
 		peer.lossReported = false;
 	}
@@ -115,18 +126,43 @@
 	void recordDisconnection(HostAddress address, long nowMillis) {
 		Peer peer = this.peers.get(address);
 		if (peer != null) {
-			long latestContactMillis = nowMillis - PEER_TIMEOUT_MILLIS + RECONNECT_MILLIS;
+			long latestContactMillis = nowMillis - peer.timeoutMillis() + RECONNECT_MILLIS;
 			peer.lastContactMillis = Math.min(peer.lastContactMillis, latestContactMillis);
 		}
 	}
 
+	/**
+	 * Expects a peer to report at the short interval from now on, as this host runs jobs
+	 * of its callers.
+	 * @param address the address of the peer; ignored if it has never reported
+	 * @param nowMillis the time in milliseconds
+	 */
+	void expectFrequentReports(HostAddress address, long nowMillis) {
+		Peer peer = this.peers.get(address);
+		if (peer == null || peer.report == null || peer.intervalMillis <= HostReport.SHORT_INTERVAL_MILLIS) {
+			return;
+		}
+		if (isReachable(address, nowMillis)) {
+			long earliestContactMillis = nowMillis - SUSPECT_REPORT_COUNT * HostReport.SHORT_INTERVAL_MILLIS;
+			peer.lastContactMillis = Math.max(peer.lastContactMillis, earliestContactMillis);
+		}
+		peer.intervalMillis = HostReport.SHORT_INTERVAL_MILLIS;
+	}
+
 	boolean isReachable(HostAddress address, long nowMillis) {
-		return lastContactAgeMillis(address, nowMillis) <= PEER_TIMEOUT_MILLIS;
+		Peer peer = this.peers.get(address);
+		return peer != null && nowMillis - peer.lastContactMillis <= peer.timeoutMillis();
 	}
 
-	long lastContactAgeMillis(HostAddress address, long nowMillis) {
+	/**
+	 * Returns whether reports of a peer are missing.
+	 * @param address the address of the peer
+	 * @param nowMillis the time in milliseconds
+	 * @return whether the peer may be lost
+	 */
+	boolean isSuspect(HostAddress address, long nowMillis) {
 		Peer peer = this.peers.get(address);
-		return (peer != null) ? nowMillis - peer.lastContactMillis : Long.MAX_VALUE / 2;
+		return peer == null || nowMillis - peer.lastContactMillis > peer.suspectMillis();
 	}
 
 	/**
@@ -139,7 +175,7 @@
 		return isReachable(address, nowMillis) ? nowMillis - this.peers.get(address).contactSinceMillis : 0;
 	}
 
-	Optional<PeerMessage.HostReport> report(HostAddress address) {
+	Optional<HostReport> report(HostAddress address) {
 		return Optional.ofNullable(this.peers.get(address)).map((peer) -> peer.report);
 	}
 
@@ -191,7 +227,7 @@
 	boolean isOwnerReachableByPeer(String pool, long nowMillis) {
 		return this.peers.values()
 			.stream()
-			.filter((peer) -> peer.report != null && nowMillis - peer.lastContactMillis <= SUSPECT_MILLIS)
+			.filter((peer) -> peer.report != null && nowMillis - peer.lastContactMillis <= peer.suspectMillis())
 			.anyMatch((peer) -> peer.report.poolsWithReachableOwner().contains(pool));
 	}
 
@@ -200,13 +236,13 @@
 	 * @return {@code false} if an owner has reported and no peer has seen a durable job
 	 */
 	boolean mayHaveDurableJobs() {
-		List<PeerMessage.HostReport> reports = this.peers.values()
+		List<HostReport> reports = this.peers.values()
 			.stream()
 			.map((peer) -> peer.report)
 			.filter(Objects::nonNull)
 			.toList();
 		return reports.stream().allMatch((report) -> report.pools().isEmpty())
-				|| reports.stream().anyMatch(PeerMessage.HostReport::hasSeenDurableJobs);
+				|| reports.stream().anyMatch(HostReport::hasSeenDurableJobs);
 	}
 
 	private static boolean hasSameTokens(List<PoolReport> first, List<PoolReport> second) {
@@ -276,7 +312,9 @@
 
 		private MemberRecord member;
 
-		private PeerMessage.HostReport report;
+		private HostReport report;
+
+		private int intervalMillis = HostReport.SHORT_INTERVAL_MILLIS;
 
 		private long lastContactMillis = Long.MIN_VALUE / 2;
 
@@ -284,6 +322,14 @@
 
 		private boolean lossReported;
 
+		private long timeoutMillis() {
+			return (long) LOST_REPORT_COUNT * this.intervalMillis + MAX_REPORT_DELAY_MILLIS;
+		}
+
+		private long suspectMillis() {
+			return (long) SUSPECT_REPORT_COUNT * this.intervalMillis + USUAL_REPORT_DELAY_MILLIS;
+		}
+
 		private List<PoolReport> pools() {
 			return (this.report != null) ? this.report.pools() : List.of();
 		}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -197,7 +197,7 @@
 			return this.peers.isDiscoveryComplete(nowMillis) ? Optional.empty()
 					: Optional.of(new PoolSelector.Candidate(pool, local, true, 0, 0));
 		}
-		boolean ownerSuspect = this.peers.lastContactAgeMillis(ownerAddress, nowMillis) > PeerTable.SUSPECT_MILLIS;
+		boolean ownerSuspect = this.peers.isSuspect(ownerAddress, nowMillis);
 		long sentMillicores = this.unreportedMillicores.getOrDefault(pool, 0L);
 		return this.peers.report(ownerAddress)
 			.flatMap((hostReport) -> hostReport.pools()
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -227,6 +227,10 @@
 			.map(JobTransfer::origin)
 			.collect(Collectors.groupingBy(JobOrigin::host,
 					Collectors.mapping(JobOrigin::callNumber, Collectors.toCollection(ArrayList::new))));
+		callNumbers.keySet()
+			.stream()
+			.map(HostAddress::parse)
+			.forEach((entryHost) -> this.peers.expectFrequentReports(entryHost, Clock.nowMillis()));
 		callNumbers.forEach((entryHost, numbers) -> notifyJobsMoved(HostAddress.parse(entryHost), numbers));
 		this.directory.localOwner().ifPresent((owner) -> owner.adopt(transfer));
 	}
--- a/masticwick-wire/src/main/java/org/masticwick/wire/NettyPeerTransport.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/NettyPeerTransport.java
@@ -15,8 +15,9 @@
 
 /**
  * Transport over TCP with one connection for each direction between two hosts. A
- * connection on which no byte arrives within the idle timeout is closed, and the pending
- * calls on it fail; the next call or message opens a new connection.
+ * connection that is checked and on which no byte arrives within the idle timeout is
+ * closed, and the pending calls on it fail; the next call or message opens a new
+ * connection.
  */
 public final class NettyPeerTransport implements PeerTransport {
 
@@ -82,6 +83,14 @@
 		link(peer).send(message);
 	}
 
+	@Override
+	public void reconnect(HostAddress peer) {
+		PeerLink existingLink = this.links.get(peer);
+		if (existingLink != null) {
+			existingLink.closeOldConnection();
+		}
+	}
+
 	@Override
 	public TrafficCounters traffic() {
 		return this.traffic;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -237,7 +237,7 @@
 	}
 
 	/**
-	 * Reports to all peers that the sender is alive, its active version, and the state of
+	 * Reports to a peer that the sender is alive, its active version, and the state of
 	 * the pools that it owns.
 	 *
 	 * @param versionNumber the active version, or 0 for none
@@ -247,9 +247,16 @@
 	 * whose owner it has recent contact with
 	 * @param hasSeenDurableJobs whether the sender has handled or stored durable jobs
 	 * @param logReachable whether the log answers the sender
+	 * @param intervalMillis the time until the next report to this peer, in milliseconds
+	 * @param recipientReachable whether the sender receives the reports of this peer
 	 */
 	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> poolsWithReachableOwner,
-			boolean hasSeenDurableJobs, boolean logReachable) implements PeerMessage {
+			boolean hasSeenDurableJobs, boolean logReachable, int intervalMillis,
+			boolean recipientReachable) implements PeerMessage {
+
+		/** The interval between reports to a peer that depends on fast detection. */
+		public static final int SHORT_INTERVAL_MILLIS = 125;
+
 	}
 
 	/**
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerTransport.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerTransport.java
@@ -35,6 +35,15 @@
 	 */
 	void send(HostAddress peer, PeerMessage message);
 
+	/**
+	 * Replaces the connection to a peer, as messages on it don't arrive. The pending
+	 * calls on it fail. Does nothing if the connection is younger than the idle timeout,
+	 * or if the transport does not support it.
+	 * @param peer the address of the peer
+	 */
+	default void reconnect(HostAddress peer) {
+	}
+
 	/**
 	 * Returns the counts of messages and bytes since the transport was opened.
 	 * @return the counters
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerTransportSettings.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerTransportSettings.java
@@ -8,6 +8,7 @@
  * @param connectTimeoutMillis the time limit for opening a connection, in milliseconds
  * @param idleTimeoutMillis the time without a received byte after which a connection is
  * closed, in milliseconds
+ * @param idleCheck which connections are checked for the idle timeout
  * @param minBackoffMillis the upper limit of the delay after the first failed connection
  * attempt, in milliseconds; it doubles with each further failure
  * @param maxBackoffMillis the maximum delay after failed connection attempts, in
@@ -18,7 +19,8 @@
  * each direction
  */
 public record PeerTransportSettings(String bindIp, int bindPort, int connectTimeoutMillis, long idleTimeoutMillis,
-		long minBackoffMillis, long maxBackoffMillis, int maxOutboundBytes, int maxPendingCallCount) {
+		IdleCheck idleCheck, long minBackoffMillis, long maxBackoffMillis, int maxOutboundBytes,
+		int maxPendingCallCount) {
 
 	private static final int DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000;
 
@@ -40,7 +42,7 @@
 	 */
 	public static PeerTransportSettings of(String bindIp, int bindPort) {
 		return new PeerTransportSettings(bindIp, bindPort, DEFAULT_CONNECT_TIMEOUT_MILLIS, DEFAULT_IDLE_TIMEOUT_MILLIS,
-				DEFAULT_MIN_BACKOFF_MILLIS, DEFAULT_MAX_BACKOFF_MILLIS, DEFAULT_MAX_OUTBOUND_BYTES,
+				IdleCheck.ALWAYS, DEFAULT_MIN_BACKOFF_MILLIS, DEFAULT_MAX_BACKOFF_MILLIS, DEFAULT_MAX_OUTBOUND_BYTES,
 				DEFAULT_MAX_PENDING_CALL_COUNT);
 	}
 
@@ -51,7 +53,8 @@
 	 */
 	public PeerTransportSettings withIdleTimeoutMillis(long timeoutMillis) {
 		return new PeerTransportSettings(this.bindIp, this.bindPort, this.connectTimeoutMillis, timeoutMillis,
-				this.minBackoffMillis, this.maxBackoffMillis, this.maxOutboundBytes, this.maxPendingCallCount);
+				this.idleCheck, this.minBackoffMillis, this.maxBackoffMillis, this.maxOutboundBytes,
+				this.maxPendingCallCount);
 	}
 
 	/**
@@ -61,7 +64,34 @@
 	 */
 	public PeerTransportSettings withMaxOutboundBytes(int limitBytes) {
 		return new PeerTransportSettings(this.bindIp, this.bindPort, this.connectTimeoutMillis, this.idleTimeoutMillis,
-				this.minBackoffMillis, this.maxBackoffMillis, limitBytes, this.maxPendingCallCount);
+				this.idleCheck, this.minBackoffMillis, this.maxBackoffMillis, limitBytes, this.maxPendingCallCount);
+	}
+
+	/**
+	 * Returns these settings with a different idle check.
+	 * @param check which connections are checked
+	 * @return the changed copy
+	 */
+	public PeerTransportSettings withIdleCheck(IdleCheck check) {
+		return new PeerTransportSettings(this.bindIp, this.bindPort, this.connectTimeoutMillis, this.idleTimeoutMillis,
+				check, this.minBackoffMillis, this.maxBackoffMillis, this.maxOutboundBytes, this.maxPendingCallCount);
+	}
+
+	/**
+	 * Selects the connections that are pinged, and closed if no byte arrives.
+	 */
+	public enum IdleCheck {
+
+		/** All connections, so that peers must answer pings. */
+		ALWAYS,
+
+		/**
+		 * Connections with pending calls. Others carry messages in one direction only;
+		 * their receiver notices that messages stay away, and its host tells the sender,
+		 * which then calls {@link PeerTransport#reconnect}.
+		 */
+		PENDING_CALLS
+
 	}
 
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/IdleConnectionMonitor.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/IdleConnectionMonitor.java
@@ -10,38 +10,81 @@
 import org.slf4j.LoggerFactory;
 
 import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerTransportSettings;
 import org.masticwick.wire.TrafficCounters;
 import org.masticwick.wire.internal.Envelope.Role;
 
 /**
  * Detects unresponsive peers. Sends a {@link PeerMessage.Ping} when no byte was received
- * for half of the idle timeout, and closes the connection when the idle timeout expires.
+ * for half of the idle timeout, and closes the connection when half of the timeout later
+ * still none has arrived. A connection that is not checked is closed only after a much
+ * longer time, as its peer may be gone without having closed it.
  */
 final class IdleConnectionMonitor extends IdleStateHandler {
 
 	private static final Logger logger = LoggerFactory.getLogger(IdleConnectionMonitor.class);
 
+	/**
+	 * After how many idle timeouts a connection is closed that a peer opened and that is
+	 * not checked. Peers send far more often.
+	 */
+	private static final int ABANDONED_AFTER_IDLE_TIMEOUTS = 20;
+
+	private final PeerTransportSettings settings;
+
 	private final TrafficCounters traffic;
 
-	IdleConnectionMonitor(long idleTimeoutMillis, TrafficCounters traffic) {
-		super(idleTimeoutMillis / 2, 0, 0, TimeUnit.MILLISECONDS);
+	private boolean pinged;
+
+	private int idleIntervalCount;
+
+	IdleConnectionMonitor(PeerTransportSettings settings, TrafficCounters traffic) {
+		super(settings.idleTimeoutMillis() / 2, 0, 0, TimeUnit.MILLISECONDS);
+		this.settings = settings;
 		this.traffic = traffic;
 	}
 
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+		this.pinged = false;
+		this.idleIntervalCount = 0;
+		super.channelRead(ctx, message);
+	}
+
 	@Override
 	protected void channelIdle(ChannelHandlerContext ctx, IdleStateEvent event) {
 		if (event.state() != IdleState.READER_IDLE) {
 			return;
 		}
-		if (event.isFirst()) {
-			ctx.pipeline().get(PeerConnection.class).closeIfUnused();
-			new MessageWriter(ctx.channel(), this.traffic).write(Role.ONE_WAY, 0, new PeerMessage.Ping());
+		PeerConnection connection = ctx.pipeline().get(PeerConnection.class);
+		this.idleIntervalCount++;
+		if (!isChecked(connection)) {
+			this.pinged = false;
+			closeIfAbandoned(ctx, connection);
 		}
-		else {
+		else if (this.pinged) {
 			logger.info("Closing the connection with {}: no byte received within the idle timeout",
 					ctx.channel().remoteAddress());
 			ctx.close();
 		}
+		else {
+			this.pinged = true;
+			connection.closeIfUnused();
+			new MessageWriter(ctx.channel(), this.traffic).write(Role.ONE_WAY, 0, new PeerMessage.Ping());
+		}
+	}
+
+	private boolean isChecked(PeerConnection connection) {
+		return this.settings.idleCheck() == PeerTransportSettings.IdleCheck.ALWAYS || connection.hasPendingCalls();
+	}
+
+	private void closeIfAbandoned(ChannelHandlerContext ctx, PeerConnection connection) {
+		if (connection.isOpenedByThisHost()) {
+			connection.closeIfUnused();
+		}
+		else if (this.idleIntervalCount >= 2 * ABANDONED_AFTER_IDLE_TIMEOUTS) {
+			ctx.close();
+		}
 	}
 
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
@@ -50,6 +50,8 @@
 
 	private final boolean openedByThisHost;
 
+	private final long createdNanos = System.nanoTime();
+
 	private volatile HostAddress peerAddress;
 
 	private volatile EntryHost peerHost;
@@ -81,6 +83,18 @@
 		return this.channel.isActive() && !this.closed;
 	}
 
+	boolean isOlderThan(long ageMillis) {
+		return System.nanoTime() - this.createdNanos > TimeUnit.MILLISECONDS.toNanos(ageMillis);
+	}
+
+	boolean isOpenedByThisHost() {
+		return this.openedByThisHost;
+	}
+
+	boolean hasPendingCalls() {
+		return !this.pendingCalls.isEmpty();
+	}
+
 	/**
 	 * Sends the identity and protocol versions of this host to the peer.
 	 * @return completes with this connection when the peer has accepted; fails with
@@ -138,15 +152,21 @@
 		this.closed = true;
 		// A call may have been added between the check above and this point.
 		if (this.pendingCalls.isEmpty()) {
-			// channelInactive() must not report a disconnect that this host caused.
-			this.handshakeCompleted = false;
-			this.channel.close();
+			closeSilently();
 		}
 		else {
 			this.closed = false;
 		}
 	}
 
+	/**
+	 * Closes the connection without notifying the handler, as this host causes it.
+	 */
+	void closeSilently() {
+		this.handshakeCompleted = false;
+		this.channel.close();
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
 		int frameBytes = FrameDecoder.HEADER_BYTES + frame.readableBytes();
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerLink.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerLink.java
@@ -91,6 +91,17 @@
 		return existingConnection != null && !isClosedOrFailed(existingConnection);
 	}
 
+	/**
+	 * Closes the open connection if it is older than the idle timeout.
+	 */
+	public void closeOldConnection() {
+		CompletableFuture<PeerConnection> existingConnection = this.currentConnection.get();
+		if (existingConnection != null && existingConnection.isDone() && !isClosedOrFailed(existingConnection)
+				&& existingConnection.join().isOlderThan(this.settings.idleTimeoutMillis())) {
+			existingConnection.join().closeSilently();
+		}
+	}
+
 	private CompletableFuture<PeerConnection> connection() {
 		CompletableFuture<PeerConnection> existingConnection = this.currentConnection.get();
 		if (existingConnection != null && !isClosedOrFailed(existingConnection)) {
--- a/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 
@@ -133,6 +134,71 @@
 
 	}
 
+	@Nested
+	class IdleChecksOfPendingCalls {
+
+		private PeerTransportSettings settings() {
+			return TestPeer.settings()
+				.withIdleTimeoutMillis(SHORT_IDLE_TIMEOUT_MILLIS)
+				.withIdleCheck(PeerTransportSettings.IdleCheck.PENDING_CALLS);
+		}
+
+		@Test
+		void sendNoPingWithoutACall() throws InterruptedException {
+			TestPeer client = peer(settings(), TestPeer::echo);
+			client.transport().call(peer(settings(), TestPeer::echo).address(), TestPeer.forward(1)).join();
+			Thread.sleep(4 * SHORT_IDLE_TIMEOUT_MILLIS);
+			assertThat(client.transport().traffic().snapshot()).doesNotContainKey("Ping");
+		}
+
+		@Test
+		void failACallOnASilentConnection() throws IOException {
+			TestPeer client = peer(settings(), TestPeer::echo);
+			Relay relay = relay(peer(settings(), TestPeer::echo));
+			client.transport().call(relay.address(), TestPeer.forward(1)).join();
+			relay.discardBytesOfOpenConnections();
+			PeerException error = failure(client.transport().call(relay.address(), TestPeer.forward(1)));
+			assertThat(error.mayHaveBeenSent()).isTrue();
+		}
+
+		@Test
+		void allowAnAnswerThatTakesLong() {
+			CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+			TestPeer server = peer(settings(), (message) -> (message instanceof PeerMessage.Forward) ? answer : null);
+			CompletableFuture<PeerMessage> call = peer(settings(), TestPeer::echo).transport()
+				.call(server.address(), TestPeer.forward(1));
+			answer.completeOnTimeout(new PeerMessage.InheritAnswer(true), 4 * SHORT_IDLE_TIMEOUT_MILLIS,
+					TimeUnit.MILLISECONDS);
+			assertThat(call.join()).isEqualTo(new PeerMessage.InheritAnswer(true));
+		}
+
+	}
+
+	@Nested
+	class Reconnects {
+
+		@Test
+		void replaceAnOldConnectionWithoutReportingALoss() throws InterruptedException {
+			TestPeer client = peer(TestPeer.settings().withIdleTimeoutMillis(SHORT_IDLE_TIMEOUT_MILLIS),
+					TestPeer::echo);
+			TestPeer server = peer();
+			client.transport().call(server.address(), TestPeer.forward(1)).join();
+			client.transport().reconnect(server.address());
+			assertThat(helloCount(server)).isOne();
+			Thread.sleep(2 * SHORT_IDLE_TIMEOUT_MILLIS);
+			client.transport().reconnect(server.address());
+			await().until(() -> {
+				client.transport().send(server.address(), new PeerMessage.InheritAnswer(true));
+				return helloCount(server) == 2;
+			});
+		}
+
+		private long helloCount(TestPeer server) {
+			return server.transport().traffic().snapshot().get("Hello").inCount();
+		}
+
+	}
+
 	@Nested
 	class Heartbeats {
 
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -100,8 +100,9 @@
 				true, new Resources(64_000, 1_024, 0), Set.of("kind-a"), 5);
 		JobTransfer jobTransfer = new JobTransfer(jobSpec, jobTerms, new JobOrigin("10.0.0.1:7", 9), 120,
 				List.of(taskTransfer));
-		return Stream.of(new PeerMessage.HostReport(7, true, List.of(poolReport), List.of("hobart"), true, false),
-				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true),
+		return Stream.of(
+				new PeerMessage.HostReport(7, true, List.of(poolReport), List.of("hobart"), true, false, 375, false),
+				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true, 125, true),
 				new PeerMessage.SubmitJob("hobart", 3, jobSpec, jobTerms),
 				new PeerMessage.JobAnswer(new JobOutcome(JobOutcome.Kind.REFUSED, 500, "would-be-late")),
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
