Skip tasks that fit no endpoint, and sum waiting work once a pass

Cause: under overload each event tried up to 40 waiting tasks on all endpoints, compared every waiting job with those 40, and then gave up, so that a small task behind them waited beside free capacity. Expired jobs were looked for with a sum over the whole queue for each waiting job, 20 times a second.

Change: a pass first takes the most that any endpoint has free and skips tasks beyond that; the backlog is summed once a tick; the work of a job of one step is a product. Test FullEndpoints fails before (the small task never starts).

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
@@ -79,6 +79,21 @@
 		return this.selector.select(task, all(), nowMillis);
 	}
 
+	/**
+	 * Returns a bound on the free capacity of each endpoint.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the most of each resource that any endpoint has free that accepts tasks
+	 */
+	Resources largestFree(long nowMillis) {
+		Resources largest = Resources.NONE;
+		for (PooledEndpoint endpoint : all()) {
+			if (endpoint.acceptsTasks(nowMillis, this.responseTimeoutMillis)) {
+				largest = largest.max(endpoint.free());
+			}
+		}
+		return largest;
+	}
+
 	boolean hasCapacityElsewhere(Placement placement, long nowMillis) {
 		return all().stream()
 			.filter((endpoint) -> endpoint != placement.endpoint())
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PlacementFailures.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PlacementFailures.java
@@ -4,21 +4,42 @@
 import java.util.List;
 
 /**
- * Records the tasks that could not be placed in one scheduling pass, so that tasks that
- * need at least as much are not tried again. This keeps a pass short while many jobs
- * wait.
+ * Tells which tasks certainly cannot be placed in one scheduling pass: those that need
+ * more than the endpoint with the most free capacity has, and those that need at least as
+ * much as a task that could not be placed. This keeps a pass short under overload, when
+ * hundreds of jobs wait and all endpoints are full.
  */
 final class PlacementFailures {
 
 	private final List<Failure> failures = new ArrayList<>();
 
+	private Resources largestFree;
+
+	/**
+	 * Creates the record of a new pass.
+	 * @param largestFree the most of each resource that any endpoint has free
+	 */
+	PlacementFailures(Resources largestFree) {
+		this.largestFree = largestFree;
+	}
+
+	/**
+	 * Replaces the bound on free capacity, after tasks were placed.
+	 * @param newLargestFree the most of each resource that any endpoint has free
+	 */
+	void largestFree(Resources newLargestFree) {
+		this.largestFree = newLargestFree;
+	}
+
 	/**
 	 * Returns whether a task certainly cannot be placed in this pass.
 	 * @param task the task
-	 * @return whether a task that needs no more could not be placed
+	 * @return whether no endpoint has enough free capacity, or a task that needs no more
+	 * could not be placed
 	 */
 	boolean covers(PooledTask task) {
-		return this.failures.stream().anyMatch((failure) -> failure.covers(task));
+		return !this.largestFree.fits(task.step().reserved())
+				|| this.failures.stream().anyMatch((failure) -> failure.covers(task));
 	}
 
 	void add(PooledTask task) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -335,19 +335,26 @@
 	}
 
 	private void cancelExpiredJobs(long nowMillis) {
-		this.jobs.interactiveJobs().forEach((job) -> {
+		double remainingMillis = backlogMillis();
+		for (PooledJob job : this.jobs.interactiveJobs()) {
+			double jobMillis = drainMillis(job.readyWork());
 			if (nowMillis >= job.deadlineMillis()) {
 				JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
-				this.jobs.finish(job, new JobOutcome(kind, (long) backlogMillis(), "deadline"), nowMillis);
+				this.jobs.finish(job, new JobOutcome(kind, (long) remainingMillis, "deadline"), nowMillis);
+				remainingMillis -= jobMillis;
 			}
-			else if (!job.isStarted() && this.admission.shouldCancelWaiting(job, backlogMillis(), nowMillis)) {
-				this.jobs.finish(job, this.admission.refuseAfterWaiting(backlogMillis()), nowMillis);
+			else if (!job.isStarted() && this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis)) {
+				this.jobs.finish(job, this.admission.refuseAfterWaiting(remainingMillis), nowMillis);
+				remainingMillis -= jobMillis;
 			}
-		});
+		}
 	}
 
 	private void dispatch(long nowMillis) {
-		PlacementFailures failures = new PlacementFailures();
+		if (this.jobs.queue().size() == 0) {
+			return;
+		}
+		PlacementFailures failures = new PlacementFailures(this.endpoints.largestFree(nowMillis));
 		for (PooledJob job : this.jobs.queue().inDispatchOrder(nowMillis)) {
 			startReady(job, failures, nowMillis);
 			if (failures.count() >= MAX_PLACEMENT_FAILURES) {
@@ -358,6 +365,9 @@
 
 	private void startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
 		boolean started = this.starter.startReady(job, failures, nowMillis);
+		if (started) {
+			failures.largestFree(this.endpoints.largestFree(nowMillis));
+		}
 		if (started && !job.isStarted()) {
 			this.jobs.queue().remove(job);
 			job.markStarted();
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -214,6 +214,10 @@
 	 * @return the work in thousandths of a core times milliseconds
 	 */
 	double readyWork() {
+		if (this.tasks.size() == 1) {
+			// All tasks of a step have equal demands.
+			return this.readyTasks.size() * this.spec.steps().get(0).demand().cpuMillicores() * this.expectedMillis;
+		}
 		return this.readyTasks.stream().mapToDouble((task) -> task.step().demand().cpuMillicores()).sum()
 				* this.expectedMillis;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Resources.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Resources.java
@@ -42,4 +42,14 @@
 				this.gpuCount - other.gpuCount);
 	}
 
+	/**
+	 * Returns the larger amount of each resource.
+	 * @param other the amounts to compare with
+	 * @return the larger amounts
+	 */
+	Resources max(Resources other) {
+		return new Resources(Math.max(this.cpuMillicores, other.cpuMillicores),
+				Math.max(this.memoryMegabytes, other.memoryMegabytes), Math.max(this.gpuCount, other.gpuCount));
+	}
+
 }
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -94,6 +94,32 @@
 		this.scheduler.submit(job, terms(2), ORIGIN, nowMillis);
 	}
 
+	@Nested
+	class FullEndpoints {
+
+		/**
+		 * A pass used to end after 40 tasks of decreasing size that could not be placed.
+		 */
+		@Test
+		void startASmallTaskBehindManyLargeOnes() {
+			submit(job("filling", step(2, 54_000, 1)), 10);
+			IntStream.range(0, 45)
+				.forEach((number) -> submit(job("large-" + number, step(1, 60_000 - 1_000 * number, 1)), 10));
+			submit(job("small", step(1, 5_000, 1)), 10);
+			assertThat(lastStart().run().task().jobId()).isEqualTo("small");
+		}
+
+		@Test
+		void startWaitingTasksOfOtherSizesOnceTheyAreFree() {
+			submit(job("filling", step(2, 54_000, 1)), 10);
+			IntStream.range(0, 45)
+				.forEach((number) -> submit(job("large-" + number, step(1, 60_000 - 1_000 * number, 1)), 10));
+			terminate(PoolSchedulerTests.this.actions.starts().get(0), TerminationKind.DONE, 12);
+			assertThat(lastStart().run().task().jobId()).isEqualTo("large-0");
+		}
+
+	}
+
 	@Nested
 	class Admission {
 
