Load endpoints less often on hosts that own no pool

Cause: each of 42 hosts of the large site read and parsed 370 entries every 8 s and logged each one at its start, though only owners act on them. Change: they load every 30 s, and once more when they become owners, instead of reading what was written since; single endpoints are logged where they are used.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -48,6 +48,8 @@
 
 	private boolean lastCallFailed;
 
+	private boolean loadNext;
+
 	private Future<?> scheduledFetch;
 
 	/**
@@ -75,10 +77,13 @@
 	}
 
 	/**
-	 * Sets the poll policy from the next call on. A pause between calls is cut short.
+	 * Sets the poll policy from the next call on. A pause between calls is cut short. If
+	 * the topic was loaded periodically until now, it is loaded once more, as that is
+	 * shorter than all records since the last time.
 	 * @param newPolicy the new policy
 	 */
 	public void setPollPolicy(PollPolicy newPolicy) {
+		this.loadNext |= this.pollPolicy.reload();
 		this.pollPolicy = newPolicy;
 		if (this.scheduledFetch != null && this.scheduledFetch.cancel(false)) {
 			fetch();
@@ -121,6 +126,7 @@
 			return;
 		}
 		this.nextOffset = this.firstPageOffset;
+		this.loadNext = false;
 		this.listener.onLoaded(Set.copyOf(this.loadedKeys));
 		scheduleFetch();
 	}
@@ -136,7 +142,7 @@
 
 	private void fetch() {
 		this.scheduledFetch = null;
-		if (this.pollPolicy.reload()) {
+		if (this.pollPolicy.reload() || this.loadNext) {
 			load("");
 		}
 		else {
@@ -193,7 +199,7 @@
 	}
 
 	private void retry(boolean expired) {
-		if (expired || this.nextOffset < 0) {
+		if (expired || this.nextOffset < 0 || this.loadNext) {
 			load("");
 		}
 		else {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -67,11 +67,12 @@
 	private static final TopicFollower.PollPolicy ENDPOINT_PACE = TopicFollower.PollPolicy.readPeriodically(400);
 
 	/**
-	 * Hosts that own no pool need the endpoints only once they assume ownership. Each
-	 * endpoint writes about five records in this time, of which they read only the last.
+	 * Hosts that own no pool need the endpoints only once they assume ownership, and then
+	 * load them at once if the log answers. Each endpoint writes some twenty records in
+	 * this time, of which they read only the last.
 	 */
 	private static final TopicFollower.PollPolicy STANDBY_ENDPOINT_PACE = TopicFollower.PollPolicy
-		.reloadPeriodically(8_000);
+		.reloadPeriodically(30_000);
 
 	/**
 	 * How long before the end of the grace period a stopping host abandons running jobs.
@@ -551,6 +552,7 @@
 
 		@Override
 		public void onLoaded(Set<String> keys) {
+			logger.atInfo().addKeyValue("endpoints", keys.size()).log("Endpoints loaded from the log");
 			Set<String> unlistedIds = new HashSet<>(FleetHost.this.ownership.endpointIds());
 			unlistedIds.removeAll(keys);
 			unlistedIds.forEach(FleetHost.this.ownership::endpointUnlisted);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -415,8 +415,10 @@
 	private void endpointListed(EndpointEntry entry) {
 		this.unlistedSinceMillis.remove(entry.id());
 		EndpointEntry previousEntry = this.endpoints.put(entry.id(), entry);
-		if (previousEntry == null || previousEntry.ready() != entry.ready()
-				|| previousEntry.startedEpochMillis() != entry.startedEpochMillis()) {
+		boolean changed = previousEntry == null || previousEntry.ready() != entry.ready()
+				|| previousEntry.startedEpochMillis() != entry.startedEpochMillis();
+		// Only an owner acts on a single endpoint; other hosts log how many they loaded.
+		if (changed && this.directory.localOwnerOf(entry.domain()).isPresent()) {
 			logger.atInfo()
 				.addKeyValue("endpoint", entry.id())
 				.addKeyValue("ready", entry.ready())
