Give each failure domain its own owner unless one host can carry all endpoints

Cause: a site whose endpoints are not known yet passed for a small one, so the first host to start claimed all pools and kept them. Change: a site is small when its strongest host can carry its endpoints, and never while it has none; while a site starts, hosts without pools load the endpoints every 3 s. The bound of 100 endpoints is gone: what one host carries follows from its processor (OwnerCapacity). Test SitesThatStart fails before.

--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -104,7 +104,8 @@
 		schedule(interarrivalMillis(queue), () -> submitNext(queue));
 		int width = (int) Math.max(1, Math.min(queue.maxWidth(), Math.round(queue.width() * logNormalFactor(0.4))));
 		double workMillis = Math.min(queue.workMillis() * 4, queue.workMillis() * logNormalFactor(0.4));
-		long cpuMillicores = (long) Math.min(41_000, 27_000 * logNormalFactor(0.2));
+		long cpuMillicores = (long) Math.min(1.5 * this.load.taskMillicores(),
+				this.load.taskMillicores() * logNormalFactor(0.2));
 		long estimatedMillis = Math.max(1, Math.round(workMillis * logNormalFactor(0.4)));
 		String jobId = "job-" + this.submissions.size();
 		StepSpec step = new StepSpec(width, new Resources(cpuMillicores, 64, 0), estimatedMillis, List.of(), "", "", 0);
@@ -157,8 +158,8 @@
 	/**
 	 * The load of a site: its queues, endpoints and burst.
 	 */
-	record Load(List<QueueLoad> queues, int endpointCount, long durationMillis, double scale, double burst,
-			long burstFromMillis, long burstToMillis) {
+	record Load(List<QueueLoad> queues, int endpointCount, double taskMillicores, List<Double> speeds,
+			long durationMillis, double scale, double burst, long burstFromMillis, long burstToMillis) {
 
 		/**
 		 * Returns the combined load of both users' sites, relative to a standard day.
@@ -171,7 +172,21 @@
 					List.of(new QueueLoad("check", 0, 24.1 * scale, 8, 32, 60, 1.6, 60, 4_000, 0.0291),
 							new QueueLoad("confirm", 2, 4.37 * scale, 4, 16, 900, 1.6, 60, 6_000, 0.16),
 							new QueueLoad("status", 1, 70 * scale, 2, 8, 200, 1.6, 60, 4_000, 0.01)),
-					33, 30_000, scale, burst, 8_000, 14_000);
+					33, 27_000, List.of(0.8, 1.0, 1.25), 30_000, scale, burst, 8_000, 14_000);
+		}
+
+		/**
+		 * Returns the load of a site of hundreds of endpoints of equal speed.
+		 * @param scale the factor on all arrival rates
+		 * @param burst the additional factor during the burst
+		 * @return the load
+		 */
+		static Load large(double scale, double burst) {
+			return new Load(
+					List.of(new QueueLoad("check", 0, 216 * scale, 8, 32, 60, 1.6, 60, 1_500, 0.00323),
+							new QueueLoad("confirm", 2, 39.4 * scale, 4, 16, 900, 1.6, 60, 3_000, 0.0178),
+							new QueueLoad("status", 1, 630 * scale, 2, 8, 200, 1.6, 60, 1_500, 0.00111)),
+					260, 23_000, List.of(1.0), 16_000, scale, burst, 8_000, 12_000);
 		}
 
 		double burstFactor(long atMillis) {
@@ -285,12 +300,12 @@
 		}
 
 		private void add(int index) {
-			double[] speeds = { 0.8, 1, 1.25 };
+			List<Double> speeds = PoolSimulation.this.load.speeds();
 			long cpuMillicores = (index % 3 == 2) ? 96_000 : 64_000;
 			EndpointEntry entry = new EndpointEntry("endpoint-" + index, "service",
 					new HostAddress("10.0.0.1", 1_000 + index), "domain", true,
 					new Resources(cpuMillicores, 131_072, 0), Set.of(), 1);
-			Endpoint endpoint = new Endpoint(entry, speeds[PoolSimulation.this.random.nextInt(speeds.length)]);
+			Endpoint endpoint = new Endpoint(entry, speeds.get(PoolSimulation.this.random.nextInt(speeds.size())));
 			this.endpoints.put(entry.id(), endpoint);
 			this.scheduler.endpointListed(entry, 0);
 			schedule(0, () -> renew(endpoint));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulationMain.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulationMain.java
@@ -15,18 +15,21 @@
 		double[] scales = { 0.6, 1.0, 1.15, 1.5 };
 		for (double scale : scales) {
 			for (int poolCount : new int[] { 1, 3, 7 }) {
-				print(scale, poolCount);
+				print("mix", PoolSimulation.Load.mix(scale, 1.6), poolCount);
+			}
+		}
+		for (double scale : new double[] { 0.7, 1.0, 1.2, 1.5 }) {
+			for (int poolCount : new int[] { 1, 5 }) {
+				print("large", PoolSimulation.Load.large(scale, 1.4), poolCount);
 			}
 		}
 	}
 
-	private static void print(double scale, int poolCount) {
+	private static void print(String name, PoolSimulation.Load load, int poolCount) {
 		StringBuilder line = new StringBuilder();
 		double[] sums = new double[2];
 		LongStream.rangeClosed(1, 3).forEach((seed) -> {
-			Map<String, PoolSimulation.Result> results = new PoolSimulation(PoolSimulation.Load.mix(scale, 1.6),
-					poolCount, seed)
-				.run();
+			Map<String, PoolSimulation.Result> results = new PoolSimulation(load, poolCount, seed).run();
 			sums[0] += results.values().stream().mapToDouble(PoolSimulation.Result::earnedValue).sum();
 			sums[1] += results.values().stream().mapToDouble(PoolSimulation.Result::offeredValue).sum();
 			if (seed == 1) {
@@ -36,8 +39,8 @@
 								result.share(JobOutcome.Kind.UNCERTAIN))));
 			}
 		});
-		System.out.printf("scale %.2f pools %d earned value %.3f on time/late/refused/uncertain:%s%n", scale, poolCount,
-				sums[0] / sums[1], line);
+		System.out.printf("%s %.2f pools %d earned value %.3f on time/late/refused/uncertain:%s%n", name, load.scale(),
+				poolCount, sums[0] / sums[1], line);
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -74,6 +74,10 @@
 	private static final TopicFollower.PollPolicy STANDBY_ENDPOINT_PACE = TopicFollower.PollPolicy
 		.reloadPeriodically(30_000);
 
+	/** While a site starts, its endpoints register within a few seconds. */
+	private static final TopicFollower.PollPolicy STARTING_ENDPOINT_PACE = TopicFollower.PollPolicy
+		.reloadPeriodically(3_000);
+
 	/**
 	 * How long before the end of the grace period a stopping host abandons running jobs.
 	 */
@@ -180,7 +184,7 @@
 		this.router.reporter(this.reporter);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
-		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STANDBY_ENDPOINT_PACE,
+		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STARTING_ENDPOINT_PACE,
 				new EndpointListener());
 		this.jobQueries = new JobQueries(this.eventLoop, this.self.peerAddress(), this.directory, settings.domains(),
 				callerFormat);
@@ -545,6 +549,8 @@
 	 */
 	private final class EndpointListener implements TopicFollower.Listener {
 
+		private int loadedCount;
+
 		@Override
 		public void onRecord(KeyedRecord endpoint) {
 			FleetHost.this.ownership.applyEndpointRecord(endpoint);
@@ -556,6 +562,11 @@
 			Set<String> unlistedIds = new HashSet<>(FleetHost.this.ownership.endpointIds());
 			unlistedIds.removeAll(keys);
 			unlistedIds.forEach(FleetHost.this.ownership::endpointUnlisted);
+			if (FleetHost.this.directory.localOwner().isEmpty()) {
+				boolean settled = !keys.isEmpty() && keys.size() == this.loadedCount;
+				FleetHost.this.endpointFollower.setPollPolicy(settled ? STANDBY_ENDPOINT_PACE : STARTING_ENDPOINT_PACE);
+			}
+			this.loadedCount = keys.size();
 		}
 
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -54,12 +54,6 @@
 	 */
 	private static final long CONFLICT_RETRY_MILLIS = 40;
 
-	/**
-	 * How many endpoints one host can own; this many need a third of a small host's
-	 * processor.
-	 */
-	private static final int MAX_SINGLE_OWNER_ENDPOINTS = 100;
-
 	/**
 	 * How long an endpoint may have no entry before it counts as removed. An entry that
 	 * expired during an outage of the log is written again within two seconds after the
@@ -133,10 +127,15 @@
 
 	/**
 	 * Returns whether one host should own all pools.
-	 * @return whether the site has few enough endpoints
+	 * @return whether the strongest host can carry all endpoints; {@code false} while
+	 * there are none, as the endpoints of a site that starts register one after the other
 	 */
 	boolean isSingleOwnerSite() {
-		return this.endpoints.size() <= MAX_SINGLE_OWNER_ENDPOINTS;
+		int strongestMillicores = this.peers.members()
+			.stream()
+			.mapToInt(MemberRecord::processorMillicores)
+			.reduce(this.self.processorMillicores(), Math::max);
+		return OwnerCapacity.canOwn(this.endpoints.size(), strongestMillicores);
 	}
 
 	void tick() {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -65,6 +65,45 @@
 			.until(() -> submit(hostName, jobIdPrefix + nextNumber[0]++).equals("200 completed"));
 	}
 
+	private String claimOwner(String pool) {
+		return this.site.log()
+			.latest(SharedTopic.MEMBERS)
+			.stream()
+			.filter((member) -> member.key().equals(PoolOwnership.CLAIM_KEY_PREFIX + pool))
+			.map((claim) -> ClaimRecord.read(claim.value()).owner().hostName())
+			.findFirst()
+			.orElse("none");
+	}
+
+	@Nested
+	class SitesThatStart {
+
+		/**
+		 * The first host to start used to claim the pools of all failure domains, as a
+		 * site without endpoints passed for a small one.
+		 */
+		@Test
+		void haveAnOwnerInEachFailureDomainUntilTheirEndpointsAreKnown() {
+			FleetHostTests.this.site.start("host-1", "d1");
+			FleetHostTests.this.site.start("host-3", "d2");
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.until(() -> !claimOwner("d1").equals("none") && !claimOwner("d2").equals("none"));
+			assertThat(claimOwner("d1")).isEqualTo("host-1");
+			assertThat(claimOwner("d2")).isEqualTo("host-3");
+		}
+
+		@Test
+		void getOneOwnerWhenTheyTurnOutToBeSmall() {
+			FleetHostTests.this.site.start("host-1", "d1");
+			FleetHostTests.this.site.start("host-3", "d2");
+			Awaitility.await().atMost(TIMEOUT).until(() -> !claimOwner("d2").equals("none"));
+			FleetHostTests.this.site.listEndpoint("e1", "d1", true);
+			Awaitility.await().atMost(TIMEOUT).until(() -> claimOwner("d1").equals(claimOwner("d2")));
+		}
+
+	}
+
 	@Nested
 	class Serving {
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
@@ -68,6 +68,10 @@
 		return append(topic, records);
 	}
 
+	List<KeyedRecord> latest(SharedTopic topic) {
+		return newest(topic).records();
+	}
+
 	private synchronized LogPage newest(SharedTopic topic) {
 		Map<String, KeyedRecord> newestByKey = new LinkedHashMap<>();
 		this.topics.get(topic).forEach((keyedRecord) -> newestByKey.put(keyedRecord.key(), keyedRecord));
