Confirm a handover before its jobs are continued, and follow the log past bad records

Four failures that operators of similar systems report, each shown by a test that failed before: - Both sides of a handover acted: the previous owner resumes after 350 ms, and a claim that the log took later made the new one run jobs again that were answered (runNoTaskAgainThatThePreviousOwnerHasResumed). The new owner now asks the previous one, which says yes at most once and never resumes then. A request whose handling fails gets 502 and a log line instead of a closed connection, and a timeout header beyond an hour no longer overflows.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerConnection.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallerConnection.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerReply;
@@ -30,8 +32,13 @@
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
+
 	private static final int MILLIS_PER_SECOND = 1_000;
 
+	/** Bounds the sums that deadlines are computed by. */
+	private static final double MAX_TIMEOUT_MILLIS = 3_600_000;
+
 	private static final int MAX_PIPELINED_REQUEST_COUNT = 16;
 
 	private final CallerServer server;
@@ -85,7 +92,7 @@
 	private long timeoutMillis(FullHttpRequest request) {
 		String text = request.headers().get(this.timeoutHeader, "");
 		try {
-			return text.isEmpty() ? 0 : Math.max(0, (long) Double.parseDouble(text));
+			return text.isEmpty() ? 0 : Math.max(0, (long) Math.min(MAX_TIMEOUT_MILLIS, Double.parseDouble(text)));
 		}
 		catch (NumberFormatException ex) {
 			return 0;
@@ -93,8 +100,19 @@
 	}
 
 	private void handle(ChannelHandlerContext ctx, ParsedRequest parsed) {
-		this.currentExchange = new Exchange(ctx, parsed.keepAlive());
-		this.handler.accept(parsed.request(), this.currentExchange);
+		Exchange exchange = new Exchange(ctx, parsed.keepAlive());
+		this.currentExchange = exchange;
+		try {
+			this.handler.accept(parsed.request(), exchange);
+		}
+		catch (RuntimeException ex) {
+			logger.atError()
+				.addKeyValue("method", parsed.request().method())
+				.addKeyValue("path", parsed.request().path())
+				.setCause(ex)
+				.log("Handling a request failed; it is answered as uncertain, as it may have started a job");
+			exchange.reply(CallerReply.of(HttpResponseStatus.BAD_GATEWAY.code()));
+		}
 	}
 
 	private void handleNextRequest(ChannelHandlerContext ctx) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -1,6 +1,8 @@
 package org.masticwick.fleet.connection;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -40,6 +42,9 @@
 
 	private final Set<String> loadedKeys = new HashSet<>();
 
+	/** The offset of the newest delivered record, by key. */
+	private final Map<String, Long> newestOffsets = new HashMap<>();
+
 	private long nextOffset = -1;
 
 	private long firstPageOffset = -1;
@@ -120,17 +125,39 @@
 			this.firstPageOffset = page.nextOffset();
 		}
 		page.records().forEach((each) -> this.loadedKeys.add(each.key()));
-		page.records().forEach(this.listener::onRecord);
+		page.records().forEach(this::deliver);
 		if (page.continuationKey() != null) {
 			load(page.continuationKey());
 			return;
 		}
 		this.nextOffset = this.firstPageOffset;
 		this.loadNext = false;
+		this.newestOffsets.keySet().retainAll(this.loadedKeys);
 		this.listener.onLoaded(Set.copyOf(this.loadedKeys));
 		scheduleFetch();
 	}
 
+	// A load overtakes the records that are read after it, which must not undo it. An
+	// unexpected error of the listener must not end the following of the topic.
+	private void deliver(KeyedRecord keyedRecord) {
+		long newestOffset = this.newestOffsets.getOrDefault(keyedRecord.key(), -1L);
+		if (keyedRecord.offset() < newestOffset) {
+			return;
+		}
+		this.newestOffsets.put(keyedRecord.key(), keyedRecord.offset());
+		try {
+			this.listener.onRecord(keyedRecord);
+		}
+		catch (RuntimeException ex) {
+			logger.atError()
+				.addKeyValue("topic", this.topic)
+				.addKeyValue("key", keyedRecord.key())
+				.addKeyValue("offset", keyedRecord.offset())
+				.setCause(ex)
+				.log("Applying a record of the topic failed; it is skipped");
+		}
+	}
+
 	private void scheduleFetch() {
 		if (this.pollPolicy.pauseMillis() == 0) {
 			fetch();
@@ -156,7 +183,7 @@
 	}
 
 	private void onReadPage(LogPage page) {
-		page.records().forEach(this.listener::onRecord);
+		page.records().forEach(this::deliver);
 		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
 		scheduleFetch();
 	}
@@ -256,8 +283,8 @@
 	public interface Listener {
 
 		/**
-		 * Called for each record. A record may be delivered more than once and, while the
-		 * topic is being loaded, out of order.
+		 * Called for each record. A record may be delivered more than once, but not after
+		 * a newer one of its key.
 		 * @param record the record
 		 */
 		void onRecord(KeyedRecord record);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -376,7 +376,10 @@
 			return answerFetchVersion();
 		}
 		else if (message instanceof PeerMessage.HandOverPools pools) {
-			return this.handover.accept(pools);
+			return this.handover.accept(pools, from);
+		}
+		else if (message instanceof PeerMessage.ConfirmHandOver) {
+			return CompletableFuture.completedFuture(this.handover.confirm(from));
 		}
 		else if (message instanceof PeerMessage.JobsMoved moved) {
 			this.router.jobsMoved(moved.callNumbers(), from);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -19,6 +19,7 @@
 import org.masticwick.core.pool.JobTransfer;
 import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.PeerErrorCodes;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerTransport;
 
@@ -26,7 +27,9 @@
  * Hands pools with their running jobs over to another entry host: before a planned stop,
  * to the owner of the other pools after a network partition, to a host that reaches the
  * log, and to a stronger host. The new owner first claims the pools, so that the
- * endpoints refuse commands of the previous one from then on.
+ * endpoints refuse commands of the previous one from then on. It then asks the previous
+ * one to confirm before it continues the jobs, as that one resumes them if the claim
+ * takes too long.
  */
 final class PoolHandover {
 
@@ -75,6 +78,9 @@
 
 	private long nextAttemptMillis = Long.MIN_VALUE / 2;
 
+	/** The handover that this host has offered, or {@code null}. */
+	private Offer pendingOffer;
+
 	private boolean stopping;
 
 	PoolHandover(EventLoop eventLoop, MemberRecord self, PeerTable peers, PoolDirectory directory,
@@ -175,46 +181,101 @@
 			.addKeyValue("to", newOwner.hostName())
 			.addKeyValue("jobs", transfer.jobs().size())
 			.log("Handing pools over to another host");
+		Offer offer = new Offer(owner, pools, newOwner.peerAddress());
+		this.pendingOffer = offer;
 		CompletableFuture<PeerMessage> answer = this.transport.call(newOwner.peerAddress(),
 				new PeerMessage.HandOverPools(pools, transfer));
 		this.eventLoop.schedule(() -> answer.complete(null), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-		answer.whenComplete((message, error) -> handleAnswer(owner, pools, message));
+		answer.whenComplete((message, error) -> handleAnswer(offer, message));
 	}
 
-	private void handleAnswer(PoolOwner owner, List<String> pools, PeerMessage answer) {
-		boolean claimedByPeer = pools.stream().anyMatch((pool) -> isClaimedByPeer(pool));
+	private void handleAnswer(Offer offer, PeerMessage answer) {
+		if (this.pendingOffer != offer) {
+			return;
+		}
+		boolean claimedByPeer = offer.pools().stream().anyMatch((pool) -> isClaimedByPeer(pool));
 		logger.atInfo()
-			.addKeyValue("pools", pools)
+			.addKeyValue("pools", offer.pools())
 			.addKeyValue("acknowledged", answer instanceof PeerMessage.Acknowledged)
 			.addKeyValue("claimed_by_other", claimedByPeer)
 			.log("Handover completed if acknowledged or claimed by the other host; retried otherwise");
-		if (answer instanceof PeerMessage.Acknowledged || claimedByPeer) {
-			this.ownership.discardOwner(owner);
+		if (answer instanceof PeerMessage.Acknowledged) {
+			complete(offer);
+		}
+		else if (claimedByPeer) {
+			// The other host is about to ask for the confirmation.
+			this.eventLoop.schedule(() -> completeIfPending(offer), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		else {
-			owner.unfreeze();
+			this.pendingOffer = null;
+			offer.owner().unfreeze();
 		}
 	}
 
+	private void completeIfPending(Offer offer) {
+		if (this.pendingOffer == offer) {
+			complete(offer);
+		}
+	}
+
+	private void complete(Offer offer) {
+		this.pendingOffer = null;
+		this.ownership.discardOwner(offer.owner());
+	}
+
+	/**
+	 * Confirms a handover to the host that has claimed the pools, unless this host has
+	 * resumed their jobs meanwhile.
+	 * @param from the peer address of that host
+	 * @return the answer to it
+	 */
+	PeerMessage confirm(HostAddress from) {
+		Offer offer = this.pendingOffer;
+		if (offer == null || !offer.newOwner().equals(from)) {
+			return new PeerMessage.ErrorAnswer("resumed", "This host has continued the jobs itself");
+		}
+		complete(offer);
+		return new PeerMessage.Acknowledged();
+	}
+
 	private boolean isClaimedByPeer(String pool) {
 		return this.directory.claim(pool).filter((claim) -> !this.self.equals(claim.owner())).isPresent();
 	}
 
 	/**
-	 * Accepts pools that another host hands over: claims them and continues their jobs.
+	 * Accepts pools that another host hands over: claims them and continues their jobs,
+	 * if that host confirms.
 	 * @param message the pools with their jobs and endpoints
+	 * @param from the peer address of that host
 	 * @return the answer to that host; an error if this host is stopping or handing over
-	 * its own pools, fails if the claim does
+	 * its own pools, or if that host has resumed the jobs; fails if the claim does
 	 */
-	CompletionStage<PeerMessage> accept(PeerMessage.HandOverPools message) {
+	CompletionStage<PeerMessage> accept(PeerMessage.HandOverPools message, HostAddress from) {
 		if (this.stopping || this.directory.localOwner().filter(PoolOwner::isFrozen).isPresent()) {
 			return CompletableFuture.completedFuture(
 					new PeerMessage.ErrorAnswer("busy", "This host is stopping or handing over its own pools"));
 		}
-		return this.ownership.claim(message.pools(), Clock.nowMillis()).thenApply((nothing) -> {
-			adopt(message.transfer());
-			return new PeerMessage.Acknowledged();
-		});
+		return this.ownership.claim(message.pools(), Clock.nowMillis())
+			.thenCompose((nothing) -> this.transport.call(from, new PeerMessage.ConfirmHandOver()))
+			.thenApply((answer) -> {
+				if (!isConfirmed(answer)) {
+					logger.atWarn()
+						.addKeyValue("pools", message.pools())
+						.addKeyValue("from", from)
+						.addKeyValue("jobs", message.transfer().jobs().size())
+						.log("Previous owner has resumed before the claim; its jobs are not continued here");
+					return answer;
+				}
+				adopt(message.transfer());
+				return new PeerMessage.Acknowledged();
+			});
+	}
+
+	// A host of an earlier version does not know the question, and expects this host to
+	// continue.
+	private static boolean isConfirmed(PeerMessage answer) {
+		return answer instanceof PeerMessage.Acknowledged || answer instanceof PeerMessage.ErrorAnswer error
+				&& error.code().equals(PeerErrorCodes.UNKNOWN_MESSAGE);
 	}
 
 	private void adopt(PoolTransfer transfer) {
@@ -232,6 +293,7 @@
 			.map(HostAddress::parse)
 			.forEach((entryHost) -> this.peers.expectFrequentReports(entryHost, Clock.nowMillis()));
 		callNumbers.forEach((entryHost, numbers) -> notifyJobsMoved(HostAddress.parse(entryHost), numbers));
+		this.ownership.adoptEndpoints(transfer.endpoints());
 		this.directory.localOwner().ifPresent((owner) -> owner.adopt(transfer));
 	}
 
@@ -244,4 +306,14 @@
 		}
 	}
 
+	/**
+	 * A handover that this host has offered to another one.
+	 *
+	 * @param owner the owner of the pools at this host, which is frozen
+	 * @param pools the names of the pools
+	 * @param newOwner the peer address of the other host
+	 */
+	private record Offer(PoolOwner owner, List<String> pools, HostAddress newOwner) {
+	}
+
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -162,11 +162,10 @@
 	}
 
 	/**
-	 * Continues the jobs of the previous owner.
+	 * Continues the jobs of the previous owner. Its endpoints must be listed already.
 	 * @param transfer the jobs and endpoints that it handed over
 	 */
 	void adopt(PoolTransfer transfer) {
-		transfer.endpoints().forEach(this::endpointListed);
 		this.scheduler.adopt(transfer.jobs(), Clock.nowMillis());
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -411,6 +411,15 @@
 		}
 	}
 
+	/**
+	 * Lists the endpoints of a previous owner, which may have read the log later than
+	 * this host. The next load of the topic removes those that have left since.
+	 * @param entries the entries
+	 */
+	void adoptEndpoints(List<EndpointEntry> entries) {
+		entries.forEach(this::endpointListed);
+	}
+
 	private void endpointListed(EndpointEntry entry) {
 		this.unlistedSinceMillis.remove(entry.id());
 		EndpointEntry previousEntry = this.endpoints.put(entry.id(), entry);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/connection/TopicFollowerTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/connection/TopicFollowerTests.java
@@ -65,20 +65,68 @@
 
 	}
 
+	@Nested
+	class Records {
+
+		private final List<String> delivered = new CopyOnWriteArrayList<>();
+
+		private void followWith(TopicFollower.Listener listener) {
+			TopicFollower follower = new TopicFollower(TopicFollowerTests.this.eventLoop, TopicFollowerTests.this.log,
+					SharedTopic.ENDPOINTS, TopicFollower.PollPolicy.readPeriodically(10), listener);
+			TopicFollowerTests.this.eventLoop.execute(follower::start);
+		}
+
+		/**
+		 * An unexpected error used to end the following of the topic without a log line.
+		 */
+		@Test
+		void areDeliveredAfterAnErrorOfTheListener() {
+			TopicFollowerTests.this.log.loaded = List.of(keyedRecord(5, "a"), keyedRecord(6, "b"));
+			followWith((keyedRecord) -> {
+				this.delivered.add(keyedRecord.key());
+				throw new IllegalStateException("broken");
+			});
+			await().until(() -> TopicFollowerTests.this.log.calls.contains("read"));
+			assertThat(this.delivered).containsExactly("a", "b");
+		}
+
+		/**
+		 * A load overtakes the records that are read after it: an endpoint that had left
+		 * was listed again for a moment.
+		 */
+		@Test
+		void areNotDeliveredAfterNewerOnesOfTheirKey() {
+			TopicFollowerTests.this.log.loaded = List.of(keyedRecord(9, "a"));
+			TopicFollowerTests.this.log.read = List.of(keyedRecord(7, "a"), keyedRecord(8, "b"));
+			followWith((keyedRecord) -> this.delivered.add(keyedRecord.key() + keyedRecord.offset()));
+			await().until(() -> this.delivered.contains("b8"));
+			assertThat(this.delivered).doesNotContain("a7");
+		}
+
+		private static KeyedRecord keyedRecord(long offset, String key) {
+			return new KeyedRecord(offset, key, new byte[1]);
+		}
+
+	}
+
 	private static final class RecordingLog implements SharedLog {
 
 		private final List<String> calls = new CopyOnWriteArrayList<>();
 
+		private volatile List<KeyedRecord> loaded = List.of();
+
+		private volatile List<KeyedRecord> read = List.of();
+
 		@Override
 		public CompletableFuture<LogPage> readLatest(SharedTopic topic, String afterKey) {
 			this.calls.add("load");
-			return CompletableFuture.completedFuture(new LogPage(List.of(), 7, null));
+			return CompletableFuture.completedFuture(new LogPage(this.loaded, 7, null));
 		}
 
 		@Override
 		public CompletableFuture<LogPage> read(SharedTopic topic, long fromOffset, long waitMillis) {
 			this.calls.add("read");
-			return CompletableFuture.completedFuture(new LogPage(List.of(), fromOffset, null));
+			return CompletableFuture.completedFuture(new LogPage(this.read, fromOffset, null));
 		}
 
 		@Override
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -182,6 +183,81 @@
 
 	}
 
+	@Nested
+	class HandoversThatGoWrong {
+
+		private void startTwoHosts() {
+			FleetHostTests.this.site.listEndpoint("e1", "d1", true);
+			FleetHostTests.this.site.start("host-1", "d1");
+			awaitReady("host-1");
+			FleetHostTests.this.site.start("host-2", "d1");
+			awaitReady("host-2");
+		}
+
+		/**
+		 * The new owner used to continue jobs as they were when they were handed over,
+		 * although the previous one had resumed and answered them before the claim.
+		 */
+		@Test
+		void runNoTaskAgainThatThePreviousOwnerHasResumed() {
+			startTwoHosts();
+			FleetHostTests.this.site.log().delayAppends("host-2", 700);
+			CompletableFuture<HttpReply> job = FleetHostTests.this.site.submit("host-1", "j1", 1);
+			Awaitility.await().atMost(TIMEOUT).until(() -> FleetHostTests.this.site.endpoints().runningCount() > 0);
+			FleetHostTests.this.site.stopGracefully("host-1");
+			assertThat(text(job.orTimeout(20, TimeUnit.SECONDS).join())).isEqualTo("200 completed");
+			Awaitility.await().atMost(TIMEOUT).until(() -> claimOwner("d1").equals("host-2"));
+			awaitCompletedJob("host-2", "after-");
+			assertThat(FleetHostTests.this.site.endpoints().restartedTasks()).isEmpty();
+		}
+
+		/**
+		 * An endpoint in the list of the previous owner used to stay with the new one for
+		 * good, although its entry had been deleted.
+		 */
+		@Test
+		void useNoEndpointThatHasLeft() {
+			startTwoHosts();
+			FleetHostTests.this.site.listEndpoint("e2", "d1", true);
+			Awaitility.await().atMost(TIMEOUT).until(() -> FleetHostTests.this.site.endpoints().renewalCount("e2") > 0);
+			FleetHostTests.this.site.log().append(SharedTopic.ENDPOINTS, List.of(NewRecord.deletion("e2")));
+			FleetHostTests.this.site.stopGracefully("host-1");
+			Awaitility.await().atMost(TIMEOUT).until(() -> claimOwner("d1").equals("host-2"));
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.during(Duration.ofMillis(1_000))
+				.until(new RenewalsStopped(FleetHostTests.this.site.endpoints(), "e2"));
+			assertThat(submit("host-2", "after")).isEqualTo("200 completed");
+		}
+
+	}
+
+	/**
+	 * Tells whether an endpoint got no renewal since the last call.
+	 */
+	private static final class RenewalsStopped implements Callable<Boolean> {
+
+		private final InMemoryEndpoints endpoints;
+
+		private final String endpointId;
+
+		private int lastCount = -1;
+
+		private RenewalsStopped(InMemoryEndpoints endpoints, String endpointId) {
+			this.endpoints = endpoints;
+			this.endpointId = endpointId;
+		}
+
+		@Override
+		public Boolean call() {
+			int count = this.endpoints.renewalCount(this.endpointId);
+			boolean stopped = count == this.lastCount;
+			this.lastCount = count;
+			return stopped;
+		}
+
+	}
+
 	@Nested
 	class StoppingLate {
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
@@ -41,6 +41,8 @@
 
 	private final long runMillis;
 
+	private final Map<String, Integer> renewalCounts = new HashMap<>();
+
 	private int startCount;
 
 	InMemoryEndpoints(long runMillis) {
@@ -64,6 +66,15 @@
 		return this.doneTasks.size();
 	}
 
+	/**
+	 * Returns how often the lease of an endpoint was renewed.
+	 * @param endpointId the id of the endpoint
+	 * @return the number of renewals
+	 */
+	synchronized int renewalCount(String endpointId) {
+		return this.renewalCounts.getOrDefault(endpointId, 0);
+	}
+
 	synchronized int startCount() {
 		return this.startCount;
 	}
@@ -122,6 +133,7 @@
 
 	private synchronized Optional<EndpointReport> renew(EndpointEntry entry, long fencingToken, long acknowledgedNumber,
 			OptionalLong leaseEndMillis) {
+		this.renewalCounts.merge(entry.id(), 1, Integer::sum);
 		Endpoint endpoint = this.endpoints.computeIfAbsent(entry.id(), (id) -> new Endpoint());
 		terminateDueRuns();
 		if (fencingToken < endpoint.fencingToken) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
@@ -34,6 +34,8 @@
 
 	private final Map<Integer, JobPartition> jobPartitions = new HashMap<>();
 
+	private final Map<String, Long> appendDelaysMillis = new ConcurrentHashMap<>();
+
 	private final Set<String> unreachableFrom = ConcurrentHashMap.newKeySet();
 
 	InMemoryLog() {
@@ -46,6 +48,15 @@
 		this.unreachableFrom.add(hostName);
 	}
 
+	/**
+	 * Delays the appends of a host.
+	 * @param hostName the name of the host
+	 * @param delayMillis the delay in milliseconds
+	 */
+	void delayAppends(String hostName, long delayMillis) {
+		this.appendDelaysMillis.put(hostName, delayMillis);
+	}
+
 	void reconnect(String hostName) {
 		this.unreachableFrom.remove(hostName);
 	}
@@ -154,6 +165,10 @@
 		}
 
 		private <T> CompletableFuture<T> answer(Supplier<T> call) {
+			return answer(call, 2);
+		}
+
+		private <T> CompletableFuture<T> answer(Supplier<T> call, long delayMillis) {
 			CompletableFuture<T> answer = new CompletableFuture<>();
 			this.eventLoop.schedule(() -> {
 				if (InMemoryLog.this.unreachableFrom.contains(this.hostName)) {
@@ -167,7 +182,7 @@
 				catch (CallException ex) {
 					answer.completeExceptionally(ex);
 				}
-			}, 2, TimeUnit.MILLISECONDS);
+			}, delayMillis, TimeUnit.MILLISECONDS);
 			return answer;
 		}
 
@@ -203,7 +218,8 @@
 		@Override
 		public CompletableFuture<Long> append(SharedTopic topic, List<NewRecord> records,
 				OptionalLong expectedEndOffset) {
-			return answer(() -> appendExpecting(topic, records, expectedEndOffset));
+			return answer(() -> appendExpecting(topic, records, expectedEndOffset),
+					InMemoryLog.this.appendDelaysMillis.getOrDefault(this.hostName, 2L));
 		}
 
 		@Override
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -294,6 +294,14 @@
 	record FetchVersion() implements PeerMessage {
 	}
 
+	/**
+	 * Asks the sender of {@link HandOverPools}, once their pools are claimed, whether it
+	 * still leaves its jobs to the host that asks. It answers with {@link Acknowledged}
+	 * at most once, and then never continues the jobs itself.
+	 */
+	record ConfirmHandOver() implements PeerMessage {
+	}
+
 	/**
 	 * Sends the active version to a peer, as it was published.
 	 *
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -62,6 +62,8 @@
 
 	JOB_QUERY_ANSWER(24, PeerMessage.JobQueryAnswer.class, PoolMessageTypes.JOB_QUERY_ANSWER),
 
+	CONFIRM_HAND_OVER(27, PeerMessage.ConfirmHandOver.class, PoolMessageTypes.CONFIRM_HAND_OVER),
+
 	FETCH_VERSION(25, PeerMessage.FetchVersion.class, PoolMessageTypes.FETCH_VERSION),
 
 	STRAY_END(26, PeerMessage.StrayEnd.class, PoolMessageTypes.STRAY_END);
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -232,6 +232,9 @@
 			RecordType.required(TERMINATION_ID, PeerMessage.StrayEnd::reference),
 			RecordType.required(TERMINATED_RUN, PeerMessage.StrayEnd::termination));
 
+	static final RecordType<PeerMessage.ConfirmHandOver> CONFIRM_HAND_OVER = new RecordType<>(
+			(values) -> new PeerMessage.ConfirmHandOver());
+
 	static final RecordType<PeerMessage.FetchVersion> FETCH_VERSION = new RecordType<>(
 			(values) -> new PeerMessage.FetchVersion());
 
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -111,7 +111,7 @@
 						new PoolTransfer(List.of(endpointEntry), List.of(jobTransfer))),
 				new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
-				new PeerMessage.Acknowledged(), new PeerMessage.FetchVersion(),
+				new PeerMessage.Acknowledged(), new PeerMessage.FetchVersion(), new PeerMessage.ConfirmHandOver(),
 				new PeerMessage.StrayEnd(new TerminationId("e-1", 5, 9),
 						new TerminatedRun(9, new TaskRun(new TaskId("5c0e7a21d94b36f8", 0, 1, 7), 2),
 								TerminationKind.STOPPED, "half")),
