Let a site that starts for the first time register its endpoints before it counts as small

Cause: endpoints register one after the other, and a host that saw the first few claimed the pools of all failure domains of a large site. Change: while the site starts for the first time, it counts as small only once no endpoint was added for 5 s; it then stays so while one host can carry it. Test haveAnOwnerInEachFailureDomainWhileTheirEndpointsRegister fails before.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -178,7 +178,7 @@
 		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::applyOperatorRecord);
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
-				log, jobLog, endpointCalls, siteFormat, this.metrics, this, this.memberFollower);
+				log, jobLog, endpointCalls, siteFormat, this.metrics, this, this.memberFollower, settings.firstStart());
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetSettings.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetSettings.java
@@ -18,8 +18,10 @@
  * @param stopGraceMillis within which time the process must stop after a signal, in
  * milliseconds
  * @param processorMillicores the processor capacity of the host, in thousandths of a core
+ * @param firstStart whether the whole site starts for the first time, so that its
+ * endpoints have yet to register
  */
 public record FleetSettings(String hostName, String domain, List<String> domains, HostAddress callerAddress,
 		HostAddress readinessAddress, HostAddress peerAddress, HostAddress metricsAddress, long stopGraceMillis,
-		int processorMillicores) {
+		int processorMillicores, boolean firstStart) {
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -61,6 +61,12 @@
 	 */
 	private static final long UNLISTED_LIMIT_MILLIS = 2_500;
 
+	/**
+	 * How long after the last new endpoint a site that starts for the first time may
+	 * count as small. Hosts without pools load the endpoints more often than this.
+	 */
+	private static final long REGISTRATION_MILLIS = 5_000;
+
 	private final EventLoop eventLoop;
 
 	private final MemberRecord self;
@@ -93,6 +99,8 @@
 
 	private final TopicFollower memberFollower;
 
+	private final boolean firstStart;
+
 	private Consumer<Boolean> ownershipListener = (owns) -> {
 	};
 
@@ -100,11 +108,15 @@
 
 	private long claimsEndOffset;
 
+	private boolean singleOwnerSite;
+
+	private long lastAddedMillis = Long.MIN_VALUE / 2;
+
 	private boolean stopping;
 
 	PoolOwnership(EventLoop eventLoop, MemberRecord self, Collection<String> domains, PeerTable peers,
 			PoolDirectory directory, SharedLog log, JobLog jobLog, EndpointCalls calls, SiteFormat format,
-			FleetMetrics metrics, PoolOwner.Listener ownerListener, TopicFollower memberFollower) {
+			FleetMetrics metrics, PoolOwner.Listener ownerListener, TopicFollower memberFollower, boolean firstStart) {
 		this.eventLoop = eventLoop;
 		this.self = self;
 		this.domains = new TreeSet<>(domains);
@@ -119,6 +131,7 @@
 		this.rule = new ClaimRule(self);
 		this.ownerListener = ownerListener;
 		this.memberFollower = memberFollower;
+		this.firstStart = firstStart;
 	}
 
 	void onOwnershipChange(Consumer<Boolean> listener) {
@@ -127,20 +140,34 @@
 
 	/**
 	 * Returns whether one host should own all pools.
-	 * @return whether the strongest host can carry all endpoints; {@code false} while
-	 * there are none, as the endpoints of a site that starts register one after the other
+	 * @return whether the strongest host can carry all endpoints
 	 */
 	boolean isSingleOwnerSite() {
+		return this.singleOwnerSite;
+	}
+
+	private void assessSiteSize(long nowMillis) {
 		int strongestMillicores = this.peers.members()
 			.stream()
 			.mapToInt(MemberRecord::processorMillicores)
 			.reduce(this.self.processorMillicores(), Math::max);
-		return OwnerCapacity.canOwn(this.endpoints.size(), strongestMillicores);
+		boolean settled = !this.firstStart || nowMillis - this.lastAddedMillis >= REGISTRATION_MILLIS;
+		boolean single = OwnerCapacity.canOwn(this.endpoints.size(), strongestMillicores)
+				&& (this.singleOwnerSite || settled);
+		if (single != this.singleOwnerSite) {
+			this.singleOwnerSite = single;
+			logger.atInfo()
+				.addKeyValue("single_owner", single)
+				.addKeyValue("endpoints", this.endpoints.size())
+				.addKeyValue("strongest_millicores", strongestMillicores)
+				.log("Number of owners of the site decided: one, or one for each failure domain");
+		}
 	}
 
 	void tick() {
 		long nowMillis = Clock.nowMillis();
 		removeUnlistedEndpoints(nowMillis);
+		assessSiteSize(nowMillis);
 		this.domains.forEach((pool) -> trackOwnerReachability(pool, nowMillis));
 		if (!this.stopping) {
 			claimPools(nowMillis);
@@ -423,6 +450,9 @@
 	private void endpointListed(EndpointEntry entry) {
 		this.unlistedSinceMillis.remove(entry.id());
 		EndpointEntry previousEntry = this.endpoints.put(entry.id(), entry);
+		if (previousEntry == null) {
+			this.lastAddedMillis = Clock.nowMillis();
+		}
 		boolean changed = previousEntry == null || previousEntry.ready() != entry.ready()
 				|| previousEntry.startedEpochMillis() != entry.startedEpochMillis();
 		// Only an owner acts on a single endpoint; other hosts log how many they loaded.
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -94,6 +94,27 @@
 			assertThat(claimOwner("d2")).isEqualTo("host-3");
 		}
 
+		/**
+		 * A host that saw the first few endpoints of a large site used to claim all
+		 * pools.
+		 */
+		@Test
+		void haveAnOwnerInEachFailureDomainWhileTheirEndpointsRegister() {
+			FleetHostTests.this.site.startForTheFirstTime();
+			FleetHostTests.this.site.listEndpoint("e0", "d1", true);
+			FleetHostTests.this.site.start("host-1", "d1");
+			FleetHostTests.this.site.start("host-3", "d2");
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.until(() -> !claimOwner("d1").equals("none") && !claimOwner("d2").equals("none"));
+			IntStream.range(1, 200)
+				.forEach((number) -> FleetHostTests.this.site.listEndpoint("e" + number, "d1", true));
+			Awaitility.await()
+				.pollDelay(Duration.ofSeconds(6))
+				.atMost(TIMEOUT)
+				.until(() -> claimOwner("d1").equals("host-1") && claimOwner("d2").equals("host-3"));
+		}
+
 		@Test
 		void getOneOwnerWhenTheyTurnOutToBeSmall() {
 			FleetHostTests.this.site.start("host-1", "d1");
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -57,11 +57,20 @@
 
 	private long nextIncarnation = 1;
 
+	private boolean firstStart;
+
 	FleetSite(long runMillis) {
 		this.endpoints = new InMemoryEndpoints(runMillis);
 		publish(1);
 	}
 
+	/**
+	 * Lets hosts that are started from now on take part in the first start of the site.
+	 */
+	void startForTheFirstTime() {
+		this.firstStart = true;
+	}
+
 	InMemoryLog log() {
 		return this.log;
 	}
@@ -86,8 +95,8 @@
 		int[] ports = freePorts(4);
 		EventLoopGroup loops = new NioEventLoopGroup(1);
 		FleetSettings settings = new FleetSettings(hostName, domain, List.of("d1", "d2"), new HostAddress(IP, ports[0]),
-				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000,
-				750);
+				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000, 750,
+				this.firstStart);
 		EntryHost identity = new EntryHost(domain, settings.peerAddress(), new Incarnation(this.nextIncarnation++, 1));
 		FleetHost host = new FleetHost(loops, settings, identity, this.log.clientOf(hostName, loops.next()),
 				this.log.clientOf(hostName, loops.next()), this.endpoints.clientOn(loops.next()), new TextSiteFormat(),
