Read only the own lines of the test in LoggingTests

Cause of the known failure: the test captures standard error of the whole process, where a thread of an earlier test may still log; a line of such a thread came between its two. The test now logs such a line itself (it fails so without the change), and checks the lines of its own thread as before, and that each line is JSON.

--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/LoggingTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/LoggingTests.java
@@ -65,20 +65,48 @@
 			.log("Task starts");
 	}
 
+	/**
+	 * Returns the lines that the thread of this test logged. Threads of earlier tests in
+	 * the same process may still log.
+	 */
+	private List<JsonNode> ownJsonLines() {
+		return lines().stream()
+			.map(LoggingTests::parse)
+			.filter((line) -> line.path("thread").asText().equals(Thread.currentThread().getName()))
+			.toList();
+	}
+
+	private static JsonNode parse(String line) {
+		try {
+			return new ObjectMapper().readTree(line);
+		}
+		catch (IOException ex) {
+			throw new AssertionError("Not a line of JSON: " + line, ex);
+		}
+	}
+
+	private static void logOnAnotherThread() throws InterruptedException {
+		Thread thread = new Thread(() -> logger.warn("Late line of another test"), "other-test");
+		thread.start();
+		thread.join();
+	}
+
 	@Test
-	void jsonWritesOneLinePerEventWithFields() throws IOException {
+	void jsonWritesOneLinePerEventWithFields() throws InterruptedException {
 		Logging.configure(new LogSettings(LogFormat.JSON, "debug"));
 		log();
+		logOnAnotherThread();
 		logger.error("Broken\ninto lines", new IllegalStateException("why"));
-		JsonNode first = new ObjectMapper().readTree(lines().get(0));
+		List<JsonNode> ownLines = ownJsonLines();
+		JsonNode first = ownLines.get(0);
 		assertThat(first.path("message").asText()).isEqualTo("Task starts");
 		assertThat(first.path("level").asText()).isEqualTo("DEBUG");
 		assertThat(first.path("ticket").asText()).isEqualTo("d1~127.0.0.1_7~a~1~2");
 		assertThat(first.path("task").isIntegralNumber()).isTrue();
 		assertThat(first.path("endpoint").asText()).isEqualTo("127.0.0.1:8200");
 		assertThat(first.path("message_").isTextual()).isTrue();
-		assertThat(new ObjectMapper().readTree(lines().get(1)).path("error").asText()).contains("why");
-		assertThat(lines()).hasSize(2);
+		assertThat(ownLines.get(1).path("error").asText()).contains("why");
+		assertThat(ownLines).hasSize(2);
 	}
 
 	@Test
