Delay starts after a pause of the process, and number the offers of a handover

A paused process acted on a permission that had run out: an owner that was frozen or suspended started waiting tasks as soon as it went on, before it read that the callers' hosts had given up their jobs, which ran elsewhere by then. PauseGuard compares both clocks; after a gap no task starts for 200 ms, and a host that reports in this time that it missed our reports has its jobs cancelled. Test Pauses#startNoTaskOfAJobThatIsGivenUpMeanwhile.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongPredicate;
 
 /**
  * Schedules the jobs of a pool for its owner: decides which jobs are admitted, on which
@@ -36,6 +37,8 @@
 
 	private final TerminationHandler terminationHandler;
 
+	private LongPredicate startDelay = (nowMillis) -> false;
+
 	private long nextSequence;
 
 	/**
@@ -63,6 +66,16 @@
 		this.terminationHandler.recoveryStatus(status);
 	}
 
+	/**
+	 * Sets when tasks must wait although capacity is free, as the owner may have been
+	 * paused.
+	 * @param delay tells for the current monotonic time in milliseconds whether no task
+	 * may start
+	 */
+	public void startDelay(LongPredicate delay) {
+		this.startDelay = delay;
+	}
+
 	private void stop(Placement placement, String reason, long nowMillis) {
 		this.runTracker.stop(placement, reason, nowMillis);
 	}
@@ -351,7 +364,7 @@
 	}
 
 	private void dispatch(long nowMillis) {
-		if (this.jobs.queue().size() == 0) {
+		if (this.jobs.queue().size() == 0 || this.startDelay.test(nowMillis)) {
 			return;
 		}
 		PlacementFailures failures = new PlacementFailures(this.endpoints.largestFree(nowMillis));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -94,6 +94,43 @@
 		this.scheduler.submit(job, terms(2), ORIGIN, nowMillis);
 	}
 
+	@Nested
+	class Pauses {
+
+		/**
+		 * A process that was paused used to start waiting tasks when it went on, although
+		 * their callers had submitted the jobs elsewhere meanwhile.
+		 */
+		@Test
+		void startNoTaskOfAJobThatIsGivenUpMeanwhile() {
+			PauseGuard guard = new PauseGuard(10, 10);
+			PoolSchedulerTests.this.scheduler.startDelay((nowMillis) -> guard.delaysStarts(nowMillis, nowMillis));
+			submit(job("running", step(2, 60_000, 1_000)), 10);
+			submit(job("waiting", step(1, 60_000, 1_000)), 20);
+			RecordedActions.Start running = PoolSchedulerTests.this.actions.starts().get(0);
+			terminate(running, TerminationKind.DONE, 900);
+			guard.tick(901, 901);
+			PoolSchedulerTests.this.scheduler.entryHostLost(ORIGIN.host(), 910);
+			guard.tick(1_105, 1_105);
+			PoolSchedulerTests.this.scheduler.tick(1_105);
+			assertThat(PoolSchedulerTests.this.actions.starts()).extracting((start) -> start.run().task().jobId())
+				.doesNotContain("waiting");
+		}
+
+		@Test
+		void startTheTasksOfOtherJobsAfterwards() {
+			PauseGuard guard = new PauseGuard(10, 10);
+			PoolSchedulerTests.this.scheduler.startDelay((nowMillis) -> guard.delaysStarts(nowMillis, nowMillis));
+			submit(job("waiting", step(1, 60_000, 1_000)), 900);
+			guard.tick(901, 901);
+			guard.tick(1_105, 1_105);
+			report("a", List.of(), List.of(), 1_104, 1_105);
+			PoolSchedulerTests.this.scheduler.tick(1_105);
+			assertThat(lastStart().run().task().jobId()).isEqualTo("waiting");
+		}
+
+	}
+
 	@Nested
 	class FullEndpoints {
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -378,8 +378,8 @@
 		else if (message instanceof PeerMessage.HandOverPools pools) {
 			return this.handover.accept(pools, from);
 		}
-		else if (message instanceof PeerMessage.ConfirmHandOver) {
-			return CompletableFuture.completedFuture(this.handover.confirm(from));
+		else if (message instanceof PeerMessage.ConfirmHandOver question) {
+			return CompletableFuture.completedFuture(this.handover.confirm(question, from));
 		}
 		else if (message instanceof PeerMessage.JobsMoved moved) {
 			this.router.jobsMoved(moved.callNumbers(), from);
@@ -399,6 +399,7 @@
 		this.peers.recordReport(from, report, nowMillis);
 		if (!report.recipientReachable()) {
 			this.reporter.handleMissedReports(from, nowMillis);
+			this.directory.localOwner().ifPresent((owner) -> owner.reportsMissedBy(from.toString()));
 		}
 		report.pools().forEach((pool) -> this.directory.resetSent(pool.pool()));
 		this.ownership.applyPeerReports(report.pools());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
@@ -110,7 +110,7 @@
 		int intervalMillis = needsFrequentReports(address, nowMillis) ? HostReport.SHORT_INTERVAL_MILLIS
 				: LONG_INTERVAL_MILLIS;
 		link(address).nextReportMillis = nowMillis + intervalMillis;
-		this.transport.send(address, currentState.toReport(intervalMillis, this.peers.isReachable(address, nowMillis)));
+		this.transport.send(address, currentState.toReport(intervalMillis, !this.peers.isLost(address, nowMillis)));
 	}
 
 	private boolean needsFrequentReports(HostAddress address, long nowMillis) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -154,6 +154,17 @@
 		return peer != null && nowMillis - peer.lastContactMillis <= peer.timeoutMillis();
 	}
 
+	/**
+	 * Returns whether a peer has reported before and is unreachable now.
+	 * @param address the address of the peer
+	 * @param nowMillis the time in milliseconds
+	 * @return whether the peer counts as lost
+	 */
+	boolean isLost(HostAddress address, long nowMillis) {
+		Peer peer = this.peers.get(address);
+		return peer != null && peer.report != null && !isReachable(address, nowMillis);
+	}
+
 	/**
 	 * Returns whether reports of a peer are missing.
 	 * @param address the address of the peer
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -78,6 +78,8 @@
 
 	private long nextAttemptMillis = Long.MIN_VALUE / 2;
 
+	private long offerCount;
+
 	/** The handover that this host has offered, or {@code null}. */
 	private Offer pendingOffer;
 
@@ -181,10 +183,11 @@
 			.addKeyValue("to", newOwner.hostName())
 			.addKeyValue("jobs", transfer.jobs().size())
 			.log("Handing pools over to another host");
-		Offer offer = new Offer(owner, pools, newOwner.peerAddress());
+		this.offerCount++;
+		Offer offer = new Offer(this.offerCount, owner, pools, newOwner.peerAddress());
 		this.pendingOffer = offer;
 		CompletableFuture<PeerMessage> answer = this.transport.call(newOwner.peerAddress(),
-				new PeerMessage.HandOverPools(pools, transfer));
+				new PeerMessage.HandOverPools(pools, transfer, offer.number()));
 		this.eventLoop.schedule(() -> answer.complete(null), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		answer.whenComplete((message, error) -> handleAnswer(offer, message));
 	}
@@ -226,12 +229,13 @@
 	/**
 	 * Confirms a handover to the host that has claimed the pools, unless this host has
 	 * resumed their jobs meanwhile.
+	 * @param message the question, with the number of the offer
 	 * @param from the peer address of that host
 	 * @return the answer to it
 	 */
-	PeerMessage confirm(HostAddress from) {
+	PeerMessage confirm(PeerMessage.ConfirmHandOver message, HostAddress from) {
 		Offer offer = this.pendingOffer;
-		if (offer == null || !offer.newOwner().equals(from)) {
+		if (offer == null || offer.number() != message.offerNumber() || !offer.newOwner().equals(from)) {
 			return new PeerMessage.ErrorAnswer("resumed", "This host has continued the jobs itself");
 		}
 		complete(offer);
@@ -256,7 +260,7 @@
 					new PeerMessage.ErrorAnswer("busy", "This host is stopping or handing over its own pools"));
 		}
 		return this.ownership.claim(message.pools(), Clock.nowMillis())
-			.thenCompose((nothing) -> this.transport.call(from, new PeerMessage.ConfirmHandOver()))
+			.thenCompose((nothing) -> this.transport.call(from, new PeerMessage.ConfirmHandOver(message.offerNumber())))
 			.thenApply((answer) -> {
 				if (!isConfirmed(answer)) {
 					logger.atWarn()
@@ -309,11 +313,12 @@
 	/**
 	 * A handover that this host has offered to another one.
 	 *
+	 * @param number the number of the offer, from 1
 	 * @param owner the owner of the pools at this host, which is frozen
 	 * @param pools the names of the pools
 	 * @param newOwner the peer address of the other host
 	 */
-	private record Offer(PoolOwner owner, List<String> pools, HostAddress newOwner) {
+	private record Offer(long number, PoolOwner owner, List<String> pools, HostAddress newOwner) {
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -22,6 +22,7 @@
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.PauseGuard;
 import org.masticwick.core.pool.PoolActions;
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
@@ -84,6 +85,8 @@
 
 	private final int siteDomainCount;
 
+	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), System.currentTimeMillis());
+
 	private boolean frozen;
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
@@ -96,6 +99,7 @@
 		this.siteDomainCount = domains.size();
 		this.durableJobs = new DurableJobManager(eventLoop, jobLog, domains, this.scheduler, new DurableJobListener());
 		this.scheduler.recoveryStatus(this.durableJobs);
+		this.scheduler.startDelay(this::isStartDelayed);
 	}
 
 	Set<String> pools() {
@@ -247,11 +251,32 @@
 		this.scheduler.endpointUnlisted(endpointId, Clock.nowMillis());
 	}
 
+	private boolean isStartDelayed(long nowMillis) {
+		return this.pauseGuard.delaysStarts(nowMillis, System.currentTimeMillis());
+	}
+
+	/**
+	 * Handles the word of a callers' host that it does not receive reports of this host.
+	 * If this process was paused, that host has given up its jobs here.
+	 * @param peerAddress the peer address of the host
+	 */
+	void reportsMissedBy(String peerAddress) {
+		if (isStartDelayed(Clock.nowMillis())) {
+			entryHostLost(peerAddress);
+		}
+	}
+
 	void tick() {
+		long nowMillis = Clock.nowMillis();
+		if (this.pauseGuard.tick(nowMillis, System.currentTimeMillis())) {
+			logger.atWarn()
+				.addKeyValue("pools", pools())
+				.addKeyValue("jobs", jobCount())
+				.log("This process was paused, or its clock stepped; starts are delayed until peers were heard");
+		}
 		if (this.frozen) {
 			return;
 		}
-		long nowMillis = Clock.nowMillis();
 		List.copyOf(this.leases.values()).forEach((lease) -> checkLease(lease, nowMillis));
 		this.durableJobs.tick();
 		this.scheduler.tick(nowMillis);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.fleet.connection.HttpReply;
 import org.masticwick.fleet.connection.NewRecord;
@@ -217,12 +218,14 @@
 
 		/**
 		 * The new owner used to continue jobs as they were when they were handed over,
-		 * although the previous one had resumed and answered them before the claim.
+		 * although the previous one had resumed and answered them before the claim. A
+		 * claim may also be late enough to meet the next attempt.
 		 */
-		@Test
-		void runNoTaskAgainThatThePreviousOwnerHasResumed() {
+		@ParameterizedTest
+		@ValueSource(longs = { 500, 702, 710, 800 })
+		void runNoTaskAgainThatThePreviousOwnerHasResumed(long delayMillis) {
 			startTwoHosts();
-			FleetHostTests.this.site.log().delayAppends("host-2", 700);
+			FleetHostTests.this.site.log().delayAppends("host-2", delayMillis);
 			CompletableFuture<HttpReply> job = FleetHostTests.this.site.submit("host-1", "j1", 1);
 			Awaitility.await().atMost(TIMEOUT).until(() -> FleetHostTests.this.site.endpoints().runningCount() > 0);
 			FleetHostTests.this.site.stopGracefully("host-1");
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -248,7 +248,8 @@
 	 * @param hasSeenDurableJobs whether the sender has handled or stored durable jobs
 	 * @param logReachable whether the log answers the sender
 	 * @param intervalMillis the time until the next report to this peer, in milliseconds
-	 * @param recipientReachable whether the sender receives the reports of this peer
+	 * @param recipientReachable whether the sender receives the reports of this peer;
+	 * {@code false} only if it has received some before
 	 */
 	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> poolsWithReachableOwner,
 			boolean hasSeenDurableJobs, boolean logReachable, int intervalMillis,
@@ -298,8 +299,10 @@
 	 * Asks the sender of {@link HandOverPools}, once their pools are claimed, whether it
 	 * still leaves its jobs to the host that asks. It answers with {@link Acknowledged}
 	 * at most once, and then never continues the jobs itself.
+	 *
+	 * @param offerNumber the number of the offer, as an earlier one may still be claimed
 	 */
-	record ConfirmHandOver() implements PeerMessage {
+	record ConfirmHandOver(long offerNumber) implements PeerMessage {
 	}
 
 	/**
@@ -313,13 +316,16 @@
 
 	/**
 	 * Asks a peer to assume ownership of the pools of the sender. The answer is
-	 * {@link Acknowledged} once the log confirms the new owner; after any other answer
-	 * the sender keeps ownership.
+	 * {@link Acknowledged} once the log confirms the new owner and the sender has
+	 * answered {@link ConfirmHandOver}; after any other answer the sender keeps
+	 * ownership.
 	 *
 	 * @param pools the names of the pools
 	 * @param transfer the endpoints and jobs of the pools
+	 * @param offerNumber the number of this attempt, which {@link ConfirmHandOver}
+	 * repeats
 	 */
-	record HandOverPools(List<String> pools, PoolTransfer transfer) implements PeerMessage {
+	record HandOverPools(List<String> pools, PoolTransfer transfer, long offerNumber) implements PeerMessage {
 	}
 
 	/**
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -197,9 +197,10 @@
 			RecordType.required(BasicTypes.list(JOB_TRANSFER), PoolTransfer::jobs));
 
 	static final RecordType<PeerMessage.HandOverPools> HAND_OVER_POOLS = new RecordType<>(
-			(values) -> new PeerMessage.HandOverPools(values.get(0), values.get(1)),
+			(values) -> new PeerMessage.HandOverPools(values.get(0), values.get(1), values.get(2)),
 			RecordType.required(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HandOverPools::pools),
-			RecordType.required(POOL_TRANSFER, PeerMessage.HandOverPools::transfer));
+			RecordType.required(POOL_TRANSFER, PeerMessage.HandOverPools::transfer),
+			RecordType.optional(BasicTypes.LONG, PeerMessage.HandOverPools::offerNumber, 0L));
 
 	static final RecordType<PeerMessage.JobsMoved> JOBS_MOVED = new RecordType<>(
 			(values) -> new PeerMessage.JobsMoved(values.get(0)),
@@ -233,7 +234,8 @@
 			RecordType.required(TERMINATED_RUN, PeerMessage.StrayEnd::termination));
 
 	static final RecordType<PeerMessage.ConfirmHandOver> CONFIRM_HAND_OVER = new RecordType<>(
-			(values) -> new PeerMessage.ConfirmHandOver());
+			(values) -> new PeerMessage.ConfirmHandOver(values.get(0)),
+			RecordType.required(BasicTypes.LONG, PeerMessage.ConfirmHandOver::offerNumber));
 
 	static final RecordType<PeerMessage.FetchVersion> FETCH_VERSION = new RecordType<>(
 			(values) -> new PeerMessage.FetchVersion());
