Take the endpoints of a handover before the claim, so that the load after it removes those that left

Cause: the load at the start of ownership could end before the endpoints of the previous owner were listed, which waits for the confirmation; one that had left was then not noticed. A host that owns pools already reads all records and needs none.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -259,6 +259,10 @@
 			return CompletableFuture.completedFuture(
 					new PeerMessage.ErrorAnswer("busy", "This host is stopping or handing over its own pools"));
 		}
+		if (this.directory.localOwner().isEmpty()) {
+			// Before the claim, as the load that follows it removes those that have left.
+			this.ownership.adoptEndpoints(message.transfer().endpoints());
+		}
 		return this.ownership.claim(message.pools(), Clock.nowMillis())
 			.thenCompose((nothing) -> this.transport.call(from, new PeerMessage.ConfirmHandOver(message.offerNumber())))
 			.thenApply((answer) -> {
@@ -297,7 +301,6 @@
 			.map(HostAddress::parse)
 			.forEach((entryHost) -> this.peers.expectFrequentReports(entryHost, Clock.nowMillis()));
 		callNumbers.forEach((entryHost, numbers) -> notifyJobsMoved(HostAddress.parse(entryHost), numbers));
-		this.ownership.adoptEndpoints(transfer.endpoints());
 		this.directory.localOwner().ifPresent((owner) -> owner.adopt(transfer));
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -439,8 +439,8 @@
 	}
 
 	/**
-	 * Lists the endpoints of a previous owner, which may have read the log later than
-	 * this host. The next load of the topic removes those that have left since.
+	 * Lists the endpoints of a previous owner, which reads the log more often than a host
+	 * that owns nothing. The load at the start of ownership removes those that have left.
 	 * @param entries the entries
 	 */
 	void adoptEndpoints(List<EndpointEntry> entries) {
