Derive the time limit of frequent reports from the rule that peers are judged by

The 500 ms that EndpointLeaseTests sums stood as a number of its own beside the formula in use; a change of one would not have shown in the other.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -19,12 +19,6 @@
  */
 final class PeerTable {
 
-	/**
-	 * After how long without a report a peer counts as lost that reports at the short
-	 * interval; see docs/design/PLATFORM.md.
-	 */
-	static final long PEER_TIMEOUT_MILLIS = 500;
-
 	/** How many reports of a peer must be missing in a row before it counts as lost. */
 	private static final int LOST_REPORT_COUNT = 3;
 
@@ -37,6 +31,12 @@
 	/** How much later than announced a report may arrive. */
 	private static final long MAX_REPORT_DELAY_MILLIS = 125;
 
+	/**
+	 * After how long without a report a peer counts as lost that reports at the short
+	 * interval; see docs/design/PLATFORM.md.
+	 */
+	static final long PEER_TIMEOUT_MILLIS = timeoutMillis(HostReport.SHORT_INTERVAL_MILLIS);
+
 	/** How much later than announced a report of a peer may be that is not suspect. */
 	private static final long USUAL_REPORT_DELAY_MILLIS = 10;
 
@@ -59,6 +59,10 @@
 		this.startedMillis = nowMillis;
 	}
 
+	private static long timeoutMillis(int intervalMillis) {
+		return (long) LOST_REPORT_COUNT * intervalMillis + MAX_REPORT_DELAY_MILLIS;
+	}
+
 	/**
 	 * Adds a member, or replaces its record by one of a later incarnation.
 	 * @param member the member
@@ -334,7 +338,7 @@
 		private boolean lossReported;
 
 		private long timeoutMillis() {
-			return (long) LOST_REPORT_COUNT * this.intervalMillis + MAX_REPORT_DELAY_MILLIS;
+			return PeerTable.timeoutMillis(this.intervalMillis);
 		}
 
 		private long suspectMillis() {
