--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
@@ -47,4 +47,18 @@
 	 */
 	void orphanedRunTerminated(TerminationId termination, TerminatedRun terminatedRun);
 
+	/**
+	 * Reports that a run was lost together with its endpoint.
+	 * @param lostRun the run
+	 */
+	void runLost(LostRun lostRun);
+
+	/**
+	 * Reports that an endpoint has started again, so that it has forgotten all its runs.
+	 * @param endpoint the endpoint
+	 * @param startedEpochMillis the start time of its new incarnation, in milliseconds
+	 * since 1970
+	 */
+	void endpointRestarted(EndpointEntry endpoint, long startedEpochMillis);
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -328,7 +328,7 @@
 	 */
 	public void leaseExpired(String endpointId, long nowMillis) {
 		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
-			this.runTracker.terminateAll(endpoint, TerminationKind.LAPSED, nowMillis);
+			this.runTracker.loseAll(endpoint, LossCause.LEASE_EXPIRED, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
 			dispatch(nowMillis);
 		});
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -55,12 +55,25 @@
 		boolean startTimeKnown = endpoint.startedEpochMillis() > 0;
 		endpoint.restarted(startedEpochMillis);
 		if (startTimeKnown) {
-			terminateAll(endpoint, TerminationKind.LOST, nowMillis);
+			this.actions.endpointRestarted(endpoint.entry(), startedEpochMillis);
+			loseAll(endpoint, LossCause.ENDPOINT_RESTARTED, nowMillis);
 		}
 	}
 
-	void terminateAll(PooledEndpoint endpoint, TerminationKind kind, long nowMillis) {
-		endpoint.placements().forEach((placement) -> terminate(placement, kind, nowMillis));
+	/**
+	 * Terminates all runs of an endpoint that has restarted or whose lease has expired.
+	 * @param endpoint the endpoint
+	 * @param cause why its runs are lost
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void loseAll(PooledEndpoint endpoint, LossCause cause, long nowMillis) {
+		TerminationKind kind = (cause == LossCause.LEASE_EXPIRED) ? TerminationKind.LAPSED : TerminationKind.LOST;
+		List<Placement> placements = endpoint.placements();
+		placements.forEach((placement) -> {
+			this.actions.runLost(new LostRun(endpoint.entry(), placement.run(), cause,
+					nowMillis - placement.startRequestedMillis(), placements.size() - 1));
+			terminate(placement, kind, nowMillis);
+		});
 	}
 
 	void startRefused(Placement placement, StartRefusal refusal, long nowMillis) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -390,6 +390,16 @@
 			throw new IllegalStateException("the simulation has no durable jobs");
 		}
 
+		@Override
+		public void runLost(LostRun lostRun) {
+			// The simulation counts only what callers get.
+		}
+
+		@Override
+		public void endpointRestarted(EndpointEntry entry, long startedEpochMillis) {
+			// The simulation counts only what callers get.
+		}
+
 		@Override
 		public void answer(PooledJob job, JobOutcome outcome) {
 			schedule(MESSAGE_DELAY_MILLIS, () -> answered(job, outcome));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -20,6 +20,10 @@
 
 	private final List<AnsweredJob> answeredJobs = new ArrayList<>();
 
+	private final List<LostRun> lostRuns = new ArrayList<>();
+
+	private final List<String> restartedEndpoints = new ArrayList<>();
+
 	@Override
 	public void start(EndpointEntry endpoint, TaskRun run, String payload, String checkpoint) {
 		this.starts.add(new Start(endpoint.id(), run, checkpoint));
@@ -46,6 +50,24 @@
 		this.orphanedTerminations.add(termination);
 	}
 
+	@Override
+	public void runLost(LostRun lostRun) {
+		this.lostRuns.add(lostRun);
+	}
+
+	@Override
+	public void endpointRestarted(EndpointEntry endpoint, long startedEpochMillis) {
+		this.restartedEndpoints.add(endpoint.id());
+	}
+
+	List<LostRun> lostRuns() {
+		return this.lostRuns;
+	}
+
+	List<String> restartedEndpoints() {
+		return this.restartedEndpoints;
+	}
+
 	List<TerminationId> orphanedTerminations() {
 		return this.orphanedTerminations;
 	}
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedEndpoints.java
@@ -0,0 +1,248 @@
+package org.masticwick.core.pool;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.masticwick.core.process.HostAddress;
+
+/**
+ * Plays endpoints against the scheduler of a pool. They run tasks for a fixed time, crash
+ * under given tasks, and may be cut off from the owner. The owner is played as well:
+ * renewals at a fixed interval, and leases that expire.
+ */
+final class SimulatedEndpoints {
+
+	/** The interval of renewals and scheduling passes, in milliseconds. */
+	private static final long STEP_MILLIS = 10;
+
+	/** The time without contact after which a lease has expired, in milliseconds. */
+	private static final long LEASE_MILLIS = 770;
+
+	/** How long a crashed endpoint is down, in milliseconds. */
+	private static final long RESTART_MILLIS = 3_200;
+
+	/** How long after its start a task crashes its endpoint, in milliseconds. */
+	private static final long CRASH_DELAY_MILLIS = 10;
+
+	private static final long FIRST_START_EPOCH_MILLIS = 1_000_000;
+
+	private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+
+	private final RecordedActions actions;
+
+	private final PoolScheduler scheduler;
+
+	private final List<TaskRun> crashingRuns = new ArrayList<>();
+
+	private Predicate<TaskId> crashes = (task) -> false;
+
+	private long runMillis = 60;
+
+	private int seenStartCount;
+
+	private long nowMillis;
+
+	SimulatedEndpoints(PoolScheduler scheduler, RecordedActions actions, int count) {
+		this(scheduler, actions, count, 0);
+	}
+
+	SimulatedEndpoints(PoolScheduler scheduler, RecordedActions actions, int count, long nowMillis) {
+		this.scheduler = scheduler;
+		this.actions = actions;
+		this.nowMillis = nowMillis;
+		this.seenStartCount = actions.starts().size();
+		for (int index = 0; index < count; index++) {
+			String id = "endpoint-" + index;
+			this.endpoints.put(id, new Endpoint(id));
+			list(id);
+		}
+		step();
+	}
+
+	private void list(String id) {
+		this.scheduler.endpointListed(entry(id, new Resources(64_000, 1_000, 0)), this.nowMillis);
+	}
+
+	EndpointEntry entry(String id, Resources capacity) {
+		return new EndpointEntry(id, "service", new HostAddress("10.0.0.1", 80), "domain", true, capacity, Set.of(),
+				this.endpoints.get(id).startedEpochMillis);
+	}
+
+	/**
+	 * Sets the tasks that crash the endpoints that start them.
+	 * @param crashingTasks tells which tasks do
+	 */
+	void crashUnder(Predicate<TaskId> crashingTasks) {
+		this.crashes = crashingTasks;
+	}
+
+	void runMillis(long millis) {
+		this.runMillis = millis;
+	}
+
+	long nowMillis() {
+		return this.nowMillis;
+	}
+
+	/**
+	 * Returns the runs under which an endpoint has crashed.
+	 * @return the runs, in the order of the crashes
+	 */
+	List<TaskRun> crashingRuns() {
+		return this.crashingRuns;
+	}
+
+	void cut(String id) {
+		this.endpoints.get(id).cut = true;
+	}
+
+	void reconnect(String id) {
+		this.endpoints.get(id).cut = false;
+	}
+
+	void crash(String id) {
+		this.endpoints.get(id).crash(this.nowMillis);
+	}
+
+	int runningCount(String id) {
+		return this.endpoints.get(id).runs.size();
+	}
+
+	/**
+	 * Plays some time.
+	 * @param millis the time in milliseconds
+	 */
+	void play(long millis) {
+		long endMillis = this.nowMillis + millis;
+		while (this.nowMillis < endMillis) {
+			step();
+		}
+	}
+
+	private void step() {
+		this.nowMillis += STEP_MILLIS;
+		List<RecordedActions.Start> starts = this.actions.starts();
+		for (; this.seenStartCount < starts.size(); this.seenStartCount++) {
+			start(starts.get(this.seenStartCount));
+		}
+		this.actions.stops().forEach((run) -> this.endpoints.values().forEach((endpoint) -> endpoint.stop(run)));
+		this.endpoints.values().forEach((endpoint) -> endpoint.step(this.nowMillis));
+		this.scheduler.tick(this.nowMillis);
+	}
+
+	private void start(RecordedActions.Start start) {
+		Endpoint endpoint = this.endpoints.get(start.endpointId());
+		if (endpoint.isReachable()) {
+			endpoint.runs.put(start.run(), this.nowMillis);
+			this.scheduler.startAccepted(start.endpointId(), start.run(), this.nowMillis);
+		}
+		else {
+			this.scheduler.startUnanswered(start.endpointId(), start.run(), this.nowMillis);
+		}
+	}
+
+	/**
+	 * An endpoint with its runs and the time at which each was started.
+	 */
+	private final class Endpoint {
+
+		private final String id;
+
+		private final Map<TaskRun, Long> runs = new LinkedHashMap<>();
+
+		private final List<TerminatedRun> terminatedRuns = new ArrayList<>();
+
+		private long startedEpochMillis = FIRST_START_EPOCH_MILLIS;
+
+		private long terminationCount;
+
+		private long downUntilMillis = -1;
+
+		private long contactMillis;
+
+		private boolean cut;
+
+		private boolean expired;
+
+		private Endpoint(String id) {
+			this.id = id;
+		}
+
+		private boolean isReachable() {
+			return !this.cut && this.downUntilMillis < 0;
+		}
+
+		private void step(long now) {
+			if (this.downUntilMillis >= 0 && now >= this.downUntilMillis) {
+				this.downUntilMillis = -1;
+			}
+			if (this.downUntilMillis < 0) {
+				runTasks(now);
+			}
+			if (isReachable()) {
+				renew(now);
+			}
+			else if (!this.expired && now - this.contactMillis > LEASE_MILLIS) {
+				this.expired = true;
+				this.runs.clear();
+				SimulatedEndpoints.this.scheduler.leaseExpired(this.id, now);
+			}
+		}
+
+		private void runTasks(long now) {
+			List<TaskRun> crashing = this.runs.entrySet()
+				.stream()
+				.filter((run) -> SimulatedEndpoints.this.crashes.test(run.getKey().task()))
+				.filter((run) -> now - run.getValue() >= CRASH_DELAY_MILLIS)
+				.map(Map.Entry::getKey)
+				.toList();
+			if (!crashing.isEmpty()) {
+				SimulatedEndpoints.this.crashingRuns.add(crashing.get(0));
+				crash(now);
+				return;
+			}
+			List<TaskRun> done = this.runs.entrySet()
+				.stream()
+				.filter((run) -> now - run.getValue() >= SimulatedEndpoints.this.runMillis)
+				.map(Map.Entry::getKey)
+				.toList();
+			done.forEach((run) -> terminate(run, TerminationKind.DONE));
+		}
+
+		private void stop(TaskRun run) {
+			if (isReachable() && this.runs.containsKey(run)) {
+				terminate(run, TerminationKind.STOPPED);
+			}
+		}
+
+		private void terminate(TaskRun run, TerminationKind kind) {
+			this.runs.remove(run);
+			this.terminationCount++;
+			this.terminatedRuns.add(new TerminatedRun(this.terminationCount, run, kind));
+		}
+
+		private void crash(long now) {
+			this.runs.clear();
+			this.terminatedRuns.clear();
+			this.terminationCount = 0;
+			this.startedEpochMillis += 1 + now;
+			this.downUntilMillis = now + RESTART_MILLIS;
+		}
+
+		private void renew(long now) {
+			this.contactMillis = now;
+			this.expired = false;
+			List<RunningTask> running = this.runs.keySet().stream().map((run) -> new RunningTask(run, 50)).toList();
+			EndpointReport report = new EndpointReport(this.startedEpochMillis, now, running,
+					List.copyOf(this.terminatedRuns));
+			this.terminatedRuns.clear();
+			SimulatedEndpoints.this.scheduler.endpointReported(this.id, report, now - 1, now);
+		}
+
+	}
+
+}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -10,6 +10,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.LossCause;
 import org.masticwick.core.pool.StartRefusal;
 
 /**
@@ -52,6 +53,15 @@
 
 	private final Counter claims = counter("masticwick_pool_claims_total", "Claims on pools written to the log");
 
+	private final Counter lostRuns = Counter.builder()
+		.name("masticwick_runs_lost_total")
+		.help("Runs lost together with their endpoint, by cause")
+		.labelNames("cause")
+		.register(this.registry);
+
+	private final Counter endpointRestarts = counter("masticwick_endpoint_restarts_total",
+			"Restarts of endpoints seen by the owner of their pool");
+
 	private Counter counter(String name, String help) {
 		return Counter.builder().name(name).help(help).register(this.registry);
 	}
@@ -85,6 +95,14 @@
 		this.claims.inc();
 	}
 
+	void runLost(LossCause cause) {
+		this.lostRuns.labelValues(cause.name()).inc();
+	}
+
+	void endpointRestarted() {
+		this.endpointRestarts.inc();
+	}
+
 	byte[] toText() {
 		try (ByteArrayOutputStream out = new ByteArrayOutputStream()) {
 			new PrometheusTextFormatWriter(false).write(out, this.registry.scrape());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -22,6 +22,7 @@
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.LostRun;
 import org.masticwick.core.pool.PauseGuard;
 import org.masticwick.core.pool.PoolActions;
 import org.masticwick.core.pool.PoolLoad;
@@ -512,6 +513,29 @@
 		this.durableJobs.jobs().runTerminated(job, termination, DurableJobManager.now());
 	}
 
+	@Override
+	public void runLost(LostRun lostRun) {
+		this.metrics.runLost(lostRun.cause());
+		logger.atInfo()
+			.addKeyValue("job", lostRun.run().task().jobId())
+			.addKeyValue("task", lostRun.run())
+			.addKeyValue("endpoint", lostRun.endpoint().id())
+			.addKeyValue("cause", lostRun.cause())
+			.addKeyValue("after_ms", lostRun.runMillis())
+			.addKeyValue("other_runs", lostRun.otherRunCount())
+			.log("Run lost together with its endpoint");
+	}
+
+	@Override
+	public void endpointRestarted(EndpointEntry endpoint, long startedEpochMillis) {
+		this.metrics.endpointRestarted();
+		logger.atInfo()
+			.addKeyValue("pool", endpoint.domain())
+			.addKeyValue("endpoint", endpoint.id())
+			.addKeyValue("started_epoch_ms", startedEpochMillis)
+			.log("Endpoint restarted; all its runs are lost");
+	}
+
 	private static CallException asCallException(Throwable error) {
 		Throwable cause = CallException.unwrap(error);
 		if (cause instanceof CallException call) {
