--- a/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedEndpoints.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedEndpoints.java
@@ -30,6 +30,8 @@
 
 	private static final long FIRST_START_EPOCH_MILLIS = 1_000_000;
 
+	private static final int FIRST_PORT = 1_000;
+
 	private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
 
 	private final RecordedActions actions;
@@ -40,6 +42,8 @@
 
 	private Predicate<TaskId> crashes = (task) -> false;
 
+	private boolean newIdAfterCrash;
+
 	private long runMillis = 60;
 
 	private int seenStartCount;
@@ -56,20 +60,19 @@
 		this.nowMillis = nowMillis;
 		this.seenStartCount = actions.starts().size();
 		for (int index = 0; index < count; index++) {
-			String id = "endpoint-" + index;
-			this.endpoints.put(id, new Endpoint(id));
-			list(id);
+			Endpoint endpoint = new Endpoint("endpoint-" + index, new HostAddress("10.0.0.1", FIRST_PORT + index),
+					FIRST_START_EPOCH_MILLIS);
+			this.endpoints.put(endpoint.id, endpoint);
+			this.scheduler.endpointListed(endpoint.entry(), this.nowMillis);
 		}
 		step();
 	}
 
-	private void list(String id) {
-		this.scheduler.endpointListed(entry(id, new Resources(64_000, 1_000, 0)), this.nowMillis);
-	}
-
-	EndpointEntry entry(String id, Resources capacity) {
-		return new EndpointEntry(id, "service", new HostAddress("10.0.0.1", 80), "domain", true, capacity, Set.of(),
-				this.endpoints.get(id).startedEpochMillis);
+	/**
+	 * Lets crashed endpoints return under new ids, at their addresses.
+	 */
+	void changeIdsAfterCrashes() {
+		this.newIdAfterCrash = true;
 	}
 
 	/**
@@ -130,7 +133,7 @@
 			start(starts.get(this.seenStartCount));
 		}
 		this.actions.stops().forEach((run) -> this.endpoints.values().forEach((endpoint) -> endpoint.stop(run)));
-		this.endpoints.values().forEach((endpoint) -> endpoint.step(this.nowMillis));
+		List.copyOf(this.endpoints.values()).forEach((endpoint) -> endpoint.step(this.nowMillis));
 		this.scheduler.tick(this.nowMillis);
 	}
 
@@ -152,11 +155,13 @@
 
 		private final String id;
 
+		private final HostAddress address;
+
 		private final Map<TaskRun, Long> runs = new LinkedHashMap<>();
 
 		private final List<TerminatedRun> terminatedRuns = new ArrayList<>();
 
-		private long startedEpochMillis = FIRST_START_EPOCH_MILLIS;
+		private long startedEpochMillis;
 
 		private long terminationCount;
 
@@ -168,8 +173,16 @@
 
 		private boolean expired;
 
-		private Endpoint(String id) {
+		private Endpoint(String id, HostAddress address, long startedEpochMillis) {
 			this.id = id;
+			this.address = address;
+			this.startedEpochMillis = startedEpochMillis;
+			this.contactMillis = SimulatedEndpoints.this.nowMillis;
+		}
+
+		private EndpointEntry entry() {
+			return new EndpointEntry(this.id, "service", this.address, "domain", true, new Resources(64_000, 1_000, 0),
+					Set.of(), this.startedEpochMillis);
 		}
 
 		private boolean isReachable() {
@@ -179,6 +192,7 @@
 		private void step(long now) {
 			if (this.downUntilMillis >= 0 && now >= this.downUntilMillis) {
 				this.downUntilMillis = -1;
+				restart();
 			}
 			if (this.downUntilMillis < 0) {
 				runTasks(now);
@@ -233,6 +247,17 @@
 			this.downUntilMillis = now + RESTART_MILLIS;
 		}
 
+		private void restart() {
+			if (!SimulatedEndpoints.this.newIdAfterCrash) {
+				return;
+			}
+			SimulatedEndpoints.this.endpoints.remove(this.id);
+			Endpoint next = new Endpoint(this.id + "-next", this.address, this.startedEpochMillis);
+			SimulatedEndpoints.this.endpoints.put(next.id, next);
+			SimulatedEndpoints.this.scheduler.endpointUnlisted(this.id, SimulatedEndpoints.this.nowMillis);
+			SimulatedEndpoints.this.scheduler.endpointListed(next.entry(), SimulatedEndpoints.this.nowMillis);
+		}
+
 		private void renew(long now) {
 			this.contactMillis = now;
 			this.expired = false;
