--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -454,13 +454,16 @@
 			this.lastAddedMillis = Clock.nowMillis();
 		}
 		boolean changed = previousEntry == null || previousEntry.ready() != entry.ready()
-				|| previousEntry.startedEpochMillis() != entry.startedEpochMillis();
+				|| previousEntry.startedEpochMillis() != entry.startedEpochMillis()
+				|| !previousEntry.capacity().equals(entry.capacity());
 		// Only an owner acts on a single endpoint; other hosts log how many they loaded.
 		if (changed && this.directory.localOwnerOf(entry.domain()).isPresent()) {
 			logger.atInfo()
 				.addKeyValue("endpoint", entry.id())
 				.addKeyValue("ready", entry.ready())
 				.addKeyValue("born", entry.startedEpochMillis())
+				.addKeyValue("address", entry.address())
+				.addKeyValue("cpu_millicores", entry.capacity().cpuMillicores())
 				.log("Endpoint added or changed");
 		}
 		this.directory.localOwner().ifPresent((owner) -> owner.endpointListed(entry));
