--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -187,6 +187,19 @@
 		}
 	}
 
+	/**
+	 * Stores a loss of an endpoint under a task of a durable job, or what has become
+	 * known of it.
+	 * @param loss the loss
+	 * @param time the current time
+	 */
+	public void taskLossChanged(TaskLoss loss, Timestamp time) {
+		Entry entry = this.entries.get(loss.run().task().jobId());
+		if (entry != null && entry.state == DurableState.ACTIVE) {
+			writeProgress(entry, entry.state, time);
+		}
+	}
+
 	/**
 	 * Records the termination of a run on an endpoint of another owner.
 	 * @param termination the termination, which is passed to
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointEntry.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointEntry.java
@@ -27,4 +27,12 @@
 		labels = Set.copyOf(labels);
 	}
 
+	/**
+	 * Returns the incarnation that the entry describes.
+	 * @return the incarnation
+	 */
+	EndpointIncarnation incarnation() {
+		return new EndpointIncarnation(this.id, this.address, this.startedEpochMillis);
+	}
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -16,6 +16,8 @@
 
 	private final double expectedMillis;
 
+	private final long endpointStartedEpochMillis;
+
 	private long acceptedMillis = -1;
 
 	private int progressPercent;
@@ -36,6 +38,7 @@
 		this.endpoint = endpoint;
 		this.startRequestedMillis = startRequestedMillis;
 		this.expectedMillis = expectedMillis;
+		this.endpointStartedEpochMillis = endpoint.startedEpochMillis();
 	}
 
 	PooledTask task() {
@@ -58,6 +61,15 @@
 		return this.expectedMillis;
 	}
 
+	/**
+	 * Returns when the incarnation of the endpoint started that was asked to run the
+	 * task.
+	 * @return the time in milliseconds since 1970, or 0 if unknown
+	 */
+	long endpointStartedEpochMillis() {
+		return this.endpointStartedEpochMillis;
+	}
+
 	boolean isAccepted() {
 		return this.acceptedMillis >= 0;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
@@ -61,4 +61,20 @@
 	 */
 	void endpointRestarted(EndpointEntry endpoint, long startedEpochMillis);
 
+	/**
+	 * Reports a loss of an endpoint under a task, or what has become known of it, for the
+	 * other hosts and the shared log.
+	 * @param loss the loss
+	 */
+	void taskLossChanged(TaskLoss loss);
+
+	/**
+	 * Reports whether a task under which endpoints were lost is started again.
+	 * @param task the task
+	 * @param verdict the decision
+	 * @param crashCount how many endpoints have crashed under the task
+	 * @param unexplainedCount how many more were lost and not heard since
+	 */
+	void restartDecided(TaskId task, RestartVerdict verdict, int crashCount, int unexplainedCount);
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -37,24 +37,38 @@
 
 	private final TerminationHandler terminationHandler;
 
+	private final CrashLoopGuard crashLoopGuard;
+
 	private LongPredicate startDelay = (nowMillis) -> false;
 
 	private long nextSequence;
 
 	/**
-	 * Creates the scheduler of a pool without endpoints.
+	 * Creates the scheduler of a pool without endpoints and without a history.
 	 * @param settings the settings
 	 * @param actions executes the scheduling decisions
 	 */
 	public PoolScheduler(PoolSettings settings, PoolActions actions) {
+		this(settings, actions, new LossHistory());
+	}
+
+	/**
+	 * Creates the scheduler of a pool without endpoints.
+	 * @param settings the settings
+	 * @param actions executes the scheduling decisions
+	 * @param lossHistory the losses of endpoints under tasks, which this scheduler adds
+	 * to
+	 */
+	public PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory) {
 		this.settings = settings;
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
 		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
 		this.jobs = new JobTable(actions, this::stop);
+		this.crashLoopGuard = new CrashLoopGuard(lossHistory, actions);
 		this.terminationHandler = new TerminationHandler(this.jobs, this.runTimeEstimator, this.starter, this::stop,
-				settings.orphanedRunMaxMillis());
-		this.runTracker = new RunTracker(settings, actions, this.terminationHandler);
+				this.crashLoopGuard, settings.orphanedRunMaxMillis());
+		this.runTracker = new RunTracker(settings, actions, this.crashLoopGuard, this.terminationHandler);
 	}
 
 	/**
@@ -95,6 +109,11 @@
 			return;
 		}
 		PooledJob job = new PooledJob(spec, terms, origin, this.nextSequence++, nowMillis, this.runTimeEstimator);
+		this.crashLoopGuard.watch(job, nowMillis);
+		if (this.crashLoopGuard.isGivenUp(job, nowMillis)) {
+			this.terminationHandler.giveUp(job, nowMillis);
+			return;
+		}
 		Optional<JobOutcome> refusal = refusal(job, nowMillis);
 		if (refusal.isPresent()) {
 			this.actions.answer(job, refusal.get());
@@ -180,6 +199,7 @@
 	 */
 	public void endpointListed(EndpointEntry entry, long nowMillis) {
 		PooledEndpoint endpoint = this.endpoints.listed(entry);
+		this.crashLoopGuard.incarnationSeen(entry.incarnation(), false, nowMillis);
 		this.runTracker.recordIncarnation(endpoint, entry.startedEpochMillis(), nowMillis);
 	}
 
@@ -211,19 +231,22 @@
 	 */
 	public PoolTransfer transfer(long nowMillis) {
 		return new PoolTransfer(this.endpoints.transfer(),
-				this.jobs.interactiveJobs().stream().map((job) -> job.transfer(nowMillis)).toList());
+				this.jobs.interactiveJobs().stream().map((job) -> job.transfer(nowMillis)).toList(),
+				this.crashLoopGuard.history().all());
 	}
 
 	/**
 	 * Continues the jobs of a previous owner. Their endpoints must be listed already;
 	 * jobs that exist here are skipped.
-	 * @param transfers the states of the jobs
+	 * @param transfer the state that the previous owner handed over
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
-	public void adopt(List<JobTransfer> transfers, long nowMillis) {
-		transfers.stream()
-			.filter((transfer) -> !this.jobs.findUnanswered(transfer.spec().jobId()).isPresent())
-			.forEach((transfer) -> adopt(transfer, nowMillis));
+	public void adopt(PoolTransfer transfer, long nowMillis) {
+		transfer.losses().forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
+		transfer.jobs()
+			.stream()
+			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
+			.forEach((job) -> adopt(job, nowMillis));
 		dispatch(nowMillis);
 	}
 
@@ -231,6 +254,7 @@
 		PooledJob job = new PooledJob(transfer.spec(), transfer.terms(), transfer.origin(), this.nextSequence++,
 				nowMillis - transfer.ageMillis(), this.runTimeEstimator);
 		this.jobs.add(job);
+		this.crashLoopGuard.watch(job, nowMillis);
 		transfer.tasks()
 			.forEach((taskTransfer) -> job.task(taskTransfer.task())
 				.ifPresent((task) -> adopt(job, task, taskTransfer, nowMillis)));
@@ -314,6 +338,7 @@
 	public void endpointReported(String endpointId, EndpointReport report, long requestedMillis, long nowMillis) {
 		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
 			endpoint.recordContact(nowMillis);
+			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true, nowMillis);
 			this.runTracker.processReport(endpoint, report, requestedMillis, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
 			dispatch(nowMillis);
@@ -344,6 +369,7 @@
 				(placement) -> this.endpoints.hasCapacityElsewhere(placement, nowMillis), nowMillis);
 		cancelExpiredJobs(nowMillis);
 		this.terminationHandler.restartAfterUncertainty(nowMillis);
+		this.terminationHandler.decideAfterLosses(nowMillis);
 		dispatch(nowMillis);
 	}
 
@@ -418,9 +444,17 @@
 			long dueMillis, long nowMillis) {
 		PooledJob occurrenceJob = new PooledJob(job.spec(), occurrence, job.terms(), JobOrigin.NONE,
 				this.nextSequence++, dueMillis, this.runTimeEstimator);
+		storedProgress.stream()
+			.flatMap((progress) -> progress.losses().stream())
+			.forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
 		occurrenceJob.restore(storedProgress);
+		this.crashLoopGuard.watch(occurrenceJob, nowMillis);
 		occurrenceJob.setSuspended(suspended);
 		this.jobs.add(occurrenceJob);
+		if (this.crashLoopGuard.isGivenUp(occurrenceJob, nowMillis)) {
+			this.terminationHandler.giveUp(occurrenceJob, nowMillis);
+			return occurrenceJob;
+		}
 		this.jobs.enqueueReady(occurrenceJob, nowMillis);
 		dispatch(nowMillis);
 		return occurrenceJob;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolTransfer.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolTransfer.java
@@ -7,8 +7,9 @@
  *
  * @param endpoints the endpoints as last reported
  * @param jobs the unanswered jobs that are not durable
+ * @param losses the losses of endpoints under tasks
  */
-public record PoolTransfer(List<EndpointEntry> endpoints, List<JobTransfer> jobs) {
+public record PoolTransfer(List<EndpointEntry> endpoints, List<JobTransfer> jobs, List<TaskLoss> losses) {
 
 	/**
 	 * Copies the lists, so that the record is immutable.
@@ -16,6 +17,7 @@
 	public PoolTransfer {
 		endpoints = List.copyOf(endpoints);
 		jobs = List.copyOf(jobs);
+		losses = List.copyOf(losses);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -113,6 +113,10 @@
 		return Math.round(clockMillis - this.clockOffsetMillis);
 	}
 
+	EndpointIncarnation incarnation(long reportedStartEpochMillis) {
+		return new EndpointIncarnation(this.entry.id(), this.entry.address(), reportedStartEpochMillis);
+	}
+
 	long startedEpochMillis() {
 		return this.startedEpochMillis;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -1,5 +1,6 @@
 package org.masticwick.core.pool;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -29,6 +30,10 @@
 
 	private boolean possiblyRunning;
 
+	private boolean held;
+
+	private TaskLosses losses;
+
 	private Placement placement;
 
 	PooledTask(PooledJob job, TaskId id, StepSpec step) {
@@ -92,14 +97,15 @@
 
 	/**
 	 * Returns the progress of the task.
-	 * @return the progress, or empty if no run has terminated
+	 * @return the progress, or empty if no run has terminated and no endpoint was lost
 	 */
 	Optional<TaskProgress> progress() {
-		if (this.lastTerminatedRun == 0 && !this.done) {
+		if (this.lastTerminatedRun == 0 && !this.done && this.losses == null) {
 			return Optional.empty();
 		}
+		List<TaskLoss> storedLosses = (this.losses != null && !this.done) ? this.losses.all() : List.of();
 		return Optional.of(new TaskProgress(this.id.step(), this.id.index(), this.done, this.lastTerminatedRun,
-				this.failureCount, this.checkpoint));
+				this.failureCount, this.checkpoint, storedLosses));
 	}
 
 	/**
@@ -172,7 +178,35 @@
 	 * @return whether the task can be started
 	 */
 	boolean isWaiting() {
-		return !this.done && this.placement == null && !this.possiblyRunning;
+		return !this.done && this.placement == null && !this.possiblyRunning && !this.held;
+	}
+
+	/**
+	 * Sets whether the task waits until the losses of its endpoints are explained.
+	 * @param nowHeld whether it waits for that
+	 */
+	void setHeld(boolean nowHeld) {
+		this.held = nowHeld;
+	}
+
+	boolean isHeld() {
+		return this.held;
+	}
+
+	/**
+	 * Returns the losses of endpoints under the task.
+	 * @return the losses, or {@code null} if there are none
+	 */
+	TaskLosses losses() {
+		return this.losses;
+	}
+
+	void losses(TaskLosses newLosses) {
+		this.losses = newLosses;
+	}
+
+	RestartVerdict restartVerdict(long nowMillis) {
+		return (this.losses != null) ? this.losses.verdict(nowMillis) : RestartVerdict.START;
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -42,8 +42,11 @@
 
 	private final JobCallbacks jobCallbacks;
 
-	RunTracker(PoolSettings settings, PoolActions actions, JobCallbacks jobCallbacks) {
+	private final CrashLoopGuard crashLoopGuard;
+
+	RunTracker(PoolSettings settings, PoolActions actions, CrashLoopGuard crashLoopGuard, JobCallbacks jobCallbacks) {
 		this.settings = settings;
+		this.crashLoopGuard = crashLoopGuard;
 		this.actions = actions;
 		this.jobCallbacks = jobCallbacks;
 	}
@@ -69,11 +72,14 @@
 	void loseAll(PooledEndpoint endpoint, LossCause cause, long nowMillis) {
 		TerminationKind kind = (cause == LossCause.LEASE_EXPIRED) ? TerminationKind.LAPSED : TerminationKind.LOST;
 		List<Placement> placements = endpoint.placements();
+		// All losses are recorded before any task is restarted, so that none is taken for
+		// a task without losses.
 		placements.forEach((placement) -> {
 			this.actions.runLost(new LostRun(endpoint.entry(), placement.run(), cause,
 					nowMillis - placement.startRequestedMillis(), placements.size() - 1));
-			terminate(placement, kind, nowMillis);
+			this.crashLoopGuard.runLost(placement, cause, placements.size() - 1, nowMillis);
 		});
+		placements.forEach((placement) -> terminate(placement, kind, nowMillis));
 	}
 
 	void startRefused(Placement placement, StartRefusal refusal, long nowMillis) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TaskProgress.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskProgress.java
@@ -1,5 +1,7 @@
 package org.masticwick.core.pool;
 
+import java.util.List;
+
 /**
  * The progress of a task of a durable job as stored in the shared log.
  *
@@ -9,7 +11,16 @@
  * @param lastTerminatedRun the number of the last run whose termination is included
  * @param failureCount the number of failed runs
  * @param checkpoint the newest checkpoint, or an empty string
+ * @param losses the losses of endpoints under the task
  */
 public record TaskProgress(int step, int index, boolean done, int lastTerminatedRun, int failureCount,
-		String checkpoint) {
+		String checkpoint, List<TaskLoss> losses) {
+
+	/**
+	 * Copies the list, so that the record is immutable.
+	 */
+	public TaskProgress {
+		losses = List.copyOf(losses);
+	}
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -20,6 +20,8 @@
 
 	private final JobTable.RunStopper stopper;
 
+	private final CrashLoopGuard crashLoopGuard;
+
 	private final long orphanedRunMaxMillis;
 
 	/**
@@ -31,8 +33,9 @@
 	private RecoveryStatus recoveryStatus = RecoveryStatus.COMPLETE;
 
 	TerminationHandler(JobTable jobs, RunTimeEstimator runTimeEstimator, TaskStarter starter,
-			JobTable.RunStopper stopper, long orphanedRunMaxMillis) {
+			JobTable.RunStopper stopper, CrashLoopGuard crashLoopGuard, long orphanedRunMaxMillis) {
 		this.jobs = jobs;
+		this.crashLoopGuard = crashLoopGuard;
 		this.runTimeEstimator = runTimeEstimator;
 		this.starter = starter;
 		this.stopper = stopper;
@@ -56,7 +59,7 @@
 			gangMemberTerminated(placement, kind, nowMillis);
 		}
 		else if (task.step().traits().longRunning()) {
-			this.jobs.restart(List.of(task), nowMillis);
+			restart(List.of(task), nowMillis);
 		}
 		else {
 			if (kind == TerminationKind.DONE) {
@@ -66,6 +69,56 @@
 		}
 	}
 
+	// Restarts tasks whose previous runs have certainly terminated, unless endpoints were
+	// lost under one of them too often.
+	private void restart(List<PooledTask> tasks, long nowMillis) {
+		RestartVerdict verdict = this.crashLoopGuard.verdict(tasks, nowMillis);
+		if (verdict == RestartVerdict.GIVE_UP) {
+			giveUp(tasks.get(0).job(), nowMillis);
+		}
+		else if (verdict == RestartVerdict.WAIT) {
+			this.crashLoopGuard.hold(tasks, nowMillis);
+		}
+		else {
+			tasks.forEach((task) -> this.crashLoopGuard.reportDecision(task, RestartVerdict.START));
+			this.jobs.restart(tasks, nowMillis);
+		}
+	}
+
+	/**
+	 * Fails a job because a task of it has crashed its endpoints.
+	 * @param job the job
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void giveUp(PooledJob job, long nowMillis) {
+		job.allTasks()
+			.stream()
+			.filter((task) -> task.restartVerdict(nowMillis) == RestartVerdict.GIVE_UP)
+			.forEach((task) -> this.crashLoopGuard.reportDecision(task, RestartVerdict.GIVE_UP));
+		this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "endpoints-crashed"), nowMillis);
+	}
+
+	/**
+	 * Restarts or gives up the tasks that waited until the losses of their endpoints were
+	 * explained.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void decideAfterLosses(long nowMillis) {
+		this.crashLoopGuard.pollDecided(nowMillis)
+			.stream()
+			.filter((task) -> !task.job().isFinished())
+			.forEach((task) -> decideAfterLosses(task, nowMillis));
+	}
+
+	private void decideAfterLosses(PooledTask task, long nowMillis) {
+		if (task.restartVerdict(nowMillis) == RestartVerdict.GIVE_UP) {
+			giveUp(task.job(), nowMillis);
+		}
+		else {
+			restartIfWaiting(task, nowMillis);
+		}
+	}
+
 	private void taskRunTerminated(PooledTask task, TerminationKind kind, long nowMillis) {
 		if (kind == TerminationKind.DONE) {
 			taskDone(task, nowMillis);
@@ -74,7 +127,7 @@
 			this.jobs.finish(task.job(), JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
 		}
 		else {
-			this.jobs.restart(List.of(task), nowMillis);
+			restart(List.of(task), nowMillis);
 		}
 	}
 
@@ -105,7 +158,7 @@
 
 	private void restartGang(List<PooledTask> members, long nowMillis) {
 		if (members.stream().allMatch(PooledTask::isWaiting)) {
-			this.jobs.restart(members, nowMillis);
+			restart(members, nowMillis);
 		}
 	}
 
@@ -119,7 +172,7 @@
 			restartGang(task.job().tasksOfStep(task.id().step()), nowMillis);
 		}
 		else {
-			this.jobs.restart(List.of(task), nowMillis);
+			restart(List.of(task), nowMillis);
 		}
 	}
 
@@ -236,6 +289,7 @@
 	@Override
 	public Placement adopt(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis) {
 		clearUncertain(task);
+		task.setHeld(false);
 		task.job().readyTasks().remove(task);
 		task.job().markStarted();
 		if (task.job().readyTasks().isEmpty()) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/CrashLoopTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/CrashLoopTests.java
@@ -3,8 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -16,34 +19,44 @@
 class CrashLoopTests {
 
 	/** Three crashes, and the two further starts that the platform tolerates. */
-	private static final int MAX_CRASHES_OF_A_TASK = 5;
+	private static final long MAX_CRASHES_OF_A_TASK = 5;
 
-	private static final JobOrigin ORIGIN = new JobOrigin("host-1", 1);
+	private static final int ENDPOINT_COUNT = 12;
 
-	private final RecordedActions actions = new RecordedActions();
+	private static final String DEADLY = "deadly";
 
-	private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), this.actions);
+	private SimulatedOwner owner = new SimulatedOwner(ENDPOINT_COUNT);
 
-	private final SimulatedEndpoints endpoints = new SimulatedEndpoints(this.scheduler, this.actions, 12);
+	@BeforeEach
+	void crashUnderTheFirstTask() {
+		this.owner.endpoints().crashUnder((task) -> task.jobId().equals(DEADLY) && task.index() == 0);
+	}
+
+	private static StepSpec step(int taskCount, StepTraits traits) {
+		return new StepSpec(taskCount, new Resources(27_000, 1, 0), 60, List.of(), "", "", 0, traits);
+	}
 
-	private void submit(String jobId, int taskCount, long budgetMillis) {
-		StepSpec step = new StepSpec(taskCount, new Resources(27_000, 1, 0), 60, List.of(), "", "", 0);
-		this.scheduler.submit(new JobSpec(jobId, "payload", List.of(step)),
-				new JobTerms("queue", "service", 0, 2, 1.6, 60, budgetMillis, 3), ORIGIN, this.endpoints.nowMillis());
+	private static JobSpec job(String jobId, int taskCount) {
+		return new JobSpec(jobId, "payload", List.of(step(taskCount, StepTraits.DEFAULT)));
+	}
+
+	private static JobSpec durableJob(int taskCount, StepTraits traits) {
+		return new JobSpec(DEADLY, "payload", List.of(step(taskCount, traits)), true, JobSchedule.IMMEDIATE);
+	}
+
+	private void changeOwner(LossHistory knowledge) {
+		this.owner = new SimulatedOwner(this.owner.endpoints(), knowledge);
 	}
 
 	private Map<TaskId, Long> crashesByTask() {
-		return this.endpoints.crashingRuns()
+		return this.owner.endpoints()
+			.crashingRuns()
 			.stream()
 			.collect(Collectors.groupingBy(TaskRun::task, Collectors.counting()));
 	}
 
-	private List<JobOutcome.Kind> outcomes(String jobId) {
-		return this.actions.answers()
-			.stream()
-			.filter((answer) -> answer.jobId().equals(jobId))
-			.map((answer) -> answer.outcome().kind())
-			.toList();
+	private void assertCrashesAreBounded() {
+		assertThat(crashesByTask().values()).isNotEmpty().allMatch((crashes) -> crashes <= MAX_CRASHES_OF_A_TASK);
 	}
 
 	@Nested
@@ -53,13 +66,158 @@
 		@ValueSource(booleans = { false, true })
 		void doNotCrashOneEndpointAfterAnother(boolean newIds) {
 			if (newIds) {
-				CrashLoopTests.this.endpoints.changeIdsAfterCrashes();
+				CrashLoopTests.this.owner.endpoints().changeIdsAfterCrashes();
+			}
+			CrashLoopTests.this.owner.submit(job(DEADLY, 6), 60_000);
+			CrashLoopTests.this.owner.play(40_000);
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.outcomes(DEADLY)).containsExactly(JobOutcome.Kind.FAILED);
+		}
+
+		@Test
+		void doNotCrashEndpointsThatNeverReturn() {
+			CrashLoopTests.this.owner.endpoints().neverRestart();
+			CrashLoopTests.this.owner.submit(job(DEADLY, 1), 60_000);
+			CrashLoopTests.this.owner.play(40_000);
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.outcomes(DEADLY)).containsExactly(JobOutcome.Kind.FAILED);
+		}
+
+		/**
+		 * The caller of a job that is answered as uncertain submits it again.
+		 */
+		@Test
+		void doNotStartTheCountAnewWhenTheyAreSubmittedAgain() {
+			IntStream.range(0, 20).forEach((attempt) -> {
+				CrashLoopTests.this.owner.submit(job(DEADLY, 1), 1_500);
+				CrashLoopTests.this.owner.play(3_000);
+			});
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.outcomes(DEADLY)).endsWith(JobOutcome.Kind.FAILED,
+					JobOutcome.Kind.FAILED);
+		}
+
+	}
+
+	@Nested
+	class OwnerChanges {
+
+		@Test
+		void keepTheCountInAHandover() {
+			CrashLoopTests.this.owner.submit(job(DEADLY, 1), 60_000);
+			for (int change = 0; change < 6; change++) {
+				CrashLoopTests.this.owner.play(2_000);
+				PoolTransfer transfer = CrashLoopTests.this.owner.scheduler()
+					.transfer(CrashLoopTests.this.owner.nowMillis());
+				changeOwner(new LossHistory());
+				CrashLoopTests.this.owner.scheduler().adopt(transfer, CrashLoopTests.this.owner.nowMillis());
+			}
+			CrashLoopTests.this.owner.play(20_000);
+			assertCrashesAreBounded();
+		}
+
+		/**
+		 * Each owner is killed 1.6 s after it got the job; the next one knows what the
+		 * killed one has told its peers.
+		 */
+		@Test
+		void keepTheCountWhenOwnersAreLost() {
+			for (int change = 0; change < 12; change++) {
+				CrashLoopTests.this.owner.submit(job(DEADLY, 1), 60_000);
+				CrashLoopTests.this.owner.play(1_600);
+				LossHistory knowledge = new LossHistory();
+				CrashLoopTests.this.owner.lossHistory().all().forEach((loss) -> knowledge.add(loss, 0));
+				changeOwner(knowledge);
+			}
+			assertCrashesAreBounded();
+		}
+
+	}
+
+	@Nested
+	class StoredJobs {
+
+		@Test
+		void failInsteadOfCrashingOneEndpointAfterAnother() {
+			CrashLoopTests.this.owner.submitDurable(durableJob(6, StepTraits.DEFAULT));
+			CrashLoopTests.this.owner.play(40_000);
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.durableJobs().status(DEADLY)).contains(JobStatus.FAILED);
+		}
+
+		/**
+		 * All hosts are lost together, so that the next owner knows only what the log
+		 * has.
+		 */
+		@Test
+		void keepTheCountInTheLog() {
+			JobSpec spec = durableJob(1, StepTraits.DEFAULT);
+			CrashLoopTests.this.owner.submitDurable(spec);
+			for (int change = 0; change < 8; change++) {
+				CrashLoopTests.this.owner.play(1_600);
+				DurableProgress progress = CrashLoopTests.this.owner.durableJobs().progress(DEADLY).orElseThrow();
+				changeOwner(new LossHistory());
+				CrashLoopTests.this.owner.recover(spec, progress);
+			}
+			CrashLoopTests.this.owner.play(20_000);
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.durableJobs().status(DEADLY)).contains(JobStatus.FAILED);
+		}
+
+		@Test
+		void failAsAGangToo() {
+			CrashLoopTests.this.owner.endpoints().runMillis(10_000);
+			CrashLoopTests.this.owner.submitDurable(durableJob(4, new StepTraits(true, false, false, false)));
+			CrashLoopTests.this.owner.play(60_000);
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.durableJobs().status(DEADLY)).contains(JobStatus.FAILED);
+		}
+
+		@Test
+		void failIfALongRunningTaskCrashesItsEndpointsAtTheStart() {
+			CrashLoopTests.this.owner.submitDurable(durableJob(1, new StepTraits(false, true, false, true)));
+			CrashLoopTests.this.owner.play(40_000);
+			assertCrashesAreBounded();
+			assertThat(CrashLoopTests.this.owner.durableJobs().status(DEADLY)).contains(JobStatus.FAILED);
+		}
+
+	}
+
+	@Nested
+	class TasksThatAreNotToBlame {
+
+		@Test
+		void areNotCountedWhenTheirEndpointsAreOnlyUnreachable() {
+			CrashLoopTests.this.owner.endpoints().runMillis(2_500);
+			CrashLoopTests.this.owner.submit(job("long", 1), 120_000);
+			for (int cut = 0; cut < 8; cut++) {
+				CrashLoopTests.this.owner.play(500);
+				String endpointId = lastStart().endpointId();
+				CrashLoopTests.this.owner.endpoints().cut(endpointId);
+				CrashLoopTests.this.owner.play(1_500);
+				CrashLoopTests.this.owner.endpoints().reconnect(endpointId);
 			}
-			CrashLoopTests.this.endpoints.crashUnder((task) -> task.jobId().equals("deadly") && task.index() == 0);
-			submit("deadly", 6, 60_000);
-			CrashLoopTests.this.endpoints.play(40_000);
-			assertThat(crashesByTask().values()).allMatch((crashes) -> crashes <= MAX_CRASHES_OF_A_TASK);
-			assertThat(outcomes("deadly")).containsExactly(JobOutcome.Kind.FAILED);
+			CrashLoopTests.this.owner.play(10_000);
+			assertThat(CrashLoopTests.this.owner.outcomes("long")).containsExactly(JobOutcome.Kind.COMPLETED);
+		}
+
+		@Test
+		void mayOutlastAnyNumberOfCrashesIfTheyRunLong() {
+			CrashLoopTests.this.owner.endpoints().crashUnder((task) -> false);
+			CrashLoopTests.this.owner.endpoints().runMillis(Long.MAX_VALUE / 2);
+			CrashLoopTests.this.owner.submitDurable(durableJob(1, new StepTraits(false, true, false, true)));
+			for (int crash = 0; crash < 8; crash++) {
+				CrashLoopTests.this.owner.play(15_000);
+				CrashLoopTests.this.owner.endpoints().crash(lastStart().endpointId());
+			}
+			CrashLoopTests.this.owner.play(15_000);
+			assertThat(CrashLoopTests.this.owner.durableJobs().status(DEADLY)).contains(JobStatus.RUNNING);
+			assertThat(CrashLoopTests.this.owner.actions().starts()).hasSizeGreaterThan(8);
+		}
+
+		private RecordedActions.Start lastStart() {
+			List<RecordedActions.Start> starts = CrashLoopTests.this.owner.actions().starts();
+			return starts.get(starts.size() - 1);
 		}
 
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -274,7 +274,8 @@
 
 		@Test
 		void startsOnlyTasksThatAreNotDone() {
-			recover(new TaskProgress(0, 0, true, 1, 0, ""), new TaskProgress(0, 1, false, 3, 1, "half"));
+			recover(new TaskProgress(0, 0, true, 1, 0, "", List.of()),
+					new TaskProgress(0, 1, false, 3, 1, "half", List.of()));
 			resumePool();
 			assertThat(starts()).singleElement().satisfies((start) -> {
 				assertThat(start.run()).isEqualTo(new TaskRun(new TaskId("j", 0, 0, 1), 4));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -403,7 +403,7 @@
 			RecordedActions nextActions = new RecordedActions();
 			PoolScheduler next = new PoolScheduler(PoolSettings.defaults(), nextActions);
 			transfer.endpoints().forEach((endpoint) -> next.endpointListed(endpoint, 1_000));
-			next.adopt(transfer.jobs(), 1_000);
+			next.adopt(transfer, 1_000);
 			assertThat(nextActions.starts()).as("the running task is not started again").isEmpty();
 			RecordedActions.Start running = starts.get(1);
 			next.endpointReported(running.endpointId(), new EndpointReport(0, 1, List.of(),
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -400,6 +400,16 @@
 			// The simulation counts only what callers get.
 		}
 
+		@Override
+		public void taskLossChanged(TaskLoss loss) {
+			// The simulation counts only what callers get.
+		}
+
+		@Override
+		public void restartDecided(TaskId task, RestartVerdict verdict, int crashCount, int unexplainedCount) {
+			// The simulation counts only what callers get.
+		}
+
 		@Override
 		public void answer(PooledJob job, JobOutcome outcome) {
 			schedule(MESSAGE_DELAY_MILLIS, () -> answered(job, outcome));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -20,6 +20,10 @@
 
 	private final List<AnsweredJob> answeredJobs = new ArrayList<>();
 
+	private final List<TaskLoss> taskLosses = new ArrayList<>();
+
+	private final List<RestartVerdict> verdicts = new ArrayList<>();
+
 	private final List<LostRun> lostRuns = new ArrayList<>();
 
 	private final List<String> restartedEndpoints = new ArrayList<>();
@@ -60,6 +64,24 @@
 		this.restartedEndpoints.add(endpoint.id());
 	}
 
+	@Override
+	public void taskLossChanged(TaskLoss loss) {
+		this.taskLosses.add(loss);
+	}
+
+	@Override
+	public void restartDecided(TaskId task, RestartVerdict verdict, int crashCount, int unexplainedCount) {
+		this.verdicts.add(verdict);
+	}
+
+	List<TaskLoss> taskLosses() {
+		return this.taskLosses;
+	}
+
+	List<RestartVerdict> verdicts() {
+		return this.verdicts;
+	}
+
 	List<LostRun> lostRuns() {
 		return this.lostRuns;
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedEndpoints.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedEndpoints.java
@@ -34,9 +34,9 @@
 
 	private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
 
-	private final RecordedActions actions;
+	private RecordedActions actions;
 
-	private final PoolScheduler scheduler;
+	private PoolScheduler scheduler;
 
 	private final List<TaskRun> crashingRuns = new ArrayList<>();
 
@@ -44,6 +44,8 @@
 
 	private boolean newIdAfterCrash;
 
+	private long restartMillis = RESTART_MILLIS;
+
 	private long runMillis = 60;
 
 	private int seenStartCount;
@@ -51,14 +53,8 @@
 	private long nowMillis;
 
 	SimulatedEndpoints(PoolScheduler scheduler, RecordedActions actions, int count) {
-		this(scheduler, actions, count, 0);
-	}
-
-	SimulatedEndpoints(PoolScheduler scheduler, RecordedActions actions, int count, long nowMillis) {
 		this.scheduler = scheduler;
 		this.actions = actions;
-		this.nowMillis = nowMillis;
-		this.seenStartCount = actions.starts().size();
 		for (int index = 0; index < count; index++) {
 			Endpoint endpoint = new Endpoint("endpoint-" + index, new HostAddress("10.0.0.1", FIRST_PORT + index),
 					FIRST_START_EPOCH_MILLIS);
@@ -68,6 +64,20 @@
 		step();
 	}
 
+	/**
+	 * Lets another owner take over the endpoints. Runs of the previous one continue until
+	 * the new one stops them.
+	 * @param nextScheduler the scheduler of the new owner
+	 * @param nextActions the decisions of that scheduler
+	 */
+	void changeOwner(PoolScheduler nextScheduler, RecordedActions nextActions) {
+		this.scheduler = nextScheduler;
+		this.actions = nextActions;
+		this.seenStartCount = 0;
+		this.endpoints.values().forEach((endpoint) -> nextScheduler.endpointListed(endpoint.entry(), this.nowMillis));
+		step();
+	}
+
 	/**
 	 * Lets crashed endpoints return under new ids, at their addresses.
 	 */
@@ -75,6 +85,13 @@
 		this.newIdAfterCrash = true;
 	}
 
+	/**
+	 * Lets crashed endpoints stay down.
+	 */
+	void neverRestart() {
+		this.restartMillis = Long.MAX_VALUE / 2;
+	}
+
 	/**
 	 * Sets the tasks that crash the endpoints that start them.
 	 * @param crashingTasks tells which tasks do
@@ -244,7 +261,7 @@
 			this.terminatedRuns.clear();
 			this.terminationCount = 0;
 			this.startedEpochMillis += 1 + now;
-			this.downUntilMillis = now + RESTART_MILLIS;
+			this.downUntilMillis = now + SimulatedEndpoints.this.restartMillis;
 		}
 
 		private void restart() {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -116,6 +116,8 @@
 
 	private final PeerTable peers;
 
+	private final LossExchange lossExchange = new LossExchange();
+
 	private final PoolDirectory directory;
 
 	private final PoolOwnership ownership;
@@ -178,7 +180,9 @@
 		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::applyOperatorRecord);
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
-				log, jobLog, endpointCalls, siteFormat, this.metrics, this, this.memberFollower, settings.firstStart());
+				log, siteFormat, this.metrics, (domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog,
+						domains, this.metrics, this.lossExchange, this),
+				this.memberFollower, settings.firstStart());
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
@@ -213,6 +217,7 @@
 				this.eventLoops);
 		this.router.transport(this.transport);
 		this.reporter.transport(this.transport);
+		this.lossExchange.transport(this.transport);
 		this.jobQueries.transport(this.transport);
 		this.handover.transport(this.transport);
 		this.callerServer.listen(this.settings.callerAddress());
@@ -266,6 +271,7 @@
 		this.peers.pollLostPeers(nowMillis).forEach(this::peerLost);
 		this.ownership.tick();
 		this.handover.tick();
+		this.lossExchange.flush(this.reporter.recipientAddresses());
 		fetchNewerVersion(nowMillis);
 		if (this.stopping) {
 			checkStop(nowMillis);
@@ -384,6 +390,9 @@
 		else if (message instanceof PeerMessage.JobsMoved moved) {
 			this.router.jobsMoved(moved.callNumbers(), from);
 		}
+		else if (message instanceof PeerMessage.TaskLosses losses) {
+			this.lossExchange.apply(losses, Clock.nowMillis());
+		}
 		else if (message instanceof PeerMessage.JobFinished finished) {
 			this.router.jobAnswered(finished.callNumber(), finished.outcome());
 			return CompletableFuture.completedFuture(new PeerMessage.Acknowledged());
@@ -395,6 +404,7 @@
 		long nowMillis = Clock.nowMillis();
 		if (!this.peers.isReachable(from, nowMillis)) {
 			logger.atInfo().addKeyValue("peer", from).log("Peer became reachable");
+			this.directory.localOwner().ifPresent((owner) -> this.lossExchange.sendAll(from));
 		}
 		this.peers.recordReport(from, report, nowMillis);
 		if (!report.recipientReachable()) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -11,6 +11,7 @@
 
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.LossCause;
+import org.masticwick.core.pool.RestartVerdict;
 import org.masticwick.core.pool.StartRefusal;
 
 /**
@@ -62,6 +63,12 @@
 	private final Counter endpointRestarts = counter("masticwick_endpoint_restarts_total",
 			"Restarts of endpoints seen by the owner of their pool");
 
+	private final Counter restartVerdicts = Counter.builder()
+		.name("masticwick_restart_verdicts_total")
+		.help("Decisions on the restart of tasks under which endpoints were lost, by verdict")
+		.labelNames("verdict")
+		.register(this.registry);
+
 	private Counter counter(String name, String help) {
 		return Counter.builder().name(name).help(help).register(this.registry);
 	}
@@ -103,6 +110,10 @@
 		this.endpointRestarts.inc();
 	}
 
+	void restartDecided(RestartVerdict verdict) {
+		this.restartVerdicts.labelValues(verdict.name()).inc();
+	}
+
 	byte[] toText() {
 		try (ByteArrayOutputStream out = new ByteArrayOutputStream()) {
 			new PrometheusTextFormatWriter(false).write(out, this.registry.scrape());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
@@ -96,7 +96,12 @@
 			.forEach((address) -> send(address, currentState, nowMillis));
 	}
 
-	private List<HostAddress> recipientAddresses() {
+	/**
+	 * Returns the peers that get reports: those that may become the owner of a pool of
+	 * this host, and the owners of other pools.
+	 * @return the addresses
+	 */
+	List<HostAddress> recipientAddresses() {
 		return this.recipients.select(this.singleOwnerSite.getAsBoolean(), this.directory.localOwner().isPresent(),
 				this.peers.addresses(), this.peers::member, this.directory.owners());
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -31,7 +31,10 @@
 import org.masticwick.core.pool.PoolSettings;
 import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.PooledJob;
+import org.masticwick.core.pool.RestartVerdict;
 import org.masticwick.core.pool.StartRefusal;
+import org.masticwick.core.pool.TaskId;
+import org.masticwick.core.pool.TaskLoss;
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.core.pool.TerminatedRun;
 import org.masticwick.core.pool.TerminationId;
@@ -88,15 +91,18 @@
 
 	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), System.currentTimeMillis());
 
+	private final LossExchange lossExchange;
+
 	private boolean frozen;
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
-			Listener listener) {
+			LossExchange lossExchange, Listener listener) {
 		this.eventLoop = eventLoop;
 		this.calls = calls;
 		this.metrics = metrics;
 		this.listener = listener;
-		this.scheduler = new PoolScheduler(this.poolSettings, this);
+		this.lossExchange = lossExchange;
+		this.scheduler = new PoolScheduler(this.poolSettings, this, lossExchange.history());
 		this.siteDomainCount = domains.size();
 		this.durableJobs = new DurableJobManager(eventLoop, jobLog, domains, this.scheduler, new DurableJobListener());
 		this.scheduler.recoveryStatus(this.durableJobs);
@@ -171,7 +177,7 @@
 	 * @param transfer the jobs and endpoints that it handed over
 	 */
 	void adopt(PoolTransfer transfer) {
-		this.scheduler.adopt(transfer.jobs(), Clock.nowMillis());
+		this.scheduler.adopt(transfer, Clock.nowMillis());
 	}
 
 	int jobCount() {
@@ -536,6 +542,32 @@
 			.log("Endpoint restarted; all its runs are lost");
 	}
 
+	@Override
+	public void taskLossChanged(TaskLoss loss) {
+		logger.atInfo()
+			.addKeyValue("job", loss.run().task().jobId())
+			.addKeyValue("task", loss.run())
+			.addKeyValue("endpoint", loss.endpoint().endpointId())
+			.addKeyValue("address", loss.endpoint().address())
+			.addKeyValue("state", loss.state())
+			.addKeyValue("attributable", loss.attributable())
+			.log("Loss of an endpoint counted against a task");
+		this.lossExchange.record(loss);
+		this.durableJobs.jobs().taskLossChanged(loss, DurableJobManager.now());
+	}
+
+	@Override
+	public void restartDecided(TaskId task, RestartVerdict verdict, int crashCount, int unexplainedCount) {
+		this.metrics.restartDecided(verdict);
+		logger.atInfo()
+			.addKeyValue("job", task.jobId())
+			.addKeyValue("task", task)
+			.addKeyValue("verdict", verdict)
+			.addKeyValue("crashes", crashCount)
+			.addKeyValue("unexplained", unexplainedCount)
+			.log("Restart of a task decided after endpoints were lost under it");
+	}
+
 	private static CallException asCallException(Throwable error) {
 		Throwable cause = CallException.unwrap(error);
 		if (cause instanceof CallException call) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -21,8 +22,6 @@
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.CallException;
-import org.masticwick.fleet.connection.EndpointCalls;
-import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
@@ -79,10 +78,6 @@
 
 	private final SharedLog log;
 
-	private final JobLog jobLog;
-
-	private final EndpointCalls calls;
-
 	private final SiteFormat format;
 
 	private final FleetMetrics metrics;
@@ -95,7 +90,7 @@
 
 	private final Map<String, Long> ownerUnreachableSinceMillis = new HashMap<>();
 
-	private final PoolOwner.Listener ownerListener;
+	private final Function<List<String>, PoolOwner> ownerFactory;
 
 	private final TopicFollower memberFollower;
 
@@ -115,8 +110,8 @@
 	private boolean stopping;
 
 	PoolOwnership(EventLoop eventLoop, MemberRecord self, Collection<String> domains, PeerTable peers,
-			PoolDirectory directory, SharedLog log, JobLog jobLog, EndpointCalls calls, SiteFormat format,
-			FleetMetrics metrics, PoolOwner.Listener ownerListener, TopicFollower memberFollower, boolean firstStart) {
+			PoolDirectory directory, SharedLog log, SiteFormat format, FleetMetrics metrics,
+			Function<List<String>, PoolOwner> ownerFactory, TopicFollower memberFollower, boolean firstStart) {
 		this.eventLoop = eventLoop;
 		this.self = self;
 		this.domains = new TreeSet<>(domains);
@@ -124,12 +119,10 @@
 		this.peers = peers;
 		this.directory = directory;
 		this.log = log;
-		this.jobLog = jobLog;
-		this.calls = calls;
 		this.format = format;
 		this.metrics = metrics;
 		this.rule = new ClaimRule(self);
-		this.ownerListener = ownerListener;
+		this.ownerFactory = ownerFactory;
 		this.memberFollower = memberFollower;
 		this.firstStart = firstStart;
 	}
@@ -337,8 +330,7 @@
 
 	private void assumeOwnership(PoolClaim claim) {
 		Optional<PoolOwner> existingOwner = this.directory.localOwner();
-		PoolOwner owner = existingOwner.orElseGet(() -> new PoolOwner(this.eventLoop, this.calls, this.jobLog,
-				List.copyOf(this.domains), this.metrics, this.ownerListener));
+		PoolOwner owner = existingOwner.orElseGet(() -> this.ownerFactory.apply(List.copyOf(this.domains)));
 		owner.addPool(claim);
 		this.directory.setLocalOwner(owner);
 		this.endpoints.values().forEach(owner::endpointListed);
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -12,6 +12,7 @@
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolTransfer;
+import org.masticwick.core.pool.TaskLoss;
 import org.masticwick.core.pool.TerminatedRun;
 import org.masticwick.core.pool.TerminationId;
 import org.masticwick.core.process.EntryHost;
@@ -400,4 +401,21 @@
 	record JobQueryAnswer(boolean complete, List<JobStatus> status, int waitingJobCount) implements PeerMessage {
 	}
 
+	/**
+	 * Tells under which tasks endpoints of the sender were lost, and what has become
+	 * known of those endpoints.
+	 *
+	 * @param losses the losses
+	 */
+	record TaskLosses(List<TaskLoss> losses) implements PeerMessage {
+
+		/**
+		 * Copies the list, so that the record is immutable.
+		 */
+		public TaskLosses {
+			losses = List.copyOf(losses);
+		}
+
+	}
+
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -66,7 +66,9 @@
 
 	FETCH_VERSION(25, PeerMessage.FetchVersion.class, PoolMessageTypes.FETCH_VERSION),
 
-	STRAY_END(26, PeerMessage.StrayEnd.class, PoolMessageTypes.STRAY_END);
+	STRAY_END(26, PeerMessage.StrayEnd.class, PoolMessageTypes.STRAY_END),
+
+	TASK_LOSSES(28, PeerMessage.TaskLosses.class, PoolMessageTypes.TASK_LOSSES);
 
 	/** The size limit of messages of a kind without a limit of its own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -7,6 +7,7 @@
 import org.masticwick.core.pool.DurableProgress;
 import org.masticwick.core.pool.DurableState;
 import org.masticwick.core.pool.EndpointEntry;
+import org.masticwick.core.pool.EndpointIncarnation;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSchedule;
@@ -22,6 +23,7 @@
 import org.masticwick.core.pool.StepSpec;
 import org.masticwick.core.pool.StepTraits;
 import org.masticwick.core.pool.TaskId;
+import org.masticwick.core.pool.TaskLoss;
 import org.masticwick.core.pool.TaskProgress;
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.core.pool.TaskTransfer;
@@ -156,6 +158,26 @@
 			RecordType.optional(BasicTypes.INT, TaskId::step, 0),
 			RecordType.optional(BasicTypes.INT, TaskId::index, 0));
 
+	private static final RecordType<TaskRun> TASK_RUN = new RecordType<>(
+			(values) -> new TaskRun(values.get(0), values.get(1)), RecordType.required(TASK_ID, TaskRun::task),
+			RecordType.required(BasicTypes.INT, TaskRun::number));
+
+	private static final RecordType<EndpointIncarnation> ENDPOINT_INCARNATION = new RecordType<>(
+			(values) -> new EndpointIncarnation(values.get(0), HostAddress.parse(values.get(1)), values.get(2)),
+			RecordType.required(BasicTypes.TEXT, EndpointIncarnation::endpointId),
+			RecordType.required(BasicTypes.TEXT, (incarnation) -> incarnation.address().toString()),
+			RecordType.required(BasicTypes.LONG, EndpointIncarnation::startedEpochMillis));
+
+	private static final RecordType<TaskLoss> TASK_LOSS = new RecordType<>(
+			(values) -> new TaskLoss(values.get(0), values.get(1), values.get(2), values.get(3)),
+			RecordType.required(TASK_RUN, TaskLoss::run), RecordType.required(ENDPOINT_INCARNATION, TaskLoss::endpoint),
+			RecordType.required(BasicTypes.enumeration(TaskLoss.State.values()), TaskLoss::state),
+			RecordType.optional(BasicTypes.BOOLEAN, TaskLoss::attributable, false));
+
+	static final RecordType<PeerMessage.TaskLosses> TASK_LOSSES = new RecordType<>(
+			(values) -> new PeerMessage.TaskLosses(values.get(0)),
+			RecordType.required(BasicTypes.list(TASK_LOSS), PeerMessage.TaskLosses::losses));
+
 	private static final RecordType<TaskTransfer> TASK_TRANSFER = new RecordType<>(
 			(values) -> new TaskTransfer(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
 					values.get(5), values.get(6)),
@@ -192,9 +214,10 @@
 			RecordType.optional(BasicTypes.LONG, EndpointEntry::startedEpochMillis, 0L));
 
 	private static final RecordType<PoolTransfer> POOL_TRANSFER = new RecordType<>(
-			(values) -> new PoolTransfer(values.get(0), values.get(1)),
+			(values) -> new PoolTransfer(values.get(0), values.get(1), values.get(2)),
 			RecordType.required(BasicTypes.list(ENDPOINT_ENTRY), PoolTransfer::endpoints),
-			RecordType.required(BasicTypes.list(JOB_TRANSFER), PoolTransfer::jobs));
+			RecordType.required(BasicTypes.list(JOB_TRANSFER), PoolTransfer::jobs),
+			RecordType.optional(BasicTypes.list(TASK_LOSS), PoolTransfer::losses, List.of()));
 
 	static final RecordType<PeerMessage.HandOverPools> HAND_OVER_POOLS = new RecordType<>(
 			(values) -> new PeerMessage.HandOverPools(values.get(0), values.get(1), values.get(2)),
@@ -217,10 +240,6 @@
 			RecordType.required(BasicTypes.LONG, TerminationId::startedEpochMillis),
 			RecordType.required(BasicTypes.LONG, TerminationId::number));
 
-	private static final RecordType<TaskRun> TASK_RUN = new RecordType<>(
-			(values) -> new TaskRun(values.get(0), values.get(1)), RecordType.required(TASK_ID, TaskRun::task),
-			RecordType.required(BasicTypes.INT, TaskRun::number));
-
 	private static final RecordType<TerminatedRun> TERMINATED_RUN = new RecordType<>(
 			(values) -> new TerminatedRun(values.get(0), values.get(1), values.get(2), values.get(3)),
 			RecordType.required(BasicTypes.LONG, TerminatedRun::number),
@@ -263,13 +282,14 @@
 
 	private static final RecordType<TaskProgress> TASK_PROGRESS = new RecordType<>(
 			(values) -> new TaskProgress(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
-					values.get(5)),
+					values.get(5), values.get(6)),
 			RecordType.optional(BasicTypes.INT, TaskProgress::step, 0),
 			RecordType.optional(BasicTypes.INT, TaskProgress::index, 0),
 			RecordType.optional(BasicTypes.BOOLEAN, TaskProgress::done, false),
 			RecordType.optional(BasicTypes.INT, TaskProgress::lastTerminatedRun, 1),
 			RecordType.optional(BasicTypes.INT, TaskProgress::failureCount, 0),
-			RecordType.optional(BasicTypes.TEXT, TaskProgress::checkpoint, ""));
+			RecordType.optional(BasicTypes.TEXT, TaskProgress::checkpoint, ""),
+			RecordType.optional(BasicTypes.list(TASK_LOSS), TaskProgress::losses, List.of()));
 
 	private static final RecordType<OccurrenceProgress> OCCURRENCE_PROGRESS = new RecordType<>(
 			(values) -> new OccurrenceProgress(values.get(0), values.get(1), values.get(2)),
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -10,6 +10,7 @@
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.connection.ServiceLoad;
 import org.masticwick.core.pool.EndpointEntry;
+import org.masticwick.core.pool.EndpointIncarnation;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSchedule;
@@ -24,6 +25,7 @@
 import org.masticwick.core.pool.StepSpec;
 import org.masticwick.core.pool.StepTraits;
 import org.masticwick.core.pool.TaskId;
+import org.masticwick.core.pool.TaskLoss;
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.core.pool.TaskTransfer;
 import org.masticwick.core.pool.TerminatedRun;
@@ -100,6 +102,8 @@
 				true, new Resources(64_000, 1_024, 0), Set.of("kind-a"), 5);
 		JobTransfer jobTransfer = new JobTransfer(jobSpec, jobTerms, new JobOrigin("10.0.0.1:7", 9), 120,
 				List.of(taskTransfer));
+		TaskLoss taskLoss = new TaskLoss(new TaskRun(new TaskId("5c0e7a21d94b36f8", 0, 1, 7), 2),
+				new EndpointIncarnation("e-1", new HostAddress("10.0.0.1", 80), 5), TaskLoss.State.CRASHED, true);
 		return Stream.of(
 				new PeerMessage.HostReport(7, true, List.of(poolReport), List.of("hobart"), true, false, 375, false),
 				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true, 125, true),
@@ -108,7 +112,8 @@
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
 				new PeerMessage.CancelJob("hobart", 3, "5c0e7a21d94b36f8"), new PeerMessage.PublishedVersion(7, BYTES),
 				new PeerMessage.HandOverPools(List.of("hobart"),
-						new PoolTransfer(List.of(endpointEntry), List.of(jobTransfer)), 3),
+						new PoolTransfer(List.of(endpointEntry), List.of(jobTransfer), List.of(taskLoss)), 3),
+				new PeerMessage.TaskLosses(List.of(taskLoss)), new PeerMessage.TaskLosses(List.of()),
 				new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
 				new PeerMessage.Acknowledged(), new PeerMessage.FetchVersion(), new PeerMessage.ConfirmHandOver(3),
