--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointSelector.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointSelector.java
@@ -20,6 +20,19 @@
 	 */
 	private static final double FAR_FROM_DATA_MILLICORES = 1_000_000;
 
+	/**
+	 * The cost of sharing the endpoint with a task under which endpoints were lost, in
+	 * thousandths of a core of remaining capacity; above all other costs, as all runs on
+	 * an endpoint are lost with it.
+	 */
+	private static final double SUSPECT_MILLICORES = 3_000_000;
+
+	/**
+	 * The cost of other runs for such a task, in thousandths of a core of remaining
+	 * capacity.
+	 */
+	private static final double COMPANY_MILLICORES = 2_000_000;
+
 	private final long responseTimeoutMillis;
 
 	EndpointSelector(long responseTimeoutMillis) {
@@ -34,11 +47,13 @@
 	 * @return the endpoint, or empty if the task has to wait
 	 */
 	Optional<PooledEndpoint> select(PooledTask task, Collection<PooledEndpoint> endpoints, long nowMillis) {
+		Isolation isolation = task.isolation(nowMillis);
 		PooledEndpoint best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (PooledEndpoint endpoint : endpoints) {
-			if (endpoint.free().fits(task.step().reserved()) && isEligible(endpoint, task, nowMillis)) {
-				double cost = cost(endpoint, task.step());
+			if (endpoint.free().fits(task.step().reserved()) && isEligible(endpoint, task, nowMillis)
+					&& (isolation != Isolation.REQUIRED || endpoint.isIdle())) {
+				double cost = cost(endpoint, task.step()) + companyCost(endpoint, isolation);
 				if (cost < bestCost) {
 					best = endpoint;
 					bestCost = cost;
@@ -72,6 +87,13 @@
 		return label.isEmpty() || entry.labels().contains(label);
 	}
 
+	private static double companyCost(PooledEndpoint endpoint, Isolation isolation) {
+		if (endpoint.hasSuspect()) {
+			return SUSPECT_MILLICORES;
+		}
+		return (isolation != Isolation.NONE && !endpoint.isIdle()) ? COMPANY_MILLICORES : 0;
+	}
+
 	private static double cost(PooledEndpoint endpoint, StepSpec step) {
 		double remainingMillicores = endpoint.free().cpuMillicores() - step.reserved().cpuMillicores();
 		double slownessMillicores = SLOWNESS_MILLICORES * endpoint.health().slowness();
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -18,6 +18,8 @@
 
 	private final long endpointStartedEpochMillis;
 
+	private final Isolation isolation;
+
 	private long acceptedMillis = -1;
 
 	private int progressPercent;
@@ -39,6 +41,7 @@
 		this.startRequestedMillis = startRequestedMillis;
 		this.expectedMillis = expectedMillis;
 		this.endpointStartedEpochMillis = endpoint.startedEpochMillis();
+		this.isolation = task.isolation(startRequestedMillis);
 	}
 
 	PooledTask task() {
@@ -70,6 +73,14 @@
 		return this.endpointStartedEpochMillis;
 	}
 
+	/**
+	 * Returns how far the run is kept apart from others.
+	 * @return the isolation when it was started
+	 */
+	Isolation isolation() {
+		return this.isolation;
+	}
+
 	boolean isAccepted() {
 		return this.acceptedMillis >= 0;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PlacementFailures.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PlacementFailures.java
@@ -42,15 +42,21 @@
 				|| this.failures.stream().anyMatch((failure) -> failure.covers(task));
 	}
 
-	void add(PooledTask task) {
-		this.failures.add(new Failure(task.job().terms().service(), task.step()));
+	/**
+	 * Adds a task that could not be placed.
+	 * @param task the task
+	 * @param isolated whether it would not share an endpoint, so that others may find
+	 * room where it did not
+	 */
+	void add(PooledTask task, boolean isolated) {
+		this.failures.add(new Failure(task.job().terms().service(), task.step(), isolated));
 	}
 
 	int count() {
 		return this.failures.size();
 	}
 
-	private record Failure(String service, StepSpec step) {
+	private record Failure(String service, StepSpec step, boolean isolated) {
 
 		private boolean covers(PooledTask task) {
 			StepSpec other = task.step();
@@ -59,10 +65,10 @@
 					&& other.reserved().fits(this.step.reserved());
 		}
 
-		// A failure because of a limit per endpoint or of traits does not apply to other
-		// tasks.
+		// A failure because of a limit per endpoint, of traits or of isolation does not
+		// apply to other tasks.
 		private boolean appliesToOtherTasks() {
-			return this.step.maxPerEndpoint() == 0 && this.step.traits().equals(StepTraits.DEFAULT);
+			return !this.isolated && this.step.maxPerEndpoint() == 0 && this.step.traits().equals(StepTraits.DEFAULT);
 		}
 
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -17,6 +17,12 @@
 	 */
 	private static final double MAX_DRIFT = 0.03;
 
+	/**
+	 * How long after its start an isolated run keeps others off, in milliseconds; a task
+	 * that crashes its endpoint does so soon.
+	 */
+	private static final long ISOLATED_START_MILLIS = 1_000;
+
 	private final Map<TaskRun, Placement> placements = new LinkedHashMap<>();
 
 	private final EndpointHealth health = new EndpointHealth();
@@ -35,6 +41,12 @@
 
 	private TerminationTracker terminations = new TerminationTracker();
 
+	private Placement isolatedPlacement;
+
+	private int reservationCount;
+
+	private int suspectCount;
+
 	private int servingCount;
 
 	private int backfillCount;
@@ -168,26 +180,55 @@
 	void add(Placement placement) {
 		this.placements.put(placement.run(), placement);
 		reserve(placement.task().step());
+		this.suspectCount += (placement.isolation() != Isolation.NONE) ? 1 : 0;
+		if (placement.isolation() == Isolation.REQUIRED) {
+			this.isolatedPlacement = placement;
+		}
 	}
 
 	void remove(Placement placement) {
 		if (this.placements.remove(placement.run()) != null) {
 			release(placement.task().step());
+			this.suspectCount -= (placement.isolation() != Isolation.NONE) ? 1 : 0;
+			this.isolatedPlacement = (this.isolatedPlacement == placement) ? null : this.isolatedPlacement;
 		}
 	}
 
+	/**
+	 * Returns whether the endpoint has no run and none is about to be placed here.
+	 * @return whether it is idle
+	 */
+	boolean isIdle() {
+		return this.reservationCount == 0;
+	}
+
+	/**
+	 * Returns whether a run is here under whose task endpoints were lost before.
+	 * @return whether there is one
+	 */
+	boolean hasSuspect() {
+		return this.suspectCount > 0;
+	}
+
+	private boolean isIsolated(long nowMillis) {
+		return this.isolatedPlacement != null
+				&& nowMillis - this.isolatedPlacement.startRequestedMillis() < ISOLATED_START_MILLIS;
+	}
+
 	/**
 	 * Reserves the resources for a task of a step.
 	 * @param step the step
 	 */
 	void reserve(StepSpec step) {
 		this.used = this.used.plus(step.reserved());
+		this.reservationCount++;
 		this.servingCount += step.traits().serving() ? 1 : 0;
 		this.backfillCount += step.traits().backfill() ? 1 : 0;
 	}
 
 	void release(StepSpec step) {
 		this.used = this.used.minus(step.reserved());
+		this.reservationCount--;
 		this.servingCount -= step.traits().serving() ? 1 : 0;
 		this.backfillCount -= step.traits().backfill() ? 1 : 0;
 	}
@@ -211,7 +252,7 @@
 	 */
 	boolean acceptsTasks(long nowMillis, long responseTimeoutMillis) {
 		return this.listed && this.entry.ready() && this.orphanedRunCount == 0 && nowMillis >= this.pausedUntilMillis
-				&& nowMillis - this.lastContactMillis <= responseTimeoutMillis
+				&& nowMillis - this.lastContactMillis <= responseTimeoutMillis && !isIsolated(nowMillis)
 				&& this.health.acceptsTask(this.placements.size(), nowMillis);
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -8,6 +8,12 @@
  */
 final class PooledTask {
 
+	/**
+	 * How long a task waits for an endpoint without other runs, in milliseconds; about
+	 * the time in which one of the endpoints becomes idle.
+	 */
+	private static final long MAX_ISOLATION_WAIT_MILLIS = 1_000;
+
 	private final PooledJob job;
 
 	private final TaskId id;
@@ -32,6 +38,8 @@
 
 	private boolean held;
 
+	private long waitingSinceMillis;
+
 	private TaskLosses losses;
 
 	private Placement placement;
@@ -209,6 +217,26 @@
 		return (this.losses != null) ? this.losses.verdict(nowMillis) : RestartVerdict.START;
 	}
 
+	/**
+	 * Records that the task is ready to be restarted.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void restartReady(long nowMillis) {
+		this.waitingSinceMillis = nowMillis;
+	}
+
+	/**
+	 * Returns how far the next run is kept apart from others. A task that has waited long
+	 * enough for an endpoint of its own shares one.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the isolation
+	 */
+	Isolation isolation(long nowMillis) {
+		Isolation isolation = (this.losses != null) ? this.losses.isolation() : Isolation.NONE;
+		boolean waitedLong = nowMillis - this.waitingSinceMillis > MAX_ISOLATION_WAIT_MILLIS;
+		return (isolation == Isolation.REQUIRED && waitedLong) ? Isolation.PREFERRED : isolation;
+	}
+
 	/**
 	 * Sets whether a run may continue on an endpoint of another owner.
 	 * @param nowPossiblyRunning whether a run may continue there
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TaskLosses.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskLosses.java
@@ -90,6 +90,18 @@
 		return waiting ? RestartVerdict.WAIT : RestartVerdict.START;
 	}
 
+	/**
+	 * Returns how far the task is kept apart from others.
+	 * @return the isolation of its next run
+	 */
+	Isolation isolation() {
+		int count = count();
+		if (count == 0) {
+			return Isolation.NONE;
+		}
+		return (count < MAX_CRASHES) ? Isolation.PREFERRED : Isolation.REQUIRED;
+	}
+
 	private record Key(int runNumber, EndpointIncarnation endpoint) {
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
@@ -40,7 +40,7 @@
 			boolean placed = task.step().traits().gang() ? startGang(job, task.id().step(), nowMillis)
 					: startOne(task, nowMillis);
 			if (!placed) {
-				failures.add(task);
+				failures.add(task, task.isolation(nowMillis) == Isolation.REQUIRED);
 				return started;
 			}
 			started = true;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -80,7 +80,10 @@
 			this.crashLoopGuard.hold(tasks, nowMillis);
 		}
 		else {
-			tasks.forEach((task) -> this.crashLoopGuard.reportDecision(task, RestartVerdict.START));
+			tasks.forEach((task) -> {
+				task.restartReady(nowMillis);
+				this.crashLoopGuard.reportDecision(task, RestartVerdict.START);
+			});
 			this.jobs.restart(tasks, nowMillis);
 		}
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/CrashLoopTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/CrashLoopTests.java
@@ -1,5 +1,6 @@
 package org.masticwick.core.pool;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -186,6 +187,22 @@
 	@Nested
 	class TasksThatAreNotToBlame {
 
+		private static final int JOB_COUNT = 40;
+
+		@Test
+		void completeBesideThoseThatCrashEndpoints() {
+			List<String> jobIds = IntStream.range(0, JOB_COUNT).mapToObj((index) -> "job-" + index).toList();
+			CrashLoopTests.this.owner.submit(job(DEADLY, 1), 60_000);
+			jobIds.forEach((jobId) -> {
+				CrashLoopTests.this.owner.submit(job(jobId, 2), 20_000);
+				CrashLoopTests.this.owner.play(100);
+			});
+			CrashLoopTests.this.owner.play(20_000);
+			Map<String, List<JobOutcome.Kind>> outcomes = new HashMap<>();
+			jobIds.forEach((jobId) -> outcomes.put(jobId, CrashLoopTests.this.owner.outcomes(jobId)));
+			assertThat(outcomes.values()).allMatch(List.of(JobOutcome.Kind.COMPLETED)::equals);
+		}
+
 		@Test
 		void areNotCountedWhenTheirEndpointsAreOnlyUnreachable() {
 			CrashLoopTests.this.owner.endpoints().runMillis(2_500);
@@ -222,4 +239,48 @@
 
 	}
 
+	@Nested
+	class SuspectedTasks {
+
+		/**
+		 * Under load each endpoint has two runs, so that the first two crashes hit others
+		 * too.
+		 */
+		@Test
+		void runAloneAfterTwoLosses() {
+			CrashLoopTests.this.owner.submit(job(DEADLY, 1), 60_000);
+			for (int index = 0; index < 600; index++) {
+				CrashLoopTests.this.owner.submit(job("load-" + index, 8), 20_000);
+				CrashLoopTests.this.owner.play(20);
+			}
+			CrashLoopTests.this.owner.play(10_000);
+			List<LostRun> lostRuns = CrashLoopTests.this.owner.actions()
+				.lostRuns()
+				.stream()
+				.filter((lostRun) -> lostRun.run().task().jobId().equals(DEADLY))
+				.toList();
+			assertThat(lostRuns).hasSizeBetween(2, 4);
+			assertThat(lostRuns.subList(2, lostRuns.size())).allMatch((lostRun) -> lostRun.otherRunCount() == 0);
+			assertCrashesAreBounded();
+		}
+
+		/**
+		 * Tasks that are lost together are restarted together, and best fit would place
+		 * them on one endpoint again.
+		 */
+		@Test
+		void areNotRestartedOnTheSameEndpoint() {
+			CrashLoopTests.this.owner.endpoints().runMillis(2_000);
+			CrashLoopTests.this.owner.endpoints().crashUnder((task) -> false);
+			CrashLoopTests.this.owner.submit(job("pair", 2), 60_000);
+			CrashLoopTests.this.owner.play(100);
+			List<RecordedActions.Start> starts = CrashLoopTests.this.owner.actions().starts();
+			assertThat(starts).extracting(RecordedActions.Start::endpointId).containsOnly(starts.get(0).endpointId());
+			CrashLoopTests.this.owner.endpoints().crash(starts.get(0).endpointId());
+			CrashLoopTests.this.owner.play(1_500);
+			assertThat(starts.subList(2, 4)).extracting(RecordedActions.Start::endpointId).doesNotHaveDuplicates();
+		}
+
+	}
+
 }
