--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -581,6 +581,7 @@
 				FleetHost.this.endpointFollower.setPollPolicy(settled ? STANDBY_ENDPOINT_PACE : STARTING_ENDPOINT_PACE);
 			}
 			this.loadedCount = keys.size();
+			FleetHost.this.directory.localOwner().ifPresent(PoolOwner::endpointsLoaded);
 		}
 
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -67,6 +67,12 @@
 	 */
 	private static final long UNRESOLVED_RETRY_MILLIS = 100;
 
+	/**
+	 * How long a new owner waits for the endpoint list before it starts tasks with what
+	 * it knew as a standby. The log answers in a fraction of it, also when it is slow.
+	 */
+	private static final long MAX_ENDPOINT_LOAD_MILLIS = 400;
+
 	private final EventLoop eventLoop;
 
 	private final EndpointCalls calls;
@@ -93,6 +99,8 @@
 
 	private final LossExchange lossExchange;
 
+	private long endpointsAwaitedUntilMillis = Clock.nowMillis() + MAX_ENDPOINT_LOAD_MILLIS;
+
 	private boolean frozen;
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
@@ -258,7 +266,19 @@
 		this.scheduler.endpointUnlisted(endpointId, Clock.nowMillis());
 	}
 
+	/**
+	 * Records that the endpoint list was loaded from the log. Until then capacities may
+	 * have shrunk, and endpoints may be leaving, without this owner's knowledge.
+	 */
+	void endpointsLoaded() {
+		this.endpointsAwaitedUntilMillis = Long.MIN_VALUE / 2;
+	}
+
 	private boolean isStartDelayed(long nowMillis) {
+		return nowMillis < this.endpointsAwaitedUntilMillis || mayHaveBeenPaused(nowMillis);
+	}
+
+	private boolean mayHaveBeenPaused(long nowMillis) {
 		return this.pauseGuard.delaysStarts(nowMillis, System.currentTimeMillis());
 	}
 
@@ -268,7 +288,7 @@
 	 * @param peerAddress the peer address of the host
 	 */
 	void reportsMissedBy(String peerAddress) {
-		if (isStartDelayed(Clock.nowMillis())) {
+		if (mayHaveBeenPaused(Clock.nowMillis())) {
 			entryHostLost(peerAddress);
 		}
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -335,6 +335,27 @@
 			assertThat(FleetHostTests.this.site.endpoints().concurrentlyRunTasks()).isEmpty();
 		}
 
+		/**
+		 * A standby reads the endpoint list rarely, and its capacities may be out of date
+		 * when it assumes ownership.
+		 */
+		@Test
+		void anotherHostExceedsNoCapacityThatHasShrunk() {
+			FleetHostTests.this.site.listEndpoint("e1", "d1", 8_000);
+			FleetHostTests.this.site.start("host-1", "d1");
+			awaitReady("host-1");
+			FleetHostTests.this.site.start("host-2", "d1");
+			awaitReady("host-2");
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.until(() -> FleetHostTests.this.site.log().endpointLoadCount("host-2") >= 2);
+			FleetHostTests.this.site.log().delayEndpointLoads("host-2", 250);
+			FleetHostTests.this.site.listEndpoint("e1", "d1", 1_000);
+			FleetHostTests.this.site.kill("host-1");
+			awaitCompletedJob("host-2", "after-");
+			assertThat(FleetHostTests.this.site.endpoints().maxRunningCount("e1")).isEqualTo(1);
+		}
+
 		@Test
 		void poolsHaveASingleOwnerAgainAfterTheLogReturns() {
 			startAll();
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -39,7 +39,8 @@
 
 /**
  * Entry hosts on loopback with an in-memory log and in-memory endpoints. The content of a
- * version is its number; that of an endpoint its failure domain and whether it is ready.
+ * version is its number; that of an endpoint its failure domain, whether it is ready, and
+ * its capacity if that differs from the usual one.
  */
 final class FleetSite implements AutoCloseable {
 
@@ -87,6 +88,10 @@
 		this.log.append(SharedTopic.ENDPOINTS, List.of(record(id, domain + "," + ready)));
 	}
 
+	void listEndpoint(String id, String domain, long cpuMillicores) {
+		this.log.append(SharedTopic.ENDPOINTS, List.of(record(id, domain + ",true," + cpuMillicores)));
+	}
+
 	static NewRecord record(String key, String value) {
 		return new NewRecord(key, value.getBytes(StandardCharsets.UTF_8));
 	}
@@ -193,11 +198,12 @@
 		@Override
 		public EndpointEntry readEndpoint(String endpointId, byte[] content) {
 			String[] parts = new String(content, StandardCharsets.UTF_8).split(",");
-			if (parts.length != 2) {
+			if (parts.length < 2) {
 				throw new InvalidRecordException("Endpoint has not two fields");
 			}
+			long cpuMillicores = (parts.length > 2) ? Long.parseLong(parts[2]) : 8_000;
 			return new EndpointEntry(endpointId, "service", new HostAddress(IP, 9), parts[0],
-					Boolean.parseBoolean(parts[1]), new Resources(8_000, 100, 0), Set.of(), 1);
+					Boolean.parseBoolean(parts[1]), new Resources(cpuMillicores, 100, 0), Set.of(), 1);
 		}
 
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
@@ -43,6 +43,8 @@
 
 	private final Map<String, Integer> renewalCounts = new HashMap<>();
 
+	private final Map<String, Integer> maxRunningCounts = new HashMap<>();
+
 	private int startCount;
 
 	InMemoryEndpoints(long runMillis) {
@@ -75,6 +77,15 @@
 		return this.renewalCounts.getOrDefault(endpointId, 0);
 	}
 
+	/**
+	 * Returns how many tasks were running on an endpoint at most.
+	 * @param endpointId the id of the endpoint
+	 * @return the highest number at any time
+	 */
+	synchronized int maxRunningCount(String endpointId) {
+		return this.maxRunningCounts.getOrDefault(endpointId, 0);
+	}
+
 	synchronized int startCount() {
 		return this.startCount;
 	}
@@ -110,6 +121,7 @@
 		endpoint.leaseEndMillis = Math.max(endpoint.leaseEndMillis, leaseEndMillis);
 		if (endpoint.startMillisByRun.putIfAbsent(run, nowMillis()) == null) {
 			this.startCount++;
+			this.maxRunningCounts.merge(entry.id(), endpoint.startMillisByRun.size(), Math::max);
 			if (this.doneTasks.contains(run.task())) {
 				this.restartedTasks.add(run.task());
 			}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
@@ -36,6 +36,10 @@
 
 	private final Map<String, Long> appendDelaysMillis = new ConcurrentHashMap<>();
 
+	private final Map<String, Long> endpointLoadDelaysMillis = new ConcurrentHashMap<>();
+
+	private final Map<String, Integer> endpointLoadCounts = new ConcurrentHashMap<>();
+
 	private final Set<String> unreachableFrom = ConcurrentHashMap.newKeySet();
 
 	InMemoryLog() {
@@ -57,6 +61,19 @@
 		this.appendDelaysMillis.put(hostName, delayMillis);
 	}
 
+	/**
+	 * Delays the loads of the endpoint list by a host.
+	 * @param hostName the name of the host
+	 * @param delayMillis the delay in milliseconds
+	 */
+	void delayEndpointLoads(String hostName, long delayMillis) {
+		this.endpointLoadDelaysMillis.put(hostName, delayMillis);
+	}
+
+	int endpointLoadCount(String hostName) {
+		return this.endpointLoadCounts.getOrDefault(hostName, 0);
+	}
+
 	void reconnect(String hostName) {
 		this.unreachableFrom.remove(hostName);
 	}
@@ -188,7 +205,12 @@
 
 		@Override
 		public CompletableFuture<LogPage> readLatest(SharedTopic topic, String afterKey) {
-			return answer(() -> InMemoryLog.this.newest(topic));
+			if (topic != SharedTopic.ENDPOINTS) {
+				return answer(() -> InMemoryLog.this.newest(topic));
+			}
+			InMemoryLog.this.endpointLoadCounts.merge(this.hostName, 1, Integer::sum);
+			return answer(() -> InMemoryLog.this.newest(topic),
+					InMemoryLog.this.endpointLoadDelaysMillis.getOrDefault(this.hostName, 2L));
 		}
 
 		@Override
