--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -131,6 +131,68 @@
 
 	}
 
+	@Nested
+	class CapacitiesThatChange {
+
+		private void resize(String id, long cpuMillicores) {
+			PoolSchedulerTests.this.scheduler.endpointListed(entry(id, cpuMillicores, true, 0), 50);
+		}
+
+		@BeforeEach
+		void useOneEndpoint() {
+			PoolSchedulerTests.this.scheduler.endpointUnlisted("b", 5);
+			submit(job("first", step(2, 27_000, 100)), 10);
+		}
+
+		@Test
+		void getNoTaskUntilTheirRunsFitAgain() {
+			resize("a", 30_000);
+			submit(job("second", step(1, 27_000, 100)), 60);
+			terminate(PoolSchedulerTests.this.actions.starts().get(0), TerminationKind.DONE, 100);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			report("a", List.of(), List
+				.of(new TerminatedRun(2, PoolSchedulerTests.this.actions.starts().get(1).run(), TerminationKind.DONE)),
+					109, 110);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(3);
+		}
+
+		@Test
+		void countARunThatIsBeingStopped() {
+			resize("a", 54_000);
+			PoolSchedulerTests.this.scheduler.cancel("first", ORIGIN, 60);
+			submit(job("second", step(1, 27_000, 100)), 70);
+			RecordedActions.Start stopped = PoolSchedulerTests.this.actions.starts().get(0);
+			PoolSchedulerTests.this.scheduler.stopConfirmed("a", stopped.run(), 71);
+			PoolSchedulerTests.this.scheduler.tick(80);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			terminate(stopped, TerminationKind.STOPPED, 110);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(3);
+		}
+
+		@Test
+		void getTasksWhenTheyGrow() {
+			submit(job("second", step(1, 27_000, 100)), 40);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			resize("a", 96_000);
+			PoolSchedulerTests.this.scheduler.tick(60);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(3);
+		}
+
+		/**
+		 * Jobs wait for capacity that is gone for a while, as long as they can be useful.
+		 */
+		@Test
+		void keepJobsWaitingWhileNoneFits() {
+			resize("a", 1_000);
+			terminate(PoolSchedulerTests.this.actions.starts().get(0), TerminationKind.DONE, 60);
+			assertThat(PoolSchedulerTests.this.actions.answers()).isEmpty();
+			submit(job("second", step(1, 27_000, 100)), 70);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.REFUSED);
+			assertThat(lastOutcome().retryAfterMillis()).isPositive();
+		}
+
+	}
+
 	@Nested
 	class FullEndpoints {
 
