--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -30,6 +31,9 @@
 
 	private static final long RUN_MILLIS = 150;
 
+	/** Three crashes, and the two further starts that the platform tolerates. */
+	private static final int MAX_CRASHES_OF_A_TASK = 5;
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
 	private final FleetSite site = new FleetSite(RUN_MILLIS);
@@ -335,6 +339,58 @@
 			assertThat(FleetHostTests.this.site.endpoints().concurrentlyRunTasks()).isEmpty();
 		}
 
+		/**
+		 * Each owner used to count from zero, so that a task took down endpoints under
+		 * one owner after another.
+		 */
+		@Test
+		void aTaskThatCrashesEndpointsIsBoundedAcrossOwners() {
+			startAll();
+			List.of("host-4", "host-5", "host-6").forEach((name) -> {
+				FleetHostTests.this.site.start(name, "d1");
+				awaitReady(name);
+			});
+			InMemoryEndpoints endpoints = FleetHostTests.this.site.endpoints();
+			endpoints.crashUnder((task) -> task.jobId().equals("deadly"));
+			String answer = "";
+			for (int owner = 0; owner < 4 && !answer.equals("200 failed"); owner++) {
+				int crashCount = endpoints.crashingRuns().size() + 2;
+				answer = submitUntil("deadly", () -> endpoints.crashingRuns().size() >= crashCount);
+				if (!answer.equals("200 failed")) {
+					// The loss that led to the second start has been sent to the peers by
+					// then.
+					Awaitility.await().pollDelay(Duration.ofMillis(150)).until(() -> true);
+					FleetHostTests.this.site.kill(claimOwner("d1"));
+				}
+			}
+			assertThat(answer).isEqualTo("200 failed");
+			assertThat(endpoints.crashingRuns()).hasSizeLessThanOrEqualTo(MAX_CRASHES_OF_A_TASK);
+		}
+
+		// Submits a job again and again, as callers do, until it has failed or the
+		// condition holds.
+		private String submitUntil(String jobId, BooleanSupplier condition) {
+			CompletableFuture<HttpReply> reply = CompletableFuture.completedFuture(null);
+			String answer = "";
+			long endMillis = Clock.nowMillis() + TIMEOUT.toMillis();
+			while (!answer.equals("200 failed") && !condition.getAsBoolean() && Clock.nowMillis() < endMillis) {
+				if (reply.isDone()) {
+					reply = FleetHostTests.this.site.submit(anyOtherHost(), jobId, 1);
+				}
+				Awaitility.await().pollDelay(Duration.ofMillis(20)).until(() -> true);
+				answer = (reply.isDone() && !reply.isCompletedExceptionally()) ? text(reply.join()) : "";
+			}
+			return answer;
+		}
+
+		private String anyOtherHost() {
+			return FleetHostTests.this.site.hostNames()
+				.stream()
+				.filter((name) -> !name.equals(claimOwner("d1")))
+				.findFirst()
+				.orElseThrow();
+		}
+
 		/**
 		 * A standby reads the endpoint list rarely, and its capacities may be out of date
 		 * when it assumes ownership.
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -123,6 +123,10 @@
 		this.hosts.get(hostName).host().stopGracefully();
 	}
 
+	List<String> hostNames() {
+		return this.hosts.keySet().stream().sorted().toList();
+	}
+
 	boolean isReady(String hostName) {
 		return call(this.hosts.get(hostName).settings().readinessAddress(), "GET", "/ready", "").join().status() == 200;
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 
@@ -21,6 +22,7 @@
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.core.pool.TerminatedRun;
 import org.masticwick.core.pool.TerminationKind;
+import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
 
 /**
@@ -39,8 +41,15 @@
 
 	private final List<TaskId> restartedTasks = new ArrayList<>();
 
+	/** How long an endpoint is down after a crash, in milliseconds. */
+	private static final long RESTART_MILLIS = 600;
+
 	private final long runMillis;
 
+	private final List<TaskRun> crashingRuns = new ArrayList<>();
+
+	private Predicate<TaskId> crashes = (task) -> false;
+
 	private final Map<String, Integer> renewalCounts = new HashMap<>();
 
 	private final Map<String, Integer> maxRunningCounts = new HashMap<>();
@@ -51,6 +60,27 @@
 		this.runMillis = runMillis;
 	}
 
+	/**
+	 * Sets the tasks that crash the endpoints that start them.
+	 * @param crashingTasks tells which tasks do
+	 */
+	synchronized void crashUnder(Predicate<TaskId> crashingTasks) {
+		this.crashes = crashingTasks;
+	}
+
+	/**
+	 * Returns the runs under which endpoints have crashed.
+	 * @return the runs, in the order of the crashes
+	 */
+	synchronized List<TaskRun> crashingRuns() {
+		return List.copyOf(this.crashingRuns);
+	}
+
+	private synchronized boolean isDown(EndpointEntry entry) {
+		Endpoint endpoint = this.endpoints.get(entry.id());
+		return endpoint != null && nowMillis() < endpoint.downUntilMillis;
+	}
+
 	synchronized List<TaskId> concurrentlyRunTasks() {
 		return List.copyOf(this.concurrentlyRunTasks);
 	}
@@ -129,6 +159,10 @@
 				this.concurrentlyRunTasks.add(run.task());
 			}
 		}
+		if (this.crashes.test(run.task())) {
+			this.crashingRuns.add(run);
+			endpoint.crash();
+		}
 		return Optional.empty();
 	}
 
@@ -158,7 +192,8 @@
 			.stream()
 			.map((runEntry) -> new RunningTask(runEntry.getKey(), progressPercent(runEntry.getValue())))
 			.toList();
-		return Optional.of(new EndpointReport(1, nowMillis(), running, List.copyOf(endpoint.terminatedRuns)));
+		return Optional.of(new EndpointReport(endpoint.startedEpochMillis, nowMillis(), running,
+				List.copyOf(endpoint.terminatedRuns)));
 	}
 
 	private int progressPercent(long startedMillis) {
@@ -177,6 +212,21 @@
 
 		private long terminationCount;
 
+		private long startedEpochMillis = 1;
+
+		private long downUntilMillis;
+
+		private void crash() {
+			this.startMillisByRun.keySet()
+				.forEach((run) -> InMemoryEndpoints.this.runningCounts.merge(run.task(), -1, Integer::sum));
+			this.startMillisByRun.clear();
+			this.terminatedRuns.clear();
+			this.terminationCount = 0;
+			this.fencingToken = 0;
+			this.startedEpochMillis++;
+			this.downUntilMillis = nowMillis() + RESTART_MILLIS;
+		}
+
 		private void terminateDueRuns() {
 			long nowMillis = nowMillis();
 			Map.copyOf(this.startMillisByRun).forEach((run, startedMillis) -> {
@@ -216,25 +266,49 @@
 			return answer;
 		}
 
+		private <T> CompletableFuture<T> unreachable() {
+			CompletableFuture<T> answer = new CompletableFuture<>();
+			this.eventLoop.schedule(
+					() -> answer
+						.completeExceptionally(new CallException(CallException.Code.NOT_SENT, "The endpoint is down")),
+					1, TimeUnit.MILLISECONDS);
+			return answer;
+		}
+
 		@Override
 		public CompletableFuture<Optional<StartRefusal>> start(EndpointEntry endpoint, TaskRun run, String payload,
 				String checkpoint, long fencingToken, long leaseEndMillis) {
+			if (isDown(endpoint)) {
+				return unreachable();
+			}
 			return completeAfter(InMemoryEndpoints.this.start(endpoint, run, fencingToken, leaseEndMillis), 1);
 		}
 
 		@Override
 		public CompletableFuture<Boolean> stop(EndpointEntry endpoint, TaskRun run, long fencingToken) {
+			if (isDown(endpoint)) {
+				return unreachable();
+			}
 			return completeAfter(InMemoryEndpoints.this.stop(endpoint, run, fencingToken), 1);
 		}
 
 		@Override
 		public CompletableFuture<Optional<EndpointReport>> renew(EndpointEntry endpoint, long fencingToken,
 				long acknowledgedNumber, OptionalLong leaseEndMillis, long waitMillis, long timeoutMillis) {
+			if (isDown(endpoint)) {
+				return unreachable();
+			}
 			CompletableFuture<Optional<EndpointReport>> answer = new CompletableFuture<>();
 			Optional<EndpointReport> first = InMemoryEndpoints.this.renew(endpoint, fencingToken, acknowledgedNumber,
 					leaseEndMillis);
-			this.eventLoop.schedule(() -> answer.complete(first.flatMap((report) -> InMemoryEndpoints.this
-				.renew(endpoint, fencingToken, acknowledgedNumber, OptionalLong.empty()))), 10, TimeUnit.MILLISECONDS);
+			this.eventLoop.schedule(() -> {
+				if (isDown(endpoint)) {
+					answer.completeExceptionally(new CallException(CallException.Code.BROKEN, "The endpoint is down"));
+					return;
+				}
+				answer.complete(first.flatMap((report) -> InMemoryEndpoints.this.renew(endpoint, fencingToken,
+						acknowledgedNumber, OptionalLong.empty())));
+			}, 10, TimeUnit.MILLISECONDS);
 			return answer;
 		}
 
