--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -259,6 +259,7 @@
 
 	void placement(Placement current) {
 		this.placement = current;
+		this.held &= current == null;
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -292,7 +292,6 @@
 	@Override
 	public Placement adopt(PooledTask task, TaskRun run, PooledEndpoint endpoint, long nowMillis) {
 		clearUncertain(task);
-		task.setHeld(false);
 		task.job().readyTasks().remove(task);
 		task.job().markStarted();
 		if (task.job().readyTasks().isEmpty()) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/CrashLoopTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/CrashLoopTests.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -12,6 +13,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.masticwick.core.process.HostAddress;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -135,6 +138,65 @@
 
 	}
 
+	@Nested
+	class Handovers {
+
+		private static final long FAILED_MILLIS = 5_000;
+
+		private final RecordedActions actions = new RecordedActions();
+
+		private final LossHistory knowledge = new LossHistory();
+
+		private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), this.actions,
+				this.knowledge);
+
+		private boolean delayed;
+
+		private void list(String id) {
+			this.scheduler.endpointListed(new EndpointEntry(id, "service", new HostAddress("10.0.0.1", id.charAt(0)),
+					"domain", true, new Resources(64_000, 1_000, 0), Set.of(), 1), 0);
+		}
+
+		private void report(long nowMillis, TerminatedRun... terminatedRuns) {
+			List.of("a", "b")
+				.forEach(
+						(id) -> this.scheduler.endpointReported(id,
+								new EndpointReport(1, nowMillis, List.of(),
+										id.equals("a") ? List.of(terminatedRuns) : List.of()),
+								nowMillis - 1, nowMillis));
+		}
+
+		private TaskLoss unexplainedLoss(TaskId task, int number) {
+			return new TaskLoss(new TaskRun(task, number),
+					new EndpointIncarnation("lost-" + number, new HostAddress("10.0.0.2", number), 1),
+					TaskLoss.State.UNEXPLAINED, false);
+		}
+
+		/**
+		 * A task that waits by what the new owner knows, although it was running at the
+		 * previous one, was queued twice after its run had failed.
+		 */
+		@Test
+		void startATaskOnceAfterItsRunHasFailed() {
+			TaskId task = new TaskId("job", 0, 0, 0);
+			this.scheduler.startDelay((nowMillis) -> this.delayed);
+			list("a");
+			list("b");
+			report(1);
+			this.scheduler.adopt(new PoolTransfer(List.of(),
+					List.of(new JobTransfer(job("job", 1), SimulatedOwner.terms(60_000), SimulatedOwner.ORIGIN, 0,
+							List.of(new TaskTransfer(task, false, 3, 0, "a", 0, true)))),
+					List.of(unexplainedLoss(task, 1), unexplainedLoss(task, 2))), 2);
+			this.delayed = true;
+			report(FAILED_MILLIS, new TerminatedRun(1, new TaskRun(task, 3), TerminationKind.FAILED));
+			this.scheduler.tick(FAILED_MILLIS + 10);
+			this.delayed = false;
+			report(FAILED_MILLIS + 20);
+			assertThat(this.actions.starts()).extracting((start) -> start.run().number()).containsExactly(4);
+		}
+
+	}
+
 	@Nested
 	class StoredJobs {
 
