--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -271,7 +271,7 @@
 		this.peers.pollLostPeers(nowMillis).forEach(this::peerLost);
 		this.ownership.tick();
 		this.handover.tick();
-		this.lossExchange.flush(this.reporter.recipientAddresses());
+		this.lossExchange.flush(this.reporter::recipientAddresses);
 		fetchNewerVersion(nowMillis);
 		if (this.stopping) {
 			checkStop(nowMillis);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LossExchange.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LossExchange.java
@@ -1,8 +1,8 @@
 package org.masticwick.fleet.process;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 
 import org.masticwick.core.pool.LossHistory;
@@ -55,15 +55,15 @@
 
 	/**
 	 * Sends the losses recorded since the last call.
-	 * @param peers the addresses of the peers
+	 * @param peers returns the addresses of the peers; called only if there are losses
 	 */
-	void flush(Collection<HostAddress> peers) {
+	void flush(Supplier<List<HostAddress>> peers) {
 		if (this.unsent.isEmpty()) {
 			return;
 		}
 		List<TaskLoss> losses = List.copyOf(this.unsent);
 		this.unsent.clear();
-		peers.forEach((peer) -> send(peer, losses));
+		peers.get().forEach((peer) -> send(peer, losses));
 	}
 
 	/**
