Wait for the successor of a stopped host before its jobs are looked up

Callers got home-lost (ran unknown) in planned stops: a host looked the tasks up on the endpoints as soon as the issuer counted as lost, although the issuer had handed its tickets over and only the news of the successor had not arrived. Three ways led there: a summary of the successor that arrives later than the loss; a process that is started at the address of the stopped one, for which its predecessor counted as lost at once; and a holder that refuses a request while it hands the tickets over, after which the collecting host gave up at the first refusal.

A host now remembers which incarnations announced their shutdown, waits for the successor of these until the deadline of the request, counts nobody as lost while it discovers its peers, and asks again when a holder refuses. A successor that was killed is given up on at once, as before.

--- a/masticwick-core/src/main/java/org/masticwick/core/connection/Membership.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/Membership.java
@@ -208,6 +208,19 @@
 			.or(() -> views(nowNanos).filter((view) -> view.host().incarnation().equals(incarnation)).findAny());
 	}
 
+	/**
+	 * Returns whether the tickets of an incarnation that has ended may have a holder that
+	 * is not known yet: the last known holder, or the incarnation itself before it was
+	 * replaced, announced its shutdown, and so handed its tickets over.
+	 * @param incarnation the issuing incarnation
+	 * @param nowNanos the current time
+	 * @return {@code true} if a successor may become known
+	 */
+	public boolean mayHaveSuccessor(Incarnation incarnation, long nowNanos) {
+		return holderOf(incarnation, nowNanos).map((holder) -> holder.status().leaving())
+			.orElseGet(() -> this.peers.hasAnnouncedShutdown(incarnation));
+	}
+
 	/**
 	 * Returns whether an incarnation has certainly ended, since a later incarnation is in
 	 * contact at its address and is not lost.
--- a/masticwick-core/src/main/java/org/masticwick/core/connection/PeerTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/connection/PeerTable.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
 
 /**
  * Holds the latest entry of each peer and decides whether incoming information is newer.
@@ -23,6 +25,9 @@
 
 	private volatile Map<HostAddress, PeerEntry> peers = Map.of();
 
+	/** When each incarnation that announced its shutdown was last seen. */
+	private final Map<Incarnation, Long> shutdownNanos = new ConcurrentHashMap<>();
+
 	PeerTable(EntryHost self, MembershipLimits limits) {
 		this.self = self;
 		this.limits = limits;
@@ -36,6 +41,10 @@
 		return Optional.ofNullable(this.peers.get(address));
 	}
 
+	boolean hasAnnouncedShutdown(Incarnation incarnation) {
+		return this.shutdownNanos.containsKey(incarnation);
+	}
+
 	synchronized boolean addHello(EntryHost host, long nowNanos) {
 		PeerEntry existing = this.peers.get(host.peerAddress());
 		if (existing != null && existing.host().equals(host)) {
@@ -90,6 +99,9 @@
 	}
 
 	synchronized void evictLost(long nowNanos) {
+		this.shutdownNanos.values()
+			.removeIf((
+					seenNanos) -> TimeUnit.NANOSECONDS.toMillis(nowNanos - seenNanos) > this.limits.evictAfterMillis());
 		Map<HostAddress, PeerEntry> remaining = new HashMap<>(this.peers);
 		remaining.values().removeIf((entry) -> entry.ageMillis(nowNanos) > this.limits.evictAfterMillis());
 		if (remaining.size() < this.peers.size()) {
@@ -118,6 +130,9 @@
 	}
 
 	private Optional<PeerView> put(PeerEntry entry, long nowNanos) {
+		if (entry.status().leaving() && this.shutdownNanos.size() < this.limits.maxPeerCount()) {
+			this.shutdownNanos.put(entry.host().incarnation(), nowNanos);
+		}
 		Map<HostAddress, PeerEntry> updated = new HashMap<>(this.peers);
 		updated.put(entry.host().peerAddress(), entry);
 		if (updated.size() > this.limits.maxPeerCount()) {
--- a/masticwick-core/src/test/java/org/masticwick/core/connection/MembershipTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/connection/MembershipTests.java
@@ -295,4 +295,56 @@
 
 	}
 
+	@Nested
+	class Successors {
+
+		private boolean mayHaveSuccessor(long atMillis) {
+			return MembershipTests.this.membership.mayHaveSuccessor(PEER.incarnation(), nanos(atMillis));
+		}
+
+		@Test
+		void areNotExpectedOfAHostThatDidNotAnnounceAShutdown() {
+			observeHeartbeat(PEER, 1, readyStatus(), 0);
+			assertThat(mayHaveSuccessor(10_000)).isFalse();
+		}
+
+		@Test
+		void areExpectedOfAHostThatAnnouncedAShutdown() {
+			observeHeartbeat(PEER, 1, statusOf(false, true), 0);
+			assertThat(mayHaveSuccessor(10_000)).isTrue();
+		}
+
+		/**
+		 * Guards against giving up on the tickets of a host as soon as a new process has
+		 * started at its address.
+		 */
+		@Test
+		void areExpectedAfterAnotherIncarnationHasReplacedTheHost() {
+			observeHeartbeat(PEER, 1, statusOf(false, true), 0);
+			observeHeartbeat(host(NORTH, 2, 200), 1, readyStatus(), 1_000);
+			assertThat(mayHaveSuccessor(2_000)).isTrue();
+		}
+
+		@Test
+		void areExpectedOfASuccessorThatAnnouncedAShutdown() {
+			observeHeartbeat(SECOND_PEER, 1, statusOf(false, true, PEER.incarnation()), 0);
+			assertThat(mayHaveSuccessor(10_000)).isTrue();
+		}
+
+		@Test
+		void areNotExpectedOfASuccessorThatWasKilled() {
+			observeHeartbeat(PEER, 1, statusOf(false, true), 0);
+			observeHeartbeat(SECOND_PEER, 1, readyStatus(PEER.incarnation()), 500);
+			assertThat(mayHaveSuccessor(10_000)).isFalse();
+		}
+
+		@Test
+		void areForgottenWithTheHost() {
+			observeHeartbeat(PEER, 1, statusOf(false, true), 0);
+			MembershipTests.this.membership.evictLost(nanos(600_001));
+			assertThat(mayHaveSuccessor(600_001)).isFalse();
+		}
+
+	}
+
 }
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/MembershipDirectory.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/MembershipDirectory.java
@@ -53,12 +53,22 @@
 	@Override
 	public boolean isLost(EntryHost host) {
 		long nowNanos = this.time.nanoTime();
+		if (nowNanos - this.startNanos <= this.discoveryNanos) {
+			// Until then a host may hold the tickets that this host has not heard of,
+			// also
+			// those of the previous incarnation at its own address.
+			return false;
+		}
 		if (this.membership.isReplaced(host.peerAddress(), host.incarnation(), nowNanos)) {
 			return true;
 		}
 		Optional<PeerView> peer = this.membership.peerAt(host.peerAddress(), nowNanos);
-		return peer.map((view) -> view.liveness() == Liveness.LOST)
-			.orElse(nowNanos - this.startNanos > this.discoveryNanos);
+		return peer.map((view) -> view.liveness() == Liveness.LOST).orElse(true);
+	}
+
+	@Override
+	public boolean mayHaveSuccessor(Incarnation incarnation) {
+		return this.membership.mayHaveSuccessor(incarnation, this.time.nanoTime());
 	}
 
 	@Override
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/PeerDirectory.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/PeerDirectory.java
@@ -28,6 +28,15 @@
 	 */
 	boolean isLost(EntryHost host);
 
+	/**
+	 * Returns whether a host that this host has not heard of yet may hold the tickets of
+	 * an incarnation that has ended, because the last host known to hold them announced
+	 * its shutdown.
+	 * @param incarnation the incarnation that issued the tickets
+	 * @return {@code true} if a successor may become known
+	 */
+	boolean mayHaveSuccessor(Incarnation incarnation);
+
 	/**
 	 * Returns the reachable hosts of a failure domain, including this host if it belongs
 	 * to the domain.
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/RequestRouter.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -150,9 +151,7 @@
 		if (this.registries.hasNoSuccessor(this.self.incarnation()) || this.time.nanoTime() - deadlineNanos >= 0) {
 			return CompletableFuture.completedFuture(hostStopping());
 		}
-		Executor delayedExecutor = CompletableFuture.delayedExecutor(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-		return CompletableFuture.supplyAsync(() -> issue(body, deadlineNanos), delayedExecutor)
-			.thenCompose(Function.identity());
+		return delayed(() -> issue(body, deadlineNanos));
 	}
 
 	private static HttpAnswer hostStopping() {
@@ -191,7 +190,8 @@
 
 	private CompletableFuture<HttpAnswer> forwardedAnswer(RoutedRequest request) {
 		if (request.operation() == ForwardOperation.COLLECT) {
-			return forwardOrCollect(request);
+			long deadlineNanos = this.time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.routeTimeoutMillis);
+			return forwardOrCollect(request, deadlineNanos);
 		}
 		Optional<TicketRegistry> registry = answeringRegistry(request);
 		if (registry.isPresent()) {
@@ -211,20 +211,29 @@
 	/**
 	 * Collects results for a host that could not reach the holder of a ticket. If only
 	 * that host is partitioned from the holder, the request is forwarded to the holder
-	 * instead.
+	 * instead. While a holder hands the tickets over, it refuses the request, and the
+	 * successor is not known yet, so that the request is tried again until the deadline.
 	 * @param request the request
+	 * @param deadlineNanos until when to look for the holder
 	 * @return the answer, completed when the job ends or its tasks have been looked up
 	 */
-	private CompletableFuture<HttpAnswer> forwardOrCollect(RoutedRequest request) {
+	private CompletableFuture<HttpAnswer> forwardOrCollect(RoutedRequest request, long deadlineNanos) {
 		ForwardOperation operation = (request.body().length > 0) ? ForwardOperation.SUBMIT : ForwardOperation.STATE;
 		RoutedRequest original = request.withOperation(operation);
 		Optional<TicketRegistry> registry = answeringRegistry(request);
 		if (registry.isPresent()) {
 			return serveLocally(registry.get(), original);
 		}
-		return holderOf(request.ticket().incarnation()).map((holder) -> forward(holder, original))
-			.map((answer) -> answer.exceptionallyCompose((ex) -> this.collector.collect(request)))
-			.orElseGet(() -> this.collector.collect(request));
+		if (this.time.nanoTime() - deadlineNanos >= 0) {
+			return this.collector.collect(request);
+		}
+		Optional<HostAddress> holder = holderOf(request.ticket().incarnation());
+		if (holder.isPresent()) {
+			return forward(holder.get(), original)
+				.exceptionallyCompose((ex) -> delayed(() -> forwardOrCollect(request, deadlineNanos)));
+		}
+		return this.peers.mayHaveSuccessor(request.ticket().incarnation())
+				? delayed(() -> forwardOrCollect(request, deadlineNanos)) : this.collector.collect(request);
 	}
 
 	private Optional<TicketRegistry> answeringRegistry(RoutedRequest request) {
@@ -246,12 +255,16 @@
 		if (holder.isPresent()) {
 			return forward(holder.get(), request).exceptionallyCompose((ex) -> retry(request, deadlineNanos));
 		}
-		if (this.peers.isLost(issuerOf(request)) || this.time.nanoTime() - deadlineNanos >= 0) {
+		if (hasNoHolder(request) || this.time.nanoTime() - deadlineNanos >= 0) {
 			return collectAtIssuerDomain(request);
 		}
 		return retry(request, deadlineNanos);
 	}
 
+	private boolean hasNoHolder(RoutedRequest request) {
+		return this.peers.isLost(issuerOf(request)) && !this.peers.mayHaveSuccessor(request.ticket().incarnation());
+	}
+
 	private static EntryHost issuerOf(RoutedRequest request) {
 		Ticket ticket = request.ticket();
 		return new EntryHost(ticket.domain(), ticket.issuerAddress(), ticket.incarnation());
@@ -268,9 +281,12 @@
 			return CompletableFuture
 				.completedFuture(outcomeUnknown("The host that holds the ticket did not answer in time"));
 		}
+		return delayed(() -> route(request, deadlineNanos));
+	}
+
+	private static CompletableFuture<HttpAnswer> delayed(Supplier<CompletableFuture<HttpAnswer>> action) {
 		Executor delayedExecutor = CompletableFuture.delayedExecutor(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-		return CompletableFuture.supplyAsync(() -> route(request, deadlineNanos), delayedExecutor)
-			.thenCompose(Function.identity());
+		return CompletableFuture.supplyAsync(action, delayedExecutor).thenCompose(Function.identity());
 	}
 
 	private CompletableFuture<HttpAnswer> serveLocally(TicketRegistry registry, RoutedRequest request) {
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/RequestRouterTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/RequestRouterTests.java
@@ -119,6 +119,30 @@
 			assertThat(serve(submission(RequestRouterTests.this.issuer))).contains("home-lost", "\"ran\":\"unknown\"");
 		}
 
+		/**
+		 * Guards against a caller that gets home-lost in a planned stop, because this
+		 * host has not heard yet which host holds the tickets now.
+		 */
+		@Test
+		void waitsForTheSuccessorOfAHostThatAnnouncedItsShutdown() throws Exception {
+			EntryHost successor = host("hobart", 5);
+			RequestRouterTests.this.directory.lost = true;
+			RequestRouterTests.this.directory.successorExpected = true;
+			RequestRouterTests.this.directory.reachable = List.of(RequestRouterTests.this.self);
+			RequestRouterTests.this.transport.answers.put(successor.peerAddress(), (message) -> answer());
+			CompletableFuture.delayedExecutor(300, TimeUnit.MILLISECONDS)
+				.execute(() -> RequestRouterTests.this.directory.holder = successor.peerAddress());
+			assertThat(serve(submission(RequestRouterTests.this.issuer))).isEqualTo(FROM_PEER);
+		}
+
+		@Test
+		void collectsIfNoSuccessorBecomesKnownInTime() throws Exception {
+			RequestRouterTests.this.directory.lost = true;
+			RequestRouterTests.this.directory.successorExpected = true;
+			RequestRouterTests.this.directory.reachable = List.of(RequestRouterTests.this.self);
+			assertThat(serve(submission(RequestRouterTests.this.issuer))).contains("home-lost");
+		}
+
 		@Test
 		void forwardsTheCollectionToTheIssuersDomain() throws Exception {
 			EntryHost domainHost = host("launceston", 3);
@@ -162,6 +186,25 @@
 					(answer) -> assertThat(answer.status()).isEqualTo(502));
 		}
 
+		/**
+		 * Guards against home-lost while a holder hands the tickets over: it refuses the
+		 * request, and its successor becomes known a moment later.
+		 */
+		@Test
+		void asksTheSuccessorOfAHolderThatHandsItsTicketsOver() throws Exception {
+			EntryHost successor = host("hobart", 5);
+			HostAddress leavingHolder = RequestRouterTests.this.issuer.peerAddress();
+			RequestRouterTests.this.directory.holder = leavingHolder;
+			RequestRouterTests.this.transport.answers.put(leavingHolder, (message) -> {
+				RequestRouterTests.this.directory.holder = successor.peerAddress();
+				return CompletableFuture.completedFuture(new ErrorAnswer("not-holder", "handed over"));
+			});
+			RequestRouterTests.this.transport.answers.put(successor.peerAddress(), (message) -> answer());
+			RoutedRequest request = submission(RequestRouterTests.this.issuer).withOperation(ForwardOperation.COLLECT);
+			assertThat(serveForwarded(request)).isInstanceOfSatisfying(ForwardAnswer.class,
+					(answer) -> assertThat(answer.body()).asString().isEqualTo(FROM_PEER));
+		}
+
 		@Test
 		void forwardsToAHolderThatOnlyTheRequestingHostCannotReach() throws Exception {
 			RequestRouterTests.this.directory.holder = RequestRouterTests.this.issuer.peerAddress();
@@ -199,10 +242,12 @@
 	 */
 	private static final class FakeDirectory implements PeerDirectory {
 
-		private HostAddress holder;
+		private volatile HostAddress holder;
 
 		private boolean lost;
 
+		private boolean successorExpected;
+
 		private List<EntryHost> reachable = List.of();
 
 		@Override
@@ -215,6 +260,11 @@
 			return this.lost;
 		}
 
+		@Override
+		public boolean mayHaveSuccessor(Incarnation incarnation) {
+			return this.successorExpected;
+		}
+
 		@Override
 		public List<EntryHost> reachableHosts(String domain) {
 			return this.reachable;
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketTransferTests.java
@@ -294,6 +294,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean mayHaveSuccessor(Incarnation incarnation) {
+			return false;
+		}
+
 		@Override
 		public List<EntryHost> reachableHosts(String domain) {
 			return List.of();
