Start no tasks in the drained failure domains of a release note

Cause: an operator could take a failure domain out of use only by withdrawing each of its capacities by a note and adding them again later.

Change: the rule dispatch/drained-domains lists drained failure domains. An endpoint of such a domain is not live for the scheduler (placement, probes, ownership, slot counts), and its running tasks end as usual. A job that fits only there is refused as no-endpoint with Retry-After, on submission, when the domain is drained while the job waits unstarted, and after a refused start. While the own domain is drained, admission counts the slots that the host may use in other domains instead of one slot. Acceptance does not validate the value of the new rule, because hosts of earlier releases accept any value and must reach the same verdict; only the loader of an operator's file validates it. The dump, a log line on change and the gauge masticwick_drained_domains show drained domains.

--- a/masticwick-core/src/main/java/org/masticwick/core/request/DispatchRules.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/DispatchRules.java
@@ -1,6 +1,9 @@
 package org.masticwick.core.request;
 
+import java.util.Collections;
 import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 import org.masticwick.core.version.Rules;
@@ -15,10 +18,11 @@
  * @param teamOrder the name of the policy that orders teams
  * @param spillWaitMillis the expected queue wait above which tasks are started in other
  * failure domains, in milliseconds
+ * @param drainedDomains the failure domains on whose endpoints no task is started
  * @param teamShares the fair-share weights of the teams, by team name
  */
 public record DispatchRules(Weighting weighting, String placement, String jobOrder, String teamOrder,
-		long spillWaitMillis, Map<String, Double> teamShares) {
+		long spillWaitMillis, SortedSet<String> drainedDomains, Map<String, Double> teamShares) {
 
 	/** Rule that orders the jobs of a team: {@code least-work} or {@code arrival}. */
 	public static final String JOB_ORDER = "dispatch/job-order";
@@ -40,9 +44,10 @@
 	private static final double DEFAULT_SHARE = 1;
 
 	/**
-	 * Creates the rules with an immutable copy of the shares.
+	 * Creates the rules with immutable copies of the drained domains and the shares.
 	 */
 	public DispatchRules {
+		drainedDomains = Collections.unmodifiableSortedSet(new TreeSet<>(drainedDomains));
 		teamShares = Map.copyOf(teamShares);
 	}
 
@@ -56,7 +61,7 @@
 		double spillWaitMillis = parseNonNegative(rules.get(SPILL_WAIT_MILLIS, ""), weighting.defaultSpillWaitMillis());
 		return new DispatchRules(weighting, rules.get(Rules.PLACEMENT, weighting.defaultPlacement()),
 				rules.get(JOB_ORDER, "least-work"), rules.get(TEAM_ORDER, "slot-time"), (long) spillWaitMillis,
-				teamShares(rules));
+				rules.drainedDomains(), teamShares(rules));
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/request/SchedulerSnapshot.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/SchedulerSnapshot.java
@@ -11,18 +11,20 @@
  *
  * @param versionNumber the number of the active version
  * @param placement the name of the active placement policy
+ * @param drainedDomains the drained failure domains, ordered by name
  * @param services the services, ordered by name
  * @param endpoints the endpoints, ordered by address
  * @param teams the teams with queued or running tasks, ordered by name
  * @param counters the counters by name, counted since the start of the process
  */
-public record SchedulerSnapshot(long versionNumber, String placement, List<Service> services, List<Endpoint> endpoints,
-		List<Team> teams, Map<String, Long> counters) {
+public record SchedulerSnapshot(long versionNumber, String placement, List<String> drainedDomains,
+		List<Service> services, List<Endpoint> endpoints, List<Team> teams, Map<String, Long> counters) {
 
 	/**
 	 * Creates the snapshot with immutable copies of the collections.
 	 */
 	public SchedulerSnapshot {
+		drainedDomains = List.copyOf(drainedDomains);
 		services = List.copyOf(services);
 		endpoints = List.copyOf(endpoints);
 		teams = List.copyOf(teams);
@@ -52,7 +54,10 @@
 	 * @param address the address of the endpoint
 	 * @param domain the failure domain
 	 * @param service the name of the service that the endpoint runs
-	 * @param state whether the endpoint accepts tasks
+	 * @param state whether the endpoint accepts tasks, according to the active version
+	 * and the platform
+	 * @param drained whether the failure domain is drained, so that the endpoint receives
+	 * no tasks
 	 * @param slotCount the number of tasks that the endpoint runs at once
 	 * @param outstandingCount the number of outstanding tasks of this host on the
 	 * endpoint
@@ -65,9 +70,9 @@
 	 * @param slowness the endpoint's run times relative to the mean of all endpoints for
 	 * the same kinds of task; 1 means as fast as the mean
 	 */
-	public record Endpoint(HostAddress address, String domain, String service, EndpointState state, int slotCount,
-			int outstandingCount, double foreignCount, boolean ejected, long ejectedMillis, long meanRunTimeMillis,
-			double slowness) {
+	public record Endpoint(HostAddress address, String domain, String service, EndpointState state, boolean drained,
+			int slotCount, int outstandingCount, double foreignCount, boolean ejected, long ejectedMillis,
+			long meanRunTimeMillis, double slowness) {
 
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/AdmissionControl.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/AdmissionControl.java
@@ -1,6 +1,7 @@
 package org.masticwick.core.request.internal;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import org.masticwick.core.process.ErrorCode;
@@ -111,6 +112,10 @@
 	private Optional<Admission.Rejected> checkLoad(JobSubmission submission, long nowNanos) {
 		JobRequest request = submission.request();
 		ServiceState service = this.state.services().get(request.service());
+		Optional<Admission.Rejected> drained = checkDrainedDomains(request, service);
+		if (drained.isPresent()) {
+			return drained;
+		}
 		if (!service.hasLiveEndpoint()) {
 			return rejectIf(true, ErrorCode.NO_ENDPOINT, MISSING_CONFIGURATION_RETRY_NANOS,
 					"No endpoint of the service accepts tasks");
@@ -122,6 +127,20 @@
 		return rejected;
 	}
 
+	private Optional<Admission.Rejected> checkDrainedDomains(JobRequest request, ServiceState service) {
+		if (this.state.rules().drainedDomains().isEmpty()) {
+			return Optional.empty();
+		}
+		return request.tasks()
+			.stream()
+			.filter((task) -> service.requiresDrainedEndpoint(task, Set.of()))
+			.findFirst()
+			.flatMap((task) -> rejectIf(true, ErrorCode.NO_ENDPOINT, MISSING_CONFIGURATION_RETRY_NANOS,
+					"Only endpoints of drained failure domains ("
+							+ String.join(", ", this.state.rules().drainedDomains()) + ") can run a task of kind "
+							+ task.kind() + "; they accept tasks once their domain is returned to service"));
+	}
+
 	private Optional<Admission.Rejected> checkQuota(JobRequest request, ServiceState service, TeamAccount account,
 			long nowNanos) {
 		double teamFraction = this.state.teams().shareFraction(account);
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndpointView.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/EndpointView.java
@@ -24,6 +24,8 @@
 
 	private static final int STALL_COUNT = 2;
 
+	private static final int SPILL_SLOT_DIVISOR = 4;
+
 	private final Map<TaskId, RunningTask> running = new LinkedHashMap<>();
 
 	private final PeerLoadEstimate peerLoad = new PeerLoadEstimate();
@@ -40,6 +42,8 @@
 
 	private boolean withdrawn;
 
+	private boolean drained;
+
 	private boolean leavingByRefusal;
 
 	private long leavingRefusalNanos;
@@ -62,7 +66,25 @@
 	 * @return {@code true} if so
 	 */
 	boolean live() {
-		return !this.withdrawn && this.state == EndpointState.LIVE;
+		return !this.withdrawn && !this.drained && this.state == EndpointState.LIVE;
+	}
+
+	/**
+	 * Returns whether the endpoint is part of the active version and its failure domain
+	 * is drained.
+	 * @return {@code true} if so
+	 */
+	boolean drained() {
+		return this.drained && !this.withdrawn;
+	}
+
+	/**
+	 * Sets whether the failure domain of the endpoint is drained. Tasks that run on the
+	 * endpoint are not affected.
+	 * @param newDrained whether it is drained
+	 */
+	void drained(boolean newDrained) {
+		this.drained = newDrained;
 	}
 
 	/**
@@ -111,6 +133,15 @@
 		return this.spec.slotCount() - this.running.size() - this.peerLoad.estimateTotal(nowNanos, decayNanos);
 	}
 
+	/**
+	 * Returns the number of slots that a host of another failure domain may use while the
+	 * load of this endpoint's domain is unknown or high.
+	 * @return the number of slots, at least 1
+	 */
+	int spillSlotCount() {
+		return Math.max(1, this.spec.slotCount() / SPILL_SLOT_DIVISOR);
+	}
+
 	/**
 	 * Returns whether several tasks have been outstanding far longer than usual and no
 	 * task has succeeded in the meantime.
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobEntry.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobEntry.java
@@ -148,6 +148,17 @@
 		return this.started;
 	}
 
+	/**
+	 * Returns whether all tasks of the job but a number of them are queued. If this holds
+	 * for the number of tasks that were refused and not queued again yet, none runs or
+	 * has run.
+	 * @param exceptCount the number of tasks
+	 * @return {@code true} if so
+	 */
+	boolean allQueuedExcept(int exceptCount) {
+		return queuedCount() + exceptCount == taskCount();
+	}
+
 	int queuedCount() {
 		return this.refusedIndexes.size() + taskCount() - this.firstUntriedIndex;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/LoadReporter.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/LoadReporter.java
@@ -127,8 +127,8 @@
 			.entrySet()
 			.stream()
 			.collect(Collectors.toMap((entry) -> entry.getKey().text(), Map.Entry::getValue));
-		return new SchedulerSnapshot(this.state.version().number(), this.state.rules().placement(), services, endpoints,
-				teams, counters);
+		return new SchedulerSnapshot(this.state.version().number(), this.state.rules().placement(),
+				List.copyOf(this.state.rules().drainedDomains()), services, endpoints, teams, counters);
 	}
 
 	private void recordEndpointLoad(EndpointView endpoint, EntryHost peer, LoadReport load, long nowNanos,
@@ -150,7 +150,7 @@
 		double decayNanos = (service != null) ? service.runTimes().meanNanos() : 1;
 		long ejectedMillis = health.ejected() ? TimeMath.toMillis(health.nextProbeNanos() - nowNanos) : 0;
 		return new SchedulerSnapshot.Endpoint(endpoint.address(), endpoint.spec().domain(), endpoint.spec().service(),
-				endpoint.state(), endpoint.spec().slotCount(), endpoint.outstandingCount(),
+				endpoint.state(), endpoint.drained(), endpoint.spec().slotCount(), endpoint.outstandingCount(),
 				endpoint.peerLoad().estimateTotal(nowNanos, decayNanos), health.ejected(), ejectedMillis,
 				TimeMath.toMillis(endpoint.runTimes().meanNanos()), Math.exp(health.logSlowness()));
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/OutcomeHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/OutcomeHandler.java
@@ -108,6 +108,10 @@
 			return abandon(job, ErrorCode.NO_ENDPOINT,
 					TimeMath.retryAfterMillis(TimeMath.NANOS_PER_SECOND, this.state.random()));
 		}
+		if (job.allQueuedExcept(1) && this.state.requiresDrainedEndpoint(service, job)) {
+			return abandon(job, ErrorCode.NO_ENDPOINT,
+					TimeMath.retryAfterMillis(TimeMath.NANOS_PER_SECOND, this.state.random()));
+		}
 		requeue(service, job, task.id().index(), nowNanos);
 		return new Disposition.Requeued();
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/SchedulerState.java
@@ -183,6 +183,17 @@
 		return service.usableSlotCount(this.hosts.size(), nowNanos);
 	}
 
+	/**
+	 * Returns whether a job can't complete until a drained failure domain is returned to
+	 * service, because one of its tasks fits no other endpoint that accepts tasks.
+	 * @param service the service of the job
+	 * @param job the job
+	 * @return {@code true} if so
+	 */
+	boolean requiresDrainedEndpoint(ServiceState service, JobEntry job) {
+		return !this.rules.drainedDomains().isEmpty() && service.requiresDrainedEndpoint(job);
+	}
+
 	void increment(Counter counter, long added) {
 		this.counters.merge(counter, added, Long::sum);
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/ServiceStartPlanner.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/ServiceStartPlanner.java
@@ -30,8 +30,6 @@
 
 	private static final int MIN_FREE_SLOTS_FOR_SPILL = 2;
 
-	private static final int UNREPORTED_DOMAIN_SLOT_DIVISOR = 4;
-
 	private final SchedulerState state;
 
 	private final ServiceState service;
@@ -147,13 +145,12 @@
 		if (!endpoint.acceptsStart(this.nowNanos)) {
 			return false;
 		}
-		int slotCount = endpoint.spec().slotCount();
 		boolean reportedIdle = this.state.peerReports()
 			.reportsNoQueuedTasks(endpoint.spec().domain(), this.service.spec().name(), this.nowNanos);
 		if (reportedIdle) {
 			return endpoint.freeSlotCount(this.nowNanos, this.context.decayNanos()) >= MIN_FREE_SLOTS_FOR_SPILL;
 		}
-		return endpoint.outstandingCount() < Math.max(1, slotCount / UNREPORTED_DOMAIN_SLOT_DIVISOR);
+		return endpoint.outstandingCount() < endpoint.spillSlotCount();
 	}
 
 	private boolean withheldForSmallJobs(JobEntry job, List<EndpointView> available) {
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/ServiceState.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/ServiceState.java
@@ -1,7 +1,12 @@
 package org.masticwick.core.request.internal;
 
 import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.request.TaskSpec;
 import org.masticwick.core.version.ServiceSpec;
 
 /**
@@ -90,6 +95,32 @@
 				|| this.remoteEndpoints.stream().anyMatch(EndpointView::live);
 	}
 
+	/**
+	 * Returns whether a job has a task that
+	 * {@link #requiresDrainedEndpoint(TaskSpec, Set) requires} an endpoint of a drained
+	 * failure domain.
+	 * @param job the job
+	 * @return {@code true} if so
+	 */
+	boolean requiresDrainedEndpoint(JobEntry job) {
+		return job.request().tasks().stream().anyMatch((task) -> requiresDrainedEndpoint(task, job.unfitEndpoints()));
+	}
+
+	/**
+	 * Returns whether a task fits an endpoint of a drained failure domain and none that
+	 * accepts tasks.
+	 * @param task the task
+	 * @param unfitEndpoints the addresses of endpoints that refused a task of the same
+	 * job because they can never run it
+	 * @return {@code true} if so
+	 */
+	boolean requiresDrainedEndpoint(TaskSpec task, Set<HostAddress> unfitEndpoints) {
+		Predicate<EndpointView> fitting = (endpoint) -> endpoint.fits(task)
+				&& !unfitEndpoints.contains(endpoint.address());
+		return endpoints().noneMatch((endpoint) -> endpoint.live() && fitting.test(endpoint))
+				&& endpoints().anyMatch((endpoint) -> endpoint.drained() && fitting.test(endpoint));
+	}
+
 	/**
 	 * Returns the number of slots of the endpoints in the own failure domain that accept
 	 * tasks and are not ejected.
@@ -164,11 +195,18 @@
 		return this.runningCount;
 	}
 
+	private Stream<EndpointView> endpoints() {
+		return Stream.concat(this.localEndpoints.stream(), this.remoteEndpoints.stream());
+	}
+
 	private double computeUsableSlotCount(int hostCount, long nowNanos) {
 		double decayNanos = this.runTimes.meanNanos();
 		List<EndpointView> usable = this.localEndpoints.stream()
 			.filter((endpoint) -> endpoint.live() && !endpoint.health().ejected())
 			.toList();
+		if (usable.isEmpty() && this.localEndpoints.stream().anyMatch(EndpointView::drained)) {
+			return remoteSlotCount() / (double) Math.max(1, hostCount);
+		}
 		double fairShareCount = usable.stream().mapToInt((endpoint) -> endpoint.spec().slotCount()).sum()
 				/ (double) Math.max(1, hostCount);
 		double unusedByPeersCount = usable.stream()
@@ -178,4 +216,16 @@
 		return Math.max(fairShareCount, unusedByPeersCount);
 	}
 
+	/**
+	 * Returns the number of slots in other failure domains that the hosts of a drained
+	 * domain may use even if those domains report queued tasks.
+	 * @return the number of slots
+	 */
+	private int remoteSlotCount() {
+		return this.remoteEndpoints.stream()
+			.filter((endpoint) -> endpoint.live() && !endpoint.health().ejected())
+			.mapToInt(EndpointView::spillSlotCount)
+			.sum();
+	}
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/VersionUpdater.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/VersionUpdater.java
@@ -43,11 +43,33 @@
 			.entrySet()
 			.removeIf((reported) -> reported.getValue() == EndpointState.GONE
 					&& !version.endpoints().containsKey(reported.getKey()));
+		this.state.endpoints().values().forEach(this::updateDrained);
 		this.state.services().values().forEach(this::linkEndpoints);
 		this.state.assignOwners();
 		if (!oldRules.equals(this.state.rules())) {
 			applyRuleChanges(oldRules, nowNanos);
 		}
+		this.state.services().values().forEach(this::dropUnstartedJobsOfDrainedDomains);
+	}
+
+	private void updateDrained(EndpointView endpoint) {
+		endpoint.drained(this.state.rules().drainedDomains().contains(endpoint.spec().domain()));
+	}
+
+	/**
+	 * Drops the jobs none of whose tasks has been started and that have a task that only
+	 * endpoints of drained domains could run. Jobs that have started stay queued, because
+	 * dropping them would stop their runs.
+	 * @param service the service
+	 */
+	private void dropUnstartedJobsOfDrainedDomains(ServiceState service) {
+		service.queue()
+			.jobs()
+			.stream()
+			.filter((job) -> job.allQueuedExcept(0) && this.state.requiresDrainedEndpoint(service, job))
+			.toList()
+			.forEach((job) -> this.state.dropJob(job, ErrorCode.NO_ENDPOINT,
+					TimeMath.retryAfterMillis(TimeMath.NANOS_PER_SECOND, this.state.random())));
 	}
 
 	private void removeWithdrawnServices(SiteVersion version) {
--- a/masticwick-core/src/main/java/org/masticwick/core/version/NoteReader.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/version/NoteReader.java
@@ -102,9 +102,19 @@
 			table.addProblem("name", "\"" + name + "\" is not a rule", RuleType.ALLOWED_NAMES);
 		}
 		String value = (kind.filter(ChangeKind.WITHDRAW::equals).isPresent()) ? null : table.text("value");
+		if (this.strict && value != null && !value.isEmpty()) {
+			checkValueIgnoredOnAcceptance(table, name, value);
+		}
 		return kind.map((changeKind) -> new NoteChange.OfRule(changeKind, name, value));
 	}
 
+	private static void checkValueIgnoredOnAcceptance(NoteTable table, String name, String value) {
+		RuleType.find(name)
+			.filter((type) -> !type.validatedOnAcceptance() && !type.allows(value))
+			.ifPresent((type) -> table.addProblem("value", "\"" + value + "\" is not a value of " + name,
+					type.allowedValues()));
+	}
+
 	private static Optional<ChangeKind> readChangeKind(NoteTable table) {
 		Optional<ChangeKind> kind = ChangeKind.find(table.optionalText("change"));
 		if (kind.isEmpty()) {
--- a/masticwick-core/src/main/java/org/masticwick/core/version/NoteValidator.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/version/NoteValidator.java
@@ -91,7 +91,7 @@
 
 	private void checkRule(String path, NoteChange.OfRule change) {
 		checkName(path + ".name", change.name());
-		Optional<RuleType> ruleType = RuleType.find(change.name());
+		Optional<RuleType> ruleType = RuleType.find(change.name()).filter(RuleType::validatedOnAcceptance);
 		if (change.value() != null && ruleType.isPresent() && !ruleType.get().allows(change.value())) {
 			addProblem(path + ".value", "\"" + change.value() + "\" is not a value of " + change.name(),
 					ruleType.get().allowedValues());
--- a/masticwick-core/src/main/java/org/masticwick/core/version/RuleType.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/version/RuleType.java
@@ -23,11 +23,27 @@
 	TEAM_SHARE(Pattern.compile(Pattern.quote(Rules.TEAM_SHARE_PREFIX) + ".+"),
 			Pattern.compile("(?=.*[1-9])[0-9]{1,9}(\\.[0-9]{1,6})?"), "a number above 0, as in \"2\" or \"0.5\""),
 
-	LIMIT(Pattern.compile("limits/[a-z][a-z0-9-]*"), Pattern.compile("[1-9][0-9]{0,14}"), "a whole number above 0");
+	LIMIT(Pattern.compile("limits/[a-z][a-z0-9-]*"), Pattern.compile("[1-9][0-9]{0,14}"), "a whole number above 0"),
+
+	/**
+	 * Acceptance does not validate the value: hosts of earlier releases do not know this
+	 * rule, accept any value and must reach the same verdict.
+	 */
+	DRAINED_DOMAINS(Pattern.compile(Pattern.quote(Rules.DRAINED_DOMAINS)),
+			Pattern.compile(Constants.DOMAIN + "( ?, ?" + Constants.DOMAIN + ")*"),
+			"names of failure domains separated by commas, as in \"hobart,derwent\"; withdraw the rule to list none") {
+
+		@Override
+		boolean validatedOnAcceptance() {
+			return false;
+		}
+
+	};
 
 	/** The rule names that a note may use, for messages to operators. */
 	static final String ALLOWED_NAMES = Rules.PLACEMENT + ", dispatch/job-order, dispatch/team-order, "
-			+ Rules.WEIGHTING + ", dispatch/spill-wait-ms, " + Rules.TEAM_SHARE_PREFIX + "<team> or limits/<name>";
+			+ Rules.WEIGHTING + ", dispatch/spill-wait-ms, " + Rules.DRAINED_DOMAINS + ", " + Rules.TEAM_SHARE_PREFIX
+			+ "<team> or limits/<name>";
 
 	private final Pattern namePattern;
 
@@ -49,8 +65,26 @@
 		return this.valuePattern.matcher(value).matches();
 	}
 
+	/**
+	 * Returns whether a note with a value that is not allowed is rejected. Otherwise only
+	 * the check of an operator's file reports such a value.
+	 * @return {@code true} if so
+	 */
+	boolean validatedOnAcceptance() {
+		return true;
+	}
+
 	String allowedValues() {
 		return this.allowedValues;
 	}
 
+	/**
+	 * Constants that the enum constants refer to.
+	 */
+	private static final class Constants {
+
+		private static final String DOMAIN = "[A-Za-z0-9][A-Za-z0-9._~/-]{0,127}";
+
+	}
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/version/Rules.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/version/Rules.java
@@ -1,6 +1,11 @@
 package org.masticwick.core.version;
 
+import java.util.Collections;
 import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * The rules of a version of the site: settings of dispatch, shares of teams and limits,
@@ -24,6 +29,12 @@
 	 */
 	public static final String TEAM_SHARE_PREFIX = "team-share/";
 
+	/**
+	 * Lists the drained failure domains, separated by commas. No task is started on the
+	 * endpoints of a drained domain.
+	 */
+	public static final String DRAINED_DOMAINS = "dispatch/drained-domains";
+
 	/** An empty set of rules. */
 	public static final Rules NONE = new Rules(Map.of());
 
@@ -44,4 +55,18 @@
 		return this.values.getOrDefault(name, defaultValue);
 	}
 
+	/**
+	 * Returns the names that the rule {@link #DRAINED_DOMAINS} lists. Any value can be
+	 * parsed, because hosts of earlier releases accept notes without checking it.
+	 * @return the names in alphabetical order, unmodifiable; empty if there is no such
+	 * rule
+	 */
+	public SortedSet<String> drainedDomains() {
+		return Stream.of(get(DRAINED_DOMAINS, "").split(","))
+			.map(String::strip)
+			.filter((domain) -> !domain.isEmpty())
+			.collect(Collectors.collectingAndThen(Collectors.toCollection(TreeSet::new),
+					Collections::unmodifiableSortedSet));
+	}
+
 }
--- a/masticwick-core/src/test/java/org/masticwick/core/version/AcceptanceCases.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/version/AcceptanceCases.java
@@ -59,7 +59,11 @@
 					.withdrawCapacity(new HostAddress("127.0.0.1", 9001))
 					.build(), "service and its capacity together"),
 				Arguments.of(ReleaseNote.builder("a", 2).addRule("later/rule", "any").build(),
-						"rule of a later release"));
+						"rule of a later release"),
+				Arguments.of(ReleaseNote.builder("a", 2).addRule("dispatch/drained-domains", "hobart").build(),
+						"drained domain"),
+				Arguments.of(ReleaseNote.builder("a", 2).addRule("dispatch/drained-domains", ", -").build(),
+						"drained domains that earlier releases accept unchecked"));
 	}
 
 }
--- a/masticwick-core/src/test/java/org/masticwick/core/version/ReleaseNoteLoaderTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/version/ReleaseNoteLoaderTests.java
@@ -1,12 +1,14 @@
 package org.masticwick.core.version;
 
 import java.nio.file.Path;
+import java.util.Map;
 
 import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.HostAddress;
@@ -63,6 +65,21 @@
 				.build());
 		}
 
+		@ParameterizedTest
+		@CsvSource(delimiter = '|', textBlock = """
+				hobart             | hobart
+				hobart,derwent     | derwent, hobart
+				hobart, d.1/a~b    | d.1/a~b, hobart
+				hobart,hobart      | hobart
+				""")
+		void readsDrainedDomains(String value, String domains) {
+			ReleaseNote note = ReleaseNoteLoaderTests.this.loader.parse("note.toml",
+					NOTE + "\n[[rules]]\nchange = \"add\"\nname = \"dispatch/drained-domains\"\nvalue = \"" + value
+							+ "\"\n");
+			Rules rules = new Rules(Map.of(Rules.DRAINED_DOMAINS, note.rules().get(1).value()));
+			assertThat(rules.drainedDomains()).containsExactly(domains.split(", "));
+		}
+
 	}
 
 	@Nested
@@ -97,6 +114,19 @@
 				});
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "hobart derwent", "hobart,,derwent", ",", "-hobart" })
+		void reportsListOfDrainedDomainsThatIsNotOne(String value) {
+			String bad = NOTE + "\n[[rules]]\nchange = \"add\"\nname = \"dispatch/drained-domains\"\nvalue = \"" + value
+					+ "\"\n";
+			assertThatExceptionOfType(InvalidNoteException.class)
+				.isThrownBy(() -> ReleaseNoteLoaderTests.this.loader.parse("note.toml", bad))
+				.satisfies((ex) -> assertThat(ex.problems()).singleElement().satisfies((problem) -> {
+					assertThat(problem.key()).isEqualTo("rules[1].value");
+					assertThat(problem.allowed()).contains("separated by commas");
+				}));
+		}
+
 		@Test
 		void reportsEveryProblemAtOnce() {
 			String bad = NOTE.replace("slots = 8", "slots = true")
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostComponents.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostComponents.java
@@ -197,6 +197,7 @@
 		this.registry.addVersionListener((version) -> {
 			this.stateChangeLogger.logActiveVersion(version.number(), this.registry.nextOffset());
 			this.scheduler.updateVersion(version, this.time.nanoTime());
+			this.stateChangeLogger.logDrainedDomains(version.number(), version.rules().drainedDomains());
 			this.dispatcher.requestSchedulingPass();
 			this.heartbeatService.sendNow();
 		});
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostDump.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostDump.java
@@ -53,8 +53,8 @@
 
 	private static SchedulerSnapshot truncated(SchedulerSnapshot snapshot) {
 		return new SchedulerSnapshot(snapshot.versionNumber(), snapshot.placement(),
-				StateDump.truncate(snapshot.services()), StateDump.truncate(snapshot.endpoints()),
-				StateDump.truncate(snapshot.teams()), snapshot.counters());
+				StateDump.truncate(snapshot.drainedDomains()), StateDump.truncate(snapshot.services()),
+				StateDump.truncate(snapshot.endpoints()), StateDump.truncate(snapshot.teams()), snapshot.counters());
 	}
 
 	/**
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostMetrics.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/HostMetrics.java
@@ -93,6 +93,9 @@
 		metrics.addGauge("masticwick_ejected_endpoints",
 				"Endpoints that receive no tasks because they fail or are slow.",
 				() -> snapshot().endpoints().stream().filter(SchedulerSnapshot.Endpoint::ejected).count());
+		metrics.addGauge("masticwick_drained_domains",
+				"Failure domains on whose endpoints this host starts no tasks because they are drained.",
+				() -> snapshot().drainedDomains().size());
 		metrics.addGauge("masticwick_queued_tasks", "Queued tasks, by service.", "service",
 				() -> byService(SchedulerSnapshot.Service::queuedCount));
 		metrics.addGauge("masticwick_running_tasks",
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/StateChangeLogger.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/StateChangeLogger.java
@@ -11,9 +11,9 @@
 import org.masticwick.daemon.version.FollowerStatus;
 
 /**
- * Logs state changes: newly active versions, ejected and readmitted endpoints, and
- * whether the log is reachable. Not thread-safe: each method must be called by one thread
- * at a time.
+ * Logs state changes: newly active versions, drained failure domains, ejected and
+ * readmitted endpoints, and whether the log is reachable. Not thread-safe: each method
+ * must be called by one thread at a time.
  */
 final class StateChangeLogger {
 
@@ -21,6 +21,8 @@
 
 	private Set<HostAddress> ejectedEndpoints = Set.of();
 
+	private Set<String> drainedDomains = Set.of();
+
 	private long lastFailureCount;
 
 	private long lastSuccessNanos;
@@ -56,6 +58,30 @@
 		logReachability(followerStatus);
 	}
 
+	/**
+	 * Logs which failure domains have been drained or returned to service since the
+	 * previous call.
+	 * @param version the number of the active version
+	 * @param nowDrained the failure domains that this version drains
+	 */
+	void logDrainedDomains(long version, Set<String> nowDrained) {
+		logDomainsNotIn("Failure domain drained; its endpoints receive no new tasks", nowDrained, this.drainedDomains,
+				version);
+		logDomainsNotIn("Failure domain returned to service; its endpoints receive tasks again", this.drainedDomains,
+				nowDrained, version);
+		this.drainedDomains = Set.copyOf(nowDrained);
+	}
+
+	private static void logDomainsNotIn(String message, Set<String> domains, Set<String> excluded, long version) {
+		domains.stream()
+			.filter((domain) -> !excluded.contains(domain))
+			.sorted()
+			.forEach((domain) -> logger.atInfo()
+				.addKeyValue("domain", domain)
+				.addKeyValue("version", version)
+				.log(message));
+	}
+
 	private static void logEndpointsNotIn(String message, Set<HostAddress> endpoints, Set<HostAddress> excluded) {
 		endpoints.stream()
 			.filter((address) -> !excluded.contains(address))
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/Dispatcher.java
@@ -200,8 +200,10 @@
 	private void abandonDroppedJob(DroppedTask dropped) {
 		ActiveJob active = this.jobs.get(dropped.task().ticket());
 		if (active != null) {
-			abandonJob(active.job(), dropped.code(), ErrorCode.JOB_FAILED,
-					"The scheduler dropped a queued task of the job", dropped.retryAfterMillis());
+			String detail = (dropped.code() == ErrorCode.NO_ENDPOINT)
+					? "No endpoint that could run a queued task of the job accepts tasks"
+					: "The scheduler dropped a queued task of the job";
+			abandonJob(active.job(), dropped.code(), ErrorCode.JOB_FAILED, detail, dropped.retryAfterMillis());
 		}
 	}
 
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/HostObservabilityTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/HostObservabilityTests.java
@@ -187,8 +187,8 @@
 					"masticwick_messages_total", "masticwick_messages_wasted_total", "masticwick_version",
 					"masticwick_log_offset", "masticwick_log_age_seconds", "masticwick_log_failures_total",
 					"masticwick_peers", "masticwick_peers_behind", "masticwick_active_jobs", "masticwick_open_requests",
-					"masticwick_remembered_tickets", "masticwick_ejected_endpoints", "masticwick_heap_used_bytes",
-					"process_cpu_seconds_total", "process_resident_memory_bytes");
+					"masticwick_remembered_tickets", "masticwick_ejected_endpoints", "masticwick_drained_domains",
+					"masticwick_heap_used_bytes", "process_cpu_seconds_total", "process_resident_memory_bytes");
 			assertThat(scrape()).contains("masticwick_peers{liveness=\"lost\"} 0.0", "masticwick_version 0.0",
 					"masticwick_log_age_seconds -1.0");
 		}
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/LoggingTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/LoggingTests.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.util.ContextInitializer;
@@ -148,10 +149,25 @@
 					"Endpoint readmitted; it receives tasks again endpoint=\"127.0.0.1:8200\"", "Log reachable again");
 	}
 
+	@Test
+	void logsEachDrainedDomainOnce() {
+		Logging.configure(new LogSettings(LogFormat.TEXT, "info"));
+		StateChangeLogger stateChangeLogger = new StateChangeLogger();
+		stateChangeLogger.logDrainedDomains(1, Set.of());
+		stateChangeLogger.logDrainedDomains(2, Set.of("hobart"));
+		stateChangeLogger.logDrainedDomains(3, Set.of("hobart"));
+		stateChangeLogger.logDrainedDomains(4, Set.of("derwent"));
+		assertThat(lines()).extracting((line) -> line.replaceFirst(".*StateChangeLogger ", "").strip())
+			.containsExactly(
+					"Failure domain drained; its endpoints receive no new tasks domain=\"hobart\" version=\"2\"",
+					"Failure domain drained; its endpoints receive no new tasks domain=\"derwent\" version=\"4\"",
+					"Failure domain returned to service; its endpoints receive tasks again domain=\"hobart\" version=\"4\"");
+	}
+
 	private static SchedulerSnapshot snapshot(boolean ejected) {
 		SchedulerSnapshot.Endpoint endpoint = new SchedulerSnapshot.Endpoint(HostAddress.parse("127.0.0.1:8200"), "d1",
-				"s", EndpointState.LIVE, 8, 0, 0, ejected, 0, 0, 1);
-		return new SchedulerSnapshot(1, "p", List.of(), List.of(endpoint), List.of(), Map.of());
+				"s", EndpointState.LIVE, false, 8, 0, 0, ejected, 0, 0, 1);
+		return new SchedulerSnapshot(1, "p", List.of(), List.of(), List.of(endpoint), List.of(), Map.of());
 	}
 
 }
