Commands drain and undrain for failure domains

Cause: the rule dispatch/drained-domains lists all drained domains, so setting it by hand needs the active version and conflicts between operators.

Change: masticwick drain DOMAIN and masticwick undrain DOMAIN read the active version from the log, publish a note against it and wait for the verdict.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/Arguments.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/Arguments.java
@@ -1,5 +1,6 @@
 package org.masticwick.cli.process;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -33,6 +34,38 @@
 			.help("URLs of the entry hosts, tried in this order");
 	}
 
+	/**
+	 * Declares the flags {@code --platform} and {@code --timeout-ms} of commands that
+	 * publish release notes.
+	 * @param parser the parser of the command
+	 */
+	static void addPlatform(Subparser parser) {
+		parser.addArgument("--platform").required(true).metavar("URL").help("URL of the platform");
+		parser.addArgument("--timeout-ms")
+			.dest("timeout")
+			.type(Integer.class)
+			.setDefault(30_000)
+			.help("how long to try to publish the note and to read the verdict, in milliseconds; default 30000");
+	}
+
+	/**
+	 * Parses the value of {@code --platform}.
+	 * @param arguments the parsed arguments
+	 * @return the URL of the platform
+	 */
+	static HttpUrl platform(Namespace arguments) {
+		return url(arguments.getString("platform"));
+	}
+
+	/**
+	 * Returns the value of {@code --timeout-ms}.
+	 * @param arguments the parsed arguments
+	 * @return the timeout
+	 */
+	static Duration timeout(Namespace arguments) {
+		return Duration.ofMillis(arguments.getInt("timeout"));
+	}
+
 	/**
 	 * Declares the positional argument for the ticket of a job.
 	 * @param parser the parser of the command
--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/CommandLine.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/CommandLine.java
@@ -23,6 +23,7 @@
 import org.masticwick.cli.connection.HostUnreachableException;
 import org.masticwick.cli.request.InvalidJobFileException;
 import org.masticwick.cli.request.ProblemException;
+import org.masticwick.cli.version.UnknownDomainException;
 import org.masticwick.core.process.ErrorCode;
 import org.masticwick.core.process.MasticwickException;
 
@@ -109,7 +110,7 @@
 		if (ex instanceof HostUnreachableException || ex.errorCode() == ErrorCode.PLATFORM_UNAVAILABLE) {
 			return ExitCode.UNKNOWN;
 		}
-		if (ex instanceof ProblemException) {
+		if (ex instanceof ProblemException || ex instanceof UnknownDomainException) {
 			return ExitCode.REFUSED;
 		}
 		if (ex instanceof InvalidJobFileException || ex.errorCode() == ErrorCode.INVALID_NOTE) {
--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/VerdictFormatter.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/VerdictFormatter.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.masticwick.platform.PublishResult;
+
 /**
  * Formats verdicts on release notes for the command line.
  */
@@ -29,6 +31,19 @@
 		return new CommandResult(exitCode(verdict), json, "note " + noteId + " " + verdict + suffix);
 	}
 
+	/**
+	 * Returns the verdict that the status of a published note shows.
+	 * @param status the status
+	 * @return {@code accepted}, {@code rejected} or {@code unknown}
+	 */
+	static String verdict(PublishResult.Status status) {
+		return switch (status) {
+			case ACCEPTED -> "accepted";
+			case REJECTED -> "rejected";
+			case PENDING -> "unknown";
+		};
+	}
+
 	private static ExitCode exitCode(String verdict) {
 		return switch (verdict) {
 			case "accepted" -> ExitCode.OK;
--- a/masticwick-cli/src/main/java/org/masticwick/cli/version/SitePublisher.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/version/SitePublisher.java
@@ -1,5 +1,6 @@
 package org.masticwick.cli.version;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Random;
@@ -28,6 +29,8 @@
 
 	private final NotePublisher publisher;
 
+	private final DrainPublisher drainPublisher;
+
 	/**
 	 * Creates a publisher.
 	 * @param platform the URL of the platform
@@ -36,6 +39,7 @@
 		HostAddress address = new HostAddress(platform.host(), platform.port());
 		this.platform = new HttpPlatformClient(address, HttpPlatformSettings.DEFAULT);
 		this.publisher = new NotePublisher(this.platform, TimeSource.system(), new Random());
+		this.drainPublisher = new DrainPublisher(this.platform, TimeSource.system(), new SecureRandom());
 	}
 
 	/**
@@ -82,6 +86,20 @@
 		return result.version();
 	}
 
+	/**
+	 * Drains a failure domain or returns it to service.
+	 * @param change the change
+	 * @param timeout how long to try before the verdict counts as pending
+	 * @return the result
+	 * @throws UnknownDomainException if no capacity of the active version names the
+	 * domain
+	 * @throws MasticwickException with {@link ErrorCode#PLATFORM_UNAVAILABLE} if the
+	 * active version could not be read in time; nothing was published
+	 */
+	public DrainResult publish(DrainChange change, Duration timeout) {
+		return this.drainPublisher.publish(change, timeout);
+	}
+
 	@Override
 	public void close() {
 		this.platform.close();
--- a/masticwick-cli/src/test/java/org/masticwick/cli/process/CommandLineTests.java
+++ b/masticwick-cli/src/test/java/org/masticwick/cli/process/CommandLineTests.java
@@ -53,6 +53,9 @@
 				submit job.json                 | --host
 				nonsense                        | nonsense
 				tickets --host a --count many   | many
+				drain --platform a              | too few arguments
+				drain hobart                    | --platform
+				undrain --platform http://[ d   | Not a URL
 				dump --output xml --host a      | xml
 				dump --host http://[            | Not a URL
 				""")
@@ -73,8 +76,8 @@
 		}
 
 		@ParameterizedTest
-		@ValueSource(
-				strings = { "", "tickets ", "submit ", "state ", "cancel ", "publish ", "version ", "note ", "dump " })
+		@ValueSource(strings = { "", "tickets ", "submit ", "state ", "cancel ", "publish ", "version ", "note ",
+				"dump ", "drain ", "undrain " })
 		void printsHelp(String command) {
 			assertThat(run(command + "--help")).isEqualTo(ExitCode.OK);
 		}
