Serve the active state of the site at GET /v1/site

Cause: hosts told operators only the number of the active version, so a release note could not be checked against it before it is published.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiBackend.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiBackend.java
@@ -32,6 +32,13 @@
 	 */
 	HttpAnswer versionReport();
 
+	/**
+	 * Returns the active services, capacities and rules, with what is needed to predict
+	 * the verdict on a release note.
+	 * @return the answer
+	 */
+	HttpAnswer siteState();
+
 	/**
 	 * Returns the verdict on a release note.
 	 * @param noteId the id of the note
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/ApiServer.java
@@ -118,6 +118,7 @@
 		route(Router.DELETE, JOB_PATH,
 				(ctx) -> this.backend.serveJobRequest(jobRequest(ctx, ForwardOperation.CANCEL, EMPTY_BODY)));
 		route(Router.GET, "/v1/version", (ctx) -> completed(this.backend.versionReport()));
+		route(Router.GET, "/v1/site", (ctx) -> completed(this.backend.siteState()));
 		route(Router.GET, "/v1/notes/{note}", (ctx) -> completed(this.backend.noteReport(ctx.path("note").value())));
 		route(Router.GET, "/health", (ctx) -> completed(text(StatusCode.OK_CODE, "alive")));
 		route(Router.GET, "/ready", (ctx) -> completed(readiness()));
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostComponents.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/EntryHostComponents.java
@@ -340,6 +340,11 @@
 			return EntryHostComponents.this.versionReport.siteAnswer();
 		}
 
+		@Override
+		public HttpAnswer siteState() {
+			return EntryHostComponents.this.versionReport.stateAnswer();
+		}
+
 		@Override
 		public HttpAnswer noteReport(String noteId) {
 			return EntryHostComponents.this.versionReport.noteAnswer(noteId);
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/process/VersionReport.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/process/VersionReport.java
@@ -1,6 +1,7 @@
 package org.masticwick.daemon.process;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.masticwick.core.process.Incarnation;
 import org.masticwick.core.process.MasticwickException;
 import org.masticwick.core.process.TimeSource;
+import org.masticwick.core.version.SiteRecordCodec;
 import org.masticwick.core.version.Verdict;
 import org.masticwick.daemon.request.HttpAnswer;
 import org.masticwick.daemon.version.VersionRegistry;
@@ -64,6 +66,19 @@
 		return toAnswer(siteReport());
 	}
 
+	/**
+	 * Returns the active state of the site.
+	 * @return the answer
+	 * @throws MasticwickException with {@link ErrorCode#NO_VERSION} while this host has
+	 * no state
+	 */
+	HttpAnswer stateAnswer() {
+		if (!this.registry.hasState()) {
+			throw new MasticwickException(ErrorCode.NO_VERSION, "This host has not received a version of the site yet");
+		}
+		return HttpAnswer.json(OK, SiteRecordCodec.encodeState(this.registry.state()).getBytes(StandardCharsets.UTF_8));
+	}
+
 	HttpAnswer noteAnswer(String noteId) {
 		Verdict verdict = this.registry.state().verdicts().get(noteId);
 		return toAnswer((verdict != null) ? NoteReport.of(noteId, verdict) : new NoteReport(noteId, "unknown", 0,
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/process/FakeBackend.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/process/FakeBackend.java
@@ -45,6 +45,11 @@
 		return json("{}");
 	}
 
+	@Override
+	public HttpAnswer siteState() {
+		return versionReport();
+	}
+
 	@Override
 	public HttpAnswer noteReport(String noteId) {
 		return json("{\"note\":\"" + noteId + "\"}");
