Command check for release notes

Cause: an operator learnt of errors in a release note from its verdict, one at a time, and never of entries without effect, such as a rule that no program reads or a policy name that does not exist.

--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/Commands.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/Commands.java
@@ -16,8 +16,8 @@
 	 */
 	public static List<Command> all() {
 		return List.of(new TicketsCommand(), new SubmitCommand(), new StateCommand(), new CancelCommand(),
-				new PublishCommand(), new DrainCommand(true), new DrainCommand(false), new VersionCommand(),
-				new NoteCommand(), new DumpCommand(), new TicketCostCommand());
+				new CheckCommand(), new PublishCommand(), new DrainCommand(true), new DrainCommand(false),
+				new VersionCommand(), new NoteCommand(), new DumpCommand(), new TicketCostCommand());
 	}
 
 }
--- a/masticwick-cli/src/main/java/org/masticwick/cli/process/ExitCode.java
+++ b/masticwick-cli/src/main/java/org/masticwick/cli/process/ExitCode.java
@@ -8,8 +8,10 @@
 	/** The command succeeded. */
 	OK(0, "success"),
 
-	/** The job was run and failed, or a load run found a violation. */
-	FAILED(1, "the job was run and failed, or a load run found a violation"),
+	/**
+	 * The job was run and failed, a load run found a violation, or a check has warnings.
+	 */
+	FAILED(1, "the job was run and failed, a load run found a violation, or a check of a note has warnings"),
 
 	/** The command line is invalid. */
 	USAGE(2, "the command line is invalid"),
--- a/masticwick-cli/src/test/java/org/masticwick/cli/process/CommandLineTests.java
+++ b/masticwick-cli/src/test/java/org/masticwick/cli/process/CommandLineTests.java
@@ -77,7 +77,7 @@
 
 		@ParameterizedTest
 		@ValueSource(strings = { "", "tickets ", "submit ", "state ", "cancel ", "publish ", "version ", "note ",
-				"dump ", "drain ", "undrain " })
+				"dump ", "drain ", "undrain ", "check " })
 		void printsHelp(String command) {
 			assertThat(run(command + "--help")).isEqualTo(ExitCode.OK);
 		}
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobOrder.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/JobOrder.java
@@ -1,5 +1,7 @@
 package org.masticwick.core.request.internal;
 
+import java.util.List;
+
 /**
  * Ranks the jobs of one team. The rank of a job does not depend on the current time, so
  * that jobs can stay in an ordered set.
@@ -7,6 +9,9 @@
 @FunctionalInterface
 interface JobOrder {
 
+	/** The names of the orders, sorted. */
+	List<String> NAMES = List.of("arrival", "least-work");
+
 	/** Ranks jobs by arrival. */
 	JobOrder ARRIVAL = (job, slotCount) -> job.admittedNanos();
 
--- a/masticwick-core/src/main/java/org/masticwick/core/request/internal/TeamOrder.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/request/internal/TeamOrder.java
@@ -1,11 +1,16 @@
 package org.masticwick.core.request.internal;
 
+import java.util.List;
+
 /**
  * Ranks the teams with queued tasks.
  */
 @FunctionalInterface
 interface TeamOrder {
 
+	/** The names of the orders, sorted. */
+	List<String> NAMES = List.of("least-running", "slot-time");
+
 	/** Ranks teams by their slot time divided by their share. */
 	TeamOrder SLOT_TIME = TeamAccount::weightedSlotTimeNanos;
 
