Start no tasks in drained failure domains

Cause: an operator can't request that a failure domain gets no new work while its running tasks finish; the scheduler of a pool knows no such state.

Change: PoolScheduler takes the set of drained domains. An endpoint of such a domain accepts no tasks (PooledEndpoint.acceptsTasks, which all placements use) and counts neither in the total nor in the free capacity; runs there continue. A job that only drained endpoints could run is refused at once as "domains-drained" with a retry delay of 1,000 ms, on submission, when the set changes, and when jobs are adopted; durable jobs that were accepted wait. PoolSelector prefers pools that can run something to those that can't, whose backlog reads zero.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Holds the endpoints of the pools of one owner.
@@ -17,6 +19,8 @@
 
 	private final long responseTimeoutMillis;
 
+	private Set<String> drainedDomains = Set.of();
+
 	EndpointTable(long responseTimeoutMillis) {
 		this.responseTimeoutMillis = responseTimeoutMillis;
 		this.selector = new EndpointSelector(responseTimeoutMillis);
@@ -25,9 +29,23 @@
 	PooledEndpoint listed(EndpointEntry entry) {
 		PooledEndpoint endpoint = this.endpoints.computeIfAbsent(entry.id(), (id) -> new PooledEndpoint(entry));
 		endpoint.entry(entry);
+		updateDrained(endpoint);
 		return endpoint;
 	}
 
+	/**
+	 * Replaces the set of failure domains whose endpoints get no new tasks.
+	 * @param domains the names of the domains
+	 */
+	void drainedDomains(Set<String> domains) {
+		this.drainedDomains = Set.copyOf(domains);
+		all().forEach(this::updateDrained);
+	}
+
+	private void updateDrained(PooledEndpoint endpoint) {
+		endpoint.setDrained(this.drainedDomains.contains(endpoint.entry().domain()));
+	}
+
 	/**
 	 * Records that an endpoint was removed from the endpoint list. It gets no new tasks.
 	 * @param endpointId the id of the endpoint
@@ -108,15 +126,31 @@
 	 * @return whether an endpoint exists for each task
 	 */
 	boolean couldRun(PooledJob job) {
+		return couldRun(job, (endpoint) -> true);
+	}
+
+	/**
+	 * Returns whether a job waits for a failure domain to be returned to service: some
+	 * endpoint could run each of its tasks, but for one of them all such endpoints are
+	 * drained.
+	 * @param job the job
+	 * @return whether only drained endpoints could run it
+	 */
+	boolean needsDrainedEndpoint(PooledJob job) {
+		return !this.drainedDomains.isEmpty() && couldRun(job) && !couldRun(job, (endpoint) -> !endpoint.isDrained());
+	}
+
+	private boolean couldRun(PooledJob job, Predicate<PooledEndpoint> filter) {
 		return job.firstTasks()
 			.stream()
-			.allMatch((task) -> all().stream().anyMatch((endpoint) -> this.selector.couldRun(task, endpoint)));
+			.allMatch((task) -> all().stream()
+				.anyMatch((endpoint) -> filter.test(endpoint) && this.selector.couldRun(task, endpoint)));
 	}
 
 	long totalMillicores() {
 		return all().stream()
 			.filter((endpoint) -> endpoint.isListed() && endpoint.entry().ready())
-			.filter((endpoint) -> !endpoint.health().isSuspected())
+			.filter((endpoint) -> !endpoint.isDrained() && !endpoint.health().isSuspected())
 			.mapToLong((endpoint) -> endpoint.entry().capacity().cpuMillicores())
 			.sum();
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongPredicate;
 
 /**
@@ -19,6 +20,12 @@
 	 */
 	private static final int MAX_PLACEMENT_FAILURES = 40;
 
+	/**
+	 * The advised retry delay for a job that only drained endpoints could run, in
+	 * milliseconds. A return to service reaches the owner within this time.
+	 */
+	private static final long DRAINED_RETRY_MILLIS = 1_000;
+
 	private final PoolSettings settings;
 
 	private final PoolActions actions;
@@ -90,6 +97,30 @@
 		this.startDelay = delay;
 	}
 
+	/**
+	 * Replaces the set of failure domains whose endpoints get no new tasks. Runs there
+	 * continue. Jobs that have not started and that only such endpoints could run are
+	 * refused; durable jobs wait until the domain is returned to service.
+	 * @param domains the names of the domains
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	public void drainedDomains(Set<String> domains, long nowMillis) {
+		this.endpoints.drainedDomains(domains);
+		refuseJobsOfDrainedDomains(nowMillis);
+		dispatch(nowMillis);
+	}
+
+	private void refuseJobsOfDrainedDomains(long nowMillis) {
+		this.jobs.interactiveJobs()
+			.stream()
+			.filter((job) -> !job.isStarted() && this.endpoints.needsDrainedEndpoint(job))
+			.forEach((job) -> this.jobs.finish(job, drainedRefusal(), nowMillis));
+	}
+
+	private static JobOutcome drainedRefusal() {
+		return new JobOutcome(JobOutcome.Kind.REFUSED, DRAINED_RETRY_MILLIS, "domains-drained");
+	}
+
 	private void stop(Placement placement, String reason, long nowMillis) {
 		this.runTracker.stop(placement, reason, nowMillis);
 	}
@@ -136,6 +167,9 @@
 		if (!this.endpoints.couldRun(job)) {
 			return Optional.of(this.admission.refuse("no-fitting-endpoint", backlogMillis()));
 		}
+		if (this.endpoints.needsDrainedEndpoint(job)) {
+			return Optional.of(drainedRefusal());
+		}
 		if (job.spec().schedule().isTimed() || job.firstTasks().stream().anyMatch(PooledTask::isLongRunning)) {
 			return Optional.empty();
 		}
@@ -247,6 +281,7 @@
 			.stream()
 			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
 			.forEach((job) -> adopt(job, nowMillis));
+		refuseJobsOfDrainedDomains(nowMillis);
 		dispatch(nowMillis);
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolSelector.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Selects the pool that a job is sent to: the local one, of the host's own failure
@@ -19,7 +20,8 @@
 	private static final double MIN_GAIN_MILLIS = 10;
 
 	/**
-	 * Selects a pool for a job.
+	 * Selects a pool for a job. A pool that can run nothing is only selected if no pool
+	 * can run anything.
 	 * @param candidates the pools with a reachable owner
 	 * @param neededMillicores the demand of all tasks of the job, in thousandths of a
 	 * core
@@ -28,9 +30,8 @@
 	 */
 	public Optional<Candidate> select(List<Candidate> candidates, long neededMillicores, Set<String> tried) {
 		List<Candidate> untried = candidates.stream().filter((each) -> !tried.contains(each.pool())).toList();
-		if (untried.stream().anyMatch((each) -> !each.ownerSuspect())) {
-			untried = untried.stream().filter((each) -> !each.ownerSuspect()).toList();
-		}
+		untried = preferred(untried, Candidate::usable);
+		untried = preferred(untried, (each) -> !each.ownerSuspect());
 		Optional<Candidate> local = untried.stream().filter(Candidate::local).findFirst();
 		if (local.isPresent() && local.get().freeMillicores() >= neededMillicores) {
 			return local;
@@ -42,6 +43,11 @@
 		return smallestBacklog(untried, local);
 	}
 
+	private static List<Candidate> preferred(List<Candidate> candidates, Predicate<Candidate> preference) {
+		List<Candidate> preferred = candidates.stream().filter(preference).toList();
+		return preferred.isEmpty() ? candidates : preferred;
+	}
+
 	private static Optional<Candidate> smallestBacklog(List<Candidate> untried, Optional<Candidate> local) {
 		Optional<Candidate> least = untried.stream().min(Comparator.comparingDouble(Candidate::backlogMillis));
 		boolean staysLocal = local.isPresent() && least.isPresent()
@@ -58,9 +64,11 @@
 	 * @param freeMillicores the free capacity, less the demand of jobs sent there since
 	 * its last report, in thousandths of a core
 	 * @param backlogMillis how long the pool needs for all waiting jobs, in milliseconds
+	 * @param usable whether its owner may run tasks; {@code false} if it reported no
+	 * capacity, or owns pools of drained failure domains only
 	 */
-	public record Candidate(String pool, boolean local, boolean ownerSuspect, long freeMillicores,
-			double backlogMillis) {
+	public record Candidate(String pool, boolean local, boolean ownerSuspect, long freeMillicores, double backlogMillis,
+			boolean usable) {
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -55,6 +55,8 @@
 
 	private boolean listed = true;
 
+	private boolean drained;
+
 	private long pausedUntilMillis;
 
 	PooledEndpoint(EndpointEntry entry) {
@@ -89,6 +91,19 @@
 		this.listed = false;
 	}
 
+	/**
+	 * Returns whether the failure domain of the endpoint is drained, so that it gets no
+	 * new tasks. Its runs continue.
+	 * @return whether it is drained
+	 */
+	boolean isDrained() {
+		return this.drained;
+	}
+
+	void setDrained(boolean drained) {
+		this.drained = drained;
+	}
+
 	EndpointHealth health() {
 		return this.health;
 	}
@@ -251,9 +266,9 @@
 	 * @return whether it accepts a task
 	 */
 	boolean acceptsTasks(long nowMillis, long responseTimeoutMillis) {
-		return this.listed && this.entry.ready() && this.orphanedRunCount == 0 && nowMillis >= this.pausedUntilMillis
-				&& nowMillis - this.lastContactMillis <= responseTimeoutMillis && !isIsolated(nowMillis)
-				&& this.health.acceptsTask(this.placements.size(), nowMillis);
+		return this.listed && !this.drained && this.entry.ready() && this.orphanedRunCount == 0
+				&& nowMillis >= this.pausedUntilMillis && nowMillis - this.lastContactMillis <= responseTimeoutMillis
+				&& !isIsolated(nowMillis) && this.health.acceptsTask(this.placements.size(), nowMillis);
 	}
 
 	/**
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSelectorTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSelectorTests.java
@@ -15,7 +15,7 @@
 	private final PoolSelector selector = new PoolSelector();
 
 	private static PoolSelector.Candidate pool(String name, boolean local, long freeMillicores, double backlogMillis) {
-		return new PoolSelector.Candidate(name, local, false, freeMillicores, backlogMillis);
+		return new PoolSelector.Candidate(name, local, false, freeMillicores, backlogMillis, true);
 	}
 
 	private String selectedPool(Set<String> tried, PoolSelector.Candidate... candidates) {
@@ -53,9 +53,37 @@
 
 	@Test
 	void avoidsAPoolWhoseOwnerIsSuspect() {
-		PoolSelector.Candidate suspectPool = new PoolSelector.Candidate("local", true, true, 900_000, 0);
+		PoolSelector.Candidate suspectPool = new PoolSelector.Candidate("local", true, true, 900_000, 0, true);
 		assertThat(selectedPool(Set.of(), suspectPool, pool("other", false, 0, 90))).isEqualTo("other");
 		assertThat(selectedPool(Set.of(), suspectPool)).isEqualTo("local");
 	}
 
+	private static PoolSelector.Candidate unusablePool(String name, boolean local) {
+		return new PoolSelector.Candidate(name, local, false, 0, 0, false);
+	}
+
+	/**
+	 * The backlog of a pool without capacity reads zero, so that it used to attract all
+	 * jobs while the others were busy.
+	 */
+	@Test
+	void avoidsAPoolThatCanRunNothingAlthoughItsBacklogReadsZero() {
+		assertThat(selectedPool(Set.of(), unusablePool("local", true), pool("other", false, 0, 900)))
+			.isEqualTo("other");
+		assertThat(selectedPool(Set.of(), unusablePool("other", false), pool("local", true, 0, 900)))
+			.isEqualTo("local");
+	}
+
+	@Test
+	void prefersASuspectOwnerToAPoolThatCanRunNothing() {
+		PoolSelector.Candidate suspectPool = new PoolSelector.Candidate("other", false, true, 0, 0, true);
+		assertThat(selectedPool(Set.of(), unusablePool("local", true), suspectPool)).isEqualTo("other");
+	}
+
+	@Test
+	void selectsAPoolThatCanRunNothingIfThereIsNoOther() {
+		assertThat(selectedPool(Set.of("other"), unusablePool("local", true), pool("other", false, 900_000, 0)))
+			.isEqualTo("local");
+	}
+
 }
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -316,7 +316,7 @@
 			PoolLoad visibleLoad = local ? this.scheduler.load(PoolSimulation.this.nowMillis) : this.reportedLoad;
 			long sentSinceReport = local ? 0 : this.sentMillicores;
 			return new PoolSelector.Candidate(this.name, local, false, visibleLoad.freeMillicores() - sentSinceReport,
-					visibleLoad.backlogMillis());
+					visibleLoad.backlogMillis(), true);
 		}
 
 		private void tick() {
