Follow the drained failure domains in the log and by peers

Cause: hosts do not know which failure domains operators have drained, and a host that the log refuses could learn it from its peers only.

DrainedDomainsHolder keeps the set with the offset up to which it is complete and replaces it only by one with a higher offset. TopicFollower tells its listener when a load or a page of reads is complete. HostReport carries offset and set in optional fields; a change of the set is reported at once. An owner starts nothing until a set is known. The directory marks pools as unusable whose owner reports no capacity, or owns drained pools only. New log lines and the gauge masticwick_drained_domains.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/TopicFollower.java
@@ -134,6 +134,7 @@
 		this.loadNext = false;
 		this.newestOffsets.keySet().retainAll(this.loadedKeys);
 		this.listener.onLoaded(Set.copyOf(this.loadedKeys));
+		notifyUpToDate();
 		scheduleFetch();
 	}
 
@@ -158,6 +159,19 @@
 		}
 	}
 
+	private void notifyUpToDate() {
+		try {
+			this.listener.onUpToDate(this.nextOffset);
+		}
+		catch (RuntimeException ex) {
+			logger.atError()
+				.addKeyValue("topic", this.topic)
+				.addKeyValue("next_offset", this.nextOffset)
+				.setCause(ex)
+				.log("Applying the records of the topic failed; following the topic continues");
+		}
+	}
+
 	private void scheduleFetch() {
 		if (this.pollPolicy.pauseMillis() == 0) {
 			fetch();
@@ -185,6 +199,7 @@
 	private void onReadPage(LogPage page) {
 		page.records().forEach(this::deliver);
 		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
+		notifyUpToDate();
 		scheduleFetch();
 	}
 
@@ -296,6 +311,14 @@
 		default void onLoaded(Set<String> keys) {
 		}
 
+		/**
+		 * Called after each load, and after the records of each further read.
+		 * @param nextOffset the offset before which all records that are the newest of
+		 * their key have been delivered
+		 */
+		default void onUpToDate(long nextOffset) {
+		}
+
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -31,6 +31,8 @@
 import org.masticwick.fleet.connection.SharedTopic;
 import org.masticwick.fleet.connection.TopicFollower;
 import org.masticwick.fleet.request.CallerFormat;
+import org.masticwick.fleet.version.DrainedDomains;
+import org.masticwick.fleet.version.DrainedDomainsHolder;
 import org.masticwick.fleet.version.InvalidRecordException;
 import org.masticwick.fleet.version.SiteFormat;
 import org.masticwick.fleet.version.VersionHolder;
@@ -114,6 +116,8 @@
 
 	private final VersionHolder versions;
 
+	private final DrainedDomainsHolder drains;
+
 	private final PeerTable peers;
 
 	private final LossExchange lossExchange = new LossExchange();
@@ -173,15 +177,16 @@
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
 				entryHost.incarnation(), settings.processorMillicores());
 		this.versions = new VersionHolder(siteFormat);
+		this.drains = new DrainedDomainsHolder(siteFormat, this::drainedDomainsChanged);
 		this.peers = new PeerTable(Clock.nowMillis());
-		this.directory = new PoolDirectory(this.self, this.peers);
+		this.directory = new PoolDirectory(this.self, this.peers, this.drains::isDrained);
 		this.router = new JobRouter(this.eventLoop, this.self, settings.domains(), this.directory, callerFormat,
 				this.metrics);
-		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, this::applyOperatorRecord);
+		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, new OperatorListener());
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
 				log, siteFormat, this.metrics, (domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog,
-						domains, this.metrics, this.lossExchange, this),
+						domains, this.metrics, this.lossExchange, this.drains, this),
 				this.memberFollower, settings.firstStart());
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
@@ -300,13 +305,14 @@
 			.orElse(List.of());
 		return new PeerReporter.HostState(this.versions.activeNumber(), this.stopping, pools,
 				this.directory.poolsWithReachableOwner(Clock.nowMillis()), hasSeenDurableJobs(),
-				this.memberFollower.isLogReachable());
+				this.memberFollower.isLogReachable(), this.drains.current().orElse(null));
 	}
 
-	private void applyOperatorRecord(KeyedRecord operatorRecord) {
-		if (operatorRecord.key().equals(this.versionKey) && operatorRecord.value() != null) {
-			this.versions.activateIfNewer(operatorRecord.value(), "log");
-		}
+	// Peers that the log refuses depend on the report.
+	private void drainedDomainsChanged(DrainedDomains drainedDomains) {
+		this.metrics.drainedDomains(drainedDomains.domains().size());
+		this.directory.localOwner().ifPresent(PoolOwner::drainedDomainsChanged);
+		report();
 	}
 
 	private void applyMemberRecord(KeyedRecord memberRecord) {
@@ -411,6 +417,10 @@
 			this.reporter.handleMissedReports(from, nowMillis);
 			this.directory.localOwner().ifPresent((owner) -> owner.reportsMissedBy(from.toString()));
 		}
+		if (report.drainsOffset() != PeerMessage.HostReport.DRAINS_UNKNOWN) {
+			this.drains.replaceIfNewer(new DrainedDomains(report.drainsOffset(), Set.copyOf(report.drainedDomains())),
+					"peer " + from);
+		}
 		report.pools().forEach((pool) -> this.directory.resetSent(pool.pool()));
 		this.ownership.applyPeerReports(report.pools());
 		this.versionPull.recordPeerVersion(from, report.versionNumber(), this.versions.activeNumber(), nowMillis);
@@ -558,6 +568,31 @@
 		this.eventLoops.terminationFuture().awaitUninterruptibly();
 	}
 
+	/**
+	 * Applies the records of operators: published versions and drained failure domains.
+	 */
+	private final class OperatorListener implements TopicFollower.Listener {
+
+		@Override
+		public void onRecord(KeyedRecord operatorRecord) {
+			if (operatorRecord.key().equals(FleetHost.this.versionKey) && operatorRecord.value() != null) {
+				FleetHost.this.versions.activateIfNewer(operatorRecord.value(), "log");
+			}
+			FleetHost.this.drains.onRecord(operatorRecord.key(), operatorRecord.value() == null);
+		}
+
+		@Override
+		public void onLoaded(Set<String> keys) {
+			FleetHost.this.drains.onLoaded(keys);
+		}
+
+		@Override
+		public void onUpToDate(long nextOffset) {
+			FleetHost.this.drains.onUpToDate(nextOffset);
+		}
+
+	}
+
 	/**
 	 * Applies the records of endpoints, and reports those without a record as unlisted.
 	 */
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -15,7 +16,7 @@
 import org.masticwick.core.pool.StartRefusal;
 
 /**
- * Counters and latency histograms of an entry host.
+ * Counters, gauges and latency histograms of an entry host.
  */
 public final class FleetMetrics {
 
@@ -69,6 +70,11 @@
 		.labelNames("verdict")
 		.register(this.registry);
 
+	private final Gauge drainedDomains = Gauge.builder()
+		.name("masticwick_drained_domains")
+		.help("Failure domains in which this host starts no new tasks")
+		.register(this.registry);
+
 	private Counter counter(String name, String help) {
 		return Counter.builder().name(name).help(help).register(this.registry);
 	}
@@ -114,6 +120,10 @@
 		this.restartVerdicts.labelValues(verdict.name()).inc();
 	}
 
+	void drainedDomains(int count) {
+		this.drainedDomains.set(count);
+	}
+
 	byte[] toText() {
 		try (ByteArrayOutputStream out = new ByteArrayOutputStream()) {
 			new PrometheusTextFormatWriter(false).write(out, this.registry.scrape());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
@@ -4,12 +4,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.version.DrainedDomains;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerMessage.HostReport;
 import org.masticwick.wire.PeerTransport;
@@ -180,14 +183,17 @@
 	 * owner it has recent contact with
 	 * @param hasSeenDurableJobs whether this host has handled or stored durable jobs
 	 * @param logReachable whether the log answers this host
+	 * @param drains the drained failure domains, or {@code null} if this host does not
+	 * know them yet
 	 */
 	record HostState(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> poolsWithReachableOwner,
-			boolean hasSeenDurableJobs, boolean logReachable) {
+			boolean hasSeenDurableJobs, boolean logReachable, DrainedDomains drains) {
 
 		private HostReport toReport(int intervalMillis, boolean recipientReachable) {
 			return new PeerMessage.HostReport(this.versionNumber, this.leaving, this.pools,
 					this.poolsWithReachableOwner, this.hasSeenDurableJobs, this.logReachable, intervalMillis,
-					recipientReachable);
+					recipientReachable, (this.drains != null) ? this.drains.offset() : HostReport.DRAINS_UNKNOWN,
+					(this.drains != null) ? List.copyOf(this.drains.sortedDomains()) : List.of());
 		}
 
 		/**
@@ -199,7 +205,12 @@
 		private boolean isEquivalentTo(HostState other) {
 			return other != null && this.leaving == other.leaving && tokens().equals(other.tokens())
 					&& this.poolsWithReachableOwner.equals(other.poolsWithReachableOwner)
-					&& this.hasSeenDurableJobs == other.hasSeenDurableJobs;
+					&& this.hasSeenDurableJobs == other.hasSeenDurableJobs
+					&& drainedDomains().equals(other.drainedDomains());
+		}
+
+		private Optional<Set<String>> drainedDomains() {
+			return Optional.ofNullable(this.drains).map(DrainedDomains::domains);
 		}
 
 		private Map<String, Long> tokens() {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.masticwick.core.pool.PoolLoad;
@@ -33,11 +34,20 @@
 	 */
 	private final Map<String, Long> unreportedMillicores = new HashMap<>();
 
+	private final Predicate<String> drainedPools;
+
 	private PoolOwner localOwner;
 
-	PoolDirectory(MemberRecord self, PeerTable peers) {
+	/**
+	 * Creates a directory without pools.
+	 * @param self this host
+	 * @param peers the peers
+	 * @param drainedPools tells whether the failure domain of a pool is drained
+	 */
+	PoolDirectory(MemberRecord self, PeerTable peers, Predicate<String> drainedPools) {
 		this.self = self;
 		this.peers = peers;
+		this.drainedPools = drainedPools;
 	}
 
 	/**
@@ -182,8 +192,8 @@
 		boolean local = pool.equals(this.self.domain());
 		if (localOwnerOf(pool).isPresent()) {
 			PoolLoad load = this.localOwner.load();
-			return this.localOwner.isFrozen() ? Optional.empty() : Optional
-				.of(new PoolSelector.Candidate(pool, local, false, load.freeMillicores(), load.backlogMillis()));
+			return this.localOwner.isFrozen() ? Optional.empty() : Optional.of(new PoolSelector.Candidate(pool, local,
+					false, load.freeMillicores(), load.backlogMillis(), load.totalMillicores() > 0));
 		}
 		return ownerAddress(pool).filter((address) -> !address.equals(this.self.peerAddress()))
 			.flatMap((address) -> remoteCandidate(pool, address, local, nowMillis));
@@ -194,8 +204,8 @@
 		if (!this.peers.isReachable(ownerAddress, nowMillis)) {
 			// Until a new host has had time to receive reports, it tries the owner
 			// anyway.
-			return this.peers.isDiscoveryComplete(nowMillis) ? Optional.empty()
-					: Optional.of(new PoolSelector.Candidate(pool, local, true, 0, 0));
+			return this.peers.isDiscoveryComplete(nowMillis) ? Optional.empty() : Optional
+				.of(new PoolSelector.Candidate(pool, local, true, 0, 0, !ownsOnlyDrainedPools(pool, ownerAddress)));
 		}
 		boolean ownerSuspect = this.peers.isSuspect(ownerAddress, nowMillis);
 		long sentMillicores = this.unreportedMillicores.getOrDefault(pool, 0L);
@@ -205,7 +215,17 @@
 				.filter((poolReport) -> poolReport.pool().equals(pool))
 				.findFirst())
 			.map((poolReport) -> new PoolSelector.Candidate(pool, local, ownerSuspect,
-					poolReport.load().freeMillicores() - sentMillicores, poolReport.load().backlogMillis()));
+					poolReport.load().freeMillicores() - sentMillicores, poolReport.load().backlogMillis(),
+					poolReport.load().totalMillicores() > 0 && !ownsOnlyDrainedPools(pool, ownerAddress)));
+	}
+
+	// An owner schedules all its pools as one, so that it runs jobs as long as one of
+	// them is not drained. What this host knows may be newer than the owner's report.
+	private boolean ownsOnlyDrainedPools(String pool, HostAddress ownerAddress) {
+		return this.drainedPools.test(pool) && this.claims.keySet()
+			.stream()
+			.filter((other) -> !this.drainedPools.test(other))
+			.noneMatch((other) -> ownerAddress(other).filter(ownerAddress::equals).isPresent());
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -41,6 +41,7 @@
 import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.JobLog;
+import org.masticwick.fleet.version.DrainedDomainsHolder;
 import org.masticwick.wire.PeerMessage;
 
 /**
@@ -99,22 +100,49 @@
 
 	private final LossExchange lossExchange;
 
+	private final DrainedDomainsHolder drains;
+
 	private long endpointsAwaitedUntilMillis = Clock.nowMillis() + MAX_ENDPOINT_LOAD_MILLIS;
 
 	private boolean frozen;
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
-			LossExchange lossExchange, Listener listener) {
+			LossExchange lossExchange, DrainedDomainsHolder drains, Listener listener) {
 		this.eventLoop = eventLoop;
 		this.calls = calls;
 		this.metrics = metrics;
 		this.listener = listener;
 		this.lossExchange = lossExchange;
+		this.drains = drains;
 		this.scheduler = new PoolScheduler(this.poolSettings, this, lossExchange.history());
 		this.siteDomainCount = domains.size();
 		this.durableJobs = new DurableJobManager(eventLoop, jobLog, domains, this.scheduler, new DurableJobListener());
 		this.scheduler.recoveryStatus(this.durableJobs);
 		this.scheduler.startDelay(this::isStartDelayed);
+		drainedDomainsChanged();
+	}
+
+	/**
+	 * Applies the newest known set of drained failure domains. While pools are handed
+	 * over, nothing starts, and the next owner applies the set that it knows.
+	 */
+	void drainedDomainsChanged() {
+		if (this.frozen) {
+			return;
+		}
+		this.drains.current().ifPresent((known) -> {
+			this.scheduler.drainedDomains(known.domains(), Clock.nowMillis());
+			this.claims.keySet().stream().filter(known::contains).forEach(this::logDrainedPool);
+		});
+	}
+
+	private void logDrainedPool(String pool) {
+		logger.atInfo()
+			.addKeyValue("pool", pool)
+			.addKeyValue("pools", pools())
+			.addKeyValue("total_millicores", load().totalMillicores())
+			.addKeyValue("jobs", jobCount())
+			.log("Owned pool is drained; its capacity does not count");
 	}
 
 	Set<String> pools() {
@@ -128,6 +156,9 @@
 	void addPool(PoolClaim claim) {
 		this.claims.put(claim.pool(), claim);
 		this.durableJobs.addPool(claim);
+		if (this.drains.isDrained(claim.pool())) {
+			logDrainedPool(claim.pool());
+		}
 	}
 
 	/**
@@ -177,6 +208,7 @@
 	 */
 	void unfreeze() {
 		this.frozen = false;
+		drainedDomainsChanged();
 		List.copyOf(this.leases.values()).stream().filter((lease) -> !lease.isRenewing()).forEach(this::renew);
 	}
 
@@ -275,7 +307,8 @@
 	}
 
 	private boolean isStartDelayed(long nowMillis) {
-		return nowMillis < this.endpointsAwaitedUntilMillis || mayHaveBeenPaused(nowMillis);
+		return nowMillis < this.endpointsAwaitedUntilMillis || this.drains.current().isEmpty()
+				|| mayHaveBeenPaused(nowMillis);
 	}
 
 	private boolean mayHaveBeenPaused(long nowMillis) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/version/SiteFormat.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/version/SiteFormat.java
@@ -1,5 +1,7 @@
 package org.masticwick.fleet.version;
 
+import java.util.Optional;
+
 import org.masticwick.core.pool.EndpointEntry;
 
 /**
@@ -21,6 +23,16 @@
 	 */
 	SiteVersion readVersion(byte[] content);
 
+	/**
+	 * Returns the failure domain that is drained while a record of the operators has a
+	 * value. Deleting the record returns the domain to service. The value itself does not
+	 * matter.
+	 * @param recordKey the key of the record
+	 * @return the name of the domain, or empty if the key is malformed or that of a
+	 * record of another kind
+	 */
+	Optional<String> drainedDomain(String recordKey);
+
 	/**
 	 * Parses the entry in which an endpoint describes itself.
 	 * @param endpointId the id of the endpoint
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/connection/TopicFollowerTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/connection/TopicFollowerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -103,6 +104,37 @@
 			assertThat(this.delivered).doesNotContain("a7");
 		}
 
+		/**
+		 * A listener that derives a state from several records needs to know when it is
+		 * complete. An error of the listener must not end the following of the topic.
+		 */
+		@Test
+		void areFollowedByTheOffsetUpToWhichTheyAreComplete() {
+			TopicFollowerTests.this.log.loaded = List.of(keyedRecord(5, "a"));
+			TopicFollowerTests.this.log.read = List.of(keyedRecord(7, "b"));
+			followWith(new TopicFollower.Listener() {
+
+				@Override
+				public void onRecord(KeyedRecord keyedRecord) {
+					Records.this.delivered.add(keyedRecord.key());
+				}
+
+				@Override
+				public void onLoaded(Set<String> keys) {
+					Records.this.delivered.add("loaded");
+				}
+
+				@Override
+				public void onUpToDate(long nextOffset) {
+					Records.this.delivered.add("up to " + nextOffset);
+					throw new IllegalStateException("broken");
+				}
+
+			});
+			await().until(() -> this.delivered.size() >= 5);
+			assertThat(this.delivered.subList(0, 5)).containsExactly("a", "loaded", "up to 7", "b", "up to 7");
+		}
+
 		private static KeyedRecord keyedRecord(long offset, String key) {
 			return new KeyedRecord(offset, key, new byte[1]);
 		}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +47,8 @@
 
 	static final String IP = "127.0.0.1";
 
+	static final String DRAIN_KEY_PREFIX = "drain-";
+
 	private final InMemoryLog log = new InMemoryLog();
 
 	private final InMemoryEndpoints endpoints;
@@ -92,16 +95,28 @@
 		this.log.append(SharedTopic.ENDPOINTS, List.of(record(id, domain + ",true," + cpuMillicores)));
 	}
 
+	void drain(String domain) {
+		this.log.append(SharedTopic.OPERATORS, List.of(record(DRAIN_KEY_PREFIX + domain, "{}")));
+	}
+
+	void returnToService(String domain) {
+		this.log.append(SharedTopic.OPERATORS, List.of(NewRecord.deletion(DRAIN_KEY_PREFIX + domain)));
+	}
+
 	static NewRecord record(String key, String value) {
 		return new NewRecord(key, value.getBytes(StandardCharsets.UTF_8));
 	}
 
 	void start(String hostName, String domain) {
+		start(hostName, domain, 750);
+	}
+
+	void start(String hostName, String domain, int processorMillicores) {
 		int[] ports = freePorts(4);
 		EventLoopGroup loops = new NioEventLoopGroup(1);
 		FleetSettings settings = new FleetSettings(hostName, domain, List.of("d1", "d2"), new HostAddress(IP, ports[0]),
-				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000, 750,
-				this.firstStart);
+				new HostAddress(IP, ports[1]), new HostAddress(IP, ports[2]), new HostAddress(IP, ports[3]), 6_000,
+				processorMillicores, this.firstStart);
 		EntryHost identity = new EntryHost(domain, settings.peerAddress(), new Incarnation(this.nextIncarnation++, 1));
 		FleetHost host = new FleetHost(loops, settings, identity, this.log.clientOf(hostName, loops.next()),
 				this.log.clientOf(hostName, loops.next()), this.endpoints.clientOn(loops.next()), new TextSiteFormat(),
@@ -199,6 +214,14 @@
 			}
 		}
 
+		@Override
+		public Optional<String> drainedDomain(String recordKey) {
+			return Optional.of(recordKey)
+				.filter((key) -> key.startsWith(DRAIN_KEY_PREFIX))
+				.map((key) -> key.substring(DRAIN_KEY_PREFIX.length()))
+				.filter((domain) -> !domain.isEmpty());
+		}
+
 		@Override
 		public EndpointEntry readEndpoint(String endpointId, byte[] content) {
 			String[] parts = new String(content, StandardCharsets.UTF_8).split(",");
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
@@ -54,6 +54,8 @@
 
 	private final Map<String, Integer> maxRunningCounts = new HashMap<>();
 
+	private final Map<String, Integer> startCounts = new HashMap<>();
+
 	private int startCount;
 
 	InMemoryEndpoints(long runMillis) {
@@ -120,6 +122,24 @@
 		return this.startCount;
 	}
 
+	/**
+	 * Returns how many runs were started on an endpoint.
+	 * @param endpointId the id of the endpoint
+	 * @return the number of runs
+	 */
+	synchronized int startCount(String endpointId) {
+		return this.startCounts.getOrDefault(endpointId, 0);
+	}
+
+	/**
+	 * Lets an endpoint crash, so that its runs are lost.
+	 * @param endpointId the id of the endpoint
+	 */
+	synchronized void crash(String endpointId) {
+		terminateDueRuns();
+		this.endpoints.get(endpointId).crash();
+	}
+
 	synchronized int runningCount() {
 		terminateDueRuns();
 		return this.runningCounts.values().stream().mapToInt(Integer::intValue).sum();
@@ -151,6 +171,7 @@
 		endpoint.leaseEndMillis = Math.max(endpoint.leaseEndMillis, leaseEndMillis);
 		if (endpoint.startMillisByRun.putIfAbsent(run, nowMillis()) == null) {
 			this.startCount++;
+			this.startCounts.merge(entry.id(), 1, Integer::sum);
 			this.maxRunningCounts.merge(entry.id(), endpoint.startMillisByRun.size(), Math::max);
 			if (this.doneTasks.contains(run.task())) {
 				this.restartedTasks.add(run.task());
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
@@ -40,6 +40,8 @@
 
 	private final Map<String, Integer> endpointLoadCounts = new ConcurrentHashMap<>();
 
+	private final Set<SharedTopic> unreadableTopics = ConcurrentHashMap.newKeySet();
+
 	private final Set<String> unreachableFrom = ConcurrentHashMap.newKeySet();
 
 	InMemoryLog() {
@@ -74,6 +76,18 @@
 		return this.endpointLoadCounts.getOrDefault(hostName, 0);
 	}
 
+	/**
+	 * Refuses to read a topic for all hosts.
+	 * @param topic the topic
+	 */
+	void refuseReads(SharedTopic topic) {
+		this.unreadableTopics.add(topic);
+	}
+
+	void acceptReads(SharedTopic topic) {
+		this.unreadableTopics.remove(topic);
+	}
+
 	void reconnect(String hostName) {
 		this.unreachableFrom.remove(hostName);
 	}
@@ -100,6 +114,13 @@
 		return newest(topic).records();
 	}
 
+	private LogPage read(SharedTopic topic, Supplier<LogPage> page) {
+		if (this.unreadableTopics.contains(topic)) {
+			throw new CallException(CallException.Code.TIMEOUT, "The topic can't be read");
+		}
+		return page.get();
+	}
+
 	private synchronized LogPage newest(SharedTopic topic) {
 		Map<String, KeyedRecord> newestByKey = new LinkedHashMap<>();
 		this.topics.get(topic).forEach((keyedRecord) -> newestByKey.put(keyedRecord.key(), keyedRecord));
@@ -206,7 +227,7 @@
 		@Override
 		public CompletableFuture<LogPage> readLatest(SharedTopic topic, String afterKey) {
 			if (topic != SharedTopic.ENDPOINTS) {
-				return answer(() -> InMemoryLog.this.newest(topic));
+				return answer(() -> InMemoryLog.this.read(topic, () -> newest(topic)));
 			}
 			InMemoryLog.this.endpointLoadCounts.merge(this.hostName, 1, Integer::sum);
 			return answer(() -> InMemoryLog.this.newest(topic),
@@ -215,7 +236,7 @@
 
 		@Override
 		public CompletableFuture<LogPage> read(SharedTopic topic, long fromOffset, long waitMillis) {
-			return answer(() -> readFrom(topic, fromOffset)).thenCompose((page) -> {
+			return answer(() -> InMemoryLog.this.read(topic, () -> readFrom(topic, fromOffset))).thenCompose((page) -> {
 				if (!page.records().isEmpty() || waitMillis <= POLL_MILLIS) {
 					return CompletableFuture.completedFuture(page);
 				}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerReporterTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerReporterTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
@@ -14,6 +15,7 @@
 
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
+import org.masticwick.fleet.version.DrainedDomains;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerMessage.HostReport;
 import org.masticwick.wire.PeerTransport;
@@ -41,6 +43,8 @@
 
 	private List<String> poolsWithReachableOwner = List.of();
 
+	private DrainedDomains drains = new DrainedDomains(3, Set.of());
+
 	private PeerReporter reporter;
 
 	@BeforeEach
@@ -56,11 +60,11 @@
 				.mapToObj((number) -> member(domain, number))
 				.filter((member) -> !member.equals(self))
 				.forEach(peers::addMember));
-		PoolDirectory directory = new PoolDirectory(self, peers);
+		PoolDirectory directory = new PoolDirectory(self, peers, (pool) -> false);
 		IntStream.rangeClosed(1, DOMAIN_COUNT)
 			.forEach((domain) -> directory.applyClaim(new PoolClaim("d" + domain, member(domain, 2), 16, List.of())));
-		PeerReporter created = new PeerReporter(self, peers, directory, () -> false,
-				() -> new PeerReporter.HostState(1, false, List.of(), this.poolsWithReachableOwner, false, true));
+		PeerReporter created = new PeerReporter(self, peers, directory, () -> false, () -> new PeerReporter.HostState(1,
+				false, List.of(), this.poolsWithReachableOwner, false, true, this.drains));
 		created.transport(this.transport);
 		return created;
 	}
@@ -106,6 +110,37 @@
 			assertThat(PeerReporterTests.this.transport.countTo(LOCAL_HOST)).isEqualTo(2);
 		}
 
+		/**
+		 * Peers that the log refuses depend on the report, so that it can't wait for the
+		 * long interval.
+		 */
+		@Test
+		void reportsAChangeOfTheDrainedDomainsAtOnce() {
+			PeerReporterTests.this.reporter.report(1_000);
+			PeerReporterTests.this.drains = new DrainedDomains(4, Set.of("d2", "d1"));
+			PeerReporterTests.this.reporter.report(1_001);
+			assertThat(PeerReporterTests.this.transport.countTo(LOCAL_HOST)).isEqualTo(2);
+			assertThat(PeerReporterTests.this.transport.lastTo(LOCAL_HOST).drainsOffset()).isEqualTo(4);
+			assertThat(PeerReporterTests.this.transport.lastTo(LOCAL_HOST).drainedDomains()).containsExactly("d1",
+					"d2");
+		}
+
+		@Test
+		void reportsAHigherOffsetWithTheNextReport() {
+			PeerReporterTests.this.reporter.report(1_000);
+			PeerReporterTests.this.drains = new DrainedDomains(4, Set.of());
+			PeerReporterTests.this.reporter.report(1_001);
+			assertThat(PeerReporterTests.this.transport.countTo(LOCAL_HOST)).isEqualTo(1);
+		}
+
+		@Test
+		void reportsThatItKnowsNoDrainedDomains() {
+			PeerReporterTests.this.drains = null;
+			PeerReporterTests.this.reporter.report(1_000);
+			assertThat(PeerReporterTests.this.transport.lastTo(LOCAL_HOST).drainsOffset())
+				.isEqualTo(HostReport.DRAINS_UNKNOWN);
+		}
+
 	}
 
 	@Nested
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerTableTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerTableTests.java
@@ -34,7 +34,8 @@
 	}
 
 	private static HostReport report(int intervalMillis, PoolReport... pools) {
-		return new HostReport(1, false, List.of(pools), List.of(), false, true, intervalMillis, true);
+		return new HostReport(1, false, List.of(pools), List.of(), false, true, intervalMillis, true,
+				HostReport.DRAINS_UNKNOWN, List.of());
 	}
 
 	private static PoolReport pool(long token, long freeMillicores) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -251,14 +251,21 @@
 	 * @param intervalMillis the time until the next report to this peer, in milliseconds
 	 * @param recipientReachable whether the sender receives the reports of this peer;
 	 * {@code false} only if it has received some before
+	 * @param drainsOffset the offset of the operators' topic up to which the set of
+	 * drained domains is complete, or {@link #DRAINS_UNKNOWN}
+	 * @param drainedDomains the names of the drained failure domains that the sender
+	 * knows
 	 */
 	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> poolsWithReachableOwner,
-			boolean hasSeenDurableJobs, boolean logReachable, int intervalMillis,
-			boolean recipientReachable) implements PeerMessage {
+			boolean hasSeenDurableJobs, boolean logReachable, int intervalMillis, boolean recipientReachable,
+			long drainsOffset, List<String> drainedDomains) implements PeerMessage {
 
 		/** The interval between reports to a peer that depends on fast detection. */
 		public static final int SHORT_INTERVAL_MILLIS = 125;
 
+		/** The offset of a sender that does not know the drained domains. */
+		public static final long DRAINS_UNKNOWN = -1;
+
 	}
 
 	/**
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageCodecTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageCodecTests.java
@@ -1,6 +1,7 @@
 package org.masticwick.wire.internal;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Nested;
@@ -110,6 +111,32 @@
 
 	}
 
+	@Nested
+	class OlderVersions {
+
+		/**
+		 * A report of a host that knows nothing of drained domains must not pass for a
+		 * set without domains, which would return them to service.
+		 */
+		@Test
+		void reportNoSetOfDrainedDomains() throws IOException {
+			byte[] bytes = pack((out) -> {
+				packEnvelopeStart(out, 4,
+						MessageKind
+							.of(new PeerMessage.HostReport(7, false, List.of(), List.of(), false, true, 125, true,
+									PeerMessage.HostReport.DRAINS_UNKNOWN, List.of()))
+							.number());
+				out.packMapHeader(2).packInt(0).packLong(7).packInt(6).packInt(375);
+			});
+			PeerMessage.HostReport report = (PeerMessage.HostReport) MessageCodec.decode(bytes).message();
+			assertThat(report.versionNumber()).isEqualTo(7);
+			assertThat(report.intervalMillis()).isEqualTo(375);
+			assertThat(report.drainsOffset()).isEqualTo(PeerMessage.HostReport.DRAINS_UNKNOWN);
+			assertThat(report.drainedDomains()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class InvalidBytes {
 
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -105,8 +105,9 @@
 		TaskLoss taskLoss = new TaskLoss(new TaskRun(new TaskId("5c0e7a21d94b36f8", 0, 1, 7), 2),
 				new EndpointIncarnation("e-1", new HostAddress("10.0.0.1", 80), 5), TaskLoss.State.CRASHED, true);
 		return Stream.of(
-				new PeerMessage.HostReport(7, true, List.of(poolReport), List.of("hobart"), true, false, 375, false),
-				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true, 125, true),
+				new PeerMessage.HostReport(7, true, List.of(poolReport), List.of("hobart"), true, false, 375, false, 12,
+						List.of("hobart", "burnie")),
+				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true, 125, true, -1, List.of()),
 				new PeerMessage.SubmitJob("hobart", 3, jobSpec, jobTerms),
 				new PeerMessage.JobAnswer(new JobOutcome(JobOutcome.Kind.REFUSED, 500, "would-be-late")),
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
