Refuse the jobs that cost callers least under overload

Under overload, all queues lost alike: jobs were ordered and refused by their latest start time alone, and the bound on the backlog and the usable share of the capacity were constants of one load.

A submission now selects, in one pass over the waiting jobs, the jobs to refuse so that the others can start in time: the lowest cost per unit of work first, by the queue's priority, mean work and share refused lately; priority 0 last; the newest of a queue first. A queue without a started job for 500 ms gets its next one admitted. While jobs are refused, priority 0 is placed first and endpoints are reserved for its waiting tasks. The usable share is learnt. Refused callers return spread over the capacity that the usual load leaves.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobOutcome.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobOutcome.java
@@ -5,7 +5,8 @@
  *
  * @param kind the kind of outcome
  * @param retryAfterMillis the delay in milliseconds after which a retry makes sense, or 0
- * @param reason the reason, for logs
+ * @param reason the reason as a code, which the figures of the decision may follow after
+ * a space, for logs
  */
 public record JobOutcome(Kind kind, long retryAfterMillis, String reason) {
 
@@ -19,6 +20,15 @@
 		return new JobOutcome(kind, 0, reason);
 	}
 
+	/**
+	 * Returns the reason without the figures that follow it.
+	 * @return one of a small number of codes
+	 */
+	public String reasonCode() {
+		int end = this.reason.indexOf(' ');
+		return (end < 0) ? this.reason : this.reason.substring(0, end);
+	}
+
 	/**
 	 * The kinds of outcome.
 	 */
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -19,8 +19,6 @@
 	 */
 	private static final int MAX_PLACEMENT_FAILURES = 40;
 
-	private final PoolSettings settings;
-
 	private final PoolActions actions;
 
 	private final EndpointTable endpoints;
@@ -29,7 +27,13 @@
 
 	private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
 
-	private final AdmissionControl admission = new AdmissionControl();
+	private final AdmissionPolicy admission;
+
+	private final CapacityEstimator capacityEstimator = new CapacityEstimator();
+
+	private final RetrySchedule retrySchedule = new RetrySchedule();
+
+	private final UrgentReservation urgentReservation;
 
 	private final TaskStarter starter;
 
@@ -60,7 +64,12 @@
 	 * to
 	 */
 	public PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory) {
-		this.settings = settings;
+		this(settings, actions, lossHistory, new LoadShedding(new PriorityCost()));
+	}
+
+	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy admission) {
+		this.admission = admission;
+		this.urgentReservation = new UrgentReservation(settings.responseTimeoutMillis());
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
 		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
@@ -114,9 +123,10 @@
 			this.terminationHandler.giveUp(job, nowMillis);
 			return;
 		}
-		Optional<JobOutcome> refusal = refusal(job, nowMillis);
-		if (refusal.isPresent()) {
-			this.actions.answer(job, refusal.get());
+		this.admission.submitted(job, nowMillis);
+		List<Refusal> refusals = refusals(job, nowMillis);
+		refusals.forEach((refusal) -> refuse(refusal, nowMillis));
+		if (refusals.stream().anyMatch((refusal) -> refusal.job() == job)) {
 			return;
 		}
 		this.jobs.add(job);
@@ -132,24 +142,44 @@
 		}
 	}
 
-	private Optional<JobOutcome> refusal(PooledJob job, long nowMillis) {
+	/**
+	 * Selects the jobs to refuse on a submission.
+	 * @param job the submitted job, which is not in the queue
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the refusals
+	 */
+	private List<Refusal> refusals(PooledJob job, long nowMillis) {
 		if (!this.endpoints.couldRun(job)) {
-			return Optional.of(this.admission.refuse("no-fitting-endpoint", backlogMillis()));
+			return List.of(new Refusal(job, "no-fitting-endpoint", 0, backlogMillis()));
+		}
+		if (job.isTimed()) {
+			return List.of();
 		}
-		if (job.spec().schedule().isTimed() || job.firstTasks().stream().anyMatch(PooledTask::isLongRunning)) {
-			return Optional.empty();
+		if (nowMillis + job.expectedMillis() > job.latestUsefulMillis()) {
+			return List.of(new Refusal(job, "no-time-left", 0, backlogMillis()));
 		}
-		double waitMillis = drainMillis(this.jobs.queue().workAhead(job.latestStartMillis(), nowMillis));
-		return this.admission.check(job, waitMillis, backlogMillis(), nowMillis);
+		JobQueue queue = this.jobs.queue();
+		queue.add(job, nowMillis);
+		List<Refusal> refusals = this.admission.select(job, queue, capacity(), nowMillis);
+		queue.remove(job);
+		return refusals;
+	}
+
+	private void refuse(Refusal refusal, long nowMillis) {
+		PooledJob job = refusal.job();
+		this.admission.refused(job, nowMillis);
+		long retryAfterMillis = this.retrySchedule.book(job.terms().priority(), job.totalWork(), capacity(),
+				this.capacityEstimator.spareShare(), nowMillis);
+		this.jobs.finish(job, new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description()),
+				nowMillis);
 	}
 
-	private double backlogMillis() {
-		return drainMillis(this.jobs.queue().work());
+	private PoolCapacity capacity() {
+		return new PoolCapacity(this.endpoints.totalMillicores(), this.capacityEstimator.usableShare());
 	}
 
-	private double drainMillis(double work) {
-		double usableMillicores = this.endpoints.totalMillicores() * this.settings.usableShare();
-		return (usableMillicores > 0) ? work / usableMillicores : 0;
+	private double backlogMillis() {
+		return capacity().drainMillis(this.jobs.queue().work());
 	}
 
 	/**
@@ -371,19 +401,25 @@
 		this.terminationHandler.restartAfterUncertainty(nowMillis);
 		this.terminationHandler.decideAfterLosses(nowMillis);
 		dispatch(nowMillis);
+		this.capacityEstimator.sample(this.endpoints.all(), this.jobs.queue().size() > 0, nowMillis);
 	}
 
 	private void cancelExpiredJobs(long nowMillis) {
+		PoolCapacity capacity = capacity();
 		double remainingMillis = backlogMillis();
 		for (PooledJob job : this.jobs.interactiveJobs()) {
-			double jobMillis = drainMillis(job.readyWork());
-			if (nowMillis >= job.deadlineMillis()) {
-				JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
-				this.jobs.finish(job, new JobOutcome(kind, (long) remainingMillis, "deadline"), nowMillis);
+			double jobMillis = capacity.drainMillis(job.readyWork());
+			boolean expired = nowMillis >= job.deadlineMillis();
+			if (expired && job.isStarted()) {
+				this.jobs.finish(job, new JobOutcome(JobOutcome.Kind.UNCERTAIN, (long) remainingMillis, "deadline"),
+						nowMillis);
 				remainingMillis -= jobMillis;
 			}
-			else if (!job.isStarted() && this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis)) {
-				this.jobs.finish(job, this.admission.refuseAfterWaiting(remainingMillis), nowMillis);
+			else if (!job.isStarted()
+					&& (expired || this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis))) {
+				double waitedMillis = nowMillis - job.arrivedMillis();
+				refuse(new Refusal(job, expired ? "deadline" : "waited-in-vain", waitedMillis, remainingMillis),
+						nowMillis);
 				remainingMillis -= jobMillis;
 			}
 		}
@@ -394,12 +430,21 @@
 			return;
 		}
 		PlacementFailures failures = new PlacementFailures(this.endpoints.largestFree(nowMillis));
-		for (PooledJob job : this.jobs.queue().inDispatchOrder(nowMillis)) {
+		boolean urgentFirst = this.admission.isUrgentFirst(nowMillis);
+		for (PooledJob job : this.jobs.queue().inDispatchOrder(urgentFirst, nowMillis)) {
+			if (this.urgentReservation.isNeeded() && !JobQueue.isUrgent(job)) {
+				this.urgentReservation.reserve(this.endpoints.all(), nowMillis);
+				failures.largestFree(this.endpoints.largestFree(nowMillis));
+			}
 			startReady(job, failures, nowMillis);
 			if (failures.count() >= MAX_PLACEMENT_FAILURES) {
-				return;
+				break;
+			}
+			if (urgentFirst && job.terms().priority() <= 0 && !job.readyTasks().isEmpty()) {
+				this.urgentReservation.add(job);
 			}
 		}
+		this.urgentReservation.release();
 	}
 
 	private void startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
@@ -410,6 +455,7 @@
 		if (started && !job.isStarted()) {
 			this.jobs.queue().remove(job);
 			job.markStarted();
+			this.admission.started(job, nowMillis);
 			this.jobs.enqueueReady(job, nowMillis);
 		}
 		else if (job.readyTasks().isEmpty()) {
@@ -425,8 +471,12 @@
 	 * @return the refusal, or empty if the job would be admitted
 	 */
 	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
-		return refusal(new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator),
-				nowMillis);
+		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
+		return refusals(job, nowMillis).stream()
+			.filter((refusal) -> refusal.job() == job)
+			.map((refusal) -> new JobOutcome(JobOutcome.Kind.REFUSED,
+					RetrySchedule.MIN_RETRY_MILLIS + (long) refusal.backlogMillis(), refusal.description()))
+			.findFirst();
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolSettings.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolSettings.java
@@ -9,12 +9,10 @@
  * milliseconds
  * @param stopRetryMillis the time after which a stop request without effect is sent
  * again, in milliseconds
- * @param usableShare the share of the capacity that tasks can use, because they do not
- * fill endpoints exactly
  * @param orphanedRunMaxMillis the time after which a run on an endpoint that another
  * owner has taken has certainly terminated, in milliseconds
  */
-public record PoolSettings(long responseTimeoutMillis, long stopLatencyMillis, long stopRetryMillis, double usableShare,
+public record PoolSettings(long responseTimeoutMillis, long stopLatencyMillis, long stopRetryMillis,
 		long orphanedRunMaxMillis) {
 
 	/** Two intervals of lease renewal and the time for one answer. */
@@ -25,9 +23,6 @@
 
 	private static final long DEFAULT_STOP_RETRY_MILLIS = 120;
 
-	/** The share that two tasks of 27 cores use of an endpoint with 64 cores. */
-	private static final double DEFAULT_USABLE_SHARE = 0.84;
-
 	/** The longest lease, and the same time again for an owner to notice its expiry. */
 	private static final long DEFAULT_ORPHANED_RUN_MAX_MILLIS = 2_000;
 
@@ -37,7 +32,7 @@
 	 */
 	public static PoolSettings defaults() {
 		return new PoolSettings(DEFAULT_RESPONSE_TIMEOUT_MILLIS, DEFAULT_STOP_LATENCY_MILLIS, DEFAULT_STOP_RETRY_MILLIS,
-				DEFAULT_USABLE_SHARE, DEFAULT_ORPHANED_RUN_MAX_MILLIS);
+				DEFAULT_ORPHANED_RUN_MAX_MILLIS);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -39,6 +39,10 @@
 
 	private final boolean[] readySteps;
 
+	private final boolean timed;
+
+	private final double totalWork;
+
 	private final Deque<PooledTask> readyTasks = new ArrayDeque<>();
 
 	private JobOrigin origin;
@@ -51,6 +55,8 @@
 
 	private boolean suspended;
 
+	private boolean kept;
+
 	PooledJob(JobSpec spec, JobTerms terms, JobOrigin origin, long sequence, long arrivedMillis,
 			RunTimeEstimator runTimeEstimator) {
 		this(spec, 0, terms, origin, sequence, arrivedMillis, runTimeEstimator);
@@ -68,6 +74,11 @@
 		this.tasks = IntStream.range(0, spec.steps().size()).mapToObj(this::tasksOf).toList();
 		this.unfinishedTaskCounts = spec.steps().stream().mapToInt(StepSpec::taskCount).toArray();
 		this.readySteps = new boolean[spec.steps().size()];
+		this.timed = spec.schedule().isTimed() || spec.steps().stream().anyMatch((step) -> step.traits().longRunning());
+		this.totalWork = this.expectedMillis * spec.steps()
+			.stream()
+			.mapToDouble((step) -> (double) step.taskCount() * step.demand().cpuMillicores())
+			.sum();
 		releaseReadySteps();
 	}
 
@@ -209,6 +220,14 @@
 		return this.readyTasks;
 	}
 
+	/**
+	 * Returns the work of all tasks.
+	 * @return the work in thousandths of a core times milliseconds
+	 */
+	double totalWork() {
+		return this.totalWork;
+	}
+
 	/**
 	 * Returns the work of the ready tasks.
 	 * @return the work in thousandths of a core times milliseconds
@@ -258,6 +277,28 @@
 		return this.started;
 	}
 
+	/**
+	 * Returns whether the job is admitted for certain, because none of its queue has
+	 * started for a while.
+	 * @return whether it is kept
+	 */
+	boolean isKept() {
+		return this.kept;
+	}
+
+	void keep() {
+		this.kept = true;
+	}
+
+	/**
+	 * Returns whether no time to start by applies: the job runs at given times, or until
+	 * it is cancelled.
+	 * @return whether it waits for capacity as long as necessary
+	 */
+	boolean isTimed() {
+		return this.timed;
+	}
+
 	void markStarted() {
 		this.started = true;
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -10,6 +10,9 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
 
 import org.masticwick.core.process.HostAddress;
 
@@ -31,12 +34,20 @@
 	/** The delay of a message between entry hosts, in milliseconds. */
 	private static final long MESSAGE_DELAY_MILLIS = 2;
 
+	/** The time without contact after which a lease has expired, in milliseconds. */
+	private static final long LEASE_MILLIS = 770;
+
 	private static final int MAX_POOLS_TRIED = 2;
 
 	private final Load load;
 
+	private final Supplier<AdmissionPolicy> admission;
+
 	private final Random random;
 
+	/** Separate, so that the arrivals do not depend on the decisions. */
+	private final Random runRandom;
+
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
 			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::sequence));
 
@@ -48,6 +59,10 @@
 
 	private final Map<String, Result> results = new HashMap<>();
 
+	private final Map<String, Map<Long, Result>> resultsBySecond = new TreeMap<>();
+
+	private final Map<Long, Double> returnedWorkBySecond = new TreeMap<>();
+
 	private long nowMillis;
 
 	private long nextSequence;
@@ -55,8 +70,14 @@
 	private double wastedWorkMillis;
 
 	PoolSimulation(Load load, int poolCount, long seed) {
+		this(load, poolCount, seed, () -> new LoadShedding(new PriorityCost()));
+	}
+
+	PoolSimulation(Load load, int poolCount, long seed, Supplier<AdmissionPolicy> admission) {
 		this.load = load;
+		this.admission = admission;
 		this.random = new Random(seed);
+		this.runRandom = new Random(-seed);
 		for (int index = 0; index < poolCount; index++) {
 			this.pools.add(new Pool("pool-" + index));
 		}
@@ -65,6 +86,23 @@
 		}
 	}
 
+	/**
+	 * Returns the results of the jobs that arrived in each second.
+	 * @return the results by queue and by second from the start
+	 */
+	Map<String, Map<Long, Result>> resultsBySecond() {
+		return this.resultsBySecond;
+	}
+
+	/**
+	 * Returns the work of the callers that returned in each second after a refusal.
+	 * @return the work in thousandths of a core times milliseconds, by second from the
+	 * start
+	 */
+	Map<Long, Double> returnedWorkBySecond() {
+		return this.returnedWorkBySecond;
+	}
+
 	Map<String, Result> run() {
 		this.load.queues().forEach((queue) -> schedule(interarrivalMillis(queue), () -> submitNext(queue)));
 		this.pools.forEach((pool) -> {
@@ -89,12 +127,16 @@
 	}
 
 	private double interarrivalMillis(QueueLoad queue) {
-		double burst = this.load.burstFactor(this.nowMillis);
+		double burst = this.load.burstFactor(queue.name(), this.nowMillis);
 		return -Math.log(1 - this.random.nextDouble()) * 1_000 / (queue.jobsPerSecond() * burst);
 	}
 
 	private double logNormalFactor(double sigma) {
-		return Math.exp(this.random.nextGaussian() * sigma - sigma * sigma / 2);
+		return logNormalFactor(this.random, sigma);
+	}
+
+	private static double logNormalFactor(Random random, double sigma) {
+		return Math.exp(random.nextGaussian() * sigma - sigma * sigma / 2);
 	}
 
 	private void submitNext(QueueLoad queue) {
@@ -107,14 +149,25 @@
 		long cpuMillicores = (long) Math.min(1.5 * this.load.taskMillicores(),
 				this.load.taskMillicores() * logNormalFactor(0.2));
 		long estimatedMillis = Math.max(1, Math.round(workMillis * logNormalFactor(0.4)));
-		String jobId = "job-" + this.submissions.size();
 		StepSpec step = new StepSpec(width, new Resources(cpuMillicores, 64, 0), estimatedMillis, List.of(), "", "", 0);
+		submit(queue, step, workMillis, this.random.nextInt(this.pools.size()));
+	}
+
+	private void submit(QueueLoad queue, StepSpec step, double workMillis, int domain) {
+		String jobId = "job-" + this.submissions.size();
 		Submission submission = new Submission(new JobSpec(jobId, "", List.of(step)), queue, workMillis, this.nowMillis,
-				this.random.nextInt(this.pools.size()));
+				domain);
 		this.submissions.put(jobId, submission);
 		send(submission);
 	}
 
+	private void submitAgain(Submission refused) {
+		StepSpec step = refused.job.steps().get(0);
+		double work = refused.workMillis * step.taskCount() * step.demand().cpuMillicores();
+		this.returnedWorkBySecond.merge(this.nowMillis / 1_000, work, Double::sum);
+		submit(refused.queue, step, refused.workMillis, refused.domain);
+	}
+
 	private void send(Submission submission) {
 		List<PoolSelector.Candidate> candidates = this.pools.stream()
 			.map((pool) -> pool.candidate(submission.domain))
@@ -141,8 +194,14 @@
 			schedule(MESSAGE_DELAY_MILLIS, () -> send(submission));
 			return;
 		}
-		Result result = this.results.computeIfAbsent(submission.queue.name(), (name) -> new Result());
-		result.count(submission, outcome, this.nowMillis);
+		String queue = submission.queue.name();
+		this.results.computeIfAbsent(queue, (name) -> new Result()).count(submission, outcome, this.nowMillis);
+		this.resultsBySecond.computeIfAbsent(queue, (name) -> new TreeMap<>())
+			.computeIfAbsent(submission.arrivedMillis / 1_000, (second) -> new Result())
+			.count(submission, outcome, this.nowMillis);
+		if (this.load.callersReturn() && outcome.kind() == JobOutcome.Kind.REFUSED) {
+			schedule(outcome.retryAfterMillis(), () -> submitAgain(submission));
+		}
 	}
 
 	private record Event(long atMillis, long sequence, Runnable action) {
@@ -156,10 +215,38 @@
 	}
 
 	/**
-	 * The load of a site: its queues, endpoints and burst.
+	 * A time in which jobs arrive more or less often.
+	 *
+	 * @param queue the queue, or an empty string for all queues
+	 * @param factor the factor on the arrival rate
+	 * @param fromMillis the start in milliseconds
+	 * @param toMillis the end in milliseconds
+	 */
+	record Burst(String queue, double factor, long fromMillis, long toMillis) {
+	}
+
+	/**
+	 * A time in which endpoints are unavailable.
+	 *
+	 * @param share the share of the endpoints
+	 * @param fromMillis the start in milliseconds
+	 * @param toMillis the end in milliseconds
 	 */
-	record Load(List<QueueLoad> queues, int endpointCount, double taskMillicores, List<Double> speeds,
-			long durationMillis, double scale, double burst, long burstFromMillis, long burstToMillis) {
+	record Outage(double share, long fromMillis, long toMillis) {
+
+		/** All endpoints are available. */
+		private static final Outage NONE = new Outage(0, 0, 0);
+
+	}
+
+	/**
+	 * The load of a site: its queues, endpoints, bursts and outage. Every third endpoint
+	 * has 1.5 times the capacity of the others; with a stride of the number of pools,
+	 * each pool has a third of these.
+	 */
+	record Load(List<QueueLoad> queues, int endpointCount, int sizeStride, long endpointMillicores,
+			double taskMillicores, List<Double> speeds, long durationMillis, double scale, List<Burst> bursts,
+			Outage outage, boolean callersReturn) {
 
 		/**
 		 * Returns the combined load of both users' sites, relative to a standard day.
@@ -172,7 +259,8 @@
 					List.of(new QueueLoad("check", 0, 24.1 * scale, 8, 32, 60, 1.6, 60, 4_000, 0.0291),
 							new QueueLoad("confirm", 2, 4.37 * scale, 4, 16, 900, 1.6, 60, 6_000, 0.16),
 							new QueueLoad("status", 1, 70 * scale, 2, 8, 200, 1.6, 60, 4_000, 0.01)),
-					33, 27_000, List.of(0.8, 1.0, 1.25), 30_000, scale, burst, 8_000, 14_000);
+					33, 1, 64_000, 27_000, List.of(0.8, 1.0, 1.25), 30_000, scale,
+					List.of(new Burst("", burst, 8_000, 14_000)), Outage.NONE, false);
 		}
 
 		/**
@@ -186,11 +274,58 @@
 					List.of(new QueueLoad("check", 0, 216 * scale, 8, 32, 60, 1.6, 60, 1_500, 0.00323),
 							new QueueLoad("confirm", 2, 39.4 * scale, 4, 16, 900, 1.6, 60, 3_000, 0.0178),
 							new QueueLoad("status", 1, 630 * scale, 2, 8, 200, 1.6, 60, 1_500, 0.00111)),
-					260, 23_000, List.of(1.0), 16_000, scale, burst, 8_000, 12_000);
+					260, 1, 64_000, 23_000, List.of(1.0), 16_000, scale, List.of(new Burst("", burst, 8_000, 12_000)),
+					Outage.NONE, false);
+		}
+
+		/**
+		 * Returns the load of a site of three pools of small endpoints. At a scale of 1
+		 * its processor demand is 0.83 of the capacity.
+		 * @param scale the factor on all arrival rates
+		 * @return the load, without bursts and outage
+		 */
+		static Load small(double scale) {
+			return new Load(
+					List.of(new QueueLoad("check", 0, 206 * scale, 8, 32, 60, 1.6, 60, 1_500, 0.00485),
+							new QueueLoad("confirm", 2, 37.5 * scale, 4, 16, 900, 1.6, 60, 1_500, 0.0267),
+							new QueueLoad("status", 1, 600 * scale, 2, 8, 200, 1.6, 60, 1_500, 0.00167)),
+					245, 3, 16_000, 8_000, List.of(1.0), 10_000, scale, List.of(), Outage.NONE, false);
+		}
+
+		Load with(long newDurationMillis, List<Burst> newBursts, Outage newOutage) {
+			return new Load(this.queues, this.endpointCount, this.sizeStride, this.endpointMillicores,
+					this.taskMillicores, this.speeds, newDurationMillis, this.scale, newBursts, newOutage,
+					this.callersReturn);
+		}
+
+		/**
+		 * Lets refused callers submit their jobs again after the delay they were told.
+		 * @return the load
+		 */
+		Load withReturningCallers() {
+			return new Load(this.queues, this.endpointCount, this.sizeStride, this.endpointMillicores,
+					this.taskMillicores, this.speeds, this.durationMillis, this.scale, this.bursts, this.outage, true);
 		}
 
-		double burstFactor(long atMillis) {
-			return (atMillis >= this.burstFromMillis && atMillis < this.burstToMillis) ? this.burst : 1;
+		long cpuMillicores(int index) {
+			boolean large = index / this.sizeStride % 3 == 2;
+			return large ? this.endpointMillicores * 3 / 2 : this.endpointMillicores;
+		}
+
+		/**
+		 * Returns the processor capacity of all endpoints.
+		 * @return the capacity in thousandths of a core
+		 */
+		long totalMillicores() {
+			return IntStream.range(0, this.endpointCount).mapToLong(this::cpuMillicores).sum();
+		}
+
+		double burstFactor(String queue, long atMillis) {
+			return this.bursts.stream()
+				.filter((burst) -> burst.queue().isEmpty() || burst.queue().equals(queue))
+				.filter((burst) -> atMillis >= burst.fromMillis() && atMillis < burst.toMillis())
+				.mapToDouble(Burst::factor)
+				.reduce(1, (first, second) -> first * second);
 		}
 
 	}
@@ -212,6 +347,8 @@
 
 		private double offeredValue;
 
+		private final Map<Double, Boolean> servedBySize = new TreeMap<>();
+
 		private void count(Submission submission, JobOutcome outcome, long nowMillis) {
 			this.submittedCount++;
 			this.kinds.merge(outcome.kind(), 1, Integer::sum);
@@ -219,11 +356,13 @@
 			double size = submission.workMillis * submission.job.taskCount() / (queue.workMillis() * queue.width());
 			double jobValue = queue.jobValue() * (0.3 + 0.7 * Math.min(size, 5));
 			this.offeredValue += jobValue;
+			this.servedBySize.put(size, false);
 			double objectiveMillis = queue.stretch() * submission.workMillis + queue.targetLatencyMillis();
 			double tookMillis = nowMillis - submission.arrivedMillis;
 			if (outcome.kind() != JobOutcome.Kind.COMPLETED || tookMillis > 3 * objectiveMillis) {
 				return;
 			}
+			this.servedBySize.put(size, true);
 			boolean onTime = tookMillis <= objectiveMillis;
 			this.onTimeCount += onTime ? 1 : 0;
 			this.lateCount += onTime ? 0 : 1;
@@ -246,6 +385,27 @@
 			return (double) this.kinds.getOrDefault(kind, 0) / this.submittedCount;
 		}
 
+		double servedCount() {
+			return this.onTimeCount + this.lateCount;
+		}
+
+		double valueShare() {
+			return this.earnedValue / this.offeredValue;
+		}
+
+		/**
+		 * Returns how often jobs of some sizes were answered usefully.
+		 * @param fromShare the share of smaller jobs
+		 * @param toShare the share of jobs up to the largest of these sizes
+		 * @return the share of these jobs
+		 */
+		double servedShare(double fromShare, double toShare) {
+			int count = this.servedBySize.size();
+			List<Boolean> served = List.copyOf(this.servedBySize.values())
+				.subList((int) (fromShare * count), (int) (toShare * count));
+			return (double) served.stream().filter((each) -> each).count() / served.size();
+		}
+
 		double earnedValue() {
 			return this.earnedValue;
 		}
@@ -289,7 +449,8 @@
 
 		private final Map<String, Endpoint> endpoints = new HashMap<>();
 
-		private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), this);
+		private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), this, new LossHistory(),
+				PoolSimulation.this.admission.get());
 
 		private PoolLoad reportedLoad = new PoolLoad(0, 0, 0, 0);
 
@@ -301,7 +462,7 @@
 
 		private void add(int index) {
 			List<Double> speeds = PoolSimulation.this.load.speeds();
-			long cpuMillicores = (index % 3 == 2) ? 96_000 : 64_000;
+			long cpuMillicores = PoolSimulation.this.load.cpuMillicores(index);
 			EndpointEntry entry = new EndpointEntry("endpoint-" + index, "service",
 					new HostAddress("10.0.0.1", 1_000 + index), "domain", true,
 					new Resources(cpuMillicores, 131_072, 0), Set.of(), 1);
@@ -309,6 +470,27 @@
 			this.endpoints.put(entry.id(), endpoint);
 			this.scheduler.endpointListed(entry, 0);
 			schedule(0, () -> renew(endpoint));
+			Outage outage = PoolSimulation.this.load.outage();
+			if (index < PoolSimulation.this.load.endpointCount() * outage.share()) {
+				schedule(outage.fromMillis(), () -> cut(endpoint));
+				schedule(outage.fromMillis() + LEASE_MILLIS, () -> expire(endpoint));
+				schedule(outage.toMillis(), () -> restore(endpoint));
+			}
+		}
+
+		private void cut(Endpoint endpoint) {
+			endpoint.unavailable = true;
+			endpoint.runningTasks.clear();
+		}
+
+		private void expire(Endpoint endpoint) {
+			this.scheduler.endpointUnlisted(endpoint.entry.id(), PoolSimulation.this.nowMillis);
+			this.scheduler.leaseExpired(endpoint.entry.id(), PoolSimulation.this.nowMillis);
+		}
+
+		private void restore(Endpoint endpoint) {
+			endpoint.unavailable = false;
+			this.scheduler.endpointListed(endpoint.entry, PoolSimulation.this.nowMillis);
 		}
 
 		private PoolSelector.Candidate candidate(int domain) {
@@ -331,7 +513,9 @@
 		}
 
 		private void renew(Endpoint endpoint) {
-			sendReport(endpoint);
+			if (!endpoint.unavailable) {
+				sendReport(endpoint);
+			}
 			schedule(RENEWAL_INTERVAL_MILLIS, () -> renew(endpoint));
 		}
 
@@ -354,8 +538,12 @@
 		}
 
 		private void startRun(Endpoint endpoint, TaskRun run) {
+			if (endpoint.unavailable) {
+				return;
+			}
 			Submission submission = PoolSimulation.this.submissions.get(run.task().jobId());
-			double runMillis = submission.workMillis * logNormalFactor(0.15) * endpoint.slowness;
+			double runMillis = submission.workMillis * logNormalFactor(PoolSimulation.this.runRandom, 0.15)
+					* endpoint.slowness;
 			endpoint.runningTasks.put(run, new Running(PoolSimulation.this.nowMillis, runMillis));
 			this.scheduler.startAccepted(endpoint.entry.id(), run, PoolSimulation.this.nowMillis);
 			schedule(runMillis, () -> terminateRun(endpoint, run, TerminationKind.DONE));
@@ -437,6 +625,8 @@
 
 		private long terminationCount;
 
+		private boolean unavailable;
+
 		private Endpoint(EndpointEntry entry, double slowness) {
 			this.entry = entry;
 			this.slowness = slowness;
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulationMain.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulationMain.java
@@ -1,6 +1,9 @@
 package org.masticwick.core.pool;
 
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
 import java.util.stream.LongStream;
 
 /**
@@ -12,6 +15,10 @@
 	}
 
 	public static void main(String[] arguments) {
+		if (arguments.length > 0) {
+			printOverload(Long.parseLong(arguments[0]));
+			return;
+		}
 		double[] scales = { 0.6, 1.0, 1.15, 1.5 };
 		for (double scale : scales) {
 			for (int poolCount : new int[] { 1, 3, 7 }) {
@@ -25,6 +32,60 @@
 		}
 	}
 
+	private static void printOverload(long seed) {
+		printOverload("latest start time alone", LatestStartAdmission::new, seed);
+		printOverload("cost of work", () -> new LoadShedding(new PriorityCost()), seed);
+		printOverload("fair shares by weights of priorities",
+				() -> new LoadShedding((queue, poolMeanWork) -> -queue.admittedWork() * Math.pow(2, queue.priority())),
+				seed);
+		printOverload("equal shares of queues", () -> new LoadShedding((queue, poolMeanWork) -> -queue.admittedWork()),
+				seed);
+		printOverload("strict priorities", () -> new LoadShedding((queue, poolMeanWork) -> -queue.priority()), seed);
+	}
+
+	private static void printOverload(String policy, Supplier<AdmissionPolicy> admission, long seed) {
+		System.out.println(policy + ", seed " + seed);
+		for (double scale : new double[] { 0.7, 0.9, 1.1, 1.4, 2.0 }) {
+			printByQueue("load " + scale, PoolSimulation.Load.small(scale), seed, admission);
+		}
+		PoolSimulation.Load burst = PoolSimulation.Load.small(0.7)
+			.with(16_000, List.of(new PoolSimulation.Burst("", 1.9, 4_000, 11_000)),
+					new PoolSimulation.Outage(0.2, 4_000, 11_000));
+		printByQueue("burst 1.9, outage 0.2", burst, seed, admission);
+		PoolSimulation.Load recovery = PoolSimulation.Load.small(0.7)
+			.with(20_000, List.of(new PoolSimulation.Burst("", 2.0 / 0.7, 2_000, 12_000)),
+					new PoolSimulation.Outage(0, 0, 0))
+			.withReturningCallers();
+		printByQueue("2.0 for 10 s, callers return", recovery, seed, admission);
+	}
+
+	private static void printByQueue(String name, PoolSimulation.Load load, long seed,
+			Supplier<AdmissionPolicy> admission) {
+		PoolSimulation simulation = new PoolSimulation(load, 3, seed, admission);
+		Map<String, PoolSimulation.Result> results = simulation.run();
+		double earned = results.values().stream().mapToDouble(PoolSimulation.Result::earnedValue).sum();
+		double offered = results.values().stream().mapToDouble(PoolSimulation.Result::offeredValue).sum();
+		System.out.printf("%s: earned %.3f of %.3f = %.3f%n", name, earned, offered, earned / offered);
+		new TreeMap<>(results).forEach((queue, result) -> {
+			StringBuilder seconds = new StringBuilder();
+			simulation.resultsBySecond()
+				.get(queue)
+				.values()
+				.forEach((second) -> seconds.append(String.format(" %.2f", second.valueShare())));
+			System.out.printf("  %-8s value %.3f on time %.3f refused %.3f uncertain %.3f large %.2f %.2f | %s%n",
+					queue, result.valueShare(), result.onTimeShare(), result.share(JobOutcome.Kind.REFUSED),
+					result.share(JobOutcome.Kind.UNCERTAIN), result.servedShare(0.9, 1), result.servedShare(0.7, 0.9),
+					seconds);
+		});
+		StringBuilder returns = new StringBuilder();
+		simulation.returnedWorkBySecond()
+			.forEach((second, work) -> returns
+				.append(String.format(" %d:%.2f", second, work / (load.totalMillicores() * 1_000.0))));
+		if (!returns.isEmpty()) {
+			System.out.println("  returned work by second, of the capacity:" + returns);
+		}
+	}
+
 	private static void print(String name, PoolSimulation.Load load, int poolCount) {
 		StringBuilder line = new StringBuilder();
 		double[] sums = new double[2];
