--- a/masticwick-core/src/main/java/org/masticwick/core/pool/CapacityEstimator.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/CapacityEstimator.java
@@ -27,6 +27,8 @@
 
 	private double calmShare;
 
+	private int calmSampleCount;
+
 	private long sampledMillis = -1;
 
 	/**
@@ -66,7 +68,8 @@
 		else {
 			// More is in use than tasks could use at the time of the last sample.
 			this.usableShare = Math.max(this.usableShare, usedShare);
-			double weight = 1 - Math.exp(-elapsedMillis / DEMAND_MEMORY_MILLIS);
+			this.calmSampleCount++;
+			double weight = Math.max(1 - Math.exp(-elapsedMillis / DEMAND_MEMORY_MILLIS), 1.0 / this.calmSampleCount);
 			this.calmShare += weight * (usedShare - this.calmShare);
 		}
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/LoadShedding.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/LoadShedding.java
@@ -64,7 +64,7 @@
 	private QueueShare queue(PooledJob job) {
 		QueueShare queue = this.queues.get(job.terms().queue());
 		if (queue == null) {
-			queue = new QueueShare();
+			queue = new QueueShare(job.terms().priority());
 			this.queues.put(job.terms().queue(), queue);
 			this.queueList.add(queue);
 		}
@@ -75,7 +75,7 @@
 	public List<Refusal> select(PooledJob job, JobQueue queue, PoolCapacity capacity, long nowMillis) {
 		List<Refusal> refusals = new ArrayList<>(0);
 		updateCosts();
-		Pass pass = new Pass(capacity, refusals, nowMillis);
+		Pass pass = new Pass(job, capacity, refusals, nowMillis);
 		queue.forEachOnTime(isUrgentFirst(nowMillis), nowMillis, pass::visitOnTime);
 		clearCandidates();
 		if (this.severalPriorities && !refusals.isEmpty()) {
@@ -125,6 +125,8 @@
 	 */
 	private final class Pass {
 
+		private final PooledJob submitted;
+
 		private final PoolCapacity capacity;
 
 		private final List<Refusal> refusals;
@@ -133,7 +135,8 @@
 
 		private double work;
 
-		private Pass(PoolCapacity capacity, List<Refusal> refusals, long nowMillis) {
+		private Pass(PooledJob submitted, PoolCapacity capacity, List<Refusal> refusals, long nowMillis) {
+			this.submitted = submitted;
 			this.capacity = capacity;
 			this.refusals = refusals;
 			this.nowMillis = nowMillis;
@@ -159,7 +162,7 @@
 		private void visit(PooledJob job, double slackMillis, String reason) {
 			double workAhead = this.work;
 			this.work += job.readyWork();
-			if (!job.isStarted() && !job.isKept() && !job.spec().durable() && !job.isTimed()) {
+			if (isRefusable(job)) {
 				queue(job).candidates().add(job);
 			}
 			double waitMillis = this.capacity.drainMillis(workAhead);
@@ -179,6 +182,11 @@
 			}
 		}
 
+		private boolean isRefusable(PooledJob job) {
+			boolean accepted = job.spec().durable() && job != this.submitted;
+			return !job.isStarted() && !job.isKept() && !accepted && !job.isTimed();
+		}
+
 		/**
 		 * Finds the queue with the lowest cost among those with candidates; among equals,
 		 * the one with the newest candidate.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -123,6 +123,15 @@
 			this.terminationHandler.giveUp(job, nowMillis);
 			return;
 		}
+		if (!this.endpoints.couldRun(job)) {
+			this.actions.answer(job, outcome(noFittingEndpoint(job)));
+			return;
+		}
+		if (isTooLate(job, nowMillis)) {
+			Refusal refusal = new Refusal(job, "no-time-left", 0, backlogMillis());
+			this.actions.answer(job, outcome(refusal, nowMillis));
+			return;
+		}
 		this.admission.submitted(job, nowMillis);
 		List<Refusal> refusals = refusals(job, nowMillis);
 		refusals.forEach((refusal) -> refuse(refusal, nowMillis));
@@ -142,6 +151,38 @@
 		}
 	}
 
+	private Refusal noFittingEndpoint(PooledJob job) {
+		return new Refusal(job, "no-fitting-endpoint", 0, backlogMillis());
+	}
+
+	private static boolean isTooLate(PooledJob job, long nowMillis) {
+		return !job.isTimed() && nowMillis + job.expectedMillis() > job.latestUsefulMillis();
+	}
+
+	/**
+	 * Returns the answer to a refused job that is not expected to return when capacity is
+	 * free.
+	 * @param refusal the refusal
+	 * @return the answer
+	 */
+	private static JobOutcome outcome(Refusal refusal) {
+		long retryAfterMillis = RetrySchedule.MIN_RETRY_MILLIS + (long) refusal.backlogMillis();
+		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
+	}
+
+	/**
+	 * Returns the answer to a refused job and books the return of its caller.
+	 * @param refusal the refusal
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the answer
+	 */
+	private JobOutcome outcome(Refusal refusal, long nowMillis) {
+		PooledJob job = refusal.job();
+		long retryAfterMillis = this.retrySchedule.book(job.terms().priority(), job.totalWork(), capacity(),
+				this.capacityEstimator.spareShare(), nowMillis);
+		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
+	}
+
 	/**
 	 * Selects the jobs to refuse on a submission.
 	 * @param job the submitted job, which is not in the queue
@@ -149,15 +190,9 @@
 	 * @return the refusals
 	 */
 	private List<Refusal> refusals(PooledJob job, long nowMillis) {
-		if (!this.endpoints.couldRun(job)) {
-			return List.of(new Refusal(job, "no-fitting-endpoint", 0, backlogMillis()));
-		}
 		if (job.isTimed()) {
 			return List.of();
 		}
-		if (nowMillis + job.expectedMillis() > job.latestUsefulMillis()) {
-			return List.of(new Refusal(job, "no-time-left", 0, backlogMillis()));
-		}
 		JobQueue queue = this.jobs.queue();
 		queue.add(job, nowMillis);
 		List<Refusal> refusals = this.admission.select(job, queue, capacity(), nowMillis);
@@ -168,10 +203,7 @@
 	private void refuse(Refusal refusal, long nowMillis) {
 		PooledJob job = refusal.job();
 		this.admission.refused(job, nowMillis);
-		long retryAfterMillis = this.retrySchedule.book(job.terms().priority(), job.totalWork(), capacity(),
-				this.capacityEstimator.spareShare(), nowMillis);
-		this.jobs.finish(job, new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description()),
-				nowMillis);
+		this.jobs.finish(job, outcome(refusal, nowMillis), nowMillis);
 	}
 
 	private PoolCapacity capacity() {
@@ -472,10 +504,15 @@
 	 */
 	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
 		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
+		if (!this.endpoints.couldRun(job)) {
+			return Optional.of(outcome(noFittingEndpoint(job)));
+		}
+		if (isTooLate(job, nowMillis)) {
+			return Optional.of(outcome(new Refusal(job, "no-time-left", 0, backlogMillis())));
+		}
 		return refusals(job, nowMillis).stream()
 			.filter((refusal) -> refusal.job() == job)
-			.map((refusal) -> new JobOutcome(JobOutcome.Kind.REFUSED,
-					RetrySchedule.MIN_RETRY_MILLIS + (long) refusal.backlogMillis(), refusal.description()))
+			.map(PoolScheduler::outcome)
 			.findFirst();
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/QueueShare.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/QueueShare.java
@@ -43,6 +43,10 @@
 
 	private double cost;
 
+	QueueShare(int priority) {
+		this.priority = priority;
+	}
+
 	void submitted(PooledJob job, long nowMillis) {
 		decay(nowMillis);
 		this.priority = job.terms().priority();
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RetrySchedule.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RetrySchedule.java
@@ -10,7 +10,7 @@
 	static final long MIN_RETRY_MILLIS = 500;
 
 	/** The latest return, in milliseconds. */
-	static final long MAX_RETRY_MILLIS = 30_000;
+	static final long MAX_RETRY_MILLIS = 60_000;
 
 	private static final long SLOT_MILLIS = 100;
 
@@ -32,9 +32,13 @@
 	 * @param capacity the capacity of the pool
 	 * @param spareShare the share of the capacity that the usual load leaves
 	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the time after which the caller returns, in milliseconds
+	 * @return the time after which the caller returns, in milliseconds; without capacity,
+	 * the shortest one
 	 */
 	long book(int priority, double work, PoolCapacity capacity, double spareShare, long nowMillis) {
+		if (capacity.usableMillicores() <= 0) {
+			return MIN_RETRY_MILLIS;
+		}
 		advance(nowMillis / SLOT_MILLIS);
 		double share = Math.max(MIN_SPARE_SHARE * capacity.usableShare(), spareShare);
 		double slotWork = capacity.totalMillicores() * share * SLOT_MILLIS * reachableShare(priority);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -21,6 +21,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	/**
+	 * The least urgent priority with a label of its own, so that the number of labels is
+	 * bounded.
+	 */
+	private static final int MAX_SINGLE_PRIORITY = 3;
+
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
 	private final Counter answers = Counter.builder()
@@ -45,6 +51,12 @@
 		.labelNames("reason")
 		.register(this.registry);
 
+	private final Counter refusedJobs = Counter.builder()
+		.name("masticwick_jobs_refused_total")
+		.help("Jobs that the owner of a pool refused, by reason and by priority of their queue")
+		.labelNames("reason", "priority")
+		.register(this.registry);
+
 	private final Counter stops = counter("masticwick_stops_ordered_total", "Stops ordered from endpoints");
 
 	private final Counter renewals = counter("masticwick_lease_renewals_total", "Renewals of leases of endpoints");
@@ -78,6 +90,16 @@
 		this.latency.labelValues(kind.name()).observe(responseMillis / MILLIS_PER_SECOND);
 	}
 
+	/**
+	 * Counts a job that a pool refused.
+	 * @param outcome the refusal
+	 * @param priority the priority of the job's queue
+	 */
+	void jobRefused(JobOutcome outcome, int priority) {
+		String priorityClass = (priority > MAX_SINGLE_PRIORITY) ? "low" : Integer.toString(Math.max(0, priority));
+		this.refusedJobs.labelValues(outcome.reasonCode(), priorityClass).inc();
+	}
+
 	void startOrdered() {
 		this.starts.inc();
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -503,9 +503,13 @@
 
 	@Override
 	public void answer(PooledJob job, JobOutcome outcome) {
+		if (outcome.kind() == JobOutcome.Kind.REFUSED) {
+			this.metrics.jobRefused(outcome, job.terms().priority());
+		}
 		logger.atInfo()
 			.addKeyValue("job", job.spec().jobId())
 			.addKeyValue("queue", job.terms().queue())
+			.addKeyValue("priority", job.terms().priority())
 			.addKeyValue("version", job.terms().versionNumber())
 			.addKeyValue("pools", pools())
 			.addKeyValue("outcome", outcome.kind())
