--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
@@ -149,8 +149,7 @@
 
 	long totalMillicores() {
 		return all().stream()
-			.filter((endpoint) -> endpoint.isListed() && endpoint.entry().ready())
-			.filter((endpoint) -> !endpoint.isDrained() && !endpoint.health().isSuspected())
+			.filter(PooledEndpoint::countsAsCapacity)
 			.mapToLong((endpoint) -> endpoint.entry().capacity().cpuMillicores())
 			.sum();
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -26,8 +26,6 @@
 	 */
 	private static final long DRAINED_RETRY_MILLIS = 1_000;
 
-	private final PoolSettings settings;
-
 	private final PoolActions actions;
 
 	private final EndpointTable endpoints;
@@ -36,7 +34,13 @@
 
 	private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
 
-	private final AdmissionControl admission = new AdmissionControl();
+	private final AdmissionPolicy admission;
+
+	private final CapacityEstimator capacityEstimator = new CapacityEstimator();
+
+	private final RetrySchedule retrySchedule = new RetrySchedule();
+
+	private final UrgentReservation urgentReservation;
 
 	private final TaskStarter starter;
 
@@ -67,7 +71,12 @@
 	 * to
 	 */
 	public PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory) {
-		this.settings = settings;
+		this(settings, actions, lossHistory, new LoadShedding(new PriorityCost()));
+	}
+
+	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy admission) {
+		this.admission = admission;
+		this.urgentReservation = new UrgentReservation(settings.responseTimeoutMillis());
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
 		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
@@ -145,9 +154,23 @@
 			this.terminationHandler.giveUp(job, nowMillis);
 			return;
 		}
-		Optional<JobOutcome> refusal = refusal(job, nowMillis);
-		if (refusal.isPresent()) {
-			this.actions.answer(job, refusal.get());
+		if (!this.endpoints.couldRun(job)) {
+			this.actions.answer(job, outcome(noFittingEndpoint(job)));
+			return;
+		}
+		if (this.endpoints.needsDrainedEndpoint(job)) {
+			this.actions.answer(job, drainedRefusal());
+			return;
+		}
+		if (isTooLate(job, nowMillis)) {
+			Refusal refusal = new Refusal(job, "no-time-left", 0, backlogMillis());
+			this.actions.answer(job, outcome(refusal, nowMillis));
+			return;
+		}
+		this.admission.submitted(job, nowMillis);
+		List<Refusal> refusals = refusals(job, nowMillis);
+		refusals.forEach((refusal) -> refuse(refusal, nowMillis));
+		if (refusals.stream().anyMatch((refusal) -> refusal.job() == job)) {
 			return;
 		}
 		this.jobs.add(job);
@@ -163,27 +186,67 @@
 		}
 	}
 
-	private Optional<JobOutcome> refusal(PooledJob job, long nowMillis) {
-		if (!this.endpoints.couldRun(job)) {
-			return Optional.of(this.admission.refuse("no-fitting-endpoint", backlogMillis()));
-		}
-		if (this.endpoints.needsDrainedEndpoint(job)) {
-			return Optional.of(drainedRefusal());
-		}
-		if (job.spec().schedule().isTimed() || job.firstTasks().stream().anyMatch(PooledTask::isLongRunning)) {
-			return Optional.empty();
+	private Refusal noFittingEndpoint(PooledJob job) {
+		return new Refusal(job, "no-fitting-endpoint", 0, backlogMillis());
+	}
+
+	private static boolean isTooLate(PooledJob job, long nowMillis) {
+		return !job.isTimed() && nowMillis + job.expectedMillis() > job.latestUsefulMillis();
+	}
+
+	/**
+	 * Returns the answer to a refused job that is not expected to return when capacity is
+	 * free.
+	 * @param refusal the refusal
+	 * @return the answer
+	 */
+	private static JobOutcome outcome(Refusal refusal) {
+		long retryAfterMillis = RetrySchedule.MIN_RETRY_MILLIS + (long) refusal.backlogMillis();
+		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
+	}
+
+	/**
+	 * Returns the answer to a refused job and books the return of its caller.
+	 * @param refusal the refusal
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the answer
+	 */
+	private JobOutcome outcome(Refusal refusal, long nowMillis) {
+		PooledJob job = refusal.job();
+		long retryAfterMillis = this.retrySchedule.book(job.terms().priority(), job.totalWork(), capacity(),
+				this.capacityEstimator.spareShare(), nowMillis);
+		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
+	}
+
+	/**
+	 * Selects the jobs to refuse on a submission.
+	 * @param job the submitted job, which is not in the queue
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the refusals
+	 */
+	private List<Refusal> refusals(PooledJob job, long nowMillis) {
+		if (job.isTimed()) {
+			return List.of();
 		}
-		double waitMillis = drainMillis(this.jobs.queue().workAhead(job.latestStartMillis(), nowMillis));
-		return this.admission.check(job, waitMillis, backlogMillis(), nowMillis);
+		JobQueue queue = this.jobs.queue();
+		queue.add(job, nowMillis);
+		List<Refusal> refusals = this.admission.select(job, queue, capacity(), nowMillis);
+		queue.remove(job);
+		return refusals;
 	}
 
-	private double backlogMillis() {
-		return drainMillis(this.jobs.queue().work());
+	private void refuse(Refusal refusal, long nowMillis) {
+		PooledJob job = refusal.job();
+		this.admission.refused(job, nowMillis);
+		this.jobs.finish(job, outcome(refusal, nowMillis), nowMillis);
 	}
 
-	private double drainMillis(double work) {
-		double usableMillicores = this.endpoints.totalMillicores() * this.settings.usableShare();
-		return (usableMillicores > 0) ? work / usableMillicores : 0;
+	private PoolCapacity capacity() {
+		return new PoolCapacity(this.endpoints.totalMillicores(), this.capacityEstimator.usableShare());
+	}
+
+	private double backlogMillis() {
+		return capacity().drainMillis(this.jobs.queue().work());
 	}
 
 	/**
@@ -406,19 +469,25 @@
 		this.terminationHandler.restartAfterUncertainty(nowMillis);
 		this.terminationHandler.decideAfterLosses(nowMillis);
 		dispatch(nowMillis);
+		this.capacityEstimator.sample(this.endpoints.all(), this.jobs.queue().size() > 0, nowMillis);
 	}
 
 	private void cancelExpiredJobs(long nowMillis) {
+		PoolCapacity capacity = capacity();
 		double remainingMillis = backlogMillis();
 		for (PooledJob job : this.jobs.interactiveJobs()) {
-			double jobMillis = drainMillis(job.readyWork());
-			if (nowMillis >= job.deadlineMillis()) {
-				JobOutcome.Kind kind = job.isStarted() ? JobOutcome.Kind.UNCERTAIN : JobOutcome.Kind.REFUSED;
-				this.jobs.finish(job, new JobOutcome(kind, (long) remainingMillis, "deadline"), nowMillis);
+			double jobMillis = capacity.drainMillis(job.readyWork());
+			boolean expired = nowMillis >= job.deadlineMillis();
+			if (expired && job.isStarted()) {
+				this.jobs.finish(job, new JobOutcome(JobOutcome.Kind.UNCERTAIN, (long) remainingMillis, "deadline"),
+						nowMillis);
 				remainingMillis -= jobMillis;
 			}
-			else if (!job.isStarted() && this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis)) {
-				this.jobs.finish(job, this.admission.refuseAfterWaiting(remainingMillis), nowMillis);
+			else if (!job.isStarted()
+					&& (expired || this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis))) {
+				double waitedMillis = nowMillis - job.arrivedMillis();
+				refuse(new Refusal(job, expired ? "deadline" : "waited-in-vain", waitedMillis, remainingMillis),
+						nowMillis);
 				remainingMillis -= jobMillis;
 			}
 		}
@@ -429,12 +498,21 @@
 			return;
 		}
 		PlacementFailures failures = new PlacementFailures(this.endpoints.largestFree(nowMillis));
-		for (PooledJob job : this.jobs.queue().inDispatchOrder(nowMillis)) {
+		boolean urgentFirst = this.admission.isUrgentFirst(nowMillis);
+		for (PooledJob job : this.jobs.queue().inDispatchOrder(urgentFirst, nowMillis)) {
+			if (this.urgentReservation.isNeeded() && !JobQueue.isUrgent(job)) {
+				this.urgentReservation.reserve(this.endpoints.all(), nowMillis);
+				failures.largestFree(this.endpoints.largestFree(nowMillis));
+			}
 			startReady(job, failures, nowMillis);
 			if (failures.count() >= MAX_PLACEMENT_FAILURES) {
-				return;
+				break;
+			}
+			if (urgentFirst && job.terms().priority() <= 0 && !job.readyTasks().isEmpty()) {
+				this.urgentReservation.add(job);
 			}
 		}
+		this.urgentReservation.release();
 	}
 
 	private void startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
@@ -445,6 +523,7 @@
 		if (started && !job.isStarted()) {
 			this.jobs.queue().remove(job);
 			job.markStarted();
+			this.admission.started(job, nowMillis);
 			this.jobs.enqueueReady(job, nowMillis);
 		}
 		else if (job.readyTasks().isEmpty()) {
@@ -460,8 +539,20 @@
 	 * @return the refusal, or empty if the job would be admitted
 	 */
 	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
-		return refusal(new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator),
-				nowMillis);
+		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
+		if (!this.endpoints.couldRun(job)) {
+			return Optional.of(outcome(noFittingEndpoint(job)));
+		}
+		if (this.endpoints.needsDrainedEndpoint(job)) {
+			return Optional.of(drainedRefusal());
+		}
+		if (isTooLate(job, nowMillis)) {
+			return Optional.of(outcome(new Refusal(job, "no-time-left", 0, backlogMillis())));
+		}
+		return refusals(job, nowMillis).stream()
+			.filter((refusal) -> refusal.job() == job)
+			.map(PoolScheduler::outcome)
+			.findFirst();
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -258,6 +258,15 @@
 		return step.traits().backfill() && this.servingCount > 0 || step.traits().serving() && this.backfillCount > 0;
 	}
 
+	/**
+	 * Returns whether the endpoint is part of the capacity of the pool: it is listed, not
+	 * about to leave, not drained and not suspected.
+	 * @return whether its resources count
+	 */
+	boolean countsAsCapacity() {
+		return this.listed && this.entry.ready() && !this.drained && !this.health.isSuspected();
+	}
+
 	/**
 	 * Returns whether the endpoint accepts a task that fits.
 	 * @param nowMillis the current monotonic time in milliseconds
