Simulate endpoints of unequal speed and tasks that take far longer than others

Change: the load "uneven" with RunVariation: 3% of the tasks take seven times their mean wherever they run, and a share of the endpoints may become slow or stall for six seconds. The simulation says why late jobs are late: a moved run, a slow endpoint, or the wait. The loads mix and large are as before.

--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -1,6 +1,7 @@
 package org.masticwick.core.pool;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -37,6 +38,11 @@
 
 	private final Random random;
 
+	/** A source of its own, so that the other loads stay as they are. */
+	private final Random variationRandom;
+
+	private final RunVariation variation;
+
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
 			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::sequence));
 
@@ -54,9 +60,23 @@
 
 	private double wastedWorkMillis;
 
+	private double workMillis;
+
+	private int slowStopCount;
+
+	private int disturbedStartCount;
+
+	private double suspectedMillis;
+
 	PoolSimulation(Load load, int poolCount, long seed) {
+		this(load, RunVariation.NONE, poolCount, seed);
+	}
+
+	PoolSimulation(Load load, RunVariation variation, int poolCount, long seed) {
 		this.load = load;
+		this.variation = variation;
 		this.random = new Random(seed);
+		this.variationRandom = new Random(~seed);
 		for (int index = 0; index < poolCount; index++) {
 			this.pools.add(new Pool("pool-" + index));
 		}
@@ -83,6 +103,34 @@
 		return this.wastedWorkMillis;
 	}
 
+	/**
+	 * Returns the share of the started work that was discarded.
+	 * @return the share
+	 */
+	double wastedShare() {
+		return this.wastedWorkMillis / this.workMillis;
+	}
+
+	int slowStopCount() {
+		return this.slowStopCount;
+	}
+
+	/**
+	 * Returns how many runs were started on endpoints while these were disturbed.
+	 * @return the number
+	 */
+	int disturbedStartCount() {
+		return this.disturbedStartCount;
+	}
+
+	/**
+	 * Returns the mean share of the capacity of endpoints that were suspected.
+	 * @return the share
+	 */
+	double suspectedShare() {
+		return this.suspectedMillis / this.load.durationMillis();
+	}
+
 	private void schedule(double delayMillis, Runnable action) {
 		long atMillis = this.nowMillis + Math.max(0, Math.round(delayMillis));
 		this.events.add(new Event(atMillis, this.nextSequence++, action));
@@ -110,11 +158,21 @@
 		String jobId = "job-" + this.submissions.size();
 		StepSpec step = new StepSpec(width, new Resources(cpuMillicores, 64, 0), estimatedMillis, List.of(), "", "", 0);
 		Submission submission = new Submission(new JobSpec(jobId, "", List.of(step)), queue, workMillis, this.nowMillis,
-				this.random.nextInt(this.pools.size()));
+				this.random.nextInt(this.pools.size()), taskMillis(width, workMillis));
 		this.submissions.put(jobId, submission);
 		send(submission);
 	}
 
+	private double[] taskMillis(int width, double workMillis) {
+		double[] millis = new double[width];
+		for (int index = 0; index < width; index++) {
+			boolean longTask = this.variationRandom.nextDouble() < this.variation.longTaskShare();
+			double factor = Math.exp(this.variationRandom.nextGaussian() * 0.15 - 0.15 * 0.15 / 2);
+			millis[index] = workMillis * factor * (longTask ? this.variation.longTaskFactor() : 1);
+		}
+		return millis;
+	}
+
 	private void send(Submission submission) {
 		List<PoolSelector.Candidate> candidates = this.pools.stream()
 			.map((pool) -> pool.candidate(submission.domain))
@@ -142,7 +200,13 @@
 			return;
 		}
 		Result result = this.results.computeIfAbsent(submission.queue.name(), (name) -> new Result());
-		result.count(submission, outcome, this.nowMillis);
+		result.count(submission, outcome, objectiveMillis(submission), this.nowMillis);
+	}
+
+	private double objectiveMillis(Submission submission) {
+		double longestMillis = this.variation.isFixedByTask() ? Arrays.stream(submission.taskMillis).max().orElseThrow()
+				: submission.workMillis;
+		return submission.queue.stretch() * longestMillis + submission.queue.targetLatencyMillis();
 	}
 
 	private record Event(long atMillis, long sequence, Runnable action) {
@@ -189,6 +253,20 @@
 					260, 23_000, List.of(1.0), 16_000, scale, burst, 8_000, 12_000);
 		}
 
+		/**
+		 * Returns the load of a site of hundreds of endpoints of unequal speed.
+		 * @param scale the factor on all arrival rates
+		 * @param budgetMillis how long callers wait, in milliseconds
+		 * @return the load
+		 */
+		static Load uneven(double scale, long budgetMillis) {
+			return new Load(
+					List.of(new QueueLoad("check", 0, 206 * scale, 8, 32, 51, 1.6, 60, budgetMillis, 0.00485),
+							new QueueLoad("confirm", 2, 37.5 * scale, 4, 16, 760, 1.6, 60, budgetMillis, 0.0267),
+							new QueueLoad("status", 1, 600 * scale, 2, 8, 170, 1.6, 60, budgetMillis, 0.00167)),
+					246, 32_000, List.of(1 / 0.7, 1 / 0.7, 1 / 1.7), 16_000, scale, 1, 0, 0);
+		}
+
 		double burstFactor(long atMillis) {
 			return (atMillis >= this.burstFromMillis && atMillis < this.burstToMillis) ? this.burst : 1;
 		}
@@ -212,15 +290,19 @@
 
 		private double offeredValue;
 
-		private void count(Submission submission, JobOutcome outcome, long nowMillis) {
+		private final Map<LateCause, Integer> lateCauses = new EnumMap<>(LateCause.class);
+
+		private void count(Submission submission, JobOutcome outcome, double objectiveMillis, long nowMillis) {
 			this.submittedCount++;
 			this.kinds.merge(outcome.kind(), 1, Integer::sum);
 			QueueLoad queue = submission.queue;
 			double size = submission.workMillis * submission.job.taskCount() / (queue.workMillis() * queue.width());
 			double jobValue = queue.jobValue() * (0.3 + 0.7 * Math.min(size, 5));
 			this.offeredValue += jobValue;
-			double objectiveMillis = queue.stretch() * submission.workMillis + queue.targetLatencyMillis();
 			double tookMillis = nowMillis - submission.arrivedMillis;
+			if (outcome.kind() == JobOutcome.Kind.COMPLETED && tookMillis > objectiveMillis) {
+				this.lateCauses.merge(submission.lateCause(objectiveMillis), 1, Integer::sum);
+			}
 			if (outcome.kind() != JobOutcome.Kind.COMPLETED || tookMillis > 3 * objectiveMillis) {
 				return;
 			}
@@ -242,6 +324,18 @@
 			return (double) this.lateCount / this.submittedCount;
 		}
 
+		/**
+		 * Returns the share of jobs that were completed late, also if far too late.
+		 * @return the share
+		 */
+		double completedLateShare() {
+			return this.lateCauses.values().stream().mapToInt(Integer::intValue).sum() / (double) this.submittedCount;
+		}
+
+		double lateShare(LateCause cause) {
+			return this.lateCauses.getOrDefault(cause, 0) / (double) this.submittedCount;
+		}
+
 		double share(JobOutcome.Kind kind) {
 			return (double) this.kinds.getOrDefault(kind, 0) / this.submittedCount;
 		}
@@ -256,6 +350,22 @@
 
 	}
 
+	/**
+	 * Why the last task of a job made it late.
+	 */
+	enum LateCause {
+
+		/** A run of the task was stopped as slow. */
+		RESTART,
+
+		/** On the endpoint the run alone takes longer than the objective. */
+		SLOW_ENDPOINT,
+
+		/** The task started too late. */
+		WAIT
+
+	}
+
 	private static final class Submission {
 
 		private final JobSpec job;
@@ -270,12 +380,29 @@
 
 		private final Set<String> tried = new HashSet<>();
 
-		private Submission(JobSpec job, QueueLoad queue, double workMillis, long arrivedMillis, int domain) {
+		private final double[] taskMillis;
+
+		private final Set<Integer> movedTasks = new HashSet<>();
+
+		private int lastTask;
+
+		private double lastRunMillis;
+
+		private Submission(JobSpec job, QueueLoad queue, double workMillis, long arrivedMillis, int domain,
+				double[] taskMillis) {
 			this.job = job;
 			this.queue = queue;
 			this.workMillis = workMillis;
 			this.arrivedMillis = arrivedMillis;
 			this.domain = domain;
+			this.taskMillis = taskMillis;
+		}
+
+		private LateCause lateCause(double objectiveMillis) {
+			if (this.movedTasks.contains(this.lastTask)) {
+				return LateCause.RESTART;
+			}
+			return (this.lastRunMillis > objectiveMillis) ? LateCause.SLOW_ENDPOINT : LateCause.WAIT;
 		}
 
 	}
@@ -307,10 +434,24 @@
 					new Resources(cpuMillicores, 131_072, 0), Set.of(), 1);
 			Endpoint endpoint = new Endpoint(entry, speeds.get(PoolSimulation.this.random.nextInt(speeds.size())));
 			this.endpoints.put(entry.id(), endpoint);
+			RunVariation variation = PoolSimulation.this.variation;
+			if (variation.hasDisturbance()
+					&& PoolSimulation.this.variationRandom.nextDouble() < variation.disturbedShare()) {
+				schedule(variation.disturbedFromMillis(), () -> disturb(endpoint, variation.disturbedFactor()));
+				schedule(variation.disturbedToMillis(), () -> disturb(endpoint, 1));
+			}
 			this.scheduler.endpointListed(entry, 0);
 			schedule(0, () -> renew(endpoint));
 		}
 
+		private void disturb(Endpoint endpoint, double factor) {
+			endpoint.disturbance = factor;
+			endpoint.runningTasks.forEach((run, running) -> {
+				running.setSlowness(endpoint.slowness(), PoolSimulation.this.nowMillis);
+				schedule(running.remainingMillis(), () -> terminateRun(endpoint, run, TerminationKind.DONE));
+			});
+		}
+
 		private PoolSelector.Candidate candidate(int domain) {
 			boolean local = this.name.equals("pool-" + domain);
 			PoolLoad visibleLoad = local ? this.scheduler.load(PoolSimulation.this.nowMillis) : this.reportedLoad;
@@ -320,10 +461,23 @@
 		}
 
 		private void tick() {
+			if (PoolSimulation.this.nowMillis < PoolSimulation.this.load.durationMillis()) {
+				PoolSimulation.this.suspectedMillis += TICK_INTERVAL_MILLIS * suspectedShare()
+						/ PoolSimulation.this.pools.size();
+			}
 			this.scheduler.tick(PoolSimulation.this.nowMillis);
 			schedule(TICK_INTERVAL_MILLIS, this::tick);
 		}
 
+		// Suspected endpoints do not count as capacity.
+		private double suspectedShare() {
+			long listedMillicores = this.endpoints.values()
+				.stream()
+				.mapToLong((endpoint) -> endpoint.entry.capacity().cpuMillicores())
+				.sum();
+			return 1 - (double) this.scheduler.load(PoolSimulation.this.nowMillis).totalMillicores() / listedMillicores;
+		}
+
 		private void report() {
 			this.reportedLoad = this.scheduler.load(PoolSimulation.this.nowMillis);
 			this.sentMillicores = 0;
@@ -355,19 +509,27 @@
 
 		private void startRun(Endpoint endpoint, TaskRun run) {
 			Submission submission = PoolSimulation.this.submissions.get(run.task().jobId());
-			double runMillis = submission.workMillis * logNormalFactor(0.15) * endpoint.slowness;
-			endpoint.runningTasks.put(run, new Running(PoolSimulation.this.nowMillis, runMillis));
+			double taskMillis = PoolSimulation.this.variation.isFixedByTask()
+					? submission.taskMillis[run.task().index()] : submission.workMillis * logNormalFactor(0.15);
+			Running running = new Running(PoolSimulation.this.nowMillis, taskMillis, endpoint.slowness());
+			endpoint.runningTasks.put(run, running);
+			PoolSimulation.this.disturbedStartCount += (endpoint.disturbance != 1) ? 1 : 0;
 			this.scheduler.startAccepted(endpoint.entry.id(), run, PoolSimulation.this.nowMillis);
-			schedule(runMillis, () -> terminateRun(endpoint, run, TerminationKind.DONE));
+			schedule(running.remainingMillis(), () -> terminateRun(endpoint, run, TerminationKind.DONE));
 		}
 
 		private void terminateRun(Endpoint endpoint, TaskRun run, TerminationKind kind) {
-			Running running = endpoint.runningTasks.remove(run);
-			if (running == null) {
+			Running running = endpoint.runningTasks.get(run);
+			if (running == null || kind == TerminationKind.DONE && !running.isDone(PoolSimulation.this.nowMillis)) {
 				return;
 			}
+			endpoint.runningTasks.remove(run);
+			Submission submission = PoolSimulation.this.submissions.get(run.task().jobId());
+			submission.lastTask = run.task().index();
+			submission.lastRunMillis = PoolSimulation.this.nowMillis - running.startedMillis;
+			PoolSimulation.this.workMillis += submission.lastRunMillis;
 			if (kind != TerminationKind.DONE) {
-				PoolSimulation.this.wastedWorkMillis += PoolSimulation.this.nowMillis - running.startedMillis();
+				PoolSimulation.this.wastedWorkMillis += submission.lastRunMillis;
 			}
 			endpoint.terminationCount++;
 			endpoint.terminatedRuns.add(new TerminatedRun(endpoint.terminationCount, run, kind));
@@ -377,6 +539,10 @@
 		@Override
 		public void stop(EndpointEntry entry, TaskRun run, String reason) {
 			Endpoint endpoint = this.endpoints.get(entry.id());
+			if (reason.startsWith("slow")) {
+				PoolSimulation.this.slowStopCount++;
+				PoolSimulation.this.submissions.get(run.task().jobId()).movedTasks.add(run.task().index());
+			}
 			schedule(1, () -> terminateRun(endpoint, run, TerminationKind.STOPPED));
 		}
 
@@ -417,10 +583,50 @@
 
 	}
 
-	private record Running(long startedMillis, double runMillis) {
+	private static final class Running {
+
+		private final long startedMillis;
+
+		private final double workMillis;
+
+		private double doneMillis;
+
+		private double slowness;
+
+		private long changedMillis;
+
+		private Running(long startedMillis, double workMillis, double slowness) {
+			this.startedMillis = startedMillis;
+			this.changedMillis = startedMillis;
+			this.workMillis = workMillis;
+			this.slowness = slowness;
+		}
+
+		private void setSlowness(double newSlowness, long nowMillis) {
+			this.doneMillis = doneMillis(nowMillis);
+			this.changedMillis = nowMillis;
+			this.slowness = newSlowness;
+		}
+
+		private double doneMillis(long nowMillis) {
+			return this.doneMillis + (nowMillis - this.changedMillis) / this.slowness;
+		}
+
+		/**
+		 * Returns the time to the end since the speed of the endpoint changed last.
+		 * @return the time in milliseconds
+		 */
+		private double remainingMillis() {
+			return (this.workMillis - this.doneMillis) * this.slowness;
+		}
+
+		// Events have whole milliseconds.
+		private boolean isDone(long nowMillis) {
+			return this.changedMillis + Math.round(remainingMillis()) <= nowMillis;
+		}
 
 		private int percent(long nowMillis) {
-			return (int) Math.min(99, (nowMillis - this.startedMillis) * 100 / Math.max(1, this.runMillis));
+			return (int) Math.min(99, doneMillis(nowMillis) * 100 / Math.max(1 / this.slowness, this.workMillis));
 		}
 
 	}
@@ -429,7 +635,9 @@
 
 		private final EndpointEntry entry;
 
-		private final double slowness;
+		private final double usualSlowness;
+
+		private double disturbance = 1;
 
 		private final Map<TaskRun, Running> runningTasks = new HashMap<>();
 
@@ -437,9 +645,13 @@
 
 		private long terminationCount;
 
-		private Endpoint(EndpointEntry entry, double slowness) {
+		private Endpoint(EndpointEntry entry, double usualSlowness) {
 			this.entry = entry;
-			this.slowness = slowness;
+			this.usualSlowness = usualSlowness;
+		}
+
+		private double slowness() {
+			return this.usualSlowness * this.disturbance;
 		}
 
 	}
