Move a run only if its endpoint is slow, not if its task is long

Cause: a run projected to take three times as long as expected was stopped and restarted, and two in a row made the endpoint suspected, although 3% of the tasks take seven times their mean on any endpoint. Change: RunTimeTails learns for each queue how often runs take such multiples. The slow runs of an endpoint since its last run of usual speed count by that share; a run is moved, and two make the endpoint suspected, if at most 0.25% of healthy endpoints would show them. With fewer than 50 runs of the queue, or none that long, a single run is enough, as before. A run whose progress stalls counts more as it takes longer.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointHealth.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointHealth.java
@@ -3,7 +3,8 @@
 /**
  * Assesses an endpoint by the results of its runs. After consecutive failures of
  * different jobs, or several runs far slower than expected, the endpoint is suspected: it
- * gets no task during a pause, then a single one at a time until one succeeds.
+ * gets no task during a pause, then a single one at a time until one succeeds. Slow runs
+ * count by how rare they are in their queues.
  */
 final class EndpointHealth {
 
@@ -13,6 +14,12 @@
 	/** How many slow runs in a row make the endpoint suspected. */
 	private static final int MAX_SLOW_RUNS_IN_ROW = 2;
 
+	/**
+	 * The share of healthy endpoints that may show such slow runs in a row as make an
+	 * endpoint slow.
+	 */
+	static final double MAX_CHANCE = 0.0025;
+
 	/** The first pause of a suspected endpoint, in milliseconds. */
 	private static final long FIRST_PAUSE_MILLIS = 1_000;
 
@@ -31,6 +38,8 @@
 
 	private int slowRunsInRow;
 
+	private double chanceOfSlowRuns = 1;
+
 	private long pauseMillis = FIRST_PAUSE_MILLIS;
 
 	private long pausedUntilMillis;
@@ -67,6 +76,7 @@
 	void succeeded(double slownessFactor) {
 		this.failuresInRow = 0;
 		this.slowRunsInRow = 0;
+		this.chanceOfSlowRuns = 1;
 		this.suspected = false;
 		this.pauseMillis = FIRST_PAUSE_MILLIS;
 		double logSample = Math.log(Math.min(Math.max(slownessFactor, 1 / MAX_SLOWNESS_SAMPLE), MAX_SLOWNESS_SAMPLE));
@@ -89,13 +99,28 @@
 	}
 
 	/**
-	 * Records a run that is far slower than expected.
+	 * Records a run that is far slower than expected, or has become slower still.
+	 * @param newRun whether the run was not recorded before
+	 * @param chance how often a run of its queue that has taken as long as recorded
+	 * before, takes as long as now on a healthy endpoint; above 0 and at most 1
 	 * @param nowMillis the current monotonic time in milliseconds
 	 * @return whether the endpoint has just become suspected
 	 */
-	boolean slow(long nowMillis) {
-		this.slowRunsInRow++;
-		return (this.suspected || this.slowRunsInRow >= MAX_SLOW_RUNS_IN_ROW) && suspect(nowMillis);
+	boolean slow(boolean newRun, double chance, long nowMillis) {
+		this.slowRunsInRow += newRun ? 1 : 0;
+		this.chanceOfSlowRuns *= chance;
+		boolean newEvidence = newRun || !this.suspected;
+		return newEvidence && isSlow() && (this.suspected || this.slowRunsInRow >= MAX_SLOW_RUNS_IN_ROW)
+				&& suspect(nowMillis);
+	}
+
+	/**
+	 * Returns whether the runs since the last one of usual speed are so slow that the
+	 * endpoint is the likely cause.
+	 * @return whether slow runs should be moved to other endpoints
+	 */
+	boolean isSlow() {
+		return this.chanceOfSlowRuns <= MAX_CHANCE;
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -26,7 +26,9 @@
 
 	private long progressMillis = -1;
 
-	private boolean countedAsSlow;
+	private double longRunShare = 1;
+
+	private boolean moved;
 
 	private boolean stopping;
 
@@ -114,12 +116,24 @@
 		return (this.progressMillis < 0) ? 0 : this.progressMillis - this.startRequestedMillis;
 	}
 
-	boolean isCountedAsSlow() {
-		return this.countedAsSlow;
+	/**
+	 * Returns how many runs of the queue take as long as this one was recorded to take.
+	 * @return the share of the runs, 1 if the run was not recorded as slow
+	 */
+	double longRunShare() {
+		return this.longRunShare;
+	}
+
+	void longRunShare(double share) {
+		this.longRunShare = share;
+	}
+
+	boolean isMoved() {
+		return this.moved;
 	}
 
-	void markCountedAsSlow() {
-		this.countedAsSlow = true;
+	void markMoved() {
+		this.moved = true;
 	}
 
 	boolean isStopping() {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -12,12 +12,6 @@
  */
 final class RunTracker {
 
-	/**
-	 * A run whose projected run time exceeds the expected one by this factor counts as
-	 * slow.
-	 */
-	private static final double SLOW_FACTOR = 3;
-
 	/** The minimum observed run time of a slow run, in milliseconds. */
 	private static final long MIN_SLOW_MILLIS = 60;
 
@@ -44,6 +38,8 @@
 
 	private final CrashLoopGuard crashLoopGuard;
 
+	private final RunTimeTails runTimeTails = new RunTimeTails();
+
 	RunTracker(PoolSettings settings, PoolActions actions, CrashLoopGuard crashLoopGuard, JobCallbacks jobCallbacks) {
 		this.settings = settings;
 		this.crashLoopGuard = crashLoopGuard;
@@ -200,15 +196,27 @@
 
 	private void updateHealth(Placement placement, TerminationKind kind, long nowMillis) {
 		EndpointHealth health = placement.endpoint().health();
+		double ratio = runRatio(placement, kind, nowMillis);
+		if (isRestartableElsewhere(placement) && !placement.isMoved() && ratio > 0) {
+			this.runTimeTails.observe(placement.task().job().terms().queue(), ratio);
+		}
 		if (kind == TerminationKind.DONE) {
-			double runMillis = nowMillis - placement.startRequestedMillis();
-			health.succeeded(runMillis / placement.expectedMillis());
+			health.succeeded(ratio);
 		}
 		else if (kind == TerminationKind.FAILED) {
 			health.failed(placement.task().job().spec().jobId(), nowMillis);
 		}
 	}
 
+	// Returns the run time over the expected one, projected for a stopped run, or 0 if it
+	// is not known.
+	private static double runRatio(Placement placement, TerminationKind kind, long nowMillis) {
+		if (kind == TerminationKind.DONE) {
+			return (nowMillis - placement.startRequestedMillis()) / placement.expectedMillis();
+		}
+		return (kind == TerminationKind.STOPPED && isObserved(placement)) ? slowness(placement) : 0;
+	}
+
 	private void terminate(Placement placement, TerminationKind kind, long nowMillis) {
 		placement.endpoint().remove(placement);
 		this.jobCallbacks.runTerminated(placement, kind, nowMillis);
@@ -231,19 +239,23 @@
 		}
 		else if (isRestartableElsewhere(placement) && isSlow(placement)) {
 			recordSlowRun(placement, nowMillis);
-			if (placement.task().slowRestartCount() < MAX_SLOW_RESTARTS && hasCapacityElsewhere.test(placement)) {
+			if (placement.endpoint().health().isSlow() && placement.task().slowRestartCount() < MAX_SLOW_RESTARTS
+					&& hasCapacityElsewhere.test(placement)) {
 				placement.task().countSlowRestart();
+				placement.markMoved();
 				stop(placement, "slow: " + placement.progress(), nowMillis);
 			}
 		}
 	}
 
 	// A task that was slow on another endpoint too is no evidence against this one.
-	private static void recordSlowRun(Placement placement, long nowMillis) {
-		if (!placement.isCountedAsSlow() && placement.task().slowRestartCount() == 0) {
-			placement.endpoint().health().slow(nowMillis);
+	private void recordSlowRun(Placement placement, long nowMillis) {
+		double recordedShare = placement.longRunShare();
+		double share = this.runTimeTails.share(placement.task().job().terms().queue(), slowness(placement));
+		if (share < recordedShare && placement.task().slowRestartCount() == 0) {
+			placement.longRunShare(share);
+			placement.endpoint().health().slow(recordedShare == 1, share / recordedShare, nowMillis);
 		}
-		placement.markCountedAsSlow();
 	}
 
 	private void retryStop(Placement placement, long nowMillis) {
@@ -259,8 +271,15 @@
 	}
 
 	private static boolean isSlow(Placement placement) {
-		return placement.observedMillis() > Math.max(MIN_SLOW_MILLIS, placement.expectedMillis() / 2)
-				&& placement.projectedMillis() > SLOW_FACTOR * placement.expectedMillis();
+		return isObserved(placement) && slowness(placement) > RunTimeTails.LONG_RATIO;
+	}
+
+	private static boolean isObserved(Placement placement) {
+		return placement.observedMillis() > Math.max(MIN_SLOW_MILLIS, placement.expectedMillis() / 2);
+	}
+
+	private static double slowness(Placement placement) {
+		return placement.projectedMillis() / placement.expectedMillis();
 	}
 
 	/**
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/EndpointHealthTests.java
@@ -0,0 +1,67 @@
+package org.masticwick.core.pool;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link EndpointHealth}.
+ */
+class EndpointHealthTests {
+
+	private static final double LONG_TASKS_SHARE = 0.03;
+
+	private final EndpointHealth health = new EndpointHealth();
+
+	@Nested
+	class SlowRuns {
+
+		@Test
+		void ofAQueueWithoutLongTasksCountAtOnceAndSuspectTheEndpointAtTheSecond() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			assertThat(health.slow(true, EndpointHealth.MAX_CHANCE, 100)).isFalse();
+			assertThat(health.isSlow()).isTrue();
+			assertThat(health.slow(true, EndpointHealth.MAX_CHANCE, 200)).isTrue();
+			assertThat(health.acceptsTask(0, 201)).isFalse();
+		}
+
+		@Test
+		void ofAQueueWithLongTasksCountAtTheSecond() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			assertThat(health.slow(true, LONG_TASKS_SHARE, 100)).isFalse();
+			assertThat(health.isSlow()).isFalse();
+			assertThat(health.slow(true, LONG_TASKS_SHARE, 200)).isTrue();
+			assertThat(health.isSlow()).isTrue();
+		}
+
+		@Test
+		void areNoEvidenceAfterARunOfUsualSpeed() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			health.slow(true, LONG_TASKS_SHARE, 100);
+			health.succeeded(1);
+			assertThat(health.slow(true, LONG_TASKS_SHARE, 200)).isFalse();
+			assertThat(health.isSlow()).isFalse();
+		}
+
+		@Test
+		void thatStallCountMoreWithTime() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			health.slow(true, LONG_TASKS_SHARE, 100);
+			assertThat(health.slow(false, 0.05, 200)).isFalse();
+			assertThat(health.isSlow()).isTrue();
+			assertThat(health.isSuspected()).isFalse();
+		}
+
+		@Test
+		void areTheUsualCaseOfSomeQueuesAndThenNoEvidence() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			for (int index = 0; index < 5; index++) {
+				assertThat(health.slow(true, 0.4, 100)).isFalse();
+			}
+			assertThat(health.isSlow()).isFalse();
+		}
+
+	}
+
+}
