Place tasks by expected completion time, in shares of the endpoint's size

Cause: EndpointSelector weighed speed against free cores by a constant that fits one size of endpoints, and did not consider whether a task ends in time. Large tasks started on slow endpoints, and their callers left before they ended. Change: costs are shares of the endpoint's capacity; the time by which a run with its usual margin would miss the objective or the budget is added. The learnt speed is forgotten when an endpoint restarts, and its factor is computed once per run instead of once per endpoint and selection.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointHealth.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointHealth.java
@@ -48,6 +48,8 @@
 
 	private double logSlowness;
 
+	private double slowness = 1;
+
 	/**
 	 * Returns whether the endpoint may get another task now.
 	 * @param runningCount the number of its runs
@@ -70,7 +72,17 @@
 	 * @return the factor, 1 for the expected speed
 	 */
 	double slowness() {
-		return Math.exp(this.logSlowness);
+		return this.slowness;
+	}
+
+	/**
+	 * Forgets how slow the endpoint was, because it has restarted.
+	 */
+	void restarted() {
+		this.slowRunsInRow = 0;
+		this.chanceOfSlowRuns = 1;
+		this.logSlowness = 0;
+		this.slowness = 1;
 	}
 
 	void succeeded(double slownessFactor) {
@@ -81,6 +93,7 @@
 		this.pauseMillis = FIRST_PAUSE_MILLIS;
 		double logSample = Math.log(Math.min(Math.max(slownessFactor, 1 / MAX_SLOWNESS_SAMPLE), MAX_SLOWNESS_SAMPLE));
 		this.logSlowness += SPEED_SAMPLE_WEIGHT * (logSample - this.logSlowness);
+		this.slowness = Math.exp(this.logSlowness);
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointSelector.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointSelector.java
@@ -5,33 +5,42 @@
 
 /**
  * Selects the endpoint for a task by best fit: prefers little remaining capacity, high
- * speed and closeness to the data.
+ * speed, an end in time and closeness to the data.
  */
 final class EndpointSelector {
 
 	/**
-	 * The cost of a slowness factor of 1, in thousandths of a core of remaining capacity.
+	 * The cost of a slowness factor of 1. Costs are shares of the endpoint's processor
+	 * capacity that remain unused.
 	 */
-	private static final double SLOWNESS_MILLICORES = 20_000;
+	private static final double SLOWNESS_COST = 0.3;
 
 	/**
-	 * The cost of running outside the rack of the data, in thousandths of a core of
-	 * remaining capacity.
+	 * The cost of an end that is late by the expected run time, as a share of the
+	 * endpoint's processor capacity.
 	 */
-	private static final double FAR_FROM_DATA_MILLICORES = 1_000_000;
+	private static final double OVERRUN_COST = 1;
 
 	/**
-	 * The cost of sharing the endpoint with a task under which endpoints were lost, in
-	 * thousandths of a core of remaining capacity; above all other costs, as all runs on
-	 * an endpoint are lost with it.
+	 * The cost of running outside the rack of the data; above all costs of capacity and
+	 * of speed.
 	 */
-	private static final double SUSPECT_MILLICORES = 3_000_000;
+	private static final double FAR_FROM_DATA_COST = 20;
+
+	/** The cost of other runs for a task under which endpoints were lost. */
+	private static final double COMPANY_COST = 40;
+
+	/**
+	 * The cost of sharing the endpoint with such a task; above all other costs, as all
+	 * runs on an endpoint are lost with it.
+	 */
+	private static final double SUSPECT_COST = 60;
 
 	/**
-	 * The cost of other runs for such a task, in thousandths of a core of remaining
-	 * capacity.
+	 * The bound on the cost of a late end, so that it stays below the costs that are not
+	 * about time.
 	 */
-	private static final double COMPANY_MILLICORES = 2_000_000;
+	private static final double MAX_OVERRUN_COST = 10;
 
 	private final long responseTimeoutMillis;
 
@@ -50,10 +59,11 @@
 		Isolation isolation = task.isolation(nowMillis);
 		PooledEndpoint best = null;
 		double bestCost = Double.MAX_VALUE;
+		double timeLeftRatio = timeLeftRatio(task.job(), nowMillis);
 		for (PooledEndpoint endpoint : endpoints) {
 			if (endpoint.free().fits(task.step().reserved()) && isEligible(endpoint, task, nowMillis)
 					&& (isolation != Isolation.REQUIRED || endpoint.isIdle())) {
-				double cost = cost(endpoint, task.step()) + companyCost(endpoint, isolation);
+				double cost = cost(endpoint, task.step(), timeLeftRatio) + companyCost(endpoint, isolation);
 				if (cost < bestCost) {
 					best = endpoint;
 					bestCost = cost;
@@ -89,16 +99,31 @@
 
 	private static double companyCost(PooledEndpoint endpoint, Isolation isolation) {
 		if (endpoint.hasSuspect()) {
-			return SUSPECT_MILLICORES;
+			return SUSPECT_COST;
 		}
-		return (isolation != Isolation.NONE && !endpoint.isIdle()) ? COMPANY_MILLICORES : 0;
+		return (isolation != Isolation.NONE && !endpoint.isIdle()) ? COMPANY_COST : 0;
 	}
 
-	private static double cost(PooledEndpoint endpoint, StepSpec step) {
+	// Returns the time until the job is late, in multiples of the run time that a task
+	// may
+	// take on an endpoint of average speed. Unknown for jobs of several steps.
+	private static double timeLeftRatio(PooledJob job, long nowMillis) {
+		if (job.spec().steps().size() > 1) {
+			return Double.POSITIVE_INFINITY;
+		}
+		double objectiveMillis = Math.min(job.objectiveMillis(), job.terms().budgetMillis());
+		return (job.arrivedMillis() + objectiveMillis - nowMillis) / job.expectedMillis();
+	}
+
+	private static double cost(PooledEndpoint endpoint, StepSpec step, double timeLeftRatio) {
+		EndpointEntry entry = endpoint.entry();
 		double remainingMillicores = endpoint.free().cpuMillicores() - step.reserved().cpuMillicores();
-		double slownessMillicores = SLOWNESS_MILLICORES * endpoint.health().slowness();
-		boolean farFromData = !hasLabel(endpoint.entry(), step.dataRack());
-		return remainingMillicores + slownessMillicores + (farFromData ? FAR_FROM_DATA_MILLICORES : 0);
+		double slowness = endpoint.health().slowness();
+		double overrunRatio = PooledJob.RUN_TIME_MARGIN * slowness - timeLeftRatio;
+		double overrunCost = Math.min(Math.max(0, OVERRUN_COST * overrunRatio), MAX_OVERRUN_COST);
+		boolean farFromData = !hasLabel(entry, step.dataRack());
+		return remainingMillicores / Math.max(1, entry.capacity().cpuMillicores()) + SLOWNESS_COST * slowness
+				+ overrunCost + (farFromData ? FAR_FROM_DATA_COST : 0);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -16,7 +16,7 @@
 	 * The factor by which a run may exceed its expected time: estimates of callers
 	 * deviate by half, speeds of endpoints by a quarter.
 	 */
-	private static final double RUN_TIME_MARGIN = 1.5;
+	static final double RUN_TIME_MARGIN = 1.5;
 
 	/** Up to this multiple of the objective a late answer is still useful. */
 	private static final int LATE_FACTOR = 3;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -53,6 +53,7 @@
 		}
 		boolean startTimeKnown = endpoint.startedEpochMillis() > 0;
 		endpoint.restarted(startedEpochMillis);
+		endpoint.health().restarted();
 		if (startTimeKnown) {
 			this.actions.endpointRestarted(endpoint.entry(), startedEpochMillis);
 			loseAll(endpoint, LossCause.ENDPOINT_RESTARTED, nowMillis);
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/EndpointHealthTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/EndpointHealthTests.java
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 /**
  * Tests for {@link EndpointHealth}.
@@ -14,6 +15,28 @@
 
 	private final EndpointHealth health = new EndpointHealth();
 
+	@Nested
+	class Speed {
+
+		@Test
+		void isLearntFromRuns() {
+			for (int index = 0; index < 50; index++) {
+				EndpointHealthTests.this.health.succeeded(1.4);
+			}
+			assertThat(EndpointHealthTests.this.health.slowness()).isEqualTo(1.4, within(0.01));
+		}
+
+		@Test
+		void isForgottenOnRestart() {
+			EndpointHealthTests.this.health.succeeded(3);
+			EndpointHealthTests.this.health.slow(true, LONG_TASKS_SHARE, 100);
+			EndpointHealthTests.this.health.restarted();
+			assertThat(EndpointHealthTests.this.health.slowness()).isEqualTo(1);
+			assertThat(EndpointHealthTests.this.health.slow(true, LONG_TASKS_SHARE, 200)).isFalse();
+		}
+
+	}
+
 	@Nested
 	class SlowRuns {
 
