Forget queues without jobs in load shedding

Each pass visits all queues that ever had a job. Queues come and go with published versions, so the passes grew with the age of the process. A queue without a job for 30 s is forgotten when another one appears; the new test fails without it.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointSelector.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointSelector.java
@@ -104,9 +104,9 @@
 		return (isolation != Isolation.NONE && !endpoint.isIdle()) ? COMPANY_COST : 0;
 	}
 
-	// Returns the time until the job is late, in multiples of the run time that a task
-	// may
-	// take on an endpoint of average speed. Unknown for jobs of several steps.
+	// Returns the time until the job is late, in multiples of its expected run time. It
+	// is
+	// not known for jobs of several steps.
 	private static double timeLeftRatio(PooledJob job, long nowMillis) {
 		if (job.spec().steps().size() > 1) {
 			return Double.POSITIVE_INFINITY;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/LoadShedding.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/LoadShedding.java
@@ -24,6 +24,12 @@
 	 */
 	private static final long OVERLOAD_MEMORY_MILLIS = 1_000;
 
+	/**
+	 * After this time without a job a queue is forgotten, in milliseconds. Queues come
+	 * and go with published versions, and each pass visits all of them.
+	 */
+	private static final long MAX_IDLE_MILLIS = 30_000;
+
 	private final Map<String, QueueShare> queues = new HashMap<>();
 
 	/** The queues as a list, for the passes over waiting jobs. */
@@ -45,8 +51,10 @@
 
 	@Override
 	public void submitted(PooledJob job, long nowMillis) {
-		QueueShare queue = queue(job);
-		queue.submitted(job, nowMillis);
+		if (!this.queues.containsKey(job.terms().queue())) {
+			forgetIdleQueues(nowMillis);
+		}
+		queue(job).submitted(job, nowMillis);
 		this.sampleCount++;
 		this.meanWork += Math.max(SAMPLE_WEIGHT, 1.0 / this.sampleCount) * (job.totalWork() - this.meanWork);
 	}
@@ -61,6 +69,11 @@
 		queue(job).refused(job, nowMillis);
 	}
 
+	private void forgetIdleQueues(long nowMillis) {
+		this.queues.values().removeIf((queue) -> queue.idleMillis(nowMillis) > MAX_IDLE_MILLIS);
+		this.queueList.retainAll(this.queues.values());
+	}
+
 	private QueueShare queue(PooledJob job) {
 		QueueShare queue = this.queues.get(job.terms().queue());
 		if (queue == null) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/QueueShare.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/QueueShare.java
@@ -79,6 +79,15 @@
 		this.refusedWork *= factor;
 	}
 
+	/**
+	 * Returns how long ago a job was submitted or refused.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the time in milliseconds
+	 */
+	long idleMillis(long nowMillis) {
+		return nowMillis - this.decayedMillis;
+	}
+
 	int priority() {
 		return this.priority;
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/LoadSheddingTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/LoadSheddingTests.java
@@ -195,4 +195,22 @@
 
 	}
 
+	@Nested
+	class IdleQueues {
+
+		/**
+		 * Guards against passes that visit the queues of all versions published since the
+		 * start of the process.
+		 */
+		@Test
+		void areForgotten() {
+			LoadSheddingTests.this.queue.remove(submitAdmitted("withdrawn", 2, 1, 0));
+			submitAdmitted("published", 1, 2, 40_000);
+			PooledJob newest = job("published", 1, 1, 40_001);
+			assertThat(submit(newest, 40_001)).containsExactly(newest);
+			assertThat(LoadSheddingTests.this.admission.isUrgentFirst(40_001)).isFalse();
+		}
+
+	}
+
 }
