--- a/masticwick-core/src/main/java/org/masticwick/core/pool/UrgentReservation.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/UrgentReservation.java
@@ -13,7 +13,7 @@
 	/**
 	 * The largest part of the endpoints that is reserved, as a divisor of their number.
 	 */
-	private static final int ENDPOINT_DIVISOR = 8;
+	private static final int ENDPOINT_DIVISOR = 16;
 
 	private final long responseTimeoutMillis;
 
@@ -47,7 +47,7 @@
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	void reserve(EndpointTable endpoints, long nowMillis) {
-		int maxCount = Math.min(this.tasks.size(), 1 + endpoints.all().size() / ENDPOINT_DIVISOR);
+		int maxCount = Math.min(this.tasks.size(), Math.max(1, endpoints.all().size() / ENDPOINT_DIVISOR));
 		for (PooledEndpoint endpoint : endpoints.all()) {
 			if (endpoint.acceptsTasks(nowMillis, this.responseTimeoutMillis)
 					&& couldRunAny(endpoint, endpoints, maxCount)) {
