Share the checks that no endpoint can run a job, and the owner of a claim in tests

submit and checkAdmission repeated the two checks for a job that no endpoint can run, and two test classes read the owner of a claim in the same way. Behaviour is the same. Core pool tests, FleetHostTests and DrainedDomainsHostTests pass; the rest of the modules was not run again.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -158,12 +158,9 @@
 			this.terminationHandler.giveUp(job, nowMillis);
 			return;
 		}
-		if (!this.endpoints.couldRun(job)) {
-			this.actions.answer(job, outcome(noFittingEndpoint(job)));
-			return;
-		}
-		if (this.endpoints.needsDrainedEndpoint(job)) {
-			this.actions.answer(job, drainedRefusal());
+		Optional<JobOutcome> unplaceable = unplaceable(job);
+		if (unplaceable.isPresent()) {
+			this.actions.answer(job, unplaceable.get());
 			return;
 		}
 		if (isTooLate(job, nowMillis)) {
@@ -190,8 +187,11 @@
 		}
 	}
 
-	private Refusal noFittingEndpoint(PooledJob job) {
-		return new Refusal(job, "no-fitting-endpoint", 0, backlogMillis());
+	private Optional<JobOutcome> unplaceable(PooledJob job) {
+		if (!this.endpoints.couldRun(job)) {
+			return Optional.of(outcome(new Refusal(job, "no-fitting-endpoint", 0, backlogMillis())));
+		}
+		return this.endpoints.needsDrainedEndpoint(job) ? Optional.of(drainedRefusal()) : Optional.empty();
 	}
 
 	private static boolean isTooLate(PooledJob job, long nowMillis) {
@@ -564,11 +564,9 @@
 	 */
 	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
 		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
-		if (!this.endpoints.couldRun(job)) {
-			return Optional.of(outcome(noFittingEndpoint(job)));
-		}
-		if (this.endpoints.needsDrainedEndpoint(job)) {
-			return Optional.of(drainedRefusal());
+		Optional<JobOutcome> unplaceable = unplaceable(job);
+		if (unplaceable.isPresent()) {
+			return unplaceable;
 		}
 		if (isTooLate(job, nowMillis)) {
 			return Optional.of(outcome(new Refusal(job, "no-time-left", 0, backlogMillis())));
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DrainedDomainsHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DrainedDomainsHostTests.java
@@ -100,13 +100,7 @@
 	}
 
 	private String claimOwner(String pool) {
-		return this.site.log()
-			.latest(SharedTopic.MEMBERS)
-			.stream()
-			.filter((member) -> member.key().equals(PoolOwnership.CLAIM_KEY_PREFIX + pool))
-			.map((claim) -> ClaimRecord.read(claim.value()).owner().hostName())
-			.findFirst()
-			.orElse("none");
+		return this.site.claimOwner(pool);
 	}
 
 	@Nested
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -97,6 +97,20 @@
 		return this.endpoints;
 	}
 
+	/**
+	 * Returns the owner of a pool by the newest claim in the log.
+	 * @param pool the name of the pool
+	 * @return the name of the host, or {@code none}
+	 */
+	String claimOwner(String pool) {
+		return this.log.latest(SharedTopic.MEMBERS)
+			.stream()
+			.filter((member) -> member.key().equals(PoolOwnership.CLAIM_KEY_PREFIX + pool))
+			.map((claim) -> ClaimRecord.read(claim.value()).owner().hostName())
+			.findFirst()
+			.orElse("none");
+	}
+
 	void publish(long number) {
 		this.log.append(SharedTopic.OPERATORS, List.of(record("version", Long.toString(number))));
 	}
