Reproduce runs of a resubmitted job beside those of its first submission

On a site with an owner for each failure domain, a host that answers 502 because the connection to an owner broke, or whose caller disconnected while a cancellation was lost, leaves the job running there. 1,300 ms later the caller submits it again, and another owner starts it.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -148,6 +149,8 @@
 
 	private PeerTransport transport;
 
+	private UnaryOperator<PeerTransport> transportDecorator = UnaryOperator.identity();
+
 	private final PeerReporter reporter;
 
 	private final VersionPull versionPull = new VersionPull();
@@ -210,16 +213,19 @@
 		return new TopicFollower(this.eventLoop, this.log, topic, pace, listener);
 	}
 
+	/**
+	 * Sets what the transport to the peers is wrapped in, before the host is started.
+	 * @param decorator wraps the transport
+	 */
+	void decorateTransport(UnaryOperator<PeerTransport> decorator) {
+		this.transportDecorator = decorator;
+	}
+
 	/**
 	 * Opens the listeners and starts to follow the log.
 	 */
 	public void start() {
-		this.transport = NettyPeerTransport.bind(
-				PeerTransportSettings.of(this.settings.peerAddress().ip(), this.settings.peerAddress().port())
-					.withIdleTimeoutMillis(PeerTable.PEER_TIMEOUT_MILLIS)
-					.withIdleCheck(PeerTransportSettings.IdleCheck.PENDING_CALLS),
-				() -> new EntryHost(this.self.domain(), this.self.peerAddress(), this.self.incarnation()), this,
-				this.eventLoops);
+		this.transport = this.transportDecorator.apply(bindTransport());
 		this.router.transport(this.transport);
 		this.reporter.transport(this.transport);
 		this.lossExchange.transport(this.transport);
@@ -231,6 +237,15 @@
 		this.eventLoop.execute(this::startOnEventLoop);
 	}
 
+	private PeerTransport bindTransport() {
+		return NettyPeerTransport.bind(
+				PeerTransportSettings.of(this.settings.peerAddress().ip(), this.settings.peerAddress().port())
+					.withIdleTimeoutMillis(PeerTable.PEER_TIMEOUT_MILLIS)
+					.withIdleCheck(PeerTransportSettings.IdleCheck.PENDING_CALLS),
+				() -> new EntryHost(this.self.domain(), this.self.peerAddress(), this.self.incarnation()), this,
+				this.eventLoops);
+	}
+
 	private void startOnEventLoop() {
 		logger.atInfo()
 			.addKeyValue("host", this.self.hostName())
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -57,6 +57,8 @@
 
 	private final Map<String, Host> hosts = new HashMap<>();
 
+	private final Map<String, UnreliableTransport> transports = new HashMap<>();
+
 	private final EventLoopGroup callerLoops = new NioEventLoopGroup(1);
 
 	private final PooledHttpClient httpCaller = new PooledHttpClient(this.callerLoops.next(), 1_000, 4);
@@ -149,6 +151,11 @@
 		FleetHost host = new FleetHost(loops, settings, identity, this.log.clientOf(hostName, loops.next()),
 				this.log.clientOf(hostName, loops.next()), this.endpoints.clientOn(loops.next()), new TextSiteFormat(),
 				new TextCallerFormat(this.estimateMillis));
+		host.decorateTransport((transport) -> {
+			UnreliableTransport unreliable = new UnreliableTransport(transport, loops.next());
+			this.transports.put(hostName, unreliable);
+			return unreliable;
+		});
 		host.start();
 		this.hosts.put(hostName, new Host(settings, host, loops));
 	}
@@ -162,6 +169,15 @@
 		host.loops().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
 	}
 
+	/**
+	 * Returns the transport on which a host sends to its peers.
+	 * @param hostName the name of the host
+	 * @return the transport
+	 */
+	UnreliableTransport transport(String hostName) {
+		return this.transports.get(hostName);
+	}
+
 	void stopGracefully(String hostName) {
 		this.hosts.get(hostName).host().stopGracefully();
 	}
@@ -184,13 +200,30 @@
 				Integer.toString(taskCount));
 	}
 
+	/**
+	 * Submits a job of one task for a caller who disconnects before the answer.
+	 * @param hostName the name of the host
+	 * @param jobId the id of the job
+	 * @param patienceMillis after how long the caller disconnects, in milliseconds
+	 * @return completes when the caller has disconnected
+	 */
+	CompletableFuture<Void> submitAndDisconnect(String hostName, String jobId, long patienceMillis) {
+		return call(this.hosts.get(hostName).settings().callerAddress(), "POST", "/q/" + jobId, "1", patienceMillis)
+			.handle((reply, error) -> null);
+	}
+
 	CompletableFuture<HttpReply> call(String hostName, String method, String path, String body) {
 		return call(this.hosts.get(hostName).settings().callerAddress(), method, path, body);
 	}
 
 	private CompletableFuture<HttpReply> call(HostAddress to, String method, String path, String body) {
+		return call(to, method, path, body, 10_000);
+	}
+
+	private CompletableFuture<HttpReply> call(HostAddress to, String method, String path, String body,
+			long timeoutMillis) {
 		HttpCall call = new HttpCall(method, path, Map.of("Host", "site", "wait-millis", "8000"),
-				body.getBytes(StandardCharsets.UTF_8), 10_000);
+				body.getBytes(StandardCharsets.UTF_8), timeoutMillis);
 		return this.httpCaller.call(to, call);
 	}
 
--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -0,0 +1,138 @@
+package org.masticwick.fleet.process;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.masticwick.fleet.connection.HttpReply;
+import org.masticwick.wire.PeerMessage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that a job that is submitted again runs only after its first submission has
+ * ended, on a site with an owner for each failure domain, so that the second submission
+ * may reach another owner.
+ */
+class ResubmittedJobsTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+	/** Longer than callers wait before they submit a job again. */
+	private static final long RUN_MILLIS = 3_000;
+
+	/** After how long callers submit a job again, by the contract with them. */
+	private static final long RESUBMISSION_MILLIS = 1_300;
+
+	/** So little processor time that no host can own the endpoints of all domains. */
+	private static final int PROCESSOR_MILLICORES = 5;
+
+	private final FleetSite site = new FleetSite(RUN_MILLIS, RUN_MILLIS);
+
+	@BeforeEach
+	void start() {
+		this.site.listEndpoint("e1", "d1", true);
+		this.site.listEndpoint("e2", "d2", true);
+		this.site.start("owner-1", "d1", 2 * PROCESSOR_MILLICORES);
+		awaitReady("owner-1");
+		this.site.start("owner-2", "d2", 2 * PROCESSOR_MILLICORES);
+		this.site.start("host-3", "d1", PROCESSOR_MILLICORES);
+		List.of("owner-2", "host-3").forEach(this::awaitReady);
+		Awaitility.await()
+			.atMost(TIMEOUT)
+			.until(() -> this.site.claimOwner("d1").equals("owner-1") && this.site.claimOwner("d2").equals("owner-2"));
+	}
+
+	@AfterEach
+	void close() {
+		this.site.close();
+	}
+
+	private void awaitReady(String hostName) {
+		Awaitility.await().atMost(TIMEOUT).until(() -> this.site.isReady(hostName));
+	}
+
+	private void awaitFirstRun() {
+		Awaitility.await().atMost(TIMEOUT).until(() -> this.site.endpoints().runningCount() == 1);
+	}
+
+	private static void pause(long millis) {
+		Awaitility.await().pollDelay(Duration.ofMillis(millis)).atMost(TIMEOUT).until(() -> true);
+	}
+
+	private void assertThatTheSecondSubmissionRunsAlone() {
+		pause(RESUBMISSION_MILLIS);
+		CompletableFuture<HttpReply> second = this.site.submit("owner-2", "j1", 1);
+		Awaitility.await().atMost(TIMEOUT).until(() -> this.site.endpoints().startCount("e2") == 1 || second.isDone());
+		assertThat(this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+		assertThat(second.join().status()).isEqualTo(200);
+		assertThat(this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+	}
+
+	@Nested
+	class WhoseOwnerIsNotTold {
+
+		@Test
+		void runAloneAfterTheAnswerOfTheOwnerWasLost() {
+			CompletableFuture<HttpReply> first = ResubmittedJobsTests.this.site.submit("host-3", "j1", 1);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.transport("host-3").losePendingAnswers();
+			assertThat(first.join().status()).isEqualTo(502);
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
+		@Test
+		void runAloneAfterTheCancellationWasLost() {
+			ResubmittedJobsTests.this.site.transport("host-3").drop(PeerMessage.CancelJob.class::isInstance);
+			CompletableFuture<Void> first = ResubmittedJobsTests.this.site.submitAndDisconnect("host-3", "j1", 400);
+			awaitFirstRun();
+			first.join();
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
+	}
+
+	@Nested
+	class WhoseOwnerChanges {
+
+		private void startSuccessor() {
+			ResubmittedJobsTests.this.site.start("host-4", "d1", PROCESSOR_MILLICORES);
+			awaitReady("host-4");
+			pause(500);
+		}
+
+		@Test
+		void runAloneAfterTheCancellationMetAHandover() {
+			startSuccessor();
+			CompletableFuture<Void> first = ResubmittedJobsTests.this.site.submitAndDisconnect("host-3", "j1", 600);
+			awaitFirstRun();
+			List.of("host-3", "host-4").forEach((name) -> ResubmittedJobsTests.this.site.log().delayAppends(name, 250));
+			pause(100);
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			first.join();
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
+		@Test
+		void runAloneAfterTheWordOfTheHandoverWasLost() {
+			startSuccessor();
+			List.of("host-3", "host-4")
+				.forEach((name) -> ResubmittedJobsTests.this.site.transport(name)
+					.drop(PeerMessage.JobsMoved.class::isInstance));
+			CompletableFuture<HttpReply> first = ResubmittedJobsTests.this.site.submit("host-3", "j1", 1);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			if (first.join().status() == 502) {
+				assertThatTheSecondSubmissionRunsAlone();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
@@ -0,0 +1,101 @@
+package org.masticwick.fleet.process;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+
+import io.netty.channel.EventLoop;
+
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.PeerException;
+import org.masticwick.wire.PeerMessage;
+import org.masticwick.wire.PeerTransport;
+import org.masticwick.wire.TrafficCounters;
+
+/**
+ * A transport that loses answers and drops messages as a test tells it to.
+ */
+final class UnreliableTransport implements PeerTransport {
+
+	private final PeerTransport transport;
+
+	private final EventLoop eventLoop;
+
+	private final Set<CompletableFuture<PeerMessage>> pendingCalls = ConcurrentHashMap.newKeySet();
+
+	private volatile Predicate<PeerMessage> dropped = (message) -> false;
+
+	/**
+	 * Creates a transport that loses nothing.
+	 * @param transport the transport that delivers
+	 * @param eventLoop the event loop of the host, which handles lost answers
+	 */
+	UnreliableTransport(PeerTransport transport, EventLoop eventLoop) {
+		this.transport = transport;
+		this.eventLoop = eventLoop;
+	}
+
+	/**
+	 * Fails the pending calls as a connection does that breaks after the peers have
+	 * received them.
+	 */
+	void losePendingAnswers() {
+		List.copyOf(this.pendingCalls)
+			.forEach((call) -> this.eventLoop
+				.execute(() -> call.completeExceptionally(new PeerException("The connection broke", null, true))));
+	}
+
+	/**
+	 * Drops messages without an answer.
+	 * @param messages tells which messages are dropped from now on
+	 */
+	void drop(Predicate<PeerMessage> messages) {
+		this.dropped = messages;
+	}
+
+	@Override
+	public CompletableFuture<PeerMessage> call(HostAddress peer, PeerMessage request) {
+		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+		this.pendingCalls.add(answer);
+		answer.whenComplete((message, error) -> this.pendingCalls.remove(answer));
+		this.transport.call(peer, request).whenComplete((message, error) -> {
+			if (error != null) {
+				answer.completeExceptionally(error);
+			}
+			else {
+				answer.complete(message);
+			}
+		});
+		return answer;
+	}
+
+	@Override
+	public void send(HostAddress peer, PeerMessage message) {
+		if (!this.dropped.test(message)) {
+			this.transport.send(peer, message);
+		}
+	}
+
+	@Override
+	public void reconnect(HostAddress peer) {
+		this.transport.reconnect(peer);
+	}
+
+	@Override
+	public HostAddress localAddress() {
+		return this.transport.localAddress();
+	}
+
+	@Override
+	public TrafficCounters traffic() {
+		return this.transport.traffic();
+	}
+
+	@Override
+	public void close() {
+		this.transport.close();
+	}
+
+}
