Cancel a job at its owner when its callers' host gives it up

Callers saw a task run twice at the same time where each failure domain has its own owner: a host that answered 502 because its connection to the owner had broken told the owner nothing, and a cancellation was a message that is dropped while a connection is opened again. The owner still heard the host's reports, so it ran on, and the job that the caller submitted again 1,300 ms later ran at another owner. A cancellation that met an owner during a handover was applied to the copy that stays behind, and the next owner continued the job.

A host now cancels each job that it gives up. Until an owner confirms that it has ended the job, all reports of the host list the call: an owner either hears them, and ends the job, or counts the host as lost after 500 ms, and ends all its jobs.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -259,12 +259,34 @@
 	 * @param jobId the id of the job
 	 * @param origin the call that waited for the answer
 	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return whether the job was unanswered and had this origin
 	 */
-	public void cancel(String jobId, JobOrigin origin, long nowMillis) {
-		this.jobs.findUnanswered(jobId).filter((job) -> job.origin().equals(origin)).ifPresent((job) -> {
+	public boolean cancel(String jobId, JobOrigin origin, long nowMillis) {
+		Optional<PooledJob> found = this.jobs.findUnanswered(jobId).filter((job) -> job.origin().equals(origin));
+		found.ifPresent((job) -> {
 			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "caller-left"), nowMillis);
 			dispatch(nowMillis);
 		});
+		return found.isPresent();
+	}
+
+	/**
+	 * Cancels the jobs of calls that an entry host has given up, because their callers
+	 * submit them again.
+	 * @param host the name of the host
+	 * @param callNumbers the numbers of the calls
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	public void cancelCalls(String host, Set<Long> callNumbers, long nowMillis) {
+		List<PooledJob> abandoned = this.jobs.interactiveJobs()
+			.stream()
+			.filter((job) -> callNumbers.contains(job.origin().callNumber()) && job.origin().host().equals(host))
+			.toList();
+		abandoned.forEach(
+				(job) -> this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "call-abandoned"), nowMillis));
+		if (!abandoned.isEmpty()) {
+			dispatch(nowMillis);
+		}
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -288,6 +288,7 @@
 
 	private void tick() {
 		long nowMillis = Clock.nowMillis();
+		cancelOwnAbandonedCalls(nowMillis);
 		this.peers.pollLostPeers(nowMillis).forEach(this::peerLost);
 		this.ownership.tick();
 		this.handover.tick();
@@ -298,6 +299,13 @@
 		}
 	}
 
+	// Jobs of this host's callers may have been handed over to its own owner meanwhile.
+	private void cancelOwnAbandonedCalls(long nowMillis) {
+		this.directory.localOwner()
+			.ifPresent((owner) -> owner.cancelAbandoned(this.self.peerAddress().toString(),
+					this.router.abandonedCalls(nowMillis)));
+	}
+
 	private void peerLost(HostAddress peer) {
 		logger.atWarn()
 			.addKeyValue("peer", peer)
@@ -320,7 +328,8 @@
 			.orElse(List.of());
 		return new PeerReporter.HostState(this.versions.activeNumber(), this.stopping, pools,
 				this.directory.poolsWithReachableOwner(Clock.nowMillis()), hasSeenDurableJobs(),
-				this.memberFollower.isLogReachable(), this.drains.current().orElse(null));
+				this.memberFollower.isLogReachable(), this.drains.current().orElse(null),
+				this.router.abandonedCalls(Clock.nowMillis()));
 	}
 
 	// Peers that the log refuses depend on the report.
@@ -389,9 +398,7 @@
 			return submitForPeer(from, submission);
 		}
 		else if (message instanceof PeerMessage.CancelJob cancel) {
-			this.directory.localOwner()
-				.ifPresent(
-						(owner) -> owner.cancel(cancel.jobId(), new JobOrigin(from.toString(), cancel.callNumber())));
+			return CompletableFuture.completedFuture(cancelForPeer(from, cancel));
 		}
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.jobQueries.answerPeer(query);
@@ -436,6 +443,8 @@
 			this.drains.replaceIfNewer(new DrainedDomains(report.drainsOffset(), Set.copyOf(report.drainedDomains())),
 					"peer " + from);
 		}
+		this.directory.localOwner()
+			.ifPresent((owner) -> owner.cancelAbandoned(from.toString(), report.abandonedCalls()));
 		report.pools().forEach((pool) -> this.directory.resetSent(pool.pool()));
 		this.ownership.applyPeerReports(report.pools());
 		this.versionPull.recordPeerVersion(from, report.versionNumber(), this.versions.activeNumber(), nowMillis);
@@ -474,6 +483,17 @@
 		return answer;
 	}
 
+	// Only an owner that had the job confirms its end; one that hands it over, or has not
+	// received it yet, learns of the cancellation from the next report.
+	private PeerMessage cancelForPeer(HostAddress from, PeerMessage.CancelJob cancel) {
+		JobOrigin origin = new JobOrigin(from.toString(), cancel.callNumber());
+		boolean cancelled = this.directory.localOwner()
+			.filter((owner) -> !owner.isFrozen() && owner.cancel(cancel.jobId(), origin))
+			.isPresent();
+		return cancelled ? new PeerMessage.Acknowledged()
+				: new PeerMessage.ErrorAnswer("unknown-job", "This host does not run the job, or is handing it over");
+	}
+
 	@Override
 	public void jobAnswered(JobOrigin origin, String jobId, JobOutcome outcome) {
 		if (origin.host().equals(this.self.peerAddress().toString())) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -70,6 +70,8 @@
 
 	private final Map<Long, RoutedJob> pendingJobs = new HashMap<>();
 
+	private final AbandonedCalls abandonedCalls = new AbandonedCalls();
+
 	private PeerTransport transport;
 
 	private PeerReporter reporter;
@@ -206,7 +208,7 @@
 			handleOutcome(routed, JobOutcome.of(JobOutcome.Kind.REFUSED, "owner-unreachable"));
 		}
 		else {
-			handleOutcome(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-lost"));
+			giveUp(routed, "owner-lost");
 		}
 	}
 
@@ -250,15 +252,35 @@
 		List.copyOf(this.pendingJobs.values())
 			.stream()
 			.filter((routed) -> routed.handedOver && peer.equals(routed.owner))
-			.forEach((routed) -> handleOutcome(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-lost")));
+			.forEach((routed) -> giveUp(routed, "owner-lost"));
 	}
 
 	/**
 	 * Answers all pending jobs as uncertain, as the process is about to stop.
 	 */
 	void abandonAll() {
-		List.copyOf(this.pendingJobs.values())
-			.forEach((routed) -> answer(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "host-stops")));
+		List.copyOf(this.pendingJobs.values()).forEach((routed) -> giveUp(routed, "host-stops"));
+	}
+
+	/**
+	 * Answers a job as uncertain that its owner may still run, and cancels it there.
+	 * @param routed the job
+	 * @param reason the reason, for the log
+	 */
+	private void giveUp(RoutedJob routed, String reason) {
+		if (this.pendingJobs.containsKey(routed.callNumber)) {
+			cancel(routed);
+			answer(routed, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason));
+		}
+	}
+
+	/**
+	 * Returns the calls whose jobs this host has given up, for its reports.
+	 * @param nowMillis the time in milliseconds
+	 * @return the numbers of the calls that no owner has confirmed to have ended
+	 */
+	List<Long> abandonedCalls(long nowMillis) {
+		return this.abandonedCalls.listed(nowMillis);
 	}
 
 	private void handleOutcome(RoutedJob routed, JobOutcome outcome) {
@@ -316,17 +338,28 @@
 			.addKeyValue("pool", routed.pool)
 			.addKeyValue("after_ms", Clock.nowMillis() - routed.receivedMillis)
 			.log("Caller disconnected before the answer; a job that is not durable is cancelled");
-		if (routed.job.durable()) {
+		cancel(routed);
+	}
+
+	// The job may have another owner by now, so reports list the call until an owner has
+	// confirmed that it has ended the job.
+	private void cancel(RoutedJob routed) {
+		if (routed.job.durable() || routed.pool == null) {
 			return;
 		}
-		if (routed.owner != null) {
-			this.transport.send(routed.owner,
-					new PeerMessage.CancelJob(routed.pool, routed.callNumber, routed.job.jobId()));
-		}
-		else if (routed.pool != null) {
-			this.directory.localOwnerOf(routed.pool)
-				.ifPresent((owner) -> owner.cancel(routed.job.jobId(), origin(routed)));
+		this.abandonedCalls.add(routed.callNumber, Clock.nowMillis());
+		if (routed.owner == null) {
+			this.directory.localOwner()
+				.filter((owner) -> !owner.isFrozen() && owner.cancel(routed.job.jobId(), origin(routed)))
+				.ifPresent((owner) -> this.abandonedCalls.confirm(routed.callNumber));
+			return;
 		}
+		this.transport.call(routed.owner, new PeerMessage.CancelJob(routed.pool, routed.callNumber, routed.job.jobId()))
+			.whenComplete((message, error) -> {
+				if (message instanceof PeerMessage.Acknowledged) {
+					this.abandonedCalls.confirm(routed.callNumber);
+				}
+			});
 	}
 
 	private JobOrigin origin(RoutedJob routed) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerReporter.java
@@ -185,15 +185,16 @@
 	 * @param logReachable whether the log answers this host
 	 * @param drains the drained failure domains, or {@code null} if this host does not
 	 * know them yet
+	 * @param abandonedCalls the numbers of the calls whose jobs this host has given up
 	 */
 	record HostState(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> poolsWithReachableOwner,
-			boolean hasSeenDurableJobs, boolean logReachable, DrainedDomains drains) {
+			boolean hasSeenDurableJobs, boolean logReachable, DrainedDomains drains, List<Long> abandonedCalls) {
 
 		private HostReport toReport(int intervalMillis, boolean recipientReachable) {
 			return new PeerMessage.HostReport(this.versionNumber, this.leaving, this.pools,
 					this.poolsWithReachableOwner, this.hasSeenDurableJobs, this.logReachable, intervalMillis,
 					recipientReachable, (this.drains != null) ? this.drains.offset() : HostReport.DRAINS_UNKNOWN,
-					(this.drains != null) ? List.copyOf(this.drains.sortedDomains()) : List.of());
+					(this.drains != null) ? List.copyOf(this.drains.sortedDomains()) : List.of(), this.abandonedCalls);
 		}
 
 		/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -232,8 +232,26 @@
 		this.scheduler.submit(job, terms, origin, Clock.nowMillis());
 	}
 
-	void cancel(String jobId, JobOrigin origin) {
-		this.scheduler.cancel(jobId, origin, Clock.nowMillis());
+	/**
+	 * Cancels a job that its callers' host has given up.
+	 * @param jobId the id of the job
+	 * @param origin the call that waited for the answer
+	 * @return whether the job was running or waiting here for this call
+	 */
+	boolean cancel(String jobId, JobOrigin origin) {
+		return this.scheduler.cancel(jobId, origin, Clock.nowMillis());
+	}
+
+	/**
+	 * Cancels the jobs of calls that their callers' host has given up. Does nothing while
+	 * pools are handed over; the host repeats the calls in its next reports.
+	 * @param peerAddress the peer address of the host
+	 * @param callNumbers the numbers of the calls
+	 */
+	void cancelAbandoned(String peerAddress, List<Long> callNumbers) {
+		if (!this.frozen && !callNumbers.isEmpty()) {
+			this.scheduler.cancelCalls(peerAddress, Set.copyOf(callNumbers), Clock.nowMillis());
+		}
 	}
 
 	CompletableFuture<PeerMessage> query(PeerMessage.JobQuery query) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerReporterTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerReporterTests.java
@@ -64,7 +64,7 @@
 		IntStream.rangeClosed(1, DOMAIN_COUNT)
 			.forEach((domain) -> directory.applyClaim(new PoolClaim("d" + domain, member(domain, 2), 16, List.of())));
 		PeerReporter created = new PeerReporter(self, peers, directory, () -> false, () -> new PeerReporter.HostState(1,
-				false, List.of(), this.poolsWithReachableOwner, false, true, this.drains));
+				false, List.of(), this.poolsWithReachableOwner, false, true, this.drains, List.of()));
 		created.transport(this.transport);
 		return created;
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerTableTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerTableTests.java
@@ -35,7 +35,7 @@
 
 	private static HostReport report(int intervalMillis, PoolReport... pools) {
 		return new HostReport(1, false, List.of(pools), List.of(), false, true, intervalMillis, true,
-				HostReport.DRAINS_UNKNOWN, List.of());
+				HostReport.DRAINS_UNKNOWN, List.of(), List.of());
 	}
 
 	private static PoolReport pool(long token, long freeMillicores) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PoolDirectoryTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PoolDirectoryTests.java
@@ -59,7 +59,7 @@
 			.map((pool) -> new PoolReport(pool, token, new PoolLoad(totalMillicores, totalMillicores, 0, 0)))
 			.toList();
 		this.peers.recordReport(owner.peerAddress(), new HostReport(1, false, reports, List.of(), false, true, 125,
-				true, HostReport.DRAINS_UNKNOWN, List.of()), NOW_MILLIS);
+				true, HostReport.DRAINS_UNKNOWN, List.of(), List.of()), NOW_MILLIS);
 	}
 
 	private Map<String, Boolean> usableByPool(long nowMillis) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -255,10 +255,12 @@
 	 * drained domains is complete, or {@link #DRAINS_UNKNOWN}
 	 * @param drainedDomains the names of the drained failure domains that the sender
 	 * knows
+	 * @param abandonedCalls the numbers of the calls whose jobs the sender has given up
+	 * lately and no owner has confirmed to have ended
 	 */
 	record HostReport(long versionNumber, boolean leaving, List<PoolReport> pools, List<String> poolsWithReachableOwner,
 			boolean hasSeenDurableJobs, boolean logReachable, int intervalMillis, boolean recipientReachable,
-			long drainsOffset, List<String> drainedDomains) implements PeerMessage {
+			long drainsOffset, List<String> drainedDomains, List<Long> abandonedCalls) implements PeerMessage {
 
 		/** The interval between reports to a peer that depends on fast detection. */
 		public static final int SHORT_INTERVAL_MILLIS = 125;
@@ -288,7 +290,8 @@
 	}
 
 	/**
-	 * Notifies the owner of a pool that no caller waits for a job any more.
+	 * Notifies the owner of a pool that no caller waits for a job any more. The answer is
+	 * {@link Acknowledged} if the owner had the job and has ended it.
 	 *
 	 * @param pool the name of the pool
 	 * @param callNumber the number of the call that submitted the job
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -117,7 +117,8 @@
 
 	static final RecordType<PeerMessage.HostReport> HOST_REPORT = new RecordType<>(
 			(values) -> new PeerMessage.HostReport(values.get(0), values.get(1), values.get(2), values.get(3),
-					values.get(4), values.get(5), values.get(6), values.get(7), values.get(8), values.get(9)),
+					values.get(4), values.get(5), values.get(6), values.get(7), values.get(8), values.get(9),
+					values.get(10)),
 			RecordType.required(BasicTypes.LONG, PeerMessage.HostReport::versionNumber),
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::leaving, false),
 			RecordType.optional(BasicTypes.list(POOL_REPORT), PeerMessage.HostReport::pools, List.of()),
@@ -130,7 +131,8 @@
 			RecordType.optional(BasicTypes.BOOLEAN, PeerMessage.HostReport::recipientReachable, true),
 			RecordType.optional(BasicTypes.LONG, PeerMessage.HostReport::drainsOffset,
 					PeerMessage.HostReport.DRAINS_UNKNOWN),
-			RecordType.optional(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HostReport::drainedDomains, List.of()));
+			RecordType.optional(BasicTypes.list(BasicTypes.TEXT), PeerMessage.HostReport::drainedDomains, List.of()),
+			RecordType.optional(BasicTypes.list(BasicTypes.LONG), PeerMessage.HostReport::abandonedCalls, List.of()));
 
 	static final RecordType<PeerMessage.SubmitJob> SUBMIT_JOB = new RecordType<>(
 			(values) -> new PeerMessage.SubmitJob(values.get(0), values.get(1), values.get(2), values.get(3)),
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageCodecTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageCodecTests.java
@@ -124,7 +124,7 @@
 				packEnvelopeStart(out, 4,
 						MessageKind
 							.of(new PeerMessage.HostReport(7, false, List.of(), List.of(), false, true, 125, true,
-									PeerMessage.HostReport.DRAINS_UNKNOWN, List.of()))
+									PeerMessage.HostReport.DRAINS_UNKNOWN, List.of(), List.of()))
 							.number());
 				out.packMapHeader(2).packInt(0).packLong(7).packInt(6).packInt(375);
 			});
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -106,8 +106,9 @@
 				new EndpointIncarnation("e-1", new HostAddress("10.0.0.1", 80), 5), TaskLoss.State.CRASHED, true);
 		return Stream.of(
 				new PeerMessage.HostReport(7, true, List.of(poolReport), List.of("hobart"), true, false, 375, false, 12,
-						List.of("hobart", "burnie")),
-				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true, 125, true, -1, List.of()),
+						List.of("hobart", "burnie"), List.of(3L, 1L << 60)),
+				new PeerMessage.HostReport(0, false, List.of(), List.of(), false, true, 125, true, -1, List.of(),
+						List.of()),
 				new PeerMessage.SubmitJob("hobart", 3, jobSpec, jobTerms),
 				new PeerMessage.JobAnswer(new JobOutcome(JobOutcome.Kind.REFUSED, 500, "would-be-late")),
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
