End the jobs of a lost host that are handed over after its loss

The loss of a callers' host is reported once. A new owner that had noticed it before it received the host's jobs ran them to their end, beside those that the callers submitted again elsewhere. It now gives up the jobs of hosts that it does not hear.

runAloneAfterTheirHostDiedDuringAHandover fails without this (two runs of one task at a time).

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -301,7 +301,18 @@
 			.map(HostAddress::parse)
 			.forEach((entryHost) -> this.peers.expectFrequentReports(entryHost, Clock.nowMillis()));
 		callNumbers.forEach((entryHost, numbers) -> notifyJobsMoved(HostAddress.parse(entryHost), numbers));
-		this.directory.localOwner().ifPresent((owner) -> owner.adopt(transfer));
+		this.directory.localOwner().ifPresent((owner) -> {
+			owner.adopt(transfer);
+			callNumbers.keySet()
+				.stream()
+				.filter((entryHost) -> isUnreachable(HostAddress.parse(entryHost)))
+				.forEach(owner::entryHostLost);
+		});
+	}
+
+	// The loss of a callers' host is reported once, which was before its jobs came here.
+	private boolean isUnreachable(HostAddress entryHost) {
+		return !entryHost.equals(this.self.peerAddress()) && !this.peers.isReachable(entryHost, Clock.nowMillis());
 	}
 
 	private void notifyJobsMoved(HostAddress entryHost, List<Long> callNumbers) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -119,6 +119,17 @@
 			assertThatTheSecondSubmissionRunsAlone();
 		}
 
+		@Test
+		void runAloneAfterTheirHostDiedDuringAHandover() {
+			startSuccessor();
+			ResubmittedJobsTests.this.site.submitAndDisconnect("host-3", "j1", 8_000);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.log().delayAppends("host-4", 300);
+			ResubmittedJobsTests.this.site.kill("host-3");
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
 		@Test
 		void runAloneAfterTheWordOfTheHandoverWasLost() {
 			startSuccessor();
