Count a restarted host, and one that never reported, as lost

An owner ran the jobs of a callers' host on if the host was restarted at its address within the time limit of silence, or died before its first report, since both were never lost by the reports. A later incarnation now ends the jobs of the previous one, and a job that arrives counts as contact, which starts the time limit.

PeerTableTests.Losses: two of the three cases do not hold on the previous code (the third has no method to call there).

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -310,7 +310,7 @@
 		logger.atWarn()
 			.addKeyValue("peer", peer)
 			.addKeyValue("domain", this.peers.member(peer).map(MemberRecord::domain).orElse("unknown"))
-			.log("Peer lost, as no report arrived in time; jobs of its callers are abandoned");
+			.log("Peer lost, as no report arrived in time or it was restarted; jobs of its callers are abandoned");
 		this.ownership.entryHostLost(peer.toString());
 		this.router.peerLost(peer);
 	}
@@ -351,7 +351,13 @@
 	private void applyHostRecord(KeyedRecord hostRecord) {
 		try {
 			MemberRecord member = MemberRecord.read(hostRecord.value());
-			if (!member.peerAddress().equals(this.self.peerAddress()) && this.peers.addMember(member)) {
+			if (member.peerAddress().equals(this.self.peerAddress())) {
+				return;
+			}
+			if (this.peers.recordIncarnation(member.peerAddress(), member.incarnation())) {
+				peerLost(member.peerAddress());
+			}
+			if (this.peers.addMember(member)) {
 				logger.atInfo()
 					.addKeyValue("peer", member.peerAddress())
 					.addKeyValue("host", member.hostName())
@@ -392,7 +398,9 @@
 			handleHostReport(from, report);
 		}
 		else if (message instanceof PeerMessage.Hello hello) {
-			this.peers.recordIncarnation(from, hello.sender().incarnation());
+			if (this.peers.recordIncarnation(from, hello.sender().incarnation())) {
+				peerLost(from);
+			}
 		}
 		else if (message instanceof PeerMessage.SubmitJob submission) {
 			return submitForPeer(from, submission);
@@ -475,6 +483,7 @@
 			return CompletableFuture
 				.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "not-the-owner")));
 		}
+		this.peers.recordCall(from, Clock.nowMillis());
 		this.reporter.recordSharedWork(from, Clock.nowMillis());
 		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -81,12 +81,31 @@
 	 * Records the incarnation of a peer if it is later than that of its member record.
 	 * @param address the address of the peer; ignored if it is not a member
 	 * @param incarnation the incarnation
+	 * @return whether the peer was restarted since its member record, so that its
+	 * previous incarnation is lost
 	 */
-	void recordIncarnation(HostAddress address, Incarnation incarnation) {
+	boolean recordIncarnation(HostAddress address, Incarnation incarnation) {
 		Peer peer = this.peers.get(address);
-		if (peer != null && peer.member != null && peer.member.incarnation().compareTo(incarnation) < 0) {
-			peer.member = new MemberRecord(peer.member.hostName(), peer.member.domain(), address, incarnation,
-					peer.member.processorMillicores());
+		if (peer == null || peer.member == null || peer.member.incarnation().compareTo(incarnation) >= 0) {
+			return false;
+		}
+		peer.member = new MemberRecord(peer.member.hostName(), peer.member.domain(), address, incarnation,
+				peer.member.processorMillicores());
+		return true;
+	}
+
+	/**
+	 * Records that a peer has sent a job, so that its loss is noticed also if none of its
+	 * reports arrives.
+	 * @param address the address of the peer
+	 * @param nowMillis the time in milliseconds
+	 */
+	void recordCall(HostAddress address, long nowMillis) {
+		if (!isReachable(address, nowMillis)) {
+			Peer peer = this.peers.computeIfAbsent(address, (key) -> new Peer());
+			peer.lastContactMillis = nowMillis;
+			peer.contactSinceMillis = nowMillis;
+			peer.lossReported = false;
 		}
 	}
 
@@ -290,7 +309,7 @@
 	List<HostAddress> pollLostPeers(long nowMillis) {
 		return this.peers.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().report != null && !entry.getValue().lossReported)
+			.filter((entry) -> entry.getValue().isContacted() && !entry.getValue().lossReported)
 			.filter((entry) -> !isReachable(entry.getKey(), nowMillis))
 			.map((entry) -> {
 				entry.getValue().lossReported = true;
@@ -325,18 +344,24 @@
 
 	private static final class Peer {
 
+		private static final long NEVER = Long.MIN_VALUE / 2;
+
 		private MemberRecord member;
 
 		private HostReport report;
 
 		private int intervalMillis = HostReport.SHORT_INTERVAL_MILLIS;
 
-		private long lastContactMillis = Long.MIN_VALUE / 2;
+		private long lastContactMillis = NEVER;
 
 		private long contactSinceMillis;
 
 		private boolean lossReported;
 
+		private boolean isContacted() {
+			return this.lastContactMillis > NEVER;
+		}
+
 		private long timeoutMillis() {
 			return PeerTable.timeoutMillis(this.intervalMillis);
 		}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerTableTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/PeerTableTests.java
@@ -11,6 +11,7 @@
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.core.process.Incarnation;
 import org.masticwick.wire.PeerMessage.HostReport;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -79,6 +80,43 @@
 
 	}
 
+	@Nested
+	class Losses {
+
+		private MemberRecord member(long startEpochMillis) {
+			return new MemberRecord("host-2", "d1", PEER, new Incarnation(startEpochMillis, 1), 750);
+		}
+
+		/** An owner used to run the jobs of a host on that was restarted quickly. */
+		@Test
+		void includeThePreviousIncarnationOfAPeer() {
+			PeerTableTests.this.peers.addMember(member(10));
+			assertThat(PeerTableTests.this.peers.recordIncarnation(PEER, new Incarnation(10, 1))).isFalse();
+			assertThat(PeerTableTests.this.peers.recordIncarnation(PEER, new Incarnation(11, 1))).isTrue();
+			assertThat(PeerTableTests.this.peers.recordIncarnation(PEER, new Incarnation(10, 1))).isFalse();
+		}
+
+		/**
+		 * An owner used to run the jobs of a host on that died before its first report.
+		 */
+		@Test
+		void includeAPeerThatHasSentAJobAndNoReport() {
+			PeerTableTests.this.peers.recordCall(PEER, 1_000);
+			assertThat(PeerTableTests.this.peers.pollLostPeers(1_500)).isEmpty();
+			assertThat(PeerTableTests.this.peers.pollLostPeers(1_501)).containsExactly(PEER);
+			assertThat(PeerTableTests.this.peers.pollLostPeers(1_502)).isEmpty();
+		}
+
+		@Test
+		void areReportedAgainForALostPeerThatSendsAJob() {
+			PeerTableTests.this.peers.recordReport(PEER, report(125), 1_000);
+			assertThat(PeerTableTests.this.peers.pollLostPeers(2_000)).containsExactly(PEER);
+			PeerTableTests.this.peers.recordCall(PEER, 3_000);
+			assertThat(PeerTableTests.this.peers.pollLostPeers(3_501)).containsExactly(PEER);
+		}
+
+	}
+
 	@Nested
 	class ReportedOwners {
 
