Number the calls of each incarnation of a host from its start

A restarted host numbered its calls from 0 again, so that an owner that still ran a job of the previous incarnation could take it for that of a new call, and answer that call with it. No such answer was seen; found while looking for what tells jobs that were given up from new ones.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -52,6 +52,13 @@
 
 	private static final long OWNER_RETRY_MILLIS = 40;
 
+	/**
+	 * The calls of an incarnation of this host are numbered from the time of its start,
+	 * so that no number is used by two of them: an owner may still run jobs of the
+	 * previous one. This is the number of bits for the calls of a millisecond.
+	 */
+	private static final int CALL_NUMBER_BITS = 16;
+
 	private static final long NO_OWNER_RETRY_AFTER_MILLIS = 1_000;
 
 	private final EventLoop eventLoop;
@@ -88,6 +95,7 @@
 		this.directory = directory;
 		this.format = format;
 		this.metrics = metrics;
+		this.nextCallNumber = self.incarnation().startEpochMillis() << CALL_NUMBER_BITS;
 	}
 
 	void transport(PeerTransport peerTransport) {
