Do not extend a lease under which a run has to end

The lease of an endpoint holds for all its runs, and renewals and starts extend it. A run whose job was given up, and whose stop request was lost or carried out late, was so kept alive for as long as the endpoint had anything to do, beyond the 1,300 ms after which its caller submits the job again. A new owner extended the leases of orphaned runs that it was stopping in the same way.

Renewals no longer extend the lease while a run of a finished job has an unconfirmed stop, or an orphaned run is listed outside a recovery, and the endpoint gets no task until then. A stop is usually confirmed within a few milliseconds.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -159,6 +159,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the run has to end and may go on: its job is finished, and the
+	 * endpoint has not confirmed the stop.
+	 * @return whether its lease must not be extended
+	 */
+	boolean mustEnd() {
+		return this.stopping && this.stopConfirmedMillis < 0 && this.task.job().isFinished();
+	}
+
 	/**
 	 * Describes the progress of the run.
 	 * @return the description, for logs
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -770,6 +770,22 @@
 			.isPresent();
 	}
 
+	/**
+	 * Returns whether the lease of an endpoint may be extended. It must expire while a
+	 * run there has to end and its end is not certain, because the lease holds for all
+	 * runs of the endpoint: callers submit a job again that this owner has given up, and
+	 * another owner may start it.
+	 * @param endpointId the id of the endpoint
+	 * @return whether the endpoint has runs and all of them may go on
+	 */
+	public boolean mayExtendLease(String endpointId) {
+		return this.endpoints.find(endpointId)
+			.filter((endpoint) -> endpoint.placementCount() + endpoint.orphanedRunCount() > 0)
+			.filter((endpoint) -> !endpoint.hasRunToEnd())
+			.filter((endpoint) -> endpoint.orphanedRunCount() == 0 || this.terminationHandler.isRecoveryInProgress())
+			.isPresent();
+	}
+
 	/**
 	 * Returns the load of the pool.
 	 * @param nowMillis the current monotonic time in milliseconds
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -268,7 +268,8 @@
 	}
 
 	/**
-	 * Returns whether the endpoint accepts a task that fits.
+	 * Returns whether the endpoint accepts a task that fits. A start extends the lease,
+	 * so there is none while a run has to end.
 	 * @param nowMillis the current monotonic time in milliseconds
 	 * @param responseTimeoutMillis the time since the last contact after which it gets no
 	 * tasks, in milliseconds
@@ -277,7 +278,22 @@
 	boolean acceptsTasks(long nowMillis, long responseTimeoutMillis) {
 		return this.listed && !this.drained && this.entry.ready() && this.orphanedRunCount == 0
 				&& nowMillis >= this.pausedUntilMillis && nowMillis - this.lastContactMillis <= responseTimeoutMillis
-				&& !isIsolated(nowMillis) && this.health.acceptsTask(this.placements.size(), nowMillis);
+				&& !isIsolated(nowMillis) && this.health.acceptsTask(this.placements.size(), nowMillis)
+				&& !hasRunToEnd();
+	}
+
+	/**
+	 * Returns whether a run of a finished job is here whose stop the endpoint has not
+	 * confirmed.
+	 * @return whether there is one, which only the end of the lease ends for certain
+	 */
+	boolean hasRunToEnd() {
+		for (Placement placement : this.placements.values()) {
+			if (placement.mustEnd()) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -382,7 +382,8 @@
 		long nowMillis = Clock.nowMillis();
 		String endpointId = lease.entry().id();
 		boolean busy = this.scheduler.isBusy(endpointId);
-		boolean extendLease = busy && !lease.isUnresponsive(nowMillis, this.poolSettings.responseTimeoutMillis());
+		boolean extendLease = this.scheduler.mayExtendLease(endpointId)
+				&& !lease.isUnresponsive(nowMillis, this.poolSettings.responseTimeoutMillis());
 		long waitMillis = busy ? this.leaseSettings.busyWaitMillis() : this.leaseSettings.idleWaitMillis();
 		OptionalLong leaseEndMillis = extendLease ? lease.renew(nowMillis) : OptionalLong.empty();
 		this.metrics.leaseRenewed();
