Wait for the runs of a first submission in handovers, refusals and changes of owners

A job that is submitted again waits at its owner until the runs of its first submission have ended. Four ways led around that: the next owner in a handover got the job without the runs that it waits for, and started it at once; it also started tasks whose endpoint it did not know, as if they had no run; an owner that lost an endpoint to another owner took the runs there for ended; and a refusal of the waiting job let its callers' host send it to another pool.

A handover now passes the runs on as those of the waiting job; a job with a run on an unknown endpoint, or on one of another owner, is answered as uncertain; and so is a waiting job that would be refused.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobTable.java
@@ -66,6 +66,45 @@
 		return this.jobs.values().stream().filter((job) -> !job.spec().durable()).toList();
 	}
 
+	/**
+	 * Returns the state of a job for the next owner.
+	 * @param job the job
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the state, with the runs that the job waits for
+	 */
+	JobTransfer transfer(PooledJob job, long nowMillis) {
+		return waitsForRuns(job) ? job.transfer(this.terminating.get(job.key()), nowMillis) : job.transfer(nowMillis);
+	}
+
+	private boolean waitsForRuns(PooledJob job) {
+		return this.terminating.containsKey(job.key());
+	}
+
+	/**
+	 * Returns what a job may be answered with. A job is refused only if no run of a
+	 * previous submission can go on, as its caller's host may send it to another pool.
+	 * @param job the job
+	 * @param outcome the intended outcome
+	 * @return the outcome
+	 */
+	JobOutcome certain(PooledJob job, JobOutcome outcome) {
+		boolean refused = outcome.kind() == JobOutcome.Kind.REFUSED;
+		return (refused && waitsForRuns(job)) ? JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "previous-runs") : outcome;
+	}
+
+	/**
+	 * Answers a job as uncertain that waits for the runs of a previous submission, if
+	 * this owner no longer learns of their end.
+	 * @param previousSubmission the previous submission
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void giveUpDeferred(PooledJob previousSubmission, long nowMillis) {
+		PooledJob deferredJob = this.deferred.get(previousSubmission.key());
+		if (deferredJob != null) {
+			finish(deferredJob, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-of-another-owner"), nowMillis);
+		}
+	}
+
 	void add(PooledJob job) {
 		this.jobs.put(job.key(), job);
 	}
@@ -109,6 +148,7 @@
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	void finish(PooledJob job, JobOutcome outcome, long nowMillis) {
+		JobOutcome certainOutcome = certain(job, outcome);
 		this.queue.remove(job);
 		this.jobs.remove(job.key());
 		this.deferred.remove(job.key(), job);
@@ -118,7 +158,7 @@
 			placements(job.allTasks().stream())
 				.forEach((placement) -> this.stopper.stop(placement, outcome.reason(), nowMillis));
 		}
-		this.actions.answer(job, outcome);
+		this.actions.answer(job, certainOutcome);
 	}
 
 	static Stream<Placement> placements(Stream<PooledTask> tasks) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -160,12 +160,12 @@
 		}
 		Optional<JobOutcome> unplaceable = unplaceable(job);
 		if (unplaceable.isPresent()) {
-			this.actions.answer(job, unplaceable.get());
+			this.actions.answer(job, this.jobs.certain(job, unplaceable.get()));
 			return;
 		}
 		if (isTooLate(job, nowMillis)) {
 			Refusal refusal = new Refusal(job, "no-time-left", 0, backlogMillis());
-			this.actions.answer(job, outcome(refusal, nowMillis));
+			this.actions.answer(job, this.jobs.certain(job, outcome(refusal, nowMillis)));
 			return;
 		}
 		this.admission.submitted(job, nowMillis);
@@ -354,7 +354,7 @@
 	 */
 	public PoolTransfer transfer(long nowMillis) {
 		return new PoolTransfer(this.endpoints.transfer(),
-				this.jobs.interactiveJobs().stream().map((job) -> job.transfer(nowMillis)).toList(),
+				this.jobs.interactiveJobs().stream().map((job) -> this.jobs.transfer(job, nowMillis)).toList(),
 				this.crashLoopGuard.history().all());
 	}
 
@@ -382,9 +382,17 @@
 		transfer.tasks()
 			.forEach((taskTransfer) -> job.task(taskTransfer.task())
 				.ifPresent((task) -> adopt(job, task, taskTransfer, nowMillis)));
+		if (transfer.tasks().stream().anyMatch(this::isOnUnknownEndpoint)) {
+			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-unknown"), nowMillis);
+			return;
+		}
 		this.jobs.enqueueReady(job, nowMillis);
 	}
 
+	private boolean isOnUnknownEndpoint(TaskTransfer task) {
+		return !task.endpointId().isEmpty() && this.endpoints.find(task.endpointId()).isEmpty();
+	}
+
 	private void adopt(PooledJob job, PooledTask task, TaskTransfer taskTransfer, long nowMillis) {
 		task.adopt(taskTransfer);
 		if (taskTransfer.runCount() > 0) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -349,7 +349,26 @@
 	}
 
 	JobTransfer transfer(long nowMillis) {
-		List<TaskTransfer> states = allTasks().stream().map((task) -> task.transfer(nowMillis)).toList();
+		return transferWith(allTasks().stream().map((task) -> task.transfer(nowMillis)).toList(), nowMillis);
+	}
+
+	/**
+	 * Returns the state of a job that waits for the runs of a previous submission. The
+	 * next owner continues them as runs of this job.
+	 * @param previousSubmission the previous submission
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the state
+	 */
+	JobTransfer transfer(PooledJob previousSubmission, long nowMillis) {
+		return transferWith(allTasks().stream()
+			.map((task) -> previousSubmission.task(task.id())
+				.filter((previousTask) -> previousTask.placement() != null)
+				.orElse(task)
+				.transfer(nowMillis))
+			.toList(), nowMillis);
+	}
+
+	private JobTransfer transferWith(List<TaskTransfer> states, long nowMillis) {
 		return new JobTransfer(this.spec, this.terms, this.origin, nowMillis - this.arrivedMillis, states);
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -229,6 +229,7 @@
 		task.placement(null);
 		job.removePlacement();
 		if (job.isFinished()) {
+			this.jobs.giveUpDeferred(job, nowMillis);
 			this.jobs.removeIfTerminated(job, nowMillis);
 		}
 		else if (job.spec().durable()) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -429,6 +429,34 @@
 			assertThat(lastStart().run().number()).isEqualTo(2);
 		}
 
+		/** The second pool used to start the task while its first run went on here. */
+		@Test
+		void isNotToldToRunElsewhereWhileTheFirstSubmissionRuns() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.cancel("j", ORIGIN, 20);
+			PoolSchedulerTests.this.scheduler.submit(job("j", step(1, 1_000, 9_000)), terms(2), OTHER_ORIGIN, 30);
+			assertThat(lastOutcome().kind()).as("no time left").isEqualTo(JobOutcome.Kind.UNCERTAIN);
+			PoolSchedulerTests.this.scheduler.submit(job("j", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 40);
+			PoolSchedulerTests.this.scheduler.abandonJobs(50);
+			assertThat(lastOutcome().kind()).as("owner changed").isEqualTo(JobOutcome.Kind.UNCERTAIN);
+		}
+
+		/** Renewals used to keep a run alive whose stop request was lost. */
+		@Test
+		void findsTheLeaseOfTheFirstSubmissionNoLongerExtended() {
+			PoolSchedulerTests.this.scheduler.endpointUnlisted("b", 5);
+			submit(job("j", step(1, 1_000, 100)), 10);
+			assertThat(PoolSchedulerTests.this.scheduler.mayExtendLease("a")).isTrue();
+			PoolSchedulerTests.this.scheduler.cancel("j", ORIGIN, 20);
+			assertThat(PoolSchedulerTests.this.scheduler.mayExtendLease("a")).isFalse();
+			submit(job("other", step(1, 1_000, 100)), 30);
+			assertThat(PoolSchedulerTests.this.actions.starts()).as("a start extends the lease").hasSize(1);
+			PoolSchedulerTests.this.scheduler.stopConfirmed("a", lastStart().run(), 40);
+			PoolSchedulerTests.this.scheduler.tick(50);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+			assertThat(PoolSchedulerTests.this.scheduler.mayExtendLease("a")).isTrue();
+		}
+
 		@Test
 		void theJobsOfALostEntryHostAreStopped() {
 			submit(job("j", step(1, 1_000, 100)), 10);
@@ -480,6 +508,64 @@
 			assertThat(nextActions.answers().get(0).origin()).isEqualTo(ORIGIN);
 		}
 
+		private RecordedActions handOver(boolean listEndpoints) {
+			PoolTransfer transfer = PoolSchedulerTests.this.scheduler.transfer(70);
+			RecordedActions nextActions = new RecordedActions();
+			PoolScheduler next = new PoolScheduler(PoolSettings.defaults(), nextActions);
+			next.endpointListed(entry("c", 64_000, true, 0), 1_000);
+			next.endpointReported("c", new EndpointReport(0, 1, List.of(), List.of()), 1_000, 1_001);
+			if (listEndpoints) {
+				transfer.endpoints().forEach((endpoint) -> next.endpointListed(endpoint, 1_000));
+			}
+			next.adopt(transfer, 1_002);
+			return nextActions;
+		}
+
+		/** The next owner used to start the task again on an endpoint that it knew. */
+		@Test
+		void theNextOwnerStartsNoTaskThatRunsOnAnEndpointItDoesNotKnow() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.startAccepted("a", lastStart().run(), 11);
+			RecordedActions nextActions = handOver(false);
+			assertThat(nextActions.starts()).isEmpty();
+			assertThat(nextActions.answers()).hasSize(1);
+			assertThat(nextActions.answers().get(0).outcome().kind()).isEqualTo(JobOutcome.Kind.UNCERTAIN);
+		}
+
+		/**
+		 * The next owner used to start a job that waited for the end of the runs of its
+		 * first submission.
+		 */
+		@Test
+		void theNextOwnerStartsNoTaskWhoseFirstSubmissionStillRuns() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.cancel("j", ORIGIN, 20);
+			PoolSchedulerTests.this.scheduler.submit(job("j", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 30);
+			assertThat(handOver(true).starts()).isEmpty();
+		}
+
+		/** The run used to count as ended although the next owner had yet to stop it. */
+		@Test
+		void aJobWhoseFirstSubmissionRunsOnAnEndpointOfAnotherOwnerIsAnsweredAsUncertain() {
+			submit(job("j", step(1, 1_000, 100)), 10);
+			RecordedActions.Start first = lastStart();
+			PoolSchedulerTests.this.scheduler.cancel("j", ORIGIN, 20);
+			PoolSchedulerTests.this.scheduler.submit(job("j", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 30);
+			PoolSchedulerTests.this.scheduler.endpointRevoked(first.endpointId(), 50);
+			PoolSchedulerTests.this.scheduler.tick(60);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(1);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.UNCERTAIN);
+		}
+
+		/** Renewals of a new owner used to keep runs alive that it was stopping. */
+		@Test
+		void orphanedRunsAreNotKeptAliveByRenewals() {
+			TaskRun orphaned = new TaskRun(new TaskId("other", 0, 0, 0), 1);
+			report("a", List.of(new RunningTask(orphaned, 10)), List.of(), 5, 6);
+			assertThat(PoolSchedulerTests.this.scheduler.isBusy("a")).isTrue();
+			assertThat(PoolSchedulerTests.this.scheduler.mayExtendLease("a")).isFalse();
+		}
+
 		@Test
 		void aJobWithRunsOnEndpointsOfAnotherOwnerIsAnsweredAsUncertain() {
 			submit(job("j", step(1, 1_000, 100)), 10);
