Test resubmissions under random faults

In-memory endpoints refuse runs that were stopped or have ended before, as the platform's do. No task may run twice at a time.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -6,12 +6,12 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -55,9 +55,9 @@
 
 	private final InMemoryEndpoints endpoints;
 
-	private final Map<String, Host> hosts = new HashMap<>();
+	private final Map<String, Host> hosts = new ConcurrentHashMap<>();
 
-	private final Map<String, UnreliableTransport> transports = new HashMap<>();
+	private final Map<String, UnreliableTransport> transports = new ConcurrentHashMap<>();
 
 	private final EventLoopGroup callerLoops = new NioEventLoopGroup(1);
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
@@ -10,7 +10,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 
@@ -41,6 +43,9 @@
 
 	private final List<TaskId> restartedTasks = new ArrayList<>();
 
+	/** After how long a command counts as unanswered, in milliseconds. */
+	private static final long COMMAND_TIMEOUT_MILLIS = 120;
+
 	/** How long an endpoint is down after a crash, in milliseconds. */
 	private static final long RESTART_MILLIS = 600;
 
@@ -56,12 +61,22 @@
 
 	private final Map<String, Integer> startCounts = new HashMap<>();
 
+	private volatile Function<String, CommandFate> fates = (endpointId) -> CommandFate.NORMAL;
+
 	private int startCount;
 
 	InMemoryEndpoints(long runMillis) {
 		this.runMillis = runMillis;
 	}
 
+	/**
+	 * Sets what becomes of starts, stops and renewals.
+	 * @param fateByEndpoint the fate of a command to the endpoint with an id
+	 */
+	void decideFates(Function<String, CommandFate> fateByEndpoint) {
+		this.fates = fateByEndpoint;
+	}
+
 	/**
 	 * Sets the tasks that crash the endpoints that start them.
 	 * @param crashingTasks tells which tasks do
@@ -169,6 +184,9 @@
 			return Optional.of(StartRefusal.EXPIRED);
 		}
 		endpoint.leaseEndMillis = Math.max(endpoint.leaseEndMillis, leaseEndMillis);
+		if (endpoint.isEnded(run)) {
+			return Optional.of(StartRefusal.STALE_RUN);
+		}
 		if (endpoint.startMillisByRun.putIfAbsent(run, nowMillis()) == null) {
 			this.startCount++;
 			this.startCounts.merge(entry.id(), 1, Integer::sum);
@@ -195,6 +213,7 @@
 		}
 		endpoint.fencingToken = fencingToken;
 		endpoint.terminate(run, TerminationKind.STOPPED);
+		endpoint.recordEnd(run);
 		return true;
 	}
 
@@ -227,6 +246,9 @@
 
 		private final List<TerminatedRun> terminatedRuns = new ArrayList<>();
 
+		/** The highest number of a run that was stopped or has ended, by task. */
+		private final Map<TaskId, Integer> endedRunNumbers = new HashMap<>();
+
 		private long fencingToken;
 
 		private long leaseEndMillis;
@@ -242,6 +264,7 @@
 				.forEach((run) -> InMemoryEndpoints.this.runningCounts.merge(run.task(), -1, Integer::sum));
 			this.startMillisByRun.clear();
 			this.terminatedRuns.clear();
+			this.endedRunNumbers.clear();
 			this.terminationCount = 0;
 			this.fencingToken = 0;
 			this.startedEpochMillis++;
@@ -260,8 +283,17 @@
 			});
 		}
 
+		private void recordEnd(TaskRun run) {
+			this.endedRunNumbers.merge(run.task(), run.number(), Math::max);
+		}
+
+		private boolean isEnded(TaskRun run) {
+			return this.endedRunNumbers.getOrDefault(run.task(), 0) >= run.number();
+		}
+
 		private void terminate(TaskRun run, TerminationKind kind) {
 			if (this.startMillisByRun.remove(run) != null) {
+				recordEnd(run);
 				this.terminationCount++;
 				this.terminatedRuns.add(new TerminatedRun(this.terminationCount, run, kind));
 				if (kind == TerminationKind.DONE) {
@@ -273,6 +305,19 @@
 
 	}
 
+	/**
+	 * What becomes of a command to an endpoint.
+	 *
+	 * @param delayMillis how late the endpoint executes it, in milliseconds
+	 * @param answered whether its answer arrives
+	 */
+	record CommandFate(long delayMillis, boolean answered) {
+
+		/** The command is executed and answered at once. */
+		static final CommandFate NORMAL = new CommandFate(0, true);
+
+	}
+
 	private final class Client implements EndpointCalls {
 
 		private final EventLoop eventLoop;
@@ -287,6 +332,35 @@
 			return answer;
 		}
 
+		private <T> CompletableFuture<T> execute(EndpointEntry endpoint, Supplier<T> command) {
+			if (isDown(endpoint)) {
+				return unreachable();
+			}
+			CommandFate fate = InMemoryEndpoints.this.fates.apply(endpoint.id());
+			if (fate.delayMillis() == 0 && fate.answered()) {
+				return completeAfter(command.get(), 1);
+			}
+			CompletableFuture<T> answer = new CompletableFuture<>();
+			this.eventLoop.schedule(
+					() -> answer.completeExceptionally(
+							new CallException(CallException.Code.TIMEOUT, "The endpoint has not answered in time")),
+					COMMAND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+			this.eventLoop.schedule(() -> executeLate(endpoint, command, fate, answer), fate.delayMillis(),
+					TimeUnit.MILLISECONDS);
+			return answer;
+		}
+
+		private <T> void executeLate(EndpointEntry endpoint, Supplier<T> command, CommandFate fate,
+				CompletableFuture<T> answer) {
+			if (isDown(endpoint)) {
+				return;
+			}
+			T result = command.get();
+			if (fate.answered()) {
+				answer.complete(result);
+			}
+		}
+
 		private <T> CompletableFuture<T> unreachable() {
 			CompletableFuture<T> answer = new CompletableFuture<>();
 			this.eventLoop.schedule(
@@ -299,18 +373,12 @@
 		@Override
 		public CompletableFuture<Optional<StartRefusal>> start(EndpointEntry endpoint, TaskRun run, String payload,
 				String checkpoint, long fencingToken, long leaseEndMillis) {
-			if (isDown(endpoint)) {
-				return unreachable();
-			}
-			return completeAfter(InMemoryEndpoints.this.start(endpoint, run, fencingToken, leaseEndMillis), 1);
+			return execute(endpoint, () -> InMemoryEndpoints.this.start(endpoint, run, fencingToken, leaseEndMillis));
 		}
 
 		@Override
 		public CompletableFuture<Boolean> stop(EndpointEntry endpoint, TaskRun run, long fencingToken) {
-			if (isDown(endpoint)) {
-				return unreachable();
-			}
-			return completeAfter(InMemoryEndpoints.this.stop(endpoint, run, fencingToken), 1);
+			return execute(endpoint, () -> InMemoryEndpoints.this.stop(endpoint, run, fencingToken));
 		}
 
 		@Override
