Send the copies of a job that reach two hosts to one owner

Both hosts see different loads: one sends the job to the pool of the domain, the other to the pool with most room.

A job that leaves its failure domain is now recorded at the owner of the domain first (SpillRegistrar, SpilledJobs), where the other copies arrive too: a later copy follows the earlier one, and joins it there. Only spilled jobs pay for it, with one call inside the domain; without a reachable owner of the domain they go as before. Sites with one owner don't use it.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -270,6 +270,15 @@
 		return found.isPresent();
 	}
 
+	/**
+	 * Returns whether a job is unanswered here, or may still have runs.
+	 * @param jobId the id of the job
+	 * @return whether another owner must not run it
+	 */
+	public boolean hasJob(String jobId) {
+		return this.jobs.findUnansweredOrTerminating(jobId).isPresent();
+	}
+
 	/**
 	 * Cancels the jobs of calls that an entry host has given up, because their callers
 	 * submit them again.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -408,6 +408,9 @@
 		else if (message instanceof PeerMessage.CancelJob cancel) {
 			return CompletableFuture.completedFuture(cancelForPeer(from, cancel));
 		}
+		else if (message instanceof PeerMessage.PlaceJob question) {
+			return CompletableFuture.completedFuture(placeForPeer(from, question));
+		}
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.jobQueries.answerPeer(query);
 		}
@@ -483,6 +486,10 @@
 			return CompletableFuture
 				.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "not-the-owner")));
 		}
+		Optional<String> spilledTo = owner.get().spilledTo(submission.job().jobId());
+		if (spilledTo.isPresent()) {
+			return CompletableFuture.completedFuture(new PeerMessage.JobPlaced(spilledTo.get()));
+		}
 		this.peers.recordCall(from, Clock.nowMillis());
 		this.reporter.recordSharedWork(from, Clock.nowMillis());
 		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
@@ -492,6 +499,14 @@
 		return answer;
 	}
 
+	private PeerMessage placeForPeer(HostAddress from, PeerMessage.PlaceJob question) {
+		Optional<String> domain = this.peers.member(from).map(MemberRecord::domain);
+		return domain.flatMap(this.directory::localOwnerOf)
+			.filter((owner) -> !owner.isFrozen())
+			.map((owner) -> (PeerMessage) new PeerMessage.JobPlaced(owner.place(domain.orElseThrow(), question)))
+			.orElse(new PeerMessage.ErrorAnswer("not-the-owner", "This host does not own the pool of the sender"));
+	}
+
 	// Only an owner that had the job confirms its end; one that hands it over, or has not
 	// received it yet, learns of the cancellation from the next report.
 	private PeerMessage cancelForPeer(HostAddress from, PeerMessage.CancelJob cancel) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -79,6 +79,8 @@
 
 	private final AbandonedCalls abandonedCalls = new AbandonedCalls();
 
+	private final SpillRegistrar spillRegistrar;
+
 	private PeerTransport transport;
 
 	private PeerReporter reporter;
@@ -95,11 +97,13 @@
 		this.directory = directory;
 		this.format = format;
 		this.metrics = metrics;
+		this.spillRegistrar = new SpillRegistrar(self, directory);
 		this.nextCallNumber = self.incarnation().startEpochMillis() << CALL_NUMBER_BITS;
 	}
 
 	void transport(PeerTransport peerTransport) {
 		this.transport = peerTransport;
+		this.spillRegistrar.transport(peerTransport);
 	}
 
 	void reporter(PeerReporter peerReporter) {
@@ -163,7 +167,40 @@
 			.addKeyValue("backlog_ms", Math.round(chosen.get().backlogMillis()))
 			.addKeyValue("pools", candidates.size())
 			.log("Job sent to a pool");
-		send(routed, pool, nowMillis);
+		if (!routed.job.durable() && this.spillRegistrar.isNeeded(pool, routed.spilledTo, nowMillis)) {
+			place(routed, pool, nowMillis);
+		}
+		else {
+			send(routed, pool, nowMillis);
+		}
+	}
+
+	private void place(RoutedJob routed, String pool, long nowMillis) {
+		PeerMessage.PlaceJob question = new PeerMessage.PlaceJob(routed.job.jobId(), pool, routed.spilledTo);
+		this.spillRegistrar.place(question, nowMillis).thenAccept((placedPool) -> {
+			if (this.pendingJobs.containsKey(routed.callNumber)) {
+				sendToPlaced(routed, pool, placedPool);
+			}
+		});
+	}
+
+	// An earlier copy of the job may have gone to another pool, which this copy follows.
+	private void sendToPlaced(RoutedJob routed, String selectedPool, String placedPool) {
+		if (!placedPool.equals(selectedPool)) {
+			logger.atInfo()
+				.addKeyValue("job", routed.job.jobId())
+				.addKeyValue("selected", selectedPool)
+				.addKeyValue("pool", placedPool)
+				.log("Job follows an earlier copy of it to another pool");
+			if (placedPool.equals(routed.spilledTo) && routed.lastRefusal != null) {
+				answer(routed, routed.lastRefusal);
+				return;
+			}
+		}
+		routed.spilledTo = placedPool.equals(this.self.domain()) ? "" : placedPool;
+		routed.pool = placedPool;
+		routed.triedPools.add(placedPool);
+		send(routed, placedPool, Clock.nowMillis());
 	}
 
 	private List<PoolSelector.Candidate> candidates(RoutedJob routed, long nowMillis) {
@@ -190,7 +227,13 @@
 		routed.owner = null;
 		Optional<PoolOwner> localOwner = this.directory.localOwnerOf(pool).filter((owner) -> !owner.isFrozen());
 		if (localOwner.isPresent()) {
-			localOwner.get().submit(pool, routed.job, terms, origin(routed));
+			Optional<String> spilledTo = localOwner.get().spilledTo(routed.job.jobId());
+			if (spilledTo.isPresent()) {
+				follow(routed, spilledTo.get());
+			}
+			else {
+				localOwner.get().submit(pool, routed.job, terms, origin(routed));
+			}
 			return;
 		}
 		Optional<HostAddress> owner = this.directory.ownerAddress(pool);
@@ -205,6 +248,15 @@
 			.whenComplete((message, error) -> handlePeerAnswer(routed, message, error));
 	}
 
+	private void follow(RoutedJob routed, String spilledTo) {
+		if (routed.followed) {
+			giveUp(routed, "placed-twice");
+			return;
+		}
+		routed.followed = true;
+		sendToPlaced(routed, routed.pool, spilledTo);
+	}
+
 	private void handlePeerAnswer(RoutedJob routed, PeerMessage message, Throwable error) {
 		if (routed.handedOver && !(message instanceof PeerMessage.JobAnswer)) {
 			return;
@@ -212,6 +264,9 @@
 		if (message instanceof PeerMessage.JobAnswer jobAnswer) {
 			handleOutcome(routed, jobAnswer.outcome());
 		}
+		else if (message instanceof PeerMessage.JobPlaced placed) {
+			follow(routed, placed.pool());
+		}
 		else if (error != null && !mayHaveBeenSent(error)) {
 			handleOutcome(routed, JobOutcome.of(JobOutcome.Kind.REFUSED, "owner-unreachable"));
 		}
@@ -397,6 +452,12 @@
 
 		private boolean handedOver;
 
+		/** The pool that the owner of this failure domain has recorded for this copy. */
+		private String spilledTo = "";
+
+		/** Whether an owner has named the pool of an earlier copy. */
+		private boolean followed;
+
 		private JobOutcome lastRefusal;
 
 		private RoutedJob(long callNumber, JobSpec job, JobTerms terms, CallerExchange exchange, long receivedMillis) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -32,6 +32,7 @@
 import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.PooledJob;
 import org.masticwick.core.pool.RestartVerdict;
+import org.masticwick.core.pool.SpilledJobs;
 import org.masticwick.core.pool.StartRefusal;
 import org.masticwick.core.pool.TaskId;
 import org.masticwick.core.pool.TaskLoss;
@@ -104,6 +105,8 @@
 
 	private long endpointsAwaitedUntilMillis = Clock.nowMillis() + MAX_ENDPOINT_LOAD_MILLIS;
 
+	private final SpilledJobs spilledJobs = new SpilledJobs();
+
 	private boolean frozen;
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
@@ -232,6 +235,29 @@
 		this.scheduler.submit(job, terms, origin, Clock.nowMillis());
 	}
 
+	/**
+	 * Decides which pool a copy of a job goes to that a host of an owned failure domain
+	 * is about to send to another owner.
+	 * @param ownPool the name of the pool of that domain
+	 * @param message the job, and the pool that the host has selected
+	 * @return the name of the pool
+	 */
+	String place(String ownPool, PeerMessage.PlaceJob message) {
+		if (this.scheduler.hasJob(message.jobId())) {
+			return ownPool;
+		}
+		return this.spilledJobs.place(message.jobId(), message.pool(), message.refusedBy(), Clock.nowMillis());
+	}
+
+	/**
+	 * Returns the pool of another owner that a copy of a job went to.
+	 * @param jobId the id of the job
+	 * @return the name of the pool, or empty if the job may run here
+	 */
+	Optional<String> spilledTo(String jobId) {
+		return this.spilledJobs.poolOf(jobId, Clock.nowMillis()).filter((pool) -> !owns(pool));
+	}
+
 	/**
 	 * Cancels a job that its callers' host has given up.
 	 * @param jobId the id of the job
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -428,4 +428,26 @@
 
 	}
 
+	/**
+	 * Asks the owner of the sender's failure domain which pool a job goes to that the
+	 * sender is about to send to the pool of another owner. A copy of the job may have
+	 * reached another host of the domain. The answer is {@link JobPlaced}.
+	 *
+	 * @param jobId the id of the job
+	 * @param pool the pool that the sender has selected
+	 * @param refusedBy the pool that this owner named before and that has refused the job
+	 * since, or an empty string
+	 */
+	record PlaceJob(String jobId, String pool, String refusedBy) implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link PlaceJob}, and {@link SubmitJob} if a copy of the job went to
+	 * another pool before.
+	 *
+	 * @param pool the pool that the job goes to
+	 */
+	record JobPlaced(String pool) implements PeerMessage {
+	}
+
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -68,7 +68,11 @@
 
 	STRAY_END(26, PeerMessage.StrayEnd.class, PoolMessageTypes.STRAY_END),
 
-	TASK_LOSSES(28, PeerMessage.TaskLosses.class, PoolMessageTypes.TASK_LOSSES);
+	TASK_LOSSES(28, PeerMessage.TaskLosses.class, PoolMessageTypes.TASK_LOSSES),
+
+	PLACE_JOB(29, PeerMessage.PlaceJob.class, PoolMessageTypes.PLACE_JOB),
+
+	JOB_PLACED(30, PeerMessage.JobPlaced.class, PoolMessageTypes.JOB_PLACED);
 
 	/** The size limit of messages of a kind without a limit of its own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -257,6 +257,16 @@
 			RecordType.required(TERMINATION_ID, PeerMessage.StrayEnd::reference),
 			RecordType.required(TERMINATED_RUN, PeerMessage.StrayEnd::termination));
 
+	static final RecordType<PeerMessage.PlaceJob> PLACE_JOB = new RecordType<>(
+			(values) -> new PeerMessage.PlaceJob(values.get(0), values.get(1), values.get(2)),
+			RecordType.required(BasicTypes.TEXT, PeerMessage.PlaceJob::jobId),
+			RecordType.required(BasicTypes.TEXT, PeerMessage.PlaceJob::pool),
+			RecordType.optional(BasicTypes.TEXT, PeerMessage.PlaceJob::refusedBy, ""));
+
+	static final RecordType<PeerMessage.JobPlaced> JOB_PLACED = new RecordType<>(
+			(values) -> new PeerMessage.JobPlaced(values.get(0)),
+			RecordType.required(BasicTypes.TEXT, PeerMessage.JobPlaced::pool));
+
 	static final RecordType<PeerMessage.ConfirmHandOver> CONFIRM_HAND_OVER = new RecordType<>(
 			(values) -> new PeerMessage.ConfirmHandOver(values.get(0)),
 			RecordType.required(BasicTypes.LONG, PeerMessage.ConfirmHandOver::offerNumber));
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -116,6 +116,8 @@
 				new PeerMessage.HandOverPools(List.of("hobart"),
 						new PoolTransfer(List.of(endpointEntry), List.of(jobTransfer), List.of(taskLoss)), 3),
 				new PeerMessage.TaskLosses(List.of(taskLoss)), new PeerMessage.TaskLosses(List.of()),
+				new PeerMessage.PlaceJob("5c0e7a21d94b36f8", "hobart", ""),
+				new PeerMessage.PlaceJob("5c0e7a21d94b36f8", "hobart", "burnie"), new PeerMessage.JobPlaced("hobart"),
 				new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
 				new PeerMessage.Acknowledged(), new PeerMessage.FetchVersion(), new PeerMessage.ConfirmHandOver(3),
