--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import org.awaitility.Awaitility;
 
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.JobSchedule;
@@ -49,6 +51,11 @@
 
 	private static final long DEFAULT_ESTIMATE_MILLIS = 100;
 
+	private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
+
+	/** So little processor time that no host can own the endpoints of all domains. */
+	static final int WEAK_PROCESSOR_MILLICORES = 5;
+
 	static final String DRAIN_KEY_PREFIX = "drain-";
 
 	private final InMemoryLog log = new InMemoryLog();
@@ -137,6 +144,29 @@
 		return new NewRecord(key, value.getBytes(StandardCharsets.UTF_8));
 	}
 
+	/**
+	 * Starts a site with an endpoint and an owner in each of two failure domains, none of
+	 * which can own the endpoints of both, and waits until it serves jobs.
+	 * @param hostNames the names of further hosts in the first failure domain
+	 */
+	void startWithTwoOwners(String... hostNames) {
+		listEndpoint("e1", "d1", true);
+		listEndpoint("e2", "d2", true);
+		start("owner-1", "d1", 2 * WEAK_PROCESSOR_MILLICORES);
+		awaitReady("owner-1");
+		start("owner-2", "d2", 2 * WEAK_PROCESSOR_MILLICORES);
+		List.of(hostNames).forEach((hostName) -> start(hostName, "d1", WEAK_PROCESSOR_MILLICORES));
+		awaitReady("owner-2");
+		List.of(hostNames).forEach(this::awaitReady);
+		Awaitility.await()
+			.atMost(START_TIMEOUT)
+			.until(() -> claimOwner("d1").equals("owner-1") && claimOwner("d2").equals("owner-2"));
+	}
+
+	void awaitReady(String hostName) {
+		Awaitility.await().atMost(START_TIMEOUT).until(() -> isReady(hostName));
+	}
+
 	void start(String hostName, String domain) {
 		start(hostName, domain, 750);
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmissionUnderFaultsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmissionUnderFaultsTests.java
@@ -11,7 +11,6 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
-import org.awaitility.Awaitility;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -40,9 +39,6 @@
 
 	private static final int MAX_SUBMISSIONS = 3;
 
-	/** So little processor time that no host can own the endpoints of all domains. */
-	private static final int PROCESSOR_MILLICORES = 5;
-
 	private static final List<String> ENDPOINTS = List.of("e1", "e2", "e3", "e4");
 
 	static Stream<Long> seeds() {
@@ -95,8 +91,9 @@
 			IntStream.range(0, ENDPOINTS.size())
 				.forEach((number) -> this.site.listEndpoint(ENDPOINTS.get(number), domain(number), 2_000));
 			IntStream.range(0, this.hostNames.size())
-				.forEach((number) -> this.site.start(this.hostNames.get(number), domain(number), PROCESSOR_MILLICORES));
-			this.hostNames.forEach((name) -> Awaitility.await().atMost(TIMEOUT).until(() -> this.site.isReady(name)));
+				.forEach((number) -> this.site.start(this.hostNames.get(number), domain(number),
+						FleetSite.WEAK_PROCESSOR_MILLICORES));
+			this.hostNames.forEach(this.site::awaitReady);
 		}
 
 		private static String domain(int number) {
@@ -178,7 +175,7 @@
 			int position = this.hostNames.indexOf(hostName);
 			this.startedCount++;
 			String newName = "h" + this.startedCount;
-			this.site.start(newName, domain(position), PROCESSOR_MILLICORES);
+			this.site.start(newName, domain(position), FleetSite.WEAK_PROCESSOR_MILLICORES);
 			this.hostNames = this.hostNames.stream().map((name) -> name.equals(hostName) ? newName : name).toList();
 			if (this.random.nextBoolean()) {
 				this.site.kill(hostName);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -30,23 +30,11 @@
 	/** After how long callers submit a job again, by the contract with them. */
 	private static final long RESUBMISSION_MILLIS = 1_300;
 
-	/** So little processor time that no host can own the endpoints of all domains. */
-	private static final int PROCESSOR_MILLICORES = 5;
-
 	private final FleetSite site = new FleetSite(RUN_MILLIS, RUN_MILLIS);
 
 	@BeforeEach
 	void start() {
-		this.site.listEndpoint("e1", "d1", true);
-		this.site.listEndpoint("e2", "d2", true);
-		this.site.start("owner-1", "d1", 2 * PROCESSOR_MILLICORES);
-		awaitReady("owner-1");
-		this.site.start("owner-2", "d2", 2 * PROCESSOR_MILLICORES);
-		this.site.start("host-3", "d1", PROCESSOR_MILLICORES);
-		List.of("owner-2", "host-3").forEach(this::awaitReady);
-		Awaitility.await()
-			.atMost(TIMEOUT)
-			.until(() -> this.site.claimOwner("d1").equals("owner-1") && this.site.claimOwner("d2").equals("owner-2"));
+		this.site.startWithTwoOwners("host-3");
 	}
 
 	@AfterEach
@@ -54,10 +42,6 @@
 		this.site.close();
 	}
 
-	private void awaitReady(String hostName) {
-		Awaitility.await().atMost(TIMEOUT).until(() -> this.site.isReady(hostName));
-	}
-
 	private void awaitFirstRun() {
 		Awaitility.await().atMost(TIMEOUT).until(() -> this.site.endpoints().runningCount() == 1);
 	}
@@ -102,8 +86,8 @@
 	class WhoseOwnerChanges {
 
 		private void startSuccessor() {
-			ResubmittedJobsTests.this.site.start("host-4", "d1", PROCESSOR_MILLICORES);
-			awaitReady("host-4");
+			ResubmittedJobsTests.this.site.start("host-4", "d1", FleetSite.WEAK_PROCESSOR_MILLICORES);
+			ResubmittedJobsTests.this.site.awaitReady("host-4");
 			pause(500);
 		}
 
