Move the scheduling pass out of PoolScheduler

Dispatcher starts the waiting tasks in the order of the queue and keeps capacity for urgent jobs; PoolScheduler decides when a pass runs. No change in behaviour.

PoolSchedulerTests.countARunThatIsBeingStopped fails with this commit, as it does without it.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -15,11 +15,6 @@
  */
 public final class PoolScheduler {
 
-	/**
-	 * A scheduling pass ends after this many failed placements of distinct kinds of task.
-	 */
-	private static final int MAX_PLACEMENT_FAILURES = 40;
-
 	/**
 	 * The advised retry delay for a job that only drained endpoints could run, in
 	 * milliseconds. A return to service reaches the owner within this time; callers who
@@ -41,7 +36,7 @@
 
 	private final RetrySchedule retrySchedule = new RetrySchedule();
 
-	private final UrgentReservation urgentReservation;
+	private final Dispatcher dispatcher;
 
 	private final TaskStarter starter;
 
@@ -51,11 +46,6 @@
 
 	private final CrashLoopGuard crashLoopGuard;
 
-	private LongPredicate startDelay = (nowMillis) -> false;
-
-	/** Whether tasks waited for free capacity after the last scheduling pass. */
-	private boolean capacityShort;
-
 	private long nextSequence;
 
 	/**
@@ -80,11 +70,12 @@
 
 	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy admission) {
 		this.admission = admission;
-		this.urgentReservation = new UrgentReservation(settings.responseTimeoutMillis());
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
 		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
 		this.jobs = new JobTable(actions, this::stop);
+		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, this.starter, admission,
+				new UrgentReservation(settings.responseTimeoutMillis()));
 		this.crashLoopGuard = new CrashLoopGuard(lossHistory, actions);
 		this.terminationHandler = new TerminationHandler(this.jobs, this.runTimeEstimator, this.starter, this::stop,
 				this.crashLoopGuard, settings.orphanedRunMaxMillis());
@@ -107,7 +98,7 @@
 	 * may start
 	 */
 	public void startDelay(LongPredicate delay) {
-		this.startDelay = delay;
+		this.dispatcher.startDelay(delay);
 	}
 
 	/**
@@ -120,7 +111,7 @@
 	public void drainedDomains(Set<String> domains, long nowMillis) {
 		this.endpoints.drainedDomains(domains);
 		refuseJobsOfDrainedDomains(nowMillis);
-		dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	private void refuseJobsOfDrainedDomains(long nowMillis) {
@@ -176,7 +167,7 @@
 		}
 		this.jobs.add(job);
 		this.jobs.enqueue(job, nowMillis);
-		dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	private void replaceOrigin(PooledJob existing, JobOrigin origin) {
@@ -265,7 +256,7 @@
 		Optional<PooledJob> found = this.jobs.findUnanswered(jobId).filter((job) -> job.origin().equals(origin));
 		found.ifPresent((job) -> {
 			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "caller-left"), nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 		return found.isPresent();
 	}
@@ -294,7 +285,7 @@
 		abandoned.forEach(
 				(job) -> this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "call-abandoned"), nowMillis));
 		if (!abandoned.isEmpty()) {
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		}
 	}
 
@@ -309,7 +300,7 @@
 			.filter((job) -> job.origin().host().equals(host))
 			.forEach((job) -> this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "entry-host-lost"),
 					nowMillis));
-		dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	/**
@@ -380,7 +371,7 @@
 			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
 			.forEach((job) -> adopt(job, nowMillis));
 		refuseJobsOfDrainedDomains(nowMillis);
-		dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	private void adopt(JobTransfer transfer, long nowMillis) {
@@ -442,7 +433,7 @@
 	public void startRefused(String endpointId, TaskRun run, StartRefusal refusal, long nowMillis) {
 		this.endpoints.find(endpointId, run).ifPresent((placement) -> {
 			this.runTracker.startRefused(placement, refusal, nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
@@ -482,7 +473,7 @@
 			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true, nowMillis);
 			this.runTracker.processReport(endpoint, report, requestedMillis, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
@@ -496,7 +487,7 @@
 		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
 			this.runTracker.loseAll(endpoint, LossCause.LEASE_EXPIRED, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
@@ -511,9 +502,9 @@
 		cancelExpiredJobs(nowMillis);
 		this.terminationHandler.restartAfterUncertainty(nowMillis);
 		this.terminationHandler.decideAfterLosses(nowMillis);
-		dispatch(nowMillis);
-		if (!this.startDelay.test(nowMillis)) {
-			this.capacityEstimator.sample(this.endpoints.all(), this.capacityShort, nowMillis);
+		this.dispatcher.dispatch(nowMillis);
+		if (!this.dispatcher.isDelayed(nowMillis)) {
+			this.capacityEstimator.sample(this.endpoints.all(), this.dispatcher.isCapacityShort(), nowMillis);
 		}
 	}
 
@@ -538,62 +529,6 @@
 		}
 	}
 
-	private void dispatch(long nowMillis) {
-		this.capacityShort = false;
-		if (this.jobs.queue().size() == 0 || this.startDelay.test(nowMillis)) {
-			return;
-		}
-		try {
-			dispatchInOrder(this.admission.isUrgentFirst(nowMillis), nowMillis);
-		}
-		finally {
-			this.urgentReservation.release();
-		}
-	}
-
-	private void dispatchInOrder(boolean urgentFirst, long nowMillis) {
-		PlacementFailures failures = new PlacementFailures(this.endpoints.largestFree(nowMillis));
-		boolean reserved = false;
-		for (PooledJob job : this.jobs.queue().inDispatchOrder(urgentFirst, nowMillis)) {
-			if (!reserved && this.urgentReservation.isNeeded() && !JobQueue.isUrgent(job)) {
-				reserved = true;
-				this.urgentReservation.reserve(this.endpoints, nowMillis);
-				failures.largestFree(this.endpoints.largestFree(nowMillis));
-			}
-			startReady(job, failures, nowMillis);
-			this.capacityShort |= waitsForCapacity(job);
-			if (failures.count() >= MAX_PLACEMENT_FAILURES) {
-				return;
-			}
-			if (!reserved && urgentFirst && job.terms().priority() <= 0 && !job.readyTasks().isEmpty()) {
-				this.urgentReservation.add(job);
-			}
-		}
-	}
-
-	// A task that needs a drained endpoint, or one with a rare label, may wait while most
-	// of the capacity is free.
-	private boolean waitsForCapacity(PooledJob job) {
-		PooledTask task = job.readyTasks().peek();
-		return task != null && task.step().requiredLabel().isEmpty() && !this.endpoints.needsDrainedEndpoint(job);
-	}
-
-	private void startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
-		boolean started = this.starter.startReady(job, failures, nowMillis);
-		if (started) {
-			failures.largestFree(this.endpoints.largestFree(nowMillis));
-		}
-		if (started && !job.isStarted()) {
-			this.jobs.queue().remove(job);
-			job.markStarted();
-			this.admission.started(job, nowMillis);
-			this.jobs.enqueueReady(job, nowMillis);
-		}
-		else if (job.readyTasks().isEmpty()) {
-			this.jobs.queue().remove(job);
-		}
-	}
-
 	/**
 	 * Checks whether a durable job would be admitted.
 	 * @param spec the job
@@ -643,7 +578,7 @@
 			return occurrenceJob;
 		}
 		this.jobs.enqueueReady(occurrenceJob, nowMillis);
-		dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 		return occurrenceJob;
 	}
 
@@ -660,7 +595,7 @@
 		}
 		else if (!job.isFinished()) {
 			this.jobs.enqueueReady(job, nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		}
 	}
 
@@ -685,7 +620,7 @@
 	void abort(PooledJob job, String reason, long nowMillis) {
 		if (!job.isFinished()) {
 			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		}
 	}
 
@@ -712,7 +647,7 @@
 			found.recordTermination(terminatedRun.run().number());
 			found.checkpoint(terminatedRun.checkpoint());
 			this.terminationHandler.remoteRunTerminated(found, terminatedRun, nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 		return task.map(PooledTask::job);
 	}
