Move the admission of jobs out of PoolScheduler

JobAdmission admits submissions or refuses them, refuses waiting jobs that can't be started in time, and advises callers when to come back. No change in behaviour.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -15,13 +15,6 @@
  */
 public final class PoolScheduler {
 
-	/**
-	 * The advised retry delay for a job that only drained endpoints could run, in
-	 * milliseconds. A return to service reaches the owner within this time; callers who
-	 * come back before it are refused at once.
-	 */
-	private static final long DRAINED_RETRY_MILLIS = 1_000;
-
 	private final PoolActions actions;
 
 	private final EndpointTable endpoints;
@@ -30,11 +23,7 @@
 
 	private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
 
-	private final AdmissionPolicy admission;
-
-	private final CapacityEstimator capacityEstimator = new CapacityEstimator();
-
-	private final RetrySchedule retrySchedule = new RetrySchedule();
+	private final JobAdmission admission;
 
 	private final Dispatcher dispatcher;
 
@@ -68,13 +57,13 @@
 		this(settings, actions, lossHistory, new LoadShedding(new PriorityCost()));
 	}
 
-	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy admission) {
-		this.admission = admission;
+	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy policy) {
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
 		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
 		this.jobs = new JobTable(actions, this::stop);
-		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, this.starter, admission,
+		this.admission = new JobAdmission(this.endpoints, this.jobs, policy, actions);
+		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, this.starter, policy,
 				new UrgentReservation(settings.responseTimeoutMillis()));
 		this.crashLoopGuard = new CrashLoopGuard(lossHistory, actions);
 		this.terminationHandler = new TerminationHandler(this.jobs, this.runTimeEstimator, this.starter, this::stop,
@@ -110,21 +99,10 @@
 	 */
 	public void drainedDomains(Set<String> domains, long nowMillis) {
 		this.endpoints.drainedDomains(domains);
-		refuseJobsOfDrainedDomains(nowMillis);
+		this.admission.refuseJobsOfDrainedDomains(nowMillis);
 		this.dispatcher.dispatch(nowMillis);
 	}
 
-	private void refuseJobsOfDrainedDomains(long nowMillis) {
-		this.jobs.interactiveJobs()
-			.stream()
-			.filter((job) -> !job.isStarted() && this.endpoints.needsDrainedEndpoint(job))
-			.forEach((job) -> this.jobs.finish(job, drainedRefusal(), nowMillis));
-	}
-
-	private static JobOutcome drainedRefusal() {
-		return new JobOutcome(JobOutcome.Kind.REFUSED, DRAINED_RETRY_MILLIS, "domains-drained");
-	}
-
 	private void stop(Placement placement, String reason, long nowMillis) {
 		this.runTracker.stop(placement, reason, nowMillis);
 	}
@@ -149,25 +127,11 @@
 			this.terminationHandler.giveUp(job, nowMillis);
 			return;
 		}
-		Optional<JobOutcome> unplaceable = unplaceable(job);
-		if (unplaceable.isPresent()) {
-			this.actions.answer(job, this.jobs.certain(job, unplaceable.get()));
-			return;
-		}
-		if (isTooLate(job, nowMillis)) {
-			Refusal refusal = new Refusal(job, "no-time-left", 0, backlogMillis());
-			this.actions.answer(job, this.jobs.certain(job, outcome(refusal, nowMillis)));
-			return;
-		}
-		this.admission.submitted(job, nowMillis);
-		List<Refusal> refusals = refusals(job, nowMillis);
-		refusals.forEach((refusal) -> refuse(refusal, nowMillis));
-		if (refusals.stream().anyMatch((refusal) -> refusal.job() == job)) {
-			return;
+		if (this.admission.admit(job, nowMillis)) {
+			this.jobs.add(job);
+			this.jobs.enqueue(job, nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		}
-		this.jobs.add(job);
-		this.jobs.enqueue(job, nowMillis);
-		this.dispatcher.dispatch(nowMillis);
 	}
 
 	private void replaceOrigin(PooledJob existing, JobOrigin origin) {
@@ -178,72 +142,6 @@
 		}
 	}
 
-	private Optional<JobOutcome> unplaceable(PooledJob job) {
-		if (!this.endpoints.couldRun(job)) {
-			return Optional.of(outcome(new Refusal(job, "no-fitting-endpoint", 0, backlogMillis())));
-		}
-		return this.endpoints.needsDrainedEndpoint(job) ? Optional.of(drainedRefusal()) : Optional.empty();
-	}
-
-	private static boolean isTooLate(PooledJob job, long nowMillis) {
-		return !job.isTimed() && nowMillis + job.expectedMillis() > job.latestUsefulMillis();
-	}
-
-	/**
-	 * Returns the answer to a refused job without booking the return of its caller,
-	 * because free capacity would not help it.
-	 * @param refusal the refusal
-	 * @return the answer
-	 */
-	private static JobOutcome outcome(Refusal refusal) {
-		long retryAfterMillis = RetrySchedule.MIN_RETRY_MILLIS + (long) refusal.backlogMillis();
-		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
-	}
-
-	/**
-	 * Returns the answer to a refused job and books the return of its caller.
-	 * @param refusal the refusal
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the answer
-	 */
-	private JobOutcome outcome(Refusal refusal, long nowMillis) {
-		PooledJob job = refusal.job();
-		long retryAfterMillis = this.retrySchedule.book(job.terms().priority(), job.totalWork(), capacity(),
-				this.capacityEstimator.spareShare(), nowMillis);
-		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
-	}
-
-	/**
-	 * Selects the jobs to refuse on a submission.
-	 * @param job the submitted job, which is not in the queue
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the refusals
-	 */
-	private List<Refusal> refusals(PooledJob job, long nowMillis) {
-		if (job.isTimed()) {
-			return List.of();
-		}
-		JobQueue queue = this.jobs.queue();
-		queue.add(job, nowMillis);
-		List<Refusal> refusals = this.admission.select(job, queue, capacity(), nowMillis);
-		queue.remove(job);
-		return refusals;
-	}
-
-	private void refuse(Refusal refusal, long nowMillis) {
-		PooledJob job = refusal.job();
-		this.admission.refused(job, nowMillis);
-		this.jobs.finish(job, outcome(refusal, nowMillis), nowMillis);
-	}
-
-	private PoolCapacity capacity() {
-		return new PoolCapacity(this.endpoints.totalMillicores(), this.capacityEstimator.usableShare());
-	}
-
-	private double backlogMillis() {
-		return capacity().drainMillis(this.jobs.queue().work());
-	}
-
 	/**
 	 * Cancels a job whose caller has disconnected. Does nothing if the job has another
 	 * origin by now.
@@ -370,7 +268,7 @@
 			.stream()
 			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
 			.forEach((job) -> adopt(job, nowMillis));
-		refuseJobsOfDrainedDomains(nowMillis);
+		this.admission.refuseJobsOfDrainedDomains(nowMillis);
 		this.dispatcher.dispatch(nowMillis);
 	}
 
@@ -499,33 +397,12 @@
 	public void tick(long nowMillis) {
 		this.runTracker.tick(this.endpoints.all(),
 				(placement) -> this.endpoints.hasCapacityElsewhere(placement, nowMillis), nowMillis);
-		cancelExpiredJobs(nowMillis);
+		this.admission.cancelExpiredJobs(nowMillis);
 		this.terminationHandler.restartAfterUncertainty(nowMillis);
 		this.terminationHandler.decideAfterLosses(nowMillis);
 		this.dispatcher.dispatch(nowMillis);
 		if (!this.dispatcher.isDelayed(nowMillis)) {
-			this.capacityEstimator.sample(this.endpoints.all(), this.dispatcher.isCapacityShort(), nowMillis);
-		}
-	}
-
-	private void cancelExpiredJobs(long nowMillis) {
-		PoolCapacity capacity = capacity();
-		double remainingMillis = backlogMillis();
-		for (PooledJob job : this.jobs.interactiveJobs()) {
-			double jobMillis = capacity.drainMillis(job.readyWork());
-			boolean expired = nowMillis >= job.deadlineMillis();
-			if (expired && job.isStarted()) {
-				this.jobs.finish(job, new JobOutcome(JobOutcome.Kind.UNCERTAIN, (long) remainingMillis, "deadline"),
-						nowMillis);
-				remainingMillis -= jobMillis;
-			}
-			else if (!job.isStarted()
-					&& (expired || this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis))) {
-				double waitedMillis = nowMillis - job.arrivedMillis();
-				refuse(new Refusal(job, expired ? "deadline" : "waited-in-vain", waitedMillis, remainingMillis),
-						nowMillis);
-				remainingMillis -= jobMillis;
-			}
+			this.admission.sampleCapacity(this.dispatcher.isCapacityShort(), nowMillis);
 		}
 	}
 
@@ -538,17 +415,7 @@
 	 */
 	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
 		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
-		Optional<JobOutcome> unplaceable = unplaceable(job);
-		if (unplaceable.isPresent()) {
-			return unplaceable;
-		}
-		if (isTooLate(job, nowMillis)) {
-			return Optional.of(outcome(new Refusal(job, "no-time-left", 0, backlogMillis())));
-		}
-		return refusals(job, nowMillis).stream()
-			.filter((refusal) -> refusal.job() == job)
-			.map((refusal) -> outcome(refusal, nowMillis))
-			.findFirst();
+		return this.admission.check(job, nowMillis);
 	}
 
 	/**
@@ -744,8 +611,8 @@
 	 * @return the load
 	 */
 	public PoolLoad load(long nowMillis) {
-		return new PoolLoad(this.endpoints.totalMillicores(), this.endpoints.freeMillicores(nowMillis), backlogMillis(),
-				this.jobs.count());
+		return new PoolLoad(this.endpoints.totalMillicores(), this.endpoints.freeMillicores(nowMillis),
+				this.admission.backlogMillis(), this.jobs.count());
 	}
 
 }
