Move the handover of jobs out of PoolScheduler

TransferHandler returns the state for the next owner and continues that of a previous one; JobFactory creates and numbers the jobs for it and for PoolScheduler. No change in behaviour.

PoolSchedulerTests.countARunThatIsBeingStopped fails with this commit, as it does without it.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -21,21 +21,19 @@
 
 	private final JobTable jobs;
 
-	private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
+	private final JobFactory jobFactory;
 
 	private final JobAdmission admission;
 
 	private final Dispatcher dispatcher;
 
-	private final TaskStarter starter;
-
 	private final RunTracker runTracker;
 
 	private final TerminationHandler terminationHandler;
 
 	private final CrashLoopGuard crashLoopGuard;
 
-	private long nextSequence;
+	private final TransferHandler transferHandler;
 
 	/**
 	 * Creates the scheduler of a pool without endpoints and without a history.
@@ -60,13 +58,17 @@
 	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy policy) {
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
-		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
+		RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
+		this.jobFactory = new JobFactory(runTimeEstimator);
+		TaskStarter starter = new TaskStarter(this.endpoints, runTimeEstimator, actions);
 		this.jobs = new JobTable(actions, this::stop);
 		this.admission = new JobAdmission(this.endpoints, this.jobs, policy, actions);
-		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, this.starter, policy,
+		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, starter, policy,
 				new UrgentReservation(settings.responseTimeoutMillis()));
 		this.crashLoopGuard = new CrashLoopGuard(lossHistory, actions);
-		this.terminationHandler = new TerminationHandler(this.jobs, this.runTimeEstimator, this.starter, this::stop,
+		this.transferHandler = new TransferHandler(this.endpoints, this.jobs, this.jobFactory, starter,
+				this.crashLoopGuard);
+		this.terminationHandler = new TerminationHandler(this.jobs, runTimeEstimator, starter, this::stop,
 				this.crashLoopGuard, settings.orphanedRunMaxMillis());
 		this.runTracker = new RunTracker(settings, actions, this.crashLoopGuard, this.terminationHandler);
 	}
@@ -121,7 +123,7 @@
 			replaceOrigin(existing.get(), origin);
 			return;
 		}
-		PooledJob job = new PooledJob(spec, terms, origin, this.nextSequence++, nowMillis, this.runTimeEstimator);
+		PooledJob job = this.jobFactory.create(spec, terms, origin, nowMillis);
 		this.crashLoopGuard.watch(job, nowMillis);
 		if (this.crashLoopGuard.isGivenUp(job, nowMillis)) {
 			this.terminationHandler.giveUp(job, nowMillis);
@@ -251,9 +253,7 @@
 	 * @return the endpoints and the unanswered jobs that are not durable
 	 */
 	public PoolTransfer transfer(long nowMillis) {
-		return new PoolTransfer(this.endpoints.transfer(),
-				this.jobs.interactiveJobs().stream().map((job) -> this.jobs.transfer(job, nowMillis)).toList(),
-				this.crashLoopGuard.history().all());
+		return this.transferHandler.transfer(nowMillis);
 	}
 
 	/**
@@ -263,54 +263,11 @@
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	public void adopt(PoolTransfer transfer, long nowMillis) {
-		transfer.losses().forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
-		transfer.jobs()
-			.stream()
-			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
-			.forEach((job) -> adopt(job, nowMillis));
+		this.transferHandler.adopt(transfer, nowMillis);
 		this.admission.refuseJobsOfDrainedDomains(nowMillis);
 		this.dispatcher.dispatch(nowMillis);
 	}
 
-	private void adopt(JobTransfer transfer, long nowMillis) {
-		PooledJob job = new PooledJob(transfer.spec(), transfer.terms(), transfer.origin(), this.nextSequence++,
-				nowMillis - transfer.ageMillis(), this.runTimeEstimator);
-		this.jobs.add(job);
-		this.crashLoopGuard.watch(job, nowMillis);
-		transfer.tasks()
-			.forEach((taskTransfer) -> job.task(taskTransfer.task())
-				.ifPresent((task) -> adopt(job, task, taskTransfer, nowMillis)));
-		if (transfer.tasks().stream().anyMatch(this::isOnUnknownEndpoint)) {
-			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-unknown"), nowMillis);
-			return;
-		}
-		this.jobs.enqueueReady(job, nowMillis);
-	}
-
-	private boolean isOnUnknownEndpoint(TaskTransfer task) {
-		return !task.endpointId().isEmpty() && this.endpoints.find(task.endpointId()).isEmpty();
-	}
-
-	private void adopt(PooledJob job, PooledTask task, TaskTransfer taskTransfer, long nowMillis) {
-		task.adopt(taskTransfer);
-		if (taskTransfer.runCount() > 0) {
-			job.markStarted();
-		}
-		Optional<PooledEndpoint> endpoint = this.endpoints.find(taskTransfer.endpointId());
-		if (taskTransfer.done()) {
-			job.readyTasks().remove(task);
-			job.taskDone(task);
-		}
-		else if (endpoint.isPresent()) {
-			job.readyTasks().remove(task);
-			long startRequestedMillis = nowMillis - taskTransfer.sinceStartRequestedMillis();
-			Placement placement = this.starter.place(task, task.currentRun(), endpoint.get(), startRequestedMillis);
-			if (taskTransfer.accepted()) {
-				placement.accept(startRequestedMillis);
-			}
-		}
-	}
-
 	/**
 	 * Records that an endpoint accepted a start request.
 	 * @param endpointId the id of the endpoint
@@ -414,7 +371,7 @@
 	 * @return the refusal, or empty if the job would be admitted
 	 */
 	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
-		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
+		PooledJob job = this.jobFactory.createForCheck(spec, terms, nowMillis);
 		return this.admission.check(job, nowMillis);
 	}
 
@@ -431,8 +388,7 @@
 	 */
 	PooledJob startOccurrence(DurableJob job, int occurrence, List<TaskProgress> storedProgress, boolean suspended,
 			long dueMillis, long nowMillis) {
-		PooledJob occurrenceJob = new PooledJob(job.spec(), occurrence, job.terms(), JobOrigin.NONE,
-				this.nextSequence++, dueMillis, this.runTimeEstimator);
+		PooledJob occurrenceJob = this.jobFactory.createOccurrence(job, occurrence, dueMillis);
 		storedProgress.stream()
 			.flatMap((progress) -> progress.losses().stream())
 			.forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
