--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -27,7 +27,7 @@
 	/** The interval at which expired finished jobs are removed, in milliseconds. */
 	private static final long SWEEP_INTERVAL_MILLIS = 1_000;
 
-	private final PoolScheduler scheduler;
+	private final OccurrenceScheduler scheduler;
 
 	private final DurableJobActions actions;
 
@@ -44,7 +44,7 @@
 	 * @param actions stores the jobs and answers callers
 	 */
 	public DurableJobs(PoolScheduler scheduler, DurableJobActions actions) {
-		this.scheduler = scheduler;
+		this.scheduler = scheduler.occurrences();
 		this.actions = actions;
 	}
 
@@ -144,7 +144,7 @@
 
 	private void startOccurrence(Entry entry, int occurrence, List<TaskProgress> storedProgress, Timestamp time) {
 		long delayMillis = Math.max(0, time.epochMillis() - entry.dueEpochMillis(occurrence));
-		PooledJob occurrenceJob = this.scheduler.startOccurrence(entry.job, occurrence, storedProgress, entry.suspended,
+		PooledJob occurrenceJob = this.scheduler.start(entry.job, occurrence, storedProgress, entry.suspended,
 				time.nowMillis() - delayMillis, time.nowMillis());
 		entry.occurrences.put(occurrence, occurrenceJob);
 	}
--- /dev/null
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -0,0 +1,139 @@
+package org.masticwick.core.pool;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Schedules the occurrences of durable jobs in a pool: starts, suspends and aborts them.
+ */
+final class OccurrenceScheduler {
+
+	private final JobTable jobs;
+
+	private final JobFactory jobFactory;
+
+	private final JobAdmission admission;
+
+	private final Dispatcher dispatcher;
+
+	private final RunTracker runTracker;
+
+	private final TerminationHandler terminationHandler;
+
+	private final CrashLoopGuard crashLoopGuard;
+
+	OccurrenceScheduler(JobTable jobs, JobFactory jobFactory, JobAdmission admission, Dispatcher dispatcher,
+			RunTracker runTracker, TerminationHandler terminationHandler, CrashLoopGuard crashLoopGuard) {
+		this.jobs = jobs;
+		this.jobFactory = jobFactory;
+		this.admission = admission;
+		this.dispatcher = dispatcher;
+		this.runTracker = runTracker;
+		this.terminationHandler = terminationHandler;
+		this.crashLoopGuard = crashLoopGuard;
+	}
+
+	/**
+	 * Checks whether a durable job would be admitted.
+	 * @param spec the job
+	 * @param terms the terms of the queue of the job
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the refusal, or empty if the job would be admitted
+	 */
+	Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
+		PooledJob job = this.jobFactory.createForCheck(spec, terms, nowMillis);
+		return this.admission.check(job, nowMillis);
+	}
+
+	/**
+	 * Starts an occurrence of a durable job.
+	 * @param job the job
+	 * @param occurrence the number of the occurrence
+	 * @param storedProgress the progress of its tasks as read from the shared log
+	 * @param suspended whether to start no task until {@link #setSuspended} resumes the
+	 * occurrence
+	 * @param dueMillis when the occurrence was due, in milliseconds
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the scheduled job
+	 */
+	PooledJob start(DurableJob job, int occurrence, List<TaskProgress> storedProgress, boolean suspended,
+			long dueMillis, long nowMillis) {
+		PooledJob occurrenceJob = this.jobFactory.createOccurrence(job, occurrence, dueMillis);
+		storedProgress.stream()
+			.flatMap((progress) -> progress.losses().stream())
+			.forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
+		occurrenceJob.restore(storedProgress);
+		this.crashLoopGuard.watch(occurrenceJob, nowMillis);
+		occurrenceJob.setSuspended(suspended);
+		this.jobs.add(occurrenceJob);
+		if (this.crashLoopGuard.isGivenUp(occurrenceJob, nowMillis)) {
+			this.terminationHandler.giveUp(occurrenceJob, nowMillis);
+			return occurrenceJob;
+		}
+		this.jobs.enqueueReady(occurrenceJob, nowMillis);
+		this.dispatcher.dispatch(nowMillis);
+		return occurrenceJob;
+	}
+
+	/**
+	 * Suspends or resumes a durable job.
+	 * @param job the job
+	 * @param suspended whether no task of the job may start
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void setSuspended(PooledJob job, boolean suspended, long nowMillis) {
+		job.setSuspended(suspended);
+		if (suspended) {
+			this.jobs.queue().remove(job);
+		}
+		else if (!job.isFinished()) {
+			this.jobs.enqueueReady(job, nowMillis);
+			this.dispatcher.dispatch(nowMillis);
+		}
+	}
+
+	/**
+	 * Stops the runs of a durable job on endpoints outside a failure domain.
+	 * @param job the job
+	 * @param domain the failure domain whose endpoints continue
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void stopOutsideDomain(PooledJob job, String domain, long nowMillis) {
+		JobTable.placements(job.allTasks().stream())
+			.filter((placement) -> !placement.endpoint().entry().domain().equals(domain))
+			.forEach((placement) -> this.runTracker.stop(placement, "pool-out-of-reach", nowMillis));
+	}
+
+	/**
+	 * Finishes a durable job and stops its runs. Does nothing if it is finished.
+	 * @param job the job
+	 * @param reason the reason, for the log
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void abort(PooledJob job, String reason, long nowMillis) {
+		if (!job.isFinished()) {
+			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
+			this.dispatcher.dispatch(nowMillis);
+		}
+	}
+
+	/**
+	 * Records the termination of a run on an endpoint of another owner.
+	 * @param terminatedRun the terminated run
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return the job, or empty if the job is unknown or the termination is already
+	 * recorded
+	 */
+	Optional<PooledJob> recordRemoteTermination(TerminatedRun terminatedRun, long nowMillis) {
+		Optional<PooledTask> task = this.terminationHandler.findDurableTask(terminatedRun.run().task())
+			.filter((found) -> terminatedRun.run().number() > found.lastTerminatedRun());
+		task.ifPresent((found) -> {
+			found.recordTermination(terminatedRun.run().number());
+			found.checkpoint(terminatedRun.checkpoint());
+			this.terminationHandler.remoteRunTerminated(found, terminatedRun, nowMillis);
+			this.dispatcher.dispatch(nowMillis);
+		});
+		return task.map(PooledTask::job);
+	}
+
+}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -35,6 +35,8 @@
 
 	private final TransferHandler transferHandler;
 
+	private final OccurrenceScheduler occurrences;
+
 	/**
 	 * Creates the scheduler of a pool without endpoints and without a history.
 	 * @param settings the settings
@@ -71,6 +73,8 @@
 		this.terminationHandler = new TerminationHandler(this.jobs, runTimeEstimator, starter, this::stop,
 				this.crashLoopGuard, settings.orphanedRunMaxMillis());
 		this.runTracker = new RunTracker(settings, actions, this.crashLoopGuard, this.terminationHandler);
+		this.occurrences = new OccurrenceScheduler(this.jobs, this.jobFactory, this.admission, this.dispatcher,
+				this.runTracker, this.terminationHandler, this.crashLoopGuard);
 	}
 
 	/**
@@ -82,6 +86,14 @@
 		this.terminationHandler.recoveryStatus(status);
 	}
 
+	/**
+	 * Returns the scheduler of durable jobs, which uses the same capacity.
+	 * @return the scheduler of their occurrences
+	 */
+	OccurrenceScheduler occurrences() {
+		return this.occurrences;
+	}
+
 	/**
 	 * Sets when tasks must wait although capacity is free, as the owner may have been
 	 * paused.
@@ -363,90 +375,6 @@
 		}
 	}
 
-	/**
-	 * Checks whether a durable job would be admitted.
-	 * @param spec the job
-	 * @param terms the terms of the queue of the job
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the refusal, or empty if the job would be admitted
-	 */
-	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
-		PooledJob job = this.jobFactory.createForCheck(spec, terms, nowMillis);
-		return this.admission.check(job, nowMillis);
-	}
-
-	/**
-	 * Starts an occurrence of a durable job.
-	 * @param job the job
-	 * @param occurrence the number of the occurrence
-	 * @param storedProgress the progress of its tasks as read from the shared log
-	 * @param suspended whether to start no task until {@link #setSuspended} resumes the
-	 * occurrence
-	 * @param dueMillis when the occurrence was due, in milliseconds
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the scheduled job
-	 */
-	PooledJob startOccurrence(DurableJob job, int occurrence, List<TaskProgress> storedProgress, boolean suspended,
-			long dueMillis, long nowMillis) {
-		PooledJob occurrenceJob = this.jobFactory.createOccurrence(job, occurrence, dueMillis);
-		storedProgress.stream()
-			.flatMap((progress) -> progress.losses().stream())
-			.forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
-		occurrenceJob.restore(storedProgress);
-		this.crashLoopGuard.watch(occurrenceJob, nowMillis);
-		occurrenceJob.setSuspended(suspended);
-		this.jobs.add(occurrenceJob);
-		if (this.crashLoopGuard.isGivenUp(occurrenceJob, nowMillis)) {
-			this.terminationHandler.giveUp(occurrenceJob, nowMillis);
-			return occurrenceJob;
-		}
-		this.jobs.enqueueReady(occurrenceJob, nowMillis);
-		this.dispatcher.dispatch(nowMillis);
-		return occurrenceJob;
-	}
-
-	/**
-	 * Suspends or resumes a durable job.
-	 * @param job the job
-	 * @param suspended whether no task of the job may start
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	void setSuspended(PooledJob job, boolean suspended, long nowMillis) {
-		job.setSuspended(suspended);
-		if (suspended) {
-			this.jobs.queue().remove(job);
-		}
-		else if (!job.isFinished()) {
-			this.jobs.enqueueReady(job, nowMillis);
-			this.dispatcher.dispatch(nowMillis);
-		}
-	}
-
-	/**
-	 * Stops the runs of a durable job on endpoints outside a failure domain.
-	 * @param job the job
-	 * @param domain the failure domain whose endpoints continue
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	void stopOutsideDomain(PooledJob job, String domain, long nowMillis) {
-		JobTable.placements(job.allTasks().stream())
-			.filter((placement) -> !placement.endpoint().entry().domain().equals(domain))
-			.forEach((placement) -> this.runTracker.stop(placement, "pool-out-of-reach", nowMillis));
-	}
-
-	/**
-	 * Finishes a durable job and stops its runs. Does nothing if it is finished.
-	 * @param job the job
-	 * @param reason the reason, for the log
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	void abort(PooledJob job, String reason, long nowMillis) {
-		if (!job.isFinished()) {
-			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
-			this.dispatcher.dispatch(nowMillis);
-		}
-	}
-
 	/**
 	 * Allows an endpoint to discard an orphaned termination, because the owner of the job
 	 * has recorded it.
@@ -456,25 +384,6 @@
 		terminationsOf(termination).ifPresent((tracker) -> tracker.recordProcessed(termination.number()));
 	}
 
-	/**
-	 * Records the termination of a run on an endpoint of another owner.
-	 * @param terminatedRun the terminated run
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the job, or empty if the job is unknown or the termination is already
-	 * recorded
-	 */
-	Optional<PooledJob> recordRemoteTermination(TerminatedRun terminatedRun, long nowMillis) {
-		Optional<PooledTask> task = this.terminationHandler.findDurableTask(terminatedRun.run().task())
-			.filter((found) -> terminatedRun.run().number() > found.lastTerminatedRun());
-		task.ifPresent((found) -> {
-			found.recordTermination(terminatedRun.run().number());
-			found.checkpoint(terminatedRun.checkpoint());
-			this.terminationHandler.remoteRunTerminated(found, terminatedRun, nowMillis);
-			this.dispatcher.dispatch(nowMillis);
-		});
-		return task.map(PooledTask::job);
-	}
-
 	/**
 	 * Allows an endpoint to discard a termination, because it is stored in the shared
 	 * log.
