--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -15,35 +15,17 @@
  */
 public final class PoolScheduler {
 
-	/**
-	 * A scheduling pass ends after this many failed placements of distinct kinds of task.
-	 */
-	private static final int MAX_PLACEMENT_FAILURES = 40;
-
-	/**
-	 * The advised retry delay for a job that only drained endpoints could run, in
-	 * milliseconds. A return to service reaches the owner within this time; callers who
-	 * come back before it are refused at once.
-	 */
-	private static final long DRAINED_RETRY_MILLIS = 1_000;
-
 	private final PoolActions actions;
 
 	private final EndpointTable endpoints;
 
 	private final JobTable jobs;
 
-	private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
-
-	private final AdmissionPolicy admission;
-
-	private final CapacityEstimator capacityEstimator = new CapacityEstimator();
+	private final JobFactory jobFactory;
 
-	private final RetrySchedule retrySchedule = new RetrySchedule();
+	private final JobAdmission admission;
 
-	private final UrgentReservation urgentReservation;
-
-	private final TaskStarter starter;
+	private final Dispatcher dispatcher;
 
 	private final RunTracker runTracker;
 
@@ -51,12 +33,9 @@
 
 	private final CrashLoopGuard crashLoopGuard;
 
-	private LongPredicate startDelay = (nowMillis) -> false;
-
-	/** Whether tasks waited for free capacity after the last scheduling pass. */
-	private boolean capacityShort;
+	private final TransferHandler transferHandler;
 
-	private long nextSequence;
+	private final OccurrenceScheduler occurrences;
 
 	/**
 	 * Creates the scheduler of a pool without endpoints and without a history.
@@ -78,17 +57,24 @@
 		this(settings, actions, lossHistory, new LoadShedding(new PriorityCost()));
 	}
 
-	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy admission) {
-		this.admission = admission;
-		this.urgentReservation = new UrgentReservation(settings.responseTimeoutMillis());
+	PoolScheduler(PoolSettings settings, PoolActions actions, LossHistory lossHistory, AdmissionPolicy policy) {
 		this.actions = actions;
 		this.endpoints = new EndpointTable(settings.responseTimeoutMillis());
-		this.starter = new TaskStarter(this.endpoints, this.runTimeEstimator, actions);
+		RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
+		this.jobFactory = new JobFactory(runTimeEstimator);
+		TaskStarter starter = new TaskStarter(this.endpoints, runTimeEstimator, actions);
 		this.jobs = new JobTable(actions, this::stop);
+		this.admission = new JobAdmission(this.endpoints, this.jobs, policy, actions);
+		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, starter, policy,
+				new UrgentReservation(settings.responseTimeoutMillis()));
 		this.crashLoopGuard = new CrashLoopGuard(lossHistory, actions);
-		this.terminationHandler = new TerminationHandler(this.jobs, this.runTimeEstimator, this.starter, this::stop,
+		this.transferHandler = new TransferHandler(this.endpoints, this.jobs, this.jobFactory, starter,
+				this.crashLoopGuard);
+		this.terminationHandler = new TerminationHandler(this.jobs, runTimeEstimator, starter, this::stop,
 				this.crashLoopGuard, settings.orphanedRunMaxMillis());
 		this.runTracker = new RunTracker(settings, actions, this.crashLoopGuard, this.terminationHandler);
+		this.occurrences = new OccurrenceScheduler(this.jobs, this.jobFactory, this.admission, this.dispatcher,
+				this.runTracker, this.terminationHandler, this.crashLoopGuard);
 	}
 
 	/**
@@ -100,6 +86,14 @@
 		this.terminationHandler.recoveryStatus(status);
 	}
 
+	/**
+	 * Returns the scheduler of durable jobs, which uses the same capacity.
+	 * @return the scheduler of their occurrences
+	 */
+	OccurrenceScheduler occurrences() {
+		return this.occurrences;
+	}
+
 	/**
 	 * Sets when tasks must wait although capacity is free, as the owner may have been
 	 * paused.
@@ -107,7 +101,7 @@
 	 * may start
 	 */
 	public void startDelay(LongPredicate delay) {
-		this.startDelay = delay;
+		this.dispatcher.startDelay(delay);
 	}
 
 	/**
@@ -119,19 +113,8 @@
 	 */
 	public void drainedDomains(Set<String> domains, long nowMillis) {
 		this.endpoints.drainedDomains(domains);
-		refuseJobsOfDrainedDomains(nowMillis);
-		dispatch(nowMillis);
-	}
-
-	private void refuseJobsOfDrainedDomains(long nowMillis) {
-		this.jobs.interactiveJobs()
-			.stream()
-			.filter((job) -> !job.isStarted() && this.endpoints.needsDrainedEndpoint(job))
-			.forEach((job) -> this.jobs.finish(job, drainedRefusal(), nowMillis));
-	}
-
-	private static JobOutcome drainedRefusal() {
-		return new JobOutcome(JobOutcome.Kind.REFUSED, DRAINED_RETRY_MILLIS, "domains-drained");
+		this.admission.refuseJobsOfDrainedDomains(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	private void stop(Placement placement, String reason, long nowMillis) {
@@ -152,31 +135,17 @@
 			replaceOrigin(existing.get(), origin);
 			return;
 		}
-		PooledJob job = new PooledJob(spec, terms, origin, this.nextSequence++, nowMillis, this.runTimeEstimator);
+		PooledJob job = this.jobFactory.create(spec, terms, origin, nowMillis);
 		this.crashLoopGuard.watch(job, nowMillis);
 		if (this.crashLoopGuard.isGivenUp(job, nowMillis)) {
 			this.terminationHandler.giveUp(job, nowMillis);
 			return;
 		}
-		Optional<JobOutcome> unplaceable = unplaceable(job);
-		if (unplaceable.isPresent()) {
-			this.actions.answer(job, this.jobs.certain(job, unplaceable.get()));
-			return;
-		}
-		if (isTooLate(job, nowMillis)) {
-			Refusal refusal = new Refusal(job, "no-time-left", 0, backlogMillis());
-			this.actions.answer(job, this.jobs.certain(job, outcome(refusal, nowMillis)));
-			return;
+		if (this.admission.admit(job, nowMillis)) {
+			this.jobs.add(job);
+			this.jobs.enqueue(job, nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		}
-		this.admission.submitted(job, nowMillis);
-		List<Refusal> refusals = refusals(job, nowMillis);
-		refusals.forEach((refusal) -> refuse(refusal, nowMillis));
-		if (refusals.stream().anyMatch((refusal) -> refusal.job() == job)) {
-			return;
-		}
-		this.jobs.add(job);
-		this.jobs.enqueue(job, nowMillis);
-		dispatch(nowMillis);
 	}
 
 	private void replaceOrigin(PooledJob existing, JobOrigin origin) {
@@ -187,72 +156,6 @@
 		}
 	}
 
-	private Optional<JobOutcome> unplaceable(PooledJob job) {
-		if (!this.endpoints.couldRun(job)) {
-			return Optional.of(outcome(new Refusal(job, "no-fitting-endpoint", 0, backlogMillis())));
-		}
-		return this.endpoints.needsDrainedEndpoint(job) ? Optional.of(drainedRefusal()) : Optional.empty();
-	}
-
-	private static boolean isTooLate(PooledJob job, long nowMillis) {
-		return !job.isTimed() && nowMillis + job.expectedMillis() > job.latestUsefulMillis();
-	}
-
-	/**
-	 * Returns the answer to a refused job without booking the return of its caller,
-	 * because free capacity would not help it.
-	 * @param refusal the refusal
-	 * @return the answer
-	 */
-	private static JobOutcome outcome(Refusal refusal) {
-		long retryAfterMillis = RetrySchedule.MIN_RETRY_MILLIS + (long) refusal.backlogMillis();
-		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
-	}
-
-	/**
-	 * Returns the answer to a refused job and books the return of its caller.
-	 * @param refusal the refusal
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the answer
-	 */
-	private JobOutcome outcome(Refusal refusal, long nowMillis) {
-		PooledJob job = refusal.job();
-		long retryAfterMillis = this.retrySchedule.book(job.terms().priority(), job.totalWork(), capacity(),
-				this.capacityEstimator.spareShare(), nowMillis);
-		return new JobOutcome(JobOutcome.Kind.REFUSED, retryAfterMillis, refusal.description());
-	}
-
-	/**
-	 * Selects the jobs to refuse on a submission.
-	 * @param job the submitted job, which is not in the queue
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the refusals
-	 */
-	private List<Refusal> refusals(PooledJob job, long nowMillis) {
-		if (job.isTimed()) {
-			return List.of();
-		}
-		JobQueue queue = this.jobs.queue();
-		queue.add(job, nowMillis);
-		List<Refusal> refusals = this.admission.select(job, queue, capacity(), nowMillis);
-		queue.remove(job);
-		return refusals;
-	}
-
-	private void refuse(Refusal refusal, long nowMillis) {
-		PooledJob job = refusal.job();
-		this.admission.refused(job, nowMillis);
-		this.jobs.finish(job, outcome(refusal, nowMillis), nowMillis);
-	}
-
-	private PoolCapacity capacity() {
-		return new PoolCapacity(this.endpoints.totalMillicores(), this.capacityEstimator.usableShare());
-	}
-
-	private double backlogMillis() {
-		return capacity().drainMillis(this.jobs.queue().work());
-	}
-
 	/**
 	 * Cancels a job whose caller has disconnected. Does nothing if the job has another
 	 * origin by now.
@@ -265,7 +168,7 @@
 		Optional<PooledJob> found = this.jobs.findUnanswered(jobId).filter((job) -> job.origin().equals(origin));
 		found.ifPresent((job) -> {
 			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "caller-left"), nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 		return found.isPresent();
 	}
@@ -294,7 +197,7 @@
 		abandoned.forEach(
 				(job) -> this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "call-abandoned"), nowMillis));
 		if (!abandoned.isEmpty()) {
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		}
 	}
 
@@ -309,7 +212,7 @@
 			.filter((job) -> job.origin().host().equals(host))
 			.forEach((job) -> this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "entry-host-lost"),
 					nowMillis));
-		dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	/**
@@ -362,9 +265,7 @@
 	 * @return the endpoints and the unanswered jobs that are not durable
 	 */
 	public PoolTransfer transfer(long nowMillis) {
-		return new PoolTransfer(this.endpoints.transfer(),
-				this.jobs.interactiveJobs().stream().map((job) -> this.jobs.transfer(job, nowMillis)).toList(),
-				this.crashLoopGuard.history().all());
+		return this.transferHandler.transfer(nowMillis);
 	}
 
 	/**
@@ -374,52 +275,9 @@
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	public void adopt(PoolTransfer transfer, long nowMillis) {
-		transfer.losses().forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
-		transfer.jobs()
-			.stream()
-			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
-			.forEach((job) -> adopt(job, nowMillis));
-		refuseJobsOfDrainedDomains(nowMillis);
-		dispatch(nowMillis);
-	}
-
-	private void adopt(JobTransfer transfer, long nowMillis) {
-		PooledJob job = new PooledJob(transfer.spec(), transfer.terms(), transfer.origin(), this.nextSequence++,
-				nowMillis - transfer.ageMillis(), this.runTimeEstimator);
-		this.jobs.add(job);
-		this.crashLoopGuard.watch(job, nowMillis);
-		transfer.tasks()
-			.forEach((taskTransfer) -> job.task(taskTransfer.task())
-				.ifPresent((task) -> adopt(job, task, taskTransfer, nowMillis)));
-		if (transfer.tasks().stream().anyMatch(this::isOnUnknownEndpoint)) {
-			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-unknown"), nowMillis);
-			return;
-		}
-		this.jobs.enqueueReady(job, nowMillis);
-	}
-
-	private boolean isOnUnknownEndpoint(TaskTransfer task) {
-		return !task.endpointId().isEmpty() && this.endpoints.find(task.endpointId()).isEmpty();
-	}
-
-	private void adopt(PooledJob job, PooledTask task, TaskTransfer taskTransfer, long nowMillis) {
-		task.adopt(taskTransfer);
-		if (taskTransfer.runCount() > 0) {
-			job.markStarted();
-		}
-		Optional<PooledEndpoint> endpoint = this.endpoints.find(taskTransfer.endpointId());
-		if (taskTransfer.done()) {
-			job.readyTasks().remove(task);
-			job.taskDone(task);
-		}
-		else if (endpoint.isPresent()) {
-			job.readyTasks().remove(task);
-			long startRequestedMillis = nowMillis - taskTransfer.sinceStartRequestedMillis();
-			Placement placement = this.starter.place(task, task.currentRun(), endpoint.get(), startRequestedMillis);
-			if (taskTransfer.accepted()) {
-				placement.accept(startRequestedMillis);
-			}
-		}
+		this.transferHandler.adopt(transfer, nowMillis);
+		this.admission.refuseJobsOfDrainedDomains(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
 	}
 
 	/**
@@ -442,7 +300,7 @@
 	public void startRefused(String endpointId, TaskRun run, StartRefusal refusal, long nowMillis) {
 		this.endpoints.find(endpointId, run).ifPresent((placement) -> {
 			this.runTracker.startRefused(placement, refusal, nowMillis);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
@@ -482,7 +340,7 @@
 			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true, nowMillis);
 			this.runTracker.processReport(endpoint, report, requestedMillis, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
@@ -496,7 +354,7 @@
 		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
 			this.runTracker.loseAll(endpoint, LossCause.LEASE_EXPIRED, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
-			dispatch(nowMillis);
+			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
@@ -508,184 +366,12 @@
 	public void tick(long nowMillis) {
 		this.runTracker.tick(this.endpoints.all(),
 				(placement) -> this.endpoints.hasCapacityElsewhere(placement, nowMillis), nowMillis);
-		cancelExpiredJobs(nowMillis);
+		this.admission.cancelExpiredJobs(nowMillis);
 		this.terminationHandler.restartAfterUncertainty(nowMillis);
 		this.terminationHandler.decideAfterLosses(nowMillis);
-		dispatch(nowMillis);
-		if (!this.startDelay.test(nowMillis)) {
-			this.capacityEstimator.sample(this.endpoints.all(), this.capacityShort, nowMillis);
-		}
-	}
-
-	private void cancelExpiredJobs(long nowMillis) {
-		PoolCapacity capacity = capacity();
-		double remainingMillis = backlogMillis();
-		for (PooledJob job : this.jobs.interactiveJobs()) {
-			double jobMillis = capacity.drainMillis(job.readyWork());
-			boolean expired = nowMillis >= job.deadlineMillis();
-			if (expired && job.isStarted()) {
-				this.jobs.finish(job, new JobOutcome(JobOutcome.Kind.UNCERTAIN, (long) remainingMillis, "deadline"),
-						nowMillis);
-				remainingMillis -= jobMillis;
-			}
-			else if (!job.isStarted()
-					&& (expired || this.admission.shouldCancelWaiting(job, remainingMillis, nowMillis))) {
-				double waitedMillis = nowMillis - job.arrivedMillis();
-				refuse(new Refusal(job, expired ? "deadline" : "waited-in-vain", waitedMillis, remainingMillis),
-						nowMillis);
-				remainingMillis -= jobMillis;
-			}
-		}
-	}
-
-	private void dispatch(long nowMillis) {
-		this.capacityShort = false;
-		if (this.jobs.queue().size() == 0 || this.startDelay.test(nowMillis)) {
-			return;
-		}
-		try {
-			dispatchInOrder(this.admission.isUrgentFirst(nowMillis), nowMillis);
-		}
-		finally {
-			this.urgentReservation.release();
-		}
-	}
-
-	private void dispatchInOrder(boolean urgentFirst, long nowMillis) {
-		PlacementFailures failures = new PlacementFailures(this.endpoints.largestFree(nowMillis));
-		boolean reserved = false;
-		for (PooledJob job : this.jobs.queue().inDispatchOrder(urgentFirst, nowMillis)) {
-			if (!reserved && this.urgentReservation.isNeeded() && !JobQueue.isUrgent(job)) {
-				reserved = true;
-				this.urgentReservation.reserve(this.endpoints, nowMillis);
-				failures.largestFree(this.endpoints.largestFree(nowMillis));
-			}
-			startReady(job, failures, nowMillis);
-			this.capacityShort |= waitsForCapacity(job);
-			if (failures.count() >= MAX_PLACEMENT_FAILURES) {
-				return;
-			}
-			if (!reserved && urgentFirst && job.terms().priority() <= 0 && !job.readyTasks().isEmpty()) {
-				this.urgentReservation.add(job);
-			}
-		}
-	}
-
-	// A task that needs a drained endpoint, or one with a rare label, may wait while most
-	// of the capacity is free.
-	private boolean waitsForCapacity(PooledJob job) {
-		PooledTask task = job.readyTasks().peek();
-		return task != null && task.step().requiredLabel().isEmpty() && !this.endpoints.needsDrainedEndpoint(job);
-	}
-
-	private void startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
-		boolean started = this.starter.startReady(job, failures, nowMillis);
-		if (started) {
-			failures.largestFree(this.endpoints.largestFree(nowMillis));
-		}
-		if (started && !job.isStarted()) {
-			this.jobs.queue().remove(job);
-			job.markStarted();
-			this.admission.started(job, nowMillis);
-			this.jobs.enqueueReady(job, nowMillis);
-		}
-		else if (job.readyTasks().isEmpty()) {
-			this.jobs.queue().remove(job);
-		}
-	}
-
-	/**
-	 * Checks whether a durable job would be admitted.
-	 * @param spec the job
-	 * @param terms the terms of the queue of the job
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the refusal, or empty if the job would be admitted
-	 */
-	public Optional<JobOutcome> checkAdmission(JobSpec spec, JobTerms terms, long nowMillis) {
-		PooledJob job = new PooledJob(spec, terms, JobOrigin.NONE, this.nextSequence, nowMillis, this.runTimeEstimator);
-		Optional<JobOutcome> unplaceable = unplaceable(job);
-		if (unplaceable.isPresent()) {
-			return unplaceable;
-		}
-		if (isTooLate(job, nowMillis)) {
-			return Optional.of(outcome(new Refusal(job, "no-time-left", 0, backlogMillis())));
-		}
-		return refusals(job, nowMillis).stream()
-			.filter((refusal) -> refusal.job() == job)
-			.map((refusal) -> outcome(refusal, nowMillis))
-			.findFirst();
-	}
-
-	/**
-	 * Starts an occurrence of a durable job.
-	 * @param job the job
-	 * @param occurrence the number of the occurrence
-	 * @param storedProgress the progress of its tasks as read from the shared log
-	 * @param suspended whether to start no task until {@link #setSuspended} resumes the
-	 * occurrence
-	 * @param dueMillis when the occurrence was due, in milliseconds
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the scheduled job
-	 */
-	PooledJob startOccurrence(DurableJob job, int occurrence, List<TaskProgress> storedProgress, boolean suspended,
-			long dueMillis, long nowMillis) {
-		PooledJob occurrenceJob = new PooledJob(job.spec(), occurrence, job.terms(), JobOrigin.NONE,
-				this.nextSequence++, dueMillis, this.runTimeEstimator);
-		storedProgress.stream()
-			.flatMap((progress) -> progress.losses().stream())
-			.forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
-		occurrenceJob.restore(storedProgress);
-		this.crashLoopGuard.watch(occurrenceJob, nowMillis);
-		occurrenceJob.setSuspended(suspended);
-		this.jobs.add(occurrenceJob);
-		if (this.crashLoopGuard.isGivenUp(occurrenceJob, nowMillis)) {
-			this.terminationHandler.giveUp(occurrenceJob, nowMillis);
-			return occurrenceJob;
-		}
-		this.jobs.enqueueReady(occurrenceJob, nowMillis);
-		dispatch(nowMillis);
-		return occurrenceJob;
-	}
-
-	/**
-	 * Suspends or resumes a durable job.
-	 * @param job the job
-	 * @param suspended whether no task of the job may start
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	void setSuspended(PooledJob job, boolean suspended, long nowMillis) {
-		job.setSuspended(suspended);
-		if (suspended) {
-			this.jobs.queue().remove(job);
-		}
-		else if (!job.isFinished()) {
-			this.jobs.enqueueReady(job, nowMillis);
-			dispatch(nowMillis);
-		}
-	}
-
-	/**
-	 * Stops the runs of a durable job on endpoints outside a failure domain.
-	 * @param job the job
-	 * @param domain the failure domain whose endpoints continue
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	void stopOutsideDomain(PooledJob job, String domain, long nowMillis) {
-		JobTable.placements(job.allTasks().stream())
-			.filter((placement) -> !placement.endpoint().entry().domain().equals(domain))
-			.forEach((placement) -> this.runTracker.stop(placement, "pool-out-of-reach", nowMillis));
-	}
-
-	/**
-	 * Finishes a durable job and stops its runs. Does nothing if it is finished.
-	 * @param job the job
-	 * @param reason the reason, for the log
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	void abort(PooledJob job, String reason, long nowMillis) {
-		if (!job.isFinished()) {
-			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason), nowMillis);
-			dispatch(nowMillis);
+		this.dispatcher.dispatch(nowMillis);
+		if (!this.dispatcher.isDelayed(nowMillis)) {
+			this.admission.sampleCapacity(this.dispatcher.isCapacityShort(), nowMillis);
 		}
 	}
 
@@ -698,25 +384,6 @@
 		terminationsOf(termination).ifPresent((tracker) -> tracker.recordProcessed(termination.number()));
 	}
 
-	/**
-	 * Records the termination of a run on an endpoint of another owner.
-	 * @param terminatedRun the terminated run
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the job, or empty if the job is unknown or the termination is already
-	 * recorded
-	 */
-	Optional<PooledJob> recordRemoteTermination(TerminatedRun terminatedRun, long nowMillis) {
-		Optional<PooledTask> task = this.terminationHandler.findDurableTask(terminatedRun.run().task())
-			.filter((found) -> terminatedRun.run().number() > found.lastTerminatedRun());
-		task.ifPresent((found) -> {
-			found.recordTermination(terminatedRun.run().number());
-			found.checkpoint(terminatedRun.checkpoint());
-			this.terminationHandler.remoteRunTerminated(found, terminatedRun, nowMillis);
-			dispatch(nowMillis);
-		});
-		return task.map(PooledTask::job);
-	}
-
 	/**
 	 * Allows an endpoint to discard a termination, because it is stored in the shared
 	 * log.
@@ -809,8 +476,8 @@
 	 * @return the load
 	 */
 	public PoolLoad load(long nowMillis) {
-		return new PoolLoad(this.endpoints.totalMillicores(), this.endpoints.freeMillicores(nowMillis), backlogMillis(),
-				this.jobs.count());
+		return new PoolLoad(this.endpoints.totalMillicores(), this.endpoints.freeMillicores(nowMillis),
+				this.admission.backlogMillis(), this.jobs.count());
 	}
 
 }
