Do not take the end of an earlier run for that of the present one

A task of a durable job could run twice at the same time. A run that counts as lapsed or lost is not recorded by number, so its end, which the endpoint lists when it is reached again, was still processed. If the next run of the task was on an endpoint that another owner had taken meanwhile, the owner took this end for that of the next run, stopped waiting for it and started a third run.

Only the end of the run with the highest number now ends that wait; the end of an earlier run still counts as done or failed. theLateEndOfAnEarlierRunDoesNotRestartATaskBesideItsPresentRun failed before (3 starts instead of 2), for ordinary and for long-running tasks.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -251,7 +251,9 @@
 
 	@Override
 	public void remoteRunTerminated(PooledTask task, TerminatedRun terminatedRun, long nowMillis) {
-		boolean wasUncertain = clearUncertain(task);
+		// The end of an earlier run does not tell whether the present one has ended.
+		boolean earlierRun = terminatedRun.run().number() < task.runCount();
+		boolean wasUncertain = !earlierRun && clearUncertain(task);
 		StepTraits traits = task.step().traits();
 		if (task.job().isFinished()) {
 			return;
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.core.process.HostAddress;
 
@@ -454,6 +455,26 @@
 			assertThat(starts().subList(2, 4)).extracting((start) -> start.run().number()).containsOnly(2);
 		}
 
+		// A run counted as lapsed without a listed end; its end was listed after the next
+		// run had started, and a third run was started beside that one.
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void theLateEndOfAnEarlierRunDoesNotRestartATaskBesideItsPresentRun(boolean longRunning) {
+			submitAndStore(job(step(1, 1_000, new StepTraits(false, longRunning, false, false))), 10);
+			RecordedActions.Start first = start(0);
+			String other = first.endpointId().equals("a") ? "b" : "a";
+			report(other, 790);
+			DurableJobsTests.this.scheduler.leaseExpired(first.endpointId(), 800);
+			assertThat(start(1).endpointId()).isEqualTo(other);
+			DurableJobsTests.this.scheduler.endpointRevoked(other, 810);
+			terminate(first, TerminationKind.LAPSED, "", 820);
+			DurableJobsTests.this.scheduler.tick(830);
+			assertThat(starts()).hasSize(2);
+			report(first.endpointId(), 2_815);
+			DurableJobsTests.this.scheduler.tick(2_815);
+			assertThat(starts()).hasSize(3);
+		}
+
 		@Test
 		void terminationsOfUnknownJobsAreNotWritten() {
 			TaskRun run = new TaskRun(new TaskId("other", 0, 0, 0), 1);
