Let leases run out under runs whose pool may have another owner

An owner that has not heard the endpoints of a pool for 500 ms stops the runs of the pool's jobs elsewhere, since the next owner of the pool starts their tasks again 2 s after it has read them. Leases were extended all the same, as only runs of finished jobs kept them from being extended, and these jobs are not finished: a run whose stop was lost went on beside its next one.

Such a run now also keeps the lease of its endpoint from being extended until its stop is confirmed. theLeaseIsNotExtendedUntilTheStopIsConfirmed failed before.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -32,6 +32,8 @@
 
 	private boolean stopping;
 
+	private boolean continuedElsewhere;
+
 	private long stopSentMillis;
 
 	private long stopConfirmedMillis = -1;
@@ -160,12 +162,20 @@
 	}
 
 	/**
-	 * Returns whether the run has to end and may go on: its job is finished, and the
-	 * endpoint has not confirmed the stop.
+	 * Records that another owner may continue the job, so that the run must end.
+	 */
+	void markContinuedElsewhere() {
+		this.continuedElsewhere = true;
+	}
+
+	/**
+	 * Returns whether the run has to end and may go on: its job is finished or may be
+	 * continued by another owner, and the endpoint has not confirmed the stop.
 	 * @return whether its lease must not be extended
 	 */
 	boolean mustEnd() {
-		return this.stopping && this.stopConfirmedMillis < 0 && this.task.job().isFinished();
+		return this.stopping && this.stopConfirmedMillis < 0
+				&& (this.continuedElsewhere || this.task.job().isFinished());
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -664,7 +664,10 @@
 	void stopOutsideDomain(PooledJob job, String domain, long nowMillis) {
 		JobTable.placements(job.allTasks().stream())
 			.filter((placement) -> !placement.endpoint().entry().domain().equals(domain))
-			.forEach((placement) -> this.runTracker.stop(placement, "pool-out-of-reach", nowMillis));
+			.forEach((placement) -> {
+				placement.markContinuedElsewhere();
+				this.runTracker.stop(placement, "pool-out-of-reach", nowMillis);
+			});
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -283,7 +283,7 @@
 	}
 
 	/**
-	 * Returns whether a run of a finished job is here whose stop the endpoint has not
+	 * Returns whether a run is here that has to end and whose stop the endpoint has not
 	 * confirmed.
 	 * @return whether there is one, which only the end of the lease ends for certain
 	 */
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -369,6 +369,35 @@
 
 	}
 
+	@Nested
+	class PoolOutOfReach {
+
+		private RecordedActions.Start startAndLosePool() {
+			DurableJobsTests.this.jobs.submit("pool", job(step(1, 1_000, StepTraits.DEFAULT)), terms(), ORIGIN, at(10));
+			confirmWrites(10);
+			RecordedActions.Start first = start(0);
+			DurableJobsTests.this.runningTasks.get(first.endpointId()).add(new RunningTask(first.run(), 10));
+			report(first.endpointId(), 20);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isTrue();
+			DurableJobsTests.this.jobs.setSuspended("pool", true, at(30));
+			DurableJobsTests.this.jobs.stopOutsideDomain("pool", at(30));
+			return first;
+		}
+
+		// The next owner of the pool starts the task again 2 s after it has read the
+		// jobs.
+		@Test
+		void theLeaseIsNotExtendedUntilTheStopIsConfirmed() {
+			RecordedActions.Start first = startAndLosePool();
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(first.run());
+			report(first.endpointId(), 100);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isFalse();
+			DurableJobsTests.this.scheduler.stopConfirmed(first.endpointId(), first.run(), 120);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isTrue();
+		}
+
+	}
+
 	@Nested
 	class RevokedEndpoints {
 
