Do not take a run for lost whose end may be missing from a full list

An endpoint lists at most 500 terminations at once. Terminations of durable jobs are not acknowledged while the log stores nothing, so in a long outage a list fills up, and later ends on that endpoint are not in it. A run that was accepted and is neither running nor listed as ended counted as lost, and its task was started again, though it had ended as done; that end was listed and acknowledged later.

A report with a full list now proves no loss.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointReport.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointReport.java
@@ -13,4 +13,19 @@
  */
 public record EndpointReport(long startedEpochMillis, long clockMillis, List<RunningTask> runningTasks,
 		List<TerminatedRun> terminatedRuns) {
+
+	/**
+	 * How many terminations an endpoint lists at once, by the platform's contract with
+	 * its endpoints.
+	 */
+	private static final int MAX_LISTED_TERMINATIONS = 500;
+
+	/**
+	 * Returns whether the report lists all terminations that are not acknowledged.
+	 * @return whether no further termination can be missing from the report
+	 */
+	public boolean listsAllTerminations() {
+		return this.terminatedRuns.size() < MAX_LISTED_TERMINATIONS;
+	}
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -114,11 +114,13 @@
 			orphanedCount += processRunning(endpoint, running, writtenMillis, nowMillis) ? 0 : 1;
 		}
 		endpoint.orphanedRunCount(orphanedCount);
-		endpoint.placements()
-			.stream()
-			.filter((placement) -> !runningRuns.contains(placement.run()))
-			.filter((placement) -> isCertainlyLost(placement, requestedMillis))
-			.forEach((placement) -> terminate(placement, TerminationKind.LOST, nowMillis));
+		if (report.listsAllTerminations()) {
+			endpoint.placements()
+				.stream()
+				.filter((placement) -> !runningRuns.contains(placement.run()))
+				.filter((placement) -> isCertainlyLost(placement, requestedMillis))
+				.forEach((placement) -> terminate(placement, TerminationKind.LOST, nowMillis));
+		}
 	}
 
 	private boolean processRunning(PooledEndpoint endpoint, RunningTask running, long writtenMillis, long nowMillis) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -119,7 +120,8 @@
 
 	private void addTermination(String endpointId, TaskRun run, TerminationKind kind, String checkpoint) {
 		List<TerminatedRun> terminations = this.terminatedRuns.get(endpointId);
-		terminations.add(new TerminatedRun(terminations.size() + 1, run, kind, checkpoint));
+		long number = terminations.isEmpty() ? 1 : terminations.get(terminations.size() - 1).number() + 1;
+		terminations.add(new TerminatedRun(number, run, kind, checkpoint));
 	}
 
 	// Forwards the recorded actions of the scheduler to the durable jobs, as the owner of
@@ -369,6 +371,35 @@
 
 	}
 
+	@Nested
+	class LongLists {
+
+		/** As many terminations as an endpoint lists at once. */
+		private static final int MAX_LISTED = 500;
+
+		// While the log stored nothing, an endpoint listed only its first 500
+		// terminations;
+		// a task whose end was not among them was started again.
+		@Test
+		void aRunWhoseEndMayNotBeListedIsNotRestarted() {
+			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 10);
+			RecordedActions.Start first = start(0);
+			DurableJobsTests.this.scheduler.startAccepted(first.endpointId(), first.run(), 20);
+			DurableJobsTests.this.recoveryInProgress = true;
+			IntStream.range(0, MAX_LISTED)
+				.forEach((index) -> addTermination(first.endpointId(), new TaskRun(new TaskId("other", 0, 0, index), 1),
+						TerminationKind.DONE, ""));
+			report(first.endpointId(), 50);
+			assertThat(starts()).hasSize(1);
+			DurableJobsTests.this.terminatedRuns.get(first.endpointId()).remove(0);
+			terminate(first, TerminationKind.DONE, "", 70);
+			confirmWrites(80);
+			assertThat(starts()).hasSize(1);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+	}
+
 	@Nested
 	class PoolOutOfReach {
 
