--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.core.process.HostAddress;
 
@@ -118,7 +120,8 @@
 
 	private void addTermination(String endpointId, TaskRun run, TerminationKind kind, String checkpoint) {
 		List<TerminatedRun> terminations = this.terminatedRuns.get(endpointId);
-		terminations.add(new TerminatedRun(terminations.size() + 1, run, kind, checkpoint));
+		long number = terminations.isEmpty() ? 1 : terminations.get(terminations.size() - 1).number() + 1;
+		terminations.add(new TerminatedRun(number, run, kind, checkpoint));
 	}
 
 	// Forwards the recorded actions of the scheduler to the durable jobs, as the owner of
@@ -368,6 +371,64 @@
 
 	}
 
+	@Nested
+	class LongLists {
+
+		/** As many terminations as an endpoint lists at once. */
+		private static final int MAX_LISTED = 500;
+
+		// While the log stored nothing, an endpoint listed only its first 500
+		// terminations;
+		// a task whose end was not among them was started again.
+		@Test
+		void aRunWhoseEndMayNotBeListedIsNotRestarted() {
+			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 10);
+			RecordedActions.Start first = start(0);
+			DurableJobsTests.this.scheduler.startAccepted(first.endpointId(), first.run(), 20);
+			DurableJobsTests.this.recoveryInProgress = true;
+			IntStream.range(0, MAX_LISTED)
+				.forEach((index) -> addTermination(first.endpointId(), new TaskRun(new TaskId("other", 0, 0, index), 1),
+						TerminationKind.DONE, ""));
+			report(first.endpointId(), 50);
+			assertThat(starts()).hasSize(1);
+			DurableJobsTests.this.terminatedRuns.get(first.endpointId()).remove(0);
+			terminate(first, TerminationKind.DONE, "", 70);
+			confirmWrites(80);
+			assertThat(starts()).hasSize(1);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+	}
+
+	@Nested
+	class PoolOutOfReach {
+
+		private RecordedActions.Start startAndLosePool() {
+			DurableJobsTests.this.jobs.submit("pool", job(step(1, 1_000, StepTraits.DEFAULT)), terms(), ORIGIN, at(10));
+			confirmWrites(10);
+			RecordedActions.Start first = start(0);
+			DurableJobsTests.this.runningTasks.get(first.endpointId()).add(new RunningTask(first.run(), 10));
+			report(first.endpointId(), 20);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isTrue();
+			DurableJobsTests.this.jobs.setSuspended("pool", true, at(30));
+			DurableJobsTests.this.jobs.stopOutsideDomain("pool", at(30));
+			return first;
+		}
+
+		// The next owner of the pool starts the task again 2 s after it has read the
+		// jobs.
+		@Test
+		void theLeaseIsNotExtendedUntilTheStopIsConfirmed() {
+			RecordedActions.Start first = startAndLosePool();
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(first.run());
+			report(first.endpointId(), 100);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isFalse();
+			DurableJobsTests.this.scheduler.stopConfirmed(first.endpointId(), first.run(), 120);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isTrue();
+		}
+
+	}
+
 	@Nested
 	class RevokedEndpoints {
 
@@ -454,6 +515,26 @@
 			assertThat(starts().subList(2, 4)).extracting((start) -> start.run().number()).containsOnly(2);
 		}
 
+		// A run counted as lapsed without a listed end; its end was listed after the next
+		// run had started, and a third run was started beside that one.
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void theLateEndOfAnEarlierRunDoesNotRestartATaskBesideItsPresentRun(boolean longRunning) {
+			submitAndStore(job(step(1, 1_000, new StepTraits(false, longRunning, false, false))), 10);
+			RecordedActions.Start first = start(0);
+			String other = first.endpointId().equals("a") ? "b" : "a";
+			report(other, 790);
+			DurableJobsTests.this.scheduler.leaseExpired(first.endpointId(), 800);
+			assertThat(start(1).endpointId()).isEqualTo(other);
+			DurableJobsTests.this.scheduler.endpointRevoked(other, 810);
+			terminate(first, TerminationKind.LAPSED, "", 820);
+			DurableJobsTests.this.scheduler.tick(830);
+			assertThat(starts()).hasSize(2);
+			report(first.endpointId(), 2_815);
+			DurableJobsTests.this.scheduler.tick(2_815);
+			assertThat(starts()).hasSize(3);
+		}
+
 		@Test
 		void terminationsOfUnknownJobsAreNotWritten() {
 			TaskRun run = new TaskRun(new TaskId("other", 0, 0, 0), 1);
