Keep the runs that a restarted endpoint has accepted

A task could run twice at a time when an endpoint restarted quickly under the same id: a start request that the new incarnation had accepted counted as lost with the previous one, so that the task was started again on another endpoint while the first run was still being stopped as one that was not ordered.

When a restart is noticed, by an entry of the endpoint list or a report, the next report that was requested after it decides: runs that it lists, as running or ended, belong to the new incarnation, and only the others are lost. If no report arrives, the end of the lease decides as before.

aRunOfARestartedEndpointIsNotStartedAgainWhileItIsListed and aRunOfAnEndpointThatIsListedAsRestartedIsNotStartedAgainBeforeItsReport failed before: a second start at once in both.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -485,7 +485,7 @@
 	 */
 	public void leaseExpired(String endpointId, long nowMillis) {
 		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
-			this.runTracker.loseAll(endpoint, LossCause.LEASE_EXPIRED, nowMillis);
+			this.runTracker.leaseExpired(endpoint, nowMillis);
 			this.endpoints.removeIfUnused(endpoint);
 			dispatch(nowMillis);
 		});
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -53,6 +53,8 @@
 
 	private int orphanedRunCount;
 
+	private long restartNoticedMillis = -1;
+
 	private boolean listed = true;
 
 	private boolean drained;
@@ -159,6 +161,22 @@
 		this.clockReportedMillis = -1;
 	}
 
+	/**
+	 * Returns when a restart was noticed after which the endpoint has not reported yet.
+	 * @return the time in milliseconds, or a negative number if there is none
+	 */
+	long restartNoticedMillis() {
+		return this.restartNoticedMillis;
+	}
+
+	void restartNoticed(long nowMillis) {
+		this.restartNoticedMillis = nowMillis;
+	}
+
+	void restartProcessed() {
+		this.restartNoticedMillis = -1;
+	}
+
 	int orphanedRunCount() {
 		return this.orphanedRunCount;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -47,6 +47,14 @@
 		this.jobCallbacks = jobCallbacks;
 	}
 
+	/**
+	 * Records the incarnation of an endpoint. Its next report tells which runs are lost
+	 * with the previous incarnation, as the new one may have accepted the latest start
+	 * requests.
+	 * @param endpoint the endpoint
+	 * @param startedEpochMillis the start time of the incarnation
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
 	void recordIncarnation(PooledEndpoint endpoint, long startedEpochMillis, long nowMillis) {
 		if (startedEpochMillis <= endpoint.startedEpochMillis()) {
 			return;
@@ -56,19 +64,34 @@
 		endpoint.health().restarted();
 		if (startTimeKnown) {
 			this.actions.endpointRestarted(endpoint.entry(), startedEpochMillis);
-			loseAll(endpoint, LossCause.ENDPOINT_RESTARTED, nowMillis);
+			endpoint.restartNoticed(nowMillis);
 		}
 	}
 
+	private void loseRunsOfPreviousIncarnation(PooledEndpoint endpoint, EndpointReport report, long nowMillis) {
+		Set<TaskRun> listedRuns = new HashSet<>();
+		report.runningTasks().forEach((running) -> listedRuns.add(running.run()));
+		report.terminatedRuns().forEach((terminatedRun) -> listedRuns.add(terminatedRun.run()));
+		List<Placement> lost = endpoint.placements()
+			.stream()
+			.filter((placement) -> placement.startRequestedMillis() <= endpoint.restartNoticedMillis())
+			.filter((placement) -> !listedRuns.contains(placement.run()))
+			.toList();
+		endpoint.restartProcessed();
+		lose(endpoint, lost, LossCause.ENDPOINT_RESTARTED, nowMillis);
+	}
+
 	/**
-	 * Terminates all runs of an endpoint that has restarted or whose lease has expired.
+	 * Terminates all runs of an endpoint whose lease has expired.
 	 * @param endpoint the endpoint
-	 * @param cause why its runs are lost
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
-	void loseAll(PooledEndpoint endpoint, LossCause cause, long nowMillis) {
+	void leaseExpired(PooledEndpoint endpoint, long nowMillis) {
+		lose(endpoint, endpoint.placements(), LossCause.LEASE_EXPIRED, nowMillis);
+	}
+
+	private void lose(PooledEndpoint endpoint, List<Placement> placements, LossCause cause, long nowMillis) {
 		TerminationKind kind = (cause == LossCause.LEASE_EXPIRED) ? TerminationKind.LAPSED : TerminationKind.LOST;
-		List<Placement> placements = endpoint.placements();
 		// All losses are recorded before any task is restarted, so that none is taken for
 		// a task without losses.
 		placements.forEach((placement) -> {
@@ -101,6 +124,10 @@
 
 	void processReport(PooledEndpoint endpoint, EndpointReport report, long requestedMillis, long nowMillis) {
 		recordIncarnation(endpoint, report.startedEpochMillis(), nowMillis);
+		if (endpoint.restartNoticedMillis() >= 0 && (endpoint.restartNoticedMillis() == nowMillis
+				|| requestedMillis >= endpoint.restartNoticedMillis())) {
+			loseRunsOfPreviousIncarnation(endpoint, report, nowMillis);
+		}
 		endpoint.recordClock(report.clockMillis(), nowMillis);
 		long writtenMillis = endpoint.writtenMillis(report.clockMillis());
 		report.terminatedRuns()
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -620,6 +620,45 @@
 			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(startCount);
 		}
 
+		private RecordedActions.Start startOnAnEndpointWithAKnownStart() {
+			list("a", 64_000, 100);
+			list("b", 64_000, 100);
+			submit(job("j", step(1, 1_000, 100)), 10);
+			PoolSchedulerTests.this.scheduler.startAccepted(lastStart().endpointId(), lastStart().run(), 12);
+			return lastStart();
+		}
+
+		/**
+		 * A run that the new incarnation had accepted used to count as lost with the
+		 * previous one, so that the task started again beside it.
+		 */
+		@Test
+		void aRunOfARestartedEndpointIsNotStartedAgainWhileItIsListed() {
+			RecordedActions.Start start = startOnAnEndpointWithAKnownStart();
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(),
+					new EndpointReport(200, 20, List.of(new RunningTask(start.run(), 5)), List.of()), 15, 20);
+			PoolSchedulerTests.this.scheduler.tick(30);
+			assertThat(PoolSchedulerTests.this.actions.starts()).containsExactly(start);
+			assertThat(PoolSchedulerTests.this.actions.stops()).isEmpty();
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(), new EndpointReport(200, 40,
+					List.of(), List.of(new TerminatedRun(1, start.run(), TerminationKind.DONE))), 35, 40);
+			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.COMPLETED);
+		}
+
+		/**
+		 * The entry of a restarted endpoint does not tell which incarnation has a run.
+		 */
+		@Test
+		void aRunOfAnEndpointThatIsListedAsRestartedIsNotStartedAgainBeforeItsReport() {
+			RecordedActions.Start start = startOnAnEndpointWithAKnownStart();
+			PoolSchedulerTests.this.scheduler.endpointListed(entry(start.endpointId(), 64_000, true, 200), 20);
+			PoolSchedulerTests.this.scheduler.tick(30);
+			assertThat(PoolSchedulerTests.this.actions.starts()).containsExactly(start);
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(),
+					new EndpointReport(200, 40, List.of(), List.of()), 35, 40);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+		}
+
 		@Test
 		void theLoadContainsTheFreeCapacity() {
 			submit(job("j", step(1, 30_000, 100)), 10);
