Decide on starts requested after a report of a restarted endpoint by its next report

A report that reveals a restart may have been written before the new incarnation accepted a start that was requested meanwhile. Such a run counted as lost with the previous incarnation, and its task started again beside it.

aRunThatWasRequestedAfterTheReportOfARestartedEndpointIsNotStartedAgain failed before (a second start at 20 ms).

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -68,16 +68,22 @@
 		}
 	}
 
-	private void loseRunsOfPreviousIncarnation(PooledEndpoint endpoint, EndpointReport report, long nowMillis) {
+	// A start that was requested after the report may have reached the new incarnation
+	// after it wrote the report; the next report decides on it.
+	private void loseRunsOfPreviousIncarnation(PooledEndpoint endpoint, EndpointReport report, long requestedMillis,
+			long nowMillis) {
+		long lastStartMillis = Math.min(requestedMillis, endpoint.restartNoticedMillis());
 		Set<TaskRun> listedRuns = new HashSet<>();
 		report.runningTasks().forEach((running) -> listedRuns.add(running.run()));
 		report.terminatedRuns().forEach((terminatedRun) -> listedRuns.add(terminatedRun.run()));
 		List<Placement> lost = endpoint.placements()
 			.stream()
-			.filter((placement) -> placement.startRequestedMillis() <= endpoint.restartNoticedMillis())
+			.filter((placement) -> placement.startRequestedMillis() <= lastStartMillis)
 			.filter((placement) -> !listedRuns.contains(placement.run()))
 			.toList();
-		endpoint.restartProcessed();
+		if (requestedMillis >= endpoint.restartNoticedMillis()) {
+			endpoint.restartProcessed();
+		}
 		lose(endpoint, lost, LossCause.ENDPOINT_RESTARTED, nowMillis);
 	}
 
@@ -124,9 +130,8 @@
 
 	void processReport(PooledEndpoint endpoint, EndpointReport report, long requestedMillis, long nowMillis) {
 		recordIncarnation(endpoint, report.startedEpochMillis(), nowMillis);
-		if (endpoint.restartNoticedMillis() >= 0 && (endpoint.restartNoticedMillis() == nowMillis
-				|| requestedMillis >= endpoint.restartNoticedMillis())) {
-			loseRunsOfPreviousIncarnation(endpoint, report, nowMillis);
+		if (endpoint.restartNoticedMillis() >= 0) {
+			loseRunsOfPreviousIncarnation(endpoint, report, requestedMillis, nowMillis);
 		}
 		endpoint.recordClock(report.clockMillis(), nowMillis);
 		long writtenMillis = endpoint.writtenMillis(report.clockMillis());
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -645,6 +645,21 @@
 			assertThat(lastOutcome().kind()).isEqualTo(JobOutcome.Kind.COMPLETED);
 		}
 
+		/**
+		 * A report may have been written before the new incarnation accepted the run.
+		 */
+		@Test
+		void aRunThatWasRequestedAfterTheReportOfARestartedEndpointIsNotStartedAgain() {
+			RecordedActions.Start start = startOnAnEndpointWithAKnownStart();
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(),
+					new EndpointReport(200, 20, List.of(), List.of()), 9, 20);
+			PoolSchedulerTests.this.scheduler.tick(30);
+			assertThat(PoolSchedulerTests.this.actions.starts()).containsExactly(start);
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(),
+					new EndpointReport(200, 40, List.of(), List.of()), 35, 40);
+			assertThat(PoolSchedulerTests.this.actions.starts()).as("not in the next report").hasSize(2);
+		}
+
 		/**
 		 * The entry of a restarted endpoint does not tell which incarnation has a run.
 		 */
