Do not end or start jobs that are being handed over

Callers saw a task run twice at a time: an owner that lost contact with a callers' host while it handed its pools over ended the host's jobs, and told the host so, although the message to the next owner already held them. The host answered 502 and listed no abandoned call, as an owner had ended the job. The next owner, which still heard the host, started the task again and ran it beside the job that the caller submitted 1,300 ms later. The loss of a host also made a scheduling pass, which could start waiting jobs that the next owner starts too.

An owner that hands its pools over now remembers which hosts were lost, and ends their jobs only if it resumes; no pass of its scheduler starts a task. The next owner checks by itself which hosts it hears.

runAloneAfterTheirHostWasNotHeardDuringAHandover failed before: [j1/0/0/0] ran twice at a time. The start by the scheduling pass has no test.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -1,6 +1,7 @@
 package org.masticwick.fleet.process;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -106,6 +107,9 @@
 
 	private boolean frozen;
 
+	/** The callers' hosts that were lost while the pools were being handed over. */
+	private final Set<String> hostsLostWhileFrozen = new HashSet<>();
+
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
 			LossExchange lossExchange, DrainedDomainsHolder drains, Listener listener) {
 		this.eventLoop = eventLoop;
@@ -208,6 +212,8 @@
 	 */
 	void unfreeze() {
 		this.frozen = false;
+		this.hostsLostWhileFrozen.forEach(this::entryHostLost);
+		this.hostsLostWhileFrozen.clear();
 		drainedDomainsChanged();
 		List.copyOf(this.leases.values()).stream().filter((lease) -> !lease.isRenewing()).forEach(this::renew);
 	}
@@ -276,7 +282,17 @@
 		return hasDurableJobs() ? this.durableJobs.unwritableSinceMillis() : -1;
 	}
 
+	/**
+	 * Cancels all jobs of a callers' host that is lost. While pools are handed over, the
+	 * next owner may continue these jobs, so that this one ends them only if the handover
+	 * fails.
+	 * @param peerAddress the peer address of the host
+	 */
 	void entryHostLost(String peerAddress) {
+		if (this.frozen) {
+			this.hostsLostWhileFrozen.add(peerAddress);
+			return;
+		}
 		this.scheduler.entryHostLost(peerAddress, Clock.nowMillis());
 	}
 
@@ -325,7 +341,7 @@
 	}
 
 	private boolean isStartDelayed(long nowMillis) {
-		return nowMillis < this.endpointsAwaitedUntilMillis || this.drains.current().isEmpty()
+		return this.frozen || nowMillis < this.endpointsAwaitedUntilMillis || this.drains.current().isEmpty()
 				|| mayHaveBeenPaused(nowMillis);
 	}
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -178,6 +178,15 @@
 		return this.transports.get(hostName);
 	}
 
+	/**
+	 * Returns the address at which a host receives the messages of its peers.
+	 * @param hostName the name of the host
+	 * @return the address
+	 */
+	HostAddress peerAddress(String hostName) {
+		return this.hosts.get(hostName).settings().peerAddress();
+	}
+
 	void stopGracefully(String hostName) {
 		this.hosts.get(hostName).host().stopGracefully();
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -144,6 +144,22 @@
 			}
 		}
 
+		/** The previous owner used to end a job that the next one continued. */
+		@Test
+		void runAloneAfterTheirHostWasNotHeardDuringAHandover() {
+			startSuccessor();
+			CompletableFuture<HttpReply> first = ResubmittedJobsTests.this.site.submit("host-3", "j1", 1);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.log().delayAppends("host-4", 300);
+			ResubmittedJobsTests.this.site.transport("host-3")
+				.drop(ResubmittedJobsTests.this.site.peerAddress("owner-1"), PeerMessage.HostReport.class::isInstance);
+			pause(330);
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			if (first.join().status() == 502) {
+				assertThatTheSecondSubmissionRunsAlone();
+			}
+		}
+
 	}
 
 }
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
@@ -25,7 +26,7 @@
 
 	private final Set<CompletableFuture<PeerMessage>> pendingCalls = ConcurrentHashMap.newKeySet();
 
-	private volatile Predicate<PeerMessage> dropped = (message) -> false;
+	private volatile BiPredicate<HostAddress, PeerMessage> dropped = (peer, message) -> false;
 
 	/**
 	 * Creates a transport that loses nothing.
@@ -52,7 +53,16 @@
 	 * @param messages tells which messages are dropped from now on
 	 */
 	void drop(Predicate<PeerMessage> messages) {
-		this.dropped = messages;
+		this.dropped = (peer, message) -> messages.test(message);
+	}
+
+	/**
+	 * Drops messages without an answer to one peer.
+	 * @param peer the address of the peer
+	 * @param messages tells which messages are dropped from now on
+	 */
+	void drop(HostAddress peer, Predicate<PeerMessage> messages) {
+		this.dropped = (address, message) -> address.equals(peer) && messages.test(message);
 	}
 
 	@Override
@@ -73,7 +83,7 @@
 
 	@Override
 	public void send(HostAddress peer, PeerMessage message) {
-		if (!this.dropped.test(message)) {
+		if (!this.dropped.test(peer, message)) {
 			this.transport.send(peer, message);
 		}
 	}
