Wait for the first report of callers' hosts after a handover

On a site with an owner for each failure domain, callers at the hosts of other domains got 502 at each handover. Hosts report to their own domain and to owners only, so that a next owner that owned nothing before has never heard them.

It now decides 500 ms after the handover was offered, by when a host that is told of its new owner has reported. A host that died unnoticed just before the offer is found after 500 + 500 + 50 ms for a stop, below the 1,300 ms after which its callers come again.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -263,7 +263,8 @@
 			// Before the claim, as the load that follows it removes those that have left.
 			this.ownership.adoptEndpoints(message.transfer().endpoints());
 		}
-		return this.ownership.claim(message.pools(), Clock.nowMillis())
+		long receivedMillis = Clock.nowMillis();
+		return this.ownership.claim(message.pools(), receivedMillis)
 			.thenCompose((nothing) -> this.transport.call(from, new PeerMessage.ConfirmHandOver(message.offerNumber())))
 			.thenApply((answer) -> {
 				if (!isConfirmed(answer)) {
@@ -274,7 +275,7 @@
 						.log("Previous owner has resumed before the claim; its jobs are not continued here");
 					return answer;
 				}
-				adopt(message.transfer());
+				adopt(message.transfer(), receivedMillis);
 				return new PeerMessage.Acknowledged();
 			});
 	}
@@ -286,7 +287,7 @@
 				&& error.code().equals(PeerErrorCodes.UNKNOWN_MESSAGE);
 	}
 
-	private void adopt(PoolTransfer transfer) {
+	private void adopt(PoolTransfer transfer, long receivedMillis) {
 		logger.atInfo()
 			.addKeyValue("jobs", transfer.jobs().size())
 			.addKeyValue("endpoints", transfer.endpoints().size())
@@ -301,16 +302,16 @@
 			.map(HostAddress::parse)
 			.forEach((entryHost) -> this.peers.expectFrequentReports(entryHost, Clock.nowMillis()));
 		callNumbers.forEach((entryHost, numbers) -> notifyJobsMoved(HostAddress.parse(entryHost), numbers));
-		this.directory.localOwner().ifPresent((owner) -> {
-			owner.adopt(transfer);
-			callNumbers.keySet()
-				.stream()
-				.filter((entryHost) -> isUnreachable(HostAddress.parse(entryHost)))
-				.forEach(owner::entryHostLost);
-		});
+		this.directory.localOwner().ifPresent((owner) -> owner.adopt(transfer));
+		long waitMillis = Math.max(0, receivedMillis + PeerTable.PEER_TIMEOUT_MILLIS - Clock.nowMillis());
+		this.eventLoop.schedule(() -> callNumbers.keySet()
+			.stream()
+			.filter((entryHost) -> isUnreachable(HostAddress.parse(entryHost)))
+			.forEach(this.ownership::entryHostLost), waitMillis, TimeUnit.MILLISECONDS);
 	}
 
-	// The loss of a callers' host is reported once, which was before its jobs came here.
+	// The loss of a callers' host is reported once, which may have been before its jobs
+	// came here. A host that reports to owners only has yet to send its first report.
 	private boolean isUnreachable(HostAddress entryHost) {
 		return !entryHost.equals(this.self.peerAddress()) && !this.peers.isReachable(entryHost, Clock.nowMillis());
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -66,6 +66,13 @@
 		Awaitility.await().pollDelay(Duration.ofMillis(millis)).atMost(TIMEOUT).until(() -> true);
 	}
 
+	private void startHostWithoutOwnCapacity() {
+		this.site.listEndpoint("e2", "d2", false);
+		this.site.start("host-5", "d2", PROCESSOR_MILLICORES);
+		awaitReady("host-5");
+		pause(1_000);
+	}
+
 	private void assertThatTheSecondSubmissionRunsAlone() {
 		pause(RESUBMISSION_MILLIS);
 		CompletableFuture<HttpReply> second = this.site.submit("owner-2", "j1", 1);
@@ -160,6 +167,18 @@
 			}
 		}
 
+		/** The next owner used to cancel the jobs of hosts that report to owners only. */
+		@Test
+		void goOnAfterAHandoverThatTheirHostTakesNoPartIn() {
+			startSuccessor();
+			startHostWithoutOwnCapacity();
+			CompletableFuture<HttpReply> first = ResubmittedJobsTests.this.site.submit("host-5", "j1", 1);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			assertThat(first.join().status()).isEqualTo(200);
+			assertThat(ResubmittedJobsTests.this.site.endpoints().startCount()).isEqualTo(1);
+		}
+
 	}
 
 }
