Route no job that was read after a pause before its caller's departure is known

Callers saw a task run twice at a time: a host that had been paused for 3 s read a request whose caller had left and come again elsewhere, and sent the job to an owner. It read the end of the connection right after that and cancelled the job, but the owner had started it; its stop was requested 12 ms later.

Durable jobs, which are assigned to one pool, are not delayed.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -288,6 +288,7 @@
 
 	private void tick() {
 		long nowMillis = Clock.nowMillis();
+		this.router.tick();
 		cancelOwnAbandonedCalls(nowMillis);
 		this.peers.pollLostPeers(nowMillis).forEach(this::peerLost);
 		this.ownership.tick();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -20,6 +20,7 @@
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.JobTerms;
+import org.masticwick.core.pool.PauseGuard;
 import org.masticwick.core.pool.PoolSelector;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.CallException;
@@ -87,6 +88,8 @@
 
 	private boolean durableJobsSeen;
 
+	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), System.currentTimeMillis());
+
 	JobRouter(EventLoop eventLoop, MemberRecord self, List<String> domains, PoolDirectory directory,
 			CallerFormat format, FleetMetrics metrics) {
 		this.domains = domains;
@@ -138,11 +141,24 @@
 		submit(routed);
 	}
 
+	/**
+	 * Records that the periodic work runs.
+	 */
+	void tick() {
+		this.pauseGuard.tick(Clock.nowMillis(), System.currentTimeMillis());
+	}
+
+	// If this process was paused, the caller may have left meanwhile, which is read after
+	// its request.
 	private void submit(RoutedJob routed) {
 		if (!this.pendingJobs.containsKey(routed.callNumber)) {
 			return;
 		}
 		long nowMillis = Clock.nowMillis();
+		if (!routed.job.durable() && this.pauseGuard.delaysStarts(nowMillis, System.currentTimeMillis())) {
+			this.eventLoop.schedule(() -> submit(routed), OWNER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		List<PoolSelector.Candidate> candidates = candidates(routed, nowMillis);
 		Optional<PoolSelector.Candidate> chosen = this.poolSelector.select(candidates, routed.peakMillicores(),
 				routed.triedPools);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -187,6 +187,23 @@
 		return this.hosts.get(hostName).settings().peerAddress();
 	}
 
+	/**
+	 * Pauses a host as a frozen process is: the kernel goes on to accept its connections
+	 * and to receive its data.
+	 * @param hostName the name of the host
+	 * @param millis for how long, in milliseconds
+	 */
+	void pause(String hostName, long millis) {
+		this.hosts.get(hostName).loops().execute(() -> {
+			try {
+				TimeUnit.MILLISECONDS.sleep(millis);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+	}
+
 	void stopGracefully(String hostName) {
 		this.hosts.get(hostName).host().stopGracefully();
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -181,4 +181,19 @@
 
 	}
 
+	@Nested
+	class WhoseHostIsPaused {
+
+		private static final long PAUSE_MILLIS = 3_000;
+
+		/** A host used to send on a job whose caller had left during its pause. */
+		@Test
+		void runAloneAfterTheirFirstHostWasPaused() {
+			ResubmittedJobsTests.this.site.pause("host-3", PAUSE_MILLIS);
+			ResubmittedJobsTests.this.site.submitAndDisconnect("host-3", "j1", 400).join();
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
+	}
+
 }
