Accept no job that an owner reads after it was paused

Callers saw a task run twice at a time: an owner that had been paused for 3 s, the only host of its domain, read a job that was sent to it during the pause, and started it when the 200 ms of the pause guard had passed. Its caller had come again at another owner meanwhile. The guard relies on a report of the callers' host within these 200 ms, but hosts report every 375 ms to an owner that runs none of their jobs, and a host that is paused or without power reports nothing.

An owner that may have been paused now answers that it is not the owner. A host that still waits sends the job again 40 ms later, and refuses it after 900 ms; nothing was started before, as starts were delayed for the same time.

runAloneAfterTheirOwnerWasPaused failed before: the start was requested 201 ms after the end of the pause and the stop 301 ms later, beside the second run.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -481,8 +481,10 @@
 		Optional<PoolOwner> owner = this.directory.localOwnerOf(submission.pool())
 			.filter((localOwner) -> !localOwner.isFrozen());
 		if (owner.isEmpty()) {
-			return CompletableFuture
-				.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "not-the-owner")));
+			return notAccepted("not-the-owner");
+		}
+		if (owner.get().mayHaveBeenPaused(Clock.nowMillis())) {
+			return notAccepted("submission-outdated");
 		}
 		this.peers.recordCall(from, Clock.nowMillis());
 		this.reporter.recordSharedWork(from, Clock.nowMillis());
@@ -493,6 +495,11 @@
 		return answer;
 	}
 
+	private static CompletionStage<PeerMessage> notAccepted(String reason) {
+		return CompletableFuture
+			.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, reason)));
+	}
+
 	// Only an owner that had the job confirms its end; one that hands it over, or has not
 	// received it yet, learns of the cancellation from the next report.
 	private PeerMessage cancelForPeer(HostAddress from, PeerMessage.CancelJob cancel) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -345,7 +345,13 @@
 				|| mayHaveBeenPaused(nowMillis);
 	}
 
-	private boolean mayHaveBeenPaused(long nowMillis) {
+	/**
+	 * Returns whether this process was paused until a moment ago, so that a message that
+	 * is read now may have been sent before.
+	 * @param nowMillis the time in milliseconds
+	 * @return whether it may have been paused
+	 */
+	boolean mayHaveBeenPaused(long nowMillis) {
 		return this.pauseGuard.delaysStarts(nowMillis, System.currentTimeMillis());
 	}
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -186,6 +186,20 @@
 
 		private static final long PAUSE_MILLIS = 3_000;
 
+		/** The owner used to start a job that it read after it had been paused. */
+		@Test
+		void runAloneAfterTheirOwnerWasPaused() {
+			startHostWithoutOwnCapacity();
+			ResubmittedJobsTests.this.site.kill("host-3");
+			ResubmittedJobsTests.this.site.pause("owner-1", PAUSE_MILLIS);
+			CompletableFuture<Void> first = ResubmittedJobsTests.this.site.submitAndDisconnect("host-5", "j1", 400);
+			ResubmittedJobsTests.this.site.listEndpoint("e2", "d2", true);
+			pause(100);
+			ResubmittedJobsTests.this.site.pause("host-5", 2 * PAUSE_MILLIS);
+			first.join();
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
 		/** A host used to send on a job whose caller had left during its pause. */
 		@Test
 		void runAloneAfterTheirFirstHostWasPaused() {
