--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -288,6 +288,7 @@
 
 	private void tick() {
 		long nowMillis = Clock.nowMillis();
+		this.router.tick();
 		cancelOwnAbandonedCalls(nowMillis);
 		this.peers.pollLostPeers(nowMillis).forEach(this::peerLost);
 		this.ownership.tick();
@@ -483,8 +484,10 @@
 		Optional<PoolOwner> owner = this.directory.localOwnerOf(submission.pool())
 			.filter((localOwner) -> !localOwner.isFrozen());
 		if (owner.isEmpty()) {
-			return CompletableFuture
-				.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "not-the-owner")));
+			return notAccepted("not-the-owner");
+		}
+		if (owner.get().mayHaveBeenPaused(Clock.nowMillis())) {
+			return notAccepted("submission-outdated");
 		}
 		Optional<String> spilledTo = owner.get().spilledTo(submission.job().jobId());
 		if (spilledTo.isPresent()) {
@@ -507,6 +510,11 @@
 			.orElse(new PeerMessage.ErrorAnswer("not-the-owner", "This host does not own the pool of the sender"));
 	}
 
+	private static CompletionStage<PeerMessage> notAccepted(String reason) {
+		return CompletableFuture
+			.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, reason)));
+	}
+
 	// Only an owner that had the job confirms its end; one that hands it over, or has not
 	// received it yet, learns of the cancellation from the next report.
 	private PeerMessage cancelForPeer(HostAddress from, PeerMessage.CancelJob cancel) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -50,6 +50,13 @@
 		Awaitility.await().pollDelay(Duration.ofMillis(millis)).atMost(TIMEOUT).until(() -> true);
 	}
 
+	private void startHostWithoutOwnCapacity() {
+		this.site.listEndpoint("e2", "d2", false);
+		this.site.start("host-5", "d2", PROCESSOR_MILLICORES);
+		awaitReady("host-5");
+		pause(1_000);
+	}
+
 	private void assertThatTheSecondSubmissionRunsAlone() {
 		pause(RESUBMISSION_MILLIS);
 		CompletableFuture<HttpReply> second = this.site.submit("owner-2", "j1", 1);
@@ -128,6 +135,63 @@
 			}
 		}
 
+		/** The previous owner used to end a job that the next one continued. */
+		@Test
+		void runAloneAfterTheirHostWasNotHeardDuringAHandover() {
+			startSuccessor();
+			CompletableFuture<HttpReply> first = ResubmittedJobsTests.this.site.submit("host-3", "j1", 1);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.log().delayAppends("host-4", 300);
+			ResubmittedJobsTests.this.site.transport("host-3")
+				.drop(ResubmittedJobsTests.this.site.peerAddress("owner-1"), PeerMessage.HostReport.class::isInstance);
+			pause(330);
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			if (first.join().status() == 502) {
+				assertThatTheSecondSubmissionRunsAlone();
+			}
+		}
+
+		/** The next owner used to cancel the jobs of hosts that report to owners only. */
+		@Test
+		void goOnAfterAHandoverThatTheirHostTakesNoPartIn() {
+			startSuccessor();
+			startHostWithoutOwnCapacity();
+			CompletableFuture<HttpReply> first = ResubmittedJobsTests.this.site.submit("host-5", "j1", 1);
+			awaitFirstRun();
+			ResubmittedJobsTests.this.site.stopGracefully("owner-1");
+			assertThat(first.join().status()).isEqualTo(200);
+			assertThat(ResubmittedJobsTests.this.site.endpoints().startCount()).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class WhoseHostIsPaused {
+
+		private static final long PAUSE_MILLIS = 3_000;
+
+		/** The owner used to start a job that it read after it had been paused. */
+		@Test
+		void runAloneAfterTheirOwnerWasPaused() {
+			startHostWithoutOwnCapacity();
+			ResubmittedJobsTests.this.site.kill("host-3");
+			ResubmittedJobsTests.this.site.pause("owner-1", PAUSE_MILLIS);
+			CompletableFuture<Void> first = ResubmittedJobsTests.this.site.submitAndDisconnect("host-5", "j1", 400);
+			ResubmittedJobsTests.this.site.listEndpoint("e2", "d2", true);
+			pause(100);
+			ResubmittedJobsTests.this.site.pause("host-5", 2 * PAUSE_MILLIS);
+			first.join();
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
+		/** A host used to send on a job whose caller had left during its pause. */
+		@Test
+		void runAloneAfterTheirFirstHostWasPaused() {
+			ResubmittedJobsTests.this.site.pause("host-3", PAUSE_MILLIS);
+			ResubmittedJobsTests.this.site.submitAndDisconnect("host-3", "j1", 400).join();
+			assertThatTheSecondSubmissionRunsAlone();
+		}
+
 	}
 
 }
