Start no kept task before the endpoints of a freshly loaded list were heard

Tasks of durable jobs ran again after their owner was lost, although their run was going on or had ended as done. The next owner starts kept tasks once all endpoints that it knows have reported since it read the jobs. A host that owns nothing loads the endpoint list every 30 s only, and once more when it becomes an owner. If the jobs were read first, the endpoints that it already knew sufficed; those that the list then added were not waited for, and their runs were started again some 10 ms before they reported.

All endpoints now count as heard only when the list was loaded by the owner; without a list the 2 s remain, in which all leases of the previous owner end. nextOwnerStartsNoTaskThatRunsOnAnEndpointThatIsNewToIt failed before (both tasks started again on e1, 9 ms after the list was loaded and 3 ms before e5 reported their ends).

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -429,8 +429,9 @@
 		boolean mayHaveUnknownJobs();
 
 		/**
-		 * Returns whether this host owns all pools of the site and all their endpoints
-		 * have reported since a time, so that no unknown run can be running.
+		 * Returns whether this host owns all pools of the site, has loaded the endpoint
+		 * list as their owner, and all endpoints have reported since a time, so that no
+		 * unknown run can be running.
 		 * @param sinceMillis the time in milliseconds
 		 * @return whether all have reported
 		 */
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -104,6 +104,8 @@
 
 	private long endpointsAwaitedUntilMillis = Clock.nowMillis() + MAX_ENDPOINT_LOAD_MILLIS;
 
+	private boolean endpointsLoaded;
+
 	private boolean frozen;
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
@@ -321,6 +323,7 @@
 	 * have shrunk, and endpoints may be leaving, without this owner's knowledge.
 	 */
 	void endpointsLoaded() {
+		this.endpointsLoaded = true;
 		this.endpointsAwaitedUntilMillis = Long.MIN_VALUE / 2;
 	}
 
@@ -717,9 +720,10 @@
 
 		@Override
 		public boolean allEndpointsContactedSince(long sinceMillis) {
-			return PoolOwner.this.claims.size() == PoolOwner.this.siteDomainCount && PoolOwner.this.leases.values()
-				.stream()
-				.allMatch((lease) -> lease.lastContactMillis() > sinceMillis);
+			return PoolOwner.this.endpointsLoaded && PoolOwner.this.claims.size() == PoolOwner.this.siteDomainCount
+					&& PoolOwner.this.leases.values()
+						.stream()
+						.allMatch((lease) -> lease.lastContactMillis() > sinceMillis);
 		}
 
 		@Override
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
@@ -137,6 +137,41 @@
 			assertNoTaskRanTwice();
 		}
 
+		// An endpoint that had registered after the next owner last loaded the list was
+		// not
+		// asked for its runs, and their tasks were started again.
+		@Test
+		void nextOwnerStartsNoTaskThatRunsOnAnEndpointThatIsNewToIt() {
+			FleetSite site = DurableHostTests.this.site;
+			site.start("host-4", "d1");
+			awaitReady("host-4");
+			List<String> standbys = List.of("host-2", "host-3", "host-4");
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.until(() -> standbys.stream().allMatch((name) -> site.log().endpointLoadCount(name) >= 2));
+			startJobOnANewEndpoint("e5");
+			standbys.forEach((name) -> site.log().delayEndpointLoads(name, 150));
+			site.kill("host-1");
+			awaitStatus("host-3", "j1", "COMPLETED");
+			assertNoTaskRanTwice();
+		}
+
+		private void startJobOnANewEndpoint(String endpointId) {
+			FleetSite site = DurableHostTests.this.site;
+			resizeUsualEndpoints(500);
+			site.listEndpoint(endpointId, "d1", true);
+			Awaitility.await().atMost(TIMEOUT).until(() -> site.endpoints().renewalCount(endpointId) > 0);
+			assertThat(submit("host-2", "j1", 2)).isEqualTo("200 PENDING");
+			Awaitility.await().atMost(TIMEOUT).until(() -> site.endpoints().startCount(endpointId) == 2);
+			resizeUsualEndpoints(8_000);
+		}
+
+		private void resizeUsualEndpoints(long cpuMillicores) {
+			FleetSite site = DurableHostTests.this.site;
+			List.of("e1", "e2").forEach((id) -> site.listEndpoint(id, "d1", cpuMillicores));
+			List.of("e3", "e4").forEach((id) -> site.listEndpoint(id, "d2", cpuMillicores));
+		}
+
 		@Test
 		void lossOfAllHostsLosesNoJob() {
 			List<String> jobIds = submitJobs(6);
