Stop runs of unknown jobs of other owners' pools at once

A task of a durable job could run twice at the same time where a pool had a new owner of its own, such as the standby of a failure domain that was cut off. The owner of the job counted the run there as lapsed 763 ms after its last renewal and started the task again on an endpoint of its own. The new owner meanwhile extended the lease of all runs of unknown jobs for up to 1 s, to find out whether they were durable jobs of its pool that it still had to read. It takes over 450 ms after a broken connection at the earliest, so before the lapse.

A run of an unknown job is now kept only if its job is assigned to a pool of this owner, which it will read. Other runs are stopped at once and keep the lease from being extended, so that the bound of 763 ms holds again. stopsRunsOfJobsThatItWillNotRead failed before. That a host takes over before the lapse is derived from ClaimRule, not played.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -777,7 +777,7 @@
 	 */
 	public boolean isBusy(String endpointId) {
 		return this.endpoints.find(endpointId)
-			.filter((endpoint) -> endpoint.placementCount() + endpoint.orphanedRunCount() > 0)
+			.filter(PooledEndpoint::isBusy)
 			.isPresent();
 	}
 
@@ -791,9 +791,11 @@
 	 */
 	public boolean mayExtendLease(String endpointId) {
 		return this.endpoints.find(endpointId)
-			.filter((endpoint) -> endpoint.placementCount() + endpoint.orphanedRunCount() > 0)
+			.filter(PooledEndpoint::isBusy)
 			.filter((endpoint) -> !endpoint.hasRunToEnd())
-			.filter((endpoint) -> endpoint.orphanedRunCount() == 0 || this.terminationHandler.isRecoveryInProgress())
+			.filter((endpoint) -> endpoint.orphanedJobIds()
+				.stream()
+				.allMatch(this.terminationHandler::isRecoveryInProgress))
 			.isPresent();
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * An endpoint of a pool with the runs that the owner has started on it.
@@ -51,7 +52,7 @@
 
 	private int backfillCount;
 
-	private int orphanedRunCount;
+	private Set<String> orphanedJobIds = Set.of();
 
 	private boolean listed = true;
 
@@ -155,16 +156,30 @@
 	void restarted(long newStartedEpochMillis) {
 		this.startedEpochMillis = newStartedEpochMillis;
 		this.terminations = new TerminationTracker();
-		this.orphanedRunCount = 0;
+		this.orphanedJobIds = Set.of();
 		this.clockReportedMillis = -1;
 	}
 
-	int orphanedRunCount() {
-		return this.orphanedRunCount;
+	/**
+	 * Returns the jobs of the runs on this endpoint that this owner neither started nor
+	 * adopted.
+	 * @return the ids of the jobs
+	 */
+	Set<String> orphanedJobIds() {
+		return this.orphanedJobIds;
+	}
+
+	void orphanedJobIds(Set<String> jobIds) {
+		this.orphanedJobIds = Set.copyOf(jobIds);
 	}
 
-	void orphanedRunCount(int count) {
-		this.orphanedRunCount = count;
+	/**
+	 * Returns whether there are runs that may not have terminated, orphaned ones
+	 * included.
+	 * @return whether the endpoint is busy
+	 */
+	boolean isBusy() {
+		return !this.placements.isEmpty() || !this.orphanedJobIds.isEmpty();
 	}
 
 	/**
@@ -276,7 +291,7 @@
 	 * @return whether it accepts a task
 	 */
 	boolean acceptsTasks(long nowMillis, long responseTimeoutMillis) {
-		return this.listed && !this.drained && this.entry.ready() && this.orphanedRunCount == 0
+		return this.listed && !this.drained && this.entry.ready() && this.orphanedJobIds.isEmpty()
 				&& nowMillis >= this.pausedUntilMillis && nowMillis - this.lastContactMillis <= responseTimeoutMillis
 				&& !isIsolated(nowMillis) && this.health.acceptsTask(this.placements.size(), nowMillis)
 				&& !hasRunToEnd();
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RecoveryStatus.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RecoveryStatus.java
@@ -14,7 +14,7 @@
 		}
 
 		@Override
-		public boolean isInProgress() {
+		public boolean isInProgress(String jobId) {
 			return false;
 		}
 
@@ -28,10 +28,11 @@
 	boolean mayBeUnread(String jobId);
 
 	/**
-	 * Returns whether the remaining jobs will be read soon, so that unknown runs are not
+	 * Returns whether this host will read an unknown job soon, so that its runs are not
 	 * stopped until then.
-	 * @return whether reading is in progress
+	 * @param jobId the id of the job
+	 * @return whether reading the jobs of its pool is in progress here
 	 */
-	boolean isInProgress();
+	boolean isInProgress(String jobId);
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -107,13 +107,15 @@
 			.stream()
 			.filter((terminatedRun) -> endpoint.terminations().isUnprocessed(terminatedRun.number()))
 			.forEach((terminatedRun) -> processTerminated(endpoint, terminatedRun, nowMillis));
-		int orphanedCount = 0;
+		Set<String> orphanedJobIds = new HashSet<>();
 		Set<TaskRun> runningRuns = new HashSet<>();
 		for (RunningTask running : report.runningTasks()) {
 			runningRuns.add(running.run());
-			orphanedCount += processRunning(endpoint, running, writtenMillis, nowMillis) ? 0 : 1;
+			if (!processRunning(endpoint, running, writtenMillis, nowMillis)) {
+				orphanedJobIds.add(running.run().task().jobId());
+			}
 		}
-		endpoint.orphanedRunCount(orphanedCount);
+		endpoint.orphanedJobIds(orphanedJobIds);
 		if (report.listsAllTerminations()) {
 			endpoint.placements()
 				.stream()
@@ -131,7 +133,7 @@
 			found.recordProgress(running.progressPercent(), writtenMillis);
 			found.task().checkpoint(running.checkpoint());
 		});
-		if (placement.isEmpty() && !this.jobCallbacks.isRecoveryInProgress()) {
+		if (placement.isEmpty() && !this.jobCallbacks.isRecoveryInProgress(running.run().task().jobId())) {
 			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
 		}
 		return placement.isPresent();
@@ -323,11 +325,12 @@
 		boolean mayBeUnread(String jobId);
 
 		/**
-		 * Returns whether unknown runs should continue, because their jobs will be read
-		 * soon.
-		 * @return whether unknown runs should continue
+		 * Returns whether the runs of an unknown job should continue, because this host
+		 * will read the job soon.
+		 * @param jobId the id of the job
+		 * @return whether its runs should continue
 		 */
-		boolean isRecoveryInProgress();
+		boolean isRecoveryInProgress(String jobId);
 
 		/**
 		 * Adopts a run that a previous owner started.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -288,8 +288,8 @@
 	}
 
 	@Override
-	public boolean isRecoveryInProgress() {
-		return this.recoveryStatus.isInProgress();
+	public boolean isRecoveryInProgress(String jobId) {
+		return this.recoveryStatus.isInProgress(jobId);
 	}
 
 	@Override
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -29,6 +29,9 @@
 
 	private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
+	/** A job of a pool that another host owns. */
+	private static final String JOB_OF_ANOTHER_OWNER = "elsewhere";
+
 	private final RecordedActions actions = new RecordedActions();
 
 	private final RecordedJobActions jobActions = new RecordedJobActions();
@@ -53,8 +56,8 @@
 			}
 
 			@Override
-			public boolean isInProgress() {
-				return DurableJobsTests.this.recoveryInProgress;
+			public boolean isInProgress(String jobId) {
+				return DurableJobsTests.this.recoveryInProgress && !jobId.equals(JOB_OF_ANOTHER_OWNER);
 			}
 
 		});
@@ -361,6 +364,28 @@
 			assertThat(starts()).extracting((start) -> start.run().task().step()).containsOnly(0);
 		}
 
+		// The owner of the job counts its run as lapsed after the longest lease, while a
+		// standby that had taken the endpoint kept the run going for a second.
+		@Test
+		void stopsRunsOfJobsThatItWillNotRead() {
+			TaskRun run = new TaskRun(new TaskId(JOB_OF_ANOTHER_OWNER, 0, 0, 0), 2);
+			DurableJobsTests.this.recoveryInProgress = true;
+			DurableJobsTests.this.runningTasks.get("a").add(new RunningTask(run, 40));
+			report("a", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(run);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease("a")).isFalse();
+		}
+
+		@Test
+		void keepsRunsOfJobsThatItWillReadSoon() {
+			TaskRun run = new TaskRun(new TaskId("j", 0, 0, 0), 2);
+			DurableJobsTests.this.recoveryInProgress = true;
+			DurableJobsTests.this.runningTasks.get("a").add(new RunningTask(run, 40));
+			report("a", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).isEmpty();
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease("a")).isTrue();
+		}
+
 		@Test
 		void removingAPoolStopsItsRuns() {
 			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 10);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -141,13 +140,11 @@
 	}
 
 	@Override
-	public boolean isInProgress() {
-		long sinceMillis = Clock.nowMillis() - UNREAD_LIMIT_MILLIS;
-		return unreadPools().anyMatch((pool) -> pool.claimedMillis > sinceMillis) && this.listener.mayHaveUnknownJobs();
-	}
-
-	private Stream<PoolState> unreadPools() {
-		return this.pools.values().stream().filter((pool) -> !pool.journal.isLoaded());
+	public boolean isInProgress(String jobId) {
+		PoolState assignedPool = this.pools.get(AssignedPool.of(jobId, this.domains));
+		return assignedPool != null && !assignedPool.journal.isLoaded()
+				&& Clock.nowMillis() - assignedPool.claimedMillis < UNREAD_LIMIT_MILLIS
+				&& this.listener.mayHaveUnknownJobs();
 	}
 
 	/**
