Forward ends of runs whose pool was lost before they were stored

An owner that lost a pool but kept others dropped the pool's jobs, and with them the ends of their runs that were not stored yet, or were listed later on endpoints that it kept. They were never forwarded: the next owner of the pool started tasks again that were done, and the endpoint was told to keep these ends for good, and all that followed them. When the pool came back, the end of a run from before was taken for one of the dropped job; the task of the recovered job was started again.

A dropped job now counts as released. The ends of its runs are unresolved like those of any job of another owner: they are forwarded until that owner has recorded them, or count for the recovered job if the pool is back. theNextOwnerIsToldOfAnEndThatWasNotStored, theNextOwnerIsToldOfAnEndAfterTheRemoval and anEndAfterTheReturnOfThePoolCountsForTheJob failed before.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -181,7 +181,10 @@
 	 */
 	public void runTerminated(PooledJob job, TerminationId termination, Timestamp time) {
 		Entry entry = this.entries.get(job.spec().jobId());
-		if (entry != null) {
+		if (entry == null) {
+			this.scheduler.forwardTermination(termination, time.nowMillis());
+		}
+		else {
 			entry.pendingTerminations.add(new PendingTermination(entry.revision + 1, termination));
 			writeProgress(entry, entry.state, time);
 		}
@@ -334,7 +337,8 @@
 	}
 
 	/**
-	 * Removes the jobs of a pool that has another owner, and stops their runs.
+	 * Removes the jobs of a pool that has another owner, and stops their runs. Ends of
+	 * their runs that are not stored are forwarded to that owner.
 	 * @param pool the pool
 	 * @param time the current time
 	 */
@@ -343,7 +347,9 @@
 			this.entries.remove(entry.jobId());
 			entry.waitingOrigins.forEach((origin) -> this.actions.answer(origin, entry.jobId(),
 					JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-changed")));
-			abortOccurrences(entry, "owner-changed", time);
+			entry.occurrences.values().forEach((job) -> this.scheduler.release(job, time.nowMillis()));
+			entry.pendingTerminations
+				.forEach((pending) -> this.scheduler.forwardTermination(pending.termination(), time.nowMillis()));
 		});
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -683,6 +683,26 @@
 		}
 	}
 
+	/**
+	 * Stops the runs of a durable job that has another owner. Terminations of its runs
+	 * are forwarded to that owner from now on.
+	 * @param job the job
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void release(PooledJob job, long nowMillis) {
+		job.markReleased();
+		abort(job, "owner-changed", nowMillis);
+	}
+
+	/**
+	 * Forwards a termination that was to be stored here to the present owner of its job.
+	 * @param termination the termination
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void forwardTermination(TerminationId termination, long nowMillis) {
+		terminationsOf(termination).ifPresent((tracker) -> tracker.recordUnresolved(termination.number(), nowMillis));
+	}
+
 	/**
 	 * Allows an endpoint to discard an orphaned termination, because the owner of the job
 	 * has recorded it.
@@ -776,9 +796,7 @@
 	 * @return whether it is busy
 	 */
 	public boolean isBusy(String endpointId) {
-		return this.endpoints.find(endpointId)
-			.filter(PooledEndpoint::isBusy)
-			.isPresent();
+		return this.endpoints.find(endpointId).filter(PooledEndpoint::isBusy).isPresent();
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -57,6 +57,8 @@
 
 	private boolean kept;
 
+	private boolean released;
+
 	PooledJob(JobSpec spec, JobTerms terms, JobOrigin origin, long sequence, long arrivedMillis,
 			RunTimeEstimator runTimeEstimator) {
 		this(spec, 0, terms, origin, sequence, arrivedMillis, runTimeEstimator);
@@ -312,6 +314,19 @@
 		this.readyTasks.clear();
 	}
 
+	/**
+	 * Returns whether the job belongs to another owner, so that the ends of its runs here
+	 * are to be forwarded to that one.
+	 * @return whether it was released
+	 */
+	boolean isReleased() {
+		return this.released;
+	}
+
+	void markReleased() {
+		this.released = true;
+	}
+
 	int placementCount() {
 		return this.placementCount;
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -159,16 +159,18 @@
 
 	private void processTerminated(PooledEndpoint endpoint, TerminatedRun terminatedRun, long nowMillis) {
 		Optional<Placement> placement = endpoint.placement(terminatedRun.run());
-		Optional<PooledTask> durableTask = placement.map(Placement::task)
+		Optional<Placement> ownPlacement = placement.filter((found) -> !found.task().job().isReleased());
+		Optional<PooledTask> durableTask = ownPlacement.map(Placement::task)
 			.filter((task) -> task.job().spec().durable())
 			.or(() -> this.jobCallbacks.findDurableTask(terminatedRun.run().task()));
-		if (placement.isEmpty() && durableTask.isEmpty()
+		if (ownPlacement.isEmpty() && durableTask.isEmpty()
 				&& this.jobCallbacks.mayBeUnread(terminatedRun.run().task().jobId())
 				&& endpoint.terminations().mayDefer(terminatedRun.number(), nowMillis)) {
 			endpoint.terminations().recordUnresolved(terminatedRun.number(), nowMillis);
 			if (endpoint.terminations().shouldForward(terminatedRun.number(), nowMillis)) {
 				this.actions.orphanedRunTerminated(terminationId(endpoint, terminatedRun), terminatedRun);
 			}
+			placement.ifPresent((released) -> terminate(released, terminatedRun.kind(), nowMillis));
 			return;
 		}
 		boolean alreadyRecorded = durableTask.filter((task) -> terminatedRun.run().number() <= task.lastTerminatedRun())
@@ -183,7 +185,7 @@
 			updateHealth(placement.get(), terminatedRun.kind(), nowMillis);
 			terminate(placement.get(), terminatedRun.kind(), nowMillis);
 		}
-		else if (durableTask.isPresent() && !alreadyRecorded) {
+		if (ownPlacement.isEmpty() && durableTask.isPresent() && !alreadyRecorded) {
 			this.jobCallbacks.remoteRunTerminated(durableTask.get(), terminatedRun, nowMillis);
 		}
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -278,7 +278,7 @@
 	public Optional<PooledTask> findDurableTask(TaskId id) {
 		String key = PooledJob.key(id.jobId(), id.occurrence());
 		return this.jobs.findUnansweredOrTerminating(key)
-			.filter((job) -> job.spec().durable())
+			.filter((job) -> job.spec().durable() && !job.isReleased())
 			.flatMap((job) -> job.task(id));
 	}
 
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -454,6 +454,60 @@
 
 	}
 
+	@Nested
+	class RemovedPools {
+
+		private void removePool(long nowMillis) {
+			DurableJobsTests.this.jobs.removePool(POOL, at(nowMillis));
+			DurableJobsTests.this.recoveryInProgress = true;
+		}
+
+		private void assertThatTheNextOwnerIsTold(String endpointId, TerminationId termination) {
+			report(endpointId, 100);
+			assertThat(DurableJobsTests.this.actions.orphanedTerminations()).containsExactly(termination);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber(endpointId)).isZero();
+			DurableJobsTests.this.scheduler.orphanedTerminationRecorded(termination);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber(endpointId)).isEqualTo(1);
+		}
+
+		// The end was neither stored nor forwarded, and the next owner of the pool
+		// started
+		// the task again although it was done.
+		@Test
+		void theNextOwnerIsToldOfAnEndThatWasNotStored() {
+			submitAndStore(job(step(2, 1_000, StepTraits.DEFAULT)), 10);
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			removePool(60);
+			assertThatTheNextOwnerIsTold(start(0).endpointId(), new TerminationId(start(0).endpointId(), 0, 1));
+		}
+
+		@Test
+		void theNextOwnerIsToldOfAnEndAfterTheRemoval() {
+			submitAndStore(job(step(2, 1_000, StepTraits.DEFAULT)), 10);
+			removePool(40);
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			assertThatTheNextOwnerIsTold(start(0).endpointId(), new TerminationId(start(0).endpointId(), 0, 1));
+		}
+
+		// The end of a run from before was taken for one of the previous ownership, and
+		// the task was started again.
+		@Test
+		void anEndAfterTheReturnOfThePoolCountsForTheJob() {
+			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 10);
+			removePool(40);
+			DurableJobsTests.this.recoveryInProgress = false;
+			DurableJobsTests.this.jobs.recover(POOL,
+					new DurableJob(job(step(1, 1_000, StepTraits.DEFAULT)), terms(), EPOCH_MILLIS),
+					new DurableProgress(DurableState.ACTIVE, EPOCH_MILLIS, List.of()), at(45));
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			confirmWrites(60);
+			DurableJobsTests.this.jobs.setSuspended(POOL, false, at(70));
+			assertThat(starts()).hasSize(1);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+	}
+
 	@Nested
 	class RevokedEndpoints {
 
