--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
@@ -79,6 +79,17 @@
 		return find(endpointId).flatMap((endpoint) -> endpoint.placement(run));
 	}
 
+	/**
+	 * Returns the terminations that an incarnation of an endpoint lists.
+	 * @param termination one of them
+	 * @return the terminations, or empty if the endpoint is unknown or was restarted
+	 */
+	Optional<TerminationTracker> terminationsOf(TerminationId termination) {
+		return find(termination.endpointId())
+			.filter((endpoint) -> endpoint.startedEpochMillis() == termination.startedEpochMillis())
+			.map(PooledEndpoint::terminations);
+	}
+
 	Collection<PooledEndpoint> all() {
 		return this.endpoints.values();
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -8,6 +8,8 @@
  */
 final class OccurrenceScheduler {
 
+	private final EndpointTable endpoints;
+
 	private final JobTable jobs;
 
 	private final JobFactory jobFactory;
@@ -22,8 +24,10 @@
 
 	private final CrashLoopGuard crashLoopGuard;
 
-	OccurrenceScheduler(JobTable jobs, JobFactory jobFactory, JobAdmission admission, Dispatcher dispatcher,
-			RunTracker runTracker, TerminationHandler terminationHandler, CrashLoopGuard crashLoopGuard) {
+	OccurrenceScheduler(EndpointTable endpoints, JobTable jobs, JobFactory jobFactory, JobAdmission admission,
+			Dispatcher dispatcher, RunTracker runTracker, TerminationHandler terminationHandler,
+			CrashLoopGuard crashLoopGuard) {
+		this.endpoints = endpoints;
 		this.jobs = jobs;
 		this.jobFactory = jobFactory;
 		this.admission = admission;
@@ -120,6 +124,27 @@
 		}
 	}
 
+	/**
+	 * Stops the runs of a durable job that has another owner. Terminations of its runs
+	 * are forwarded to that owner from now on.
+	 * @param job the job
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void release(PooledJob job, long nowMillis) {
+		job.markReleased();
+		abort(job, "owner-changed", nowMillis);
+	}
+
+	/**
+	 * Forwards a termination that was to be stored here to the present owner of its job.
+	 * @param termination the termination
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void forwardTermination(TerminationId termination, long nowMillis) {
+		this.endpoints.terminationsOf(termination)
+			.ifPresent((tracker) -> tracker.recordUnresolved(termination.number(), nowMillis));
+	}
+
 	/**
 	 * Records the termination of a run on an endpoint of another owner.
 	 * @param terminatedRun the terminated run
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -73,8 +73,8 @@
 		this.terminationHandler = new TerminationHandler(this.jobs, runTimeEstimator, starter, this::stop,
 				this.crashLoopGuard, settings.orphanedRunMaxMillis());
 		this.runTracker = new RunTracker(settings, actions, this.crashLoopGuard, this.terminationHandler);
-		this.occurrences = new OccurrenceScheduler(this.jobs, this.jobFactory, this.admission, this.dispatcher,
-				this.runTracker, this.terminationHandler, this.crashLoopGuard);
+		this.occurrences = new OccurrenceScheduler(this.endpoints, this.jobs, this.jobFactory, this.admission,
+				this.dispatcher, this.runTracker, this.terminationHandler, this.crashLoopGuard);
 	}
 
 	/**
@@ -381,7 +381,8 @@
 	 * @param termination the termination
 	 */
 	public void orphanedTerminationRecorded(TerminationId termination) {
-		terminationsOf(termination).ifPresent((tracker) -> tracker.recordProcessed(termination.number()));
+		this.endpoints.terminationsOf(termination)
+			.ifPresent((tracker) -> tracker.recordProcessed(termination.number()));
 	}
 
 	/**
@@ -390,13 +391,7 @@
 	 * @param termination the termination
 	 */
 	public void terminationStored(TerminationId termination) {
-		terminationsOf(termination).ifPresent((tracker) -> tracker.recordStored(termination.number()));
-	}
-
-	private Optional<TerminationTracker> terminationsOf(TerminationId termination) {
-		return this.endpoints.find(termination.endpointId())
-			.filter((endpoint) -> endpoint.startedEpochMillis() == termination.startedEpochMillis())
-			.map(PooledEndpoint::terminations);
+		this.endpoints.terminationsOf(termination).ifPresent((tracker) -> tracker.recordStored(termination.number()));
 	}
 
 	/**
@@ -449,9 +444,7 @@
 	 * @return whether it is busy
 	 */
 	public boolean isBusy(String endpointId) {
-		return this.endpoints.find(endpointId)
-			.filter((endpoint) -> endpoint.placementCount() + endpoint.orphanedRunCount() > 0)
-			.isPresent();
+		return this.endpoints.find(endpointId).filter(PooledEndpoint::isBusy).isPresent();
 	}
 
 	/**
@@ -464,9 +457,11 @@
 	 */
 	public boolean mayExtendLease(String endpointId) {
 		return this.endpoints.find(endpointId)
-			.filter((endpoint) -> endpoint.placementCount() + endpoint.orphanedRunCount() > 0)
+			.filter(PooledEndpoint::isBusy)
 			.filter((endpoint) -> !endpoint.hasRunToEnd())
-			.filter((endpoint) -> endpoint.orphanedRunCount() == 0 || this.terminationHandler.isRecoveryInProgress())
+			.filter((endpoint) -> endpoint.orphanedJobIds()
+				.stream()
+				.allMatch(this.terminationHandler::isRecoveryInProgress))
 			.isPresent();
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -139,13 +139,15 @@
 			.stream()
 			.filter((terminatedRun) -> endpoint.terminations().isUnprocessed(terminatedRun.number()))
 			.forEach((terminatedRun) -> processTerminated(endpoint, terminatedRun, nowMillis));
-		int orphanedCount = 0;
+		Set<String> orphanedJobIds = new HashSet<>();
 		Set<TaskRun> runningRuns = new HashSet<>();
 		for (RunningTask running : report.runningTasks()) {
 			runningRuns.add(running.run());
-			orphanedCount += processRunning(endpoint, running, writtenMillis, nowMillis) ? 0 : 1;
+			if (!processRunning(endpoint, running, writtenMillis, nowMillis)) {
+				orphanedJobIds.add(running.run().task().jobId());
+			}
 		}
-		endpoint.orphanedRunCount(orphanedCount);
+		endpoint.orphanedJobIds(orphanedJobIds);
 		if (report.listsAllTerminations()) {
 			endpoint.placements()
 				.stream()
@@ -163,7 +165,7 @@
 			found.recordProgress(running.progressPercent(), writtenMillis);
 			found.task().checkpoint(running.checkpoint());
 		});
-		if (placement.isEmpty() && !this.jobCallbacks.isRecoveryInProgress()) {
+		if (placement.isEmpty() && !this.jobCallbacks.isRecoveryInProgress(running.run().task().jobId())) {
 			this.actions.stop(endpoint.entry(), running.run(), "not-ordered");
 		}
 		return placement.isPresent();
@@ -189,16 +191,18 @@
 
 	private void processTerminated(PooledEndpoint endpoint, TerminatedRun terminatedRun, long nowMillis) {
 		Optional<Placement> placement = endpoint.placement(terminatedRun.run());
-		Optional<PooledTask> durableTask = placement.map(Placement::task)
+		Optional<Placement> ownPlacement = placement.filter((found) -> !found.task().job().isReleased());
+		Optional<PooledTask> durableTask = ownPlacement.map(Placement::task)
 			.filter((task) -> task.job().spec().durable())
 			.or(() -> this.jobCallbacks.findDurableTask(terminatedRun.run().task()));
-		if (placement.isEmpty() && durableTask.isEmpty()
+		if (ownPlacement.isEmpty() && durableTask.isEmpty()
 				&& this.jobCallbacks.mayBeUnread(terminatedRun.run().task().jobId())
 				&& endpoint.terminations().mayDefer(terminatedRun.number(), nowMillis)) {
 			endpoint.terminations().recordUnresolved(terminatedRun.number(), nowMillis);
 			if (endpoint.terminations().shouldForward(terminatedRun.number(), nowMillis)) {
 				this.actions.orphanedRunTerminated(terminationId(endpoint, terminatedRun), terminatedRun);
 			}
+			placement.ifPresent((released) -> terminate(released, terminatedRun.kind(), nowMillis));
 			return;
 		}
 		boolean alreadyRecorded = durableTask.filter((task) -> terminatedRun.run().number() <= task.lastTerminatedRun())
@@ -213,7 +217,7 @@
 			updateHealth(placement.get(), terminatedRun.kind(), nowMillis);
 			terminate(placement.get(), terminatedRun.kind(), nowMillis);
 		}
-		else if (durableTask.isPresent() && !alreadyRecorded) {
+		if (ownPlacement.isEmpty() && durableTask.isPresent() && !alreadyRecorded) {
 			this.jobCallbacks.remoteRunTerminated(durableTask.get(), terminatedRun, nowMillis);
 		}
 	}
@@ -355,11 +359,12 @@
 		boolean mayBeUnread(String jobId);
 
 		/**
-		 * Returns whether unknown runs should continue, because their jobs will be read
-		 * soon.
-		 * @return whether unknown runs should continue
+		 * Returns whether the runs of an unknown job should continue, because this host
+		 * will read the job soon.
+		 * @param jobId the id of the job
+		 * @return whether its runs should continue
 		 */
-		boolean isRecoveryInProgress();
+		boolean isRecoveryInProgress(String jobId);
 
 		/**
 		 * Adopts a run that a previous owner started.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -278,7 +278,7 @@
 	public Optional<PooledTask> findDurableTask(TaskId id) {
 		String key = PooledJob.key(id.jobId(), id.occurrence());
 		return this.jobs.findUnansweredOrTerminating(key)
-			.filter((job) -> job.spec().durable())
+			.filter((job) -> job.spec().durable() && !job.isReleased())
 			.flatMap((job) -> job.task(id));
 	}
 
@@ -288,8 +288,8 @@
 	}
 
 	@Override
-	public boolean isRecoveryInProgress() {
-		return this.recoveryStatus.isInProgress();
+	public boolean isRecoveryInProgress(String jobId) {
+		return this.recoveryStatus.isInProgress(jobId);
 	}
 
 	@Override
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -29,6 +29,9 @@
 
 	private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
+	/** A job of a pool that another host owns. */
+	private static final String JOB_OF_ANOTHER_OWNER = "elsewhere";
+
 	private final RecordedActions actions = new RecordedActions();
 
 	private final RecordedJobActions jobActions = new RecordedJobActions();
@@ -53,8 +56,8 @@
 			}
 
 			@Override
-			public boolean isInProgress() {
-				return DurableJobsTests.this.recoveryInProgress;
+			public boolean isInProgress(String jobId) {
+				return DurableJobsTests.this.recoveryInProgress && !jobId.equals(JOB_OF_ANOTHER_OWNER);
 			}
 
 		});
@@ -361,6 +364,28 @@
 			assertThat(starts()).extracting((start) -> start.run().task().step()).containsOnly(0);
 		}
 
+		// The owner of the job counts its run as lapsed after the longest lease, while a
+		// standby that had taken the endpoint kept the run going for a second.
+		@Test
+		void stopsRunsOfJobsThatItWillNotRead() {
+			TaskRun run = new TaskRun(new TaskId(JOB_OF_ANOTHER_OWNER, 0, 0, 0), 2);
+			DurableJobsTests.this.recoveryInProgress = true;
+			DurableJobsTests.this.runningTasks.get("a").add(new RunningTask(run, 40));
+			report("a", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(run);
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease("a")).isFalse();
+		}
+
+		@Test
+		void keepsRunsOfJobsThatItWillReadSoon() {
+			TaskRun run = new TaskRun(new TaskId("j", 0, 0, 0), 2);
+			DurableJobsTests.this.recoveryInProgress = true;
+			DurableJobsTests.this.runningTasks.get("a").add(new RunningTask(run, 40));
+			report("a", 50);
+			assertThat(DurableJobsTests.this.actions.stops()).isEmpty();
+			assertThat(DurableJobsTests.this.scheduler.mayExtendLease("a")).isTrue();
+		}
+
 		@Test
 		void removingAPoolStopsItsRuns() {
 			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 10);
@@ -429,6 +454,60 @@
 
 	}
 
+	@Nested
+	class RemovedPools {
+
+		private void removePool(long nowMillis) {
+			DurableJobsTests.this.jobs.removePool(POOL, at(nowMillis));
+			DurableJobsTests.this.recoveryInProgress = true;
+		}
+
+		private void assertThatTheNextOwnerIsTold(String endpointId, TerminationId termination) {
+			report(endpointId, 100);
+			assertThat(DurableJobsTests.this.actions.orphanedTerminations()).containsExactly(termination);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber(endpointId)).isZero();
+			DurableJobsTests.this.scheduler.orphanedTerminationRecorded(termination);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber(endpointId)).isEqualTo(1);
+		}
+
+		// The end was neither stored nor forwarded, and the next owner of the pool
+		// started
+		// the task again although it was done.
+		@Test
+		void theNextOwnerIsToldOfAnEndThatWasNotStored() {
+			submitAndStore(job(step(2, 1_000, StepTraits.DEFAULT)), 10);
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			removePool(60);
+			assertThatTheNextOwnerIsTold(start(0).endpointId(), new TerminationId(start(0).endpointId(), 0, 1));
+		}
+
+		@Test
+		void theNextOwnerIsToldOfAnEndAfterTheRemoval() {
+			submitAndStore(job(step(2, 1_000, StepTraits.DEFAULT)), 10);
+			removePool(40);
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			assertThatTheNextOwnerIsTold(start(0).endpointId(), new TerminationId(start(0).endpointId(), 0, 1));
+		}
+
+		// The end of a run from before was taken for one of the previous ownership, and
+		// the task was started again.
+		@Test
+		void anEndAfterTheReturnOfThePoolCountsForTheJob() {
+			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 10);
+			removePool(40);
+			DurableJobsTests.this.recoveryInProgress = false;
+			DurableJobsTests.this.jobs.recover(POOL,
+					new DurableJob(job(step(1, 1_000, StepTraits.DEFAULT)), terms(), EPOCH_MILLIS),
+					new DurableProgress(DurableState.ACTIVE, EPOCH_MILLIS, List.of()), at(45));
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			confirmWrites(60);
+			DurableJobsTests.this.jobs.setSuspended(POOL, false, at(70));
+			assertThat(starts()).hasSize(1);
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.COMPLETED);
+		}
+
+	}
+
 	@Nested
 	class RevokedEndpoints {
 
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -162,7 +162,8 @@
 			PoolSchedulerTests.this.scheduler.cancel("first", ORIGIN, 60);
 			submit(job("second", step(1, 27_000, 100)), 70);
 			RecordedActions.Start stopped = PoolSchedulerTests.this.actions.starts().get(0);
-			PoolSchedulerTests.this.scheduler.stopConfirmed("a", stopped.run(), 71);
+			PoolSchedulerTests.this.actions.stops()
+				.forEach((run) -> PoolSchedulerTests.this.scheduler.stopConfirmed("a", run, 71));
 			PoolSchedulerTests.this.scheduler.tick(80);
 			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
 			terminate(stopped, TerminationKind.STOPPED, 110);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -141,13 +140,11 @@
 	}
 
 	@Override
-	public boolean isInProgress() {
-		long sinceMillis = Clock.nowMillis() - UNREAD_LIMIT_MILLIS;
-		return unreadPools().anyMatch((pool) -> pool.claimedMillis > sinceMillis) && this.listener.mayHaveUnknownJobs();
-	}
-
-	private Stream<PoolState> unreadPools() {
-		return this.pools.values().stream().filter((pool) -> !pool.journal.isLoaded());
+	public boolean isInProgress(String jobId) {
+		PoolState assignedPool = this.pools.get(AssignedPool.of(jobId, this.domains));
+		return assignedPool != null && !assignedPool.journal.isLoaded()
+				&& Clock.nowMillis() - assignedPool.claimedMillis < UNREAD_LIMIT_MILLIS
+				&& this.listener.mayHaveUnknownJobs();
 	}
 
 	/**
@@ -429,8 +426,9 @@
 		boolean mayHaveUnknownJobs();
 
 		/**
-		 * Returns whether this host owns all pools of the site and all their endpoints
-		 * have reported since a time, so that no unknown run can be running.
+		 * Returns whether this host owns all pools of the site, has loaded the endpoint
+		 * list as their owner, and all endpoints have reported since a time, so that no
+		 * unknown run can be running.
 		 * @param sinceMillis the time in milliseconds
 		 * @return whether all have reported
 		 */
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -108,6 +108,8 @@
 
 	private final SpilledJobs spilledJobs = new SpilledJobs();
 
+	private boolean endpointsLoaded;
+
 	private boolean frozen;
 
 	/** The callers' hosts that were lost while the pools were being handed over. */
@@ -363,6 +365,7 @@
 	 * have shrunk, and endpoints may be leaving, without this owner's knowledge.
 	 */
 	void endpointsLoaded() {
+		this.endpointsLoaded = true;
 		this.endpointsAwaitedUntilMillis = Long.MIN_VALUE / 2;
 	}
 
@@ -765,9 +768,10 @@
 
 		@Override
 		public boolean allEndpointsContactedSince(long sinceMillis) {
-			return PoolOwner.this.claims.size() == PoolOwner.this.siteDomainCount && PoolOwner.this.leases.values()
-				.stream()
-				.allMatch((lease) -> lease.lastContactMillis() > sinceMillis);
+			return PoolOwner.this.endpointsLoaded && PoolOwner.this.claims.size() == PoolOwner.this.siteDomainCount
+					&& PoolOwner.this.leases.values()
+						.stream()
+						.allMatch((lease) -> lease.lastContactMillis() > sinceMillis);
 		}
 
 		@Override
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmissionUnderFaultsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmissionUnderFaultsTests.java
@@ -147,7 +147,8 @@
 			UnreliableTransport transport = this.site.transport(hostName);
 			switch (this.random.nextInt(7)) {
 				case 0 -> transport.losePendingAnswers();
-				case 1 -> transport.drop((message) -> !(message instanceof PeerMessage.HostReport));
+				case 1 -> transport.drop((message) -> !(message instanceof PeerMessage.HostReport
+						|| message instanceof PeerMessage.SubmitJob));
 				case 2 -> transport.drop((message) -> false);
 				case 3 -> this.site.log().delayAppends(hostName, this.random.nextInt(400));
 				case 4 -> replace(hostName);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ResubmittedJobsTests.java
@@ -52,8 +52,8 @@
 
 	private void startHostWithoutOwnCapacity() {
 		this.site.listEndpoint("e2", "d2", false);
-		this.site.start("host-5", "d2", PROCESSOR_MILLICORES);
-		awaitReady("host-5");
+		this.site.start("host-5", "d2", FleetSite.WEAK_PROCESSOR_MILLICORES);
+		this.site.awaitReady("host-5");
 		pause(1_000);
 	}
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
@@ -49,7 +49,7 @@
 	}
 
 	/**
-	 * Drops messages without an answer.
+	 * Drops messages. A request that is dropped fails as one that may have been sent.
 	 * @param messages tells which messages are dropped from now on
 	 */
 	void drop(Predicate<PeerMessage> messages) {
@@ -70,6 +70,11 @@
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 		this.pendingCalls.add(answer);
 		answer.whenComplete((message, error) -> this.pendingCalls.remove(answer));
+		if (this.dropped.test(peer, request)) {
+			this.eventLoop
+				.execute(() -> answer.completeExceptionally(new PeerException("The connection broke", null, true)));
+			return answer;
+		}
 		this.transport.call(peer, request).whenComplete((message, error) -> {
 			if (error != null) {
 				answer.completeExceptionally(error);
