Check the expiry of a ticket again once its entry was created

A job of our own interface could be started a second time. A submission checked the expiry of its ticket, was paused, as in a process that is stopped for a while, and then looked for the entry; if the ticket had expired meanwhile and the entry of the first submission had been removed, the submission created a new one and the job ran again.

The expiry is checked again after the entry was created. Entries are removed only after the expiry, and the clock never decreases, so a ticket that is unexpired then had no entry before. letsNoSubmissionThatCameBeforeTheExpiryCreateTheEntryAgain failed before.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketRegistry.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TicketRegistry.java
@@ -93,6 +93,7 @@
 			if (existingEntry != null) {
 				return Optional.of(new Claim(existingEntry, false));
 			}
+			requireStillUnexpired(ticket, newEntry);
 			countBytesOnceAnswered(newEntry);
 			return Optional.of(new Claim(newEntry, true));
 		}
@@ -125,6 +126,18 @@
 		return held() || this.entries.containsKey(ticket.sequence());
 	}
 
+	// The entry of an earlier submission may have been removed after the first check of
+	// the expiry; a process can be paused there.
+	private void requireStillUnexpired(Ticket ticket, JobEntry newEntry) {
+		try {
+			requireUnexpired(ticket);
+		}
+		catch (RequestException ex) {
+			this.entries.remove(ticket.sequence(), newEntry);
+			throw ex;
+		}
+	}
+
 	private void requireUnexpired(Ticket ticket) {
 		if (ticket.expiryEpochMillis() <= issuerEpochMillis()) {
 			throw new RequestException(ErrorCode.OUTCOME_FORGOTTEN,
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketRegistryTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/TicketRegistryTests.java
@@ -152,6 +152,25 @@
 			assertThat(TicketRegistryTests.this.registry.entryCount()).isZero();
 		}
 
+		// A submission that was paused after the check of the expiry found no entry, and
+		// the job was started a second time.
+		@Test
+		void letsNoSubmissionThatCameBeforeTheExpiryCreateTheEntryAgain() {
+			Ticket ticket = ticket();
+			TicketRegistryTests.this.registry.claim(ticket, DIGEST)
+				.orElseThrow()
+				.entry()
+				.complete(Answers.running("t"));
+			TicketRegistryTests.this.time.pauseAfterNextReading(() -> {
+				TicketRegistryTests.this.time.epochMillis = EXPIRY_EPOCH_MILLIS;
+				TicketRegistryTests.this.registry.removeExpired();
+			});
+			assertThatExceptionOfType(RequestException.class)
+				.isThrownBy(() -> TicketRegistryTests.this.registry.claim(ticket, DIGEST))
+				.satisfies((ex) -> assertThat(ex.errorCode()).isEqualTo(ErrorCode.OUTCOME_FORGOTTEN));
+			assertThat(TicketRegistryTests.this.registry.entryCount()).isZero();
+		}
+
 	}
 
 	/**
@@ -161,6 +180,17 @@
 
 		private volatile long epochMillis;
 
+		private Runnable pause = () -> {
+		};
+
+		/**
+		 * Lets the reader of the clock pause after the next reading.
+		 * @param action what happens during the pause
+		 */
+		void pauseAfterNextReading(Runnable action) {
+			this.pause = action;
+		}
+
 		@Override
 		public long nanoTime() {
 			return this.epochMillis * 1_000_000;
@@ -168,7 +198,12 @@
 
 		@Override
 		public long epochMillis() {
-			return this.epochMillis;
+			long reading = this.epochMillis;
+			Runnable action = this.pause;
+			this.pause = () -> {
+			};
+			action.run();
+			return reading;
 		}
 
 	}
