Show that the end of an occurrence is discarded before the occurrence is due

The next owner of a pool, whose clock is behind, does not know an occurrence that the previous owner has started. It discards the end of its run, and starts the occurrence again when it is due.

--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -364,6 +364,24 @@
 			assertThat(starts()).extracting((start) -> start.run().task().step()).containsOnly(0);
 		}
 
+		// The clock of the previous owner was ahead. The end of its run was discarded as
+		// that
+		// of an unknown job, and the occurrence was started again when it was due here.
+		@Test
+		void keepsTheEndOfAnOccurrenceThatIsNotDueYet() {
+			JobSpec timed = new JobSpec("j", "payload", List.of(step(1, 1_000, StepTraits.DEFAULT)), true,
+					new JobSchedule(1, EPOCH_MILLIS + 300, 50));
+			DurableJobsTests.this.jobs.recover(POOL, new DurableJob(timed, terms(), EPOCH_MILLIS),
+					new DurableProgress(DurableState.ACTIVE, EPOCH_MILLIS, List.of()), at(100));
+			addTermination("a", new TaskRun(new TaskId("j", 0, 0, 0), 1), TerminationKind.DONE, "");
+			report("a", 110);
+			resumePool();
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber("a")).isZero();
+			DurableJobsTests.this.jobs.tick(at(300));
+			report("a", 310);
+			assertThat(starts()).isEmpty();
+		}
+
 		// The owner of the job counts its run as lapsed after the longest lease, while a
 		// standby that had taken the endpoint kept the run going for a second.
 		@Test
