Let silent connections of stand-in workers confirm nothing

A worker with the fault "silent" discarded whole requests behind the HTTP codec. The codec still confirmed "Expect: 100-continue" by itself, so a connection that is meant to carry no bytes would have looked alive to a caller that asks for a confirmation before it sends a payload.

The bytes are now discarded before the codec.

--- a/masticwick-standin/src/main/java/org/masticwick/standin/connection/HttpConnection.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/connection/HttpConnection.java
@@ -7,7 +7,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -15,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -91,8 +94,30 @@
 	}
 
 	/**
-	 * Keeps the connection open but from now on reads requests without handling them and
-	 * sends no responses. Can't be undone.
+	 * Returns the handler that discards the bytes that arrive on an unresponsive
+	 * connection. It comes before the HTTP codec, which would confirm requests with
+	 * {@code 100 Continue} by itself.
+	 * @return the first handler of the pipeline
+	 */
+	ChannelHandler inboundBytes() {
+		return new ChannelInboundHandlerAdapter() {
+
+			@Override
+			public void channelRead(ChannelHandlerContext context, Object bytes) {
+				if (HttpConnection.this.unresponsive) {
+					ReferenceCountUtil.release(bytes);
+				}
+				else {
+					context.fireChannelRead(bytes);
+				}
+			}
+
+		};
+	}
+
+	/**
+	 * Keeps the connection open but from now on discards what it receives and sends no
+	 * responses. Can't be undone.
 	 */
 	void stopResponding() {
 		this.unresponsive = true;
--- a/masticwick-standin/src/main/java/org/masticwick/standin/connection/HttpListener.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/connection/HttpListener.java
@@ -172,9 +172,10 @@
 
 				@Override
 				protected void initChannel(SocketChannel acceptedChannel) {
+					HttpConnection connection = new HttpConnection(HttpListener.this);
 					acceptedChannel.pipeline()
-						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES),
-								new HttpConnection(HttpListener.this));
+						.addLast(connection.inboundBytes(), new HttpServerCodec(),
+								new HttpObjectAggregator(MAX_BODY_BYTES), connection);
 				}
 
 			});
--- a/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerConnectionTests.java
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/WorkerConnectionTests.java
@@ -73,6 +73,21 @@
 		}
 	}
 
+	@Test
+	void confirmsRequestsOnlyOnResponsiveConnections() throws IOException {
+		try (Socket socket = connect()) {
+			sendHead(socket, "t.0", "Expect: 100-continue\r\n");
+			assertThat(readLine(socket)).isEqualTo("HTTP/1.1 100 Continue");
+		}
+		try (Socket socket = connect()) {
+			post(socket, "t.1");
+			this.fleet.applyFaults(faultRequest("silent", true));
+			sendHead(socket, "t.2", "Expect: 100-continue\r\n");
+			socket.setSoTimeout(DELAY_MILLIS);
+			assertThatExceptionOfType(SocketTimeoutException.class).isThrownBy(() -> socket.getInputStream().read());
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "none, 101, 101", "truncate_replies, 117, 101", "overlong_replies, 101, 117" })
 	void sendsFewerOrMoreBytesThanDeclared(String faultName, int declaredBytes, int sentBytes) throws IOException {
@@ -141,9 +156,14 @@
 	}
 
 	private static void send(Socket socket, String taskId, String extraHeader) throws IOException {
-		String request = "POST /tasks/" + taskId + " HTTP/1.1\r\nHost: w\r\nTask-Service: meals\r\nTask-Kind: k\r\n"
-				+ "Task-Lease-Millis: 9000\r\nContent-Length: 12\r\n" + extraHeader + "\r\n{\"run_ms\":0}";
-		socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+		sendHead(socket, taskId, extraHeader);
+		socket.getOutputStream().write("{\"run_ms\":0}".getBytes(StandardCharsets.US_ASCII));
+	}
+
+	private static void sendHead(Socket socket, String taskId, String extraHeader) throws IOException {
+		String head = "POST /tasks/" + taskId + " HTTP/1.1\r\nHost: w\r\nTask-Service: meals\r\nTask-Kind: k\r\n"
+				+ "Task-Lease-Millis: 9000\r\nContent-Length: 12\r\n" + extraHeader + "\r\n";
+		socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
 	}
 
 	private static String readLine(Socket socket) throws IOException {
