Withdraw posts that the endpoint does not read, and start them elsewhere

Callers got job-failed ("Task 12 unknown: the endpoint has no record of the task") when connections to workers stopped carrying bytes, although most tasks of such jobs had never reached a worker.

Cause: the host wrote a post at once, whether or not the other end still read the connection. After a period of silence the look-up on a new connection found no record. The post could still arrive later, or have been forgotten, so the task could neither start elsewhere nor complete.

A post with a payload now expects "100 Continue" (RFC 9110, 10.1.1) on a new connection, and on one that has not delivered a reply within 20 ms. The payload is written only after the endpoint has confirmed that it reads the connection. When the reply timeout passes, the host first tries to withdraw the post. One atomic state decides between "payload may be written" and "withdrawn", so after a withdrawal no byte of the payload leaves the host, also if the confirmation comes late. An endpoint never has the whole request then and can't start the task, and the run ends as NOT_CONNECTED, which may start elsewhere. A post whose payload may have been written is looked up as before and never posted again. The same rule ends a post as not sent if its thread has not come to write it yet, or if a copy of an earlier reply arrives in place of the confirmation; the latter was uncertain before.

What remains: a connection that goes silent within 20 ms after a reply, between the confirmation and the arrival of the payload, or under a post with an empty payload, for which RFC 9110 allows no confirmation, still leaves the task unknown. A post that is confirmed costs one round trip more; its effect on throughput was not measured.

The raw servers of three existing tests now confirm posts that expect it, as HTTP/1.1 servers must; their checks are unchanged.

--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/EndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/EndpointClient.java
@@ -65,6 +65,13 @@
 		 */
 		CompletableFuture<PostReply> reply();
 
+		/**
+		 * Gives up the post if certainly no byte of its payload was written, so that the
+		 * task can start elsewhere. The reply is then {@link PostReply.NotSent}.
+		 * @return {@code true} if the task can't start any more through this post
+		 */
+		boolean withdraw();
+
 		/**
 		 * Stops waiting and closes the connection. This doesn't cancel the task at the
 		 * endpoint.
@@ -120,7 +127,8 @@
 		}
 
 		/**
-		 * No byte of the request was written, so the task did not start.
+		 * No byte of the payload was written and none will be, so the task does not
+		 * start.
 		 *
 		 * @param detail what went wrong
 		 */
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OkHttpEndpointClient.java
@@ -79,18 +79,19 @@
 			.writeTimeout(this.limits.queryTimeoutMillis(), TimeUnit.MILLISECONDS)
 			.callTimeout(callTimeoutMillis, TimeUnit.MILLISECONDS)
 			.addNetworkInterceptor(new StaleConnectionGuard())
-			.eventListenerFactory((call) -> WriteTracker.of(call.request()))
+			.addNetworkInterceptor(new LivenessCheck())
 			.build();
 	}
 
 	@Override
 	public PendingPost post(TaskPost post) {
+		WriteTracker writeTracker = new WriteTracker();
 		Request request = new Request.Builder().url(url(post.endpoint(), "tasks", post.task().toString()))
 			.header("Task-Service", post.service())
 			.header("Task-Kind", post.kind())
 			.header("Task-Lease-Millis", Long.toString(post.leaseMillis()))
-			.tag(WriteTracker.class, new WriteTracker())
-			.post(new OneShotBody(post.payload().getBytes(StandardCharsets.UTF_8)))
+			.tag(WriteTracker.class, writeTracker)
+			.post(new OneShotBody(post.payload().getBytes(StandardCharsets.UTF_8), writeTracker))
 			.build();
 		Call call = this.postClient.newCall(request);
 		CompletableFuture<PostReply> reply = new CompletableFuture<>();
@@ -181,6 +182,16 @@
 	private record OkHttpPost(Call call, CompletableFuture<PostReply> reply,
 			ConnectionPool connectionPool) implements PendingPost {
 
+		@Override
+		public boolean withdraw() {
+			if (this.reply.isDone() || !WriteTracker.of(this.call.request()).withdraw()) {
+				return false;
+			}
+			abandon();
+			this.reply.complete(new PostReply.NotSent("the endpoint did not read the connection in time"));
+			return true;
+		}
+
 		@Override
 		public void abandon() {
 			this.call.cancel();
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OneShotBody.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/OneShotBody.java
@@ -16,8 +16,11 @@
 
 	private final byte[] payload;
 
-	OneShotBody(byte[] payload) {
+	private final WriteTracker writeTracker;
+
+	OneShotBody(byte[] payload, WriteTracker writeTracker) {
 		this.payload = payload;
+		this.writeTracker = writeTracker;
 	}
 
 	@Override
@@ -35,8 +38,20 @@
 		return true;
 	}
 
+	/**
+	 * Marks the payload as written. A request with an empty payload is complete with its
+	 * headers, so this is then called before they are written.
+	 * @throws IOException if the post was withdrawn
+	 */
+	void startWriting() throws IOException {
+		if (!this.writeTracker.startWriting()) {
+			throw new IOException("The post was withdrawn before its payload was written");
+		}
+	}
+
 	@Override
 	public void writeTo(BufferedSink sink) throws IOException {
+		startWriting();
 		sink.write(this.payload);
 	}
 
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/PostCallback.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/PostCallback.java
@@ -12,8 +12,8 @@
 
 /**
  * Completes the reply of a post from the outcome of its OkHttp call. A failure before the
- * first byte was written means that the task did not start; after that, the outcome is
- * uncertain.
+ * first byte of the payload was written means that the task did not start; after that,
+ * the outcome is uncertain.
  */
 final class PostCallback implements Callback {
 
@@ -34,21 +34,26 @@
 
 	@Override
 	public void onFailure(Call call, IOException ex) {
-		String detail = String.valueOf(ex.getMessage());
-		boolean writeStarted = WriteTracker.of(call.request()).writeStarted();
-		this.reply.complete(writeStarted ? new PostReply.Uncertain(detail) : new PostReply.NotSent(detail));
+		this.reply.complete(inconclusiveReply(call, String.valueOf(ex.getMessage())));
 	}
 
 	@Override
 	public void onResponse(Call call, Response response) {
 		try (response) {
-			this.reply.complete(readReply(response));
+			PostReply decoded = readReply(response);
+			this.reply.complete((decoded instanceof PostReply.Uncertain uncertain)
+					? inconclusiveReply(call, uncertain.detail()) : decoded);
 		}
 		catch (IOException ex) {
-			this.reply.complete(new PostReply.Uncertain(String.valueOf(ex.getMessage())));
+			this.reply.complete(inconclusiveReply(call, String.valueOf(ex.getMessage())));
 		}
 	}
 
+	private static PostReply inconclusiveReply(Call call, String detail) {
+		boolean unwritten = WriteTracker.of(call.request()).withdraw();
+		return unwritten ? new PostReply.NotSent(detail) : new PostReply.Uncertain(detail);
+	}
+
 	private PostReply readReply(Response response) throws IOException {
 		if (!EndpointReplies.matchesTask(response, this.task)) {
 			this.onMismatchedReply.run();
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/WriteTracker.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/connection/WriteTracker.java
@@ -1,16 +1,17 @@
 package org.masticwick.daemon.connection;
 
-import okhttp3.Call;
-import okhttp3.EventListener;
+import java.util.concurrent.atomic.AtomicReference;
+
 import okhttp3.Request;
 
 /**
- * Records whether a byte of a request may have been written. It is attached to its
- * request as a tag.
+ * Decides once whether the payload of a post is written or the post is withdrawn. It is
+ * attached to its request as a tag. An endpoint runs a task only after it has received
+ * the whole request, so a task whose post was withdrawn never starts.
  */
-final class WriteTracker extends EventListener {
+final class WriteTracker {
 
-	private volatile boolean writeStarted;
+	private final AtomicReference<State> state = new AtomicReference<>(State.NOT_STARTED);
 
 	/**
 	 * Returns the tracker of a request.
@@ -22,17 +23,29 @@
 		return (tracker != null) ? tracker : new WriteTracker();
 	}
 
-	@Override
-	public void requestHeadersStart(Call call) {
-		this.writeStarted = true;
+	/**
+	 * Marks the payload as written, before its first byte is. Further calls have no
+	 * effect.
+	 * @return {@code false} if the post was withdrawn, so that nothing may be written
+	 */
+	boolean startWriting() {
+		return this.state
+			.updateAndGet((current) -> (current == State.NOT_STARTED) ? State.STARTED : current) == State.STARTED;
 	}
 
 	/**
-	 * Returns whether OkHttp has started to write the request.
-	 * @return {@code true} if a byte may have been written
+	 * Withdraws the post unless a byte of its payload may have been written.
+	 * @return {@code true} if the payload was not written and never will be
 	 */
-	boolean writeStarted() {
-		return this.writeStarted;
+	boolean withdraw() {
+		return this.state
+			.updateAndGet((current) -> (current == State.NOT_STARTED) ? State.WITHDRAWN : current) == State.WITHDRAWN;
+	}
+
+	private enum State {
+
+		NOT_STARTED, STARTED, WITHDRAWN
+
 	}
 
 }
--- a/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
+++ b/masticwick-daemon/src/main/java/org/masticwick/daemon/request/TaskRun.java
@@ -18,7 +18,9 @@
 /**
  * Manages one run of a task until it terminates: posts the task to its endpoint once, and
  * looks it up by its id if no reply arrives in time or if the reply leaves open whether
- * the task ran. It never posts the task again, because that could run it twice.
+ * the task ran. It never posts the task again, because that could run it twice. A post
+ * whose payload is still unwritten then is withdrawn instead, and the run ends as not
+ * started.
  */
 final class TaskRun {
 
@@ -109,14 +111,19 @@
 					TimeUnit.MILLISECONDS);
 		}
 		else if (!this.options.lookup()) {
-			this.scheduledCheck = this.timer.schedule(
-					() -> terminate(StartOutcome.Kind.LOST, null, "no reply from the endpoint within the lease"),
-					this.post.leaseMillis(), TimeUnit.MILLISECONDS);
+			this.scheduledCheck = this.timer.schedule(this::onLeaseLapsed, this.post.leaseMillis(),
+					TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void onLeaseLapsed() {
+		if (!this.pendingPost.withdraw()) {
+			terminate(StartOutcome.Kind.LOST, null, "no reply from the endpoint within the lease");
 		}
 	}
 
 	private void lookUp(long nextDelayMillis) {
-		if (this.terminated.get()) {
+		if (this.terminated.get() || this.pendingPost.withdraw()) {
 			return;
 		}
 		this.onLookup.run();
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/OkHttpEndpointClientTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/OkHttpEndpointClientTests.java
@@ -28,6 +28,8 @@
  */
 class OkHttpEndpointClientTests {
 
+	private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
 	private static final TaskId TASK = new TaskId("ticket", 0);
 
 	private final OkHttpEndpointClient client = new OkHttpEndpointClient(new EndpointLimits(1000, 1000, 1000));
@@ -93,6 +95,9 @@
 			head.append((char) next);
 			if (head.toString().endsWith("\r\n\r\n")) {
 				this.postCount.incrementAndGet();
+				if (head.toString().contains("Expect: 100-continue")) {
+					socket.getOutputStream().write(CONTINUE.getBytes(StandardCharsets.US_ASCII));
+				}
 				in.read();
 				socket.getOutputStream().write(this.replyText.getBytes(StandardCharsets.US_ASCII));
 				head.setLength(0);
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/OkHttpEndpointContractTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/OkHttpEndpointContractTests.java
@@ -8,6 +8,7 @@
 
 import okhttp3.mockwebserver.MockResponse;
 import okhttp3.mockwebserver.MockWebServer;
+import okhttp3.mockwebserver.QueueDispatcher;
 import okhttp3.mockwebserver.RecordedRequest;
 import okhttp3.mockwebserver.SocketPolicy;
 import org.junit.jupiter.api.AfterEach;
@@ -47,6 +48,7 @@
 
 	@BeforeEach
 	void start() throws IOException {
+		this.endpoint.setDispatcher(new ContinuingDispatcher());
 		this.endpoint.start();
 	}
 
@@ -157,6 +159,7 @@
 			assertThat(request.getHeader("Task-Service")).isEqualTo("fitting");
 			assertThat(request.getHeader("Task-Kind")).isEqualTo("width");
 			assertThat(request.getHeader("Task-Lease-Millis")).isEqualTo("5000");
+			assertThat(request.getHeader("Expect")).isEqualTo("100-continue");
 			assertThat(request.getBody().readUtf8()).isEqualTo("payload");
 		}
 
@@ -213,4 +216,17 @@
 
 	}
 
+	/**
+	 * Confirms requests that expect it, as HTTP/1.1 servers do, and answers them with the
+	 * enqueued responses.
+	 */
+	private static final class ContinuingDispatcher extends QueueDispatcher {
+
+		@Override
+		public MockResponse peek() {
+			return super.peek().clone().setSocketPolicy(SocketPolicy.EXPECT_CONTINUE);
+		}
+
+	}
+
 }
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/StaleConnectionGuardTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/StaleConnectionGuardTests.java
@@ -29,6 +29,8 @@
 
 	private static final long REPLY_SECONDS = 10;
 
+	private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
 	private static final String REFUSAL = """
 			HTTP/1.1 503 x\r
 			Task-Id: ticket.0\r
@@ -63,6 +65,9 @@
 		StringBuilder request = new StringBuilder();
 		while (!request.toString().endsWith("\r\n\r\nx")) {
 			request.append((char) connection.getInputStream().read());
+			if (request.toString().endsWith("\r\n\r\n")) {
+				connection.getOutputStream().write(CONTINUE.getBytes(StandardCharsets.US_ASCII));
+			}
 		}
 	}
 
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/UnresponsiveEndpoint.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/connection/UnresponsiveEndpoint.java
@@ -20,6 +20,11 @@
 				return new CompletableFuture<>();
 			}
 
+			@Override
+			public boolean withdraw() {
+				return false;
+			}
+
 			@Override
 			public void abandon() {
 			}
--- a/masticwick-daemon/src/test/java/org/masticwick/daemon/request/DispatcherTests.java
+++ b/masticwick-daemon/src/test/java/org/masticwick/daemon/request/DispatcherTests.java
@@ -97,6 +97,11 @@
 					return reply;
 				}
 
+				@Override
+				public boolean withdraw() {
+					return false;
+				}
+
 				@Override
 				public void abandon() {
 					reply.cancel(false);
