--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallException.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/CallException.java
@@ -44,6 +44,19 @@
 		return (error instanceof CompletionException) ? error.getCause() : error;
 	}
 
+	/**
+	 * Returns the error of a call as an exception of this class.
+	 * @param error the error passed to a callback of a future
+	 * @return the error, or one of the kind {@link Code#MALFORMED} for any other error
+	 */
+	public static CallException from(Throwable error) {
+		Throwable cause = unwrap(error);
+		if (cause instanceof CallException call) {
+			return call;
+		}
+		return new CallException(Code.MALFORMED, String.valueOf(cause));
+	}
+
 	/**
 	 * Returns the kind of failure.
 	 * @return the code
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnedPools.java
@@ -0,0 +1,80 @@
+package org.masticwick.fleet.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import org.masticwick.core.pool.PoolLoad;
+import org.masticwick.core.pool.PoolReport;
+
+/**
+ * The pools of an owner with its claims, and whether the owner may send commands to their
+ * endpoints.
+ */
+final class OwnedPools {
+
+	private final Map<String, PoolClaim> claims = new TreeMap<>();
+
+	private boolean frozen;
+
+	void add(PoolClaim claim) {
+		this.claims.put(claim.pool(), claim);
+	}
+
+	void remove(String pool) {
+		this.claims.remove(pool);
+	}
+
+	boolean contains(String pool) {
+		return this.claims.containsKey(pool);
+	}
+
+	/**
+	 * Returns the names of the pools.
+	 * @return a copy of the names
+	 */
+	Set<String> names() {
+		return Set.copyOf(this.claims.keySet());
+	}
+
+	Stream<String> inNameOrder() {
+		return this.claims.keySet().stream();
+	}
+
+	int count() {
+		return this.claims.size();
+	}
+
+	/**
+	 * Returns the fencing token for commands to the endpoints of a pool.
+	 * @param pool the name of the pool
+	 * @return the token, or 0 if this host does not own the pool
+	 */
+	long token(String pool) {
+		PoolClaim claim = this.claims.get(pool);
+		return (claim != null) ? claim.fencingToken() : 0;
+	}
+
+	List<PoolReport> reports(PoolLoad load) {
+		return this.claims.values()
+			.stream()
+			.map((claim) -> new PoolReport(claim.pool(), claim.fencingToken(), load))
+			.toList();
+	}
+
+	/**
+	 * Returns whether no command may be sent, because the pools are being handed over or
+	 * the owner has stopped.
+	 * @return whether commands are withheld and answers to them ignored
+	 */
+	boolean isFrozen() {
+		return this.frozen;
+	}
+
+	void setFrozen(boolean isFrozen) {
+		this.frozen = isFrozen;
+	}
+
+}
