--- a/masticwick-proof/src/test/resources/features/job-starts.feature
+++ b/masticwick-proof/src/test/resources/features/job-starts.feature
@@ -143,7 +143,6 @@
     And no task was started twice
     When the workers have no faults
 
-  @known-red
   Scenario Outline: Connections to the workers go silent while tasks run
     Given a shared site
       | relays                           | yes |
