Follow no earlier copy of a job to an owner that is lost

A caller that submitted a job again 1,300 ms later, after the owner in another domain that ran the first submission was paused or lost, got 502: the owner of its own domain sent the job after the first, which is recorded for 5 s. The runs at an owner that is not heard end before the caller comes again, so the job now goes to the selected pool.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/SpilledJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/SpilledJobs.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Records, at the owner of a failure domain, which jobs of the domain's callers went to
@@ -22,6 +23,18 @@
 
 	private final Map<String, Spill> spills = new LinkedHashMap<>();
 
+	private final Predicate<String> reachablePools;
+
+	/**
+	 * Creates an empty record.
+	 * @param reachablePools tells whether the owner of a pool is reachable. No copy
+	 * follows an earlier one to an owner that is lost; the runs there end before the
+	 * caller submits the job again
+	 */
+	public SpilledJobs(Predicate<String> reachablePools) {
+		this.reachablePools = reachablePools;
+	}
+
 	/**
 	 * Returns the pool that a copy of a job goes to, and records it.
 	 * @param jobId the id of the job
@@ -34,7 +47,7 @@
 	public String place(String jobId, String pool, String refusedBy, long nowMillis) {
 		removeExpired(nowMillis);
 		Spill earlier = this.spills.get(jobId);
-		if (earlier == null || earlier.isOnlyCopyRefusedBy(refusedBy)) {
+		if (earlier == null || earlier.isOnlyCopyRefusedBy(refusedBy) || !this.reachablePools.test(earlier.pool)) {
 			this.spills.remove(jobId);
 			this.spills.put(jobId, new Spill(pool, 1, nowMillis));
 			return pool;
@@ -48,11 +61,11 @@
 	 * Returns the pool that a job went to.
 	 * @param jobId the id of the job
 	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the pool, or empty if the job is not recorded
+	 * @return the pool, or empty if the job is not recorded or the pool is unreachable
 	 */
 	public Optional<String> poolOf(String jobId, long nowMillis) {
 		removeExpired(nowMillis);
-		return Optional.ofNullable(this.spills.get(jobId)).map(Spill::pool);
+		return Optional.ofNullable(this.spills.get(jobId)).map(Spill::pool).filter(this.reachablePools);
 	}
 
 	private void removeExpired(long nowMillis) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/SpilledJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/SpilledJobsTests.java
@@ -1,5 +1,8 @@
 package org.masticwick.core.pool;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -11,7 +14,9 @@
  */
 class SpilledJobsTests {
 
-	private final SpilledJobs spilledJobs = new SpilledJobs();
+	private final Set<String> lostPools = new HashSet<>();
+
+	private final SpilledJobs spilledJobs = new SpilledJobs((pool) -> !this.lostPools.contains(pool));
 
 	@BeforeEach
 	void placeTheFirstCopy() {
@@ -27,6 +32,17 @@
 			assertThat(SpilledJobsTests.this.spilledJobs.poolOf("j", 1_005)).contains("d2");
 		}
 
+		/**
+		 * A caller who came again used to get 502, as its job followed to a lost owner.
+		 */
+		@Test
+		void followToNoLostOwner() {
+			SpilledJobsTests.this.lostPools.add("d2");
+			assertThat(SpilledJobsTests.this.spilledJobs.poolOf("j", 2_300)).isEmpty();
+			assertThat(SpilledJobsTests.this.spilledJobs.place("j", "d3", "", 2_300)).isEqualTo("d3");
+			assertThat(SpilledJobsTests.this.spilledJobs.poolOf("j", 2_300)).contains("d3");
+		}
+
 		@Test
 		void goAnywhereOnceTheJobIsForgotten() {
 			assertThat(SpilledJobsTests.this.spilledJobs.poolOf("j", 6_000)).contains("d2");
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -571,6 +571,11 @@
 					new PeerMessage.ErrorAnswer("no-owner", "The owner of the job's pool is unknown or unreachable")));
 	}
 
+	@Override
+	public boolean isPoolReachable(String pool) {
+		return this.directory.isOwnerReachable(pool, Clock.nowMillis());
+	}
+
 	@Override
 	public boolean mayHaveUnknownDurableJobs() {
 		return hasSeenDurableJobs() || this.peers.mayHaveDurableJobs();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -78,7 +78,7 @@
 
 	private long endpointsAwaitedUntilMillis = Clock.nowMillis() + MAX_ENDPOINT_LOAD_MILLIS;
 
-	private final SpilledJobs spilledJobs = new SpilledJobs();
+	private final SpilledJobs spilledJobs;
 
 	private boolean endpointsLoaded;
 
@@ -90,6 +90,7 @@
 		this.eventLoop = eventLoop;
 		this.decisionLog = new DecisionLog(metrics);
 		this.listener = listener;
+		this.spilledJobs = new SpilledJobs(listener::isPoolReachable);
 		this.lossExchange = lossExchange;
 		this.drains = drains;
 		PoolSettings settings = PoolSettings.defaults();
@@ -454,6 +455,13 @@
 		 */
 		void poolFenced(String pool);
 
+		/**
+		 * Returns whether a pool has a reachable owner.
+		 * @param pool the name of the pool
+		 * @return whether jobs can be sent there
+		 */
+		boolean isPoolReachable(String pool);
+
 		/**
 		 * Returns whether durable jobs may exist that this host has not read.
 		 * @return {@code false} if this host has seen none, and an owner has reported
