Cancel a durable job in a test whose runs don't end by themselves

DurableHostTests$Queries.cancelledJobIsStopped failed once on a busy machine: the job was complete 260 ms after its start, before the test had cancelled it. It is a race of the test: its runs take 250 ms of wall time, and the test polls for the first one every 100 ms before it sends the cancellation.

The endpoints of the test now hold their runs until they are stopped. The test waits for both tasks to run, cancels, and asserts that the runs it saw were stopped, so that a lease that expires does not pass for a stop. It still asserts that no task was done.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
@@ -14,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.masticwick.core.pool.TaskRun;
 import org.masticwick.fleet.connection.HttpReply;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -96,14 +98,21 @@
 			HOST_NAMES.forEach((host) -> assertThat(request(host, method, "other")).isEqualTo("410"));
 		}
 
+		/**
+		 * A cancellation that stops no run would leave the tasks running to their end.
+		 */
 		@Test
 		void cancelledJobIsStopped() {
+			InMemoryEndpoints endpoints = DurableHostTests.this.site.endpoints();
+			endpoints.holdRuns();
 			submit("host-1", "j1", 2);
-			Awaitility.await().atMost(TIMEOUT).until(() -> DurableHostTests.this.site.endpoints().runningCount() > 0);
+			Awaitility.await().atMost(TIMEOUT).until(() -> endpoints.runningCount() == 2);
+			Set<TaskRun> running = endpoints.runningRuns();
 			assertThat(request("host-3", "DELETE", "j1")).isEqualTo("200 CANCELLED");
 			assertThat(request("host-2", "GET", "j1")).isEqualTo("200 CANCELLED");
-			Awaitility.await().atMost(TIMEOUT).until(() -> DurableHostTests.this.site.endpoints().runningCount() == 0);
-			assertThat(DurableHostTests.this.site.endpoints().doneCount()).isZero();
+			Awaitility.await().atMost(TIMEOUT).until(() -> endpoints.runningCount() == 0);
+			assertThat(endpoints.stoppedRuns()).containsAll(running);
+			assertThat(endpoints.doneCount()).isZero();
 		}
 
 		@Test
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryEndpoints.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 
@@ -65,6 +66,10 @@
 
 	private int startCount;
 
+	private boolean holdingRuns;
+
+	private final Set<TaskRun> stoppedRuns = new HashSet<>();
+
 	InMemoryEndpoints(long runMillis) {
 		this.runMillis = runMillis;
 	}
@@ -85,6 +90,33 @@
 		this.crashes = crashingTasks;
 	}
 
+	/**
+	 * Lets no run end by itself from now on; they are stopped or their leases expire.
+	 */
+	synchronized void holdRuns() {
+		this.holdingRuns = true;
+	}
+
+	/**
+	 * Returns the runs that are running.
+	 * @return the runs
+	 */
+	synchronized Set<TaskRun> runningRuns() {
+		terminateDueRuns();
+		return this.endpoints.values()
+			.stream()
+			.flatMap((endpoint) -> endpoint.startMillisByRun.keySet().stream())
+			.collect(Collectors.toSet());
+	}
+
+	/**
+	 * Returns the runs that were stopped while they were running.
+	 * @return the runs
+	 */
+	synchronized Set<TaskRun> stoppedRuns() {
+		return Set.copyOf(this.stoppedRuns);
+	}
+
 	/**
 	 * Returns the runs under which endpoints have crashed.
 	 * @return the runs, in the order of the crashes
@@ -274,7 +306,8 @@
 		private void terminateDueRuns() {
 			long nowMillis = nowMillis();
 			Map.copyOf(this.startMillisByRun).forEach((run, startedMillis) -> {
-				if (startedMillis + InMemoryEndpoints.this.runMillis <= nowMillis) {
+				if (!InMemoryEndpoints.this.holdingRuns
+						&& startedMillis + InMemoryEndpoints.this.runMillis <= nowMillis) {
 					terminate(run, TerminationKind.DONE);
 				}
 				else if (this.leaseEndMillis <= nowMillis) {
@@ -299,6 +332,9 @@
 				if (kind == TerminationKind.DONE) {
 					InMemoryEndpoints.this.doneTasks.add(run.task());
 				}
+				if (kind == TerminationKind.STOPPED) {
+					InMemoryEndpoints.this.stoppedRuns.add(run);
+				}
 				InMemoryEndpoints.this.runningCounts.merge(run.task(), -1, Integer::sum);
 			}
 		}
