Wait in a test until the owner has read its jobs

FleetHostTests$Serving.answersInvalidAndUnknownRequestsDirectly[6] got 503 instead of 410 for an unknown job once, at a load average of 28. It is a race of the test: it waits until the hosts are ready, but a job counts as unknown only once the owner of its pool has read all jobs of the pool. A host is ready earlier, as it accepts jobs by then, and the 503 with a retry delay is right, since the job may be among those not read yet.

Shown by a deterministic test, which also stays as a check of the product: while the log refuses to read jobs, all hosts become ready and answer 503; 410 follows once the jobs were read.

The parameterized test now waits until one host owns both pools and counts the waiting jobs, which needs the jobs of all pools to be read, and then asserts as before.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -56,6 +56,15 @@
 		Awaitility.await().atMost(TIMEOUT).until(() -> this.site.isReady(hostName));
 	}
 
+	// The number of waiting jobs is known once one host owns all pools, as in any small
+	// site that has settled, and has read their jobs.
+	private void awaitJobsRead(String hostName) {
+		Awaitility.await()
+			.atMost(TIMEOUT)
+			.until(() -> claimOwner("d1").equals(claimOwner("d2"))
+					&& this.site.call(hostName, "GET", "/q/", "").join().status() == 200);
+	}
+
 	private static String text(HttpReply reply) {
 		return reply.status() + " " + new String(reply.body(), StandardCharsets.UTF_8);
 	}
@@ -143,9 +152,25 @@
 				"GET, /q/j, '', 410", "DELETE, /q/j, '', 410", "GET, /q/, '', 200", "PATCH, /q/j, '', 405" })
 		void answersInvalidAndUnknownRequestsDirectly(String method, String path, String body, int status) {
 			startAll();
+			awaitJobsRead("host-1");
 			assertThat(FleetHostTests.this.site.call("host-1", method, path, body).join().status()).isEqualTo(status);
 		}
 
+		/**
+		 * Hosts are ready before the owners have read the durable jobs of their pools. A
+		 * job that may be among them must not be reported as unknown.
+		 */
+		@ParameterizedTest
+		@ValueSource(strings = { "GET", "DELETE" })
+		void reportsAJobAsUnknownOnlyAfterAllJobsWereRead(String method) {
+			FleetHostTests.this.site.log().refuseJobReads();
+			startAll();
+			assertThat(FleetHostTests.this.site.call("host-1", method, "/q/j", "").join().status()).isEqualTo(503);
+			FleetHostTests.this.site.log().acceptJobReads();
+			awaitJobsRead("host-1");
+			assertThat(FleetHostTests.this.site.call("host-1", method, "/q/j", "").join().status()).isEqualTo(410);
+		}
+
 		@Test
 		void bodyAboveTheLimitIsRefused() {
 			startAll();
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
@@ -44,6 +44,8 @@
 
 	private final Set<String> unreachableFrom = ConcurrentHashMap.newKeySet();
 
+	private volatile boolean refusingJobReads;
+
 	InMemoryLog() {
 		for (SharedTopic topic : SharedTopic.values()) {
 			this.topics.put(topic, new ArrayList<>());
@@ -88,6 +90,17 @@
 		this.unreadableTopics.remove(topic);
 	}
 
+	/**
+	 * Refuses to read stored jobs for all hosts.
+	 */
+	void refuseJobReads() {
+		this.refusingJobReads = true;
+	}
+
+	void acceptJobReads() {
+		this.refusingJobReads = false;
+	}
+
 	void reconnect(String hostName) {
 		this.unreachableFrom.remove(hostName);
 	}
@@ -148,6 +161,9 @@
 	}
 
 	private synchronized LogPage newestJobs(int partition) {
+		if (this.refusingJobReads) {
+			throw new CallException(CallException.Code.TIMEOUT, "The jobs can't be read");
+		}
 		Map<String, KeyedRecord> newestByKey = new LinkedHashMap<>();
 		jobPartition(partition).records.forEach((keyedRecord) -> newestByKey.put(keyedRecord.key(), keyedRecord));
 		List<KeyedRecord> records = newestByKey.values()
