Search simulated time for concurrent runs of a task

FleetHost now takes a transport without listeners, and both clocks have a source that tests replace. The search runs the host's own classes on a fake clock, event loop, network, log and endpoints.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -96,7 +96,7 @@
 	}
 
 	static DurableJobs.Timestamp now() {
-		return new DurableJobs.Timestamp(Clock.nowMillis(), System.currentTimeMillis());
+		return new DurableJobs.Timestamp(Clock.nowMillis(), Clock.epochMillis());
 	}
 
 	DurableJobs jobs() {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -225,16 +225,37 @@
 	 * Opens the listeners and starts to follow the log.
 	 */
 	public void start() {
-		this.transport = this.transportDecorator.apply(bindTransport());
+		useTransport(this.transportDecorator.apply(bindTransport()));
+		this.callerServer.listen(this.settings.callerAddress());
+		this.operatorServer.listen(this.settings.readinessAddress());
+		this.operatorServer.listen(this.settings.metricsAddress());
+		this.eventLoop.execute(this::startOnEventLoop);
+	}
+
+	/**
+	 * Starts to follow the log without opening listeners.
+	 * @param peerTransport the transport to the peers
+	 */
+	void start(PeerTransport peerTransport) {
+		useTransport(peerTransport);
+		this.eventLoop.execute(this::startOnEventLoop);
+	}
+
+	private void useTransport(PeerTransport peerTransport) {
+		this.transport = peerTransport;
 		this.router.transport(this.transport);
 		this.reporter.transport(this.transport);
 		this.lossExchange.transport(this.transport);
 		this.jobQueries.transport(this.transport);
 		this.handover.transport(this.transport);
-		this.callerServer.listen(this.settings.callerAddress());
-		this.operatorServer.listen(this.settings.readinessAddress());
-		this.operatorServer.listen(this.settings.metricsAddress());
-		this.eventLoop.execute(this::startOnEventLoop);
+	}
+
+	/**
+	 * Returns the handler of the requests of callers and operators.
+	 * @return the handler
+	 */
+	RequestHandler requestHandler() {
+		return this.requestHandler;
 	}
 
 	private PeerTransport bindTransport() {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -90,7 +90,7 @@
 
 	private boolean durableJobsSeen;
 
-	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), System.currentTimeMillis());
+	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), Clock.epochMillis());
 
 	JobRouter(EventLoop eventLoop, MemberRecord self, List<String> domains, PoolDirectory directory,
 			CallerFormat format, FleetMetrics metrics) {
@@ -149,7 +149,7 @@
 	 * Records that the periodic work runs.
 	 */
 	void tick() {
-		this.pauseGuard.tick(Clock.nowMillis(), System.currentTimeMillis());
+		this.pauseGuard.tick(Clock.nowMillis(), Clock.epochMillis());
 	}
 
 	// If this process was paused, the caller may have left meanwhile, which is read after
@@ -159,7 +159,7 @@
 			return;
 		}
 		long nowMillis = Clock.nowMillis();
-		if (!routed.job.durable() && this.pauseGuard.delaysStarts(nowMillis, System.currentTimeMillis())) {
+		if (!routed.job.durable() && this.pauseGuard.delaysStarts(nowMillis, Clock.epochMillis())) {
 			this.eventLoop.schedule(() -> submit(routed), OWNER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -70,7 +70,7 @@
 
 	private final int siteDomainCount;
 
-	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), System.currentTimeMillis());
+	private final PauseGuard pauseGuard = new PauseGuard(Clock.nowMillis(), Clock.epochMillis());
 
 	private final LossExchange lossExchange;
 
@@ -337,7 +337,7 @@
 	 * @return whether it may have been paused
 	 */
 	boolean mayHaveBeenPaused(long nowMillis) {
-		return this.pauseGuard.delaysStarts(nowMillis, System.currentTimeMillis());
+		return this.pauseGuard.delaysStarts(nowMillis, Clock.epochMillis());
 	}
 
 	/**
@@ -353,7 +353,7 @@
 
 	void tick() {
 		long nowMillis = Clock.nowMillis();
-		if (this.pauseGuard.tick(nowMillis, System.currentTimeMillis())) {
+		if (this.pauseGuard.tick(nowMillis, Clock.epochMillis())) {
 			logger.atWarn()
 				.addKeyValue("pools", pools())
 				.addKeyValue("jobs", jobCount())
--- /dev/null
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
@@ -0,0 +1,62 @@
+package org.masticwick.fleet.process;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.masticwick.core.pool.TaskId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Searches simulated time for two runs of one task at once on a site with one owner. A
+ * seed determines all faults and their interleaving. The property {@code search.seeds}
+ * sets the number of seeds, {@code search.first} the first one.
+ */
+class ConcurrentRunSearchTests {
+
+	private static final long START_MILLIS = 4_000;
+
+	private static final long FAULTS_MILLIS = 26_000;
+
+	private static final long END_MILLIS = 15_000;
+
+	private static final int JOB_INTERVAL_MILLIS = 60;
+
+	static Stream<Long> seeds() {
+		long first = Long.getLong("search.first", 1);
+		return LongStream.range(first, first + Long.getLong("search.seeds", 20)).boxed();
+	}
+
+	@ParameterizedTest(name = "seed {0}")
+	@MethodSource("seeds")
+	void noTaskRunsTwiceAtATime(long seed) {
+		try (VirtualSite site = new VirtualSite(seed)) {
+			VirtualCallers callers = new VirtualCallers(site);
+			VirtualFaults faults = new VirtualFaults(site, callers);
+			site.time().run(START_MILLIS);
+			callers.start(JOB_INTERVAL_MILLIS);
+			faults.start();
+			site.time().run(FAULTS_MILLIS);
+			faults.end();
+			callers.end();
+			site.time().run(END_MILLIS);
+			List<TaskId> tasks = site.endpoints().concurrentlyRunTasks();
+			assertThat(tasks).as(() -> "seed " + seed + "\n" + traces(site, tasks)).isEmpty();
+			assertThat(callers.completedCount()).as("completed jobs").isPositive();
+		}
+	}
+
+	private static String traces(VirtualSite site, List<TaskId> tasks) {
+		return tasks.stream()
+			.map(TaskId::jobId)
+			.distinct()
+			.map((jobId) -> jobId + "\n" + site.trace().of(jobId))
+			.collect(Collectors.joining("\n\n"));
+	}
+
+}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -42,8 +42,8 @@
 
 /**
  * Entry hosts on loopback with an in-memory log and in-memory endpoints. The content of a
- * version is its number; that of an endpoint its failure domain, whether it is ready, and
- * its capacity if that differs from the usual one.
+ * version is its number; that of an endpoint its failure domain, whether it is ready, its
+ * capacity and its start time, if they differ from the usual ones.
  */
 final class FleetSite implements AutoCloseable {
 
@@ -346,8 +346,9 @@
 				throw new InvalidRecordException("Endpoint has not two fields");
 			}
 			long cpuMillicores = (parts.length > 2) ? Long.parseLong(parts[2]) : 8_000;
+			long startedEpochMillis = (parts.length > 3) ? Long.parseLong(parts[3]) : 1;
 			return new EndpointEntry(endpointId, "service", new HostAddress(IP, 9), parts[0],
-					Boolean.parseBoolean(parts[1]), new Resources(cpuMillicores, 100, 0), Set.of(), 1);
+					Boolean.parseBoolean(parts[1]), new Resources(cpuMillicores, 100, 0), Set.of(), startedEpochMillis);
 		}
 
 	}
