Accept numeric IPv4 addresses of endpoints only

A host name in the address of an entry was accepted and looked up by the event loop when the endpoint was called.

--- a/masticwick-core/src/test/java/org/masticwick/core/process/HostAddressTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/process/HostAddressTests.java
@@ -31,6 +31,28 @@
 
 	}
 
+	@Nested
+	class NumericAddresses {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "0.0.0.0:1", "127.0.0.1:80", "10.128.0.9:65535", "255.255.255.255:9" })
+		void areParsed(String text) {
+			assertThat(HostAddress.parseIpv4(text)).hasToString(text);
+		}
+
+		/**
+		 * A host name would be looked up by the thread that connects to it.
+		 */
+		@ParameterizedTest
+		@ValueSource(strings = { "host.example:80", "localhost:80", "1.2.3:80", "1.2.3.4.5:80", "1.2.3.4.:80",
+				"1.2.3.256:80", "01.2.3.4:80", "::1:80", "1.2.3.4:+80", "1.2.3.4:080", "1.2.3.4:0", "1.2.3.4:65536",
+				"1.2.3.4", "", "1.2.3.4:80\n", "1.2.3.4\n:80" })
+		void areTheOnlyOnesParsed(String text) {
+			assertThatIllegalArgumentException().isThrownBy(() -> HostAddress.parseIpv4(text));
+		}
+
+	}
+
 	@Nested
 	class Ordering {
 
