Run the idle timeout of unresponsive connections on a clock of the test

NettyPeerTransportTests$UnresponsiveConnections.failTheirCallsAndAreReplaced failed once at the limit of its wait, as the server never received the call. It is a race of the test: its idle timeout of 300 ms also covers the handshake, so that a machine that takes longer closes the connection before the call is sent. areDistinguishedFromSlowAnswers has the same race and failed once as well.

The idle monitor now compares the time since the last byte on a clock of the connection context; outside of tests this is System.nanoTime, by which each event of Netty's timer meets the condition. The two tests advance their own clock by half of the timeout at a time: the first half has to lead to a ping and leave the call pending, the second has to fail it, and a peer that answers four pings keeps its connection.

--- a/masticwick-wire/src/main/java/org/masticwick/wire/NettyPeerTransport.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/NettyPeerTransport.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoopGroup;
@@ -47,7 +48,22 @@
 	 */
 	public static NettyPeerTransport bind(PeerTransportSettings settings, Supplier<EntryHost> identity,
 			PeerMessageHandler handler) {
-		ConnectionContext context = new ConnectionContext(settings, identity, handler, new TrafficCounters());
+		return bind(settings, identity, handler, System::nanoTime);
+	}
+
+	/**
+	 * Opens the listener, with the idle timeout on a given clock.
+	 * @param settings the settings
+	 * @param identity returns the identity of this host
+	 * @param handler handles the messages of peers
+	 * @param nanoClock the clock, in nanoseconds from an arbitrary origin
+	 * @return the transport
+	 * @throws PeerException if the listener can't be bound to its address
+	 */
+	static NettyPeerTransport bind(PeerTransportSettings settings, Supplier<EntryHost> identity,
+			PeerMessageHandler handler, LongSupplier nanoClock) {
+		ConnectionContext context = new ConnectionContext(settings, identity, handler, new TrafficCounters(),
+				nanoClock);
 		return new NettyPeerTransport(context, new PeerChannels(context));
 	}
 
@@ -64,7 +80,8 @@
 	 */
 	public static NettyPeerTransport bind(PeerTransportSettings settings, Supplier<EntryHost> identity,
 			PeerMessageHandler handler, EventLoopGroup eventLoops) {
-		ConnectionContext context = new ConnectionContext(settings, identity, handler, new TrafficCounters());
+		ConnectionContext context = new ConnectionContext(settings, identity, handler, new TrafficCounters(),
+				System::nanoTime);
 		return new NettyPeerTransport(context, new PeerChannels(context, eventLoops));
 	}
 
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/ConnectionContext.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/ConnectionContext.java
@@ -1,5 +1,6 @@
 package org.masticwick.wire.internal;
 
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import org.masticwick.core.process.EntryHost;
@@ -15,7 +16,8 @@
  * determined
  * @param handler handles the messages of peers
  * @param traffic counts messages and bytes
+ * @param nanoClock the clock of the idle timeout, in nanoseconds from an arbitrary origin
  */
 public record ConnectionContext(PeerTransportSettings settings, Supplier<EntryHost> identity,
-		PeerMessageHandler handler, TrafficCounters traffic) {
+		PeerMessageHandler handler, TrafficCounters traffic, LongSupplier nanoClock) {
 }
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/IdleConnectionMonitor.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/IdleConnectionMonitor.java
@@ -1,6 +1,7 @@
 package org.masticwick.wire.internal;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.timeout.IdleState;
@@ -34,26 +35,36 @@
 
 	private final TrafficCounters traffic;
 
+	private final LongSupplier nanoClock;
+
+	private final long intervalNanos;
+
+	private long lastReadNanos;
+
 	private boolean pinged;
 
 	private int idleIntervalCount;
 
-	IdleConnectionMonitor(PeerTransportSettings settings, TrafficCounters traffic) {
-		super(settings.idleTimeoutMillis() / 2, 0, 0, TimeUnit.MILLISECONDS);
-		this.settings = settings;
-		this.traffic = traffic;
+	IdleConnectionMonitor(ConnectionContext context) {
+		super(context.settings().idleTimeoutMillis() / 2, 0, 0, TimeUnit.MILLISECONDS);
+		this.settings = context.settings();
+		this.traffic = context.traffic();
+		this.nanoClock = context.nanoClock();
+		this.intervalNanos = TimeUnit.MILLISECONDS.toNanos(context.settings().idleTimeoutMillis() / 2);
+		this.lastReadNanos = this.nanoClock.getAsLong();
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 		this.pinged = false;
 		this.idleIntervalCount = 0;
+		this.lastReadNanos = this.nanoClock.getAsLong();
 		super.channelRead(ctx, message);
 	}
 
 	@Override
 	protected void channelIdle(ChannelHandlerContext ctx, IdleStateEvent event) {
-		if (event.state() != IdleState.READER_IDLE) {
+		if (event.state() != IdleState.READER_IDLE || !isIntervalOver()) {
 			return;
 		}
 		PeerConnection connection = ctx.pipeline().get(PeerConnection.class);
@@ -74,6 +85,11 @@
 		}
 	}
 
+	// Netty's timer runs on the system clock and only determines when this is checked.
+	private boolean isIntervalOver() {
+		return this.nanoClock.getAsLong() - this.lastReadNanos >= (this.idleIntervalCount + 1) * this.intervalNanos;
+	}
+
 	private boolean isChecked(PeerConnection connection) {
 		return this.settings.idleCheck() == PeerTransportSettings.IdleCheck.ALWAYS || connection.hasPendingCalls();
 	}
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
@@ -192,7 +192,7 @@
 			ConnectionContext connectionContext = PeerChannels.this.context;
 			PeerChannels.this.channels.add(channel);
 			channel.pipeline()
-				.addLast(new IdleConnectionMonitor(connectionContext.settings(), connectionContext.traffic()))
+				.addLast(new IdleConnectionMonitor(connectionContext))
 				.addLast(new FrameDecoder())
 				.addLast(new PeerConnection(connectionContext, channel, this.peerAddress));
 		}
--- a/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -264,21 +266,47 @@
 
 	}
 
+	/**
+	 * The idle timeout runs on a clock of the test, as a busy machine may take longer
+	 * than a short timeout for the handshake or for a single message.
+	 */
 	@Nested
 	class UnresponsiveConnections {
 
+		private static final int PING_COUNT = 4;
+
+		private final AtomicLong nowNanos = new AtomicLong();
+
+		private TestPeer peer(PeerTransportSettings settings,
+				Function<PeerMessage, CompletionStage<PeerMessage>> handler) {
+			TestPeer peer = new TestPeer(settings, 1, handler, this.nowNanos::get);
+			NettyPeerTransportTests.this.resources.add(peer);
+			return peer;
+		}
+
+		private TestPeer client() {
+			return peer(TestPeer.settings().withIdleTimeoutMillis(SHORT_IDLE_TIMEOUT_MILLIS), TestPeer::echo);
+		}
+
+		private void advanceHalfAnIdleTimeout() {
+			this.nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(SHORT_IDLE_TIMEOUT_MILLIS / 2));
+		}
+
 		@Test
 		void failTheirCallsAndAreReplaced() throws IOException {
 			CompletableFuture<PeerMessage> missingAnswer = new CompletableFuture<>();
 			TestPeer server = peer(TestPeer.settings(), (message) -> (message instanceof PeerMessage.FetchRecords)
 					? missingAnswer : TestPeer.echo(message));
-			TestPeer client = peer(TestPeer.settings().withIdleTimeoutMillis(SHORT_IDLE_TIMEOUT_MILLIS),
-					TestPeer::echo);
+			TestPeer client = client();
 			Relay relay = relay(server);
 			CompletableFuture<PeerMessage> call = client.transport()
 				.call(relay.address(), new PeerMessage.FetchRecords(0, 0, 1));
 			await().until(() -> server.hasReceived(PeerMessage.FetchRecords.class));
 			relay.discardBytesOfOpenConnections();
+			advanceHalfAnIdleTimeout();
+			await().until(() -> messageCount(client, "Ping", TrafficCounters.Traffic::outCount) == 1);
+			assertThat(call).isNotDone();
+			advanceHalfAnIdleTimeout();
 			assertThat(failure(call).mayHaveBeenSent()).isTrue();
 			assertThat(client.transport().call(relay.address(), TestPeer.forward(1)).join())
 				.isInstanceOf(PeerMessage.ForwardAnswer.class);
@@ -288,15 +316,22 @@
 		void areDistinguishedFromSlowAnswers() {
 			CompletableFuture<PeerMessage> delayedAnswer = new CompletableFuture<>();
 			TestPeer server = peer(TestPeer.settings(), (message) -> delayedAnswer);
-			TestPeer client = peer(TestPeer.settings().withIdleTimeoutMillis(SHORT_IDLE_TIMEOUT_MILLIS),
-					TestPeer::echo);
+			TestPeer client = client();
 			CompletableFuture<PeerMessage> call = client.transport().call(server.address(), TestPeer.forward(1));
-			await().until(() -> client.transport().traffic().snapshot().containsKey("Pong")
-					&& client.transport().traffic().snapshot().get("Pong").inCount() >= 4);
+			await().until(() -> server.hasReceived(PeerMessage.Forward.class));
+			IntStream.rangeClosed(1, PING_COUNT).forEach((count) -> {
+				advanceHalfAnIdleTimeout();
+				await().until(() -> messageCount(client, "Pong", TrafficCounters.Traffic::inCount) >= count);
+			});
 			delayedAnswer.complete(new PeerMessage.InheritAnswer(true));
 			assertThat(call.join()).isEqualTo(new PeerMessage.InheritAnswer(true));
 		}
 
+		private long messageCount(TestPeer peer, String type, ToLongFunction<TrafficCounters.Traffic> count) {
+			TrafficCounters.Traffic traffic = peer.transport().traffic().snapshot().get(type);
+			return (traffic != null) ? count.applyAsLong(traffic) : 0;
+		}
+
 	}
 
 	@Nested
--- a/masticwick-wire/src/test/java/org/masticwick/wire/TestPeer.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/TestPeer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import org.masticwick.core.process.EntryHost;
 import org.masticwick.core.process.HostAddress;
@@ -31,8 +32,13 @@
 
 	TestPeer(PeerTransportSettings settings, long startEpochMillis,
 			Function<PeerMessage, CompletionStage<PeerMessage>> handler) {
+		this(settings, startEpochMillis, handler, System::nanoTime);
+	}
+
+	TestPeer(PeerTransportSettings settings, long startEpochMillis,
+			Function<PeerMessage, CompletionStage<PeerMessage>> handler, LongSupplier nanoClock) {
 		this.handler = handler;
-		this.transport = NettyPeerTransport.bind(settings, this.identity::get, this);
+		this.transport = NettyPeerTransport.bind(settings, this.identity::get, this, nanoClock);
 		this.identity.set(new EntryHost("north", address(), new Incarnation(startEpochMillis, 7)));
 	}
 
