Move the jobs of peers out of FleetHost

FleetHost passed messages on and kept the pending calls of peers as well. PeerJobs now submits, places and cancels the jobs that peers send, and answers them; FleetHost only decides whether a job is its own or that of a peer. Messages and delays are unchanged.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -2,13 +2,10 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
@@ -92,15 +89,6 @@
 	 */
 	private static final long MIN_STOP_MILLIS = 2_600;
 
-	private static final PeerMessage JOB_MOVED_ANSWER = new PeerMessage.ErrorAnswer("moved",
-			"Another host owns the pool now and will answer this job");
-
-	/**
-	 * How long after the loss of its pools a host answers the pending calls on them;
-	 * until then, the callers' hosts learn which host answers their jobs.
-	 */
-	private static final long JOB_MOVED_DELAY_MILLIS = 1_000;
-
 	private final EventLoopGroup eventLoops;
 
 	private final EventLoop eventLoop;
@@ -145,7 +133,7 @@
 
 	private final CallerServer operatorServer;
 
-	private final Map<JobOrigin, CompletableFuture<PeerMessage>> pendingCalls = new ConcurrentHashMap<>();
+	private final PeerJobs peerJobs;
 
 	private PeerTransport transport;
 
@@ -194,6 +182,7 @@
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
+		this.peerJobs = new PeerJobs(this.eventLoop, this.directory, this.peers, this.reporter, () -> this.transport);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
 		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STARTING_ENDPOINT_PACE,
@@ -375,13 +364,9 @@
 
 	private void ownershipChanged(boolean ownsPools) {
 		this.endpointFollower.setPollPolicy(ownsPools ? ENDPOINT_PACE : STANDBY_ENDPOINT_PACE);
-		if (ownsPools) {
-			return;
+		if (!ownsPools) {
+			this.peerJobs.poolsLost();
 		}
-		List<CompletableFuture<PeerMessage>> movedCalls = List.copyOf(this.pendingCalls.values());
-		this.pendingCalls.clear();
-		this.eventLoop.schedule(() -> movedCalls.forEach((call) -> call.complete(JOB_MOVED_ANSWER)),
-				JOB_MOVED_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private boolean isReady() {
@@ -404,13 +389,13 @@
 			}
 		}
 		else if (message instanceof PeerMessage.SubmitJob submission) {
-			return submitForPeer(from, submission);
+			return this.peerJobs.submit(from, submission);
 		}
 		else if (message instanceof PeerMessage.CancelJob cancel) {
-			return CompletableFuture.completedFuture(cancelForPeer(from, cancel));
+			return CompletableFuture.completedFuture(this.peerJobs.cancel(from, cancel));
 		}
 		else if (message instanceof PeerMessage.PlaceJob question) {
-			return CompletableFuture.completedFuture(placeForPeer(from, question));
+			return CompletableFuture.completedFuture(this.peerJobs.place(from, question));
 		}
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.jobQueries.answerPeer(query);
@@ -480,71 +465,14 @@
 		return CompletableFuture.completedFuture(answer);
 	}
 
-	private CompletionStage<PeerMessage> submitForPeer(HostAddress from, PeerMessage.SubmitJob submission) {
-		Optional<PoolOwner> owner = this.directory.localOwnerOf(submission.pool())
-			.filter((localOwner) -> !localOwner.isFrozen());
-		if (owner.isEmpty()) {
-			return notAccepted("not-the-owner");
-		}
-		if (owner.get().mayHaveBeenPaused(Clock.nowMillis())) {
-			return notAccepted("submission-outdated");
-		}
-		Optional<String> spilledTo = owner.get().spilledTo(submission.job().jobId());
-		if (spilledTo.isPresent()) {
-			return CompletableFuture.completedFuture(new PeerMessage.JobPlaced(spilledTo.get()));
-		}
-		this.peers.recordCall(from, Clock.nowMillis());
-		this.reporter.recordSharedWork(from, Clock.nowMillis());
-		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
-		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-		this.pendingCalls.put(origin, answer);
-		owner.get().submit(submission.pool(), submission.job(), submission.terms(), origin);
-		return answer;
-	}
-
-	private PeerMessage placeForPeer(HostAddress from, PeerMessage.PlaceJob question) {
-		Optional<String> domain = this.peers.member(from).map(MemberRecord::domain);
-		return domain.flatMap(this.directory::localOwnerOf)
-			.filter((owner) -> !owner.isFrozen())
-			.map((owner) -> (PeerMessage) new PeerMessage.JobPlaced(owner.place(domain.orElseThrow(), question)))
-			.orElse(new PeerMessage.ErrorAnswer("not-the-owner", "This host does not own the pool of the sender"));
-	}
-
-	private static CompletionStage<PeerMessage> notAccepted(String reason) {
-		return CompletableFuture
-			.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, reason)));
-	}
-
-	// Only an owner that had the job confirms its end; one that hands it over, or has not
-	// received it yet, learns of the cancellation from the next report.
-	private PeerMessage cancelForPeer(HostAddress from, PeerMessage.CancelJob cancel) {
-		JobOrigin origin = new JobOrigin(from.toString(), cancel.callNumber());
-		boolean cancelled = this.directory.localOwner()
-			.filter((owner) -> !owner.isFrozen() && owner.cancel(cancel.jobId(), origin))
-			.isPresent();
-		return cancelled ? new PeerMessage.Acknowledged()
-				: new PeerMessage.ErrorAnswer("unknown-job", "This host does not run the job, or is handing it over");
-	}
-
 	@Override
 	public void jobAnswered(JobOrigin origin, String jobId, JobOutcome outcome) {
 		if (origin.host().equals(this.self.peerAddress().toString())) {
 			this.router.jobAnswered(origin.callNumber(), outcome);
-			return;
 		}
-		CompletableFuture<PeerMessage> answer = this.pendingCalls.remove(origin);
-		if (answer != null) {
-			answer.complete(new PeerMessage.JobAnswer(outcome));
-			return;
+		else {
+			this.peerJobs.answer(origin, outcome);
 		}
-		HostAddress entryHost = HostAddress.parse(origin.host());
-		PeerMessage finished = new PeerMessage.JobFinished(origin.callNumber(), outcome);
-		this.transport.call(entryHost, finished).whenComplete((message, error) -> {
-			if (error != null) {
-				this.eventLoop.schedule(() -> this.transport.call(entryHost, finished), TICK_INTERVAL_MILLIS,
-						TimeUnit.MILLISECONDS);
-			}
-		});
 	}
 
 	@Override
