Move the graceful stop out of FleetHost

GracefulStop keeps the state of a stop, begins it, decides when the host ends, and tells whether jobs are refused meanwhile. Limits, the order of the steps and the log lines, which keep the logger name of FleetHost, are unchanged.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -78,17 +78,6 @@
 	private static final TopicFollower.PollPolicy STARTING_ENDPOINT_PACE = TopicFollower.PollPolicy
 		.reloadPeriodically(3_000);
 
-	/**
-	 * How long before the end of the grace period a stopping host abandons running jobs.
-	 */
-	private static final long STOP_MARGIN_MILLIS = 500;
-
-	/**
-	 * How long a stopping host still accepts jobs, until the load balancer has noticed.
-	 * Later jobs are refused, as they might not finish before the process stops.
-	 */
-	private static final long MIN_STOP_MILLIS = 2_600;
-
 	private final EventLoopGroup eventLoops;
 
 	private final EventLoop eventLoop;
@@ -143,9 +132,7 @@
 
 	private final VersionPull versionPull = new VersionPull();
 
-	private boolean stopping;
-
-	private long stopRequestedMillis;
+	private final GracefulStop stop;
 
 	/**
 	 * Creates a host without starting it.
@@ -195,6 +182,8 @@
 				this.requestHandler::handleCallerRequest);
 		this.operatorServer = new CallerServer(this.eventLoop, callerFormat.timeoutHeader(),
 				this.requestHandler::handleOperatorRequest);
+		this.stop = new GracefulStop(eventLoops, settings, this.callerServer, this.router, this.directory,
+				this.ownership, this.handover);
 		this.ownership.onOwnershipChange(this::ownershipChanged);
 	}
 
@@ -284,9 +273,7 @@
 		this.handover.tick();
 		this.lossExchange.flush(this.reporter::recipientAddresses);
 		fetchNewerVersion(nowMillis);
-		if (this.stopping) {
-			checkStop(nowMillis);
-		}
+		this.stop.tick(nowMillis);
 	}
 
 	// Jobs of this host's callers may have been handed over to its own owner meanwhile.
@@ -316,7 +303,7 @@
 			.filter((owner) -> !owner.isFrozen())
 			.map(PoolOwner::reports)
 			.orElse(List.of());
-		return new PeerReporter.HostState(this.versions.activeNumber(), this.stopping, pools,
+		return new PeerReporter.HostState(this.versions.activeNumber(), this.stop.isRequested(), pools,
 				this.directory.poolsWithReachableOwner(Clock.nowMillis()), hasSeenDurableJobs(),
 				this.memberFollower.isLogReachable(), this.drains.current().orElse(null),
 				this.router.abandonedCalls(Clock.nowMillis()));
@@ -370,12 +357,12 @@
 	}
 
 	private boolean isReady() {
-		return !this.stopping && this.versions.activeNumber() > 0
+		return !this.stop.isRequested() && this.versions.activeNumber() > 0
 				&& !this.directory.candidates(Clock.nowMillis()).isEmpty();
 	}
 
 	private boolean isRefusingJobs() {
-		return this.stopping && Clock.nowMillis() - this.stopRequestedMillis >= MIN_STOP_MILLIS;
+		return this.stop.isRefusingJobs();
 	}
 
 	@Override
@@ -524,41 +511,7 @@
 	 * loop down, at the latest at the end of the grace period. Returns at once.
 	 */
 	public void stopGracefully() {
-		this.eventLoop.execute(() -> {
-			if (this.stopping) {
-				return;
-			}
-			this.stopping = true;
-			this.stopRequestedMillis = Clock.nowMillis();
-			logger.atInfo()
-				.addKeyValue("host", this.self.hostName())
-				.addKeyValue("open_requests", this.router.pendingCount())
-				.log("Entry host is stopping; pools are handed over and pending requests answered");
-			this.callerServer.drain();
-			this.ownership.stopClaiming();
-			this.handover.beginStop();
-			report();
-			this.handover.tick();
-		});
-	}
-
-	private void checkStop(long nowMillis) {
-		long stoppingMillis = nowMillis - this.stopRequestedMillis;
-		boolean deadlineReached = stoppingMillis > this.settings.stopGraceMillis() - STOP_MARGIN_MILLIS;
-		if (deadlineReached || stoppingMillis >= MIN_STOP_MILLIS
-				&& this.directory.localOwner().filter((localOwner) -> localOwner.jobCount() > 0).isEmpty()) {
-			this.ownership.releaseAllPools();
-		}
-		boolean idle = this.router.pendingCount() == 0 && this.directory.localOwner().isEmpty();
-		if (stoppingMillis >= MIN_STOP_MILLIS && idle || deadlineReached) {
-			logger.atInfo()
-				.addKeyValue("host", this.self.hostName())
-				.addKeyValue("open_requests", this.router.pendingCount())
-				.addKeyValue("after_ms", stoppingMillis)
-				.log("Entry host stops; requests that are still open are answered as uncertain");
-			this.router.abandonAll();
-			this.eventLoops.shutdownGracefully(STOP_MARGIN_MILLIS / 10, STOP_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
-		}
+		this.eventLoop.execute(() -> this.stop.begin(this::report));
 	}
 
 	/**
