Move the listeners of the log's records out of FleetHost

OperatorRecords, EndpointRecords and MemberRecords each apply the records of one topic. EndpointRecords also owns its follower, as it chooses how closely the endpoints are followed; MemberRecords also registers the host.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -1,8 +1,6 @@
 package org.masticwick.fleet.process;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -24,14 +22,12 @@
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
-import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
 import org.masticwick.fleet.connection.SharedTopic;
 import org.masticwick.fleet.connection.TopicFollower;
 import org.masticwick.fleet.request.CallerFormat;
 import org.masticwick.fleet.version.DrainedDomains;
 import org.masticwick.fleet.version.DrainedDomainsHolder;
-import org.masticwick.fleet.version.InvalidRecordException;
 import org.masticwick.fleet.version.SiteFormat;
 import org.masticwick.fleet.version.VersionHolder;
 import org.masticwick.wire.NettyPeerTransport;
@@ -48,13 +44,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(FleetHost.class);
 
-	private static final String MEMBER_KEY_PREFIX = "host/";
-
 	/** The interval of timeout checks, claims, handovers and scheduling passes. */
 	private static final long TICK_INTERVAL_MILLIS = 50;
 
-	private static final long REGISTRATION_RETRY_MILLIS = 250;
-
 	/**
 	 * A read for a new version waits for half of the time that a change may take to
 	 * become active.
@@ -63,21 +55,6 @@
 
 	private static final TopicFollower.PollPolicy MEMBER_PACE = TopicFollower.PollPolicy.longPoll(1_000);
 
-	/** Endpoints write continuously, so their records are fetched in batches. */
-	private static final TopicFollower.PollPolicy ENDPOINT_PACE = TopicFollower.PollPolicy.readPeriodically(400);
-
-	/**
-	 * Hosts that own no pool need the endpoints only once they assume ownership, and then
-	 * load them at once if the log answers. Each endpoint writes some twenty records in
-	 * this time, of which they read only the last.
-	 */
-	private static final TopicFollower.PollPolicy STANDBY_ENDPOINT_PACE = TopicFollower.PollPolicy
-		.reloadPeriodically(30_000);
-
-	/** While a site starts, its endpoints register within a few seconds. */
-	private static final TopicFollower.PollPolicy STARTING_ENDPOINT_PACE = TopicFollower.PollPolicy
-		.reloadPeriodically(3_000);
-
 	private final EventLoopGroup eventLoops;
 
 	private final EventLoop eventLoop;
@@ -88,8 +65,6 @@
 
 	private final SharedLog log;
 
-	private final String versionKey;
-
 	private final FleetMetrics metrics = new FleetMetrics();
 
 	private final VersionHolder versions;
@@ -112,7 +87,9 @@
 
 	private final TopicFollower memberFollower;
 
-	private final TopicFollower endpointFollower;
+	private final MemberRecords memberRecords;
+
+	private final EndpointRecords endpointRecords;
 
 	private final JobQueries jobQueries;
 
@@ -151,7 +128,6 @@
 		this.eventLoop = eventLoops.next();
 		this.settings = settings;
 		this.log = log;
-		this.versionKey = siteFormat.versionKey();
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
 				entryHost.incarnation(), settings.processorMillicores());
 		this.versions = new VersionHolder(siteFormat);
@@ -160,7 +136,8 @@
 		this.directory = new PoolDirectory(this.self, this.peers, this.drains::isDrained);
 		this.router = new JobRouter(this.eventLoop, this.self, settings.domains(), this.directory, callerFormat,
 				this.metrics);
-		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, new OperatorListener());
+		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE,
+				new OperatorRecords(siteFormat.versionKey(), this.versions, this.drains));
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
 				log, siteFormat, this.metrics, (domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog,
@@ -172,8 +149,9 @@
 		this.peerJobs = new PeerJobs(this.eventLoop, this.directory, this.peers, this.reporter, () -> this.transport);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
-		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STARTING_ENDPOINT_PACE,
-				new EndpointListener());
+		this.memberRecords = new MemberRecords(this.eventLoop, log, this.self, this.peers, this.ownership,
+				this::peerLost);
+		this.endpointRecords = new EndpointRecords(this.eventLoop, log, this.directory, this.ownership);
 		this.jobQueries = new JobQueries(this.eventLoop, this.self.peerAddress(), this.directory, settings.domains(),
 				callerFormat);
 		this.requestHandler = new RequestHandler(this.versions, this.router, this.jobQueries, callerFormat,
@@ -233,8 +211,8 @@
 			.log("Entry host started");
 		this.versionFollower.start();
 		this.memberFollower.start();
-		this.endpointFollower.start();
-		register();
+		this.endpointRecords.start();
+		this.memberRecords.register();
 		this.eventLoop.scheduleAtFixedRate(guarded(this::tick), TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 		this.eventLoop.scheduleAtFixedRate(guarded(this::report), PeerMessage.HostReport.SHORT_INTERVAL_MILLIS,
@@ -252,18 +230,6 @@
 		};
 	}
 
-	private void register() {
-		this.log
-			.append(SharedTopic.MEMBERS,
-					List.of(new NewRecord(MEMBER_KEY_PREFIX + this.self.hostName(), this.self.toBytes())),
-					OptionalLong.empty())
-			.whenComplete((offset, error) -> {
-				if (error != null) {
-					this.eventLoop.schedule(this::register, REGISTRATION_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-				}
-			});
-	}
-
 	private void tick() {
 		long nowMillis = Clock.nowMillis();
 		this.router.tick();
@@ -317,40 +283,11 @@
 	}
 
 	private void applyMemberRecord(KeyedRecord memberRecord) {
-		if (memberRecord.key().startsWith(PoolOwnership.CLAIM_KEY_PREFIX)) {
-			this.ownership.applyClaimRecord(memberRecord);
-		}
-		else if (memberRecord.key().startsWith(MEMBER_KEY_PREFIX) && memberRecord.value() != null) {
-			applyHostRecord(memberRecord);
-		}
-	}
-
-	private void applyHostRecord(KeyedRecord hostRecord) {
-		try {
-			MemberRecord member = MemberRecord.read(hostRecord.value());
-			if (member.peerAddress().equals(this.self.peerAddress())) {
-				return;
-			}
-			if (this.peers.recordIncarnation(member.peerAddress(), member.incarnation())) {
-				peerLost(member.peerAddress());
-			}
-			if (this.peers.addMember(member)) {
-				logger.atInfo()
-					.addKeyValue("peer", member.peerAddress())
-					.addKeyValue("host", member.hostName())
-					.log("Peer added from its member record");
-			}
-		}
-		catch (InvalidRecordException ex) {
-			logger.atWarn()
-				.addKeyValue("key", hostRecord.key())
-				.addKeyValue("reason", ex.getMessage())
-				.log("Unreadable member record ignored");
-		}
+		this.memberRecords.onRecord(memberRecord);
 	}
 
 	private void ownershipChanged(boolean ownsPools) {
-		this.endpointFollower.setPollPolicy(ownsPools ? ENDPOINT_PACE : STANDBY_ENDPOINT_PACE);
+		this.endpointRecords.ownershipChanged(ownsPools);
 		if (!ownsPools) {
 			this.peerJobs.poolsLost();
 		}
@@ -521,57 +458,4 @@
 		this.eventLoops.terminationFuture().awaitUninterruptibly();
 	}
 
-	/**
-	 * Applies the records of operators: published versions and drained failure domains.
-	 */
-	private final class OperatorListener implements TopicFollower.Listener {
-
-		@Override
-		public void onRecord(KeyedRecord operatorRecord) {
-			if (operatorRecord.key().equals(FleetHost.this.versionKey) && operatorRecord.value() != null) {
-				FleetHost.this.versions.activateIfNewer(operatorRecord.value(), "log");
-			}
-			FleetHost.this.drains.onRecord(operatorRecord.key(), operatorRecord.value() == null);
-		}
-
-		@Override
-		public void onLoaded(Set<String> keys) {
-			FleetHost.this.drains.onLoaded(keys);
-		}
-
-		@Override
-		public void onUpToDate(long nextOffset) {
-			FleetHost.this.drains.onUpToDate(nextOffset);
-		}
-
-	}
-
-	/**
-	 * Applies the records of endpoints, and reports those without a record as unlisted.
-	 */
-	private final class EndpointListener implements TopicFollower.Listener {
-
-		private int loadedCount;
-
-		@Override
-		public void onRecord(KeyedRecord endpoint) {
-			FleetHost.this.ownership.applyEndpointRecord(endpoint);
-		}
-
-		@Override
-		public void onLoaded(Set<String> keys) {
-			logger.atInfo().addKeyValue("endpoints", keys.size()).log("Endpoints loaded from the log");
-			Set<String> unlistedIds = new HashSet<>(FleetHost.this.ownership.endpointIds());
-			unlistedIds.removeAll(keys);
-			unlistedIds.forEach(FleetHost.this.ownership::endpointUnlisted);
-			if (FleetHost.this.directory.localOwner().isEmpty()) {
-				boolean settled = !keys.isEmpty() && keys.size() == this.loadedCount;
-				FleetHost.this.endpointFollower.setPollPolicy(settled ? STANDBY_ENDPOINT_PACE : STARTING_ENDPOINT_PACE);
-			}
-			this.loadedCount = keys.size();
-			FleetHost.this.directory.localOwner().ifPresent(PoolOwner::endpointsLoaded);
-		}
-
-	}
-
 }
