Move reports and versions of peers out of FleetHost

HostReports applies the periodic reports of peers; VersionExchange fetches newer versions from them and answers those that fetch.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -1,7 +1,6 @@
 package org.masticwick.fleet.process;
 
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -107,7 +106,9 @@
 
 	private final PeerReporter reporter;
 
-	private final VersionPull versionPull = new VersionPull();
+	private final VersionExchange versionExchange;
+
+	private final HostReports hostReports;
 
 	private final GracefulStop stop;
 
@@ -146,6 +147,9 @@
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
+		this.versionExchange = new VersionExchange(this.versions, () -> this.transport);
+		this.hostReports = new HostReports(this.peers, this.directory, this.ownership, this.reporter, this.lossExchange,
+				this.drains, this.versionExchange);
 		this.peerJobs = new PeerJobs(this.eventLoop, this.directory, this.peers, this.reporter, () -> this.transport);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
@@ -238,7 +242,7 @@
 		this.ownership.tick();
 		this.handover.tick();
 		this.lossExchange.flush(this.reporter::recipientAddresses);
-		fetchNewerVersion(nowMillis);
+		this.versionExchange.tick(nowMillis);
 		this.stop.tick(nowMillis);
 	}
 
@@ -305,7 +309,7 @@
 	@Override
 	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
 		if (message instanceof PeerMessage.HostReport report) {
-			handleHostReport(from, report);
+			this.hostReports.apply(from, report, Clock.nowMillis());
 		}
 		else if (message instanceof PeerMessage.Hello hello) {
 			if (this.peers.recordIncarnation(from, hello.sender().incarnation())) {
@@ -328,7 +332,7 @@
 			return recordOrphanedTermination(orphanedTermination);
 		}
 		else if (message instanceof PeerMessage.FetchVersion) {
-			return answerFetchVersion();
+			return CompletableFuture.completedFuture(this.versionExchange.answerFetch());
 		}
 		else if (message instanceof PeerMessage.HandOverPools pools) {
 			return this.handover.accept(pools, from);
@@ -349,46 +353,6 @@
 		return CompletableFuture.completedFuture(null);
 	}
 
-	private void handleHostReport(HostAddress from, PeerMessage.HostReport report) {
-		long nowMillis = Clock.nowMillis();
-		if (!this.peers.isReachable(from, nowMillis)) {
-			logger.atInfo().addKeyValue("peer", from).log("Peer became reachable");
-			this.directory.localOwner().ifPresent((owner) -> this.lossExchange.sendAll(from));
-		}
-		this.peers.recordReport(from, report, nowMillis);
-		if (!report.recipientReachable()) {
-			this.reporter.handleMissedReports(from, nowMillis);
-			this.directory.localOwner().ifPresent((owner) -> owner.reportsMissedBy(from.toString()));
-		}
-		if (report.drainsOffset() != PeerMessage.HostReport.DRAINS_UNKNOWN) {
-			this.drains.replaceIfNewer(new DrainedDomains(report.drainsOffset(), Set.copyOf(report.drainedDomains())),
-					"peer " + from);
-		}
-		this.directory.localOwner()
-			.ifPresent((owner) -> owner.cancelAbandoned(from.toString(), report.abandonedCalls()));
-		report.pools().forEach((pool) -> this.directory.resetSent(pool.pool()));
-		this.ownership.applyPeerReports(report.pools());
-		this.versionPull.recordPeerVersion(from, report.versionNumber(), this.versions.activeNumber(), nowMillis);
-	}
-
-	private void fetchNewerVersion(long nowMillis) {
-		this.versionPull.peerToAsk(this.versions.activeNumber(), nowMillis)
-			.ifPresent((peer) -> this.transport.call(peer, new PeerMessage.FetchVersion())
-				.whenComplete((answer, error) -> {
-					if (answer instanceof PeerMessage.PublishedVersion published
-							&& published.versionNumber() > this.versions.activeNumber()) {
-						this.versions.activateIfNewer(published.content(), "peer " + peer);
-					}
-				}));
-	}
-
-	private CompletionStage<PeerMessage> answerFetchVersion() {
-		PeerMessage answer = this.versions.activeContent()
-			.map((content) -> (PeerMessage) new PeerMessage.PublishedVersion(this.versions.activeNumber(), content))
-			.orElse(new PeerMessage.ErrorAnswer("no-version", "This host has not read a version yet"));
-		return CompletableFuture.completedFuture(answer);
-	}
-
 	@Override
 	public void jobAnswered(JobOrigin origin, String jobId, JobOutcome outcome) {
 		if (origin.host().equals(this.self.peerAddress().toString())) {
