--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -1,14 +1,8 @@
 package org.masticwick.fleet.process;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
@@ -27,14 +21,12 @@
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
-import org.masticwick.fleet.connection.NewRecord;
 import org.masticwick.fleet.connection.SharedLog;
 import org.masticwick.fleet.connection.SharedTopic;
 import org.masticwick.fleet.connection.TopicFollower;
 import org.masticwick.fleet.request.CallerFormat;
 import org.masticwick.fleet.version.DrainedDomains;
 import org.masticwick.fleet.version.DrainedDomainsHolder;
-import org.masticwick.fleet.version.InvalidRecordException;
 import org.masticwick.fleet.version.SiteFormat;
 import org.masticwick.fleet.version.VersionHolder;
 import org.masticwick.wire.NettyPeerTransport;
@@ -51,13 +43,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(FleetHost.class);
 
-	private static final String MEMBER_KEY_PREFIX = "host/";
-
 	/** The interval of timeout checks, claims, handovers and scheduling passes. */
 	private static final long TICK_INTERVAL_MILLIS = 50;
 
-	private static final long REGISTRATION_RETRY_MILLIS = 250;
-
 	/**
 	 * A read for a new version waits for half of the time that a change may take to
 	 * become active.
@@ -66,41 +54,6 @@
 
 	private static final TopicFollower.PollPolicy MEMBER_PACE = TopicFollower.PollPolicy.longPoll(1_000);
 
-	/** Endpoints write continuously, so their records are fetched in batches. */
-	private static final TopicFollower.PollPolicy ENDPOINT_PACE = TopicFollower.PollPolicy.readPeriodically(400);
-
-	/**
-	 * Hosts that own no pool need the endpoints only once they assume ownership, and then
-	 * load them at once if the log answers. Each endpoint writes some twenty records in
-	 * this time, of which they read only the last.
-	 */
-	private static final TopicFollower.PollPolicy STANDBY_ENDPOINT_PACE = TopicFollower.PollPolicy
-		.reloadPeriodically(30_000);
-
-	/** While a site starts, its endpoints register within a few seconds. */
-	private static final TopicFollower.PollPolicy STARTING_ENDPOINT_PACE = TopicFollower.PollPolicy
-		.reloadPeriodically(3_000);
-
-	/**
-	 * How long before the end of the grace period a stopping host abandons running jobs.
-	 */
-	private static final long STOP_MARGIN_MILLIS = 500;
-
-	/**
-	 * How long a stopping host still accepts jobs, until the load balancer has noticed.
-	 * Later jobs are refused, as they might not finish before the process stops.
-	 */
-	private static final long MIN_STOP_MILLIS = 2_600;
-
-	private static final PeerMessage JOB_MOVED_ANSWER = new PeerMessage.ErrorAnswer("moved",
-			"Another host owns the pool now and will answer this job");
-
-	/**
-	 * How long after the loss of its pools a host answers the pending calls on them;
-	 * until then, the callers' hosts learn which host answers their jobs.
-	 */
-	private static final long JOB_MOVED_DELAY_MILLIS = 1_000;
-
 	private final EventLoopGroup eventLoops;
 
 	private final EventLoop eventLoop;
@@ -111,8 +64,6 @@
 
 	private final SharedLog log;
 
-	private final String versionKey;
-
 	private final FleetMetrics metrics = new FleetMetrics();
 
 	private final VersionHolder versions;
@@ -135,7 +86,9 @@
 
 	private final TopicFollower memberFollower;
 
-	private final TopicFollower endpointFollower;
+	private final MemberRecords memberRecords;
+
+	private final EndpointRecords endpointRecords;
 
 	private final JobQueries jobQueries;
 
@@ -145,7 +98,7 @@
 
 	private final CallerServer operatorServer;
 
-	private final Map<JobOrigin, CompletableFuture<PeerMessage>> pendingCalls = new ConcurrentHashMap<>();
+	private final PeerJobs peerJobs;
 
 	private PeerTransport transport;
 
@@ -153,11 +106,11 @@
 
 	private final PeerReporter reporter;
 
-	private final VersionPull versionPull = new VersionPull();
+	private final VersionExchange versionExchange;
 
-	private boolean stopping;
+	private final HostReports hostReports;
 
-	private long stopRequestedMillis;
+	private final GracefulStop stop;
 
 	/**
 	 * Creates a host without starting it.
@@ -176,7 +129,6 @@
 		this.eventLoop = eventLoops.next();
 		this.settings = settings;
 		this.log = log;
-		this.versionKey = siteFormat.versionKey();
 		this.self = new MemberRecord(settings.hostName(), settings.domain(), settings.peerAddress(),
 				entryHost.incarnation(), settings.processorMillicores());
 		this.versions = new VersionHolder(siteFormat);
@@ -185,7 +137,8 @@
 		this.directory = new PoolDirectory(this.self, this.peers, this.drains::isDrained);
 		this.router = new JobRouter(this.eventLoop, this.self, settings.domains(), this.directory, callerFormat,
 				this.metrics);
-		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE, new OperatorListener());
+		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE,
+				new OperatorRecords(siteFormat.versionKey(), this.versions, this.drains));
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
 				log, siteFormat, this.metrics, (domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog,
@@ -194,10 +147,15 @@
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
+		this.versionExchange = new VersionExchange(this.versions, () -> this.transport);
+		this.hostReports = new HostReports(this.peers, this.directory, this.ownership, this.reporter, this.lossExchange,
+				this.drains, this.versionExchange);
+		this.peerJobs = new PeerJobs(this.eventLoop, this.directory, this.peers, this.reporter, () -> this.transport);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
-		this.endpointFollower = new TopicFollower(this.eventLoop, log, SharedTopic.ENDPOINTS, STARTING_ENDPOINT_PACE,
-				new EndpointListener());
+		this.memberRecords = new MemberRecords(this.eventLoop, log, this.self, this.peers, this.ownership,
+				this::peerLost);
+		this.endpointRecords = new EndpointRecords(this.eventLoop, log, this.directory, this.ownership);
 		this.jobQueries = new JobQueries(this.eventLoop, this.self.peerAddress(), this.directory, settings.domains(),
 				callerFormat);
 		this.requestHandler = new RequestHandler(this.versions, this.router, this.jobQueries, callerFormat,
@@ -206,6 +164,8 @@
 				this.requestHandler::handleCallerRequest);
 		this.operatorServer = new CallerServer(this.eventLoop, callerFormat.timeoutHeader(),
 				this.requestHandler::handleOperatorRequest);
+		this.stop = new GracefulStop(eventLoops, settings, this.callerServer, this.router, this.directory,
+				this.ownership, this.handover);
 		this.ownership.onOwnershipChange(this::ownershipChanged);
 	}
 
@@ -276,8 +236,8 @@
 			.log("Entry host started");
 		this.versionFollower.start();
 		this.memberFollower.start();
-		this.endpointFollower.start();
-		register();
+		this.endpointRecords.start();
+		this.memberRecords.register();
 		this.eventLoop.scheduleAtFixedRate(guarded(this::tick), TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 		this.eventLoop.scheduleAtFixedRate(guarded(this::report), PeerMessage.HostReport.SHORT_INTERVAL_MILLIS,
@@ -295,18 +255,6 @@
 		};
 	}
 
-	private void register() {
-		this.log
-			.append(SharedTopic.MEMBERS,
-					List.of(new NewRecord(MEMBER_KEY_PREFIX + this.self.hostName(), this.self.toBytes())),
-					OptionalLong.empty())
-			.whenComplete((offset, error) -> {
-				if (error != null) {
-					this.eventLoop.schedule(this::register, REGISTRATION_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-				}
-			});
-	}
-
 	private void tick() {
 		long nowMillis = Clock.nowMillis();
 		this.router.tick();
@@ -315,10 +263,8 @@
 		this.ownership.tick();
 		this.handover.tick();
 		this.lossExchange.flush(this.reporter::recipientAddresses);
-		fetchNewerVersion(nowMillis);
-		if (this.stopping) {
-			checkStop(nowMillis);
-		}
+		this.versionExchange.tick(nowMillis);
+		this.stop.tick(nowMillis);
 	}
 
 	// Jobs of this host's callers may have been handed over to its own owner meanwhile.
@@ -348,7 +294,7 @@
 			.filter((owner) -> !owner.isFrozen())
 			.map(PoolOwner::reports)
 			.orElse(List.of());
-		return new PeerReporter.HostState(this.versions.activeNumber(), this.stopping, pools,
+		return new PeerReporter.HostState(this.versions.activeNumber(), this.stop.isRequested(), pools,
 				this.directory.poolsWithReachableOwner(Clock.nowMillis()), hasSeenDurableJobs(),
 				this.memberFollower.isLogReachable(), this.drains.current().orElse(null),
 				this.router.abandonedCalls(Clock.nowMillis()));
@@ -362,62 +308,29 @@
 	}
 
 	private void applyMemberRecord(KeyedRecord memberRecord) {
-		if (memberRecord.key().startsWith(PoolOwnership.CLAIM_KEY_PREFIX)) {
-			this.ownership.applyClaimRecord(memberRecord);
-		}
-		else if (memberRecord.key().startsWith(MEMBER_KEY_PREFIX) && memberRecord.value() != null) {
-			applyHostRecord(memberRecord);
-		}
-	}
-
-	private void applyHostRecord(KeyedRecord hostRecord) {
-		try {
-			MemberRecord member = MemberRecord.read(hostRecord.value());
-			if (member.peerAddress().equals(this.self.peerAddress())) {
-				return;
-			}
-			if (this.peers.recordIncarnation(member.peerAddress(), member.incarnation())) {
-				peerLost(member.peerAddress());
-			}
-			if (this.peers.addMember(member)) {
-				logger.atInfo()
-					.addKeyValue("peer", member.peerAddress())
-					.addKeyValue("host", member.hostName())
-					.log("Peer added from its member record");
-			}
-		}
-		catch (InvalidRecordException ex) {
-			logger.atWarn()
-				.addKeyValue("key", hostRecord.key())
-				.addKeyValue("reason", ex.getMessage())
-				.log("Unreadable member record ignored");
-		}
+		this.memberRecords.onRecord(memberRecord);
 	}
 
 	private void ownershipChanged(boolean ownsPools) {
-		this.endpointFollower.setPollPolicy(ownsPools ? ENDPOINT_PACE : STANDBY_ENDPOINT_PACE);
-		if (ownsPools) {
-			return;
+		this.endpointRecords.ownershipChanged(ownsPools);
+		if (!ownsPools) {
+			this.peerJobs.poolsLost();
 		}
-		List<CompletableFuture<PeerMessage>> movedCalls = List.copyOf(this.pendingCalls.values());
-		this.pendingCalls.clear();
-		this.eventLoop.schedule(() -> movedCalls.forEach((call) -> call.complete(JOB_MOVED_ANSWER)),
-				JOB_MOVED_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private boolean isReady() {
-		return !this.stopping && this.versions.activeNumber() > 0
+		return !this.stop.isRequested() && this.versions.activeNumber() > 0
 				&& !this.directory.candidates(Clock.nowMillis()).isEmpty();
 	}
 
 	private boolean isRefusingJobs() {
-		return this.stopping && Clock.nowMillis() - this.stopRequestedMillis >= MIN_STOP_MILLIS;
+		return this.stop.isRefusingJobs();
 	}
 
 	@Override
 	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
 		if (message instanceof PeerMessage.HostReport report) {
-			handleHostReport(from, report);
+			this.hostReports.apply(from, report, Clock.nowMillis());
 		}
 		else if (message instanceof PeerMessage.Hello hello) {
 			if (this.peers.recordIncarnation(from, hello.sender().incarnation())) {
@@ -425,13 +338,13 @@
 			}
 		}
 		else if (message instanceof PeerMessage.SubmitJob submission) {
-			return submitForPeer(from, submission);
+			return this.peerJobs.submit(from, submission);
 		}
 		else if (message instanceof PeerMessage.CancelJob cancel) {
-			return CompletableFuture.completedFuture(cancelForPeer(from, cancel));
+			return CompletableFuture.completedFuture(this.peerJobs.cancel(from, cancel));
 		}
 		else if (message instanceof PeerMessage.PlaceJob question) {
-			return CompletableFuture.completedFuture(placeForPeer(from, question));
+			return CompletableFuture.completedFuture(this.peerJobs.place(from, question));
 		}
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.jobQueries.answerPeer(query);
@@ -440,7 +353,7 @@
 			return recordOrphanedTermination(orphanedTermination);
 		}
 		else if (message instanceof PeerMessage.FetchVersion) {
-			return answerFetchVersion();
+			return CompletableFuture.completedFuture(this.versionExchange.answerFetch());
 		}
 		else if (message instanceof PeerMessage.HandOverPools pools) {
 			return this.handover.accept(pools, from);
@@ -461,111 +374,14 @@
 		return CompletableFuture.completedFuture(null);
 	}
 
-	private void handleHostReport(HostAddress from, PeerMessage.HostReport report) {
-		long nowMillis = Clock.nowMillis();
-		if (!this.peers.isReachable(from, nowMillis)) {
-			logger.atInfo().addKeyValue("peer", from).log("Peer became reachable");
-			this.directory.localOwner().ifPresent((owner) -> this.lossExchange.sendAll(from));
-		}
-		this.peers.recordReport(from, report, nowMillis);
-		if (!report.recipientReachable()) {
-			this.reporter.handleMissedReports(from, nowMillis);
-			this.directory.localOwner().ifPresent((owner) -> owner.reportsMissedBy(from.toString()));
-		}
-		if (report.drainsOffset() != PeerMessage.HostReport.DRAINS_UNKNOWN) {
-			this.drains.replaceIfNewer(new DrainedDomains(report.drainsOffset(), Set.copyOf(report.drainedDomains())),
-					"peer " + from);
-		}
-		this.directory.localOwner()
-			.ifPresent((owner) -> owner.cancelAbandoned(from.toString(), report.abandonedCalls()));
-		report.pools().forEach((pool) -> this.directory.resetSent(pool.pool()));
-		this.ownership.applyPeerReports(report.pools());
-		this.versionPull.recordPeerVersion(from, report.versionNumber(), this.versions.activeNumber(), nowMillis);
-	}
-
-	private void fetchNewerVersion(long nowMillis) {
-		this.versionPull.peerToAsk(this.versions.activeNumber(), nowMillis)
-			.ifPresent((peer) -> this.transport.call(peer, new PeerMessage.FetchVersion())
-				.whenComplete((answer, error) -> {
-					if (answer instanceof PeerMessage.PublishedVersion published
-							&& published.versionNumber() > this.versions.activeNumber()) {
-						this.versions.activateIfNewer(published.content(), "peer " + peer);
-					}
-				}));
-	}
-
-	private CompletionStage<PeerMessage> answerFetchVersion() {
-		PeerMessage answer = this.versions.activeContent()
-			.map((content) -> (PeerMessage) new PeerMessage.PublishedVersion(this.versions.activeNumber(), content))
-			.orElse(new PeerMessage.ErrorAnswer("no-version", "This host has not read a version yet"));
-		return CompletableFuture.completedFuture(answer);
-	}
-
-	private CompletionStage<PeerMessage> submitForPeer(HostAddress from, PeerMessage.SubmitJob submission) {
-		Optional<PoolOwner> owner = this.directory.localOwnerOf(submission.pool())
-			.filter((localOwner) -> !localOwner.isFrozen());
-		if (owner.isEmpty()) {
-			return notAccepted("not-the-owner");
-		}
-		if (owner.get().mayHaveBeenPaused(Clock.nowMillis())) {
-			return notAccepted("submission-outdated");
-		}
-		Optional<String> spilledTo = owner.get().spilledTo(submission.job().jobId());
-		if (spilledTo.isPresent()) {
-			return CompletableFuture.completedFuture(new PeerMessage.JobPlaced(spilledTo.get()));
-		}
-		this.peers.recordCall(from, Clock.nowMillis());
-		this.reporter.recordSharedWork(from, Clock.nowMillis());
-		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
-		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-		this.pendingCalls.put(origin, answer);
-		owner.get().submit(submission.pool(), submission.job(), submission.terms(), origin);
-		return answer;
-	}
-
-	private PeerMessage placeForPeer(HostAddress from, PeerMessage.PlaceJob question) {
-		Optional<String> domain = this.peers.member(from).map(MemberRecord::domain);
-		return domain.flatMap(this.directory::localOwnerOf)
-			.filter((owner) -> !owner.isFrozen())
-			.map((owner) -> (PeerMessage) new PeerMessage.JobPlaced(owner.place(domain.orElseThrow(), question)))
-			.orElse(new PeerMessage.ErrorAnswer("not-the-owner", "This host does not own the pool of the sender"));
-	}
-
-	private static CompletionStage<PeerMessage> notAccepted(String reason) {
-		return CompletableFuture
-			.completedFuture(new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, reason)));
-	}
-
-	// Only an owner that had the job confirms its end; one that hands it over, or has not
-	// received it yet, learns of the cancellation from the next report.
-	private PeerMessage cancelForPeer(HostAddress from, PeerMessage.CancelJob cancel) {
-		JobOrigin origin = new JobOrigin(from.toString(), cancel.callNumber());
-		boolean cancelled = this.directory.localOwner()
-			.filter((owner) -> !owner.isFrozen() && owner.cancel(cancel.jobId(), origin))
-			.isPresent();
-		return cancelled ? new PeerMessage.Acknowledged()
-				: new PeerMessage.ErrorAnswer("unknown-job", "This host does not run the job, or is handing it over");
-	}
-
 	@Override
 	public void jobAnswered(JobOrigin origin, String jobId, JobOutcome outcome) {
 		if (origin.host().equals(this.self.peerAddress().toString())) {
 			this.router.jobAnswered(origin.callNumber(), outcome);
-			return;
 		}
-		CompletableFuture<PeerMessage> answer = this.pendingCalls.remove(origin);
-		if (answer != null) {
-			answer.complete(new PeerMessage.JobAnswer(outcome));
-			return;
+		else {
+			this.peerJobs.answer(origin, outcome);
 		}
-		HostAddress entryHost = HostAddress.parse(origin.host());
-		PeerMessage finished = new PeerMessage.JobFinished(origin.callNumber(), outcome);
-		this.transport.call(entryHost, finished).whenComplete((message, error) -> {
-			if (error != null) {
-				this.eventLoop.schedule(() -> this.transport.call(entryHost, finished), TICK_INTERVAL_MILLIS,
-						TimeUnit.MILLISECONDS);
-			}
-		});
 	}
 
 	@Override
@@ -617,41 +433,7 @@
 	 * loop down, at the latest at the end of the grace period. Returns at once.
 	 */
 	public void stopGracefully() {
-		this.eventLoop.execute(() -> {
-			if (this.stopping) {
-				return;
-			}
-			this.stopping = true;
-			this.stopRequestedMillis = Clock.nowMillis();
-			logger.atInfo()
-				.addKeyValue("host", this.self.hostName())
-				.addKeyValue("open_requests", this.router.pendingCount())
-				.log("Entry host is stopping; pools are handed over and pending requests answered");
-			this.callerServer.drain();
-			this.ownership.stopClaiming();
-			this.handover.beginStop();
-			report();
-			this.handover.tick();
-		});
-	}
-
-	private void checkStop(long nowMillis) {
-		long stoppingMillis = nowMillis - this.stopRequestedMillis;
-		boolean deadlineReached = stoppingMillis > this.settings.stopGraceMillis() - STOP_MARGIN_MILLIS;
-		if (deadlineReached || stoppingMillis >= MIN_STOP_MILLIS
-				&& this.directory.localOwner().filter((localOwner) -> localOwner.jobCount() > 0).isEmpty()) {
-			this.ownership.releaseAllPools();
-		}
-		boolean idle = this.router.pendingCount() == 0 && this.directory.localOwner().isEmpty();
-		if (stoppingMillis >= MIN_STOP_MILLIS && idle || deadlineReached) {
-			logger.atInfo()
-				.addKeyValue("host", this.self.hostName())
-				.addKeyValue("open_requests", this.router.pendingCount())
-				.addKeyValue("after_ms", stoppingMillis)
-				.log("Entry host stops; requests that are still open are answered as uncertain");
-			this.router.abandonAll();
-			this.eventLoops.shutdownGracefully(STOP_MARGIN_MILLIS / 10, STOP_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS);
-		}
+		this.eventLoop.execute(() -> this.stop.begin(this::report));
 	}
 
 	/**
@@ -661,57 +443,4 @@
 		this.eventLoops.terminationFuture().awaitUninterruptibly();
 	}
 
-	/**
-	 * Applies the records of operators: published versions and drained failure domains.
-	 */
-	private final class OperatorListener implements TopicFollower.Listener {
-
-		@Override
-		public void onRecord(KeyedRecord operatorRecord) {
-			if (operatorRecord.key().equals(FleetHost.this.versionKey) && operatorRecord.value() != null) {
-				FleetHost.this.versions.activateIfNewer(operatorRecord.value(), "log");
-			}
-			FleetHost.this.drains.onRecord(operatorRecord.key(), operatorRecord.value() == null);
-		}
-
-		@Override
-		public void onLoaded(Set<String> keys) {
-			FleetHost.this.drains.onLoaded(keys);
-		}
-
-		@Override
-		public void onUpToDate(long nextOffset) {
-			FleetHost.this.drains.onUpToDate(nextOffset);
-		}
-
-	}
-
-	/**
-	 * Applies the records of endpoints, and reports those without a record as unlisted.
-	 */
-	private final class EndpointListener implements TopicFollower.Listener {
-
-		private int loadedCount;
-
-		@Override
-		public void onRecord(KeyedRecord endpoint) {
-			FleetHost.this.ownership.applyEndpointRecord(endpoint);
-		}
-
-		@Override
-		public void onLoaded(Set<String> keys) {
-			logger.atInfo().addKeyValue("endpoints", keys.size()).log("Endpoints loaded from the log");
-			Set<String> unlistedIds = new HashSet<>(FleetHost.this.ownership.endpointIds());
-			unlistedIds.removeAll(keys);
-			unlistedIds.forEach(FleetHost.this.ownership::endpointUnlisted);
-			if (FleetHost.this.directory.localOwner().isEmpty()) {
-				boolean settled = !keys.isEmpty() && keys.size() == this.loadedCount;
-				FleetHost.this.endpointFollower.setPollPolicy(settled ? STANDBY_ENDPOINT_PACE : STARTING_ENDPOINT_PACE);
-			}
-			this.loadedCount = keys.size();
-			FleetHost.this.directory.localOwner().ifPresent(PoolOwner::endpointsLoaded);
-		}
-
-	}
-
 }
