Wait for the confirmation of a handover before acting on it

Callers saw a job run twice, or its run stopped and started anew, when a copy of it came while pools were being handed over.

Cause: the claim makes the next owner the owner, but it knows the jobs of the previous one only when that one has confirmed. In between it started copies, stopped the runs that were to be handed over as unknown ones, and acknowledged their ends. The transfer then skipped a job that existed, whose first caller got no answer.

From the claim to the answer, 350 ms at most, the next owner now starts nothing and defers the reports of endpoints that it has not heard before. A copy that has not started joins the job of the transfer; where it has started, the caller of the transferred job is answered as uncertain. If the confirmation fails, the rule for runs of a previous owner holds for the deferred reports.

Three of the four tests of PreviousOwnerRunsTests.Handovers failed before: a stop of the run, an end acknowledged, a caller without answer.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobTable.java
@@ -112,6 +112,29 @@
 		}
 	}
 
+	/**
+	 * Lets another call wait for the answer to a job. The previous one is answered as
+	 * uncertain.
+	 * @param job the job
+	 * @param origin the entry host and the call
+	 */
+	void replaceOrigin(PooledJob job, JobOrigin origin) {
+		if (!job.origin().equals(origin)) {
+			this.actions.answer(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "submitted-again"));
+			job.origin(origin);
+		}
+	}
+
+	/**
+	 * Removes a job that has not started, without an answer.
+	 * @param job the job
+	 */
+	void withdraw(PooledJob job) {
+		this.queue.remove(job);
+		this.jobs.remove(job.key(), job);
+		this.deferred.remove(job.key(), job);
+	}
+
 	void add(PooledJob job) {
 		this.jobs.put(job.key(), job);
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -39,6 +39,8 @@
 
 	private final PreviousOwnerRuns previousOwnerRuns;
 
+	private final AwaitedTransfer awaitedTransfer = new AwaitedTransfer();
+
 	/**
 	 * Creates the scheduler of a pool without endpoints and without a history.
 	 * @param settings the settings
@@ -70,9 +72,10 @@
 		this.admission = new JobAdmission(this.endpoints, this.jobs, policy, actions);
 		this.dispatcher = new Dispatcher(this.endpoints, this.jobs, starter, policy,
 				new UrgentReservation(settings.responseTimeoutMillis()), this.previousOwnerRuns, actions);
+		startDelay((nowMillis) -> false);
 		this.crashLoopGuard = new CrashLoopGuard(lossHistory, actions);
 		this.transferHandler = new TransferHandler(this.endpoints, this.jobs, this.jobFactory, starter,
-				this.crashLoopGuard);
+				this.crashLoopGuard, actions);
 		this.terminationHandler = new TerminationHandler(this.jobs, runTimeEstimator, starter, this::stop,
 				this.crashLoopGuard, settings.orphanedRunMaxMillis());
 		this.runTracker = new RunTracker(settings, actions, this.crashLoopGuard, this.terminationHandler);
@@ -104,7 +107,7 @@
 	 * may start
 	 */
 	public void startDelay(LongPredicate delay) {
-		this.dispatcher.startDelay(delay);
+		this.dispatcher.startDelay((nowMillis) -> this.awaitedTransfer.isAwaited() || delay.test(nowMillis));
 	}
 
 	/**
@@ -135,7 +138,7 @@
 	public void submit(JobSpec spec, JobTerms terms, JobOrigin origin, long nowMillis) {
 		Optional<PooledJob> existing = this.jobs.findUnanswered(spec.jobId());
 		if (existing.isPresent()) {
-			replaceOrigin(existing.get(), origin);
+			this.jobs.replaceOrigin(existing.get(), origin);
 			return;
 		}
 		PooledJob job = this.jobFactory.create(spec, terms, origin, nowMillis);
@@ -151,14 +154,6 @@
 		}
 	}
 
-	private void replaceOrigin(PooledJob existing, JobOrigin origin) {
-		JobOrigin previousOrigin = existing.origin();
-		if (!previousOrigin.equals(origin)) {
-			this.actions.answer(existing, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "submitted-again"));
-			existing.origin(origin);
-		}
-	}
-
 	/**
 	 * Cancels a job whose caller has disconnected. Does nothing if the job has another
 	 * origin by now.
@@ -282,8 +277,25 @@
 	}
 
 	/**
-	 * Continues the jobs of a previous owner. Their endpoints must be listed already;
-	 * jobs that exist here are skipped.
+	 * Starts and stops nothing, and defers the reports of endpoints, until the transfer
+	 * of a previous owner was adopted or is known not to come.
+	 */
+	public void awaitTransfer() {
+		this.awaitedTransfer.await();
+	}
+
+	/**
+	 * Ends the wait for the transfer of a previous owner.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	public void endAwaitedTransfer(long nowMillis) {
+		this.awaitedTransfer.end(this::endpointReported);
+		this.dispatcher.dispatch(nowMillis);
+	}
+
+	/**
+	 * Continues the jobs of a previous owner. Their endpoints must be listed already. A
+	 * job that was submitted here again joins its runs, unless it has started here.
 	 * @param transfer the state that the previous owner handed over
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
@@ -349,6 +361,10 @@
 	 */
 	public void endpointReported(String endpointId, EndpointReport report, long requestedMillis, long nowMillis) {
 		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
+			if (this.awaitedTransfer.isAwaited() && !endpoint.hasReported()) {
+				this.awaitedTransfer.defer(endpointId, report, requestedMillis, nowMillis);
+				return;
+			}
 			endpoint.recordContact(nowMillis);
 			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true, nowMillis);
 			this.runTracker.processReport(endpoint, report, requestedMillis, nowMillis);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TransferHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TransferHandler.java
@@ -18,8 +18,11 @@
 
 	private final CrashLoopGuard crashLoopGuard;
 
+	private final PoolActions actions;
+
 	TransferHandler(EndpointTable endpoints, JobTable jobs, JobFactory jobFactory, TaskStarter starter,
-			CrashLoopGuard crashLoopGuard) {
+			CrashLoopGuard crashLoopGuard, PoolActions actions) {
+		this.actions = actions;
 		this.endpoints = endpoints;
 		this.jobs = jobs;
 		this.jobFactory = jobFactory;
@@ -39,23 +42,45 @@
 	}
 
 	/**
-	 * Continues the jobs of a previous owner. Their endpoints must be listed already;
-	 * jobs that exist here are skipped.
+	 * Continues the jobs of a previous owner. Their endpoints must be listed already. A
+	 * job that was submitted here again joins its runs, unless it has started here.
 	 * @param transfer the state that the previous owner handed over
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	void adopt(PoolTransfer transfer, long nowMillis) {
 		transfer.losses().forEach((loss) -> this.crashLoopGuard.history().add(loss, nowMillis));
-		transfer.jobs()
-			.stream()
-			.filter((job) -> !this.jobs.findUnanswered(job.spec().jobId()).isPresent())
-			.forEach((job) -> adopt(job, nowMillis));
+		transfer.jobs().forEach((job) -> adoptOrJoin(job, nowMillis));
+	}
+
+	private void adoptOrJoin(JobTransfer transfer, long nowMillis) {
+		Optional<PooledJob> copy = this.jobs.findUnanswered(transfer.spec().jobId());
+		PooledJob job = create(transfer, nowMillis);
+		if (copy.filter(PooledJob::isStarted).isPresent()) {
+			this.actions.answer(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "submitted-again"));
+			return;
+		}
+		copy.ifPresent(this.jobs::withdraw);
+		adopt(job, transfer, nowMillis);
+		copy.ifPresent((withdrawn) -> join(withdrawn, job));
 	}
 
-	private void adopt(JobTransfer transfer, long nowMillis) {
+	private void join(PooledJob copy, PooledJob job) {
+		if (job.isFinished()) {
+			this.actions.answer(copy, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "endpoint-unknown"));
+		}
+		else {
+			this.jobs.replaceOrigin(job, copy.origin());
+		}
+	}
+
+	private PooledJob create(JobTransfer transfer, long nowMillis) {
 		PooledJob job = this.jobFactory.create(transfer.spec(), transfer.terms(), transfer.origin(),
 				nowMillis - transfer.ageMillis());
 		job.markHandedOver();
+		return job;
+	}
+
+	private void adopt(PooledJob job, JobTransfer transfer, long nowMillis) {
 		this.jobs.add(job);
 		this.crashLoopGuard.watch(job, nowMillis);
 		transfer.tasks()
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PreviousOwnerRunsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PreviousOwnerRunsTests.java
@@ -23,6 +23,8 @@
 
 	private static final long LEASE_MILLIS = PoolSettings.defaults().leaseMaxMillis();
 
+	private static final JobOrigin ORIGIN = new JobOrigin("host-1", 1);
+
 	private static final RunningTask PREVIOUS_RUN = new RunningTask(new TaskRun(new TaskId("j1", 0, 0, 0), 1), 50);
 
 	private final RecordedActions actions = new RecordedActions();
@@ -58,8 +60,17 @@
 	 * @param nowMillis the time in milliseconds
 	 */
 	private void submit(String id, long waitedMillis, long budgetMillis, long nowMillis) {
-		this.scheduler.submit(job(id), new JobTerms("queue", "service", 0, 2, 20, 60, budgetMillis, 3, waitedMillis),
-				new JobOrigin("host-1", 1), nowMillis);
+		this.scheduler.submit(job(id), terms(waitedMillis, budgetMillis), ORIGIN, nowMillis);
+	}
+
+	private static JobTerms terms(long waitedMillis, long budgetMillis) {
+		return new JobTerms("queue", "service", 0, 2, 20, 60, budgetMillis, 3, waitedMillis);
+	}
+
+	private void terminate(String id, long nowMillis) {
+		TerminatedRun done = new TerminatedRun(1, PREVIOUS_RUN.run(), TerminationKind.DONE);
+		this.scheduler.endpointReported(id, new EndpointReport(1, nowMillis, List.of(), List.of(done)), nowMillis - 1,
+				nowMillis);
 	}
 
 	private List<String> startedJobIds() {
@@ -93,6 +104,91 @@
 
 	}
 
+	@Nested
+	class Handovers {
+
+		private final PoolScheduler previous = new PoolScheduler(PoolSettings.defaults(), new RecordedActions());
+
+		private final JobOrigin copyOrigin = new JobOrigin("host-2", 7);
+
+		private PoolTransfer runAndHandOver() {
+			this.previous.endpointListed(entry("a"), 0);
+			this.previous.endpointReported("a", new EndpointReport(1, 1, List.of(), List.of()), 0, 1);
+			this.previous.submit(job("j1"), terms(0, 5_000), ORIGIN, 10);
+			return this.previous.transfer(ASSUMED_MILLIS - 50);
+		}
+
+		private void submitCopy() {
+			PreviousOwnerRunsTests.this.scheduler.submit(job("j1"), terms(5, 5_000), this.copyOrigin,
+					ASSUMED_MILLIS + 6);
+		}
+
+		/**
+		 * The copy used to start, or the run to be stopped, between the claim of the pool
+		 * and the confirmation of the previous owner.
+		 */
+		@Test
+		void letACopyJoinTheRunThatIsHandedOver() {
+			PoolTransfer transfer = runAndHandOver();
+			PreviousOwnerRunsTests.this.scheduler.awaitTransfer();
+			report("a", ASSUMED_MILLIS + 5, PREVIOUS_RUN);
+			report("b", ASSUMED_MILLIS + 5);
+			submitCopy();
+			PreviousOwnerRunsTests.this.scheduler.adopt(transfer, ASSUMED_MILLIS + 20);
+			PreviousOwnerRunsTests.this.scheduler.endAwaitedTransfer(ASSUMED_MILLIS + 20);
+			assertThat(startedJobIds()).isEmpty();
+			assertThat(PreviousOwnerRunsTests.this.actions.stops()).isEmpty();
+			terminate("a", ASSUMED_MILLIS + 100);
+			assertThat(PreviousOwnerRunsTests.this.actions.answers())
+				.extracting((answer) -> answer.origin() + " " + answer.outcome().kind())
+				.containsExactly(ORIGIN + " UNCERTAIN", this.copyOrigin + " COMPLETED");
+		}
+
+		/**
+		 * The end used to be acknowledged as one of an unknown job, and the task to run
+		 * again.
+		 */
+		@Test
+		void keepTheEndOfARunThatIsListedBeforeTheConfirmation() {
+			PoolTransfer transfer = runAndHandOver();
+			PreviousOwnerRunsTests.this.scheduler.awaitTransfer();
+			terminate("a", ASSUMED_MILLIS + 5);
+			assertThat(PreviousOwnerRunsTests.this.scheduler.acknowledgedTerminationNumber("a")).isZero();
+			PreviousOwnerRunsTests.this.scheduler.adopt(transfer, ASSUMED_MILLIS + 20);
+			PreviousOwnerRunsTests.this.scheduler.endAwaitedTransfer(ASSUMED_MILLIS + 20);
+			assertThat(PreviousOwnerRunsTests.this.actions.answers()).extracting((answer) -> answer.outcome().kind())
+				.containsExactly(JobOutcome.Kind.COMPLETED);
+		}
+
+		@Test
+		void letACopyWaitForTheRunsOfAPreviousOwnerThatHasResumed() {
+			PreviousOwnerRunsTests.this.scheduler.awaitTransfer();
+			report("a", ASSUMED_MILLIS + 5, PREVIOUS_RUN);
+			report("b", ASSUMED_MILLIS + 5);
+			submitCopy();
+			PreviousOwnerRunsTests.this.scheduler.endAwaitedTransfer(ASSUMED_MILLIS + 20);
+			assertThat(startedJobIds()).isEmpty();
+			assertThat(PreviousOwnerRunsTests.this.actions.stops()).containsExactly(PREVIOUS_RUN.run());
+			terminate("a", ASSUMED_MILLIS + 100);
+			assertThat(startedJobIds()).containsExactly("j1");
+		}
+
+		/** The caller of the skipped copy used to get no answer. */
+		@Test
+		void answerTheCallerOfAJobThatHasStartedHere() {
+			PoolTransfer transfer = runAndHandOver();
+			report("a", ASSUMED_MILLIS + 800);
+			report("b", ASSUMED_MILLIS + 800);
+			PreviousOwnerRunsTests.this.scheduler.submit(job("j1"), terms(0, 5_000), this.copyOrigin,
+					ASSUMED_MILLIS + 800);
+			PreviousOwnerRunsTests.this.scheduler.adopt(transfer, ASSUMED_MILLIS + 810);
+			assertThat(PreviousOwnerRunsTests.this.actions.answers())
+				.extracting((answer) -> answer.origin() + " " + answer.outcome().kind())
+				.containsExactly(ORIGIN + " UNCERTAIN");
+		}
+
+	}
+
 	@Nested
 	class EndpointsWithoutReport {
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolHandover.java
@@ -264,6 +264,7 @@
 			this.ownership.adoptEndpoints(message.transfer().endpoints());
 		}
 		long receivedMillis = Clock.nowMillis();
+		this.ownership.awaitTransfer(message.pools());
 		return this.ownership.claim(message.pools(), receivedMillis)
 			.thenCompose((nothing) -> this.transport.call(from, new PeerMessage.ConfirmHandOver(message.offerNumber())))
 			.thenApply((answer) -> {
@@ -277,7 +278,8 @@
 				}
 				adopt(message.transfer(), receivedMillis);
 				return new PeerMessage.Acknowledged();
-			});
+			})
+			.whenComplete((answer, error) -> this.ownership.endAwaitedTransfer(message.pools()));
 	}
 
 	// A host of an earlier version does not know the question, and expects this host to
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -197,6 +197,21 @@
 		this.scheduler.adopt(transfer, Clock.nowMillis());
 	}
 
+	/**
+	 * Starts and stops nothing until the previous owner of a pool has confirmed that it
+	 * hands its jobs over.
+	 */
+	void awaitTransfer() {
+		this.scheduler.awaitTransfer();
+	}
+
+	/**
+	 * Ends the wait for the confirmation of a previous owner.
+	 */
+	void endAwaitedTransfer() {
+		this.scheduler.endAwaitedTransfer(Clock.nowMillis());
+	}
+
 	int jobCount() {
 		return load().jobCount();
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.IntStream;
@@ -66,6 +68,13 @@
 	 */
 	private static final long REGISTRATION_MILLIS = 5_000;
 
+	/**
+	 * How long an owner waits at most for the confirmation of a handover, in
+	 * milliseconds, so that jobs do not wait for a previous owner that is lost. It is
+	 * shorter than the time within which a lease has to be extended.
+	 */
+	private static final long MAX_TRANSFER_WAIT_MILLIS = 350;
+
 	private final EventLoop eventLoop;
 
 	private final MemberRecord self;
@@ -99,6 +108,8 @@
 	private Consumer<Boolean> ownershipListener = (owns) -> {
 	};
 
+	private final Set<String> poolsAwaitingTransfer = new HashSet<>();
+
 	private long nextClaimMillis = Long.MIN_VALUE / 2;
 
 	private long claimsEndOffset;
@@ -332,6 +343,11 @@
 		Optional<PoolOwner> existingOwner = this.directory.localOwner();
 		PoolOwner owner = existingOwner.orElseGet(() -> this.ownerFactory.apply(List.copyOf(this.domains)));
 		owner.addPool(claim);
+		if (this.poolsAwaitingTransfer.contains(claim.pool())) {
+			owner.awaitTransfer();
+			this.eventLoop.schedule(() -> endAwaitedTransfer(List.of(claim.pool())), MAX_TRANSFER_WAIT_MILLIS,
+					TimeUnit.MILLISECONDS);
+		}
 		this.directory.setLocalOwner(owner);
 		this.endpoints.values().forEach(owner::endpointListed);
 		if (existingOwner.isEmpty()) {
@@ -339,6 +355,27 @@
 		}
 	}
 
+	/**
+	 * Lets the local owner wait for the confirmation of the previous owner from the
+	 * moment on at which one of these pools is claimed. The claim may be read from the
+	 * log before the log has answered.
+	 * @param pools the names of the pools that another host hands over
+	 */
+	void awaitTransfer(List<String> pools) {
+		this.poolsAwaitingTransfer.addAll(pools);
+	}
+
+	/**
+	 * Ends the wait for a confirmation that has come or has failed.
+	 * @param pools the names of the pools
+	 */
+	void endAwaitedTransfer(List<String> pools) {
+		this.poolsAwaitingTransfer.removeAll(Set.copyOf(pools));
+		if (this.poolsAwaitingTransfer.isEmpty()) {
+			this.directory.localOwner().ifPresent(PoolOwner::endAwaitedTransfer);
+		}
+	}
+
 	/**
 	 * Drops a pool that another host owns now, unless this host is handing its pools
 	 * over.
