End jobs that were given up while their owner was frozen

After a failed handover an owner started jobs, and let others run on, whose callers had left; such a caller comes again 1,300 ms later, and the job may then run at two owners.

Cause: a frozen owner ignored the calls that callers' hosts list as given up, since a host repeats them in its next reports, for 5 s. A process that is paused while it is frozen reads all these reports before it goes on.

The owner now keeps the calls, as it keeps the lost hosts, and ends their jobs when the handover has failed, before anything starts.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -1,7 +1,9 @@
 package org.masticwick.fleet.process;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -85,6 +87,9 @@
 	/** The callers' hosts that were lost while the pools were being handed over. */
 	private final Set<String> hostsLostWhileFrozen = new HashSet<>();
 
+	/** The calls given up while the pools were being handed over, by callers' host. */
+	private final Map<String, Set<Long>> callsAbandonedWhileFrozen = new HashMap<>();
+
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
 			LossExchange lossExchange, DrainedDomainsHolder drains, Listener listener) {
 		this.eventLoop = eventLoop;
@@ -185,6 +190,9 @@
 		this.pools.setFrozen(false);
 		this.hostsLostWhileFrozen.forEach(this::entryHostLost);
 		this.hostsLostWhileFrozen.clear();
+		this.callsAbandonedWhileFrozen
+			.forEach((peerAddress, callNumbers) -> cancelAbandoned(peerAddress, List.copyOf(callNumbers)));
+		this.callsAbandonedWhileFrozen.clear();
 		drainedDomainsChanged();
 		this.leases.resume();
 	}
@@ -258,13 +266,21 @@
 	}
 
 	/**
-	 * Cancels the jobs of calls that their callers' host has given up. Does nothing while
-	 * pools are handed over; the host repeats the calls in its next reports.
+	 * Cancels the jobs of calls that their callers' host has given up. While pools are
+	 * handed over, the next owner may continue these jobs, so that this one ends them
+	 * only if the handover fails; the reports that list them may all come before that if
+	 * this process is paused.
 	 * @param peerAddress the peer address of the host
 	 * @param callNumbers the numbers of the calls
 	 */
 	void cancelAbandoned(String peerAddress, List<Long> callNumbers) {
-		if (!this.pools.isFrozen() && !callNumbers.isEmpty()) {
+		if (callNumbers.isEmpty()) {
+			return;
+		}
+		if (this.pools.isFrozen()) {
+			this.callsAbandonedWhileFrozen.computeIfAbsent(peerAddress, (host) -> new HashSet<>()).addAll(callNumbers);
+		}
+		else {
 			this.scheduler.cancelCalls(peerAddress, Set.copyOf(callNumbers), Clock.nowMillis());
 		}
 	}
