Ask an endpoint for its first report without a wait

A new owner starts nothing on an endpoint, and holds jobs that may run there, until the endpoint has reported. It is now answered at once; later renewals wait as before, and the time-out of the call is unchanged.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
@@ -70,6 +70,10 @@
 		this.lastContactMillis = nowMillis;
 	}
 
+	boolean hasContact() {
+		return this.lastContactMillis != NEVER;
+	}
+
 	long lastContactMillis() {
 		return this.lastContactMillis;
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
@@ -162,13 +162,16 @@
 		boolean busy = this.scheduler.isBusy(endpointId);
 		boolean extendLease = this.scheduler.mayExtendLease(endpointId)
 				&& !lease.isUnresponsive(nowMillis, this.responseTimeoutMillis);
-		long waitMillis = busy ? this.settings.busyWaitMillis() : this.settings.idleWaitMillis();
+		long maxWaitMillis = busy ? this.settings.busyWaitMillis() : this.settings.idleWaitMillis();
+		// Jobs may be held until the first report, which lists the runs of a previous
+		// owner.
+		long waitMillis = lease.hasContact() ? maxWaitMillis : 0;
 		OptionalLong leaseEndMillis = extendLease ? lease.renew(nowMillis) : OptionalLong.empty();
 		this.metrics.leaseRenewed();
 		this.calls
 			.renew(lease.entry(), this.pools.token(lease.entry().domain()),
 					this.scheduler.acknowledgedTerminationNumber(endpointId), leaseEndMillis, waitMillis,
-					waitMillis + this.settings.timeoutMarginMillis())
+					maxWaitMillis + this.settings.timeoutMarginMillis())
 			.whenComplete((report, error) -> handleRenewal(lease, nowMillis, report, error));
 	}
 
