--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobTable.java
@@ -31,7 +31,10 @@
 
 	private final RunStopper stopper;
 
-	JobTable(PoolActions actions, RunStopper stopper) {
+	private final PreviousOwnerRuns previousOwnerRuns;
+
+	JobTable(PoolActions actions, RunStopper stopper, PreviousOwnerRuns previousOwnerRuns) {
+		this.previousOwnerRuns = previousOwnerRuns;
 		this.actions = actions;
 		this.stopper = stopper;
 	}
@@ -82,14 +85,18 @@
 
 	/**
 	 * Returns what a job may be answered with. A job is refused only if no run of a
-	 * previous submission can go on, as its caller's host may send it to another pool.
+	 * previous submission can go on, here or of a previous owner, as its caller's host
+	 * may send it to another pool.
 	 * @param job the job
 	 * @param outcome the intended outcome
+	 * @param nowMillis the current monotonic time in milliseconds
 	 * @return the outcome
 	 */
-	JobOutcome certain(PooledJob job, JobOutcome outcome) {
+	JobOutcome certain(PooledJob job, JobOutcome outcome, long nowMillis) {
 		boolean refused = outcome.kind() == JobOutcome.Kind.REFUSED;
-		return (refused && waitsForRuns(job)) ? JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "previous-runs") : outcome;
+		boolean mayRun = refused
+				&& (waitsForRuns(job) || this.previousOwnerRuns.suspectedJobs(nowMillis).contains(job));
+		return mayRun ? JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "previous-runs") : outcome;
 	}
 
 	/**
@@ -105,6 +112,29 @@
 		}
 	}
 
+	/**
+	 * Lets another call wait for the answer to a job. The previous one is answered as
+	 * uncertain.
+	 * @param job the job
+	 * @param origin the entry host and the call
+	 */
+	void replaceOrigin(PooledJob job, JobOrigin origin) {
+		if (!job.origin().equals(origin)) {
+			this.actions.answer(job, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "submitted-again"));
+			job.origin(origin);
+		}
+	}
+
+	/**
+	 * Removes a job that has not started, without an answer.
+	 * @param job the job
+	 */
+	void withdraw(PooledJob job) {
+		this.queue.remove(job);
+		this.jobs.remove(job.key(), job);
+		this.deferred.remove(job.key(), job);
+	}
+
 	void add(PooledJob job) {
 		this.jobs.put(job.key(), job);
 	}
@@ -148,7 +178,7 @@
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	void finish(PooledJob job, JobOutcome outcome, long nowMillis) {
-		JobOutcome certainOutcome = certain(job, outcome);
+		JobOutcome certainOutcome = certain(job, outcome, nowMillis);
 		this.queue.remove(job);
 		this.jobs.remove(job.key());
 		this.deferred.remove(job.key(), job);
