--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualTime.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualTime.java
@@ -20,6 +20,9 @@
 
 	private long eventCount;
 
+	/** The process whose task runs, for log lines. */
+	private String place = "";
+
 	long nowMicros() {
 		return this.nowMicros;
 	}
@@ -32,6 +35,18 @@
 		return (this.nowMicros - START_MICROS) / 1_000;
 	}
 
+	String place() {
+		return this.place;
+	}
+
+	/**
+	 * Records which process runs a task.
+	 * @param newPlace the name of the process
+	 */
+	void enter(String newPlace) {
+		this.place = newPlace;
+	}
+
 	/**
 	 * Adds an event.
 	 * @param delayMicros after how long it is due, in microseconds
