--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualCallers.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualCallers.java
@@ -143,8 +143,8 @@
 			CallerRequest request = new CallerRequest("POST", "site", "/q/" + this.jobId, "", this.patienceMillis,
 					"1".getBytes(StandardCharsets.UTF_8));
 			site.time()
-				.after(VirtualCallers.this.random.nextInt(MAX_LATENCY_MICROS), () -> exchange.host.eventLoop()
-					.execute(() -> exchange.host.process().requestHandler().handleCallerRequest(request, exchange)));
+				.after(VirtualCallers.this.random.nextInt(MAX_LATENCY_MICROS),
+						() -> exchange.host.eventLoop().execute(() -> exchange.handle(request)));
 			site.time().afterMillis(this.patienceMillis, exchange::timeOut);
 		}
 
@@ -176,6 +176,10 @@
 		private Runnable disconnectAction = () -> {
 		};
 
+		private boolean handled;
+
+		private boolean broken;
+
 		private boolean replied;
 
 		/** Whether the caller has an answer, or none will come. */
@@ -210,15 +214,27 @@
 			this.disconnectAction = action;
 		}
 
+		private void handle(CallerRequest request) {
+			this.host.process().requestHandler().handleCallerRequest(request, this);
+			this.handled = true;
+			disconnectIfBroken();
+		}
+
+		// The host reads the request before it notices the end of the connection.
+		private void disconnectIfBroken() {
+			if (this.handled && this.broken && !this.replied) {
+				this.replied = true;
+				this.disconnectAction.run();
+			}
+		}
+
 		private void disconnect() {
 			this.closed = true;
 			VirtualCallers.this.site.time()
 				.after(VirtualCallers.this.random.nextInt(MAX_LATENCY_MICROS),
 						() -> this.host.eventLoop().execute(() -> {
-							if (!this.replied) {
-								this.replied = true;
-								this.disconnectAction.run();
-							}
+							this.broken = true;
+							disconnectIfBroken();
 						}));
 		}
 
