Deliver no request after its call has failed

A connection that the idle timeout closes was closed gracefully, so the operating system went on to send what it held. Such connections are reset now.

NettyPeerTransportTests.deliverNothingAfterTheirCallsHaveFailed failed before and passes now; the other tests of the class pass.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
@@ -82,7 +82,9 @@
 			assertThatNoTaskRunsTwiceAtATime(seed);
 		}
 
-		/** A new owner starts a copy before the endpoint of the first one has reported. */
+		/**
+		 * A new owner starts a copy before the endpoint of the first one has reported.
+		 */
 		@ParameterizedTest(name = "seed {0}")
 		@ValueSource(longs = 2064)
 		void noTaskRunsTwiceAsACopyMeetsANewOwner(long seed) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/IdleConnectionMonitor.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/IdleConnectionMonitor.java
@@ -65,7 +65,7 @@
 		else if (this.pinged) {
 			logger.info("Closing the connection with {}: no byte received within the idle timeout",
 					ctx.channel().remoteAddress());
-			ctx.close();
+			connection.abort();
 		}
 		else {
 			this.pinged = true;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -140,6 +141,15 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Closes the connection and discards what the peer has not received. Otherwise the
+	 * operating system would go on to deliver requests whose calls have failed.
+	 */
+	void abort() {
+		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		this.channel.close();
+	}
+
 	/**
 	 * Closes the connection if this host opened it, has not used it for
 	 * {@link #MAX_UNUSED_NANOS}, and has no pending calls on it.
@@ -164,7 +174,7 @@
 	 */
 	void closeSilently() {
 		this.handshakeCompleted = false;
-		this.channel.close();
+		abort();
 	}
 
 	@Override
--- a/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
@@ -1,6 +1,7 @@
 package org.masticwick.wire;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -267,6 +268,9 @@
 	@Nested
 	class UnresponsiveConnections {
 
+		/** More than a relay takes in that does not forward, which is some 40 KB. */
+		private static final int FILLING_BYTES = 128 * 1024;
+
 		@Test
 		void failTheirCallsAndAreReplaced() throws IOException {
 			CompletableFuture<PeerMessage> missingAnswer = new CompletableFuture<>();
@@ -284,6 +288,23 @@
 				.isInstanceOf(PeerMessage.ForwardAnswer.class);
 		}
 
+		/** A request used to arrive after its call had failed, once the path was back. */
+		@Test
+		void deliverNothingAfterTheirCallsHaveFailed() throws IOException {
+			TestPeer server = peer(TestPeer.settings(), TestPeer::echo);
+			TestPeer client = peer(TestPeer.settings().withIdleTimeoutMillis(SHORT_IDLE_TIMEOUT_MILLIS),
+					TestPeer::echo);
+			Relay relay = relay(server);
+			client.transport().call(relay.address(), TestPeer.forward(1)).join();
+			relay.pauseOpenConnections();
+			client.transport().call(relay.address(), TestPeer.forward(FILLING_BYTES));
+			CompletableFuture<PeerMessage> call = client.transport()
+				.call(relay.address(), new PeerMessage.FetchRecords(0, 0, 1));
+			assertThat(failure(call).mayHaveBeenSent()).isTrue();
+			relay.resumeOpenConnections();
+			await().during(Duration.ofMillis(500)).until(() -> !server.hasReceived(PeerMessage.FetchRecords.class));
+		}
+
 		@Test
 		void areDistinguishedFromSlowAnswers() {
 			CompletableFuture<PeerMessage> delayedAnswer = new CompletableFuture<>();
--- a/masticwick-wire/src/test/java/org/masticwick/wire/Relay.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/Relay.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.masticwick.core.process.HostAddress;
 
@@ -17,6 +19,9 @@
  */
 final class Relay implements AutoCloseable {
 
+	/** Small, so that what is not read soon remains at the sender. */
+	private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
 	private final List<Pipe> pipes = new CopyOnWriteArrayList<>();
 
 	private final ServerSocket listener;
@@ -25,7 +30,9 @@
 
 	Relay(HostAddress serverAddress) throws IOException {
 		this.serverAddress = serverAddress;
-		this.listener = new ServerSocket(0, 16, InetAddress.getByName(TestPeer.LOOPBACK));
+		this.listener = new ServerSocket();
+		this.listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+		this.listener.bind(new InetSocketAddress(TestPeer.LOOPBACK, 0), 16);
 		startThread(this::accept);
 	}
 
@@ -41,6 +48,14 @@
 		this.pipes.forEach((pipe) -> pipe.mode = Mode.STOP_READING);
 	}
 
+	void pauseOpenConnections() {
+		this.pipes.forEach((pipe) -> pipe.mode = Mode.PAUSED);
+	}
+
+	void resumeOpenConnections() {
+		this.pipes.forEach((pipe) -> pipe.mode = Mode.FORWARD);
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.listener.close();
@@ -77,7 +92,7 @@
 
 	private enum Mode {
 
-		FORWARD, DISCARD, STOP_READING
+		FORWARD, DISCARD, PAUSED, STOP_READING
 
 	}
 
@@ -101,6 +116,7 @@
 				OutputStream out = this.destination.getOutputStream();
 				int count = in.read(buffer);
 				while (count >= 0 && this.mode != Mode.STOP_READING) {
+					awaitResumption();
 					if (this.mode == Mode.FORWARD) {
 						out.write(buffer, 0, count);
 					}
@@ -113,6 +129,12 @@
 			}
 		}
 
+		private void awaitResumption() {
+			while (this.mode == Mode.PAUSED) {
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+			}
+		}
+
 		private void closeIfForwarding() throws IOException {
 			if (this.mode == Mode.FORWARD) {
 				this.destination.close();
