--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnedPools.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnedPools.java
@@ -1,9 +1,11 @@
 package org.masticwick.fleet.process;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 import org.masticwick.core.pool.PoolLoad;
@@ -33,10 +35,10 @@
 
 	/**
 	 * Returns the names of the pools.
-	 * @return a copy of the names
+	 * @return a copy of the names, in their order
 	 */
 	Set<String> names() {
-		return Set.copyOf(this.claims.keySet());
+		return Collections.unmodifiableSet(new TreeSet<>(this.claims.keySet()));
 	}
 
 	Stream<String> inNameOrder() {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -1,6 +1,7 @@
 package org.masticwick.fleet.process;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -491,10 +492,10 @@
 
 	/**
 	 * Returns the endpoints that have not been removed.
-	 * @return their ids
+	 * @return their ids, in their order
 	 */
 	Set<String> endpointIds() {
-		return Set.copyOf(this.endpoints.keySet());
+		return Collections.unmodifiableSet(new TreeSet<>(this.endpoints.keySet()));
 	}
 
 	/**
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualCallers.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualCallers.java
@@ -73,6 +73,15 @@
 		new Caller("j" + this.jobCount, domain).submit();
 	}
 
+	/**
+	 * Submits a job at a host.
+	 * @param jobId the id of the job
+	 * @param hostName the name of the host
+	 */
+	void submitAt(String jobId, String hostName) {
+		new Caller(jobId, VirtualSite.domain(hostName)).submitAt(hostName);
+	}
+
 	/**
 	 * Breaks connections of callers with a host.
 	 * @param hostName the name of the host
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualEndpoints.java
@@ -73,6 +73,15 @@
 		return 100 + Math.floorMod(task.jobId().hashCode() * 31L, 3_400L);
 	}
 
+	/**
+	 * Returns the endpoints that run a task.
+	 * @param task the task
+	 * @return their ids
+	 */
+	List<String> running(TaskId task) {
+		return ids().stream().filter((id) -> find(id).runCount(task) > 0).toList();
+	}
+
 	List<String> ids() {
 		return List.copyOf(this.endpoints.keySet());
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualSite.java
@@ -126,6 +126,16 @@
 		this.hosts.put(name, new Host(host, eventLoop, address));
 	}
 
+	/**
+	 * Ends a host without handover or answers, as the kill of its process would.
+	 * @param name the name of the host
+	 */
+	void kill(String name) {
+		Host host = this.hosts.get(name);
+		host.eventLoop().end();
+		this.network.resetConnections(host.address(), 1);
+	}
+
 	List<String> hostNames() {
 		return List.copyOf(this.hosts.keySet());
 	}
