--- a/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/NettyPeerTransportTests.java
@@ -1,6 +1,7 @@
 package org.masticwick.wire;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -273,6 +274,9 @@
 	@Nested
 	class UnresponsiveConnections {
 
+		/** More than a relay takes in that does not forward, which is some 40 KB. */
+		private static final int FILLING_BYTES = 128 * 1024;
+
 		private static final int PING_COUNT = 4;
 
 		private final AtomicLong nowNanos = new AtomicLong();
@@ -312,6 +316,25 @@
 				.isInstanceOf(PeerMessage.ForwardAnswer.class);
 		}
 
+		/** A request used to arrive after its call had failed, once the path was back. */
+		@Test
+		void deliverNothingAfterTheirCallsHaveFailed() throws IOException {
+			TestPeer server = peer(TestPeer.settings(), TestPeer::echo);
+			TestPeer client = client();
+			Relay relay = relay(server);
+			client.transport().call(relay.address(), TestPeer.forward(1)).join();
+			relay.pauseOpenConnections();
+			client.transport().call(relay.address(), TestPeer.forward(FILLING_BYTES));
+			CompletableFuture<PeerMessage> call = client.transport()
+				.call(relay.address(), new PeerMessage.FetchRecords(0, 0, 1));
+			advanceHalfAnIdleTimeout();
+			await().until(() -> messageCount(client, "Ping", TrafficCounters.Traffic::outCount) == 1);
+			advanceHalfAnIdleTimeout();
+			assertThat(failure(call).mayHaveBeenSent()).isTrue();
+			relay.resumeOpenConnections();
+			await().during(Duration.ofMillis(500)).until(() -> !server.hasReceived(PeerMessage.FetchRecords.class));
+		}
+
 		@Test
 		void areDistinguishedFromSlowAnswers() {
 			CompletableFuture<PeerMessage> delayedAnswer = new CompletableFuture<>();
