Connect to numeric IP addresses without the resolver

Connecting to an address with a host name looked it up with the resolver of the system, which blocks the event loop of all connections. Calls and connections to peers at anything but a numeric IP address fail as not sent.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/PooledHttpClient.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/connection/PooledHttpClient.java
@@ -1,5 +1,7 @@
 package org.masticwick.fleet.connection;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -15,8 +17,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.util.NetUtil;
 
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.version.SkippedRecords;
 
 /**
  * An HTTP/1.1 client that reuses idle connections. A connection carries one call at a
@@ -60,7 +64,14 @@
 			idleConnection.send(call, reply);
 			return reply;
 		}
-		ChannelFuture connectFuture = bootstrap(server).connect(server.ip(), server.port());
+		InetAddress ip = NetUtil.createInetAddressFromIpAddressString(server.ip());
+		if (ip == null) {
+			// The system's resolver would block the event loop.
+			reply.completeExceptionally(new CallException(CallException.Code.NOT_SENT,
+					SkippedRecords.shorten(server.ip()) + " is not a numeric IP address; the call was not sent"));
+			return reply;
+		}
+		ChannelFuture connectFuture = bootstrap(server).connect(new InetSocketAddress(ip, server.port()));
 		connectFuture.addListener((future) -> {
 			if (connectFuture.isSuccess()) {
 				connectFuture.channel().pipeline().get(HttpExchangeHandler.class).send(call, reply);
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PeerChannels.java
@@ -1,5 +1,6 @@
 package org.masticwick.wire.internal;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
@@ -140,6 +142,12 @@
 	}
 
 	private CompletableFuture<PeerConnection> connect(HostAddress peerAddress) {
+		InetAddress peerIp = NetUtil.createInetAddressFromIpAddressString(peerAddress.ip());
+		if (peerIp == null) {
+			// The system's resolver would block the event loop.
+			return CompletableFuture
+				.failedFuture(new PeerException("Not a numeric IP address of a peer: " + peerAddress, null, false));
+		}
 		CompletableFuture<PeerConnection> connectionFuture = new CompletableFuture<>();
 		ChannelFuture connectFuture = new Bootstrap().group(this.eventLoops)
 			.channel(NioSocketChannel.class)
@@ -149,7 +157,7 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.context.settings().connectTimeoutMillis())
 			.handler(new PeerChannelInitializer(peerAddress))
 			.localAddress(new InetSocketAddress(this.context.settings().bindIp(), 0))
-			.connect(peerAddress.ip(), peerAddress.port());
+			.connect(new InetSocketAddress(peerIp, peerAddress.port()));
 		connectFuture.addListener((future) -> startHandshake(connectFuture, connectionFuture));
 		return connectionFuture;
 	}
