Refuse messages and stored jobs with impossible numbers

Negative counts, amounts, runs and positions of tasks, predecessors that are no earlier step and schedules whose due times overflow were decoded, as were host names in addresses of endpoints. They are malformed now, and a reason is never empty.

--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/BasicTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/BasicTypes.java
@@ -19,6 +19,12 @@
 
 	static final WireType<Integer> INT = type(MessagePacker::packInt, BoundedUnpacker::readInt);
 
+	/** Whole numbers from 0 to the largest int. */
+	static final WireType<Integer> COUNT = type(MessagePacker::packInt, (in) -> checkNotNegative(in.readInt()));
+
+	/** Whole numbers from 0 to the largest long. */
+	static final WireType<Long> AMOUNT = type(MessagePacker::packLong, (in) -> checkNotNegative(in.readLong()));
+
 	static final WireType<Boolean> BOOLEAN = type(MessagePacker::packBoolean, BoundedUnpacker::readBoolean);
 
 	static final WireType<String> TEXT = type(MessagePacker::packString, BoundedUnpacker::readText);
@@ -66,6 +72,13 @@
 		return constants[ordinal];
 	}
 
+	private static <N extends Number> N checkNotNegative(N number) {
+		if (number.longValue() < 0) {
+			throw new MalformedMessageException("Negative number: " + number, null);
+		}
+		return number;
+	}
+
 	private static void writeBytes(MessagePacker out, byte[] value) throws IOException {
 		out.packBinaryHeader(value.length);
 		out.writePayload(value);
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/DurableRecordCodec.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/DurableRecordCodec.java
@@ -71,7 +71,8 @@
 			return type.read(new BoundedUnpacker(bytes, 0, bytes.length));
 		}
 		catch (IOException | MessagePackException | IllegalArgumentException ex) {
-			throw new MalformedMessageException("Can't decode a record of a durable job: " + ex.getMessage(), ex);
+			throw new MalformedMessageException("Can't decode a record of a durable job: "
+					+ ((ex.getMessage() != null) ? ex.getMessage() : ex.getClass().getSimpleName()), ex);
 		}
 	}
 
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -31,6 +31,7 @@
 import org.masticwick.core.pool.TerminationId;
 import org.masticwick.core.pool.TerminationKind;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.MalformedMessageException;
 import org.masticwick.wire.PeerMessage;
 
 /**
@@ -48,9 +49,9 @@
 
 	private static final RecordType<Resources> RESOURCES = new RecordType<>(
 			(values) -> new Resources(values.get(0), values.get(1), values.get(2)),
-			RecordType.optional(BasicTypes.LONG, Resources::cpuMillicores, 0L),
-			RecordType.optional(BasicTypes.LONG, Resources::memoryMegabytes, 0L),
-			RecordType.optional(BasicTypes.INT, Resources::gpuCount, 0));
+			RecordType.optional(BasicTypes.AMOUNT, Resources::cpuMillicores, 0L),
+			RecordType.optional(BasicTypes.AMOUNT, Resources::memoryMegabytes, 0L),
+			RecordType.optional(BasicTypes.COUNT, Resources::gpuCount, 0));
 
 	private static final RecordType<StepTraits> STEP_TRAITS = new RecordType<>(
 			(values) -> new StepTraits(values.get(0), values.get(1), values.get(2), values.get(3)),
@@ -62,22 +63,24 @@
 	private static final RecordType<StepSpec> STEP_SPEC = new RecordType<>(
 			(values) -> new StepSpec(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
 					values.get(5), values.get(6), values.get(7)),
-			RecordType.required(BasicTypes.INT, StepSpec::taskCount), RecordType.required(RESOURCES, StepSpec::demand),
-			RecordType.optional(BasicTypes.LONG, StepSpec::estimatedMillis, 0L),
-			RecordType.optional(BasicTypes.list(BasicTypes.INT), StepSpec::predecessors, List.of()),
+			RecordType.required(BasicTypes.COUNT, StepSpec::taskCount),
+			RecordType.required(RESOURCES, StepSpec::demand),
+			RecordType.optional(BasicTypes.AMOUNT, StepSpec::estimatedMillis, 0L),
+			RecordType.optional(BasicTypes.list(BasicTypes.COUNT), StepSpec::predecessors, List.of()),
 			RecordType.optional(BasicTypes.TEXT, StepSpec::requiredLabel, ""),
 			RecordType.optional(BasicTypes.TEXT, StepSpec::dataRack, ""),
-			RecordType.optional(BasicTypes.INT, StepSpec::maxPerEndpoint, 0),
+			RecordType.optional(BasicTypes.COUNT, StepSpec::maxPerEndpoint, 0),
 			RecordType.optional(STEP_TRAITS, StepSpec::traits, StepTraits.DEFAULT));
 
 	private static final RecordType<JobSchedule> JOB_SCHEDULE = new RecordType<>(
 			(values) -> new JobSchedule(values.get(0), values.get(1), values.get(2)),
-			RecordType.required(BasicTypes.INT, JobSchedule::count),
-			RecordType.required(BasicTypes.LONG, JobSchedule::firstEpochMillis),
-			RecordType.required(BasicTypes.LONG, JobSchedule::intervalMillis));
+			RecordType.required(BasicTypes.COUNT, JobSchedule::count),
+			RecordType.required(BasicTypes.AMOUNT, JobSchedule::firstEpochMillis),
+			RecordType.required(BasicTypes.AMOUNT, JobSchedule::intervalMillis));
 
 	private static final RecordType<JobSpec> JOB_SPEC = new RecordType<>(
-			(values) -> new JobSpec(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4)),
+			(values) -> checkJob(
+					new JobSpec(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4))),
 			RecordType.required(BasicTypes.TEXT, JobSpec::jobId),
 			RecordType.required(BasicTypes.TEXT, JobSpec::payload),
 			RecordType.required(BasicTypes.list(STEP_SPEC), JobSpec::steps),
@@ -90,7 +93,7 @@
 			RecordType.required(BasicTypes.TEXT, JobTerms::queue),
 			RecordType.required(BasicTypes.TEXT, JobTerms::service),
 			RecordType.required(BasicTypes.INT, JobTerms::priority),
-			RecordType.required(BasicTypes.INT, JobTerms::maxAttempts),
+			RecordType.required(BasicTypes.COUNT, JobTerms::maxAttempts),
 			RecordType.required(THOUSANDTHS, JobTerms::stretch),
 			RecordType.required(BasicTypes.LONG, JobTerms::targetLatencyMillis),
 			RecordType.required(BasicTypes.LONG, JobTerms::budgetMillis),
@@ -159,16 +162,16 @@
 	private static final RecordType<TaskId> TASK_ID = new RecordType<>(
 			(values) -> new TaskId(values.get(0), values.get(1), values.get(2), values.get(3)),
 			RecordType.required(BasicTypes.TEXT, TaskId::jobId),
-			RecordType.optional(BasicTypes.INT, TaskId::occurrence, 0),
-			RecordType.optional(BasicTypes.INT, TaskId::step, 0),
-			RecordType.optional(BasicTypes.INT, TaskId::index, 0));
+			RecordType.optional(BasicTypes.COUNT, TaskId::occurrence, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskId::step, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskId::index, 0));
 
 	private static final RecordType<TaskRun> TASK_RUN = new RecordType<>(
 			(values) -> new TaskRun(values.get(0), values.get(1)), RecordType.required(TASK_ID, TaskRun::task),
-			RecordType.required(BasicTypes.INT, TaskRun::number));
+			RecordType.required(BasicTypes.COUNT, TaskRun::number));
 
 	private static final RecordType<EndpointIncarnation> ENDPOINT_INCARNATION = new RecordType<>(
-			(values) -> new EndpointIncarnation(values.get(0), HostAddress.parse(values.get(1)), values.get(2)),
+			(values) -> new EndpointIncarnation(values.get(0), HostAddress.parseIpv4(values.get(1)), values.get(2)),
 			RecordType.required(BasicTypes.TEXT, EndpointIncarnation::endpointId),
 			RecordType.required(BasicTypes.TEXT, (incarnation) -> incarnation.address().toString()),
 			RecordType.required(BasicTypes.LONG, EndpointIncarnation::startedEpochMillis));
@@ -188,8 +191,8 @@
 					values.get(5), values.get(6)),
 			RecordType.required(TASK_ID, TaskTransfer::task),
 			RecordType.optional(BasicTypes.BOOLEAN, TaskTransfer::done, false),
-			RecordType.optional(BasicTypes.INT, TaskTransfer::runCount, 0),
-			RecordType.optional(BasicTypes.INT, TaskTransfer::failureCount, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskTransfer::runCount, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskTransfer::failureCount, 0),
 			RecordType.optional(BasicTypes.TEXT, TaskTransfer::endpointId, ""),
 			RecordType.optional(BasicTypes.LONG, TaskTransfer::sinceStartRequestedMillis, 0L),
 			RecordType.optional(BasicTypes.BOOLEAN, TaskTransfer::accepted, false));
@@ -207,8 +210,9 @@
 			RecordType.required(BasicTypes.list(TASK_TRANSFER), JobTransfer::tasks));
 
 	private static final RecordType<EndpointEntry> ENDPOINT_ENTRY = new RecordType<>(
-			(values) -> new EndpointEntry(values.get(0), values.get(1), HostAddress.parse(values.get(2)), values.get(3),
-					values.get(4), values.get(5), Set.copyOf(values.<List<String>>get(6)), values.get(7)),
+			(values) -> new EndpointEntry(values.get(0), values.get(1), HostAddress.parseIpv4(values.get(2)),
+					values.get(3), values.get(4), values.get(5), Set.copyOf(values.<List<String>>get(6)),
+					values.get(7)),
 			RecordType.required(BasicTypes.TEXT, EndpointEntry::id),
 			RecordType.required(BasicTypes.TEXT, EndpointEntry::service),
 			RecordType.required(BasicTypes.TEXT, (entry) -> entry.address().toString()),
@@ -298,17 +302,17 @@
 	private static final RecordType<TaskProgress> TASK_PROGRESS = new RecordType<>(
 			(values) -> new TaskProgress(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
 					values.get(5), values.get(6)),
-			RecordType.optional(BasicTypes.INT, TaskProgress::step, 0),
-			RecordType.optional(BasicTypes.INT, TaskProgress::index, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskProgress::step, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskProgress::index, 0),
 			RecordType.optional(BasicTypes.BOOLEAN, TaskProgress::done, false),
-			RecordType.optional(BasicTypes.INT, TaskProgress::lastTerminatedRun, 1),
-			RecordType.optional(BasicTypes.INT, TaskProgress::failureCount, 0),
+			RecordType.optional(BasicTypes.COUNT, TaskProgress::lastTerminatedRun, 1),
+			RecordType.optional(BasicTypes.COUNT, TaskProgress::failureCount, 0),
 			RecordType.optional(BasicTypes.TEXT, TaskProgress::checkpoint, ""),
 			RecordType.optional(BasicTypes.list(TASK_LOSS), TaskProgress::losses, List.of()));
 
 	private static final RecordType<OccurrenceProgress> OCCURRENCE_PROGRESS = new RecordType<>(
 			(values) -> new OccurrenceProgress(values.get(0), values.get(1), values.get(2)),
-			RecordType.optional(BasicTypes.INT, OccurrenceProgress::occurrence, 0),
+			RecordType.optional(BasicTypes.COUNT, OccurrenceProgress::occurrence, 0),
 			RecordType.optional(BasicTypes.BOOLEAN, OccurrenceProgress::completed, false),
 			RecordType.optional(BasicTypes.list(TASK_PROGRESS), OccurrenceProgress::tasks, List.of()));
 
@@ -321,4 +325,22 @@
 	private PoolMessageTypes() {
 	}
 
+	// A job whose tasks or due times can't be would fail while it is scheduled.
+	private static JobSpec checkJob(JobSpec spec) {
+		for (int stepNumber = 0; stepNumber < spec.steps().size(); stepNumber++) {
+			int number = stepNumber;
+			StepSpec step = spec.steps().get(stepNumber);
+			if (step.taskCount() < 1 || step.predecessors().stream().anyMatch((earlier) -> earlier >= number)) {
+				throw new MalformedMessageException("Step " + number + " of a job can't be", null);
+			}
+		}
+		JobSchedule schedule = spec.schedule();
+		long intervalCount = Math.max(0, schedule.count() - 1L);
+		if (Math.multiplyHigh(intervalCount, schedule.intervalMillis()) != 0
+				|| schedule.dueEpochMillis((int) intervalCount) < schedule.firstEpochMillis()) {
+			throw new MalformedMessageException("The due times of a job are out of range", null);
+		}
+		return spec;
+	}
+
 }
