Skip stored jobs that can't be when a pool is taken over

Stored progress of an occurrence that its job does not have made the owner start all occurrences up to it: with number 2,147,483,647 it ran out of memory, and so did the host that claimed the pool next. A key shorter than its prefix ended the reading, so that no job of the pool was continued, and progress of tasks that the job does not have was taken as it is. Each such record is skipped with a log event.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableProgress.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableProgress.java
@@ -18,4 +18,21 @@
 		occurrences = List.copyOf(occurrences);
 	}
 
+	/**
+	 * Returns whether a job has all occurrences and tasks of this progress.
+	 * @param job the job
+	 * @return {@code false} if the progress can't be that of the job
+	 */
+	public boolean fits(DurableJob job) {
+		return this.occurrences.stream()
+			.allMatch((occurrence) -> occurrence.occurrence() >= 0
+					&& occurrence.occurrence() < job.spec().schedule().count()
+					&& occurrence.tasks().stream().allMatch((task) -> hasTask(job.spec(), task)));
+	}
+
+	private static boolean hasTask(JobSpec spec, TaskProgress task) {
+		return task.step() >= 0 && task.step() < spec.steps().size() && task.index() >= 0
+				&& task.index() < spec.steps().get(task.step()).taskCount();
+	}
+
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -24,6 +24,7 @@
 import org.masticwick.core.pool.TerminationId;
 import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
+import org.masticwick.fleet.version.SkippedRecords;
 import org.masticwick.wire.DurableJobCodec;
 import org.masticwick.wire.MalformedMessageException;
 import org.masticwick.wire.PeerMessage;
@@ -279,7 +280,13 @@
 		DurableJobs.Timestamp timestamp = now();
 		progress.forEach((jobId, storedProgress) -> {
 			DurableJob job = definitions.get(jobId);
-			if (job != null) {
+			if (job != null && !storedProgress.fits(job)) {
+				logger.atError()
+					.addKeyValue("pool", pool)
+					.addKeyValue("job", SkippedRecords.shorten(jobId))
+					.log("Stored progress names tasks that its durable job does not have; the job is skipped");
+			}
+			else if (job != null) {
 				this.jobs.recover(pool, job, storedProgress, timestamp);
 			}
 			else {
@@ -296,23 +303,28 @@
 	// A definition without progress was never accepted.
 	private static void read(KeyedRecord storedRecord, Map<String, DurableJob> definitions,
 			Map<String, DurableProgress> progress) {
-		String jobId = storedRecord.key().substring(DEFINITION_PREFIX.length());
+		String key = storedRecord.key();
+		if (storedRecord.value() == null) {
+			return;
+		}
 		try {
-			if (storedRecord.value() == null) {
-				return;
+			if (key.startsWith(DEFINITION_PREFIX)) {
+				definitions.put(key.substring(DEFINITION_PREFIX.length()),
+						DurableJobCodec.decodeJob(storedRecord.value()));
 			}
-			if (storedRecord.key().startsWith(DEFINITION_PREFIX)) {
-				definitions.put(jobId, DurableJobCodec.decodeJob(storedRecord.value()));
+			else if (key.startsWith(PROGRESS_PREFIX)) {
+				progress.put(key.substring(PROGRESS_PREFIX.length()),
+						DurableJobCodec.decodeProgress(storedRecord.value()));
 			}
-			else if (storedRecord.key().startsWith(PROGRESS_PREFIX)) {
-				progress.put(jobId, DurableJobCodec.decodeProgress(storedRecord.value()));
+			else {
+				throw new MalformedMessageException("The key names neither a definition nor progress", null);
 			}
 		}
 		catch (MalformedMessageException ex) {
 			logger.atError()
-				.addKeyValue("key", storedRecord.key())
+				.addKeyValue("key", SkippedRecords.shorten(key))
 				.addKeyValue("offset", storedRecord.offset())
-				.addKeyValue("reason", ex.getMessage())
+				.addKeyValue("reason", SkippedRecords.shorten(ex.getMessage()))
 				.log("Unreadable record of a durable job ignored");
 		}
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/InMemoryLog.java
@@ -174,6 +174,17 @@
 		return null;
 	}
 
+	/**
+	 * Stores a record among those of durable jobs, as another writer may do.
+	 * @param partition the number of the partition
+	 * @param key the key of the record
+	 * @param value the value of the record
+	 */
+	synchronized void storeJobRecord(int partition, String key, byte[] value) {
+		List<KeyedRecord> records = jobPartition(partition).records;
+		records.add(new KeyedRecord(records.size(), key, value));
+	}
+
 	private JobPartition jobPartition(int partition) {
 		return this.jobPartitions.computeIfAbsent(partition, (number) -> new JobPartition());
 	}
