--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/MemberRecord.java
@@ -36,6 +36,12 @@
 
 	private static final int FIELD_COUNT = 5;
 
+	/**
+	 * The maximum processor capacity of a host, in thousandths of a core: 100,000 cores,
+	 * more than any host has. The strongest host owns the pools.
+	 */
+	private static final int MAX_PROCESSOR_MILLICORES = 100_000_000;
+
 	byte[] toBytes() {
 		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
 			write(out);
@@ -59,8 +65,15 @@
 		if (in.unpackArrayHeader() != FIELD_COUNT) {
 			throw new InvalidRecordException("Member record has a wrong number of fields");
 		}
-		return new MemberRecord(in.unpackString(), in.unpackString(), HostAddress.parse(in.unpackString()),
-				Incarnation.parse(in.unpackString()), in.unpackInt());
+		return new MemberRecord(in.unpackString(), in.unpackString(), HostAddress.parseIpv4(in.unpackString()),
+				Incarnation.parse(in.unpackString()), checkMillicores(in.unpackInt()));
+	}
+
+	private static int checkMillicores(int processorMillicores) {
+		if (processorMillicores < 0 || processorMillicores > MAX_PROCESSOR_MILLICORES) {
+			throw new InvalidRecordException("Member record has an impossible capacity: " + processorMillicores);
+		}
+		return processorMillicores;
 	}
 
 	static MemberRecord read(byte[] bytes) {
