Log each skipped entry, claim and version once

An unreadable entry of an endpoint that was not known yet was ignored without a log event, and unreadable claims and versions were logged with every read.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -29,6 +29,7 @@
 import org.masticwick.fleet.connection.TopicFollower;
 import org.masticwick.fleet.version.InvalidRecordException;
 import org.masticwick.fleet.version.SiteFormat;
+import org.masticwick.fleet.version.SkippedRecords;
 
 /**
  * Claims the pools without an owner, owns each until another host claims it, and releases
@@ -86,6 +87,8 @@
 
 	private final Map<String, EndpointEntry> endpoints = new HashMap<>();
 
+	private final SkippedRecords skippedRecords = new SkippedRecords();
+
 	private final Map<String, Long> unlistedSinceMillis = new HashMap<>();
 
 	private final Map<String, Long> ownerUnreachableSinceMillis = new HashMap<>();
@@ -304,10 +307,13 @@
 			applyClaim(new PoolClaim(pool, claim.owner(), token, claim.standbyHostNames()));
 		}
 		catch (InvalidRecordException ex) {
-			logger.atWarn()
-				.addKeyValue("key", claimRecord.key())
-				.addKeyValue("reason", ex.getMessage())
-				.log("Unreadable claim ignored; the owner of its pool stays the same");
+			if (this.skippedRecords.add(claimRecord.key(), ex.getMessage())) {
+				logger.atWarn()
+					.addKeyValue("key", SkippedRecords.shorten(claimRecord.key()))
+					.addKeyValue("offset", claimRecord.offset())
+					.addKeyValue("reason", ex.getMessage())
+					.log("Unreadable claim ignored; the owner of its pool stays the same");
+			}
 		}
 	}
 
@@ -413,20 +419,31 @@
 	void applyEndpointRecord(KeyedRecord endpointRecord) {
 		String endpointId = endpointRecord.key();
 		if (endpointRecord.value() == null) {
+			this.skippedRecords.remove(endpointId);
 			endpointUnlisted(endpointId);
 			return;
 		}
+		EndpointEntry entry;
 		try {
-			EndpointEntry entry = this.format.readEndpoint(endpointId, endpointRecord.value());
-			endpointListed(entry);
+			entry = this.format.readEndpoint(endpointId, endpointRecord.value());
 		}
 		catch (InvalidRecordException ex) {
-			if (this.endpoints.containsKey(endpointId)) {
-				logger.atWarn()
-					.addKeyValue("endpoint", endpointId)
-					.addKeyValue("reason", ex.getMessage())
-					.log("Unreadable entry of an endpoint ignored; its previous entry is used");
-			}
+			logSkippedEndpoint(endpointId, endpointRecord.offset(), ex.getMessage());
+			return;
+		}
+		this.skippedRecords.remove(endpointId);
+		endpointListed(entry);
+	}
+
+	// Entries of other writers may name no endpoint, and are read with each load.
+	private void logSkippedEndpoint(String endpointId, long offset, String reason) {
+		if (this.skippedRecords.add(endpointId, reason)) {
+			logger.atWarn()
+				.addKeyValue("endpoint", SkippedRecords.shorten(endpointId))
+				.addKeyValue("offset", offset)
+				.addKeyValue("known", this.endpoints.containsKey(endpointId))
+				.addKeyValue("reason", reason)
+				.log("Unreadable entry of an endpoint skipped; the previous one is used if there is one");
 		}
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/version/VersionHolder.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/version/VersionHolder.java
@@ -16,6 +16,8 @@
 
 	private final SiteFormat format;
 
+	private final SkippedRecords skippedRecords = new SkippedRecords();
+
 	private final AtomicReference<PublishedVersion> active = new AtomicReference<>();
 
 	/**
@@ -39,12 +41,10 @@
 			version = this.format.readVersion(content);
 		}
 		catch (InvalidRecordException ex) {
-			logger.atWarn()
-				.addKeyValue("source", source)
-				.addKeyValue("reason", ex.getMessage())
-				.log("Published version can't be parsed; ignoring it and keeping the active version");
+			logSkipped(source, ex.getMessage());
 			return false;
 		}
+		this.skippedRecords.remove(source);
 		long previousNumber = activeNumber();
 		if (version.number() <= previousNumber) {
 			return false;
@@ -59,6 +59,16 @@
 		return true;
 	}
 
+	private void logSkipped(String source, String reason) {
+		if (this.skippedRecords.add(source, reason)) {
+			logger.atWarn()
+				.addKeyValue("source", source)
+				.addKeyValue("active", activeNumber())
+				.addKeyValue("reason", reason)
+				.log("Published version can't be parsed; ignoring it and keeping the active version");
+		}
+	}
+
 	/**
 	 * Returns the active version.
 	 * @return the version, or empty if none has been received yet
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -5,18 +5,24 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.LoggerFactory;
 
 import org.masticwick.fleet.connection.HttpReply;
 import org.masticwick.fleet.connection.NewRecord;
@@ -125,6 +131,80 @@
 
 	}
 
+	/**
+	 * Records of other writers that can't be read. They used to be ignored without a log
+	 * event while no valid one of their key was known.
+	 */
+	@Nested
+	class OddRecords {
+
+		private static final String ENDPOINT_SKIPPED = "Unreadable entry of an endpoint skipped; "
+				+ "the previous one is used if there is one";
+
+		private final ListAppender<ILoggingEvent> appender = new ListAppender<>();
+
+		@BeforeEach
+		void captureLogEvents() {
+			this.appender.list = new CopyOnWriteArrayList<>();
+			this.appender.start();
+			((Logger) LoggerFactory.getLogger("org.masticwick.fleet")).addAppender(this.appender);
+		}
+
+		@AfterEach
+		void detachAppender() {
+			((Logger) LoggerFactory.getLogger("org.masticwick.fleet")).detachAppender(this.appender);
+		}
+
+		private void append(SharedTopic topic, String key, String value) {
+			FleetHostTests.this.site.log().append(topic, List.of(FleetSite.record(key, value)));
+		}
+
+		private void appendOddRecords() {
+			append(SharedTopic.ENDPOINTS, "odd", "nonsense");
+			append(SharedTopic.ENDPOINTS, "e1", "nonsense");
+			append(SharedTopic.ENDPOINTS, "odd-number", "d1,true,99999999999999999999");
+			append(SharedTopic.MEMBERS, "host/odd", "nonsense");
+			append(SharedTopic.MEMBERS, PoolOwnership.CLAIM_KEY_PREFIX + "d1", "nonsense");
+			append(SharedTopic.OPERATORS, "version", "nonsense");
+			append(SharedTopic.OPERATORS, "version", "99999999999999999999");
+		}
+
+		private long loggedCount(String thread, String message, String keyValue) {
+			return this.appender.list.stream()
+				.filter((event) -> event.getThreadName().equals(thread) && event.getMessage().equals(message))
+				.filter((event) -> event.getKeyValuePairs().toString().contains(keyValue))
+				.count();
+		}
+
+		private List<String> threads() {
+			return this.appender.list.stream().map(ILoggingEvent::getThreadName).distinct().toList();
+		}
+
+		@Test
+		void leaveTheOthersInUseAndAreLoggedOnce() {
+			startAll();
+			IntStream.range(0, 5).forEach((round) -> appendOddRecords());
+			awaitCompletedJob("host-1", "a");
+			awaitCompletedJob("host-3", "b");
+			append(SharedTopic.ENDPOINTS, "odd", "nonsense");
+			FleetHostTests.this.site.start("host-4", "d2");
+			awaitReady("host-4");
+			awaitCompletedJob("host-4", "c");
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.until(() -> threads().stream().anyMatch((thread) -> loggedCount(thread, ENDPOINT_SKIPPED, "odd") > 0));
+			threads().forEach((thread) -> {
+				assertThat(loggedCount(thread, ENDPOINT_SKIPPED, "\"odd\"")).isLessThan(2);
+				assertThat(loggedCount(thread,
+						"Published version can't be parsed; ignoring it and keeping the active version", ""))
+					.isLessThan(3);
+				assertThat(loggedCount(thread, "Unreadable claim ignored; the owner of its pool stays the same", ""))
+					.isLessThan(2);
+			});
+		}
+
+	}
+
 	@Nested
 	class Serving {
 
