Process all deferred reports before a new owner starts tasks

What callers saw: after a handover that was not confirmed, a copy of a job could start beside the run of the first copy.

Cause: at the end of the wait the deferred reports were processed one by one, with a scheduling pass after each. The job started while the report that lists its run was still waiting. The starts were also dated back to the report, so that the next tick stopped them as unanswered.

All reports are now processed before one scheduling pass with the present time.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/AwaitedTransfer.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/AwaitedTransfer.java
@@ -35,12 +35,22 @@
 	}
 
 	/**
-	 * Ends the wait and passes on the reports.
+	 * Returns whether a report of an endpoint is kept.
+	 * @param endpointId the id of the endpoint
+	 * @return whether there is one
+	 */
+	boolean hasReport(String endpointId) {
+		return this.reports.containsKey(endpointId);
+	}
+
+	/**
+	 * Ends the wait and passes on the reports, in the order in which the endpoints
+	 * reported first.
 	 * @param processor processes the reports
 	 */
 	void end(ReportProcessor processor) {
 		this.awaited = false;
-		Map<String, DeferredReport> deferred = Map.copyOf(this.reports);
+		Map<String, DeferredReport> deferred = new LinkedHashMap<>(this.reports);
 		this.reports.clear();
 		deferred.forEach((endpointId, report) -> processor.process(endpointId, report.report(),
 				report.requestedMillis(), report.receivedMillis()));
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -290,11 +290,22 @@
 	}
 
 	/**
-	 * Ends the wait for the transfer of a previous owner.
+	 * Returns whether the report of an endpoint waits for the transfer of a previous
+	 * owner.
+	 * @param endpointId the id of the endpoint
+	 * @return whether a report was received that is yet to be processed
+	 */
+	public boolean isReportDeferred(String endpointId) {
+		return this.awaitedTransfer.hasReport(endpointId);
+	}
+
+	/**
+	 * Ends the wait for the transfer of a previous owner. Tasks start only after all
+	 * deferred reports were processed, as any of them may list a run of a waiting job.
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	public void endAwaitedTransfer(long nowMillis) {
-		this.awaitedTransfer.end(this::endpointReported);
+		this.awaitedTransfer.end(this::processReport);
 		this.dispatcher.dispatch(nowMillis);
 	}
 
@@ -370,14 +381,21 @@
 				this.awaitedTransfer.defer(endpointId, report, requestedMillis, nowMillis);
 				return;
 			}
-			endpoint.recordContact(nowMillis);
-			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true, nowMillis);
-			this.runTracker.processReport(endpoint, report, requestedMillis, nowMillis);
-			this.endpoints.removeIfUnused(endpoint);
+			processReport(endpointId, report, requestedMillis, nowMillis);
 			this.dispatcher.dispatch(nowMillis);
 		});
 	}
 
+	private void processReport(String endpointId, EndpointReport report, long requestedMillis, long receivedMillis) {
+		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
+			endpoint.recordContact(receivedMillis);
+			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true,
+					receivedMillis);
+			this.runTracker.processReport(endpoint, report, requestedMillis, receivedMillis);
+			this.endpoints.removeIfUnused(endpoint);
+		});
+	}
+
 	/**
 	 * Records that the lease of an endpoint has certainly expired, also by the clock of
 	 * the endpoint.
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PreviousOwnerRunsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PreviousOwnerRunsTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.api.RepetitionInfo;
 import org.junit.jupiter.api.Test;
 
 import org.masticwick.core.process.HostAddress;
@@ -160,6 +162,33 @@
 				.containsExactly(JobOutcome.Kind.COMPLETED);
 		}
 
+		/** The reports were processed one by one, and jobs started in between. */
+		@RepeatedTest(20)
+		void startNothingBeforeAllDeferredReportsAreProcessed(RepetitionInfo repetition) {
+			String otherId = "x" + repetition.getCurrentRepetition();
+			PreviousOwnerRunsTests.this.scheduler.endpointListed(entry(otherId), ASSUMED_MILLIS);
+			PreviousOwnerRunsTests.this.scheduler.awaitTransfer();
+			report("a", ASSUMED_MILLIS + 300);
+			report("b", ASSUMED_MILLIS + 300);
+			report(otherId, ASSUMED_MILLIS + 300, PREVIOUS_RUN);
+			submit("j1", 5, 5_000, ASSUMED_MILLIS + 310);
+			PreviousOwnerRunsTests.this.scheduler.endAwaitedTransfer(ASSUMED_MILLIS + 350);
+			assertThat(startedJobIds()).isEmpty();
+		}
+
+		/** Starts were dated back to the report, and stopped as unanswered at once. */
+		@Test
+		void doNotStopTheStartsAtTheEndOfTheWaitAsUnanswered() {
+			PreviousOwnerRunsTests.this.scheduler.awaitTransfer();
+			report("a", ASSUMED_MILLIS + 5);
+			report("b", ASSUMED_MILLIS + 5);
+			submitCopy();
+			PreviousOwnerRunsTests.this.scheduler.endAwaitedTransfer(ASSUMED_MILLIS + 350);
+			assertThat(startedJobIds()).containsExactly("j1");
+			PreviousOwnerRunsTests.this.scheduler.tick(ASSUMED_MILLIS + 351);
+			assertThat(PreviousOwnerRunsTests.this.actions.stops()).isEmpty();
+		}
+
 		@Test
 		void letACopyWaitForTheRunsOfAPreviousOwnerThatHasResumed() {
 			PreviousOwnerRunsTests.this.scheduler.awaitTransfer();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
@@ -204,6 +204,11 @@
 		if (!this.scheduler.isTracked(endpointId)) {
 			closeLease(lease);
 		}
+		else if (this.scheduler.isReportDeferred(endpointId)) {
+			// The endpoint would answer at once if it lists terminations.
+			lease.setRenewing(true);
+			this.eventLoop.schedule(() -> renew(lease), UNSTORED_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		}
 		else if (this.scheduler.hasUnstoredTerminations(endpointId)) {
 			// The endpoint would answer at once with the same terminations.
 			lease.setRenewing(true);
