End all given-up jobs before a failed handover lets tasks start

The owner was unfrozen first, so that the end of the first given-up job started a waiting one that had been given up too (one start and its stop 2 ms later). The jobs are ended while starts are still delayed. The new test failed before, with 2 starts instead of 1.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -187,12 +187,15 @@
 	 * Resumes scheduling and renewals, as the handover failed.
 	 */
 	void unfreeze() {
-		this.pools.setFrozen(false);
-		this.hostsLostWhileFrozen.forEach(this::entryHostLost);
+		long nowMillis = Clock.nowMillis();
+		// Nothing starts before all of these jobs have ended, as starts are delayed while
+		// frozen.
+		this.hostsLostWhileFrozen.forEach((peerAddress) -> this.scheduler.entryHostLost(peerAddress, nowMillis));
 		this.hostsLostWhileFrozen.clear();
 		this.callsAbandonedWhileFrozen
-			.forEach((peerAddress, callNumbers) -> cancelAbandoned(peerAddress, List.copyOf(callNumbers)));
+			.forEach((peerAddress, callNumbers) -> this.scheduler.cancelCalls(peerAddress, callNumbers, nowMillis));
 		this.callsAbandonedWhileFrozen.clear();
+		this.pools.setFrozen(false);
 		drainedDomainsChanged();
 		this.leases.resume();
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
@@ -66,8 +66,7 @@
 					new InMemoryLog().clientOf("a", this.loop), List.of("d1"), new FleetMetrics(), new LossExchange(),
 					drains, new RecordingListener());
 			this.owner.addPool(new PoolClaim("d1", self, 32, List.of()));
-			this.owner.endpointListed(new EndpointEntry("e1", "service", new HostAddress("10.0.0.9", 1), "d1", true,
-					new Resources(1_000, 1_000, 0), Set.of(), 1));
+			this.owner.endpointListed(endpoint("e1"));
 			this.owner.endpointsLoaded();
 			this.loop.scheduleAtFixedRate(this.owner::tick, 0, 25, TimeUnit.MILLISECONDS);
 			submit("running", 1);
@@ -85,6 +84,11 @@
 		return this.loop.submit(action).syncUninterruptibly().getNow();
 	}
 
+	private static EndpointEntry endpoint(String id) {
+		return new EndpointEntry(id, "service", new HostAddress("10.0.0.9", 1), "d1", true,
+				new Resources(1_000, 1_000, 0), Set.of(), 1);
+	}
+
 	private void submit(String jobId, long callNumber) {
 		StepSpec step = new StepSpec(1, new Resources(1_000, 1, 0), RUN_MILLIS, List.of(), "", "", 0);
 		this.owner.submit("d1", new JobSpec(jobId, "payload", List.of(step)),
@@ -111,6 +115,27 @@
 			assertThat(FrozenOwnerTests.this.answers).containsExactly("running UNCERTAIN call-abandoned");
 		}
 
+		/** The end of the first given-up job used to start the next one. */
+		@Test
+		void startsNoJobThatWasGivenUpMeanwhile() {
+			onLoop(() -> {
+				FrozenOwnerTests.this.owner.endpointListed(endpoint("e2"));
+				return null;
+			});
+			pause(300);
+			onLoop(() -> {
+				FrozenOwnerTests.this.owner.freeze();
+				submit("waiting", 2);
+				FrozenOwnerTests.this.owner.cancelAbandoned(CALLERS_HOST, List.of(2L));
+				FrozenOwnerTests.this.owner.entryHostLost("10.0.0.3:1");
+				FrozenOwnerTests.this.owner.unfreeze();
+				return null;
+			});
+			Awaitility.await().atMost(TIMEOUT).until(() -> !FrozenOwnerTests.this.answers.isEmpty());
+			assertThat(FrozenOwnerTests.this.answers).containsExactly("waiting UNCERTAIN call-abandoned");
+			assertThat(FrozenOwnerTests.this.endpoints.startCount()).isEqualTo(1);
+		}
+
 		@Test
 		void endsTheJobsOfHostsThatWereLostMeanwhile() {
 			onLoop(() -> {
