Await only transfers of pools that are claimed

An owner that was offered a second pool while it waited for a first one started nothing until the log had answered the second claim. Only offered pools that it owns keep it waiting now. By reading; no test.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -373,12 +373,15 @@
 	}
 
 	/**
-	 * Ends the wait for a confirmation that has come or has failed.
+	 * Ends the wait for a confirmation that has come or has failed. Pools that are
+	 * offered but not claimed yet do not keep the owner waiting.
 	 * @param pools the names of the pools
 	 */
 	void endAwaitedTransfer(List<String> pools) {
 		this.poolsAwaitingTransfer.removeAll(Set.copyOf(pools));
-		if (this.poolsAwaitingTransfer.isEmpty()) {
+		boolean awaited = this.poolsAwaitingTransfer.stream()
+			.anyMatch((pool) -> this.directory.localOwnerOf(pool).isPresent());
+		if (!awaited) {
 			this.directory.localOwner().ifPresent(PoolOwner::endAwaitedTransfer);
 		}
 	}
