Let a lease by the clock of a previous incarnation lapse later

What callers saw: two runs of one task that overlap by up to 257 ms, after an endpoint was born anew under its id and fell silent again.

Cause: the end of a lease is computed from the endpoint's last clock. A renewal that reaches a new incarnation names its end by the clock of the previous one, far in the future, which the endpoint shortens to 1,000 ms, the longest of the contract. The owner took the lease for lapsed after 763 ms. The same holds for the lease of a start that is executed late; the end of such a lease was not reported at all, if the one before had lapsed already. A report of the previous incarnation that came late set the clock back.

Fix: the lease knows the incarnation of its clock. A contact after the lease has lapsed starts the bound anew. Reports of an earlier incarnation have no effect.

Failed before (with the new signature and the old bound): EndpointLeaseTests: aRenewalByTheClockOfThePreviousIncarnationLastsAsLongAsTheEndpointGrants, expiryIsReportedAgainAfterALaterContact, aReportOfThePreviousIncarnationHasNoEffect. All pass now.

Not covered: an endpoint that is born anew, accepts a start and falls silent before its first report.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointLease.java
@@ -23,6 +23,14 @@
 
 	private long renewedMillis = NEVER;
 
+	/**
+	 * The time up to which the endpoint may have got a lease whose end is by the clock of
+	 * another incarnation.
+	 */
+	private long shortenedMillis = NEVER;
+
+	private long startedEpochMillis;
+
 	private boolean expiryReported = true;
 
 	private boolean unresponsive = true;
@@ -64,7 +72,29 @@
 		this.closed = true;
 	}
 
-	void recordContact(long endpointClockMillis, long nowMillis) {
+	/**
+	 * Records a report of the endpoint. One of a previous incarnation has no effect.
+	 * @param reportedStartEpochMillis the start time of the incarnation that wrote it, in
+	 * milliseconds since 1970
+	 * @param endpointClockMillis the clock of the endpoint, in milliseconds
+	 * @param nowMillis the time in milliseconds
+	 */
+	void recordContact(long reportedStartEpochMillis, long endpointClockMillis, long nowMillis) {
+		if (reportedStartEpochMillis < this.startedEpochMillis) {
+			return;
+		}
+		if (reportedStartEpochMillis > this.startedEpochMillis) {
+			// Renewals by the clock of the previous incarnation may have reached this
+			// one.
+			this.shortenedMillis = this.renewedMillis;
+			this.startedEpochMillis = reportedStartEpochMillis;
+		}
+		if (this.expiryReported && this.renewedMillis != NEVER) {
+			// A start that was executed late may have got a lease since the last one
+			// expired.
+			this.shortenedMillis = nowMillis;
+			this.expiryReported = false;
+		}
 		this.lastClockMillis = endpointClockMillis;
 		this.clockReadMillis = nowMillis;
 		this.lastContactMillis = nowMillis;
@@ -112,7 +142,8 @@
 	 * @return whether no run under this lease can still be running
 	 */
 	boolean pollExpiry(long nowMillis) {
-		if (this.expiryReported || nowMillis - this.renewedMillis <= this.settings.maxLeaseMillis()) {
+		if (this.expiryReported || nowMillis - this.renewedMillis <= this.settings.maxLeaseMillis()
+				|| nowMillis - this.shortenedMillis <= this.settings.maxShortenedLeaseMillis()) {
 			return false;
 		}
 		this.expiryReported = true;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
@@ -191,7 +191,7 @@
 			return;
 		}
 		long nowMillis = Clock.nowMillis();
-		lease.recordContact(report.get().clockMillis(), nowMillis);
+		lease.recordContact(report.get().startedEpochMillis(), report.get().clockMillis(), nowMillis);
 		this.scheduler.endpointReported(lease.entry().id(), report.get(), requestedMillis, nowMillis);
 		renewOrCloseLease(lease);
 	}
