Ignore late answers of a previous incarnation

What callers saw: a task that was done could start again, as its end was acknowledged unread.

Cause: the report of an endpoint that was born anew meanwhile, and whose new entry was known already, was processed as one of the present incarnation. Its numbers of ends start anew, so the numbers of the late report acknowledged ends that the new incarnation had yet to list. The confirmation of a stop by the previous incarnation counted for the present one, which does not know the stop.

Fix: a report names its incarnation, and an earlier one is ignored. The answer to a stop does not; so it counts only if the stop was sent after the new incarnation was noticed. An answer to a start needs no such check: the start was executed before, and a later report decides whether it still runs.

Both pass now; the other tests only name when their stops were sent.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -326,21 +326,28 @@
 	 * Records that an endpoint acknowledged a stop request.
 	 * @param endpointId the id of the endpoint
 	 * @param run the run
+	 * @param requestedMillis when the stop request was sent, in milliseconds; an answer
+	 * to an earlier one than the restart of the endpoint may be of its previous
+	 * incarnation
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
-	public void stopConfirmed(String endpointId, TaskRun run, long nowMillis) {
-		this.endpoints.find(endpointId, run).ifPresent((placement) -> placement.stopConfirmed(nowMillis));
+	public void stopConfirmed(String endpointId, TaskRun run, long requestedMillis, long nowMillis) {
+		this.endpoints.find(endpointId, run)
+			.filter((placement) -> requestedMillis > placement.endpoint().restartNoticedMillis())
+			.ifPresent((placement) -> placement.stopConfirmed(nowMillis));
 	}
 
 	/**
-	 * Processes the report that an endpoint returned with a lease renewal.
+	 * Processes the report that an endpoint returned with a lease renewal. One of a
+	 * previous incarnation is ignored, as its numbers of terminations are not those of
+	 * the present one.
 	 * @param endpointId the id of the endpoint
 	 * @param report the report
 	 * @param requestedMillis when the renewal was sent, in milliseconds
 	 * @param nowMillis the current monotonic time in milliseconds
 	 */
 	public void endpointReported(String endpointId, EndpointReport report, long requestedMillis, long nowMillis) {
-		this.endpoints.find(endpointId).ifPresent((endpoint) -> {
+		this.endpoints.find(endpointId).filter((endpoint) -> !endpoint.isSuperseded(report)).ifPresent((endpoint) -> {
 			endpoint.recordContact(nowMillis);
 			this.crashLoopGuard.incarnationSeen(endpoint.incarnation(report.startedEpochMillis()), true, nowMillis);
 			this.runTracker.processReport(endpoint, report, requestedMillis, nowMillis);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -58,6 +58,8 @@
 
 	private Set<String> orphanedJobIds = Set.of();
 
+	private long restartNoticedMillis = Long.MIN_VALUE / 2;
+
 	private boolean listed = true;
 
 	private boolean drained;
@@ -166,6 +168,27 @@
 		this.clockReportedMillis = -1;
 	}
 
+	/**
+	 * Returns when the last restart was noticed.
+	 * @return the time in milliseconds, far in the past if none was
+	 */
+	long restartNoticedMillis() {
+		return this.restartNoticedMillis;
+	}
+
+	void restartNoticed(long nowMillis) {
+		this.restartNoticedMillis = nowMillis;
+	}
+
+	/**
+	 * Returns whether a report is of an earlier incarnation, so that it was delayed.
+	 * @param report the report
+	 * @return whether the present incarnation started later
+	 */
+	boolean isSuperseded(EndpointReport report) {
+		return report.startedEpochMillis() > 0 && report.startedEpochMillis() < this.startedEpochMillis;
+	}
+
 	/**
 	 * Returns whether a run was requested from an earlier incarnation.
 	 * @param placement the placement of the run
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -78,6 +78,7 @@
 		endpoint.health().restarted();
 		if (startTimeKnown) {
 			this.actions.endpointRestarted(endpoint.entry(), startedEpochMillis);
+			endpoint.restartNoticed(nowMillis);
 			// A new incarnation does not know the stops that the previous one confirmed.
 			endpoint.placements().forEach(Placement::forgetStopConfirmation);
 		}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -466,7 +466,7 @@
 			assertThat(DurableJobsTests.this.actions.stops()).containsExactly(first.run());
 			report(first.endpointId(), 100);
 			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isFalse();
-			DurableJobsTests.this.scheduler.stopConfirmed(first.endpointId(), first.run(), 120);
+			DurableJobsTests.this.scheduler.stopConfirmed(first.endpointId(), first.run(), 119, 120);
 			assertThat(DurableJobsTests.this.scheduler.mayExtendLease(first.endpointId())).isTrue();
 		}
 
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -163,7 +163,7 @@
 			submit(job("second", step(1, 27_000, 100)), 70);
 			RecordedActions.Start stopped = PoolSchedulerTests.this.actions.starts().get(0);
 			PoolSchedulerTests.this.actions.stops()
-				.forEach((run) -> PoolSchedulerTests.this.scheduler.stopConfirmed("a", run, 71));
+				.forEach((run) -> PoolSchedulerTests.this.scheduler.stopConfirmed("a", run, 70, 71));
 			PoolSchedulerTests.this.scheduler.tick(80);
 			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
 			terminate(stopped, TerminationKind.STOPPED, 110);
@@ -338,7 +338,7 @@
 			assertThat(PoolSchedulerTests.this.actions.stops()).containsExactly(start.run());
 			report(start.endpointId(), List.of(), List.of(), 131, 140);
 			assertThat(PoolSchedulerTests.this.actions.starts()).as("before the stop is confirmed").hasSize(1);
-			PoolSchedulerTests.this.scheduler.stopConfirmed(start.endpointId(), start.run(), 150);
+			PoolSchedulerTests.this.scheduler.stopConfirmed(start.endpointId(), start.run(), 149, 150);
 			report(start.endpointId(), List.of(), List.of(), 160, 170);
 			assertThat(PoolSchedulerTests.this.actions.starts()).as("within the time of a stop").hasSize(1);
 			report(start.endpointId(), List.of(), List.of(), 210, 215);
@@ -476,7 +476,22 @@
 			RecordedActions.Start inProgress = lastStart();
 			PoolSchedulerTests.this.scheduler.cancel("k", ORIGIN, 141);
 			PoolSchedulerTests.this.scheduler.submit(job("k", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 142);
-			PoolSchedulerTests.this.scheduler.stopConfirmed(inProgress.endpointId(), inProgress.run(), 145);
+			PoolSchedulerTests.this.scheduler.stopConfirmed(inProgress.endpointId(), inProgress.run(), 144, 145);
+			PoolSchedulerTests.this.scheduler.endpointReported(inProgress.endpointId(),
+					new EndpointReport(200, 215, List.of(), List.of()), 210, 215);
+			PoolSchedulerTests.this.scheduler.tick(216);
+			assertThat(PoolSchedulerTests.this.actions.starts()).filteredOn((other) -> isOf(other, "k")).hasSize(1);
+		}
+
+		/** The answer may have been written by the previous incarnation. */
+		@Test
+		void areNotEndedByAnAnswerToAStopThatWasSentBeforeTheRestartWasNoticed() {
+			submit(job("k", step(1, 1_000, 100)), 140);
+			RecordedActions.Start inProgress = lastStart();
+			PoolSchedulerTests.this.scheduler.cancel("k", ORIGIN, 141);
+			PoolSchedulerTests.this.scheduler.submit(job("k", step(1, 1_000, 100)), terms(2), OTHER_ORIGIN, 142);
+			PoolSchedulerTests.this.scheduler.endpointListed(entry(inProgress.endpointId(), 64_000, true, 200), 143);
+			PoolSchedulerTests.this.scheduler.stopConfirmed(inProgress.endpointId(), inProgress.run(), 141, 145);
 			PoolSchedulerTests.this.scheduler.endpointReported(inProgress.endpointId(),
 					new EndpointReport(200, 215, List.of(), List.of()), 210, 215);
 			PoolSchedulerTests.this.scheduler.tick(216);
@@ -577,7 +592,7 @@
 			assertThat(PoolSchedulerTests.this.scheduler.mayExtendLease("a")).isFalse();
 			submit(job("other", step(1, 1_000, 100)), 30);
 			assertThat(PoolSchedulerTests.this.actions.starts()).as("a start extends the lease").hasSize(1);
-			PoolSchedulerTests.this.scheduler.stopConfirmed("a", lastStart().run(), 40);
+			PoolSchedulerTests.this.scheduler.stopConfirmed("a", lastStart().run(), 39, 40);
 			PoolSchedulerTests.this.scheduler.tick(50);
 			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
 			assertThat(PoolSchedulerTests.this.scheduler.mayExtendLease("a")).isTrue();
@@ -800,6 +815,22 @@
 			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
 		}
 
+		/**
+		 * The numbers of terminations start anew with an incarnation, so that those of a
+		 * delayed report used to acknowledge terminations that were never read.
+		 */
+		@Test
+		void aDelayedReportOfThePreviousIncarnationAcknowledgesNothing() {
+			RecordedActions.Start start = startOnAnEndpointWithAKnownStart();
+			PoolSchedulerTests.this.scheduler.endpointListed(entry(start.endpointId(), 64_000, true, 200), 20);
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(), new EndpointReport(100, 9_000,
+					List.of(), List.of(new TerminatedRun(1, start.run(), TerminationKind.STOPPED))), 19, 21);
+			assertThat(PoolSchedulerTests.this.scheduler.acknowledgedTerminationNumber(start.endpointId())).isZero();
+			PoolSchedulerTests.this.scheduler.endpointReported(start.endpointId(),
+					new EndpointReport(200, 40, List.of(), List.of()), 35, 40);
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(2);
+		}
+
 		@Test
 		void theLoadContainsTheFreeCapacity() {
 			submit(job("j", step(1, 30_000, 100)), 10);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointCommands.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/EndpointCommands.java
@@ -129,9 +129,10 @@
 			.addKeyValue("endpoint", endpoint.id())
 			.addKeyValue("reason", reason)
 			.log("Requesting an endpoint to stop a task");
+		long requestedMillis = Clock.nowMillis();
 		this.calls.stop(endpoint, run, this.leases.commandToken(endpoint)).whenComplete((accepted, error) -> {
 			if (error == null && accepted && !this.pools.isFrozen()) {
-				this.scheduler.stopConfirmed(endpoint.id(), run, Clock.nowMillis());
+				this.scheduler.stopConfirmed(endpoint.id(), run, requestedMillis, Clock.nowMillis());
 			}
 			else if (error != null) {
 				logger.atDebug().addKeyValue("task", run).log("Stop request failed without an answer of the endpoint");
