--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualEndpoints.java
@@ -264,7 +264,7 @@
 			VirtualEndpoint endpoint = find(entry.id());
 			boolean[] renewed = new boolean[1];
 			return call(endpoint, timeoutMillis, (grantedMillis) -> {
-				OptionalLong endMillis = renewed[0] ? OptionalLong.empty() : leaseEndMillis;
+				OptionalLong endMillis = (renewed[0]) ? OptionalLong.empty() : leaseEndMillis;
 				renewed[0] = true;
 				return endpoint.renew(fencingToken, acknowledgedNumber, endMillis);
 			}, (report) -> report.isEmpty() ? 0L : endpoint.answerDelayMillis(waitMillis));
