Start overdue occurrences of a job in portions

A job with many occurrences that are due at once, as with an interval of 0 or a first time long past, made its owner start all of them in one go; 30,000 took 46 s on the event loop, more use up the memory of the owner and then of the next one. A job has at most 1,000 unfinished occurrences with at most 10,000 tasks, and at least one; the next ones start as they finish.

DurableJobsTests$Traits.occurrencesThatAreDueAtOnceStartInPortions failed before after 46 s.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -24,6 +24,18 @@
 	 */
 	private static final long FINISHED_RETENTION_MILLIS = 150_000;
 
+	/**
+	 * The number of unfinished occurrences of a job up to which the next due one starts.
+	 * The start of 30,000 occurrences at once took 46 s.
+	 */
+	private static final int MAX_OPEN_OCCURRENCES = 1_000;
+
+	/**
+	 * The number of tasks of a job's unfinished occurrences up to which the next due one
+	 * starts; many times the task count of the largest job to be supported, which is 560.
+	 */
+	private static final long MAX_OPEN_TASKS = 10_000;
+
 	/** The interval at which expired finished jobs are removed, in milliseconds. */
 	private static final long SWEEP_INTERVAL_MILLIS = 1_000;
 
@@ -136,7 +148,7 @@
 	private void startDueOccurrences(Entry entry, Timestamp time) {
 		JobSchedule schedule = entry.job.spec().schedule();
 		while (entry.state == DurableState.ACTIVE && entry.nextOccurrence < schedule.count()
-				&& entry.dueEpochMillis(entry.nextOccurrence) <= time.epochMillis()) {
+				&& entry.dueEpochMillis(entry.nextOccurrence) <= time.epochMillis() && entry.mayOpenOccurrence()) {
 			startOccurrence(entry, entry.nextOccurrence, List.of(), time);
 			entry.nextOccurrence++;
 		}
@@ -494,6 +506,14 @@
 			return this.storedRevision > 0;
 		}
 
+		// Many occurrences may be due at once, but the memory and time of an owner are
+		// limited. One occurrence may always be open.
+		private boolean mayOpenOccurrence() {
+			long openCount = this.occurrences.size() + 1L;
+			return openCount == 1
+					|| openCount <= MAX_OPEN_OCCURRENCES && openCount * this.job.spec().taskCount() <= MAX_OPEN_TASKS;
+		}
+
 		private long dueEpochMillis(int occurrence) {
 			JobSchedule schedule = this.job.spec().schedule();
 			return schedule.isTimed() ? schedule.dueEpochMillis(occurrence) : this.job.acceptedEpochMillis();
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -680,6 +680,24 @@
 			assertThat(starts()).extracting((start) -> start.run().task().occurrence()).containsExactly(0, 1, 2);
 		}
 
+		/**
+		 * An owner used to start all occurrences that are due at once, and ran out of
+		 * memory, as did each next owner.
+		 */
+		@Test
+		void occurrencesThatAreDueAtOnceStartInPortions() {
+			JobSpec overdue = new JobSpec("j", "payload", List.of(step(1, 1_000, StepTraits.DEFAULT)), true,
+					new JobSchedule(30_000, 1, 0));
+			submitAndStore(overdue, 10);
+			assertThat(DurableJobsTests.this.scheduler.load(11).jobCount()).isEqualTo(1_000);
+			assertThat(starts()).isNotEmpty();
+			int startCount = starts().size();
+			terminate(start(0), TerminationKind.DONE, "", 50);
+			DurableJobsTests.this.jobs.tick(at(60));
+			assertThat(DurableJobsTests.this.scheduler.load(61).jobCount()).isEqualTo(1_000);
+			assertThat(starts()).hasSizeGreaterThan(startCount);
+		}
+
 		@Test
 		void aTimedJobCompletesWithItsLastOccurrence() {
 			JobSpec timed = new JobSpec("j", "payload", List.of(step(1, 1_000, StepTraits.DEFAULT)), true,
