Let no task be restarted as slow in a test that counts starts

FleetHostTests$Serving.answersJobsOfAnyHost failed once (8 starts instead of 6) at a load average of some 22 to 26. The log of the run shows the cause: two tasks had a progress of 16% and 18% after 72 ms, lagged behind their estimate of 100 ms, and were started again on another endpoint, as they should be. The test now uses an estimate of 2 s, with which runs of 150 ms are not judged; what it asserts is unchanged.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetHostTests.java
@@ -31,6 +31,8 @@
 
 	private static final long RUN_MILLIS = 150;
 
+	private static final long LONG_ESTIMATE_MILLIS = 2_000;
+
 	/** Three crashes, and the two further starts that the platform tolerates. */
 	private static final int MAX_CRASHES_OF_A_TASK = 5;
 
@@ -44,12 +46,16 @@
 	}
 
 	private void startAll() {
-		List.of("e1", "e2").forEach((id) -> this.site.listEndpoint(id, "d1", true));
-		List.of("e3", "e4").forEach((id) -> this.site.listEndpoint(id, "d2", true));
-		this.site.start("host-1", "d1");
-		this.site.start("host-2", "d1");
-		this.site.start("host-3", "d2");
-		List.of("host-1", "host-2", "host-3").forEach(this::awaitReady);
+		startAll(this.site);
+	}
+
+	private static void startAll(FleetSite site) {
+		List.of("e1", "e2").forEach((id) -> site.listEndpoint(id, "d1", true));
+		List.of("e3", "e4").forEach((id) -> site.listEndpoint(id, "d2", true));
+		site.start("host-1", "d1");
+		site.start("host-2", "d1");
+		site.start("host-3", "d2");
+		List.of("host-1", "host-2", "host-3").forEach(site::awaitReady);
 	}
 
 	private void awaitReady(String hostName) {
@@ -70,7 +76,11 @@
 	}
 
 	private String submit(String hostName, String jobId) {
-		return text(this.site.submit(hostName, jobId, 2).orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join());
+		return submit(this.site, hostName, jobId);
+	}
+
+	private static String submit(FleetSite site, String hostName, String jobId) {
+		return text(site.submit(hostName, jobId, 2).orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join());
 	}
 
 	private void awaitCompletedJob(String hostName, String jobIdPrefix) {
@@ -137,14 +147,21 @@
 	@Nested
 	class Serving {
 
+		/**
+		 * Each task must start once. A task that lags behind its estimate is started
+		 * again elsewhere, so the estimate is far above the run time, as a busy machine
+		 * may delay the start.
+		 */
 		@Test
 		void answersJobsOfAnyHost() {
-			startAll();
-			assertThat(submit("host-1", "j1")).isEqualTo("200 completed");
-			assertThat(submit("host-2", "j2")).isEqualTo("200 completed");
-			assertThat(submit("host-3", "j3")).isEqualTo("200 completed");
-			assertThat(FleetHostTests.this.site.endpoints().startCount()).isEqualTo(6);
-			assertThat(FleetHostTests.this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+			try (FleetSite lenientSite = new FleetSite(RUN_MILLIS, LONG_ESTIMATE_MILLIS)) {
+				startAll(lenientSite);
+				assertThat(submit(lenientSite, "host-1", "j1")).isEqualTo("200 completed");
+				assertThat(submit(lenientSite, "host-2", "j2")).isEqualTo("200 completed");
+				assertThat(submit(lenientSite, "host-3", "j3")).isEqualTo("200 completed");
+				assertThat(lenientSite.endpoints().startCount()).isEqualTo(6);
+				assertThat(lenientSite.endpoints().concurrentlyRunTasks()).isEmpty();
+			}
 		}
 
 		@ParameterizedTest
