Move the dispatch of peer messages out of FleetHost

PeerMessageDispatcher passes each message of a peer to the part that handles it, and PeerJobs records terminations that other owners report.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -108,7 +108,7 @@
 
 	private final VersionExchange versionExchange;
 
-	private final HostReports hostReports;
+	private final PeerMessageDispatcher messageDispatcher;
 
 	private final GracefulStop stop;
 
@@ -148,8 +148,6 @@
 				this::hostState);
 		this.router.reporter(this.reporter);
 		this.versionExchange = new VersionExchange(this.versions, () -> this.transport);
-		this.hostReports = new HostReports(this.peers, this.directory, this.ownership, this.reporter, this.lossExchange,
-				this.drains, this.versionExchange);
 		this.peerJobs = new PeerJobs(this.eventLoop, this.directory, this.peers, this.reporter, () -> this.transport);
 		this.handover = new PoolHandover(this.eventLoop, this.self, this.peers, this.directory, this.ownership,
 				this.router);
@@ -160,6 +158,10 @@
 				callerFormat);
 		this.requestHandler = new RequestHandler(this.versions, this.router, this.jobQueries, callerFormat,
 				this::isReady, this::isRefusingJobs, this.metrics);
+		HostReports hostReports = new HostReports(this.peers, this.directory, this.ownership, this.reporter,
+				this.lossExchange, this.drains, this.versionExchange);
+		this.messageDispatcher = new PeerMessageDispatcher(this.peers, hostReports, this.versionExchange, this.peerJobs,
+				this.jobQueries, this.handover, this.router, this.lossExchange, this::peerLost);
 		this.callerServer = new CallerServer(this.eventLoop, callerFormat.timeoutHeader(),
 				this.requestHandler::handleCallerRequest);
 		this.operatorServer = new CallerServer(this.eventLoop, callerFormat.timeoutHeader(),
@@ -308,49 +310,7 @@
 
 	@Override
 	public CompletionStage<PeerMessage> handle(PeerMessage message, HostAddress from) {
-		if (message instanceof PeerMessage.HostReport report) {
-			this.hostReports.apply(from, report, Clock.nowMillis());
-		}
-		else if (message instanceof PeerMessage.Hello hello) {
-			if (this.peers.recordIncarnation(from, hello.sender().incarnation())) {
-				peerLost(from);
-			}
-		}
-		else if (message instanceof PeerMessage.SubmitJob submission) {
-			return this.peerJobs.submit(from, submission);
-		}
-		else if (message instanceof PeerMessage.CancelJob cancel) {
-			return CompletableFuture.completedFuture(this.peerJobs.cancel(from, cancel));
-		}
-		else if (message instanceof PeerMessage.PlaceJob question) {
-			return CompletableFuture.completedFuture(this.peerJobs.place(from, question));
-		}
-		else if (message instanceof PeerMessage.JobQuery query) {
-			return this.jobQueries.answerPeer(query);
-		}
-		else if (message instanceof PeerMessage.StrayEnd orphanedTermination) {
-			return recordOrphanedTermination(orphanedTermination);
-		}
-		else if (message instanceof PeerMessage.FetchVersion) {
-			return CompletableFuture.completedFuture(this.versionExchange.answerFetch());
-		}
-		else if (message instanceof PeerMessage.HandOverPools pools) {
-			return this.handover.accept(pools, from);
-		}
-		else if (message instanceof PeerMessage.ConfirmHandOver question) {
-			return CompletableFuture.completedFuture(this.handover.confirm(question, from));
-		}
-		else if (message instanceof PeerMessage.JobsMoved moved) {
-			this.router.jobsMoved(moved.callNumbers(), from);
-		}
-		else if (message instanceof PeerMessage.TaskLosses losses) {
-			this.lossExchange.apply(losses, Clock.nowMillis());
-		}
-		else if (message instanceof PeerMessage.JobFinished finished) {
-			this.router.jobAnswered(finished.callNumber(), finished.outcome());
-			return CompletableFuture.completedFuture(new PeerMessage.Acknowledged());
-		}
-		return CompletableFuture.completedFuture(null);
+		return this.messageDispatcher.handle(message, from);
 	}
 
 	@Override
@@ -368,14 +328,6 @@
 		this.eventLoop.execute(() -> this.ownership.dropPool(pool, "fenced"));
 	}
 
-	private CompletionStage<PeerMessage> recordOrphanedTermination(PeerMessage.StrayEnd message) {
-		return this.directory.localOwner()
-			.filter((owner) -> !owner.isFrozen())
-			.map((owner) -> owner.recordOrphanedTermination(message))
-			.orElse(CompletableFuture
-				.completedFuture(new PeerMessage.ErrorAnswer("not-the-owner", "This host owns no pools")));
-	}
-
 	@Override
 	public CompletionStage<PeerMessage> forwardOrphanedTermination(PeerMessage.StrayEnd message) {
 		String assignedPool = AssignedPool.of(message.termination().run().task().jobId(), this.settings.domains());
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerJobs.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerJobs.java
@@ -151,6 +151,20 @@
 		});
 	}
 
+	/**
+	 * Records the termination of a run on an endpoint of another owner.
+	 * @param message the termination
+	 * @return completes when the owner of the job has recorded it, or at once with an
+	 * error if this host owns no pools
+	 */
+	CompletionStage<PeerMessage> recordOrphanedTermination(PeerMessage.StrayEnd message) {
+		return this.directory.localOwner()
+			.filter((owner) -> !owner.isFrozen())
+			.map((owner) -> owner.recordOrphanedTermination(message))
+			.orElse(CompletableFuture
+				.completedFuture(new PeerMessage.ErrorAnswer("not-the-owner", "This host owns no pools")));
+	}
+
 	/**
 	 * Answers the pending calls after a delay, as another host owns all pools now.
 	 */
