--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -339,6 +339,11 @@
 				.filter((domain) -> !domain.isEmpty());
 		}
 
+		// An endpoint at the address of another one that started earlier is its successor.
+		private static HostAddress address(String endpointId) {
+			return new HostAddress(IP, 1 + Math.floorMod(endpointId.hashCode(), 60_000));
+		}
+
 		@Override
 		public EndpointEntry readEndpoint(String endpointId, byte[] content) {
 			String[] parts = new String(content, StandardCharsets.UTF_8).split(",");
@@ -347,7 +352,7 @@
 			}
 			long cpuMillicores = (parts.length > 2) ? Long.parseLong(parts[2]) : 8_000;
 			long startedEpochMillis = (parts.length > 3) ? Long.parseLong(parts[3]) : 1;
-			return new EndpointEntry(endpointId, "service", new HostAddress(IP, 9), parts[0],
+			return new EndpointEntry(endpointId, "service", address(endpointId), parts[0],
 					Boolean.parseBoolean(parts[1]), new Resources(cpuMillicores, 100, 0), Set.of(), startedEpochMillis);
 		}
 
