--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -339,7 +339,8 @@
 				.filter((domain) -> !domain.isEmpty());
 		}
 
-		// An endpoint at the address of another one that started earlier is its successor.
+		// An endpoint at the address of another one that started earlier is its
+		// successor.
 		private static HostAddress address(String endpointId) {
 			return new HostAddress(IP, 1 + Math.floorMod(endpointId.hashCode(), 60_000));
 		}
