--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointTable.java
@@ -70,6 +70,20 @@
 		}
 	}
 
+	/**
+	 * Returns whether an endpoint lists runs that this owner has neither started nor
+	 * adopted.
+	 * @return whether there are any
+	 */
+	boolean hasOrphanedRuns() {
+		for (PooledEndpoint endpoint : all()) {
+			if (!endpoint.orphanedJobIds().isEmpty()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	void removeUnused() {
 		List.copyOf(all()).forEach(this::removeIfUnused);
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PreviousOwnerRuns.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PreviousOwnerRuns.java
@@ -26,6 +26,8 @@
 
 	private final Map<String, Long> assumedMillisByPool = new HashMap<>();
 
+	private long lastAssumedMillis = Long.MIN_VALUE / 2;
+
 	PreviousOwnerRuns(EndpointTable endpoints, long leaseMaxMillis) {
 		this.endpoints = endpoints;
 		this.leaseMaxMillis = leaseMaxMillis;
@@ -38,6 +40,7 @@
 	 */
 	void poolAssumed(String pool, long nowMillis) {
 		this.assumedMillisByPool.put(pool, nowMillis);
+		this.lastAssumedMillis = nowMillis;
 	}
 
 	/**
@@ -46,6 +49,10 @@
 	 * @return the jobs
 	 */
 	SuspectedJobs suspectedJobs(long nowMillis) {
+		// Each scheduling pass asks, and there are none but after a takeover.
+		if (nowMillis - this.lastAssumedMillis >= this.leaseMaxMillis && !this.endpoints.hasOrphanedRuns()) {
+			return SuspectedJobs.NONE;
+		}
 		Set<String> orphanedJobIds = this.endpoints.all()
 			.stream()
 			.filter((endpoint) -> nowMillis - endpoint.orphansListedMillis() < this.leaseMaxMillis)
@@ -76,6 +83,8 @@
 	 */
 	record SuspectedJobs(Set<String> orphanedJobIds, long receivedBeforeMillis) {
 
+		private static final SuspectedJobs NONE = new SuspectedJobs(Set.of(), Long.MIN_VALUE);
+
 		/**
 		 * Returns whether a job may have such a run. A job that this owner has started
 		 * has been checked before, and one that was handed over has no run on an endpoint
