Commit appends of the stand-in in the order of their submission

The delay of a timer is computed before it is set, so that an interrupted submission can be overtaken by the next one. The appends are now taken from a queue whenever a timer fires.

commitsInOrderAlthoughTheTimersFireInAnother failed before and passes now.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
@@ -91,6 +91,16 @@
 			assertThatNoTaskRunsTwiceAtATime(seed);
 		}
 
+		/**
+		 * Copies meet two hosts of which each takes itself for the owner, or a run that
+		 * its owner can't stop.
+		 */
+		@ParameterizedTest(name = "seed {0}")
+		@ValueSource(longs = { 10081, 10193, 10234 })
+		void noTaskRunsTwiceWhileOwnersChange(long seed) {
+			assertThatNoTaskRunsTwiceAtATime(seed);
+		}
+
 		/** Two owners get copies that reach hosts of two failure domains. */
 		@ParameterizedTest(name = "seed {0}")
 		@ValueSource(longs = 10096)
--- a/masticwick-standin/src/main/java/org/masticwick/standin/process/AppendQueue.java
+++ b/masticwick-standin/src/main/java/org/masticwick/standin/process/AppendQueue.java
@@ -1,5 +1,7 @@
 package org.masticwick.standin.process;
 
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +24,8 @@
 		return thread;
 	});
 
+	private final Queue<Runnable> appends = new ConcurrentLinkedQueue<>();
+
 	private final TimeSource time;
 
 	private final long minIntervalNanos;
@@ -64,7 +68,17 @@
 		}
 		long now = this.time.nanoTime();
 		this.busyUntilNanos = Math.max(now, this.busyUntilNanos) + Math.max(this.delayNanos, this.minIntervalNanos);
-		this.executor.schedule(append, this.busyUntilNanos - now, TimeUnit.NANOSECONDS);
+		this.appends.add(append);
+		this.executor.schedule(this::commitNext, this.busyUntilNanos - now, TimeUnit.NANOSECONDS);
+	}
+
+	// The timers of two appends may fire in another order than they were set, if the
+	// submission of the first was interrupted.
+	private void commitNext() {
+		Runnable append = this.appends.poll();
+		if (append != null) {
+			append.run();
+		}
 	}
 
 	/**
--- a/masticwick-standin/src/test/java/org/masticwick/standin/process/AppendQueueTests.java
+++ b/masticwick-standin/src/test/java/org/masticwick/standin/process/AppendQueueTests.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -30,4 +33,33 @@
 		assertThat(committedIndexes).isSorted();
 	}
 
+	/** A submission that was interrupted used to be committed after the next one. */
+	@Test
+	void commitsInOrderAlthoughTheTimersFireInAnother() {
+		AtomicLong nowNanos = new AtomicLong();
+		List<Integer> committedIndexes = new CopyOnWriteArrayList<>();
+		try (AppendQueue queue = new AppendQueue(new SteppedTimeSource(nowNanos), 50, 100_000)) {
+			queue.submit(() -> committedIndexes.add(0));
+			nowNanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
+			queue.setDelay(0);
+			queue.submit(() -> committedIndexes.add(1));
+			await().until(() -> committedIndexes.size() == 2);
+		}
+		assertThat(committedIndexes).isSorted();
+	}
+
+	private record SteppedTimeSource(AtomicLong nowNanos) implements TimeSource {
+
+		@Override
+		public long nanoTime() {
+			return this.nowNanos.get();
+		}
+
+		@Override
+		public long epochMillis() {
+			return 0;
+		}
+
+	}
+
 }
