--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -62,9 +62,9 @@
 	}
 
 	/**
-	 * Records the incarnation of an endpoint. Its next report tells which runs are lost
-	 * with the previous incarnation, as the new one may have accepted the latest start
-	 * requests.
+	 * Records the incarnation of an endpoint. Its next report tells which accepted runs
+	 * are lost with the previous incarnation. A start that was not answered may still
+	 * reach the new one, so it ends as any unanswered start does.
 	 * @param endpoint the endpoint
 	 * @param startedEpochMillis the start time of the incarnation
 	 * @param nowMillis the current monotonic time in milliseconds
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -816,6 +816,7 @@
 
 		@Override
 		public void jobHeld(PooledJob job, String reason) {
+			// The simulated owner has no predecessor.
 		}
 
 		@Override
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -209,8 +209,8 @@
 	}
 
 	/**
-	 * Starts and stops nothing until the previous owner of a pool has confirmed that it
-	 * hands its jobs over.
+	 * Starts nothing, and defers the first reports of endpoints, until the previous owner
+	 * of a pool has confirmed that it hands its jobs over.
 	 */
 	void awaitTransfer() {
 		this.scheduler.awaitTransfer();
