--- a/review/standin/BestEffortCancel.java
+++ b/review/standin/BestEffortCancel.java
@@ -17,7 +17,7 @@
 	}
 
 	private static Rules play(Site site, boolean trouble) throws Exception {
-		site.config(7, 3);
+		site.config(7);
 		for (int number = 0; number < 15; number++) {
 			site.addWorker(Site.ZONES.get(number % 3), "a", 16_000);
 		}
@@ -42,7 +42,7 @@
 			return null;
 		}
 		if (trouble) {
-			running.subList(0, CANCELLED_COUNT).forEach((job) -> cancel(site, job));
+			running.subList(0, CANCELLED_COUNT).forEach((job) -> site.cancel(job, site.hosts.get(1)));
 		}
 		Site.sleep(10_000);
 		Rules rules = new Rules(site);
@@ -50,13 +50,4 @@
 		return rules;
 	}
 
-	private static void cancel(Site site, Job job) {
-		Site.Host host = site.hosts.get(1);
-		Site.Reply reply = site.request(host, "DELETE", job.prefix + job.id, "", 2_000);
-		site.record("client DELETE " + job.id + " at " + host.name + " -> " + reply);
-		if (reply != null && (reply.status() == 410 || reply.status() / 100 == 2)) {
-			job.cancelAckMillis = Site.now();
-		}
-	}
-
 }
--- a/review/standin/BlockedStep.java
+++ b/review/standin/BlockedStep.java
@@ -9,7 +9,7 @@
 	}
 
 	private static Rules play(Site site, boolean trouble) throws Exception {
-		site.config(7, 3);
+		site.config(7);
 		List<Worker> kindB = new ArrayList<>();
 		for (int number = 0; number < 15; number++) {
 			String kind = (number < 2) ? "b" : "a";
--- a/review/standin/Job.java
+++ b/review/standin/Job.java
@@ -1,5 +1,6 @@
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /** A job that a client has sent, with what its tasks do. */
 final class Job {
@@ -14,24 +15,28 @@
 
 	int repetitions;
 
-	/** The share of its runs that end `failed`. */
-	double failShare;
+	/** After how long a run that starts now ends `failed`, in milliseconds. */
+	LongSupplier failAfterMillis = () -> Long.MAX_VALUE / 2;
 
+	/** Whether its tasks last until it is cancelled. */
 	boolean longRunning;
 
 	long firstMillis;
 
 	long intervalMillis;
 
-	/** When the job was acknowledged, shown in its final state, and when its cancelling was acknowledged; or -1. */
+	/** When the job was acknowledged, or -1. */
 	volatile long ackMillis = -1;
 
-	volatile long sentMillis = -1;
+	volatile boolean cancelSent;
 
+	/** When its cancelling was acknowledged, or -1. */
 	volatile long cancelAckMillis = -1;
 
+	/** The answers to its submissions. */
 	volatile String answers = "";
 
+	/** The state that was shown last. */
 	volatile String shown = "";
 
 	Job(String id, String prefix) {
--- a/review/standin/OwnerKilledThenRolled.java
+++ b/review/standin/OwnerKilledThenRolled.java
@@ -9,7 +9,7 @@
 	}
 
 	private static Rules play(Site site, boolean trouble) throws Exception {
-		site.config(7, 3);
+		site.config(7);
 		for (int number = 0; number < 15; number++) {
 			site.addWorker(Site.ZONES.get(number % 3), "a", 16_000);
 		}
--- a/review/standin/Rules.java
+++ b/review/standin/Rules.java
@@ -9,6 +9,11 @@
 
 	private static final long IDLE_MILLIS = 3_000;
 
+	/** The `max_attempts` of each queue. */
+	static final int MAX_ATTEMPTS = 3;
+
+	private static final long LASTING_MILLIS = 6_000;
+
 	private static final int QUERY_ROUNDS = 5;
 
 	private final Site site;
@@ -36,7 +41,7 @@
 			for (Job job : accepted) {
 				boolean idle = turnHasCome(job) && !this.site.isRunning(job)
 						&& this.site.usedCpu() * 2 < this.site.totalCpu();
-				if (!idle || job.shown.equals("failed") || job.cancelAckMillis >= 0) {
+				if (!idle || job.shown.equals("failed") || job.cancelSent) {
 					idleSince.remove(job.id);
 				}
 				else if (Site.now() - idleSince.computeIfAbsent(job.id, (id) -> Site.now()) >= IDLE_MILLIS) {
@@ -67,17 +72,48 @@
 		unread.forEach((job, reply) -> broken("LOST", "job " + job.id + " isn't known or gets no answer, at last "
 				+ reply + ", asked " + QUERY_ROUNDS + " times in " + (QUERY_ROUNDS - 1) + " s"));
 		for (Job job : accepted) {
-			if (job.shown.equals("failed") && job.failShare == 0 || job.shown.equals("cancelled") && job.cancelAckMillis < 0) {
-				broken("LOST", "job " + job.id + " is shown as " + job.shown);
+			if (job.shown.equals("failed") && !mayFail(job) || job.shown.equals("cancelled") && !job.cancelSent) {
+				broken("LOST", "job " + job.id + " is shown as " + job.shown + " without cause");
+			}
+		}
+	}
+
+	// Two workers have crashed under one of its tasks, or one has failed max_attempts times.
+	private boolean mayFail(Job job) {
+		Map<String, Integer> causes = new HashMap<>();
+		for (Worker.Run run : this.site.runsOf(job)) {
+			int weight = run.how.equals("crash") ? MAX_ATTEMPTS : run.how.equals("failed") ? 2 : 0;
+			causes.merge(run.task, weight, Integer::sum);
+		}
+		return causes.values().stream().anyMatch((sum) -> sum >= 2 * MAX_ATTEMPTS);
+	}
+
+	/**
+	 * LOST, for tasks that last: from 6 s after its last run a task has had nothing running for 3 s, in calm time and with
+	 * capacity for it twice over.
+	 */
+	void lasting(Collection<Job> accepted) {
+		for (Job job : accepted) {
+			Job.Step step = job.steps.get(0);
+			for (int index = 0; index < step.count(); index++) {
+				String task = job.id + ".0.0." + index;
+				List<Worker.Run> runs = this.site.runs.stream().filter((run) -> run.task.equals(task)).toList();
+				boolean running = runs.stream().anyMatch((run) -> run.endMillis < 0);
+				long lastMillis = runs.stream().mapToLong((run) -> run.endMillis).max().orElse(job.ackMillis);
+				if (!running && Site.now() - lastMillis > LASTING_MILLIS + IDLE_MILLIS && room(step) >= 2) {
+					broken("LOST", "task " + task + ", which lasts, has had nothing running for "
+							+ (Site.now() - lastMillis) + " ms; " + this.site.usedCpu() + " of " + this.site.totalCpu()
+							+ " are in use");
+				}
 			}
 		}
 	}
 
 	private boolean turnHasCome(Job job) {
 		for (int step = 0; step < job.steps.size(); step++) {
-			int number = step;
-			if (!this.site.isStepDone(job, step) && job.steps.get(step).after().stream().allMatch((before) -> this.site.isStepDone(job, before))
-					&& room(job.steps.get(number)) >= 2) {
+			Job.Step spec = job.steps.get(step);
+			boolean ready = spec.after().stream().allMatch((before) -> this.site.isStepDone(job, before));
+			if (ready && !this.site.isStepDone(job, step) && room(spec) >= 2) {
 				return true;
 			}
 		}
@@ -88,7 +124,7 @@
 	private int room(Job.Step step) {
 		return this.site.workers.stream()
 			.filter((worker) -> worker.isUp() && !worker.isDraining())
-			.filter((worker) -> step.label().isEmpty() || worker.kind.equals(step.label()))
+			.filter((worker) -> step.label().isEmpty() || worker.kind().equals(step.label()))
 			.mapToInt((worker) -> (worker.cpu - used(worker)) / step.cpu())
 			.sum();
 	}
@@ -104,23 +140,24 @@
 	void twice() {
 		Map<String, List<Worker.Run>> byTask = new HashMap<>();
 		this.site.runs.forEach((run) -> byTask.computeIfAbsent(run.task, (task) -> new ArrayList<>()).add(run));
-		byTask.forEach((task, runs) -> {
-			for (Worker.Run first : runs) {
-				for (Worker.Run second : runs) {
-					if (first == second || second.startMillis < first.startMillis) {
-						continue;
-					}
-					if ((first.endMillis < 0 || second.startMillis < first.endMillis) && runs.indexOf(first) < runs.indexOf(second)) {
-						broken("TWICE", first + " and " + second + " run at the same time");
-					}
-					boolean gangDone = first.how.equals("done") && first.notedMillis >= 0;
-					if (gangDone && second.startMillis >= first.endMillis) {
-						broken("TWICE", second + " starts " + (second.startMillis - first.endMillis) + " ms after "
-								+ first + " has ended done, noted at " + first.notedMillis);
-					}
+		for (List<Worker.Run> runs : byTask.values()) {
+			for (int later = 1; later < runs.size(); later++) {
+				for (Worker.Run first : runs.subList(0, later)) {
+					compare(first, runs.get(later));
 				}
 			}
-		});
+		}
+	}
+
+	// The second run was started after the first.
+	private void compare(Worker.Run first, Worker.Run second) {
+		if (first.endMillis < 0 || second.startMillis < first.endMillis) {
+			broken("TWICE", first + " and " + second + " run at the same time");
+		}
+		else if (first.how.equals("done") && first.notedMillis >= 0) {
+			broken("TWICE", second + " starts " + (second.startMillis - first.endMillis) + " ms after " + first
+					+ " has ended done, noted at " + first.notedMillis);
+		}
 	}
 
 	/** ROUTE: a start on a worker without the label in `requirements`, or beyond `anti_affinity`. */
@@ -186,13 +223,13 @@
 	}
 
 	/** BUDGET: a start after max_attempts runs of the task have ended failed, if these ends are taken note of. */
-	void budget(int maxAttempts) {
+	void budget() {
 		for (Worker.Run run : this.site.runs) {
 			long failed = this.site.runs.stream()
 				.filter((other) -> other.task.equals(run.task) && other.how.equals("failed") && other.notedMillis >= 0
 						&& other.endMillis <= run.startMillis)
 				.count();
-			if (failed >= maxAttempts) {
+			if (failed >= MAX_ATTEMPTS) {
 				broken("BUDGET", run + " starts after " + failed + " runs have ended failed");
 			}
 		}
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -155,13 +155,13 @@
 	}
 
 	/** Writes a config with one queue for each priority given. */
-	void config(int version, int maxAttempts) {
+	void config(int version) {
 		StringBuilder out = new StringBuilder("{\"version\":" + version + ",\"routes\":[");
 		for (int priority = 0; priority < 3; priority++) {
 			out.append(priority > 0 ? "," : "")
 				.append("{\"name\":\"r-" + priority + "\",\"hostname\":\"jobs.example\",\"path_prefix\":\"/q" + priority
 						+ "/\",\"type\":\"non_idempotent\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":"
-						+ priority + ",\"service\":\"" + SERVICE + "\",\"max_attempts\":" + maxAttempts
+						+ priority + ",\"service\":\"" + SERVICE + "\",\"max_attempts\":" + Rules.MAX_ATTEMPTS
 						+ ",\"stretch\":1.6}");
 		}
 		out.append("],\"services\":[{\"name\":\"" + SERVICE
@@ -262,7 +262,6 @@
 	/** Submits a job as a client does: again after no answer, a broken connection, 502 or 504. */
 	boolean submit(Job job, List<Host> entryHosts) {
 		this.jobs.put(job.id, job);
-		job.sentMillis = now();
 		for (int attempt = 0; attempt < 6; attempt++) {
 			Host host = entryHosts.get(attempt % entryHosts.size());
 			Reply reply = request(host, "POST", job.prefix + job.id, job.body(), 14_000);
@@ -289,6 +288,16 @@
 		return reply;
 	}
 
+	/** Cancels a job as a client does; 2xx and 410 acknowledge it. */
+	void cancel(Job job, Host host) {
+		job.cancelSent = true;
+		Reply reply = request(host, "DELETE", job.prefix + job.id, "", 2_000);
+		record("client DELETE " + job.id + " at " + host.name + " -> " + reply);
+		if (reply != null && (reply.status() == 410 || reply.status() / 100 == 2)) {
+			job.cancelAckMillis = now();
+		}
+	}
+
 	List<Worker.Run> runsOf(Job job) {
 		return this.runs.stream().filter((run) -> run.jobId().equals(job.id)).toList();
 	}
@@ -483,6 +492,7 @@
 			this.process.destroy();
 		}
 
+		/** Sends another signal, as STOP and CONT. */
 		void signal(String signal) throws IOException {
 			record("host " + this.name + " gets SIG" + signal);
 			new ProcessBuilder("kill", "-" + signal, String.valueOf(this.process.pid())).start();
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -17,6 +17,9 @@
 /** The platform's metadata store, as PROTOCOL.md tells it: topics of a log, keyed ones with the newest record of each key. */
 final class Store {
 
+	/** How long a channel stays open whose answer is lost. */
+	private static final long LOST_ANSWER_MILLIS = 20_000;
+
 	private final HttpServer server;
 
 	private final Map<String, Partition> partitions = new ConcurrentHashMap<>();
@@ -24,8 +27,8 @@
 	/** How long an answer takes, in milliseconds. */
 	volatile long answerMillis = 4;
 
-	/** Whether each call is refused with 503, with nothing done. */
-	volatile boolean down;
+	/** The share of the appends that are done and not answered. */
+	volatile double lostShare;
 
 	Store(int port) throws IOException {
 		this.server = HttpServer.create(new InetSocketAddress(Site.IP, port), 200);
@@ -57,10 +60,6 @@
 			byte[] body = exchange.getRequestBody().readAllBytes();
 			Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
 			Thread.sleep(this.answerMillis);
-			if (this.down) {
-				reply(exchange, 503, "{}".getBytes());
-				return;
-			}
 			String topic = query.getOrDefault("topic", "");
 			Partition partition = partition(topic, query.getOrDefault("part", "0"));
 			switch (exchange.getRequestURI().getPath()) {
@@ -96,6 +95,10 @@
 			return;
 		}
 		String[] answer = partition.append(records, query);
+		if (Site.random().nextDouble() < this.lostShare) {
+			Site.sleep(LOST_ANSWER_MILLIS);
+			return;
+		}
 		reply(exchange, Integer.parseInt(answer[0]), answer[1].getBytes());
 	}
 
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -23,7 +23,7 @@
 
 	final String zone;
 
-	final String kind;
+	private String kind;
 
 	final int cpu;
 
@@ -101,6 +101,16 @@
 		beat();
 	}
 
+	/** Starts a new life of the worker under its id, as another kind. */
+	void restartAs(String newKind) throws IOException {
+		this.kind = newKind;
+		start(false);
+	}
+
+	String kind() {
+		return this.kind;
+	}
+
 	String name() {
 		return this.id + "(" + this.zone + "," + this.kind + ")";
 	}
@@ -231,7 +241,11 @@
 		}
 		Run run = new Run(this, task, number, step, Site.now());
 		run.fencingToken = this.fence;
-		run.fails = !run.isGang() && Site.random().nextDouble() < this.site.jobs.get(run.jobId()).failShare;
+		Job job = this.site.jobs.get(run.jobId());
+		if (job != null) {
+			run.lasts = job.longRunning;
+			run.failAtMillis = run.startMillis + job.failAfterMillis.getAsLong();
+		}
 		this.running.put(task, run);
 		this.site.started(run);
 		return "";
@@ -330,8 +344,12 @@
 			else if (run.isGang() && run.beganMillis < 0 && nowMillis - run.startMillis > GANG_MILLIS) {
 				finish(run, "alone");
 			}
-			else if (run.beganMillis >= 0 && run.step != null && nowMillis - run.beganMillis >= run.step.runMillis()) {
-				finish(run, run.fails ? "failed" : "done");
+			else if (nowMillis >= run.failAtMillis) {
+				finish(run, "failed");
+			}
+			else if (!run.lasts && run.beganMillis >= 0 && run.step != null
+					&& nowMillis - run.beganMillis >= run.step.runMillis()) {
+				finish(run, "done");
 			}
 		}
 	}
@@ -350,6 +368,8 @@
 	/** One run of a task. */
 	static final class Run {
 
+		private static final long STARTUP_MILLIS = 300;
+
 		final Worker worker;
 
 		final String workerName;
@@ -370,7 +390,9 @@
 
 		volatile boolean brokenMember;
 
-		boolean fails;
+		boolean lasts;
+
+		long failAtMillis = Long.MAX_VALUE;
 
 		volatile long endMillis = -1;
 
@@ -412,6 +434,9 @@
 		}
 
 		private int percent() {
+			if (this.lasts) {
+				return (Site.now() - this.startMillis > STARTUP_MILLIS) ? 100 : 0;
+			}
 			return (this.step == null || this.beganMillis < 0) ? 0
 					: (int) Math.min(99, 100 * (Site.now() - this.beganMillis) / Math.max(1, this.step.runMillis()));
 		}
--- a/review/standin/ZoneWithoutWorkers.java
+++ b/review/standin/ZoneWithoutWorkers.java
@@ -9,7 +9,7 @@
 	}
 
 	private static Rules play(Site site, boolean trouble) throws Exception {
-		site.config(7, 3);
+		site.config(7);
 		List<Worker> lastZone = new ArrayList<>();
 		for (int number = 0; number < 15; number++) {
 			String zone = (number < 7) ? "zone-a" : (number < 13) ? "zone-b" : "zone-c";
