--- a/review/standin/GangSpread.java
+++ b/review/standin/GangSpread.java
@@ -13,7 +13,8 @@
 		List<Worker> small = new ArrayList<>();
 		for (int number = 0; number < 15; number++) {
 			boolean isSmall = number < 4;
-			Worker worker = site.addWorker(Site.ZONES.get(number % 3), isSmall ? "b" : (number == 4) ? "b" : "a", isSmall ? 4_000 : 16_000);
+			String kind = (number <= 4) ? "b" : "a";
+			Worker worker = site.addWorker(Site.ZONES.get(number % 3), kind, isSmall ? 4_000 : 16_000);
 			if (isSmall) {
 				small.add(worker);
 			}
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -40,7 +40,7 @@
 	private static final Random RANDOM = new Random();
 
 	/** A loopback address for this play alone, so that plays beside each other share no ports. */
-	static final String IP = "127." + (1 + RANDOM.nextInt(250)) + "." + (1 + RANDOM.nextInt(250)) + ".1";
+	static final String IP = chooseAddress();
 
 	private static final Set<Integer> USED_PORTS = new HashSet<>();
 
@@ -87,6 +87,17 @@
 		return run.group(1).split(" ");
 	}
 
+	private static String chooseAddress() {
+		String chosen = "127." + (1 + RANDOM.nextInt(250)) + "." + (1 + RANDOM.nextInt(250)) + ".1";
+		try (ServerSocket socket = new ServerSocket()) {
+			socket.bind(new InetSocketAddress(chosen, 0));
+			return chosen;
+		}
+		catch (IOException ex) {
+			return "127.0.0.1";
+		}
+	}
+
 	static Random random() {
 		return RANDOM;
 	}
@@ -164,8 +175,10 @@
 						+ priority + ",\"service\":\"" + SERVICE + "\",\"max_attempts\":" + Rules.MAX_ATTEMPTS
 						+ ",\"stretch\":1.6}");
 		}
-		out.append("],\"services\":[{\"name\":\"" + SERVICE
-				+ "\",\"health_path\":\"/health\",\"max_connections\":64,\"protocol\":\"h1\",\"tls\":false,\"enforces_capacity\":true,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
+		out.append("],\"services\":[{\"name\":\"" + SERVICE + "\",\"health_path\":\"/health\","
+				+ "\"max_connections\":64,\"protocol\":\"h1\",\"tls\":false,\"enforces_capacity\":true,"
+				+ "\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+				+ "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
 		this.store.put("keyed.op", "config", out.toString());
 	}
 
