Acknowledge ends of durable runs only when the log has stored them

Cause: an owner took an end for recorded if its run had a number up to the highest that had ended. The first owner was killed with run 1 under way, the second one gave number 1 to the next run too, and the first end (lapsed) made the second one (done) pass for recorded: it was acknowledged at once and never written.

The same comparison acknowledged two more kinds of ends that only this process knew: one that another owner forwards while its first report waits for the log, and one of a job that is complete in memory, so that no task is found. An owner that was killed then left nothing of them.

Change: each end of a job that this owner knows is kept by its endpoint, or unanswered to the owner that forwards it, until the log has stored the progress that was written after it. `done` always marks the task; the number of a run decides nothing about its acknowledgement any more.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -57,6 +57,7 @@
 	 */
 	public DurableJobs(PoolScheduler scheduler, DurableJobActions actions) {
 		this.scheduler = scheduler.occurrences();
+		this.scheduler.knownJobs(this.entries::containsKey);
 		this.actions = actions;
 	}
 
@@ -187,12 +188,12 @@
 	/**
 	 * Records the termination of a run. The endpoint keeps the termination until it is
 	 * stored in the shared log.
-	 * @param job the occurrence
+	 * @param jobId the id of the job
 	 * @param termination the termination
 	 * @param time the current time
 	 */
-	public void runTerminated(PooledJob job, TerminationId termination, Timestamp time) {
-		Entry entry = this.entries.get(job.spec().jobId());
+	public void runTerminated(String jobId, TerminationId termination, Timestamp time) {
+		Entry entry = this.entries.get(jobId);
 		if (entry == null) {
 			this.scheduler.forwardTermination(termination, time.nowMillis());
 		}
@@ -221,13 +222,16 @@
 	 * {@link DurableJobActions#terminationStored} once it is stored in the shared log
 	 * @param terminatedRun the terminated run
 	 * @param time the current time
-	 * @return whether the termination will be stored; false if the job is unknown or the
-	 * termination is already recorded
+	 * @return whether the termination will be stored; false if the job is unknown
 	 */
 	public boolean orphanedRunTerminated(TerminationId termination, TerminatedRun terminatedRun, Timestamp time) {
-		Optional<PooledJob> job = this.scheduler.recordRemoteTermination(terminatedRun, time.nowMillis());
-		job.ifPresent((found) -> runTerminated(found, termination, time));
-		return job.isPresent();
+		String jobId = terminatedRun.run().task().jobId();
+		if (!this.entries.containsKey(jobId)) {
+			return false;
+		}
+		this.scheduler.recordRemoteTermination(terminatedRun, time.nowMillis());
+		runTerminated(jobId, termination, time);
+		return true;
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Schedules the occurrences of durable jobs in a pool: starts, suspends and aborts them.
@@ -149,19 +150,22 @@
 	 * Records the termination of a run on an endpoint of another owner.
 	 * @param terminatedRun the terminated run
 	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the job, or empty if the job is unknown or the termination is already
-	 * recorded
 	 */
-	Optional<PooledJob> recordRemoteTermination(TerminatedRun terminatedRun, long nowMillis) {
-		Optional<PooledTask> task = this.terminationHandler.findDurableTask(terminatedRun.run().task())
-			.filter((found) -> terminatedRun.run().number() > found.lastTerminatedRun());
-		task.ifPresent((found) -> {
-			found.recordTermination(terminatedRun.run().number());
-			found.checkpoint(terminatedRun.checkpoint());
-			this.terminationHandler.remoteRunTerminated(found, terminatedRun, nowMillis);
-			this.dispatcher.dispatch(nowMillis);
-		});
-		return task.map(PooledTask::job);
+	void recordRemoteTermination(TerminatedRun terminatedRun, long nowMillis) {
+		this.terminationHandler.findDurableTask(terminatedRun.run().task())
+			.filter((task) -> task.recordTermination(terminatedRun))
+			.ifPresent((task) -> {
+				this.terminationHandler.remoteRunTerminated(task, terminatedRun, nowMillis);
+				this.dispatcher.dispatch(nowMillis);
+			});
+	}
+
+	/**
+	 * Sets how to tell which durable jobs this owner knows.
+	 * @param knownJobs tells by the id of a job whether it is known
+	 */
+	void knownJobs(Predicate<String> knownJobs) {
+		this.terminationHandler.durableJobs(knownJobs);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolActions.java
@@ -33,10 +33,10 @@
 	/**
 	 * Reports that a run of a durable job has terminated. The endpoint keeps the
 	 * termination until {@link PoolScheduler#terminationStored} is called.
-	 * @param job the job
+	 * @param jobId the id of the job
 	 * @param termination the termination
 	 */
-	void durableRunTerminated(PooledJob job, TerminationId termination);
+	void durableRunTerminated(String jobId, TerminationId termination);
 
 	/**
 	 * Reports the termination of an orphaned run, which this owner does not know and
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -84,9 +84,19 @@
 		return this.lastTerminatedRun;
 	}
 
-	void recordTermination(int number) {
+	/**
+	 * Records the termination of a run of a durable job for its stored progress.
+	 * @param terminatedRun the terminated run
+	 * @return whether it may change the state of the task; a run that is done always may,
+	 * as an earlier owner may have given its number to another run
+	 */
+	boolean recordTermination(TerminatedRun terminatedRun) {
+		int number = terminatedRun.run().number();
+		boolean hasEffect = number > this.lastTerminatedRun || terminatedRun.kind() == TerminationKind.DONE;
 		this.lastTerminatedRun = Math.max(this.lastTerminatedRun, number);
 		this.runCount = Math.max(this.runCount, number);
+		checkpoint(hasEffect ? terminatedRun.checkpoint() : "");
+		return hasEffect;
 	}
 
 	String checkpoint() {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -246,28 +246,29 @@
 			placement.ifPresent((released) -> terminate(released, terminatedRun.kind(), nowMillis));
 			return;
 		}
-		boolean alreadyRecorded = durableTask.filter((task) -> terminatedRun.run().number() <= task.lastTerminatedRun())
-			.isPresent();
-		if (durableTask.isEmpty() || alreadyRecorded) {
-			endpoint.terminations().recordProcessed(terminatedRun.number());
-		}
-		else {
-			durableRunTerminated(endpoint, durableTask.get(), terminatedRun);
-		}
+		acknowledge(endpoint, terminatedRun, durableTask.isPresent());
+		boolean hasEffect = durableTask.filter((task) -> task.recordTermination(terminatedRun)).isPresent();
 		if (placement.isPresent()) {
 			updateHealth(placement.get(), terminatedRun.kind(), nowMillis);
 			terminate(placement.get(), terminatedRun.kind(), nowMillis);
 		}
-		if (ownPlacement.isEmpty() && durableTask.isPresent() && !alreadyRecorded) {
+		if (ownPlacement.isEmpty() && hasEffect) {
 			this.jobCallbacks.remoteRunTerminated(durableTask.get(), terminatedRun, nowMillis);
 		}
 	}
 
-	private void durableRunTerminated(PooledEndpoint endpoint, PooledTask task, TerminatedRun terminatedRun) {
-		endpoint.terminations().recordUnstored(terminatedRun.number());
-		task.recordTermination(terminatedRun.run().number());
-		task.checkpoint(terminatedRun.checkpoint());
-		this.actions.durableRunTerminated(task.job(), terminationId(endpoint, terminatedRun));
+	// What an owner holds in memory is lost with it. Each end of a durable job is
+	// therefore acknowledged only after the log has stored the progress that includes it,
+	// also if this owner knew of it before or has no task for it any more.
+	private void acknowledge(PooledEndpoint endpoint, TerminatedRun terminatedRun, boolean hasDurableTask) {
+		String jobId = terminatedRun.run().task().jobId();
+		if (hasDurableTask || this.jobCallbacks.isDurableJob(jobId)) {
+			endpoint.terminations().recordUnstored(terminatedRun.number());
+			this.actions.durableRunTerminated(jobId, terminationId(endpoint, terminatedRun));
+		}
+		else {
+			endpoint.terminations().recordProcessed(terminatedRun.number());
+		}
 	}
 
 	private static TerminationId terminationId(PooledEndpoint endpoint, TerminatedRun terminatedRun) {
@@ -395,6 +396,14 @@
 		 */
 		Optional<PooledTask> findDurableTask(TaskId id);
 
+		/**
+		 * Returns whether a job is a durable one of this owner, which may have no task
+		 * that can be found any more.
+		 * @param jobId the id of the job
+		 * @return whether the ends of its runs have to be stored
+		 */
+		boolean isDurableJob(String jobId);
+
 		/**
 		 * Returns whether an unknown job may be a durable one that this host or another
 		 * one has still to read from the shared log.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Handles the termination of runs: marks the task as done, restarts it, or fails its job
@@ -32,6 +33,8 @@
 
 	private RecoveryStatus recoveryStatus = RecoveryStatus.COMPLETE;
 
+	private Predicate<String> durableJobs = (jobId) -> false;
+
 	TerminationHandler(JobTable jobs, RunTimeEstimator runTimeEstimator, TaskStarter starter,
 			JobTable.RunStopper stopper, CrashLoopGuard crashLoopGuard, long orphanedRunMaxMillis) {
 		this.jobs = jobs;
@@ -46,6 +49,14 @@
 		this.recoveryStatus = status;
 	}
 
+	/**
+	 * Sets how to tell which durable jobs this owner knows.
+	 * @param knownJobs tells by the id of a job whether it is known
+	 */
+	void durableJobs(Predicate<String> knownJobs) {
+		this.durableJobs = knownJobs;
+	}
+
 	@Override
 	public void runTerminated(Placement placement, TerminationKind kind, long nowMillis) {
 		PooledTask task = placement.task();
@@ -282,6 +293,11 @@
 			.flatMap((job) -> job.task(id));
 	}
 
+	@Override
+	public boolean isDurableJob(String jobId) {
+		return this.durableJobs.test(jobId);
+	}
+
 	@Override
 	public boolean mayBeUnread(String jobId) {
 		return this.recoveryStatus.mayBeUnread(jobId);
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -131,7 +131,7 @@
 	// a pool does.
 	private void forwardSchedulerActions(long nowMillis) {
 		this.actions.durableTerminations()
-			.forEach((termination) -> this.jobs.runTerminated(termination.job(), termination.termination(),
+			.forEach((termination) -> this.jobs.runTerminated(termination.jobId(), termination.termination(),
 					at(nowMillis)));
 		this.actions.durableTerminations().clear();
 		this.actions.answeredJobs()
--- /dev/null
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
@@ -0,0 +1,142 @@
+package org.masticwick.core.pool;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for what becomes of the ends of runs and of run numbers when the owner of durable
+ * jobs changes: an owner acknowledges only what the next one can read in the log.
+ */
+class OwnerChangeTests {
+
+	private static final TaskId TASK = new TaskId("j", 0, 0, 0);
+
+	private final LoggingOwner.Log log = new LoggingOwner.Log();
+
+	private final ListingEndpoint a = new ListingEndpoint("a", 1);
+
+	private final ListingEndpoint b = new ListingEndpoint("b", 2);
+
+	private final List<ListingEndpoint> endpoints = List.of(this.a, this.b);
+
+	private LoggingOwner newOwner(long nowMillis) {
+		LoggingOwner owner = new LoggingOwner(this.log);
+		this.endpoints.forEach((endpoint) -> owner.scheduler().endpointListed(endpoint.entry(), nowMillis));
+		hearAll(owner, nowMillis);
+		return owner;
+	}
+
+	private void hearAll(LoggingOwner owner, long nowMillis) {
+		this.endpoints.forEach((endpoint) -> owner.hear(endpoint, nowMillis));
+	}
+
+	private ListingEndpoint endpoint(RecordedActions.Start start) {
+		return start.endpointId().equals("a") ? this.a : this.b;
+	}
+
+	private ListingEndpoint otherThan(RecordedActions.Start start) {
+		return start.endpointId().equals("a") ? this.b : this.a;
+	}
+
+	private static JobSpec job(StepSpec... steps) {
+		return new JobSpec("j", "payload", List.of(steps), true, JobSchedule.IMMEDIATE);
+	}
+
+	private static StepSpec step(int taskCount, StepTraits traits, Integer... after) {
+		return new StepSpec(taskCount, new Resources(1_000, 1, 0), 100, List.of(after), "", "", 0, traits);
+	}
+
+	private LoggingOwner submitAndStart(JobSpec job) {
+		LoggingOwner owner = newOwner(1);
+		owner.submit(job, 10);
+		owner.store(10);
+		return owner;
+	}
+
+	private LoggingOwner nextOwner(long nowMillis) {
+		LoggingOwner owner = newOwner(nowMillis);
+		owner.read(nowMillis);
+		owner.store(nowMillis);
+		hearAll(owner, nowMillis + 1);
+		owner.resume(nowMillis + 2);
+		return owner;
+	}
+
+	private boolean isStoredAsDone() {
+		return this.log.progress("j")
+			.occurrences()
+			.stream()
+			.flatMap((occurrence) -> occurrence.tasks().stream())
+			.anyMatch((task) -> task.step() == 0 && task.index() == 0 && task.done());
+	}
+
+	/**
+	 * An end that is acknowledged but not stored is lost with the owner, and the task
+	 * runs again.
+	 */
+	@Nested
+	class Acknowledgements {
+
+		private final JobSpec twoSteps = job(step(1, StepTraits.DEFAULT), step(1, StepTraits.DEFAULT, 0));
+
+		// Two owners gave one number to two runs. The end of the first one made the end
+		// of the second one pass for recorded.
+		@Test
+		void anEndWithTheNumberOfAnEndedRunIsStoredFirst() {
+			submitAndStart(this.twoSteps);
+			LoggingOwner second = nextOwner(2_100);
+			RecordedActions.Start start = second.starts().get(0);
+			second.jobs()
+				.orphanedRunTerminated(new TerminationId("c", 0, 1),
+						new TerminatedRun(1, start.run(), TerminationKind.LAPSED), second.at(2_200));
+			second.store(2_210);
+			endpoint(start).end(start.run(), TerminationKind.DONE);
+			second.hear(endpoint(start), 2_300);
+			assertThat(second.acknowledged(endpoint(start))).isZero();
+			second.store(2_310);
+			assertThat(second.acknowledged(endpoint(start))).isEqualTo(1);
+			assertThat(isStoredAsDone()).isTrue();
+			assertThat(nextOwner(5_000).starts()).extracting((each) -> each.run().task().step()).containsOnly(1);
+		}
+
+		// The owner that was told of the end again answered at once, and was killed
+		// before it had stored it.
+		@Test
+		void anEndThatIsKnownHereButNotStoredIsNotAcknowledgedToAnotherOwner() {
+			LoggingOwner owner = submitAndStart(this.twoSteps);
+			RecordedActions.Start start = owner.starts().get(0);
+			TerminationId end = endpoint(start).end(start.run(), TerminationKind.DONE);
+			owner.hear(endpoint(start), 50);
+			owner.scheduler().endpointRevoked(start.endpointId(), 60);
+			assertThat(owner.jobs().orphanedRunTerminated(end, endpoint(start).lastEnd(), owner.at(70))).isTrue();
+			assertThat(owner.storedTerminations()).isEmpty();
+			owner.store(80);
+			assertThat(owner.storedTerminations()).contains(end);
+			assertThat(isStoredAsDone()).isTrue();
+		}
+
+		// Of a job that is complete in memory no task can be found; ends of its runs were
+		// acknowledged at once, before the log had any of them.
+		@Test
+		void anEndOfAJobThatIsCompleteButNotStoredIsNotAcknowledged() {
+			LoggingOwner owner = submitAndStart(job(step(1, StepTraits.DEFAULT)));
+			RecordedActions.Start start = owner.starts().get(0);
+			ListingEndpoint other = otherThan(start);
+			endpoint(start).end(start.run(), TerminationKind.DONE);
+			owner.hear(endpoint(start), 50);
+			other.end(new TaskRun(TASK, 2), TerminationKind.DONE);
+			owner.hear(other, 60);
+			assertThat(owner.acknowledged(other)).isZero();
+			owner.finishJobs(70);
+			owner.store(80);
+			assertThat(owner.acknowledged(other)).isEqualTo(1);
+			assertThat(owner.jobs().status("j")).contains(JobStatus.COMPLETED);
+		}
+
+	}
+
+}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSimulation.java
@@ -785,7 +785,7 @@
 		}
 
 		@Override
-		public void durableRunTerminated(PooledJob job, TerminationId termination) {
+		public void durableRunTerminated(String jobId, TerminationId termination) {
 			throw new IllegalStateException("the simulation has no durable jobs");
 		}
 
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/RecordedActions.java
@@ -47,8 +47,8 @@
 	}
 
 	@Override
-	public void durableRunTerminated(PooledJob job, TerminationId termination) {
-		this.durableTerminations.add(new DurableTermination(job, termination));
+	public void durableRunTerminated(String jobId, TerminationId termination) {
+		this.durableTerminations.add(new DurableTermination(jobId, termination));
 	}
 
 	@Override
@@ -128,7 +128,7 @@
 	record Start(String endpointId, TaskRun run, String checkpoint) {
 	}
 
-	record DurableTermination(PooledJob job, TerminationId termination) {
+	record DurableTermination(String jobId, TerminationId termination) {
 	}
 
 	record AnsweredJob(PooledJob job, JobOutcome outcome) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedOwner.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedOwner.java
@@ -131,7 +131,7 @@
 
 	private void forward() {
 		this.actions.durableTerminations()
-			.forEach((each) -> this.durableJobs.runTerminated(each.job(), each.termination(), now()));
+			.forEach((each) -> this.durableJobs.runTerminated(each.jobId(), each.termination(), now()));
 		this.actions.durableTerminations().clear();
 		List<TaskLoss> losses = this.actions.taskLosses();
 		losses.subList(this.forwardedLossCount, losses.size())
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -447,8 +447,8 @@
 	}
 
 	@Override
-	public void durableRunTerminated(PooledJob job, TerminationId termination) {
-		this.durableJobs.jobs().runTerminated(job, termination, DurableJobManager.now());
+	public void durableRunTerminated(String jobId, TerminationId termination) {
+		this.durableJobs.jobs().runTerminated(jobId, termination, DurableJobManager.now());
 	}
 
 	@Override
