Count each failed run of a durable task once, whoever reports it

- The failed run of a task that has started again meanwhile, reported late by the endpoint's next owner, was stored as an end and not counted.
- A failed member of a gang on an endpoint of another owner was not counted.
- The attempts of a gang are kept with its first member, and were stored only if a run of that member had ended.

Change: the numbers of failed runs are kept and stored with the task, at most as many as it has attempts. Each counts once, however often it is listed and whichever member of a gang reports it. Records of earlier versions, which hold a count only, are read as before; hosts of earlier versions skip the new field.

DurableJobsTests and CrashLoopTests pass but for the known failure.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * A task of a job in a pool, with the numbers of its runs and its present placement.
@@ -22,7 +24,10 @@
 
 	private int runCount;
 
-	private int failureCount;
+	/** Failed runs whose numbers are not known. */
+	private int unnumberedFailureCount;
+
+	private final Set<Integer> failedRuns = new TreeSet<>();
 
 	private int slowRestartCount;
 
@@ -30,8 +35,6 @@
 
 	private String checkpoint = "";
 
-	private int failedGangRun;
-
 	private boolean done;
 
 	private boolean possiblyRunning;
@@ -92,12 +95,13 @@
 	/**
 	 * Records the termination of a run of a durable job for its stored progress.
 	 * @param terminatedRun the terminated run
-	 * @return whether it may change the state of the task; a run that is done always may,
-	 * as an earlier owner may have given its number to another run
+	 * @return whether it may change the state of the task: it is the latest one, or its
+	 * run is done or has failed, which counts whenever it is reported
 	 */
 	boolean recordTermination(TerminatedRun terminatedRun) {
 		int number = terminatedRun.run().number();
-		boolean hasEffect = number > this.lastTerminatedRun || terminatedRun.kind() == TerminationKind.DONE;
+		boolean hasEffect = number > this.lastTerminatedRun || terminatedRun.kind() == TerminationKind.DONE
+				|| terminatedRun.kind() == TerminationKind.FAILED;
 		this.lastTerminatedRun = Math.max(this.lastTerminatedRun, number);
 		this.runCount = Math.max(this.runCount, number);
 		checkpoint(hasEffect ? terminatedRun.checkpoint() : "");
@@ -120,15 +124,16 @@
 
 	/**
 	 * Returns the progress of the task.
-	 * @return the progress, or empty if no run has terminated and no endpoint was lost
+	 * @return the progress, or empty if no run has terminated or failed and no endpoint
+	 * was lost
 	 */
 	Optional<TaskProgress> progress() {
-		if (this.lastTerminatedRun == 0 && !this.done && this.losses == null) {
+		if (this.lastTerminatedRun == 0 && !this.done && this.losses == null && failureCount() == 0) {
 			return Optional.empty();
 		}
 		List<TaskLoss> storedLosses = (this.losses != null && !this.done) ? this.losses.all() : List.of();
 		return Optional.of(new TaskProgress(this.id.step(), this.id.index(), this.done, this.lastTerminatedRun,
-				this.failureCount, this.checkpoint, storedLosses));
+				failureCount(), this.checkpoint, storedLosses, List.copyOf(this.failedRuns)));
 	}
 
 	/**
@@ -138,7 +143,8 @@
 	void restore(TaskProgress storedProgress) {
 		this.lastTerminatedRun = storedProgress.lastTerminatedRun();
 		this.runCount = storedProgress.lastTerminatedRun();
-		this.failureCount = storedProgress.failureCount();
+		this.failedRuns.addAll(storedProgress.failedRuns());
+		this.unnumberedFailureCount = Math.max(0, storedProgress.failureCount() - this.failedRuns.size());
 		this.checkpoint = storedProgress.checkpoint();
 	}
 
@@ -152,7 +158,7 @@
 
 	TaskTransfer transfer(long nowMillis) {
 		boolean placed = this.placement != null;
-		return new TaskTransfer(this.id, this.done, this.runCount, this.failureCount,
+		return new TaskTransfer(this.id, this.done, this.runCount, failureCount(),
 				placed ? this.placement.endpoint().entry().id() : "",
 				placed ? nowMillis - this.placement.startRequestedMillis() : 0, placed && this.placement.isAccepted());
 	}
@@ -163,29 +169,26 @@
 	 */
 	void adopt(TaskTransfer transfer) {
 		this.runCount = transfer.runCount();
-		this.failureCount = transfer.failureCount();
+		this.unnumberedFailureCount = transfer.failureCount();
 	}
 
 	TaskRun currentRun() {
 		return new TaskRun(this.id, this.runCount);
 	}
 
-	int countFailure() {
-		this.failureCount++;
-		return this.failureCount;
-	}
-
 	/**
-	 * Counts a failed run of a gang once, although each member may report a termination.
+	 * Counts a failed run once, however often its end is reported, and by whichever
+	 * member of a gang.
 	 * @param number the number of the run
 	 * @return the number of failed runs
 	 */
-	int countGangFailure(int number) {
-		if (number > this.failedGangRun) {
-			this.failedGangRun = number;
-			countFailure();
-		}
-		return this.failureCount;
+	int countFailure(int number) {
+		this.failedRuns.add(number);
+		return failureCount();
+	}
+
+	int failureCount() {
+		return this.unnumberedFailureCount + this.failedRuns.size();
 	}
 
 	int slowRestartCount() {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TaskProgress.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskProgress.java
@@ -12,15 +12,18 @@
  * @param failureCount the number of failed runs
  * @param checkpoint the newest checkpoint, or an empty string
  * @param losses the losses of endpoints under the task
+ * @param failedRuns the numbers of failed runs, for a gang those of all members with its
+ * first one; a host of an earlier version has stored none
  */
 public record TaskProgress(int step, int index, boolean done, int lastTerminatedRun, int failureCount,
-		String checkpoint, List<TaskLoss> losses) {
+		String checkpoint, List<TaskLoss> losses, List<Integer> failedRuns) {
 
 	/**
-	 * Copies the list, so that the record is immutable.
+	 * Copies the lists, so that the record is immutable.
 	 */
 	public TaskProgress {
 		losses = List.copyOf(losses);
+		failedRuns = List.copyOf(failedRuns);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -76,7 +76,7 @@
 			if (kind == TerminationKind.DONE) {
 				this.runTimeEstimator.observe(job.terms().queue(), nowMillis - placement.startRequestedMillis());
 			}
-			taskRunTerminated(task, kind, nowMillis);
+			taskRunTerminated(placement.run(), task, kind, nowMillis);
 		}
 	}
 
@@ -133,18 +133,30 @@
 		}
 	}
 
-	private void taskRunTerminated(PooledTask task, TerminationKind kind, long nowMillis) {
+	private void taskRunTerminated(TaskRun run, PooledTask task, TerminationKind kind, long nowMillis) {
 		if (kind == TerminationKind.DONE) {
 			taskDone(task, nowMillis);
 		}
-		else if (kind == TerminationKind.FAILED && task.countFailure() >= task.job().terms().maxAttempts()) {
-			this.jobs.finish(task.job(), JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
-		}
-		else {
+		else if (!failedTooOften(run, task, kind, nowMillis)) {
 			restart(List.of(task), nowMillis);
 		}
 	}
 
+	// Counts a failed run, and fails the job if no attempt is left. The first member of a
+	// gang counts for all. Long-running tasks have no limit of attempts.
+	private boolean failedTooOften(TaskRun run, PooledTask task, TerminationKind kind, long nowMillis) {
+		StepTraits traits = task.step().traits();
+		if (kind != TerminationKind.FAILED || traits.longRunning()) {
+			return false;
+		}
+		PooledTask counting = traits.gang() ? task.job().tasksOfStep(task.id().step()).get(0) : task;
+		if (counting.countFailure(run.number()) < task.job().terms().maxAttempts()) {
+			return false;
+		}
+		this.jobs.finish(task.job(), JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
+		return true;
+	}
+
 	// One member that terminates as done completes all members. Any other termination
 	// ends the run of the whole gang, which restarts after all members have certainly
 	// terminated.
@@ -161,11 +173,7 @@
 		}
 		JobTable.placements(members.stream())
 			.forEach((other) -> this.stopper.stop(other, "gang-member-ended", nowMillis));
-		if (kind == TerminationKind.FAILED && !task.step().traits().longRunning()
-				&& members.get(0).countGangFailure(placement.run().number()) >= job.terms().maxAttempts()) {
-			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
-		}
-		else {
+		if (!failedTooOften(placement.run(), task, kind, nowMillis)) {
 			restartGang(members, nowMillis);
 		}
 	}
@@ -266,7 +274,7 @@
 		boolean earlierRun = terminatedRun.run().number() < task.runCount();
 		boolean wasUncertain = !earlierRun && clearUncertain(task);
 		StepTraits traits = task.step().traits();
-		if (task.job().isFinished()) {
+		if (task.job().isFinished() || task.isDone()) {
 			return;
 		}
 		if (terminatedRun.kind() == TerminationKind.DONE && !traits.longRunning()) {
@@ -274,14 +282,21 @@
 			task.job().readyTasks().removeAll(doneTasks);
 			doneTasks.forEach((each) -> taskDone(each, nowMillis));
 		}
-		else if (traits.gang() || traits.longRunning()) {
+		else if (!failedTooOften(terminatedRun.run(), task, terminatedRun.kind(), nowMillis)) {
+			restartAfterRemoteEnd(task, wasUncertain, nowMillis);
+		}
+	}
+
+	private void restartAfterRemoteEnd(PooledTask task, boolean wasUncertain, long nowMillis) {
+		StepTraits traits = task.step().traits();
+		if (traits.gang() || traits.longRunning()) {
 			if (wasUncertain) {
 				restartIfWaiting(task, nowMillis);
 			}
 		}
 		else if (task.isWaiting()) {
 			task.job().readyTasks().remove(task);
-			taskRunTerminated(task, terminatedRun.kind(), nowMillis);
+			restart(List.of(task), nowMillis);
 		}
 	}
 
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -281,8 +281,8 @@
 
 		@Test
 		void startsOnlyTasksThatAreNotDone() {
-			recover(new TaskProgress(0, 0, true, 1, 0, "", List.of()),
-					new TaskProgress(0, 1, false, 3, 1, "half", List.of()));
+			recover(new TaskProgress(0, 0, true, 1, 0, "", List.of(), List.of()),
+					new TaskProgress(0, 1, false, 3, 1, "half", List.of(), List.of()));
 			resumePool();
 			assertThat(starts()).singleElement().satisfies((start) -> {
 				assertThat(start.run()).isEqualTo(new TaskRun(new TaskId("j", 0, 0, 1), 1_001));
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
@@ -235,4 +235,88 @@
 
 	}
 
+	/**
+	 * A failed run that is acknowledged counts as an attempt for every later owner.
+	 */
+	@Nested
+	class FailedRuns {
+
+		private final JobSpec oneTask = job(step(1, StepTraits.DEFAULT));
+
+		private void fail(LoggingOwner owner, RecordedActions.Start start, long nowMillis) {
+			endpoint(start).end(start.run(), TerminationKind.FAILED);
+			owner.hear(endpoint(start), nowMillis);
+		}
+
+		private void assertFailed(LoggingOwner owner, long nowMillis) {
+			owner.finishJobs(nowMillis);
+			owner.store(nowMillis);
+			assertThat(owner.jobs().status("j")).contains(JobStatus.FAILED);
+		}
+
+		// A failed run that its endpoint's next owner told of too late, when the next run
+		// had started, was acknowledged and not counted: the task had one attempt more.
+		@Test
+		void theFailureOfAnEarlierRunCountsBesideItsPresentRun() {
+			LoggingOwner owner = submitAndStart(this.oneTask);
+			RecordedActions.Start first = owner.starts().get(0);
+			owner.scheduler().endpointRevoked(first.endpointId(), 20);
+			owner.hear(otherThan(first), 2_100);
+			owner.tick(2_110);
+			RecordedActions.Start present = owner.starts().get(1);
+			owner.jobs()
+				.orphanedRunTerminated(new TerminationId(first.endpointId(), 0, 1),
+						new TerminatedRun(1, first.run(), TerminationKind.FAILED), owner.at(2_120));
+			fail(owner, present, 2_200);
+			assertThat(owner.starts()).hasSize(2);
+			assertFailed(owner, 2_210);
+		}
+
+		// A failure that the endpoint lists again, as its acknowledgement was lost with
+		// the owner, is the same attempt.
+		@Test
+		void aFailureCountsOnceForAllOwners() {
+			LoggingOwner first = submitAndStart(this.oneTask);
+			fail(first, first.starts().get(0), 50);
+			first.store(60);
+			LoggingOwner second = nextOwner(2_100);
+			second.finishJobs(2_110);
+			assertThat(second.starts()).hasSize(1);
+			fail(second, second.starts().get(0), 2_200);
+			assertThat(second.starts()).hasSize(1);
+			assertFailed(second, 2_210);
+		}
+
+		// The attempts of a gang were stored with its first member, and only if a run of
+		// that member had ended.
+		@Test
+		void theFailureOfAGangIsStoredWhicheverMemberHasFailed() {
+			LoggingOwner first = submitAndStart(job(step(2, GANG)));
+			fail(first, first.starts().get(1), 50);
+			first.store(60);
+			LoggingOwner second = nextOwner(2_100);
+			assertThat(second.starts()).hasSize(2);
+			fail(second, second.starts().get(0), 2_200);
+			assertThat(second.starts()).hasSize(2);
+			assertFailed(second, 2_210);
+		}
+
+		// A failed member on an endpoint of another owner was not counted at all.
+		@Test
+		void theFailureOfAGangMemberAtAnotherOwnerCounts() {
+			LoggingOwner owner = submitAndStart(job(step(2, GANG)));
+			RecordedActions.Start lost = owner.starts().get(0);
+			owner.scheduler().endpointRevoked(lost.endpointId(), 20);
+			owner.jobs()
+				.orphanedRunTerminated(new TerminationId(lost.endpointId(), 0, 1),
+						new TerminatedRun(1, lost.run(), TerminationKind.FAILED), owner.at(30));
+			owner.store(40);
+			LoggingOwner second = nextOwner(3_000);
+			fail(second, second.starts().get(0), 3_100);
+			assertThat(second.starts()).hasSize(2);
+			assertFailed(second, 3_110);
+		}
+
+	}
+
 }
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/OddJobRecordsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/OddJobRecordsTests.java
@@ -54,7 +54,7 @@
 
 	private static OccurrenceProgress occurrence(int occurrence, int step, int index) {
 		return new OccurrenceProgress(occurrence, false,
-				List.of(new TaskProgress(step, index, false, 1, 0, "", List.of())));
+				List.of(new TaskProgress(step, index, false, 1, 0, "", List.of(), List.of())));
 	}
 
 	private void store(String key, byte[] value) {
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -302,14 +302,15 @@
 
 	private static final RecordType<TaskProgress> TASK_PROGRESS = new RecordType<>(
 			(values) -> new TaskProgress(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4),
-					values.get(5), values.get(6)),
+					values.get(5), values.get(6), values.get(7)),
 			RecordType.optional(BasicTypes.COUNT, TaskProgress::step, 0),
 			RecordType.optional(BasicTypes.COUNT, TaskProgress::index, 0),
 			RecordType.optional(BasicTypes.BOOLEAN, TaskProgress::done, false),
 			RecordType.optional(BasicTypes.COUNT, TaskProgress::lastTerminatedRun, 1),
 			RecordType.optional(BasicTypes.COUNT, TaskProgress::failureCount, 0),
 			RecordType.optional(BasicTypes.TEXT, TaskProgress::checkpoint, ""),
-			RecordType.optional(BasicTypes.list(TASK_LOSS), TaskProgress::losses, List.of()));
+			RecordType.optional(BasicTypes.list(TASK_LOSS), TaskProgress::losses, List.of()),
+			RecordType.optional(BasicTypes.list(BasicTypes.COUNT), TaskProgress::failedRuns, List.of()));
 
 	private static final RecordType<OccurrenceProgress> OCCURRENCE_PROGRESS = new RecordType<>(
 			(values) -> new OccurrenceProgress(values.get(0), values.get(1), values.get(2)),
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/DurableRecordCodecTests.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/DurableRecordCodecTests.java
@@ -45,7 +45,7 @@
 
 	private static DurableProgress progress(int occurrence, int step, int index, int run) {
 		return new DurableProgress(DurableState.ACTIVE, 9, List.of(new OccurrenceProgress(occurrence, false,
-				List.of(new TaskProgress(step, index, false, run, 1, "half", List.of())))));
+				List.of(new TaskProgress(step, index, false, run, 1, "half", List.of(), List.of(run))))));
 	}
 
 	private static byte[] mutate(byte[] bytes, long seed) {
