Finish recovered jobs that are decided already

Cause: the end of a run is written at once, the end of the job after the present event of the loop, so that they go into two appends. The next owner read the tasks and waited for an end that had come.

Change: an occurrence whose stored tasks are all done, or one of which has no attempt left, finishes as soon as it is recovered.

OwnerChangeTests.DecidedJobs: three of its four tests failed before; the fourth, of long-running tasks, guards that these have no limit.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -77,6 +77,11 @@
 			this.terminationHandler.giveUp(occurrenceJob, nowMillis);
 			return occurrenceJob;
 		}
+		// The previous owner may have stored the last end of a run without the end of the
+		// occurrence.
+		if (this.terminationHandler.finishIfDecided(occurrenceJob, nowMillis)) {
+			return occurrenceJob;
+		}
 		this.jobs.enqueueReady(occurrenceJob, nowMillis);
 		this.dispatcher.dispatch(nowMillis);
 		return occurrenceJob;
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -133,6 +133,26 @@
 		}
 	}
 
+	/**
+	 * Finishes a job whose tasks are all done, or of which one has no attempt left.
+	 * @param job the job
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return whether the job has finished
+	 */
+	boolean finishIfDecided(PooledJob job, long nowMillis) {
+		if (job.isComplete()) {
+			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done"), nowMillis);
+		}
+		else if (job.allTasks().stream().anyMatch(TerminationHandler::hasNoAttemptLeft)) {
+			this.jobs.finish(job, JobOutcome.of(JobOutcome.Kind.FAILED, "attempts-used-up"), nowMillis);
+		}
+		return job.isFinished();
+	}
+
+	private static boolean hasNoAttemptLeft(PooledTask task) {
+		return !task.isLongRunning() && !task.isDone() && task.failureCount() >= task.job().terms().maxAttempts();
+	}
+
 	private void taskRunTerminated(TaskRun run, PooledTask task, TerminationKind kind, long nowMillis) {
 		if (kind == TerminationKind.DONE) {
 			taskDone(task, nowMillis);
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
@@ -319,4 +319,76 @@
 
 	}
 
+	/**
+	 * An owner that is killed between the append with the last end of a run and that with
+	 * the end of the job.
+	 */
+	@Nested
+	class DecidedJobs {
+
+		private void storeAndAcknowledge(LoggingOwner owner, long nowMillis) {
+			owner.store(nowMillis);
+			OwnerChangeTests.this.endpoints.forEach((endpoint) -> endpoint.discardUpTo(owner.acknowledged(endpoint)));
+		}
+
+		private void assertNextOwnerFinishes(JobStatus status) {
+			LoggingOwner second = nextOwner(3_000);
+			assertThat(second.starts()).isEmpty();
+			second.finishJobs(3_100);
+			second.store(3_110);
+			assertThat(second.jobs().status("j")).contains(status);
+		}
+
+		// The job stayed running for good with all its tasks done.
+		@Test
+		void areCompletedIfAllTasksAreDone() {
+			LoggingOwner first = submitAndStart(job(step(2, StepTraits.DEFAULT)));
+			first.starts().forEach((start) -> endpoint(start).end(start.run(), TerminationKind.DONE));
+			hearAll(first, 50);
+			storeAndAcknowledge(first, 60);
+			assertNextOwnerFinishes(JobStatus.COMPLETED);
+		}
+
+		// The next owner started the task once more.
+		@Test
+		void haveFailedIfATaskHasNoAttemptLeft() {
+			LoggingOwner first = submitAndStart(job(step(1, StepTraits.DEFAULT)));
+			for (int attempt = 0; attempt < LoggingOwner.terms().maxAttempts(); attempt++) {
+				RecordedActions.Start start = first.starts().get(attempt);
+				endpoint(start).end(start.run(), TerminationKind.FAILED);
+				first.hear(endpoint(start), 50 + attempt);
+			}
+			storeAndAcknowledge(first, 60);
+			assertNextOwnerFinishes(JobStatus.FAILED);
+		}
+
+		@Test
+		void haveFailedIfAGangHasNoAttemptLeft() {
+			LoggingOwner first = submitAndStart(job(step(2, GANG)));
+			for (int attempt = 0; attempt < LoggingOwner.terms().maxAttempts(); attempt++) {
+				RecordedActions.Start failed = first.starts().get(2 * attempt + 1);
+				RecordedActions.Start other = first.starts().get(2 * attempt);
+				endpoint(failed).end(failed.run(), TerminationKind.FAILED);
+				endpoint(other).end(other.run(), TerminationKind.BROKEN);
+				hearAll(first, 50 + attempt);
+				hearAll(first, 55 + attempt);
+			}
+			storeAndAcknowledge(first, 70);
+			assertNextOwnerFinishes(JobStatus.FAILED);
+		}
+
+		@Test
+		void goOnIfATaskIsLongRunning() {
+			LoggingOwner first = submitAndStart(job(step(1, new StepTraits(false, true, false, false))));
+			for (int run = 0; run < LoggingOwner.terms().maxAttempts(); run++) {
+				RecordedActions.Start start = first.starts().get(run);
+				endpoint(start).end(start.run(), TerminationKind.FAILED);
+				first.hear(endpoint(start), 50 + run);
+			}
+			storeAndAcknowledge(first, 60);
+			assertThat(nextOwner(3_000).starts()).hasSize(1);
+		}
+
+	}
+
 }
