Open an occurrence that a report shows to have been started

Change: a run or an end that is reported of a later occurrence opens the occurrences up to it, as they are read from the log. They are stored with the next progress. None of their tasks starts before it is due by the present owner's clock. While the limit of open occurrences is reached the end is neither recorded nor acknowledged, and asked for again.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -43,6 +43,8 @@
 
 	private final DurableJobActions actions;
 
+	private final DurableJobLookup lookup = new Lookup();
+
 	private final Map<String, Entry> entries = new HashMap<>();
 
 	/** Pools whose jobs are suspended: none of their tasks is started. */
@@ -52,6 +54,8 @@
 
 	private long nextSweepMillis = Long.MIN_VALUE / 2;
 
+	private Timestamp tickTime = new Timestamp(0, 0);
+
 	/**
 	 * Creates an instance without jobs.
 	 * @param scheduler runs the occurrences of the jobs
@@ -59,7 +63,7 @@
 	 */
 	public DurableJobs(PoolScheduler scheduler, DurableJobActions actions) {
 		this.scheduler = scheduler.occurrences();
-		this.scheduler.knownJobs(this.entries::containsKey);
+		this.scheduler.durableJobs(this.lookup);
 		this.actions = actions;
 	}
 
@@ -158,10 +162,24 @@
 		}
 	}
 
+	private void resumeDueOccurrences(Entry entry, Timestamp time) {
+		List<Integer> due = entry.earlyOccurrences.stream()
+			.filter((occurrence) -> entry.dueEpochMillis(occurrence) <= time.epochMillis())
+			.toList();
+		due.forEach((occurrence) -> {
+			entry.earlyOccurrences.remove(occurrence);
+			Optional.ofNullable(entry.occurrences.get(occurrence))
+				.ifPresent((job) -> this.scheduler.setSuspended(job, entry.suspended, time.nowMillis()));
+		});
+	}
+
 	private void startOccurrence(Entry entry, int occurrence, List<TaskProgress> storedProgress, Timestamp time) {
+		if (entry.dueEpochMillis(occurrence) > time.epochMillis()) {
+			entry.earlyOccurrences.add(occurrence);
+		}
 		long delayMillis = Math.max(0, time.epochMillis() - entry.dueEpochMillis(occurrence));
 		PooledJob occurrenceJob = this.scheduler.start(entry.job, occurrence, storedProgress, entry.runNumbers,
-				entry.suspended, time.nowMillis() - delayMillis, time.nowMillis());
+				entry.isSuspended(occurrence), time.nowMillis() - delayMillis, time.nowMillis());
 		entry.occurrences.put(occurrence, occurrenceJob);
 	}
 
@@ -237,6 +255,17 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether a task is of an occurrence that can't be opened yet, so that the
+	 * end of its run can't be recorded.
+	 * @param task the id of the task
+	 * @return whether the end has to be reported again later
+	 */
+	public boolean isUnopened(TaskId task) {
+		return this.lookup.openOccurrence(task.jobId(), task.occurrence()).isEmpty()
+				&& this.lookup.isUnopened(task.jobId(), task.occurrence());
+	}
+
 	/**
 	 * Cancels a job. {@link DurableJobActions#answerCancellation} is called when the
 	 * cancellation is stored in the shared log.
@@ -296,6 +325,7 @@
 	 * @param time the current time
 	 */
 	public void recover(String pool, DurableJob job, DurableProgress progress, Timestamp time) {
+		this.tickTime = time;
 		Entry entry = new Entry(pool, job);
 		entry.state = progress.state();
 		entry.stateChangedEpochMillis = progress.stateChangedEpochMillis();
@@ -363,7 +393,8 @@
 		}
 		entriesOf(pool).forEach((entry) -> {
 			entry.suspended = suspended;
-			entry.occurrences.values().forEach((job) -> this.scheduler.setSuspended(job, suspended, time.nowMillis()));
+			entry.occurrences.forEach((occurrence, job) -> this.scheduler.setSuspended(job,
+					entry.isSuspended(occurrence), time.nowMillis()));
 		});
 	}
 
@@ -417,9 +448,11 @@
 	 * @param time the current time
 	 */
 	public void tick(Timestamp time) {
+		this.tickTime = time;
 		List<Entry> unfinished = this.entries.values().stream().filter((entry) -> !entry.finished).toList();
 		unfinished.forEach((entry) -> {
 			if (entry.isAccepted()) {
+				resumeDueOccurrences(entry, time);
 				startDueOccurrences(entry, time);
 			}
 			else {
@@ -498,6 +531,36 @@
 	public record Timestamp(long nowMillis, long epochMillis) {
 	}
 
+	/**
+	 * Finds jobs, and opens occurrences that a report shows to have been started.
+	 */
+	private final class Lookup implements DurableJobLookup {
+
+		@Override
+		public boolean isKnown(String jobId) {
+			return DurableJobs.this.entries.containsKey(jobId);
+		}
+
+		@Override
+		public boolean isUnopened(String jobId, int occurrence) {
+			Entry entry = DurableJobs.this.entries.get(jobId);
+			return entry != null && entry.state == DurableState.ACTIVE && entry.isAccepted()
+					&& occurrence >= entry.nextOccurrence && occurrence < entry.job.spec().schedule().count();
+		}
+
+		@Override
+		public Optional<PooledJob> openOccurrence(String jobId, int occurrence) {
+			Entry entry = DurableJobs.this.entries.get(jobId);
+			while (isUnopened(jobId, occurrence) && entry.mayOpenOccurrence()) {
+				entry.earlyOccurrences.add(entry.nextOccurrence);
+				startOccurrence(entry, entry.nextOccurrence, List.of(), DurableJobs.this.tickTime);
+				entry.nextOccurrence++;
+			}
+			return Optional.ofNullable(entry).map((found) -> found.occurrences.get(occurrence));
+		}
+
+	}
+
 	private record PendingTermination(long revision, TerminationId termination) {
 	}
 
@@ -511,6 +574,12 @@
 
 		private final Map<Integer, PooledJob> occurrences = new HashMap<>();
 
+		/**
+		 * Open occurrences that are suspended until they are due, as the clock of a
+		 * previous owner was ahead.
+		 */
+		private final Set<Integer> earlyOccurrences = new HashSet<>();
+
 		private final List<Integer> completed = new ArrayList<>();
 
 		private final List<PendingTermination> pendingTerminations = new ArrayList<>();
@@ -545,6 +614,10 @@
 			return this.storedRevision > 0;
 		}
 
+		private boolean isSuspended(int occurrence) {
+			return this.suspended || this.earlyOccurrences.contains(occurrence);
+		}
+
 		// Many occurrences may be due at once, but the memory and time of an owner are
 		// limited. One occurrence may always be open.
 		private boolean mayOpenOccurrence() {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 /**
  * Schedules the occurrences of durable jobs in a pool: starts, suspends and aborts them.
@@ -82,8 +81,13 @@
 		if (this.terminationHandler.finishIfDecided(occurrenceJob, nowMillis)) {
 			return occurrenceJob;
 		}
-		this.jobs.enqueueReady(occurrenceJob, nowMillis);
-		this.dispatcher.dispatch(nowMillis);
+		// An occurrence that a report opens is suspended, as nothing may start in the
+		// middle
+		// of a report.
+		if (!suspended) {
+			this.jobs.enqueueReady(occurrenceJob, nowMillis);
+			this.dispatcher.dispatch(nowMillis);
+		}
 		return occurrenceJob;
 	}
 
@@ -167,12 +171,8 @@
 			});
 	}
 
-	/**
-	 * Sets how to tell which durable jobs this owner knows.
-	 * @param knownJobs tells by the id of a job whether it is known
-	 */
-	void knownJobs(Predicate<String> knownJobs) {
-		this.terminationHandler.durableJobs(knownJobs);
+	void durableJobs(DurableJobLookup lookup) {
+		this.terminationHandler.durableJobs(lookup);
 	}
 
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -236,8 +236,7 @@
 		Optional<PooledTask> durableTask = ownPlacement.map(Placement::task)
 			.filter((task) -> task.job().spec().durable())
 			.or(() -> this.jobCallbacks.findDurableTask(terminatedRun.run().task()));
-		if (ownPlacement.isEmpty() && durableTask.isEmpty()
-				&& this.jobCallbacks.mayBeUnread(terminatedRun.run().task().jobId())
+		if (ownPlacement.isEmpty() && durableTask.isEmpty() && this.jobCallbacks.mayBeUnread(terminatedRun.run().task())
 				&& endpoint.terminations().mayDefer(terminatedRun.number(), nowMillis)) {
 			endpoint.terminations().recordUnresolved(terminatedRun.number(), nowMillis);
 			if (endpoint.terminations().shouldForward(terminatedRun.number(), nowMillis)) {
@@ -405,12 +404,13 @@
 		boolean isDurableJob(String jobId);
 
 		/**
-		 * Returns whether an unknown job may be a durable one that this host or another
-		 * one has still to read from the shared log.
-		 * @param jobId the id of the job
+		 * Returns whether an unknown task may be of a durable job that this host or
+		 * another one has still to read from the shared log, or of an occurrence that is
+		 * still to be opened.
+		 * @param task the id of the task
 		 * @return whether it may, so that endpoints have to keep its terminations
 		 */
-		boolean mayBeUnread(String jobId);
+		boolean mayBeUnread(TaskId task);
 
 		/**
 		 * Returns whether the runs of an unknown job should continue, because this host
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 /**
  * Handles the termination of runs: marks the task as done, restarts it, or fails its job
@@ -33,7 +32,7 @@
 
 	private RecoveryStatus recoveryStatus = RecoveryStatus.COMPLETE;
 
-	private Predicate<String> durableJobs = (jobId) -> false;
+	private DurableJobLookup durableJobs = DurableJobLookup.NONE;
 
 	TerminationHandler(JobTable jobs, RunTimeEstimator runTimeEstimator, TaskStarter starter,
 			JobTable.RunStopper stopper, CrashLoopGuard crashLoopGuard, long orphanedRunMaxMillis) {
@@ -49,12 +48,8 @@
 		this.recoveryStatus = status;
 	}
 
-	/**
-	 * Sets how to tell which durable jobs this owner knows.
-	 * @param knownJobs tells by the id of a job whether it is known
-	 */
-	void durableJobs(Predicate<String> knownJobs) {
-		this.durableJobs = knownJobs;
+	void durableJobs(DurableJobLookup lookup) {
+		this.durableJobs = lookup;
 	}
 
 	@Override
@@ -324,18 +319,20 @@
 	public Optional<PooledTask> findDurableTask(TaskId id) {
 		String key = PooledJob.key(id.jobId(), id.occurrence());
 		return this.jobs.findUnansweredOrTerminating(key)
+			.or(() -> this.durableJobs.openOccurrence(id.jobId(), id.occurrence()))
 			.filter((job) -> job.spec().durable() && !job.isReleased())
 			.flatMap((job) -> job.task(id));
 	}
 
 	@Override
 	public boolean isDurableJob(String jobId) {
-		return this.durableJobs.test(jobId);
+		return this.durableJobs.isKnown(jobId);
 	}
 
 	@Override
-	public boolean mayBeUnread(String jobId) {
-		return this.recoveryStatus.mayBeUnread(jobId);
+	public boolean mayBeUnread(TaskId task) {
+		return this.recoveryStatus.mayBeUnread(task.jobId())
+				|| this.durableJobs.isUnopened(task.jobId(), task.occurrence());
 	}
 
 	@Override
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
@@ -391,4 +391,95 @@
 
 	}
 
+	/**
+	 * The next owner's clock is behind, so that an occurrence which the previous owner
+	 * has started is not due yet.
+	 */
+	@Nested
+	class Occurrences {
+
+		private static final long DUE_MILLIS = 2_000;
+
+		private static final long INTERVAL_MILLIS = 100;
+
+		private static final long CLOCK_OFFSET_MILLIS = 3_000;
+
+		private final JobSpec repeated = new JobSpec("j", "payload", List.of(step(1, StepTraits.DEFAULT)), true,
+				new JobSchedule(5, LoggingOwner.EPOCH_MILLIS + DUE_MILLIS, INTERVAL_MILLIS));
+
+		private LoggingOwner startTwoOccurrences() {
+			LoggingOwner first = submitAndStart(this.repeated);
+			hearAll(first, 2_110);
+			first.tick(2_110);
+			assertThat(first.starts()).extracting((start) -> start.run().task().occurrence()).containsExactly(0, 1);
+			return first;
+		}
+
+		private LoggingOwner ownerBehind(long nowMillis) {
+			LoggingOwner second = new LoggingOwner(OwnerChangeTests.this.log);
+			second.clockBehindMillis(CLOCK_OFFSET_MILLIS);
+			OwnerChangeTests.this.endpoints
+				.forEach((endpoint) -> second.scheduler().endpointListed(endpoint.entry(), nowMillis));
+			hearAll(second, nowMillis);
+			second.read(nowMillis);
+			second.resume(nowMillis);
+			second.store(nowMillis);
+			return second;
+		}
+
+		private List<Integer> startedOccurrences(LoggingOwner owner) {
+			return owner.starts().stream().map((start) -> start.run().task().occurrence()).toList();
+		}
+
+		// The end was discarded as that of an unknown job, and the occurrence was started
+		// again when it was due.
+		@Test
+		void keepTheEndsOfTheirRuns() {
+			RecordedActions.Start second = startTwoOccurrences().starts().get(1);
+			LoggingOwner owner = ownerBehind(2_200);
+			endpoint(second).end(second.run(), TerminationKind.DONE);
+			owner.hear(endpoint(second), 2_210);
+			assertThat(owner.acknowledged(endpoint(second))).isZero();
+			owner.finishJobs(2_220);
+			owner.store(2_220);
+			assertThat(owner.acknowledged(endpoint(second))).isEqualTo(1);
+			hearAll(owner, 4_900);
+			owner.tick(4_900);
+			assertThat(owner.starts()).isEmpty();
+			hearAll(owner, 5_310);
+			owner.tick(5_310);
+			assertThat(startedOccurrences(owner)).containsExactlyInAnyOrder(0, 2, 3);
+		}
+
+		// The run was stopped as that of an unknown job.
+		@Test
+		void keepTheirRuns() {
+			RecordedActions.Start second = startTwoOccurrences().starts().get(1);
+			endpoint(second).run(second.run());
+			LoggingOwner owner = ownerBehind(2_200);
+			owner.hear(endpoint(second), 2_210);
+			assertThat(owner.actions().stops()).isEmpty();
+			hearAll(owner, 5_110);
+			owner.tick(5_110);
+			assertThat(startedOccurrences(owner)).containsExactly(0);
+		}
+
+		@Test
+		void keepEndsThatAnotherOwnerForwards() {
+			RecordedActions.Start second = startTwoOccurrences().starts().get(1);
+			LoggingOwner owner = ownerBehind(2_200);
+			TerminationId end = new TerminationId("c", 0, 1);
+			assertThat(owner.jobs().isUnopened(second.run().task())).isFalse();
+			assertThat(owner.jobs()
+				.orphanedRunTerminated(end, new TerminatedRun(1, second.run(), TerminationKind.DONE), owner.at(2_210)))
+				.isTrue();
+			assertThat(owner.storedTerminations()).isEmpty();
+			owner.finishJobs(2_220);
+			owner.store(2_220);
+			assertThat(owner.storedTerminations()).containsExactly(end);
+			assertThat(OwnerChangeTests.this.log.progress("j").occurrences()).hasSize(2);
+		}
+
+	}
+
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -225,7 +225,8 @@
 	CompletableFuture<PeerMessage> recordOrphanedTermination(PeerMessage.StrayEnd message) {
 		PoolState assignedPool = this.pools
 			.get(AssignedPool.of(message.termination().run().task().jobId(), this.domains));
-		if (assignedPool == null || !assignedPool.journal.isLoaded()) {
+		if (assignedPool == null || !assignedPool.journal.isLoaded()
+				|| this.jobs.isUnopened(message.termination().run().task())) {
 			return CompletableFuture.completedFuture(new PeerMessage.ErrorAnswer("not-read",
 					"This host does not own the job's pool, or has not read its jobs yet"));
 		}
