Never acknowledge an end because of its age or number

An end that no reachable owner could record was acknowledged after 20 s, or when an endpoint listed more than 300 of them. A cut between failure domains that lasted longer lost the end, and the owner of the job started the task again. docs/PROOFS.md had both as ways without a proof.

Change: such an end stays unacknowledged until an owner of its job has recorded it. What the limits protected, an endpoint whose list of 500 is so full that new ends may not be among them, is protected by giving it no tasks from 400 unacknowledged ends on.

DurableJobsTests.acknowledgesAnUnresolvedTerminationAfterATimeout asserted the fault: acknowledged is what the next owner can read, nothing else. It becomes keepsAnUnresolvedTerminationHoweverLong, which asserts the opposite over an hour and the acknowledgement once it is recorded. That test, areAllKept and keepNewTasksOffTheirEndpoint with 400 ends failed before.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -216,7 +216,7 @@
 	public void runTerminated(String jobId, TerminationId termination, Timestamp time) {
 		Entry entry = this.entries.get(jobId);
 		if (entry == null) {
-			this.scheduler.forwardTermination(termination, time.nowMillis());
+			this.scheduler.forwardTermination(termination);
 		}
 		else {
 			entry.pendingTerminations.add(new PendingTermination(entry.revision + 1, termination));
@@ -423,8 +423,7 @@
 			entry.waitingOrigins.forEach((origin) -> this.actions.answer(origin, entry.jobId(),
 					JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-changed")));
 			entry.occurrences.values().forEach((job) -> this.scheduler.release(job, time.nowMillis()));
-			entry.pendingTerminations
-				.forEach((pending) -> this.scheduler.forwardTermination(pending.termination(), time.nowMillis()));
+			entry.pendingTerminations.forEach((pending) -> this.scheduler.forwardTermination(pending.termination()));
 		});
 	}
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -150,11 +150,10 @@
 	/**
 	 * Forwards a termination that was to be stored here to the present owner of its job.
 	 * @param termination the termination
-	 * @param nowMillis the current monotonic time in milliseconds
 	 */
-	void forwardTermination(TerminationId termination, long nowMillis) {
+	void forwardTermination(TerminationId termination) {
 		this.endpoints.terminationsOf(termination)
-			.ifPresent((tracker) -> tracker.recordUnresolved(termination.number(), nowMillis));
+			.ifPresent((tracker) -> tracker.recordUnresolved(termination.number()));
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -374,7 +374,8 @@
 
 	/**
 	 * Returns whether the endpoint accepts a task that fits. A start extends the lease,
-	 * so there is none while a run has to end.
+	 * so there is none while a run has to end, nor while the end of the task might not be
+	 * listed.
 	 * @param nowMillis the current monotonic time in milliseconds
 	 * @param responseTimeoutMillis the time since the last contact after which it gets no
 	 * tasks, in milliseconds
@@ -384,7 +385,7 @@
 		return this.listed && !this.drained && this.entry.ready() && this.orphanedJobIds.isEmpty()
 				&& nowMillis >= this.pausedUntilMillis && nowMillis - this.lastContactMillis <= responseTimeoutMillis
 				&& !isIsolated(nowMillis) && this.health.acceptsTask(this.placements.size(), nowMillis)
-				&& !hasRunToEnd();
+				&& !this.terminations.isFull() && !hasRunToEnd();
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -236,9 +236,9 @@
 		Optional<PooledTask> durableTask = ownPlacement.map(Placement::task)
 			.filter((task) -> task.job().spec().durable())
 			.or(() -> this.jobCallbacks.findDurableTask(terminatedRun.run().task()));
-		if (ownPlacement.isEmpty() && durableTask.isEmpty() && this.jobCallbacks.mayBeUnread(terminatedRun.run().task())
-				&& endpoint.terminations().mayDefer(terminatedRun.number(), nowMillis)) {
-			endpoint.terminations().recordUnresolved(terminatedRun.number(), nowMillis);
+		if (ownPlacement.isEmpty() && durableTask.isEmpty()
+				&& this.jobCallbacks.mayBeUnread(terminatedRun.run().task())) {
+			endpoint.terminations().recordUnresolved(terminatedRun.number());
 			if (endpoint.terminations().shouldForward(terminatedRun.number(), nowMillis)) {
 				this.actions.orphanedRunTerminated(terminationId(endpoint, terminatedRun), terminatedRun);
 			}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationTracker.java
@@ -1,7 +1,9 @@
 package org.masticwick.core.pool;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 
 /**
@@ -12,16 +14,10 @@
 final class TerminationTracker {
 
 	/**
-	 * The limit of deferred terminations, well below the 500 that an endpoint lists at
-	 * once.
+	 * The number of terminations that the endpoint has to keep from which on it gets no
+	 * tasks: it lists 500 at once, so that the ends of new runs might not be among them.
 	 */
-	private static final int MAX_UNRESOLVED = 300;
-
-	/**
-	 * How long a termination may stay unresolved, in milliseconds; several times the
-	 * usual length of a partition between failure domains.
-	 */
-	private static final long MAX_UNRESOLVED_MILLIS = 20_000;
+	private static final int MAX_UNACKNOWLEDGED = 400;
 
 	/**
 	 * After this time, which another owner may take to store a termination, an unresolved
@@ -31,9 +27,10 @@
 
 	/**
 	 * Numbers of terminations without a known task, which may belong to a job that is
-	 * still to be read from the shared log, with the time of their first report.
+	 * still to be read from the shared log. They stay unresolved, and the endpoint keeps
+	 * them, until an owner of the job has recorded them.
 	 */
-	private final Map<Long, Long> unresolvedSinceMillis = new HashMap<>();
+	private final Set<Long> unresolved = new HashSet<>();
 
 	/** Numbers of terminations that the endpoint has to keep. */
 	private final TreeSet<Long> unacknowledged = new TreeSet<>();
@@ -49,40 +46,24 @@
 	 * @return whether it is new or was unresolved so far
 	 */
 	boolean isUnprocessed(long number) {
-		return number > this.highestNumber || this.unresolvedSinceMillis.containsKey(number);
+		return number > this.highestNumber || this.unresolved.contains(number);
 	}
 
 	void recordProcessed(long number) {
 		this.highestNumber = Math.max(this.highestNumber, number);
-		if (this.unresolvedSinceMillis.remove(number) != null) {
+		if (this.unresolved.remove(number)) {
 			this.unacknowledged.remove(number);
 			this.lastForwardedMillis.remove(number);
 		}
 	}
 
-	/**
-	 * Returns whether a termination may stay unresolved. The endpoint lists a bounded
-	 * number of terminations, so too many unresolved ones would hide new ones.
-	 * @param number the number of the termination
-	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return whether it may stay unresolved
-	 */
-	boolean mayDefer(long number, long nowMillis) {
-		Long sinceMillis = this.unresolvedSinceMillis.get(number);
-		if (sinceMillis != null) {
-			return nowMillis - sinceMillis < MAX_UNRESOLVED_MILLIS;
-		}
-		return this.unresolvedSinceMillis.size() < MAX_UNRESOLVED;
-	}
-
 	/**
 	 * Records a termination whose task is unknown.
 	 * @param number the number of the termination
-	 * @param nowMillis the current monotonic time in milliseconds
 	 */
-	void recordUnresolved(long number, long nowMillis) {
+	void recordUnresolved(long number) {
 		this.highestNumber = Math.max(this.highestNumber, number);
-		this.unresolvedSinceMillis.putIfAbsent(number, nowMillis);
+		this.unresolved.add(number);
 		this.unacknowledged.add(number);
 	}
 
@@ -123,13 +104,22 @@
 		return !this.unacknowledged.isEmpty();
 	}
 
+	/**
+	 * Returns whether the endpoint keeps so many terminations that it may not list that
+	 * of a new run.
+	 * @return whether it must not get tasks
+	 */
+	boolean isFull() {
+		return this.unacknowledged.size() >= MAX_UNACKNOWLEDGED;
+	}
+
 	/**
 	 * Returns whether there are unresolved terminations, which may stay unresolved for
 	 * long.
 	 * @return whether there are any
 	 */
 	boolean hasUnresolved() {
-		return !this.unresolvedSinceMillis.isEmpty();
+		return !this.unresolved.isEmpty();
 	}
 
 	/**
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -325,14 +326,17 @@
 			assertThat(progress().occurrences().get(0).tasks()).extracting(TaskProgress::done).containsExactly(true);
 		}
 
+		// The end was acknowledged after 20 s without the owner of its job, which then
+		// started the task again.
 		@Test
-		void acknowledgesAnUnresolvedTerminationAfterATimeout() {
+		void keepsAnUnresolvedTerminationHoweverLong() {
 			DurableJobsTests.this.recoveryInProgress = true;
 			addTermination("a", new TaskRun(new TaskId("other", 0, 0, 0), 1), TerminationKind.DONE, "");
-			report("a", 50);
-			report("a", 19_000);
-			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber("a")).isZero();
-			report("a", 21_000);
+			LongStream.of(50, 19_000, 21_000, 3_600_000).forEach((millis) -> {
+				report("a", millis);
+				assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber("a")).isZero();
+			});
+			DurableJobsTests.this.scheduler.orphanedTerminationRecorded(new TerminationId("a", 0, 1));
 			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber("a")).isEqualTo(1);
 		}
 
@@ -444,6 +448,41 @@
 
 	}
 
+	@Nested
+	class UnresolvedTerminations {
+
+		private static final int MAX_UNACKNOWLEDGED = 400;
+
+		private void listUnresolved(int count) {
+			DurableJobsTests.this.recoveryInProgress = true;
+			DurableJobsTests.this.terminatedRuns.values().forEach(List::clear);
+			List.of("a", "b").forEach((id) -> {
+				IntStream.range(0, count)
+					.forEach((index) -> addTermination(id, new TaskRun(new TaskId("other", 0, 0, index), 1),
+							TerminationKind.DONE, ""));
+				report(id, 50);
+			});
+		}
+
+		// From the 301st on they were acknowledged unread.
+		@Test
+		void areAllKept() {
+			listUnresolved(MAX_UNACKNOWLEDGED + 50);
+			assertThat(DurableJobsTests.this.scheduler.acknowledgedTerminationNumber("a")).isZero();
+			assertThat(DurableJobsTests.this.actions.orphanedTerminations()).hasSize(2 * (MAX_UNACKNOWLEDGED + 50));
+		}
+
+		// The end of a new run might not be among those that the endpoint lists.
+		@ParameterizedTest
+		@ValueSource(ints = { MAX_UNACKNOWLEDGED - 1, MAX_UNACKNOWLEDGED })
+		void keepNewTasksOffTheirEndpoint(int count) {
+			listUnresolved(count);
+			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), 60);
+			assertThat(starts()).hasSize((count < MAX_UNACKNOWLEDGED) ? 1 : 0);
+		}
+
+	}
+
 	@Nested
 	class PoolOutOfReach {
 
