Answer forwarded ends when the pool of their job is lost

An owner that is told of an end on another owner's endpoint answers once the log has stored it. If it lost the pool of the job before, the answer stayed pending for good. Forwarded again after the pool had come back, the same end joined that answer: it was never recorded and never stored, and the task was started again.

Change: pending answers belong to one ownership of a pool, and are refused at its end, so that the end is forwarded to the next owner.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import io.netty.channel.EventLoop;
@@ -59,6 +60,9 @@
 	 */
 	private static final long UNREACHABLE_MILLIS = 500;
 
+	private static final PeerMessage NOT_READ_ANSWER = new PeerMessage.ErrorAnswer("not-read",
+			"This host does not own the job's pool, or has not read its jobs yet");
+
 	private final EventLoop eventLoop;
 
 	private final JobLog log;
@@ -73,12 +77,6 @@
 
 	private final Map<String, List<Runnable>> pendingCancellations = new HashMap<>();
 
-	/**
-	 * Pending answers to owners that forwarded a termination; completed once it is
-	 * stored.
-	 */
-	private final Map<TerminationId, CompletableFuture<PeerMessage>> pendingTerminationAnswers = new HashMap<>();
-
 	private boolean closed;
 
 	DurableJobManager(EventLoop eventLoop, JobLog log, List<String> domains, PoolScheduler scheduler,
@@ -120,6 +118,7 @@
 		if (poolState != null) {
 			poolState.journal.close();
 			this.jobs.removePool(pool, now());
+			poolState.terminationAnswers.values().forEach((answer) -> answer.complete(NOT_READ_ANSWER));
 		}
 	}
 
@@ -219,29 +218,37 @@
 	/**
 	 * Records the termination of a run on an endpoint of another owner.
 	 * @param message the termination
-	 * @return an acknowledgement when the log has stored the termination, at once if it
-	 * needs no storing; an error if the jobs of the pool are not read here
+	 * @return an acknowledgement when the log has stored the termination, at once if the
+	 * job is unknown; an error if the jobs of the pool are not read here, or have another
+	 * owner before that
 	 */
 	CompletableFuture<PeerMessage> recordOrphanedTermination(PeerMessage.StrayEnd message) {
 		PoolState assignedPool = this.pools
 			.get(AssignedPool.of(message.termination().run().task().jobId(), this.domains));
 		if (assignedPool == null || !assignedPool.journal.isLoaded()
 				|| this.jobs.isUnopened(message.termination().run().task())) {
-			return CompletableFuture.completedFuture(new PeerMessage.ErrorAnswer("not-read",
-					"This host does not own the job's pool, or has not read its jobs yet"));
+			return CompletableFuture.completedFuture(NOT_READ_ANSWER);
 		}
-		if (this.pendingTerminationAnswers.containsKey(message.reference())
-				|| this.jobs.orphanedRunTerminated(message.reference(), message.termination(), now())) {
+		CompletableFuture<PeerMessage> pendingAnswer = assignedPool.terminationAnswers.get(message.reference());
+		return (pendingAnswer != null) ? pendingAnswer : recordOrphanedTermination(assignedPool, message);
+	}
+
+	private CompletableFuture<PeerMessage> recordOrphanedTermination(PoolState pool, PeerMessage.StrayEnd message) {
+		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+		pool.terminationAnswers.put(message.reference(), answer);
+		if (this.jobs.orphanedRunTerminated(message.reference(), message.termination(), now())) {
 			logger.atInfo()
 				.addKeyValue("job", message.termination().run().task().jobId())
 				.addKeyValue("task", message.termination().run())
 				.addKeyValue("endpoint", message.reference().endpointId())
 				.addKeyValue("kind", message.termination().kind())
 				.log("Termination of a run reported by another owner; it is acknowledged once stored");
-			return this.pendingTerminationAnswers.computeIfAbsent(message.reference(),
-					(termination) -> new CompletableFuture<>());
 		}
-		return CompletableFuture.completedFuture(new PeerMessage.Acknowledged());
+		else {
+			pool.terminationAnswers.remove(message.reference());
+			answer.complete(new PeerMessage.Acknowledged());
+		}
+		return answer;
 	}
 
 	void tick() {
@@ -332,11 +339,10 @@
 
 	@Override
 	public void terminationStored(TerminationId termination) {
-		CompletableFuture<PeerMessage> pendingAnswer = this.pendingTerminationAnswers.remove(termination);
-		if (pendingAnswer != null) {
-			pendingAnswer.complete(new PeerMessage.Acknowledged());
-			return;
-		}
+		this.pools.values()
+			.stream()
+			.flatMap((pool) -> Optional.ofNullable(pool.terminationAnswers.remove(termination)).stream())
+			.forEach((answer) -> answer.complete(new PeerMessage.Acknowledged()));
 		this.listener.terminationStored(termination);
 	}
 
@@ -437,6 +443,12 @@
 
 		private final long claimedMillis;
 
+		/**
+		 * Pending answers to owners that forwarded a termination; completed once it is
+		 * stored, or the pool has another owner.
+		 */
+		private final Map<TerminationId, CompletableFuture<PeerMessage>> terminationAnswers = new HashMap<>();
+
 		private long loadedMillis = -1;
 
 		private boolean settled;
