Let the log confirm the ownership before an unknown job's end is acknowledged

An owner that does not know a job acknowledged the ends of its runs at once. That is right only while it owns the pool of the job: one that was frozen, or is cut off, may not have heard yet that a later owner has accepted the job. The end was lost for that owner, which starts the task again.

Change: the end of a job that no one knows, forwarded or listed by an own endpoint, is acknowledged only after an append with the epoch of this ownership, sent after the end had arrived. A later owner has raised the epoch before it accepts anything, so that the append is refused then. Sites that have seen no durable job are not affected.

ForwardedEndsTests.OfUnknownJobs: all three tests failed before.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RecoveryStatus.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RecoveryStatus.java
@@ -21,9 +21,10 @@
 	};
 
 	/**
-	 * Returns whether an unknown job may still be read from the shared log.
+	 * Returns whether an unknown job may be in the shared log.
 	 * @param jobId the id of the job
-	 * @return whether it may be a durable job that was not read yet
+	 * @return whether it may be a durable job that was not read yet, or that another
+	 * owner has accepted
 	 */
 	boolean mayBeUnread(String jobId);
 
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -331,8 +331,10 @@
 
 	@Override
 	public boolean mayBeUnread(TaskId task) {
-		return this.recoveryStatus.mayBeUnread(task.jobId())
-				|| this.durableJobs.isUnopened(task.jobId(), task.occurrence());
+		if (this.durableJobs.isKnown(task.jobId())) {
+			return this.durableJobs.isUnopened(task.jobId(), task.occurrence());
+		}
+		return this.recoveryStatus.mayBeUnread(task.jobId());
 	}
 
 	@Override
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -129,8 +129,9 @@
 
 	@Override
 	public boolean mayBeUnread(String jobId) {
-		PoolState assignedPool = this.pools.get(AssignedPool.of(jobId, this.domains));
-		return (assignedPool == null || !assignedPool.journal.isLoaded()) && this.listener.mayHaveUnknownJobs();
+		// Also if all jobs of its pool were read here: a later owner, of which this host
+		// has not heard yet, may have accepted the job.
+		return this.listener.mayHaveUnknownJobs();
 	}
 
 	@Override
@@ -218,9 +219,9 @@
 	/**
 	 * Records the termination of a run on an endpoint of another owner.
 	 * @param message the termination
-	 * @return an acknowledgement when the log has stored the termination, at once if the
-	 * job is unknown; an error if the jobs of the pool are not read here, or have another
-	 * owner before that
+	 * @return an acknowledgement when the log has stored the termination, or has shown
+	 * that this host still owns the pool of an unknown job; an error if the jobs of the
+	 * pool are not read here, or have another owner before that
 	 */
 	CompletableFuture<PeerMessage> recordOrphanedTermination(PeerMessage.StrayEnd message) {
 		PoolState assignedPool = this.pools
@@ -245,8 +246,9 @@
 				.log("Termination of a run reported by another owner; it is acknowledged once stored");
 		}
 		else {
-			pool.terminationAnswers.remove(message.reference());
-			answer.complete(new PeerMessage.Acknowledged());
+			// A later owner of the pool, of which this host has not heard yet, may have
+			// accepted the job.
+			pool.journal.confirmOwnership(() -> terminationStored(message.reference()));
 		}
 		return answer;
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -352,8 +352,10 @@
 	@Override
 	public CompletionStage<PeerMessage> forwardOrphanedTermination(PeerMessage.StrayEnd message) {
 		String assignedPool = AssignedPool.of(message.termination().run().task().jobId(), this.settings.domains());
+		if (this.directory.ownerAddress(assignedPool).filter(this.self.peerAddress()::equals).isPresent()) {
+			return this.peerJobs.recordOrphanedTermination(message);
+		}
 		return this.directory.ownerAddress(assignedPool)
-			.filter((owner) -> !owner.equals(this.self.peerAddress()))
 			.filter((owner) -> this.directory.isOwnerReachable(assignedPool, Clock.nowMillis()))
 			.map((owner) -> this.transport.call(owner, message))
 			.orElse(CompletableFuture.completedFuture(
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobJournal.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobJournal.java
@@ -39,6 +39,9 @@
 
 	private static final long RETRY_MILLIS = 100;
 
+	/** Deletes a key that no record has, as an append needs a record. */
+	private static final NewRecord OWNERSHIP_CHECK = NewRecord.deletion("ownership-check");
+
 	private final EventLoop eventLoop;
 
 	private final JobLog log;
@@ -55,6 +58,8 @@
 
 	private final Map<String, PendingChange> pendingChanges = new LinkedHashMap<>();
 
+	private final List<Runnable> ownershipCallbacks = new ArrayList<>();
+
 	private long sequence;
 
 	private boolean loaded;
@@ -147,8 +152,22 @@
 		}
 	}
 
+	/**
+	 * Checks that no other owner had the pool before this call, so that what this host
+	 * has read and written is all there is.
+	 * @param onConfirmed called when the log has accepted an append that was sent after
+	 * this call; never if the pool has another owner
+	 */
+	void confirmOwnership(Runnable onConfirmed) {
+		if (!this.closed) {
+			this.ownershipCallbacks.add(onConfirmed);
+			flush();
+		}
+	}
+
 	private void flush() {
-		if (this.appending || !this.loaded || this.closed || this.pendingChanges.isEmpty()) {
+		boolean idle = this.pendingChanges.isEmpty() && this.ownershipCallbacks.isEmpty();
+		if (this.appending || !this.loaded || this.closed || idle) {
 			return;
 		}
 		this.appending = true;
@@ -170,6 +189,11 @@
 			records.add(newRecord);
 			storedCallbacks.add(change.onStored());
 		}
+		if (records.isEmpty()) {
+			records.add(OWNERSHIP_CHECK);
+		}
+		storedCallbacks.addAll(this.ownershipCallbacks);
+		this.ownershipCallbacks.clear();
 		this.sequence++;
 		write(records, storedCallbacks);
 	}
@@ -226,6 +250,7 @@
 	void close() {
 		this.closed = true;
 		this.pendingChanges.clear();
+		this.ownershipCallbacks.clear();
 	}
 
 	private record PendingChange(Supplier<byte[]> content, Runnable onStored) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ForwardedEndsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ForwardedEndsTests.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
@@ -15,6 +16,8 @@
 import org.masticwick.core.pool.DurableJob;
 import org.masticwick.core.pool.DurableProgress;
 import org.masticwick.core.pool.DurableState;
+import org.masticwick.core.pool.EndpointEntry;
+import org.masticwick.core.pool.EndpointReport;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSchedule;
@@ -30,6 +33,8 @@
 import org.masticwick.core.pool.TerminatedRun;
 import org.masticwick.core.pool.TerminationId;
 import org.masticwick.core.pool.TerminationKind;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.fleet.connection.CallException;
 import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.connection.KeyedRecord;
 import org.masticwick.fleet.connection.LogPage;
@@ -149,6 +154,50 @@
 
 	}
 
+	/**
+	 * A host that was frozen, or is cut off, may not know yet that a later owner of the
+	 * pool has accepted the job.
+	 */
+	@Nested
+	class OfUnknownJobs {
+
+		@Test
+		void areAcknowledgedOnceTheLogHasConfirmedTheOwnership() {
+			own(16);
+			CompletableFuture<PeerMessage> answer = forward("unknown");
+			assertThat(answer).isNotDone();
+			ForwardedEndsTests.this.log.answer();
+			play();
+			assertAcknowledged(answer);
+		}
+
+		// The owner of the endpoint owns the pool of the job too, as far as it knows.
+		@Test
+		void onAnOwnEndpointAreKeptUntilThen() {
+			PoolScheduler scheduler = ForwardedEndsTests.this.scheduler;
+			scheduler.recoveryStatus(ForwardedEndsTests.this.manager);
+			own(16);
+			scheduler.endpointListed(new EndpointEntry("e9", "service", new HostAddress("10.0.0.9", 1), POOL, true,
+					new Resources(1_000, 1_000, 0), Set.of(), 7), Clock.nowMillis());
+			scheduler.endpointReported("e9", new EndpointReport(7, 1, List.of(), List.of(end("unknown").termination())),
+					Clock.nowMillis() - 1, Clock.nowMillis());
+			assertThat(scheduler.acknowledgedTerminationNumber("e9")).isEqualTo(2);
+			assertThat(scheduler.hasUnresolvedTerminations("e9")).isTrue();
+		}
+
+		@Test
+		void areNotAcknowledgedIfThePoolHasALaterOwner() {
+			own(16);
+			CompletableFuture<PeerMessage> answer = forward("unknown");
+			ForwardedEndsTests.this.log.fence();
+			play();
+			assertThat(answer).isNotDone();
+			ForwardedEndsTests.this.manager.removePool(POOL);
+			assertRefused(answer);
+		}
+
+	}
+
 	/**
 	 * A log whose appends wait until the test answers them.
 	 */
@@ -186,6 +235,13 @@
 			});
 		}
 
+		private void fence() {
+			List<Append> pending = List.copyOf(this.appends);
+			this.appends.clear();
+			pending.forEach((append) -> append.stored()
+				.completeExceptionally(new CallException(CallException.Code.FENCED, "A later epoch is in use")));
+		}
+
 		private void dropAppends() {
 			this.appends.clear();
 		}
