Leave a task alone that an earlier run has done

A task was started again although its end `done` was acknowledged (TWICE): its endpoint had gone to another owner, the task was restarted, the end of the earlier run was forwarded and stored while the new run went on, and when that one ended otherwise (lapsed, stopped, failed) the task was restarted, done or not.

Change: the end of a run restarts nothing if the task is done; runs of a task that is reported as done in another run are stopped.

OwnerChangeTests.EarlierRuns failed before for each of the three ways.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -61,6 +61,10 @@
 		if (job.isFinished()) {
 			this.jobs.removeIfTerminated(job, nowMillis);
 		}
+		else if (task.isDone()) {
+			// An earlier run was reported as done while this one went on.
+			return;
+		}
 		else if (task.step().traits().gang()) {
 			gangMemberTerminated(placement, kind, nowMillis);
 		}
@@ -295,6 +299,8 @@
 		if (terminatedRun.kind() == TerminationKind.DONE && !traits.longRunning()) {
 			List<PooledTask> doneTasks = traits.gang() ? task.job().tasksOfStep(task.id().step()) : List.of(task);
 			task.job().readyTasks().removeAll(doneTasks);
+			JobTable.placements(doneTasks.stream())
+				.forEach((present) -> this.stopper.stop(present, "done-in-another-run", nowMillis));
 			doneTasks.forEach((each) -> taskDone(each, nowMillis));
 		}
 		else if (!failedTooOften(terminatedRun.run(), task, terminatedRun.kind(), nowMillis)) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/ListingEndpoint.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/ListingEndpoint.java
@@ -1,7 +1,9 @@
 package org.masticwick.core.pool;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.masticwick.core.process.HostAddress;
@@ -52,6 +54,16 @@
 		return new TerminationId(id(), 0, this.terminationCount);
 	}
 
+	/**
+	 * Returns the ends that the endpoint keeps.
+	 * @return the ends by what identifies them, in their order
+	 */
+	Map<TerminationId, TerminatedRun> ends() {
+		Map<TerminationId, TerminatedRun> ends = new LinkedHashMap<>();
+		this.terminated.forEach((end) -> ends.put(new TerminationId(id(), 0, end.number()), end));
+		return ends;
+	}
+
 	TerminatedRun lastEnd() {
 		return this.terminated.get(this.terminated.size() - 1);
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
@@ -4,6 +4,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -235,6 +237,37 @@
 
 	}
 
+	/**
+	 * The end of an earlier run is reported while the task runs again.
+	 */
+	@Nested
+	class EarlierRuns {
+
+		// The task was done, but was started once more when its present run ended.
+		@ParameterizedTest
+		@EnumSource(value = TerminationKind.class, names = { "STOPPED", "LAPSED", "FAILED" })
+		void endTheTaskIfTheyAreDone(TerminationKind kind) {
+			LoggingOwner owner = submitAndStart(job(step(1, StepTraits.DEFAULT), step(1, StepTraits.DEFAULT, 0)));
+			RecordedActions.Start first = owner.starts().get(0);
+			owner.scheduler().endpointRevoked(first.endpointId(), 20);
+			owner.hear(otherThan(first), 2_100);
+			owner.tick(2_110);
+			RecordedActions.Start present = owner.starts().get(1);
+			owner.jobs()
+				.orphanedRunTerminated(new TerminationId(first.endpointId(), 0, 1),
+						new TerminatedRun(1, first.run(), TerminationKind.DONE), owner.at(2_120));
+			assertThat(owner.actions().stops()).containsExactly(present.run());
+			owner.store(2_130);
+			endpoint(present).end(present.run(), kind);
+			owner.hear(endpoint(present), 2_200);
+			owner.tick(2_210);
+			assertThat(owner.starts().subList(2, owner.starts().size())).hasSize(1)
+				.extracting((start) -> start.run().task().step())
+				.containsOnly(1);
+		}
+
+	}
+
 	/**
 	 * A failed run that is acknowledged counts as an attempt for every later owner.
 	 */
