Start a job without a schedule whatever the next owner's clock says

A job that was accepted but had not started waited, after a change of the owner, until the new owner's clock had reached the time of its acceptance: seconds, where clocks differ. Found while the occurrences that are opened early were gated by their due time, which would have held such jobs back once more.

Change: only occurrences of a schedule have a due time.

OwnerChangeTests.Occurrences.areDueAtOnceWithoutASchedule failed before. The set of failed runs of a task is created with its first failure.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -156,7 +156,7 @@
 	private void startDueOccurrences(Entry entry, Timestamp time) {
 		JobSchedule schedule = entry.job.spec().schedule();
 		while (entry.state == DurableState.ACTIVE && entry.nextOccurrence < schedule.count()
-				&& entry.dueEpochMillis(entry.nextOccurrence) <= time.epochMillis() && entry.mayOpenOccurrence()) {
+				&& entry.isDue(entry.nextOccurrence, time) && entry.mayOpenOccurrence()) {
 			startOccurrence(entry, entry.nextOccurrence, List.of(), time);
 			entry.nextOccurrence++;
 		}
@@ -164,7 +164,7 @@
 
 	private void resumeDueOccurrences(Entry entry, Timestamp time) {
 		List<Integer> due = entry.earlyOccurrences.stream()
-			.filter((occurrence) -> entry.dueEpochMillis(occurrence) <= time.epochMillis())
+			.filter((occurrence) -> entry.isDue(occurrence, time))
 			.toList();
 		due.forEach((occurrence) -> {
 			entry.earlyOccurrences.remove(occurrence);
@@ -174,7 +174,7 @@
 	}
 
 	private void startOccurrence(Entry entry, int occurrence, List<TaskProgress> storedProgress, Timestamp time) {
-		if (entry.dueEpochMillis(occurrence) > time.epochMillis()) {
+		if (!entry.isDue(occurrence, time)) {
 			entry.earlyOccurrences.add(occurrence);
 		}
 		long delayMillis = Math.max(0, time.epochMillis() - entry.dueEpochMillis(occurrence));
@@ -625,6 +625,12 @@
 					|| openCount <= MAX_OPEN_OCCURRENCES && openCount * this.job.spec().taskCount() <= MAX_OPEN_TASKS;
 		}
 
+		// A job without a schedule is due once it is accepted, also if the clock of its
+		// next owner is behind.
+		private boolean isDue(int occurrence, Timestamp time) {
+			return !this.job.spec().schedule().isTimed() || dueEpochMillis(occurrence) <= time.epochMillis();
+		}
+
 		private long dueEpochMillis(int occurrence) {
 			JobSchedule schedule = this.job.spec().schedule();
 			return schedule.isTimed() ? schedule.dueEpochMillis(occurrence) : this.job.acceptedEpochMillis();
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/OccurrenceScheduler.java
@@ -81,9 +81,8 @@
 		if (this.terminationHandler.finishIfDecided(occurrenceJob, nowMillis)) {
 			return occurrenceJob;
 		}
-		// An occurrence that a report opens is suspended, as nothing may start in the
-		// middle
-		// of a report.
+		// An occurrence that a report opens is suspended: nothing may start within a
+		// report.
 		if (!suspended) {
 			this.jobs.enqueueReady(occurrenceJob, nowMillis);
 			this.dispatcher.dispatch(nowMillis);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledTask.java
@@ -1,5 +1,6 @@
 package org.masticwick.core.pool;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -27,7 +28,8 @@
 	/** Failed runs whose numbers are not known. */
 	private int unnumberedFailureCount;
 
-	private final Set<Integer> failedRuns = new TreeSet<>();
+	/** Empty and immutable until a run fails, as most tasks have no failed run. */
+	private Set<Integer> failedRuns = Set.of();
 
 	private int slowRestartCount;
 
@@ -143,7 +145,7 @@
 	void restore(TaskProgress storedProgress) {
 		this.lastTerminatedRun = storedProgress.lastTerminatedRun();
 		this.runCount = storedProgress.lastTerminatedRun();
-		this.failedRuns.addAll(storedProgress.failedRuns());
+		addFailedRuns(storedProgress.failedRuns());
 		this.unnumberedFailureCount = Math.max(0, storedProgress.failureCount() - this.failedRuns.size());
 		this.checkpoint = storedProgress.checkpoint();
 	}
@@ -183,10 +185,16 @@
 	 * @return the number of failed runs
 	 */
 	int countFailure(int number) {
-		this.failedRuns.add(number);
+		addFailedRuns(Set.of(number));
 		return failureCount();
 	}
 
+	private void addFailedRuns(Collection<Integer> numbers) {
+		Set<Integer> all = new TreeSet<>(this.failedRuns);
+		all.addAll(numbers);
+		this.failedRuns = all;
+	}
+
 	int failureCount() {
 		return this.unnumberedFailureCount + this.failedRuns.size();
 	}
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TerminationHandler.java
@@ -149,7 +149,8 @@
 	}
 
 	private static boolean hasNoAttemptLeft(PooledTask task) {
-		return !task.isLongRunning() && !task.isDone() && task.failureCount() >= task.job().terms().maxAttempts();
+		return !task.isLongRunning() && !task.isDone() && task.failureCount() > 0
+				&& task.failureCount() >= task.job().terms().maxAttempts();
 	}
 
 	private void taskRunTerminated(TaskRun run, PooledTask task, TerminationKind kind, long nowMillis) {
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/OwnerChangeTests.java
@@ -497,6 +497,18 @@
 			assertThat(startedOccurrences(owner)).containsExactly(0);
 		}
 
+		// A job without a schedule waited until the next owner's clock had reached the
+		// time
+		// at which the job was accepted.
+		@Test
+		void areDueAtOnceWithoutASchedule() {
+			submitAndStart(job(step(1, StepTraits.DEFAULT)));
+			LoggingOwner owner = ownerBehind(2_200);
+			hearAll(owner, 2_210);
+			owner.tick(2_210);
+			assertThat(owner.starts()).hasSize(1);
+		}
+
 		@Test
 		void keepEndsThatAnotherOwnerForwards() {
 			RecordedActions.Start second = startTwoOccurrences().starts().get(1);
