Move the state of a durable job out of DurableJobs

Two copies of the answer to submitters that wait became one.

No change of behaviour: OwnerChange*, DurableJobsTests, CrashLoopTests and DrainedDomainsTests pass (114 tests).

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -1,13 +1,11 @@
 package org.masticwick.core.pool;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.IntStream;
 
 /**
  * Manages the durable jobs of the pools of one owner, which must finish even if hosts are
@@ -24,18 +22,6 @@
 	 */
 	private static final long FINISHED_RETENTION_MILLIS = 150_000;
 
-	/**
-	 * The number of unfinished occurrences of a job up to which the next due one starts.
-	 * The start of 30,000 occurrences at once took 46 s.
-	 */
-	private static final int MAX_OPEN_OCCURRENCES = 1_000;
-
-	/**
-	 * The number of tasks of a job's unfinished occurrences up to which the next due one
-	 * starts; many times the task count of the largest job to be supported, which is 560.
-	 */
-	private static final long MAX_OPEN_TASKS = 10_000;
-
 	/** The interval at which expired finished jobs are removed, in milliseconds. */
 	private static final long SWEEP_INTERVAL_MILLIS = 1_000;
 
@@ -45,7 +31,7 @@
 
 	private final DurableJobLookup lookup = new Lookup();
 
-	private final Map<String, Entry> entries = new HashMap<>();
+	private final Map<String, DurableEntry> entries = new HashMap<>();
 
 	/** Pools whose jobs are suspended: none of their tasks is started. */
 	private final Set<String> suspendedPools = new HashSet<>();
@@ -77,7 +63,7 @@
 	 * @param time the current time
 	 */
 	public void submit(String pool, JobSpec spec, JobTerms terms, JobOrigin origin, Timestamp time) {
-		Entry existing = this.entries.get(spec.jobId());
+		DurableEntry existing = this.entries.get(spec.jobId());
 		if (existing != null) {
 			attach(existing, origin);
 			return;
@@ -87,21 +73,21 @@
 			this.actions.answer(origin, spec.jobId(), refusal.get());
 			return;
 		}
-		Entry entry = new Entry(pool, new DurableJob(spec, terms, time.epochMillis()));
-		entry.runNumbers = runNumbers(pool).ofNewJob();
-		entry.waitingOrigins.add(origin);
-		entry.suspended = this.suspendedPools.contains(pool);
+		DurableEntry entry = new DurableEntry(pool, new DurableJob(spec, terms, time.epochMillis()),
+				runNumbers(pool).ofNewJob());
+		entry.addWaitingOrigin(origin);
+		entry.setSuspended(this.suspendedPools.contains(pool));
 		this.entries.put(spec.jobId(), entry);
-		this.actions.writeDefinition(pool, entry.job);
+		this.actions.writeDefinition(pool, entry.job());
 		writeProgress(entry, DurableState.ACTIVE, time);
 	}
 
-	private void attach(Entry entry, JobOrigin origin) {
+	private void attach(DurableEntry entry, JobOrigin origin) {
 		if (entry.isAccepted()) {
 			this.actions.answer(origin, entry.jobId(), accepted());
 		}
 		else {
-			entry.waitingOrigins.add(origin);
+			entry.addWaitingOrigin(origin);
 		}
 	}
 
@@ -109,13 +95,8 @@
 		return JobOutcome.of(JobOutcome.Kind.ACCEPTED, "stored");
 	}
 
-	private void writeProgress(Entry entry, DurableState state, Timestamp time) {
-		if (entry.state != state) {
-			entry.stateChangedEpochMillis = time.epochMillis();
-		}
-		entry.state = state;
-		entry.revision++;
-		this.actions.writeProgress(entry.pool, entry.jobId(), entry.revision);
+	private void writeProgress(DurableEntry entry, DurableState state, Timestamp time) {
+		this.actions.writeProgress(entry.pool(), entry.jobId(), entry.revise(state, time.epochMillis()));
 	}
 
 	/**
@@ -125,62 +106,47 @@
 	 * @param time the current time
 	 */
 	public void progressStored(String jobId, long revision, Timestamp time) {
-		Entry entry = this.entries.get(jobId);
+		DurableEntry entry = this.entries.get(jobId);
 		if (entry == null) {
 			return;
 		}
 		boolean newlyAccepted = !entry.isAccepted();
-		entry.storedRevision = Math.max(entry.storedRevision, revision);
-		List<PendingTermination> storedTerminations = entry.pendingTerminations.stream()
-			.filter((termination) -> termination.revision() <= revision)
-			.toList();
-		entry.pendingTerminations.removeAll(storedTerminations);
-		storedTerminations.forEach((termination) -> this.actions.terminationStored(termination.termination()));
+		entry.stored(revision).forEach(this.actions::terminationStored);
 		if (newlyAccepted) {
-			entry.waitingOrigins.forEach((origin) -> this.actions.answer(origin, jobId, accepted()));
-			entry.waitingOrigins.clear();
+			entry.pollWaitingOrigins().forEach((origin) -> this.actions.answer(origin, jobId, accepted()));
 			startDueOccurrences(entry, time);
 		}
-		if (entry.state != DurableState.ACTIVE && entry.revision == revision && !entry.finished) {
+		if (!entry.isActive() && entry.isNewest(revision) && !entry.isFinished()) {
 			markFinished(entry);
 		}
 	}
 
-	private void markFinished(Entry entry) {
-		entry.finished = true;
-		entry.job = finishedJob(entry.jobId(), entry.stateChangedEpochMillis);
-		this.actions.remove(entry.pool, entry.jobId(), false);
+	private void markFinished(DurableEntry entry) {
+		entry.finish(finishedJob(entry.jobId(), entry.stateChangedEpochMillis()));
+		this.actions.remove(entry.pool(), entry.jobId(), false);
 		this.actions.answerCancellation(entry.jobId());
 	}
 
-	private void startDueOccurrences(Entry entry, Timestamp time) {
-		JobSchedule schedule = entry.job.spec().schedule();
-		while (entry.state == DurableState.ACTIVE && entry.nextOccurrence < schedule.count()
-				&& entry.isDue(entry.nextOccurrence, time) && entry.mayOpenOccurrence()) {
-			startOccurrence(entry, entry.nextOccurrence, List.of(), time);
-			entry.nextOccurrence++;
+	private void startDueOccurrences(DurableEntry entry, Timestamp time) {
+		while (entry.hasUnopened(entry.nextOccurrence()) && entry.isDue(entry.nextOccurrence(), time.epochMillis())
+				&& entry.mayOpenOccurrence()) {
+			startOccurrence(entry, entry.nextOccurrence(), List.of(), time);
 		}
 	}
 
-	private void resumeDueOccurrences(Entry entry, Timestamp time) {
-		List<Integer> due = entry.earlyOccurrences.stream()
-			.filter((occurrence) -> entry.isDue(occurrence, time))
-			.toList();
-		due.forEach((occurrence) -> {
-			entry.earlyOccurrences.remove(occurrence);
-			Optional.ofNullable(entry.occurrences.get(occurrence))
-				.ifPresent((job) -> this.scheduler.setSuspended(job, entry.suspended, time.nowMillis()));
-		});
+	private void resumeDueOccurrences(DurableEntry entry, Timestamp time) {
+		entry.pollDueEarly(time.epochMillis())
+			.forEach((job) -> this.scheduler.setSuspended(job, entry.isSuspended(job.occurrence()), time.nowMillis()));
 	}
 
-	private void startOccurrence(Entry entry, int occurrence, List<TaskProgress> storedProgress, Timestamp time) {
-		if (!entry.isDue(occurrence, time)) {
-			entry.earlyOccurrences.add(occurrence);
+	private void startOccurrence(DurableEntry entry, int occurrence, List<TaskProgress> storedProgress,
+			Timestamp time) {
+		if (!entry.isDue(occurrence, time.epochMillis())) {
+			entry.markEarly(occurrence);
 		}
 		long delayMillis = Math.max(0, time.epochMillis() - entry.dueEpochMillis(occurrence));
-		PooledJob occurrenceJob = this.scheduler.start(entry.job, occurrence, storedProgress, entry.runNumbers,
-				entry.isSuspended(occurrence), time.nowMillis() - delayMillis, time.nowMillis());
-		entry.occurrences.put(occurrence, occurrenceJob);
+		entry.open(this.scheduler.start(entry.job(), occurrence, storedProgress, entry.runNumbers(),
+				entry.isSuspended(occurrence), time.nowMillis() - delayMillis, time.nowMillis()));
 	}
 
 	/**
@@ -190,8 +156,8 @@
 	 * @param time the current time
 	 */
 	public void occurrenceFinished(PooledJob job, JobOutcome outcome, Timestamp time) {
-		Entry entry = this.entries.get(job.spec().jobId());
-		if (entry == null || entry.state != DurableState.ACTIVE) {
+		DurableEntry entry = this.entries.get(job.spec().jobId());
+		if (entry == null || !entry.isActive()) {
 			return;
 		}
 		if (outcome.kind() == JobOutcome.Kind.FAILED) {
@@ -199,10 +165,8 @@
 			writeProgress(entry, DurableState.FAILED, time);
 		}
 		else if (outcome.kind() == JobOutcome.Kind.COMPLETED) {
-			entry.completed.add(job.occurrence());
-			entry.occurrences.remove(job.occurrence());
-			boolean allCompleted = entry.completed.size() == entry.job.spec().schedule().count();
-			writeProgress(entry, allCompleted ? DurableState.COMPLETED : DurableState.ACTIVE, time);
+			entry.complete(job.occurrence());
+			writeProgress(entry, entry.isComplete() ? DurableState.COMPLETED : DurableState.ACTIVE, time);
 		}
 	}
 
@@ -214,13 +178,13 @@
 	 * @param time the current time
 	 */
 	public void runTerminated(String jobId, TerminationId termination, Timestamp time) {
-		Entry entry = this.entries.get(jobId);
+		DurableEntry entry = this.entries.get(jobId);
 		if (entry == null) {
 			this.scheduler.forwardTermination(termination);
 		}
 		else {
-			entry.pendingTerminations.add(new PendingTermination(entry.revision + 1, termination));
-			writeProgress(entry, entry.state, time);
+			entry.addTermination(termination);
+			writeProgress(entry, entry.state(), time);
 		}
 	}
 
@@ -231,9 +195,9 @@
 	 * @param time the current time
 	 */
 	public void taskLossChanged(TaskLoss loss, Timestamp time) {
-		Entry entry = this.entries.get(loss.run().task().jobId());
-		if (entry != null && entry.state == DurableState.ACTIVE) {
-			writeProgress(entry, entry.state, time);
+		DurableEntry entry = this.entries.get(loss.run().task().jobId());
+		if (entry != null && entry.isActive()) {
+			writeProgress(entry, entry.state(), time);
 		}
 	}
 
@@ -274,23 +238,22 @@
 	 * @return whether the job is known here
 	 */
 	public boolean cancel(String jobId, Timestamp time) {
-		Entry entry = this.entries.get(jobId);
+		DurableEntry entry = this.entries.get(jobId);
 		if (entry == null) {
 			return false;
 		}
-		if (entry.state == DurableState.ACTIVE) {
+		if (entry.isActive()) {
 			abortOccurrences(entry, "cancelled", time);
 			writeProgress(entry, DurableState.CANCELLED, time);
 		}
-		else if (entry.finished) {
+		else if (entry.isFinished()) {
 			this.actions.answerCancellation(jobId);
 		}
 		return true;
 	}
 
-	private void abortOccurrences(Entry entry, String reason, Timestamp time) {
-		List<PooledJob> running = List.copyOf(entry.occurrences.values());
-		running.forEach((job) -> this.scheduler.abort(job, reason, time.nowMillis()));
+	private void abortOccurrences(DurableEntry entry, String reason, Timestamp time) {
+		entry.openOccurrences().forEach((job) -> this.scheduler.abort(job, reason, time.nowMillis()));
 	}
 
 	private RunNumbers runNumbers(String pool) {
@@ -326,31 +289,27 @@
 	 */
 	public void recover(String pool, DurableJob job, DurableProgress progress, Timestamp time) {
 		this.tickTime = time;
-		Entry entry = new Entry(pool, job);
-		entry.state = progress.state();
-		entry.stateChangedEpochMillis = progress.stateChangedEpochMillis();
-		entry.storedRevision = 1;
-		entry.revision = 1;
-		entry.suspended = true;
+		boolean active = progress.state() == DurableState.ACTIVE;
+		JobRunNumbers numbers = active ? runNumbers(pool).ofRecoveredJob() : JobRunNumbers.UNRESERVED;
+		DurableEntry entry = new DurableEntry(pool, job, numbers);
+		entry.recover(progress);
+		entry.setSuspended(true);
 		this.suspendedPools.add(pool);
 		this.entries.put(job.spec().jobId(), entry);
-		if (entry.state != DurableState.ACTIVE) {
+		if (!active) {
 			markFinished(entry);
 			return;
 		}
-		entry.runNumbers = runNumbers(pool).ofRecoveredJob();
 		progress.occurrences().forEach((occurrence) -> recover(entry, occurrence, time));
 		startDueOccurrences(entry, time);
 	}
 
-	private void recover(Entry entry, OccurrenceProgress occurrence, Timestamp time) {
-		while (entry.nextOccurrence < occurrence.occurrence()) {
-			startOccurrence(entry, entry.nextOccurrence, List.of(), time);
-			entry.nextOccurrence++;
+	private void recover(DurableEntry entry, OccurrenceProgress occurrence, Timestamp time) {
+		while (entry.nextOccurrence() < occurrence.occurrence()) {
+			startOccurrence(entry, entry.nextOccurrence(), List.of(), time);
 		}
-		entry.nextOccurrence = occurrence.occurrence() + 1;
 		if (occurrence.completed()) {
-			entry.completed.add(occurrence.occurrence());
+			entry.complete(occurrence.occurrence());
 		}
 		else {
 			startOccurrence(entry, occurrence.occurrence(), occurrence.tasks(), time);
@@ -364,12 +323,10 @@
 	 * @param progress the stored final state
 	 */
 	public void recoverFinished(String pool, String jobId, DurableProgress progress) {
-		Entry entry = new Entry(pool, finishedJob(jobId, progress.stateChangedEpochMillis()));
-		entry.state = progress.state();
-		entry.stateChangedEpochMillis = progress.stateChangedEpochMillis();
-		entry.storedRevision = 1;
-		entry.revision = 1;
-		entry.finished = true;
+		DurableJob finishedJob = finishedJob(jobId, progress.stateChangedEpochMillis());
+		DurableEntry entry = new DurableEntry(pool, finishedJob, JobRunNumbers.UNRESERVED);
+		entry.recover(progress);
+		entry.finish(finishedJob);
 		this.entries.put(jobId, entry);
 	}
 
@@ -392,9 +349,10 @@
 			return;
 		}
 		entriesOf(pool).forEach((entry) -> {
-			entry.suspended = suspended;
-			entry.occurrences.forEach((occurrence, job) -> this.scheduler.setSuspended(job,
-					entry.isSuspended(occurrence), time.nowMillis()));
+			entry.setSuspended(suspended);
+			entry.openOccurrences()
+				.forEach((job) -> this.scheduler.setSuspended(job, entry.isSuspended(job.occurrence()),
+						time.nowMillis()));
 		});
 	}
 
@@ -406,7 +364,7 @@
 	 */
 	public void stopOutsideDomain(String pool, Timestamp time) {
 		entriesOf(pool).stream()
-			.flatMap((entry) -> entry.occurrences.values().stream())
+			.flatMap((entry) -> entry.openOccurrences().stream())
 			.forEach((job) -> this.scheduler.stopOutsideDomain(job, pool, time.nowMillis()));
 	}
 
@@ -420,25 +378,28 @@
 		this.runNumbersByPool.remove(pool);
 		entriesOf(pool).forEach((entry) -> {
 			this.entries.remove(entry.jobId());
-			entry.waitingOrigins.forEach((origin) -> this.actions.answer(origin, entry.jobId(),
-					JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "owner-changed")));
-			entry.occurrences.values().forEach((job) -> this.scheduler.release(job, time.nowMillis()));
-			entry.pendingTerminations.forEach((pending) -> this.scheduler.forwardTermination(pending.termination()));
+			answerUncertain(entry, "owner-changed");
+			entry.openOccurrences().forEach((job) -> this.scheduler.release(job, time.nowMillis()));
+			entry.unstoredTerminations().forEach(this.scheduler::forwardTermination);
 		});
 	}
 
 	// The shared log may still store the job, so the submission is answered as uncertain
 	// and not refused.
-	private void answerExpiredSubmitters(Entry entry, Timestamp time) {
-		if (time.epochMillis() - entry.job.acceptedEpochMillis() > entry.job.terms().budgetMillis()) {
-			entry.waitingOrigins.forEach((origin) -> this.actions.answer(origin, entry.jobId(),
-					JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "not-stored-in-time")));
-			entry.waitingOrigins.clear();
+	private void answerExpiredSubmitters(DurableEntry entry, Timestamp time) {
+		DurableJob job = entry.job();
+		if (time.epochMillis() - job.acceptedEpochMillis() > job.terms().budgetMillis()) {
+			answerUncertain(entry, "not-stored-in-time");
 		}
 	}
 
-	private List<Entry> entriesOf(String pool) {
-		return this.entries.values().stream().filter((entry) -> entry.pool.equals(pool)).toList();
+	private void answerUncertain(DurableEntry entry, String reason) {
+		JobOutcome outcome = JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason);
+		entry.pollWaitingOrigins().forEach((origin) -> this.actions.answer(origin, entry.jobId(), outcome));
+	}
+
+	private List<DurableEntry> entriesOf(String pool) {
+		return this.entries.values().stream().filter((entry) -> entry.pool().equals(pool)).toList();
 	}
 
 	/**
@@ -448,7 +409,7 @@
 	 */
 	public void tick(Timestamp time) {
 		this.tickTime = time;
-		List<Entry> unfinished = this.entries.values().stream().filter((entry) -> !entry.finished).toList();
+		List<DurableEntry> unfinished = this.entries.values().stream().filter((entry) -> !entry.isFinished()).toList();
 		unfinished.forEach((entry) -> {
 			if (entry.isAccepted()) {
 				resumeDueOccurrences(entry, time);
@@ -470,14 +431,14 @@
 	}
 
 	private void sweep(Timestamp time) {
-		List<Entry> expired = this.entries.values()
+		List<DurableEntry> expired = this.entries.values()
 			.stream()
-			.filter((entry) -> entry.finished
-					&& time.epochMillis() - entry.stateChangedEpochMillis > FINISHED_RETENTION_MILLIS)
+			.filter((entry) -> entry.isFinished()
+					&& time.epochMillis() - entry.stateChangedEpochMillis() > FINISHED_RETENTION_MILLIS)
 			.toList();
 		expired.forEach((entry) -> {
 			this.entries.remove(entry.jobId());
-			this.actions.remove(entry.pool, entry.jobId(), true);
+			this.actions.remove(entry.pool(), entry.jobId(), true);
 		});
 	}
 
@@ -487,7 +448,7 @@
 	 * @return the status, or empty if the job is unknown or not accepted yet
 	 */
 	public Optional<JobStatus> status(String jobId) {
-		return Optional.ofNullable(this.entries.get(jobId)).filter(Entry::isAccepted).map(Entry::status);
+		return Optional.ofNullable(this.entries.get(jobId)).filter(DurableEntry::isAccepted).map(DurableEntry::status);
 	}
 
 	/**
@@ -498,8 +459,8 @@
 	public int pendingJobCount(String queue) {
 		return (int) this.entries.values()
 			.stream()
-			.filter((entry) -> entry.isAccepted() && !entry.finished)
-			.filter((entry) -> entry.job.terms().queue().equals(queue))
+			.filter((entry) -> entry.isAccepted() && !entry.isFinished())
+			.filter((entry) -> entry.job().terms().queue().equals(queue))
 			.filter((entry) -> entry.status() == JobStatus.PENDING)
 			.count();
 	}
@@ -510,7 +471,7 @@
 	 * @return the progress, or empty if the job is unknown
 	 */
 	public Optional<DurableProgress> progress(String jobId) {
-		return Optional.ofNullable(this.entries.get(jobId)).map(Entry::progress);
+		return Optional.ofNullable(this.entries.get(jobId)).map(DurableEntry::progress);
 	}
 
 	/**
@@ -542,126 +503,18 @@
 
 		@Override
 		public boolean isUnopened(String jobId, int occurrence) {
-			Entry entry = DurableJobs.this.entries.get(jobId);
-			return entry != null && entry.state == DurableState.ACTIVE && entry.isAccepted()
-					&& occurrence >= entry.nextOccurrence && occurrence < entry.job.spec().schedule().count();
+			DurableEntry entry = DurableJobs.this.entries.get(jobId);
+			return entry != null && entry.isAccepted() && entry.hasUnopened(occurrence);
 		}
 
 		@Override
 		public Optional<PooledJob> openOccurrence(String jobId, int occurrence) {
-			Entry entry = DurableJobs.this.entries.get(jobId);
+			DurableEntry entry = DurableJobs.this.entries.get(jobId);
 			while (isUnopened(jobId, occurrence) && entry.mayOpenOccurrence()) {
-				entry.earlyOccurrences.add(entry.nextOccurrence);
-				startOccurrence(entry, entry.nextOccurrence, List.of(), DurableJobs.this.tickTime);
-				entry.nextOccurrence++;
-			}
-			return Optional.ofNullable(entry).map((found) -> found.occurrences.get(occurrence));
-		}
-
-	}
-
-	private record PendingTermination(long revision, TerminationId termination) {
-	}
-
-	private static final class Entry {
-
-		private final String pool;
-
-		private DurableJob job;
-
-		private final List<JobOrigin> waitingOrigins = new ArrayList<>();
-
-		private final Map<Integer, PooledJob> occurrences = new HashMap<>();
-
-		/**
-		 * Open occurrences that are suspended until they are due, as the clock of a
-		 * previous owner was ahead.
-		 */
-		private final Set<Integer> earlyOccurrences = new HashSet<>();
-
-		private final List<Integer> completed = new ArrayList<>();
-
-		private final List<PendingTermination> pendingTerminations = new ArrayList<>();
-
-		private JobRunNumbers runNumbers = JobRunNumbers.UNRESERVED;
-
-		private DurableState state = DurableState.ACTIVE;
-
-		private long stateChangedEpochMillis;
-
-		private long revision;
-
-		private long storedRevision;
-
-		private int nextOccurrence;
-
-		private boolean suspended;
-
-		private boolean finished;
-
-		private Entry(String pool, DurableJob job) {
-			this.pool = pool;
-			this.job = job;
-			this.stateChangedEpochMillis = job.acceptedEpochMillis();
-		}
-
-		private String jobId() {
-			return this.job.spec().jobId();
-		}
-
-		private boolean isAccepted() {
-			return this.storedRevision > 0;
-		}
-
-		private boolean isSuspended(int occurrence) {
-			return this.suspended || this.earlyOccurrences.contains(occurrence);
-		}
-
-		// Many occurrences may be due at once, but the memory and time of an owner are
-		// limited. One occurrence may always be open.
-		private boolean mayOpenOccurrence() {
-			long openCount = this.occurrences.size() + 1L;
-			return openCount == 1
-					|| openCount <= MAX_OPEN_OCCURRENCES && openCount * this.job.spec().taskCount() <= MAX_OPEN_TASKS;
-		}
-
-		// A job without a schedule is due once it is accepted, also if the clock of its
-		// next owner is behind.
-		private boolean isDue(int occurrence, Timestamp time) {
-			return !this.job.spec().schedule().isTimed() || dueEpochMillis(occurrence) <= time.epochMillis();
-		}
-
-		private long dueEpochMillis(int occurrence) {
-			JobSchedule schedule = this.job.spec().schedule();
-			return schedule.isTimed() ? schedule.dueEpochMillis(occurrence) : this.job.acceptedEpochMillis();
-		}
-
-		private JobStatus status() {
-			if (!this.finished) {
-				boolean started = !this.completed.isEmpty()
-						|| this.occurrences.values().stream().anyMatch(PooledJob::isStarted);
-				return started ? JobStatus.RUNNING : JobStatus.PENDING;
-			}
-			return switch (this.state) {
-				case COMPLETED -> JobStatus.COMPLETED;
-				case FAILED -> JobStatus.FAILED;
-				default -> JobStatus.CANCELLED;
-			};
-		}
-
-		private DurableProgress progress() {
-			List<OccurrenceProgress> startedOccurrences = new ArrayList<>();
-			if (this.state == DurableState.ACTIVE) {
-				IntStream.range(0, this.nextOccurrence)
-					.forEach((occurrence) -> startedOccurrences.add(progress(occurrence)));
+				entry.markEarly(entry.nextOccurrence());
+				startOccurrence(entry, entry.nextOccurrence(), List.of(), DurableJobs.this.tickTime);
 			}
-			return new DurableProgress(this.state, this.stateChangedEpochMillis, startedOccurrences);
-		}
-
-		private OccurrenceProgress progress(int occurrence) {
-			PooledJob unfinished = this.occurrences.get(occurrence);
-			return (unfinished != null) ? new OccurrenceProgress(occurrence, false, unfinished.progress())
-					: new OccurrenceProgress(occurrence, true, List.of());
+			return Optional.ofNullable(entry).flatMap((found) -> found.openOccurrence(occurrence));
 		}
 
 	}
