Acknowledge unknown ends at once again on sites without durable jobs

Change: an owner that has read the jobs of the pool waits for the log only if this host or a peer has seen a durable job. A host that has not, and hears of none, acknowledges at once, as before (docs/PROOFS.md has that as "none").

DurableHostTests.Failures, FrozenOwnerTests, PeerTableTests and ForwardedEndsTests pass (35 tests).

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -129,9 +129,11 @@
 
 	@Override
 	public boolean mayBeUnread(String jobId) {
-		// Also if all jobs of its pool were read here: a later owner, of which this host
-		// has not heard yet, may have accepted the job.
-		return this.listener.mayHaveUnknownJobs();
+		PoolState assignedPool = this.pools.get(AssignedPool.of(jobId, this.domains));
+		boolean read = assignedPool != null && assignedPool.journal.isLoaded();
+		// If all jobs of its pool were read here, a later owner, of which this host has
+		// not heard yet, may have accepted it.
+		return read ? this.listener.hasDurableJobs() : this.listener.mayHaveUnknownJobs();
 	}
 
 	@Override
@@ -421,6 +423,12 @@
 		 */
 		boolean mayHaveUnknownJobs();
 
+		/**
+		 * Returns whether durable jobs are known to have been submitted to the site.
+		 * @return whether this host or a peer has seen any
+		 */
+		boolean hasDurableJobs();
+
 		/**
 		 * Returns whether this host owns all pools of the site, has loaded the endpoint
 		 * list as their owner, and all endpoints have reported since a time, so that no
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -372,6 +372,11 @@
 		return hasSeenDurableJobs() || this.peers.mayHaveDurableJobs();
 	}
 
+	@Override
+	public boolean hasSiteDurableJobs() {
+		return hasSeenDurableJobs() || this.peers.haveSeenDurableJobs();
+	}
+
 	private boolean hasSeenDurableJobs() {
 		return this.router.hasSeenDurableJobs()
 				|| this.directory.localOwner().filter(PoolOwner::hasDurableJobs).isPresent();
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -275,8 +275,19 @@
 			.map((peer) -> peer.report)
 			.filter(Objects::nonNull)
 			.toList();
-		return reports.stream().allMatch((report) -> report.pools().isEmpty())
-				|| reports.stream().anyMatch(HostReport::hasSeenDurableJobs);
+		return reports.stream().allMatch((report) -> report.pools().isEmpty()) || haveSeenDurableJobs();
+	}
+
+	/**
+	 * Returns whether any peer has seen durable jobs, by its newest report.
+	 * @return whether there have been any; {@code false} if no peer has reported
+	 */
+	boolean haveSeenDurableJobs() {
+		return this.peers.values()
+			.stream()
+			.map((peer) -> peer.report)
+			.filter(Objects::nonNull)
+			.anyMatch(HostReport::hasSeenDurableJobs);
 	}
 
 	private static boolean hasSameTokens(List<PoolReport> first, List<PoolReport> second) {
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -511,6 +511,12 @@
 		 */
 		boolean mayHaveUnknownDurableJobs();
 
+		/**
+		 * Returns whether durable jobs are known to have been submitted to the site.
+		 * @return whether this host or a peer has seen any
+		 */
+		boolean hasSiteDurableJobs();
+
 		/**
 		 * Forwards the termination of an orphaned run to the owner of its job.
 		 * @param message the termination
@@ -548,6 +554,11 @@
 			return PoolOwner.this.listener.mayHaveUnknownDurableJobs();
 		}
 
+		@Override
+		public boolean hasDurableJobs() {
+			return PoolOwner.this.listener.hasSiteDurableJobs();
+		}
+
 		@Override
 		public boolean allEndpointsContactedSince(long sinceMillis) {
 			return PoolOwner.this.endpointsLoaded && PoolOwner.this.pools.count() == PoolOwner.this.siteDomainCount
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ForwardedEndsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ForwardedEndsTests.java
@@ -60,6 +60,8 @@
 
 	private final PoolScheduler scheduler = new PoolScheduler(PoolSettings.defaults(), ignored(PoolActions.class));
 
+	private boolean siteHasDurableJobs = true;
+
 	private final DurableJobManager manager = new DurableJobManager(new VirtualEventLoop(this.time, "host-1"), this.log,
 			List.of(POOL), this.scheduler, new IgnoringListener());
 
@@ -171,9 +173,7 @@
 			assertAcknowledged(answer);
 		}
 
-		// The owner of the endpoint owns the pool of the job too, as far as it knows.
-		@Test
-		void onAnOwnEndpointAreKeptUntilThen() {
+		private PoolScheduler listOnAnOwnEndpoint() {
 			PoolScheduler scheduler = ForwardedEndsTests.this.scheduler;
 			scheduler.recoveryStatus(ForwardedEndsTests.this.manager);
 			own(16);
@@ -181,10 +181,28 @@
 					new Resources(1_000, 1_000, 0), Set.of(), 7), Clock.nowMillis());
 			scheduler.endpointReported("e9", new EndpointReport(7, 1, List.of(), List.of(end("unknown").termination())),
 					Clock.nowMillis() - 1, Clock.nowMillis());
+			return scheduler;
+		}
+
+		// The owner of the endpoint owns the pool of the job too, as far as it knows.
+		@Test
+		void onAnOwnEndpointAreKeptUntilThen() {
+			PoolScheduler scheduler = listOnAnOwnEndpoint();
 			assertThat(scheduler.acknowledgedTerminationNumber("e9")).isEqualTo(2);
 			assertThat(scheduler.hasUnresolvedTerminations("e9")).isTrue();
 		}
 
+		// The only owner of a site, which hears of no other owner, waited for the log
+		// with
+		// each late end of an interactive run.
+		@Test
+		void areAcknowledgedAtOnceOnASiteWithoutDurableJobs() {
+			ForwardedEndsTests.this.siteHasDurableJobs = false;
+			PoolScheduler scheduler = listOnAnOwnEndpoint();
+			assertThat(scheduler.acknowledgedTerminationNumber("e9")).isEqualTo(3);
+			assertThat(scheduler.hasUnresolvedTerminations("e9")).isFalse();
+		}
+
 		@Test
 		void areNotAcknowledgedIfThePoolHasALaterOwner() {
 			own(16);
@@ -255,7 +273,7 @@
 	private record Append(List<NewRecord> records, CompletableFuture<Void> stored) {
 	}
 
-	private static final class IgnoringListener implements DurableJobManager.Listener {
+	private final class IgnoringListener implements DurableJobManager.Listener {
 
 		@Override
 		public void terminationStored(TerminationId termination) {
@@ -277,6 +295,11 @@
 			return true;
 		}
 
+		@Override
+		public boolean hasDurableJobs() {
+			return ForwardedEndsTests.this.siteHasDurableJobs;
+		}
+
 		@Override
 		public boolean allEndpointsContactedSince(long sinceMillis) {
 			return true;
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
@@ -207,6 +207,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean hasSiteDurableJobs() {
+			return false;
+		}
+
 		@Override
 		public CompletionStage<PeerMessage> forwardOrphanedTermination(PeerMessage.StrayEnd message) {
 			return new CompletableFuture<>();
