Show that copies of a job run at two owners at the same time

A caller whose connection breaks submits its job again at once; if that copy reaches a host of another failure domain, its owner starts it too, as nothing that both owners pass tells it of the first.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/CopiedJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/CopiedJobsTests.java
@@ -7,14 +7,16 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.fleet.connection.HttpReply;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests that the copies of a job that a caller sends to two hosts of a failure domain
- * within milliseconds run at one owner, on a site with an owner for each failure domain.
+ * Tests that the copies of a job that a caller sends to two hosts within milliseconds run
+ * at one owner, on a site with an owner for each failure domain.
  */
 class CopiedJobsTests {
 
@@ -49,4 +51,25 @@
 		assertThat(this.site.endpoints().concurrentlyRunTasks()).isEmpty();
 	}
 
+	/** Each owner used to run the copy that reached its own failure domain. */
+	@ParameterizedTest(name = "job {0}")
+	@ValueSource(strings = { "copied", "copied-too", "moved", "moved-too" })
+	void runAtOneOwnerAlthoughTheyReachTwoFailureDomains(String jobId) {
+		List<CompletableFuture<HttpReply>> copies = Stream.of("host-3", "owner-2")
+			.map((hostName) -> this.site.submit(hostName, jobId, 2))
+			.toList();
+		assertThat(copies.stream().map((copy) -> copy.join().status())).contains(200).isSubsetOf(200, 502);
+		assertThat(this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+	}
+
+	/** The connection broke right after the first copy was sent. */
+	@RepeatedTest(4)
+	void runAtOneOwnerAlthoughTheCallerOfTheFirstHasLeft() {
+		CompletableFuture<Void> first = this.site.submitAndDisconnect("host-3", "copied", 3);
+		CompletableFuture<HttpReply> second = this.site.submit("owner-2", "copied", 2);
+		first.join();
+		assertThat(second.join().status()).isIn(200, 502);
+		assertThat(this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+	}
+
 }
