--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobTerms.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobTerms.java
@@ -40,4 +40,16 @@
 				UNKNOWN_WAIT);
 	}
 
+	/**
+	 * Returns these terms after a further wait of the caller.
+	 * @param furtherMillis how long the caller has waited since, in milliseconds
+	 * @return the terms, with a budget of at least one millisecond
+	 */
+	public JobTerms afterWait(long furtherMillis) {
+		long remainingMillis = Math.max(1, this.budgetMillis - furtherMillis);
+		long totalMillis = (this.waitedMillis < 0) ? UNKNOWN_WAIT : this.waitedMillis + furtherMillis;
+		return new JobTerms(this.queue, this.service, this.priority, this.maxAttempts, this.stretch,
+				this.targetLatencyMillis, remainingMillis, this.versionNumber, totalMillis);
+	}
+
 }
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -173,7 +173,8 @@
 	}
 
 	/**
-	 * Returns whether a job is unanswered here, or may still have runs.
+	 * Returns whether a job is unanswered here, or may still have runs that this owner
+	 * has started.
 	 * @param jobId the id of the job
 	 * @return whether another owner must not run it
 	 */
@@ -181,6 +182,19 @@
 		return this.jobs.findUnansweredOrTerminating(jobId).isPresent();
 	}
 
+	/**
+	 * Returns whether a job that this owner does not know may run on its endpoints, as a
+	 * previous owner may have started it.
+	 * @param jobId the id of the job
+	 * @param receivedMillis when its callers' host received it, in milliseconds
+	 * @param nowMillis the current monotonic time in milliseconds
+	 * @return whether that is still open
+	 */
+	public boolean mayRunByPreviousOwner(String jobId, long receivedMillis, long nowMillis) {
+		return this.awaitedTransfer.isAwaited()
+				|| this.previousOwnerRuns.suspectedJobs(nowMillis).mayRun(jobId, receivedMillis);
+	}
+
 	/**
 	 * Cancels the jobs of calls that an entry host has given up, because their callers
 	 * submit them again.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PreviousOwnerRuns.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PreviousOwnerRuns.java
@@ -96,8 +96,18 @@
 			if (job.spec().durable() || job.isStarted()) {
 				return false;
 			}
-			return this.orphanedJobIds.contains(job.spec().jobId())
-					|| !job.isHandedOver() && job.receivedMillis() < this.receivedBeforeMillis;
+			return job.isHandedOver() ? this.orphanedJobIds.contains(job.spec().jobId())
+					: mayRun(job.spec().jobId(), job.receivedMillis());
+		}
+
+		/**
+		 * Returns whether a job that this owner does not know may have such a run.
+		 * @param jobId the id of the job
+		 * @param receivedMillis when its callers' host received it, in milliseconds
+		 * @return whether another owner must not start the job either
+		 */
+		boolean mayRun(String jobId, long receivedMillis) {
+			return this.orphanedJobIds.contains(jobId) || receivedMillis < this.receivedBeforeMillis;
 		}
 
 		/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -140,10 +140,14 @@
 		this.versionFollower = follower(SharedTopic.OPERATORS, VERSION_PACE,
 				new OperatorRecords(siteFormat.versionKey(), this.versions, this.drains));
 		this.memberFollower = follower(SharedTopic.MEMBERS, MEMBER_PACE, this::applyMemberRecord);
+		OwnerReachability ownerReachability = new OwnerReachability(this.directory);
+		PeerOwners siteOwners = new PeerOwners(settings.peerAddress(), settings.domains(), this.directory, this.peers,
+				ownerReachability, () -> this.transport);
 		this.ownership = new PoolOwnership(this.eventLoop, this.self, settings.domains(), this.peers, this.directory,
-				log, siteFormat, this.metrics, (domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog,
-						domains, this.metrics, this.lossExchange, this.drains, this),
-				this.memberFollower, settings.firstStart());
+				log, siteFormat, this.metrics,
+				(domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog, domains, this.metrics,
+						this.lossExchange, this.drains, siteOwners, this),
+				this.memberFollower, ownerReachability, settings.firstStart());
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
@@ -344,6 +348,16 @@
 		}
 	}
 
+	@Override
+	public void jobPlaced(JobOrigin origin, String jobId, String pool) {
+		if (origin.host().equals(this.self.peerAddress().toString())) {
+			this.router.jobPlaced(origin.callNumber(), pool);
+		}
+		else {
+			this.peerJobs.placed(origin, pool);
+		}
+	}
+
 	@Override
 	public void poolFenced(String pool) {
 		this.eventLoop.execute(() -> this.ownership.dropPool(pool, "fenced"));
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetMetrics.java
@@ -44,6 +44,14 @@
 		.classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 		.register(this.registry);
 
+	private final Histogram registrations = Histogram.builder()
+		.name("masticwick_job_registration_seconds")
+		.help("Time that the owner of a pool took to register a job before its start, by who decided")
+		.labelNames("decided_by")
+		.classicOnly()
+		.classicUpperBounds(0.001, 0.002, 0.004, 0.01, 0.05, 0.2, 1)
+		.register(this.registry);
+
 	private final Counter starts = counter("masticwick_starts_ordered_total", "Starts ordered from endpoints");
 
 	private final Counter refusals = Counter.builder()
@@ -106,6 +114,15 @@
 		this.refusedJobs.labelValues(outcome.reasonCode(), priorityClass).inc();
 	}
 
+	/**
+	 * Records the end of a registration of a job.
+	 * @param decidedBy who decided, or what became of the job
+	 * @param waitedMillis how long the job has waited, in milliseconds
+	 */
+	void jobRegistered(String decidedBy, long waitedMillis) {
+		this.registrations.labelValues(decidedBy).observe(waitedMillis / MILLIS_PER_SECOND);
+	}
+
 	void startOrdered() {
 		this.starts.inc();
 	}
--- /dev/null
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -0,0 +1,435 @@
+package org.masticwick.fleet.process;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobRegistration;
+import org.masticwick.core.pool.JobRegistry;
+import org.masticwick.core.pool.RegistrationScope;
+import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.PeerMessage;
+
+/**
+ * Registers the interactive jobs of an owner before they may start, so that the copies of
+ * a job that reach several owners run at one of them. All copies are registered with the
+ * owner of the pool that the id of the job is assigned to, the registrar of the job. If
+ * it is unreachable, or may not know of all copies because it has just become the owner,
+ * was paused or was out of contact, all reachable owners are asked.
+ * <p>
+ * Must be called on the event loop.
+ */
+final class JobRegistrar {
+
+	private static final Logger logger = LoggerFactory.getLogger(JobRegistrar.class);
+
+	/**
+	 * How long an owner must have owned its pools and been in contact with the other
+	 * owners until it knows of all jobs that it has to register, in milliseconds; longer
+	 * than a job usually takes that was started without its knowledge.
+	 */
+	static final long SETTLING_MILLIS = 5_000;
+
+	/** After how long a registration is repeated that is still undecided. */
+	private static final long RETRY_MILLIS = 40;
+
+	/** How long a copy of a job waits for its registration. */
+	private static final long MAX_WAIT_MILLIS = 900;
+
+	private final EventLoop eventLoop;
+
+	private final OwnedPools pools;
+
+	private final SiteOwners owners;
+
+	private final Jobs jobs;
+
+	private final FleetMetrics metrics;
+
+	private final JobRegistry registry;
+
+	private final Map<String, PendingJob> pendingJobs = new HashMap<>();
+
+	private final Map<String, Long> assumedMillis = new HashMap<>();
+
+	private long lastPauseMillis = Long.MIN_VALUE / 2;
+
+	/**
+	 * Creates a registrar without jobs.
+	 * @param eventLoop the event loop that repeats registrations
+	 * @param pools the pools of this owner
+	 * @param owners the other owners
+	 * @param jobs the jobs of this owner
+	 * @param reachablePools tells whether the owner of a pool is reachable
+	 * @param metrics counts registrations
+	 */
+	JobRegistrar(EventLoop eventLoop, OwnedPools pools, SiteOwners owners, Jobs jobs, Predicate<String> reachablePools,
+			FleetMetrics metrics) {
+		this.eventLoop = eventLoop;
+		this.pools = pools;
+		this.owners = owners;
+		this.jobs = jobs;
+		this.metrics = metrics;
+		this.registry = new JobRegistry(reachablePools);
+	}
+
+	/**
+	 * Records that this owner has assumed ownership of a pool.
+	 * @param pool the name of the pool
+	 */
+	void poolAssumed(String pool) {
+		this.assumedMillis.put(pool, Clock.nowMillis());
+	}
+
+	/**
+	 * Records that this process was paused, so that owners may have run jobs without
+	 * registering them here.
+	 */
+	void paused() {
+		this.lastPauseMillis = Clock.nowMillis();
+	}
+
+	/**
+	 * Registers a copy of a job and has it run, unless an earlier copy runs elsewhere. A
+	 * copy of a job that this owner runs joins it.
+	 * @param submission the copy
+	 */
+	void submit(JobSubmission submission) {
+		if (this.jobs.hasJob(submission.jobId())) {
+			this.jobs.run(submission);
+			return;
+		}
+		PendingJob pending = this.pendingJobs.get(submission.jobId());
+		if (pending != null) {
+			JobSubmission previous = pending.submission;
+			pending.submission = submission;
+			if (!previous.origin().equals(submission.origin())) {
+				answer(previous, "submitted-again");
+			}
+			return;
+		}
+		PendingJob created = new PendingJob(submission);
+		this.pendingJobs.put(submission.jobId(), created);
+		register(created);
+	}
+
+	private void register(PendingJob pending) {
+		JobSubmission submission = pending.submission;
+		JobRegistration registration = submission.registration(pending.repeated, Clock.nowMillis());
+		Optional<String> recorded = this.registry.register(registration, Clock.nowMillis());
+		if (recorded.isEmpty()) {
+			repeatLater(pending, "pool-of-copy-unreachable");
+			return;
+		}
+		if (!this.pools.contains(recorded.get())) {
+			move(pending, recorded.get(), "own-record");
+			return;
+		}
+		String registrarPool = this.owners.registrarPool(submission.jobId());
+		Optional<HostAddress> registrar = this.owners.reachableOwner(registrarPool);
+		if (this.pools.contains(registrarPool) && isSettled(registrarPool)) {
+			admit(pending, "own-record");
+		}
+		else if (registrar.isPresent()) {
+			this.owners.register(registrar.get(), registration)
+				.whenComplete((answer, error) -> handleRegistrar(pending, registration, registrar.get(), answer));
+		}
+		else {
+			askAllOwners(pending, registration, Set.of());
+		}
+	}
+
+	private void handleRegistrar(PendingJob pending, JobRegistration registration, HostAddress registrar,
+			PeerMessage answer) {
+		if (!isPending(pending)) {
+			return;
+		}
+		if (!(answer instanceof PeerMessage.JobRegistered registered)
+				|| registered.scope() == RegistrationScope.UNDECIDED) {
+			repeatLater(pending, "registrar-undecided");
+		}
+		else if (!this.pools.contains(registered.pool())) {
+			move(pending, registered.pool(), "registrar");
+		}
+		else if (registered.scope() == RegistrationScope.SITE) {
+			admit(pending, "registrar");
+		}
+		else {
+			askAllOwners(pending, registration, Set.of(registrar));
+		}
+	}
+
+	private void askAllOwners(PendingJob pending, JobRegistration registration, Set<HostAddress> asked) {
+		if (this.owners.mayRunAtLostOwner(registration.receivedMillis(Clock.nowMillis()))) {
+			repeatLater(pending, "owner-lost");
+			return;
+		}
+		List<CompletableFuture<PeerMessage>> answers = this.owners.reachableOwners()
+			.stream()
+			.filter((owner) -> !asked.contains(owner))
+			.map((owner) -> this.owners.register(owner, registration).exceptionally((error) -> null))
+			.toList();
+		CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+			.thenRun(() -> handleOwners(pending, answers.stream().map(CompletableFuture::join).toList()));
+	}
+
+	private void handleOwners(PendingJob pending, List<PeerMessage> answers) {
+		if (!isPending(pending)) {
+			return;
+		}
+		Optional<String> otherPool = answers.stream()
+			.flatMap((answer) -> (answer instanceof PeerMessage.JobRegistered registered) ? Stream.of(registered)
+					: Stream.empty())
+			.filter((registered) -> registered.scope() != RegistrationScope.UNDECIDED)
+			.map(PeerMessage.JobRegistered::pool)
+			.filter((pool) -> !this.pools.contains(pool))
+			.findFirst();
+		if (otherPool.isPresent()) {
+			move(pending, otherPool.get(), "owners");
+		}
+		else if (answers.stream().allMatch(JobRegistrar::isRunningNowhere)) {
+			admit(pending, "owners");
+		}
+		else {
+			repeatLater(pending, "owners-undecided");
+		}
+	}
+
+	// A host that owns nothing any more runs no jobs; its answer is an error.
+	private static boolean isRunningNowhere(PeerMessage answer) {
+		return answer instanceof PeerMessage.ErrorAnswer error && error.code().equals(PeerJobs.NOT_THE_OWNER)
+				|| answer instanceof PeerMessage.JobRegistered registered
+						&& registered.scope() != RegistrationScope.UNDECIDED;
+	}
+
+	private boolean isPending(PendingJob pending) {
+		return this.pendingJobs.get(pending.submission.jobId()) == pending;
+	}
+
+	private void admit(PendingJob pending, String decidedBy) {
+		this.pendingJobs.remove(pending.submission.jobId());
+		this.metrics.jobRegistered(decidedBy, waitedMillis(pending));
+		this.jobs.run(pending.submission);
+	}
+
+	private void move(PendingJob pending, String pool, String decidedBy) {
+		JobSubmission submission = pending.submission;
+		this.pendingJobs.remove(submission.jobId());
+		this.metrics.jobRegistered("moved", waitedMillis(pending));
+		logger.atInfo()
+			.addKeyValue("job", submission.jobId())
+			.addKeyValue("pool", submission.pool())
+			.addKeyValue("runs_in", pool)
+			.addKeyValue("decided_by", decidedBy)
+			.addKeyValue("waited_ms", waitedMillis(pending))
+			.log("Earlier copy of the job runs in another pool; this one follows it");
+		this.eventLoop.execute(() -> this.jobs.placedElsewhere(submission, pool));
+	}
+
+	private static long waitedMillis(PendingJob pending) {
+		return Clock.nowMillis() - pending.submission.arrivedMillis();
+	}
+
+	private void repeatLater(PendingJob pending, String reason) {
+		if (waitedMillis(pending) >= MAX_WAIT_MILLIS) {
+			this.pendingJobs.remove(pending.submission.jobId());
+			this.metrics.jobRegistered("undecided", waitedMillis(pending));
+			answer(pending.submission, reason);
+			return;
+		}
+		if (!pending.repeated) {
+			logger.atInfo()
+				.addKeyValue("job", pending.submission.jobId())
+				.addKeyValue("pool", pending.submission.pool())
+				.addKeyValue("reason", reason)
+				.log("Registration of the job is undecided and will be repeated; nothing of it starts");
+		}
+		pending.repeated = true;
+		this.eventLoop.schedule(() -> {
+			if (isPending(pending)) {
+				register(pending);
+			}
+		}, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void answer(JobSubmission submission, String reason) {
+		JobOutcome outcome = JobOutcome.of(JobOutcome.Kind.UNCERTAIN, reason);
+		this.eventLoop.execute(() -> this.jobs.answer(submission, outcome));
+	}
+
+	/**
+	 * Answers the registration of a job that another owner is about to run.
+	 * @param from the peer address of that owner
+	 * @param registration the job
+	 * @return the answer
+	 */
+	PeerMessage.JobRegistered register(HostAddress from, JobRegistration registration) {
+		long nowMillis = Clock.nowMillis();
+		boolean claimsOwnPool = this.pools.contains(registration.pool());
+		Optional<String> ownPool = ownPoolOf(from, registration);
+		if (ownPool.isPresent()) {
+			return claimsOwnPool ? undecided(registration)
+					: new PeerMessage.JobRegistered(ownPool.get(), RegistrationScope.SITE);
+		}
+		if (this.jobs.mayRunByPreviousOwner(registration.jobId(), registration.receivedMillis(nowMillis))) {
+			return undecided(registration);
+		}
+		String registrarPool = this.owners.registrarPool(registration.jobId());
+		boolean settled = this.pools.contains(registrarPool) && isSettled(registrarPool);
+		return this.registry.register(registration, nowMillis)
+			.map((pool) -> new PeerMessage.JobRegistered(pool,
+					settled ? RegistrationScope.SITE : RegistrationScope.OWNER))
+			.orElse(undecided(registration));
+	}
+
+	private static PeerMessage.JobRegistered undecided(JobRegistration registration) {
+		return new PeerMessage.JobRegistered(registration.pool(), RegistrationScope.UNDECIDED);
+	}
+
+	// The pool of this owner that a job runs in, or will run in. Of two owners that
+	// register copies with each other at once, one gives way.
+	private Optional<String> ownPoolOf(HostAddress from, JobRegistration registration) {
+		if (this.jobs.hasJob(registration.jobId())) {
+			return this.pools.inNameOrder().findFirst();
+		}
+		PendingJob pending = this.pendingJobs.get(registration.jobId());
+		if (pending == null) {
+			return Optional.empty();
+		}
+		String ownPool = pending.submission.pool();
+		if (!givesWay(from, ownPool, registration)) {
+			return Optional.of(ownPool);
+		}
+		this.registry.record(registration, Clock.nowMillis());
+		move(pending, registration.pool(), "gave-way");
+		return Optional.empty();
+	}
+
+	private boolean givesWay(HostAddress from, String ownPool, JobRegistration registration) {
+		String registrarPool = this.owners.registrarPool(registration.jobId());
+		if (this.pools.contains(registrarPool)) {
+			return false;
+		}
+		boolean toRegistrar = this.owners.owner(registrarPool).filter(from::equals).isPresent();
+		return toRegistrar || registration.pool().compareTo(ownPool) < 0;
+	}
+
+	private boolean isSettled(String pool) {
+		long nowMillis = Clock.nowMillis();
+		return nowMillis - this.assumedMillis.getOrDefault(pool, nowMillis) >= SETTLING_MILLIS
+				&& nowMillis - this.lastPauseMillis >= SETTLING_MILLIS && !this.jobs.mayHaveBeenPaused()
+				&& this.owners.isContactSettled();
+	}
+
+	/**
+	 * Drops a copy that waits for its registration and whose caller has left.
+	 * @param jobId the id of the job
+	 * @param isAbandoned tells whether the caller of a copy has left
+	 * @return whether there was one
+	 */
+	boolean cancel(String jobId, Predicate<JobSubmission> isAbandoned) {
+		PendingJob pending = this.pendingJobs.get(jobId);
+		if (pending == null || !isAbandoned.test(pending.submission)) {
+			return false;
+		}
+		this.pendingJobs.remove(jobId);
+		return true;
+	}
+
+	/**
+	 * Drops all copies that wait for their registration and whose callers have left.
+	 * @param isAbandoned tells whether the caller of a copy has left
+	 */
+	void cancelAll(Predicate<JobSubmission> isAbandoned) {
+		this.pendingJobs.values().removeIf((pending) -> isAbandoned.test(pending.submission));
+	}
+
+	/**
+	 * Sends all copies that wait for their registration back to their callers' hosts, as
+	 * the pools get another owner.
+	 */
+	void returnAll() {
+		List.copyOf(this.pendingJobs.values()).forEach((pending) -> {
+			JobOutcome outcome = JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "owner-changes");
+			this.eventLoop.execute(() -> this.jobs.answer(pending.submission, outcome));
+		});
+		this.pendingJobs.clear();
+	}
+
+	/**
+	 * The jobs of an owner.
+	 */
+	interface Jobs {
+
+		/**
+		 * Returns whether a job is unanswered, or may still have runs that this owner has
+		 * started.
+		 * @param jobId the id of the job
+		 * @return whether no other owner must run it
+		 */
+		boolean hasJob(String jobId);
+
+		/**
+		 * Returns whether an unknown job may run on this owner's endpoints, as a previous
+		 * owner may have started it.
+		 * @param jobId the id of the job
+		 * @param receivedMillis when its callers' host received it, in milliseconds
+		 * @return whether that is still open
+		 */
+		boolean mayRunByPreviousOwner(String jobId, long receivedMillis);
+
+		/**
+		 * Returns whether this process was paused until a moment ago.
+		 * @return whether it may have been
+		 */
+		boolean mayHaveBeenPaused();
+
+		/**
+		 * Runs a copy of a job that no other owner runs.
+		 * @param submission the copy
+		 */
+		void run(JobSubmission submission);
+
+		/**
+		 * Answers a copy that does not run.
+		 * @param submission the copy
+		 * @param outcome the answer
+		 */
+		void answer(JobSubmission submission, JobOutcome outcome);
+
+		/**
+		 * Sends a copy to the pool that an earlier one went to.
+		 * @param submission the copy
+		 * @param pool the name of the pool
+		 */
+		void placedElsewhere(JobSubmission submission, String pool);
+
+	}
+
+	/**
+	 * A job that waits for its registration.
+	 */
+	private static final class PendingJob {
+
+		private JobSubmission submission;
+
+		private boolean repeated;
+
+		private PendingJob(JobSubmission submission) {
+			this.submission = submission;
+		}
+
+	}
+
+}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -80,8 +80,6 @@
 
 	private final AbandonedCalls abandonedCalls = new AbandonedCalls();
 
-	private final SpillRegistrar spillRegistrar;
-
 	private PeerTransport transport;
 
 	private PeerReporter reporter;
@@ -100,13 +98,11 @@
 		this.directory = directory;
 		this.format = format;
 		this.metrics = metrics;
-		this.spillRegistrar = new SpillRegistrar(self, directory);
 		this.nextCallNumber = self.incarnation().startEpochMillis() << CALL_NUMBER_BITS;
 	}
 
 	void transport(PeerTransport peerTransport) {
 		this.transport = peerTransport;
-		this.spillRegistrar.transport(peerTransport);
 	}
 
 	void reporter(PeerReporter peerReporter) {
@@ -183,40 +179,7 @@
 			.addKeyValue("backlog_ms", Math.round(chosen.get().backlogMillis()))
 			.addKeyValue("pools", candidates.size())
 			.log("Job sent to a pool");
-		if (!routed.job.durable() && this.spillRegistrar.isNeeded(pool, routed.spilledTo, nowMillis)) {
-			place(routed, pool, nowMillis);
-		}
-		else {
-			send(routed, pool, nowMillis);
-		}
-	}
-
-	private void place(RoutedJob routed, String pool, long nowMillis) {
-		PeerMessage.PlaceJob question = new PeerMessage.PlaceJob(routed.job.jobId(), pool, routed.spilledTo);
-		this.spillRegistrar.place(question, nowMillis).thenAccept((placedPool) -> {
-			if (this.pendingJobs.containsKey(routed.callNumber)) {
-				sendToPlaced(routed, pool, placedPool);
-			}
-		});
-	}
-
-	// An earlier copy of the job may have gone to another pool, which this copy follows.
-	private void sendToPlaced(RoutedJob routed, String selectedPool, String placedPool) {
-		if (!placedPool.equals(selectedPool)) {
-			logger.atInfo()
-				.addKeyValue("job", routed.job.jobId())
-				.addKeyValue("selected", selectedPool)
-				.addKeyValue("pool", placedPool)
-				.log("Job follows an earlier copy of it to another pool");
-			if (placedPool.equals(routed.spilledTo) && routed.lastRefusal != null) {
-				answer(routed, routed.lastRefusal);
-				return;
-			}
-		}
-		routed.spilledTo = placedPool.equals(this.self.domain()) ? "" : placedPool;
-		routed.pool = placedPool;
-		routed.triedPools.add(placedPool);
-		send(routed, placedPool, Clock.nowMillis());
+		send(routed, pool, nowMillis);
 	}
 
 	private List<PoolSelector.Candidate> candidates(RoutedJob routed, long nowMillis) {
@@ -243,13 +206,7 @@
 		routed.owner = null;
 		Optional<PoolOwner> localOwner = this.directory.localOwnerOf(pool).filter((owner) -> !owner.isFrozen());
 		if (localOwner.isPresent()) {
-			Optional<String> spilledTo = localOwner.get().spilledTo(routed.job.jobId());
-			if (spilledTo.isPresent()) {
-				follow(routed, spilledTo.get());
-			}
-			else {
-				localOwner.get().submit(pool, routed.job, terms, origin(routed));
-			}
+			localOwner.get().submit(pool, routed.job, terms, origin(routed), routed.refusedBy);
 			return;
 		}
 		Optional<HostAddress> owner = this.directory.ownerAddress(pool);
@@ -260,17 +217,46 @@
 		routed.owner = owner.get();
 		this.directory.recordSent(pool, routed.peakMillicores());
 		this.reporter.recordSharedWork(owner.get(), nowMillis);
-		this.transport.call(owner.get(), new PeerMessage.SubmitJob(pool, routed.callNumber, routed.job, terms))
+		PeerMessage.SubmitJob submission = new PeerMessage.SubmitJob(pool, routed.callNumber, routed.job, terms,
+				routed.refusedBy);
+		this.transport.call(owner.get(), submission)
 			.whenComplete((message, error) -> handlePeerAnswer(routed, message, error));
 	}
 
-	private void follow(RoutedJob routed, String spilledTo) {
+	/**
+	 * Sends a job to the pool that an earlier copy of it went to.
+	 * @param callNumber the number of the call
+	 * @param pool the name of the pool
+	 */
+	void jobPlaced(long callNumber, String pool) {
+		RoutedJob routed = this.pendingJobs.get(callNumber);
+		if (routed != null) {
+			follow(routed, pool);
+		}
+	}
+
+	private void follow(RoutedJob routed, String placedPool) {
+		if (!this.pendingJobs.containsKey(routed.callNumber)) {
+			return;
+		}
+		logger.atInfo()
+			.addKeyValue("job", routed.job.jobId())
+			.addKeyValue("selected", routed.pool)
+			.addKeyValue("pool", placedPool)
+			.addKeyValue("after_ms", Clock.nowMillis() - routed.receivedMillis)
+			.log("Job follows an earlier copy of it to another pool");
+		if (placedPool.equals(routed.refusedBy)) {
+			answer(routed, routed.lastRefusal);
+			return;
+		}
 		if (routed.followed) {
 			giveUp(routed, "placed-twice");
 			return;
 		}
 		routed.followed = true;
-		sendToPlaced(routed, routed.pool, spilledTo);
+		routed.pool = placedPool;
+		routed.triedPools.add(placedPool);
+		send(routed, placedPool, Clock.nowMillis());
 	}
 
 	private void handlePeerAnswer(RoutedJob routed, PeerMessage message, Throwable error) {
@@ -371,6 +357,7 @@
 		boolean refused = outcome.kind() == JobOutcome.Kind.REFUSED;
 		if (refused && routed.triedPools.size() < MAX_POOLS_TRIED) {
 			routed.lastRefusal = outcome;
+			routed.refusedBy = routed.pool;
 			submit(routed);
 		}
 		else {
@@ -468,14 +455,14 @@
 
 		private boolean handedOver;
 
-		/** The pool that the owner of this failure domain has recorded for this copy. */
-		private String spilledTo = "";
-
 		/** Whether an owner has named the pool of an earlier copy. */
 		private boolean followed;
 
 		private JobOutcome lastRefusal;
 
+		/** The pool that has refused this copy, or an empty string. */
+		private String refusedBy = "";
+
 		private RoutedJob(long callNumber, JobSpec job, JobTerms terms, CallerExchange exchange, long receivedMillis) {
 			this.callNumber = callNumber;
 			this.job = job;
@@ -493,11 +480,7 @@
 		}
 
 		private JobTerms termsAt(long nowMillis) {
-			long waitedMillis = nowMillis - this.receivedMillis;
-			long remainingMillis = this.terms.budgetMillis() - waitedMillis;
-			return new JobTerms(this.terms.queue(), this.terms.service(), this.terms.priority(),
-					this.terms.maxAttempts(), this.terms.stretch(), this.terms.targetLatencyMillis(),
-					Math.max(1, remainingMillis), this.terms.versionNumber(), waitedMillis);
+			return this.terms.afterWait(nowMillis - this.receivedMillis);
 		}
 
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerJobs.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerJobs.java
@@ -13,6 +13,8 @@
 
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobRegistration;
+import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.PeerMessage;
 import org.masticwick.wire.PeerTransport;
@@ -23,6 +25,9 @@
  */
 final class PeerJobs {
 
+	/** The code of the error that a host answers with that owns nothing. */
+	static final String NOT_THE_OWNER = "not-the-owner";
+
 	private static final PeerMessage JOB_MOVED_ANSWER = new PeerMessage.ErrorAnswer("moved",
 			"Another host owns the pool now and will answer this job");
 
@@ -74,21 +79,17 @@
 		Optional<PoolOwner> owner = this.directory.localOwnerOf(submission.pool())
 			.filter((localOwner) -> !localOwner.isFrozen());
 		if (owner.isEmpty()) {
-			return notAccepted("not-the-owner");
+			return notAccepted(NOT_THE_OWNER);
 		}
 		if (owner.get().mayHaveBeenPaused(Clock.nowMillis())) {
 			return notAccepted("submission-outdated");
 		}
-		Optional<String> spilledTo = owner.get().spilledTo(submission.job().jobId());
-		if (spilledTo.isPresent()) {
-			return CompletableFuture.completedFuture(new PeerMessage.JobPlaced(spilledTo.get()));
-		}
 		this.peers.recordCall(from, Clock.nowMillis());
 		this.reporter.recordSharedWork(from, Clock.nowMillis());
 		JobOrigin origin = new JobOrigin(from.toString(), submission.callNumber());
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 		this.pendingCalls.put(origin, answer);
-		owner.get().submit(submission.pool(), submission.job(), submission.terms(), origin);
+		owner.get().submit(submission.pool(), submission.job(), submission.terms(), origin, submission.refusedBy());
 		return answer;
 	}
 
@@ -98,18 +99,19 @@
 	}
 
 	/**
-	 * Answers in which pool a job of a peer has to run.
+	 * Answers the registration of a job that a peer is about to run as the owner of its
+	 * pools.
 	 * @param from the address of the peer
-	 * @param question the job
-	 * @return the pool, or an error if this host does not own the pool of the peer's
-	 * failure domain
+	 * @param registration the job
+	 * @return the answer, or an error if this host owns no pools
 	 */
-	PeerMessage place(HostAddress from, PeerMessage.PlaceJob question) {
-		Optional<String> domain = this.peers.member(from).map(MemberRecord::domain);
-		return domain.flatMap(this.directory::localOwnerOf)
-			.filter((owner) -> !owner.isFrozen())
-			.map((owner) -> (PeerMessage) new PeerMessage.JobPlaced(owner.place(domain.orElseThrow(), question)))
-			.orElse(new PeerMessage.ErrorAnswer("not-the-owner", "This host does not own the pool of the sender"));
+	PeerMessage register(HostAddress from, JobRegistration registration) {
+		Optional<PoolOwner> owner = this.directory.localOwner();
+		if (owner.isEmpty()) {
+			return new PeerMessage.ErrorAnswer(NOT_THE_OWNER, "This host owns no pools");
+		}
+		return owner.get().isFrozen() ? new PeerMessage.JobRegistered(registration.pool(), RegistrationScope.UNDECIDED)
+				: owner.get().register(from, registration);
 	}
 
 	/**
@@ -129,6 +131,21 @@
 				: new PeerMessage.ErrorAnswer("unknown-job", "This host does not run the job, or is handing it over");
 	}
 
+	/**
+	 * Tells the peer that waits for a job which pool an earlier copy of it went to.
+	 * @param origin the peer and its call
+	 * @param pool the name of the pool
+	 */
+	void placed(JobOrigin origin, String pool) {
+		CompletableFuture<PeerMessage> answer = this.pendingCalls.remove(origin);
+		if (answer != null) {
+			answer.complete(new PeerMessage.JobPlaced(pool));
+		}
+		else {
+			answer(origin, JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "placed-elsewhere"));
+		}
+	}
+
 	/**
 	 * Delivers the answer to a job to the peer that waits for it. An owner that took the
 	 * job over has no call of that peer to answer, and calls it instead.
@@ -162,7 +179,7 @@
 			.filter((owner) -> !owner.isFrozen())
 			.map((owner) -> owner.recordOrphanedTermination(message))
 			.orElse(CompletableFuture
-				.completedFuture(new PeerMessage.ErrorAnswer("not-the-owner", "This host owns no pools")));
+				.completedFuture(new PeerMessage.ErrorAnswer(NOT_THE_OWNER, "This host owns no pools")));
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerMessageDispatcher.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerMessageDispatcher.java
@@ -77,8 +77,8 @@
 		else if (message instanceof PeerMessage.CancelJob cancel) {
 			return CompletableFuture.completedFuture(this.peerJobs.cancel(from, cancel));
 		}
-		else if (message instanceof PeerMessage.PlaceJob question) {
-			return CompletableFuture.completedFuture(this.peerJobs.place(from, question));
+		else if (message instanceof PeerMessage.RegisterJob question) {
+			return CompletableFuture.completedFuture(this.peerJobs.register(from, question.registration()));
 		}
 		else if (message instanceof PeerMessage.JobQuery query) {
 			return this.jobQueries.answerPeer(query);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolDirectory.java
@@ -28,6 +28,9 @@
 
 	private final Map<String, Long> claimReceivedMillis = new HashMap<>();
 
+	/** The owners before the newest claims, by pool. */
+	private final Map<String, MemberRecord> previousOwners = new HashMap<>();
+
 	/**
 	 * The demand of the jobs sent to a pool since its last report, in thousandths of a
 	 * core.
@@ -60,6 +63,9 @@
 		if (previousClaim != null && previousClaim.fencingToken() >= claim.fencingToken()) {
 			return false;
 		}
+		if (previousClaim != null && previousClaim.owner() != null && !previousClaim.owner().equals(claim.owner())) {
+			this.previousOwners.put(claim.pool(), previousClaim.owner());
+		}
 		this.claims.put(claim.pool(), claim);
 		this.claimReceivedMillis.put(claim.pool(), Clock.nowMillis());
 		return true;
@@ -75,6 +81,15 @@
 		return nowMillis - this.claimReceivedMillis.getOrDefault(pool, nowMillis);
 	}
 
+	/**
+	 * Returns the host that owned a pool before the newest claim.
+	 * @param pool the name of the pool
+	 * @return its peer address, or empty if there was none
+	 */
+	Optional<HostAddress> previousOwner(String pool) {
+		return Optional.ofNullable(this.previousOwners.get(pool)).map(MemberRecord::peerAddress);
+	}
+
 	Optional<PoolClaim> claim(String pool) {
 		return Optional.ofNullable(this.claims.get(pool));
 	}
@@ -157,7 +172,11 @@
 		this.unreportedMillicores.remove(pool);
 	}
 
-	private Set<String> pools() {
+	/**
+	 * Returns the pools that were ever claimed.
+	 * @return their names
+	 */
+	Set<String> pools() {
 		return new TreeSet<>(this.claims.keySet());
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -16,6 +15,7 @@
 import org.masticwick.core.pool.EndpointEntry;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobRegistration;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.LostRun;
@@ -28,12 +28,12 @@
 import org.masticwick.core.pool.PoolTransfer;
 import org.masticwick.core.pool.PooledJob;
 import org.masticwick.core.pool.RestartVerdict;
-import org.masticwick.core.pool.SpilledJobs;
 import org.masticwick.core.pool.TaskId;
 import org.masticwick.core.pool.TaskLoss;
 import org.masticwick.core.pool.TaskRun;
 import org.masticwick.core.pool.TerminatedRun;
 import org.masticwick.core.pool.TerminationId;
+import org.masticwick.core.process.HostAddress;
 import org.masticwick.fleet.connection.EndpointCalls;
 import org.masticwick.fleet.connection.JobLog;
 import org.masticwick.fleet.version.DrainedDomainsHolder;
@@ -80,7 +80,7 @@
 
 	private long endpointsAwaitedUntilMillis = Clock.nowMillis() + MAX_ENDPOINT_LOAD_MILLIS;
 
-	private final SpilledJobs spilledJobs;
+	private final JobRegistrar registrar;
 
 	private boolean endpointsLoaded;
 
@@ -91,11 +91,12 @@
 	private final Map<String, Set<Long>> callsAbandonedWhileFrozen = new HashMap<>();
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
-			LossExchange lossExchange, DrainedDomainsHolder drains, Listener listener) {
+			LossExchange lossExchange, DrainedDomainsHolder drains, SiteOwners siteOwners, Listener listener) {
 		this.eventLoop = eventLoop;
 		this.decisionLog = new DecisionLog(metrics);
 		this.listener = listener;
-		this.spilledJobs = new SpilledJobs(listener::isPoolReachable);
+		this.registrar = new JobRegistrar(eventLoop, this.pools, siteOwners, new RegisteredJobs(),
+				listener::isPoolReachable, metrics);
 		this.lossExchange = lossExchange;
 		this.drains = drains;
 		PoolSettings settings = PoolSettings.defaults();
@@ -144,6 +145,7 @@
 	void addPool(PoolClaim claim) {
 		if (!owns(claim.pool())) {
 			this.scheduler.poolAssumed(claim.pool(), Clock.nowMillis());
+			this.registrar.poolAssumed(claim.pool());
 		}
 		this.pools.add(claim);
 		this.durableJobs.addPool(claim);
@@ -157,6 +159,7 @@
 	 * @param pool the name of the pool
 	 */
 	void removePool(String pool) {
+		this.registrar.returnAll();
 		this.pools.remove(pool);
 		this.durableJobs.removePool(pool);
 		this.leases.removePool(pool);
@@ -179,6 +182,7 @@
 	 * @return the jobs and endpoints that the next owner continues with
 	 */
 	PoolTransfer freeze() {
+		this.registrar.returnAll();
 		this.pools.setFrozen(true);
 		return this.scheduler.transfer(Clock.nowMillis());
 	}
@@ -227,35 +231,32 @@
 		return load().jobCount();
 	}
 
-	void submit(String pool, JobSpec job, JobTerms terms, JobOrigin origin) {
+	/**
+	 * Accepts a job. One that is not durable starts once it is certain that no other
+	 * owner runs it.
+	 * @param pool the pool that it was sent to
+	 * @param job the job
+	 * @param terms the terms of its queue
+	 * @param origin the callers' host and the call that wait for the answer
+	 * @param refusedBy the pool that has refused this copy of the job before, or an empty
+	 * string
+	 */
+	void submit(String pool, JobSpec job, JobTerms terms, JobOrigin origin, String refusedBy) {
 		if (job.durable()) {
 			this.durableJobs.submit(pool, job, terms, origin);
 			return;
 		}
-		this.scheduler.submit(job, terms, origin, Clock.nowMillis());
-	}
-
-	/**
-	 * Decides which pool a copy of a job goes to that a host of an owned failure domain
-	 * is about to send to another owner.
-	 * @param ownPool the name of the pool of that domain
-	 * @param message the job, and the pool that the host has selected
-	 * @return the name of the pool
-	 */
-	String place(String ownPool, PeerMessage.PlaceJob message) {
-		if (this.scheduler.hasJob(message.jobId())) {
-			return ownPool;
-		}
-		return this.spilledJobs.place(message.jobId(), message.pool(), message.refusedBy(), Clock.nowMillis());
+		this.registrar.submit(new JobSubmission(pool, job, terms, origin, refusedBy, Clock.nowMillis()));
 	}
 
 	/**
-	 * Returns the pool of another owner that a copy of a job went to.
-	 * @param jobId the id of the job
-	 * @return the name of the pool, or empty if the job may run here
+	 * Answers the registration of a job that another owner is about to run.
+	 * @param from the peer address of that owner
+	 * @param registration the job
+	 * @return the answer
 	 */
-	Optional<String> spilledTo(String jobId) {
-		return this.spilledJobs.poolOf(jobId, Clock.nowMillis()).filter((pool) -> !owns(pool));
+	PeerMessage register(HostAddress from, JobRegistration registration) {
+		return this.registrar.register(from, registration);
 	}
 
 	/**
@@ -265,7 +266,8 @@
 	 * @return whether the job was running or waiting here for this call
 	 */
 	boolean cancel(String jobId, JobOrigin origin) {
-		return this.scheduler.cancel(jobId, origin, Clock.nowMillis());
+		return this.registrar.cancel(jobId, (submission) -> submission.origin().equals(origin))
+				|| this.scheduler.cancel(jobId, origin, Clock.nowMillis());
 	}
 
 	/**
@@ -284,6 +286,8 @@
 			this.callsAbandonedWhileFrozen.computeIfAbsent(peerAddress, (host) -> new HashSet<>()).addAll(callNumbers);
 		}
 		else {
+			this.registrar.cancelAll((submission) -> submission.origin().host().equals(peerAddress)
+					&& callNumbers.contains(submission.origin().callNumber()));
 			this.scheduler.cancelCalls(peerAddress, Set.copyOf(callNumbers), Clock.nowMillis());
 		}
 	}
@@ -321,6 +325,7 @@
 			this.hostsLostWhileFrozen.add(peerAddress);
 			return;
 		}
+		this.registrar.cancelAll((submission) -> submission.origin().host().equals(peerAddress));
 		this.scheduler.entryHostLost(peerAddress, Clock.nowMillis());
 	}
 
@@ -328,6 +333,7 @@
 	 * Abandons all jobs and stops sending commands to endpoints.
 	 */
 	void close() {
+		this.registrar.returnAll();
 		this.scheduler.abandonJobs(Clock.nowMillis());
 		this.pools.setFrozen(true);
 		this.durableJobs.close();
@@ -337,6 +343,7 @@
 	 * Stops without abandoning jobs, as another host continues them.
 	 */
 	void discard() {
+		this.registrar.returnAll();
 		this.pools.setFrozen(true);
 		this.durableJobs.close();
 	}
@@ -362,8 +369,12 @@
 		this.endpointsAwaitedUntilMillis = Long.MIN_VALUE / 2;
 	}
 
+	private boolean awaitsEndpoints(long nowMillis) {
+		return nowMillis < this.endpointsAwaitedUntilMillis;
+	}
+
 	private boolean isStartDelayed(long nowMillis) {
-		return this.pools.isFrozen() || nowMillis < this.endpointsAwaitedUntilMillis || this.drains.current().isEmpty()
+		return this.pools.isFrozen() || awaitsEndpoints(nowMillis) || this.drains.current().isEmpty()
 				|| mayHaveBeenPaused(nowMillis);
 	}
 
@@ -391,6 +402,7 @@
 	void tick() {
 		long nowMillis = Clock.nowMillis();
 		if (this.pauseGuard.tick(nowMillis, Clock.epochMillis())) {
+			this.registrar.paused();
 			logger.atWarn()
 				.addKeyValue("pools", pools())
 				.addKeyValue("jobs", jobCount())
@@ -497,6 +509,15 @@
 		 */
 		void poolFenced(String pool);
 
+		/**
+		 * Sends a copy of a job that does not run here to the pool that an earlier one
+		 * went to.
+		 * @param origin the callers' host and the call that wait for the answer
+		 * @param jobId the id of the job
+		 * @param pool the name of the pool
+		 */
+		void jobPlaced(JobOrigin origin, String jobId, String pool);
+
 		/**
 		 * Returns whether a pool has a reachable owner.
 		 * @param pool the name of the pool
@@ -526,6 +547,47 @@
 
 	}
 
+	/**
+	 * Connects the registration of jobs with the scheduler and the callers.
+	 */
+	private final class RegisteredJobs implements JobRegistrar.Jobs {
+
+		@Override
+		public boolean hasJob(String jobId) {
+			return PoolOwner.this.scheduler.hasJob(jobId);
+		}
+
+		@Override
+		public boolean mayRunByPreviousOwner(String jobId, long receivedMillis) {
+			long nowMillis = Clock.nowMillis();
+			return awaitsEndpoints(nowMillis)
+					|| PoolOwner.this.scheduler.mayRunByPreviousOwner(jobId, receivedMillis, nowMillis);
+		}
+
+		@Override
+		public boolean mayHaveBeenPaused() {
+			return PoolOwner.this.mayHaveBeenPaused(Clock.nowMillis());
+		}
+
+		@Override
+		public void run(JobSubmission submission) {
+			long nowMillis = Clock.nowMillis();
+			PoolOwner.this.scheduler.submit(submission.spec(), submission.termsAt(nowMillis), submission.origin(),
+					nowMillis);
+		}
+
+		@Override
+		public void answer(JobSubmission submission, JobOutcome outcome) {
+			PoolOwner.this.listener.jobAnswered(submission.origin(), submission.jobId(), outcome);
+		}
+
+		@Override
+		public void placedElsewhere(JobSubmission submission, String pool) {
+			PoolOwner.this.listener.jobPlaced(submission.origin(), submission.jobId(), pool);
+		}
+
+	}
+
 	/**
 	 * Connects the durable jobs with the endpoints' leases, the scheduler and the
 	 * callers.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -101,7 +101,7 @@
 
 	private final Map<String, Long> unlistedSinceMillis = new HashMap<>();
 
-	private final Map<String, Long> ownerUnreachableSinceMillis = new HashMap<>();
+	private final OwnerReachability ownerReachability;
 
 	private final Function<List<String>, PoolOwner> ownerFactory;
 
@@ -126,7 +126,8 @@
 
 	PoolOwnership(EventLoop eventLoop, MemberRecord self, Collection<String> domains, PeerTable peers,
 			PoolDirectory directory, SharedLog log, SiteFormat format, FleetMetrics metrics,
-			Function<List<String>, PoolOwner> ownerFactory, TopicFollower memberFollower, boolean firstStart) {
+			Function<List<String>, PoolOwner> ownerFactory, TopicFollower memberFollower,
+			OwnerReachability ownerReachability, boolean firstStart) {
 		this.eventLoop = eventLoop;
 		this.self = self;
 		this.domains = new TreeSet<>(domains);
@@ -139,6 +140,7 @@
 		this.rule = new ClaimRule(self);
 		this.ownerFactory = ownerFactory;
 		this.memberFollower = memberFollower;
+		this.ownerReachability = ownerReachability;
 		this.firstStart = firstStart;
 	}
 
@@ -176,7 +178,7 @@
 		long nowMillis = Clock.nowMillis();
 		removeUnlistedEndpoints(nowMillis);
 		assessSiteSize(nowMillis);
-		this.domains.forEach((pool) -> trackOwnerReachability(pool, nowMillis));
+		this.ownerReachability.tick(this.domains, nowMillis);
 		if (!this.stopping) {
 			claimPools(nowMillis);
 			assumeStandbyOwnership(nowMillis);
@@ -216,16 +218,7 @@
 			.map(PoolClaim::owner)
 			.filter((owner) -> !owner.hostName().equals(this.self.hostName()))
 			.isPresent();
-		return claimedByPeer && !this.ownerUnreachableSinceMillis.containsKey(pool);
-	}
-
-	private void trackOwnerReachability(String pool, long nowMillis) {
-		if (this.directory.isOwnerReachable(pool, nowMillis)) {
-			this.ownerUnreachableSinceMillis.remove(pool);
-		}
-		else {
-			this.ownerUnreachableSinceMillis.putIfAbsent(pool, nowMillis);
-		}
+		return claimedByPeer && this.ownerReachability.unreachableSinceMillis(pool).isEmpty();
 	}
 
 	private ClaimRule.Situation situation(String pool, long nowMillis) {
@@ -235,12 +228,11 @@
 			.filter((member) -> owners.contains(member.peerAddress()))
 			.map(MemberRecord::hostName)
 			.toList();
-		long ownerUnreachableMillis = nowMillis - this.ownerUnreachableSinceMillis.getOrDefault(pool, nowMillis);
 		return new ClaimRule.Situation(pool, this.directory.claim(pool).orElse(null),
 				this.directory.claimAgeMillis(pool, nowMillis), this.directory.isOwnerReachable(pool, nowMillis),
 				this.peers.isOwnerReachableByPeer(pool, nowMillis), this.peers.isDiscoveryComplete(nowMillis),
-				ownerUnreachableMillis, isSingleOwnerSite(), this.peers.hasMembersIn(pool), reachableMembers,
-				ownerHostNames);
+				this.ownerReachability.unreachableMillis(pool, nowMillis), isSingleOwnerSite(),
+				this.peers.hasMembersIn(pool), reachableMembers, ownerHostNames);
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -170,9 +170,8 @@
 
 	private static JobTerms terms(CallerRequest request, SiteVersion version, QueueRule queue) {
 		long waitMillis = (request.timeoutMillis() > 0) ? request.timeoutMillis() : DEFAULT_WAIT_MILLIS;
-		long budgetMillis = waitMillis;
 		return new JobTerms(queue.name(), queue.service(), queue.priority(), queue.maxAttempts(), queue.stretch(),
-				queue.targetLatencyMillis(), budgetMillis, version.number());
+				queue.targetLatencyMillis(), waitMillis, version.number(), 0);
 	}
 
 	private static void refuse(CallerRequest request, CallerExchange exchange, CallerReply reply, String reason,
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
@@ -64,7 +64,7 @@
 		onLoop(() -> {
 			this.owner = new PoolOwner(this.loop, this.endpoints.clientOn(this.loop),
 					new InMemoryLog().clientOf("a", this.loop), List.of("d1"), new FleetMetrics(), new LossExchange(),
-					drains, new RecordingListener());
+					drains, new SingleOwner("d1"), new RecordingListener());
 			this.owner.addPool(new PoolClaim("d1", self, 32, List.of()));
 			this.owner.endpointListed(endpoint("e1"));
 			this.owner.endpointsLoaded();
@@ -92,7 +92,8 @@
 	private void submit(String jobId, long callNumber) {
 		StepSpec step = new StepSpec(1, new Resources(1_000, 1, 0), RUN_MILLIS, List.of(), "", "", 0);
 		this.owner.submit("d1", new JobSpec(jobId, "payload", List.of(step)),
-				new JobTerms("queue", "service", 0, 2, 20, 60, 60_000, 1, 0), new JobOrigin(CALLERS_HOST, callNumber));
+				new JobTerms("queue", "service", 0, 2, 20, 60, 60_000, 1, 0), new JobOrigin(CALLERS_HOST, callNumber),
+				"");
 	}
 
 	private static void pause(long millis) {
@@ -193,6 +194,11 @@
 			FrozenOwnerTests.this.answers.add(jobId + " " + outcome.kind() + " " + outcome.reason());
 		}
 
+		@Override
+		public void jobPlaced(JobOrigin origin, String jobId, String pool) {
+			FrozenOwnerTests.this.answers.add(jobId + " placed in " + pool);
+		}
+
 		@Override
 		public void poolFenced(String pool) {
 		}
--- a/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/PeerMessage.java
@@ -7,11 +7,13 @@
 import org.masticwick.core.connection.PeerStatus;
 import org.masticwick.core.connection.ServiceLoad;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobRegistration;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobStatus;
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolTransfer;
+import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.pool.TaskLoss;
 import org.masticwick.core.pool.TerminatedRun;
 import org.masticwick.core.pool.TerminationId;
@@ -277,8 +279,11 @@
 	 * @param callNumber the number of the call at the sender
 	 * @param job the job
 	 * @param terms the terms of its queue
+	 * @param refusedBy the pool that has refused this copy of the job before, or an empty
+	 * string
 	 */
-	record SubmitJob(String pool, long callNumber, JobSpec job, JobTerms terms) implements PeerMessage {
+	record SubmitJob(String pool, long callNumber, JobSpec job, JobTerms terms,
+			String refusedBy) implements PeerMessage {
 	}
 
 	/**
@@ -429,21 +434,26 @@
 	}
 
 	/**
-	 * Asks the owner of the sender's failure domain which pool a job goes to that the
-	 * sender is about to send to the pool of another owner. A copy of the job may have
-	 * reached another host of the domain. The answer is {@link JobPlaced}.
+	 * Registers an interactive job that the sender, an owner of pools, is about to run.
+	 * The answer is {@link JobRegistered}, or an error if the receiver owns no pools.
 	 *
-	 * @param jobId the id of the job
-	 * @param pool the pool that the sender has selected
-	 * @param refusedBy the pool that this owner named before and that has refused the job
-	 * since, or an empty string
+	 * @param registration the copy of the job that the sender has received
+	 */
+	record RegisterJob(JobRegistration registration) implements PeerMessage {
+	}
+
+	/**
+	 * Answers {@link RegisterJob}.
+	 *
+	 * @param pool the pool that runs the job; that of the sender, unless an earlier copy
+	 * went to another one
+	 * @param scope how much the answer proves
 	 */
-	record PlaceJob(String jobId, String pool, String refusedBy) implements PeerMessage {
+	record JobRegistered(String pool, RegistrationScope scope) implements PeerMessage {
 	}
 
 	/**
-	 * Answers {@link PlaceJob}, and {@link SubmitJob} if a copy of the job went to
-	 * another pool before.
+	 * Answers {@link SubmitJob} if a copy of the job went to another pool before.
 	 *
 	 * @param pool the pool that the job goes to
 	 */
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/MessageKind.java
@@ -70,9 +70,11 @@
 
 	TASK_LOSSES(28, PeerMessage.TaskLosses.class, PoolMessageTypes.TASK_LOSSES),
 
-	PLACE_JOB(29, PeerMessage.PlaceJob.class, PoolMessageTypes.PLACE_JOB),
+	JOB_PLACED(30, PeerMessage.JobPlaced.class, PoolMessageTypes.JOB_PLACED),
 
-	JOB_PLACED(30, PeerMessage.JobPlaced.class, PoolMessageTypes.JOB_PLACED);
+	REGISTER_JOB(31, PeerMessage.RegisterJob.class, PoolMessageTypes.REGISTER_JOB),
+
+	JOB_REGISTERED(32, PeerMessage.JobRegistered.class, PoolMessageTypes.JOB_REGISTERED);
 
 	/** The size limit of messages of a kind without a limit of its own, in bytes. */
 	static final int DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
--- a/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
+++ b/masticwick-wire/src/main/java/org/masticwick/wire/internal/PoolMessageTypes.java
@@ -10,6 +10,7 @@
 import org.masticwick.core.pool.EndpointIncarnation;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobRegistration;
 import org.masticwick.core.pool.JobSchedule;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobStatus;
@@ -19,6 +20,7 @@
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolTransfer;
+import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.pool.Resources;
 import org.masticwick.core.pool.StepSpec;
 import org.masticwick.core.pool.StepTraits;
@@ -139,11 +141,13 @@
 			RecordType.optional(BasicTypes.list(BasicTypes.LONG), PeerMessage.HostReport::abandonedCalls, List.of()));
 
 	static final RecordType<PeerMessage.SubmitJob> SUBMIT_JOB = new RecordType<>(
-			(values) -> new PeerMessage.SubmitJob(values.get(0), values.get(1), values.get(2), values.get(3)),
+			(values) -> new PeerMessage.SubmitJob(values.get(0), values.get(1), values.get(2), values.get(3),
+					values.get(4)),
 			RecordType.required(BasicTypes.TEXT, PeerMessage.SubmitJob::pool),
 			RecordType.required(BasicTypes.LONG, PeerMessage.SubmitJob::callNumber),
 			RecordType.required(JOB_SPEC, PeerMessage.SubmitJob::job),
-			RecordType.required(JOB_TERMS, PeerMessage.SubmitJob::terms));
+			RecordType.required(JOB_TERMS, PeerMessage.SubmitJob::terms),
+			RecordType.optional(BasicTypes.TEXT, PeerMessage.SubmitJob::refusedBy, ""));
 
 	static final RecordType<PeerMessage.JobAnswer> JOB_ANSWER = new RecordType<>(
 			(values) -> new PeerMessage.JobAnswer(values.get(0)),
@@ -262,11 +266,22 @@
 			RecordType.required(TERMINATION_ID, PeerMessage.StrayEnd::reference),
 			RecordType.required(TERMINATED_RUN, PeerMessage.StrayEnd::termination));
 
-	static final RecordType<PeerMessage.PlaceJob> PLACE_JOB = new RecordType<>(
-			(values) -> new PeerMessage.PlaceJob(values.get(0), values.get(1), values.get(2)),
-			RecordType.required(BasicTypes.TEXT, PeerMessage.PlaceJob::jobId),
-			RecordType.required(BasicTypes.TEXT, PeerMessage.PlaceJob::pool),
-			RecordType.optional(BasicTypes.TEXT, PeerMessage.PlaceJob::refusedBy, ""));
+	private static final RecordType<JobRegistration> JOB_REGISTRATION = new RecordType<>(
+			(values) -> new JobRegistration(values.get(0), values.get(1), values.get(2), values.get(3), values.get(4)),
+			RecordType.required(BasicTypes.TEXT, JobRegistration::jobId),
+			RecordType.required(BasicTypes.TEXT, JobRegistration::pool),
+			RecordType.optional(BasicTypes.TEXT, JobRegistration::refusedBy, ""),
+			RecordType.optional(BasicTypes.LONG, JobRegistration::waitedMillis, JobTerms.UNKNOWN_WAIT),
+			RecordType.optional(BasicTypes.BOOLEAN, JobRegistration::repeated, false));
+
+	static final RecordType<PeerMessage.RegisterJob> REGISTER_JOB = new RecordType<>(
+			(values) -> new PeerMessage.RegisterJob(values.get(0)),
+			RecordType.required(JOB_REGISTRATION, PeerMessage.RegisterJob::registration));
+
+	static final RecordType<PeerMessage.JobRegistered> JOB_REGISTERED = new RecordType<>(
+			(values) -> new PeerMessage.JobRegistered(values.get(0), values.get(1)),
+			RecordType.required(BasicTypes.TEXT, PeerMessage.JobRegistered::pool),
+			RecordType.required(BasicTypes.enumeration(RegistrationScope.values()), PeerMessage.JobRegistered::scope));
 
 	static final RecordType<PeerMessage.JobPlaced> JOB_PLACED = new RecordType<>(
 			(values) -> new PeerMessage.JobPlaced(values.get(0)),
--- a/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
+++ b/masticwick-wire/src/test/java/org/masticwick/wire/internal/MessageExamples.java
@@ -13,6 +13,7 @@
 import org.masticwick.core.pool.EndpointIncarnation;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
+import org.masticwick.core.pool.JobRegistration;
 import org.masticwick.core.pool.JobSchedule;
 import org.masticwick.core.pool.JobSpec;
 import org.masticwick.core.pool.JobStatus;
@@ -21,6 +22,7 @@
 import org.masticwick.core.pool.PoolLoad;
 import org.masticwick.core.pool.PoolReport;
 import org.masticwick.core.pool.PoolTransfer;
+import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.pool.Resources;
 import org.masticwick.core.pool.StepSpec;
 import org.masticwick.core.pool.StepTraits;
@@ -110,18 +112,21 @@
 						List.of("hobart", "burnie"), List.of(3L, 1L << 60)),
 				new PeerMessage.HostReport(
 						0, false, List.of(), List.of(), false, true, 125, true, -1, List.of(), List.of()),
-				new PeerMessage.SubmitJob("hobart", 3, jobSpec, jobTerms),
+				new PeerMessage.SubmitJob("hobart", 3, jobSpec, jobTerms, ""),
 				new PeerMessage.SubmitJob("hobart", 3, jobSpec,
-						new JobTerms("queue", "service", 2, 4, 1.6, 60, 1_500, 7, 320)),
+						new JobTerms("queue", "service", 2, 4, 1.6, 60, 1_500, 7, 320), "burnie"),
 				new PeerMessage.JobAnswer(new JobOutcome(JobOutcome.Kind.REFUSED, 500, "would-be-late")),
 				new PeerMessage.JobAnswer(JobOutcome.of(JobOutcome.Kind.NOT_OWNER, "")),
 				new PeerMessage.CancelJob("hobart", 3, "5c0e7a21d94b36f8"), new PeerMessage.PublishedVersion(7, BYTES),
 				new PeerMessage.HandOverPools(List.of("hobart"),
 						new PoolTransfer(List.of(endpointEntry), List.of(jobTransfer), List.of(taskLoss)), 3),
 				new PeerMessage.TaskLosses(List.of(taskLoss)), new PeerMessage.TaskLosses(List.of()),
-				new PeerMessage.PlaceJob("5c0e7a21d94b36f8", "hobart", ""),
-				new PeerMessage.PlaceJob("5c0e7a21d94b36f8", "hobart", "burnie"), new PeerMessage.JobPlaced("hobart"),
-				new PeerMessage.JobsMoved(List.of(3L, 4L)),
+				new PeerMessage.RegisterJob(
+						new JobRegistration("5c0e7a21d94b36f8", "hobart", "", JobTerms.UNKNOWN_WAIT, false)),
+				new PeerMessage.RegisterJob(new JobRegistration("5c0e7a21d94b36f8", "hobart", "burnie", 12, true)),
+				new PeerMessage.JobRegistered("hobart", RegistrationScope.SITE),
+				new PeerMessage.JobRegistered("burnie", RegistrationScope.UNDECIDED),
+				new PeerMessage.JobPlaced("hobart"), new PeerMessage.JobsMoved(List.of(3L, 4L)),
 				new PeerMessage.JobFinished(3, JobOutcome.of(JobOutcome.Kind.COMPLETED, "done")),
 				new PeerMessage.Acknowledged(), new PeerMessage.FetchVersion(), new PeerMessage.ConfirmHandOver(3),
 				new PeerMessage.StrayEnd(new TerminationId("e-1", 5, 9),
