--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -19,6 +19,7 @@
 import org.masticwick.core.pool.JobRegistry;
 import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.process.HostAddress;
+import org.masticwick.wire.PeerErrorCodes;
 import org.masticwick.wire.PeerMessage;
 
 /**
@@ -155,7 +156,10 @@
 		if (!isPending(pending)) {
 			return;
 		}
-		if (!(answer instanceof PeerMessage.JobRegistered registered)
+		if (isOfEarlierVersion(answer)) {
+			askAllOwners(pending, registration, Set.of(registrar));
+		}
+		else if (!(answer instanceof PeerMessage.JobRegistered registered)
 				|| registered.scope() == RegistrationScope.UNDECIDED) {
 			repeatLater(pending, "registrar-undecided");
 		}
@@ -209,10 +213,15 @@
 	// A host that owns nothing any more runs no jobs; its answer is an error.
 	private static boolean isRunningNowhere(PeerMessage answer) {
 		return answer instanceof PeerMessage.ErrorAnswer error && error.code().equals(PeerJobs.NOT_THE_OWNER)
-				|| answer instanceof PeerMessage.JobRegistered registered
+				|| isOfEarlierVersion(answer) || answer instanceof PeerMessage.JobRegistered registered
 						&& registered.scope() != RegistrationScope.UNDECIDED;
 	}
 
+	// Until all hosts are updated, those of earlier versions register nothing.
+	private static boolean isOfEarlierVersion(PeerMessage answer) {
+		return answer instanceof PeerMessage.ErrorAnswer error && error.code().equals(PeerErrorCodes.UNKNOWN_MESSAGE);
+	}
+
 	private boolean isPending(PendingJob pending) {
 		return this.pendingJobs.get(pending.submission.jobId()) == pending;
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/JobRegistrarTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/JobRegistrarTests.java
@@ -22,6 +22,7 @@
 import org.masticwick.core.pool.JobTerms;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.core.process.Incarnation;
+import org.masticwick.wire.PeerErrorCodes;
 import org.masticwick.wire.PeerMessage;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -255,6 +256,22 @@
 
 	}
 
+	@Nested
+	class Updates {
+
+		/** Hosts of the version before know no registration. */
+		@Test
+		void letJobsRunWhoseRegistrarIsOfAnEarlierVersion() {
+			owner("d3").ofEarlierVersion = true;
+			submit("d1");
+			JobRegistrarTests.this.time.run(ROUND_TRIPS_MILLIS);
+			submit("d2");
+			JobRegistrarTests.this.time.run(ROUND_TRIPS_MILLIS);
+			assertThat(runningPools()).containsExactly("d1");
+		}
+
+	}
+
 	@Nested
 	class Refusals {
 
@@ -291,6 +308,8 @@
 
 		private boolean lostOwnerMayRun;
 
+		private boolean ofEarlierVersion;
+
 		private Owner(String pool) {
 			this.pool = pool;
 			this.eventLoop = new VirtualEventLoop(JobRegistrarTests.this.time, pool);
@@ -306,6 +325,11 @@
 			return new HostAddress("10.0.0.1", 1_000 + name.hashCode() % 1_000);
 		}
 
+		private PeerMessage answer(HostAddress from, JobRegistration registration) {
+			return this.ofEarlierVersion ? new PeerMessage.ErrorAnswer(PeerErrorCodes.UNKNOWN_MESSAGE, "Unknown")
+					: this.registrar.register(from, registration);
+		}
+
 		@Override
 		public boolean hasJob(String jobId) {
 			return this.running;
@@ -382,8 +406,7 @@
 				.orElseThrow();
 			CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 			JobRegistrarTests.this.time.after(LATENCY_MICROS, () -> {
-				PeerMessage message = JobRegistrarTests.this.owners.get(name).registrar.register(address(this.pool),
-						registration);
+				PeerMessage message = JobRegistrarTests.this.owners.get(name).answer(address(this.pool), registration);
 				JobRegistrarTests.this.time.after(LATENCY_MICROS, () -> answer.complete(message));
 			});
 			return answer;
