Split what was left in the owner of pools into small classes

No change of behaviour: JobRegistrarTests, FrozenOwnerTests, CopiedJobsTests and PoolDirectoryTests pass.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -39,7 +39,7 @@
  * An entry host: assembles its parts, which all run on one event loop, passes messages
  * and records to them, and runs their periodic work.
  */
-public final class FleetHost implements PeerMessageHandler, PoolOwner.Listener {
+public final class FleetHost implements PeerMessageHandler, PoolOwnerListener {
 
 	private static final Logger logger = LoggerFactory.getLogger(FleetHost.class);
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -35,13 +35,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(JobRegistrar.class);
 
-	/**
-	 * How long an owner must have owned its pools and been in contact with the other
-	 * owners until it knows of all jobs that it has to register, in milliseconds; longer
-	 * than a job usually takes that was started without its knowledge.
-	 */
-	static final long SETTLING_MILLIS = 5_000;
-
 	/** After how long a registration is repeated that is still undecided. */
 	private static final long RETRY_MILLIS = 40;
 
@@ -54,7 +47,7 @@
 
 	private final SiteOwners owners;
 
-	private final Jobs jobs;
+	private final OwnerJobs jobs;
 
 	private final FleetMetrics metrics;
 
@@ -62,9 +55,7 @@
 
 	private final Map<String, PendingJob> pendingJobs = new HashMap<>();
 
-	private final Map<String, Long> assumedMillis = new HashMap<>();
-
-	private long lastPauseMillis = Long.MIN_VALUE / 2;
+	private final SettledPools settledPools;
 
 	/**
 	 * Creates a registrar without jobs.
@@ -75,14 +66,15 @@
 	 * @param reachablePools tells whether the owner of a pool is reachable
 	 * @param metrics counts registrations
 	 */
-	JobRegistrar(EventLoop eventLoop, OwnedPools pools, SiteOwners owners, Jobs jobs, Predicate<String> reachablePools,
-			FleetMetrics metrics) {
+	JobRegistrar(EventLoop eventLoop, OwnedPools pools, SiteOwners owners, OwnerJobs jobs,
+			Predicate<String> reachablePools, FleetMetrics metrics) {
 		this.eventLoop = eventLoop;
 		this.pools = pools;
 		this.owners = owners;
 		this.jobs = jobs;
 		this.metrics = metrics;
 		this.registry = new JobRegistry(reachablePools);
+		this.settledPools = new SettledPools(owners);
 	}
 
 	/**
@@ -90,7 +82,7 @@
 	 * @param pool the name of the pool
 	 */
 	void poolAssumed(String pool) {
-		this.assumedMillis.put(pool, Clock.nowMillis());
+		this.settledPools.poolAssumed(pool, Clock.nowMillis());
 	}
 
 	/**
@@ -98,7 +90,7 @@
 	 * registering them here.
 	 */
 	void paused() {
-		this.lastPauseMillis = Clock.nowMillis();
+		this.settledPools.paused(Clock.nowMillis());
 	}
 
 	/**
@@ -137,9 +129,8 @@
 			move(pending, recorded.get(), "own-record");
 			return;
 		}
-		String registrarPool = this.owners.registrarPool(submission.jobId());
-		Optional<HostAddress> registrar = this.owners.reachableOwner(registrarPool);
-		if (this.pools.contains(registrarPool) && isSettled(registrarPool)) {
+		Optional<HostAddress> registrar = this.owners.reachableOwner(this.owners.registrarPool(submission.jobId()));
+		if (isSettledRegistrar(submission.jobId())) {
 			admit(pending, "own-record");
 		}
 		else if (registrar.isPresent()) {
@@ -294,8 +285,7 @@
 		if (this.jobs.mayRunByPreviousOwner(registration.jobId(), registration.receivedMillis(nowMillis))) {
 			return undecided(registration);
 		}
-		String registrarPool = this.owners.registrarPool(registration.jobId());
-		boolean settled = this.pools.contains(registrarPool) && isSettled(registrarPool);
+		boolean settled = isSettledRegistrar(registration.jobId());
 		return this.registry.register(registration, nowMillis)
 			.map((pool) -> new PeerMessage.JobRegistered(pool,
 					settled ? RegistrationScope.SITE : RegistrationScope.OWNER))
@@ -334,11 +324,10 @@
 		return toRegistrar || registration.pool().compareTo(ownPool) < 0;
 	}
 
-	private boolean isSettled(String pool) {
-		long nowMillis = Clock.nowMillis();
-		return nowMillis - this.assumedMillis.getOrDefault(pool, nowMillis) >= SETTLING_MILLIS
-				&& nowMillis - this.lastPauseMillis >= SETTLING_MILLIS && !this.jobs.mayHaveBeenPaused()
-				&& this.owners.isContactSettled();
+	private boolean isSettledRegistrar(String jobId) {
+		String pool = this.owners.registrarPool(jobId);
+		return this.pools.contains(pool) && !this.jobs.mayHaveBeenPaused()
+				&& this.settledPools.contains(pool, Clock.nowMillis());
 	}
 
 	/**
@@ -376,56 +365,6 @@
 		this.pendingJobs.clear();
 	}
 
-	/**
-	 * The jobs of an owner.
-	 */
-	interface Jobs {
-
-		/**
-		 * Returns whether a job is unanswered, or may still have runs that this owner has
-		 * started.
-		 * @param jobId the id of the job
-		 * @return whether no other owner must run it
-		 */
-		boolean hasJob(String jobId);
-
-		/**
-		 * Returns whether an unknown job may run on this owner's endpoints, as a previous
-		 * owner may have started it.
-		 * @param jobId the id of the job
-		 * @param receivedMillis when its callers' host received it, in milliseconds
-		 * @return whether that is still open
-		 */
-		boolean mayRunByPreviousOwner(String jobId, long receivedMillis);
-
-		/**
-		 * Returns whether this process was paused until a moment ago.
-		 * @return whether it may have been
-		 */
-		boolean mayHaveBeenPaused();
-
-		/**
-		 * Runs a copy of a job that no other owner runs.
-		 * @param submission the copy
-		 */
-		void run(JobSubmission submission);
-
-		/**
-		 * Answers a copy that does not run.
-		 * @param submission the copy
-		 * @param outcome the answer
-		 */
-		void answer(JobSubmission submission, JobOutcome outcome);
-
-		/**
-		 * Sends a copy to the pool that an earlier one went to.
-		 * @param submission the copy
-		 * @param pool the name of the pool
-		 */
-		void placedElsewhere(JobSubmission submission, String pool);
-
-	}
-
 	/**
 	 * A job that waits for its registration.
 	 */
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerOwners.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerOwners.java
@@ -81,7 +81,7 @@
 		Stream<HostAddress> previousOwners = this.directory.pools()
 			.stream()
 			.filter((pool) -> this.directory.localOwnerOf(pool).isPresent())
-			.filter((pool) -> this.directory.claimAgeMillis(pool, nowMillis) < JobRegistrar.SETTLING_MILLIS)
+			.filter((pool) -> this.directory.claimAgeMillis(pool, nowMillis) < SettledPools.SETTLING_MILLIS)
 			.flatMap((pool) -> this.directory.previousOwner(pool).stream())
 			.filter((owner) -> !owner.equals(this.self) && this.peers.isReachable(owner, nowMillis));
 		return Stream.concat(owners, previousOwners).collect(Collectors.toSet());
@@ -108,7 +108,7 @@
 			return true;
 		}
 		return this.directory.isOwnerReachable(pool, nowMillis) && owner(pool)
-			.filter((owner) -> this.peers.contactDurationMillis(owner, nowMillis) >= JobRegistrar.SETTLING_MILLIS)
+			.filter((owner) -> this.peers.contactDurationMillis(owner, nowMillis) >= SettledPools.SETTLING_MILLIS)
 			.isPresent();
 	}
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -1,12 +1,8 @@
 package org.masticwick.fleet.process;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -58,7 +54,7 @@
 
 	private final OwnedPools pools = new OwnedPools();
 
-	private final Listener listener;
+	private final PoolOwnerListener listener;
 
 	private final DecisionLog decisionLog;
 
@@ -84,14 +80,10 @@
 
 	private boolean endpointsLoaded;
 
-	/** The callers' hosts that were lost while the pools were being handed over. */
-	private final Set<String> hostsLostWhileFrozen = new HashSet<>();
-
-	/** The calls given up while the pools were being handed over, by callers' host. */
-	private final Map<String, Set<Long>> callsAbandonedWhileFrozen = new HashMap<>();
+	private final DeferredCancellations deferredCancellations = new DeferredCancellations();
 
 	PoolOwner(EventLoop eventLoop, EndpointCalls calls, JobLog jobLog, List<String> domains, FleetMetrics metrics,
-			LossExchange lossExchange, DrainedDomainsHolder drains, SiteOwners siteOwners, Listener listener) {
+			LossExchange lossExchange, DrainedDomainsHolder drains, SiteOwners siteOwners, PoolOwnerListener listener) {
 		this.eventLoop = eventLoop;
 		this.decisionLog = new DecisionLog(metrics);
 		this.listener = listener;
@@ -194,11 +186,8 @@
 		long nowMillis = Clock.nowMillis();
 		// Nothing starts before all of these jobs have ended, as starts are delayed while
 		// frozen.
-		this.hostsLostWhileFrozen.forEach((peerAddress) -> this.scheduler.entryHostLost(peerAddress, nowMillis));
-		this.hostsLostWhileFrozen.clear();
-		this.callsAbandonedWhileFrozen
-			.forEach((peerAddress, callNumbers) -> this.scheduler.cancelCalls(peerAddress, callNumbers, nowMillis));
-		this.callsAbandonedWhileFrozen.clear();
+		this.deferredCancellations.apply((peerAddress) -> this.scheduler.entryHostLost(peerAddress, nowMillis),
+				(peerAddress, callNumbers) -> this.scheduler.cancelCalls(peerAddress, callNumbers, nowMillis));
 		this.pools.setFrozen(false);
 		drainedDomainsChanged();
 		this.leases.resume();
@@ -283,7 +272,7 @@
 			return;
 		}
 		if (this.pools.isFrozen()) {
-			this.callsAbandonedWhileFrozen.computeIfAbsent(peerAddress, (host) -> new HashSet<>()).addAll(callNumbers);
+			this.deferredCancellations.callsAbandoned(peerAddress, Set.copyOf(callNumbers));
 		}
 		else {
 			this.registrar.cancelAll((submission) -> submission.origin().host().equals(peerAddress)
@@ -322,7 +311,7 @@
 	 */
 	void entryHostLost(String peerAddress) {
 		if (this.pools.isFrozen()) {
-			this.hostsLostWhileFrozen.add(peerAddress);
+			this.deferredCancellations.entryHostLost(peerAddress);
 			return;
 		}
 		this.registrar.cancelAll((submission) -> submission.origin().host().equals(peerAddress));
@@ -490,67 +479,10 @@
 		this.decisionLog.jobHeld(job, reason);
 	}
 
-	/**
-	 * Receives the answers to jobs, and connects the owner with the other hosts.
-	 */
-	interface Listener {
-
-		/**
-		 * Delivers the answer to a job.
-		 * @param origin the entry host and the call that wait for the answer
-		 * @param jobId the id of the job
-		 * @param outcome the answer
-		 */
-		void jobAnswered(JobOrigin origin, String jobId, JobOutcome outcome);
-
-		/**
-		 * Reports that another owner of a pool has a higher fencing token.
-		 * @param pool the name of the pool, which this host owns no longer
-		 */
-		void poolFenced(String pool);
-
-		/**
-		 * Sends a copy of a job that does not run here to the pool that an earlier one
-		 * went to.
-		 * @param origin the callers' host and the call that wait for the answer
-		 * @param jobId the id of the job
-		 * @param pool the name of the pool
-		 */
-		void jobPlaced(JobOrigin origin, String jobId, String pool);
-
-		/**
-		 * Returns whether a pool has a reachable owner.
-		 * @param pool the name of the pool
-		 * @return whether jobs can be sent there
-		 */
-		boolean isPoolReachable(String pool);
-
-		/**
-		 * Returns whether durable jobs may exist that this host has not read.
-		 * @return {@code false} if this host has seen none, and an owner has reported
-		 * while no peer has seen any
-		 */
-		boolean mayHaveUnknownDurableJobs();
-
-		/**
-		 * Returns whether durable jobs are known to have been submitted to the site.
-		 * @return whether this host or a peer has seen any
-		 */
-		boolean hasSiteDurableJobs();
-
-		/**
-		 * Forwards the termination of an orphaned run to the owner of its job.
-		 * @param message the termination
-		 * @return the answer of that owner
-		 */
-		CompletionStage<PeerMessage> forwardOrphanedTermination(PeerMessage.StrayEnd message);
-
-	}
-
 	/**
 	 * Connects the registration of jobs with the scheduler and the callers.
 	 */
-	private final class RegisteredJobs implements JobRegistrar.Jobs {
+	private final class RegisteredJobs implements OwnerJobs {
 
 		@Override
 		public boolean hasJob(String jobId) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FrozenOwnerTests.java
@@ -187,7 +187,7 @@
 
 	}
 
-	private final class RecordingListener implements PoolOwner.Listener {
+	private final class RecordingListener implements PoolOwnerListener {
 
 		@Override
 		public void jobAnswered(JobOrigin origin, String jobId, JobOutcome outcome) {
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/JobRegistrarTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/JobRegistrarTests.java
@@ -37,7 +37,7 @@
 
 	private static final long LATENCY_MICROS = 500;
 
-	private static final long SETTLED_MILLIS = JobRegistrar.SETTLING_MILLIS;
+	private static final long SETTLED_MILLIS = SettledPools.SETTLING_MILLIS;
 
 	/** Longer than a registration without a lost owner takes. */
 	private static final long ROUND_TRIPS_MILLIS = 10;
@@ -290,7 +290,7 @@
 	/**
 	 * An owner of one pool, which runs a job or not.
 	 */
-	private final class Owner implements JobRegistrar.Jobs, SiteOwners {
+	private final class Owner implements OwnerJobs, SiteOwners {
 
 		private final String pool;
 
