Let only the registrar of a job record it, and others tell what they run

Cause: a record outlived the intention, as its owner was told otherwise, or had dropped the job. Change: an owner that is asked as one of all tells only whether it runs the job or registers a copy itself; entries that a registrar made before it knew of all jobs lead to that question instead of deciding. A copy may follow three times.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobRegistry.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobRegistry.java
@@ -2,12 +2,11 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
- * Records, at an owner of pools, which pool runs each interactive job that owners have
- * registered here. A caller whose connection breaks may submit a job twice within
+ * Records, at the owner of a pool, which pool runs each interactive job that is assigned
+ * to its pool. A caller whose connection breaks may submit a job twice within
  * milliseconds, and the copies may reach the owners of two failure domains; the later
  * copy follows the earlier one, so that no two owners run the job.
  * <p>
@@ -40,39 +39,48 @@
 	}
 
 	/**
-	 * Records the pool of a copy of a job, unless an earlier copy runs in another one.
+	 * Records the pool of a copy of a job, unless an earlier copy went to another one. An
+	 * entry from the time before this owner knew of all jobs tells only that all owners
+	 * have to be asked, as another one may have run the job without its knowledge.
 	 * @param registration the copy
+	 * @param settledSinceMillis since when this owner has known of all jobs that it has
+	 * to register, in milliseconds; {@link Long#MAX_VALUE} if it does not
 	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the pool of the copy, or the one that an earlier copy went to; empty if the
-	 * owner of that pool is unreachable and may still run the job
+	 * @return the answer; undecided if an earlier copy may still run in a pool whose
+	 * owner is unreachable
 	 */
-	public Optional<String> register(JobRegistration registration, long nowMillis) {
+	public RegistrationAnswer register(JobRegistration registration, long settledSinceMillis, long nowMillis) {
 		removeExpired(nowMillis);
 		Entry earlier = this.entries.get(registration.jobId());
-		if (earlier == null || earlier.isOnlyCopyRefusedBy(registration.refusedBy())) {
+		boolean settled = settledSinceMillis <= nowMillis;
+		if (earlier == null) {
 			record(registration, nowMillis);
-			return Optional.of(registration.pool());
+			return new RegistrationAnswer(registration.pool(),
+					settled ? RegistrationScope.SITE : RegistrationScope.OWNER);
 		}
-		if (!earlier.pool.equals(registration.pool()) && !this.reachablePools.test(earlier.pool)) {
-			if (nowMillis - earlier.latestCopyMillis < RESUBMISSION_MILLIS) {
-				return Optional.empty();
-			}
+		if (earlier.recordedMillis < settledSinceMillis) {
+			return new RegistrationAnswer(registration.pool(), RegistrationScope.OWNER);
+		}
+		return registerCopy(registration, earlier, nowMillis);
+	}
+
+	private RegistrationAnswer registerCopy(JobRegistration registration, Entry earlier, long nowMillis) {
+		boolean lost = !earlier.pool.equals(registration.pool()) && !this.reachablePools.test(earlier.pool);
+		if (lost && nowMillis - earlier.latestCopyMillis < RESUBMISSION_MILLIS) {
+			return new RegistrationAnswer(registration.pool(), RegistrationScope.UNDECIDED);
+		}
+		if (lost || earlier.isOnlyCopyRefusedBy(registration.refusedBy())) {
 			record(registration, nowMillis);
-			return Optional.of(registration.pool());
+			return new RegistrationAnswer(registration.pool(), RegistrationScope.SITE);
 		}
 		if (!registration.repeated() && registration.refusedBy().isEmpty()) {
 			this.entries.put(registration.jobId(), earlier.withCopy(nowMillis));
 		}
-		return Optional.of(earlier.pool);
+		return new RegistrationAnswer(earlier.pool, RegistrationScope.SITE);
 	}
 
-	/**
-	 * Records the pool of a copy of a job in place of that of any earlier one.
-	 * @param registration the copy
-	 * @param nowMillis the current monotonic time in milliseconds
-	 */
-	public void record(JobRegistration registration, long nowMillis) {
-		// The oldest entry comes first, so that expired ones are found without a search.
+	// The oldest entry comes first, so that expired ones are found without a search.
+	private void record(JobRegistration registration, long nowMillis) {
 		this.entries.remove(registration.jobId());
 		this.entries.put(registration.jobId(), new Entry(registration.pool(), 1, nowMillis, nowMillis));
 	}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
@@ -17,6 +18,7 @@
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobRegistration;
 import org.masticwick.core.pool.JobRegistry;
+import org.masticwick.core.pool.RegistrationAnswer;
 import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.PeerErrorCodes;
@@ -120,35 +122,38 @@
 	private void register(PendingJob pending) {
 		JobSubmission submission = pending.submission;
 		JobRegistration registration = submission.registration(pending.repeated, Clock.nowMillis());
-		Optional<String> recorded = this.registry.register(registration, Clock.nowMillis());
-		if (recorded.isEmpty()) {
-			repeatLater(pending, "pool-of-copy-unreachable");
-			return;
-		}
-		if (!this.pools.contains(recorded.get())) {
-			move(pending, recorded.get(), "own-record");
-			return;
-		}
 		Optional<HostAddress> registrar = this.owners.reachableOwner(this.owners.registrarPool(submission.jobId()));
-		if (isSettledRegistrar(submission.jobId())) {
-			admit(pending, "own-record");
+		if (isRegistrar(submission.jobId())) {
+			RegistrationAnswer answer = record(registration);
+			handleRegistrar(pending, registration, Optional.empty(),
+					new PeerMessage.JobRegistered(answer.pool(), answer.scope()));
 		}
 		else if (registrar.isPresent()) {
 			this.owners.register(registrar.get(), registration)
-				.whenComplete((answer, error) -> handleRegistrar(pending, registration, registrar.get(), answer));
+				.whenComplete((answer, error) -> handleRegistrar(pending, registration, registrar, answer));
 		}
 		else {
 			askAllOwners(pending, registration, Set.of());
 		}
 	}
 
-	private void handleRegistrar(PendingJob pending, JobRegistration registration, HostAddress registrar,
+	private boolean isRegistrar(String jobId) {
+		return this.pools.contains(this.owners.registrarPool(jobId));
+	}
+
+	private RegistrationAnswer record(JobRegistration registration) {
+		long settledSinceMillis = this.jobs.mayHaveBeenPaused() ? Long.MAX_VALUE
+				: this.settledPools.settledSinceMillis(this.owners.registrarPool(registration.jobId()));
+		return this.registry.register(registration, settledSinceMillis, Clock.nowMillis());
+	}
+
+	private void handleRegistrar(PendingJob pending, JobRegistration registration, Optional<HostAddress> registrar,
 			PeerMessage answer) {
 		if (!isPending(pending)) {
 			return;
 		}
 		if (isOfEarlierVersion(answer)) {
-			askAllOwners(pending, registration, Set.of(registrar));
+			askAllOwners(pending, registration, registrar.stream().collect(Collectors.toSet()));
 		}
 		else if (!(answer instanceof PeerMessage.JobRegistered registered)
 				|| registered.scope() == RegistrationScope.UNDECIDED) {
@@ -161,13 +166,13 @@
 			admit(pending, "registrar");
 		}
 		else {
-			askAllOwners(pending, registration, Set.of(registrar));
+			askAllOwners(pending, registration, registrar.stream().collect(Collectors.toSet()));
 		}
 	}
 
 	private void askAllOwners(PendingJob pending, JobRegistration registration, Set<HostAddress> asked) {
 		if (this.owners.mayRunAtLostOwner(registration.receivedMillis(Clock.nowMillis()))) {
-			repeatLater(pending, "owner-lost");
+			repeatLater(pending, "lost-owner-may-run-it");
 			return;
 		}
 		List<CompletableFuture<PeerMessage>> answers = this.owners.reachableOwners()
@@ -285,11 +290,11 @@
 		if (this.jobs.mayRunByPreviousOwner(registration.jobId(), registration.receivedMillis(nowMillis))) {
 			return undecided(registration);
 		}
-		boolean settled = isSettledRegistrar(registration.jobId());
-		return this.registry.register(registration, nowMillis)
-			.map((pool) -> new PeerMessage.JobRegistered(pool,
-					settled ? RegistrationScope.SITE : RegistrationScope.OWNER))
-			.orElse(undecided(registration));
+		if (!isRegistrar(registration.jobId())) {
+			return new PeerMessage.JobRegistered(registration.pool(), RegistrationScope.OWNER);
+		}
+		RegistrationAnswer answer = record(registration);
+		return new PeerMessage.JobRegistered(answer.pool(), answer.scope());
 	}
 
 	private static PeerMessage.JobRegistered undecided(JobRegistration registration) {
@@ -310,26 +315,20 @@
 		if (!givesWay(from, ownPool, registration)) {
 			return Optional.of(ownPool);
 		}
-		this.registry.record(registration, Clock.nowMillis());
 		move(pending, registration.pool(), "gave-way");
 		return Optional.empty();
 	}
 
 	private boolean givesWay(HostAddress from, String ownPool, JobRegistration registration) {
-		String registrarPool = this.owners.registrarPool(registration.jobId());
-		if (this.pools.contains(registrarPool)) {
+		if (isRegistrar(registration.jobId())) {
 			return false;
 		}
-		boolean toRegistrar = this.owners.owner(registrarPool).filter(from::equals).isPresent();
+		boolean toRegistrar = this.owners.owner(this.owners.registrarPool(registration.jobId()))
+			.filter(from::equals)
+			.isPresent();
 		return toRegistrar || registration.pool().compareTo(ownPool) < 0;
 	}
 
-	private boolean isSettledRegistrar(String jobId) {
-		String pool = this.owners.registrarPool(jobId);
-		return this.pools.contains(pool) && !this.jobs.mayHaveBeenPaused()
-				&& this.settledPools.contains(pool, Clock.nowMillis());
-	}
-
 	/**
 	 * Drops a copy that waits for its registration and whose caller has left.
 	 * @param jobId the id of the job
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -48,6 +48,9 @@
 
 	private static final int MAX_POOLS_TRIED = 2;
 
+	/** Owners may name pools in turn whose jobs end meanwhile. */
+	private static final int MAX_FOLLOWED_COPIES = 3;
+
 	/** How long a job waits until a pool has a reachable owner. */
 	private static final long OWNER_WAIT_MILLIS = 900;
 
@@ -249,11 +252,11 @@
 			answer(routed, routed.lastRefusal);
 			return;
 		}
-		if (routed.followed) {
-			giveUp(routed, "placed-twice");
+		routed.followCount++;
+		if (routed.followCount > MAX_FOLLOWED_COPIES) {
+			giveUp(routed, "placed-too-often");
 			return;
 		}
-		routed.followed = true;
 		routed.pool = placedPool;
 		routed.triedPools.add(placedPool);
 		send(routed, placedPool, Clock.nowMillis());
@@ -455,8 +458,8 @@
 
 		private boolean handedOver;
 
-		/** Whether an owner has named the pool of an earlier copy. */
-		private boolean followed;
+		/** How often an owner has named the pool of an earlier copy. */
+		private int followCount;
 
 		private JobOutcome lastRefusal;
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnerReachability.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnerReachability.java
@@ -14,6 +14,8 @@
 
 	private final Map<String, Long> unreachableSinceMillis = new HashMap<>();
 
+	private final Map<String, Long> reachableSinceMillis = new HashMap<>();
+
 	OwnerReachability(PoolDirectory directory) {
 		this.directory = directory;
 	}
@@ -27,8 +29,10 @@
 		pools.forEach((pool) -> {
 			if (this.directory.isOwnerReachable(pool, nowMillis)) {
 				this.unreachableSinceMillis.remove(pool);
+				this.reachableSinceMillis.putIfAbsent(pool, nowMillis);
 			}
 			else {
+				this.reachableSinceMillis.remove(pool);
 				this.unreachableSinceMillis.putIfAbsent(pool, nowMillis);
 			}
 		});
@@ -44,6 +48,15 @@
 		return (sinceMillis != null) ? OptionalLong.of(sinceMillis) : OptionalLong.empty();
 	}
 
+	/**
+	 * Returns since when a pool has had a reachable owner, as of the last check.
+	 * @param pool the name of the pool
+	 * @return the time in milliseconds, or {@link Long#MAX_VALUE} if it has none
+	 */
+	long reachableSinceMillis(String pool) {
+		return this.reachableSinceMillis.getOrDefault(pool, Long.MAX_VALUE);
+	}
+
 	/**
 	 * Returns for how long the owner of a pool has been unreachable.
 	 * @param pool the name of the pool
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerOwners.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerOwners.java
@@ -98,18 +98,12 @@
 	}
 
 	@Override
-	public boolean isContactSettled() {
-		long nowMillis = Clock.nowMillis();
-		return this.domains.stream().allMatch((pool) -> isContactSettled(pool, nowMillis));
-	}
-
-	private boolean isContactSettled(String pool, long nowMillis) {
-		if (this.directory.localOwnerOf(pool).isPresent()) {
-			return true;
-		}
-		return this.directory.isOwnerReachable(pool, nowMillis) && owner(pool)
-			.filter((owner) -> this.peers.contactDurationMillis(owner, nowMillis) >= SettledPools.SETTLING_MILLIS)
-			.isPresent();
+	public long contactSinceMillis() {
+		return this.domains.stream()
+			.filter((pool) -> this.directory.localOwnerOf(pool).isEmpty())
+			.mapToLong(this.reachability::reachableSinceMillis)
+			.max()
+			.orElse(Long.MIN_VALUE / 2);
 	}
 
 	@Override
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SettledPools.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SettledPools.java
@@ -35,14 +35,19 @@
 	}
 
 	/**
-	 * Returns whether this owner knows of all jobs that are assigned to a pool.
+	 * Returns since when this owner has known of all jobs that are assigned to a pool.
 	 * @param pool the name of the pool
-	 * @param nowMillis the time in milliseconds
-	 * @return whether it does
+	 * @return the time in milliseconds, in the future if it does not, or
+	 * {@link Long#MAX_VALUE} if it is not foreseeable
 	 */
-	boolean contains(String pool, long nowMillis) {
-		return nowMillis - this.assumedMillis.getOrDefault(pool, nowMillis) >= SETTLING_MILLIS
-				&& nowMillis - this.lastPauseMillis >= SETTLING_MILLIS && this.owners.isContactSettled();
+	long settledSinceMillis(String pool) {
+		Long poolAssumedMillis = this.assumedMillis.get(pool);
+		long contactSinceMillis = this.owners.contactSinceMillis();
+		if (poolAssumedMillis == null || contactSinceMillis == Long.MAX_VALUE) {
+			return Long.MAX_VALUE;
+		}
+		long undisturbedSinceMillis = Math.max(this.lastPauseMillis, contactSinceMillis);
+		return SETTLING_MILLIS + Math.max(poolAssumedMillis, undisturbedSinceMillis);
 	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SiteOwners.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SiteOwners.java
@@ -52,11 +52,10 @@
 	boolean mayRunAtLostOwner(long receivedMillis);
 
 	/**
-	 * Returns whether this host has been in contact with all owners for so long that it
-	 * knows of all jobs that it has to register.
-	 * @return whether no owner can have run a job without registering it here
+	 * Returns since when this host has been in contact with all owners without a gap.
+	 * @return the time in milliseconds, or {@link Long#MAX_VALUE} if one is unreachable
 	 */
-	boolean isContactSettled();
+	long contactSinceMillis();
 
 	/**
 	 * Registers a job with another owner.
