Let other steps of a job start while one of its tasks can't be placed

Cause: TaskStarter.startReady looked at the first ready task only and returned when it could not be placed. A task that waits for a lost kind of endpoint is put first when it restarts, so it blocked all other ready steps of its job; so did a gang without room.

Fix: a task that can't be placed makes its own step wait; the tasks of a step need the same, those of other steps do not. A job also counts as waiting for capacity if any of its ready tasks needs no label, not only the first.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Dispatcher.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Dispatcher.java
@@ -116,8 +116,8 @@
 	// A task that needs a drained endpoint, or one with a rare label, may wait while most
 	// of the capacity is free.
 	private boolean waitsForCapacity(PooledJob job) {
-		PooledTask task = job.readyTasks().peek();
-		return task != null && task.step().requiredLabel().isEmpty() && !this.endpoints.needsDrainedEndpoint(job);
+		return job.readyTasks().stream().anyMatch((task) -> task.step().requiredLabel().isEmpty())
+				&& !this.endpoints.needsDrainedEndpoint(job);
 	}
 
 	private void startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledJob.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -237,6 +238,21 @@
 		return this.readyTasks;
 	}
 
+	/**
+	 * Returns the ready task that is to be started next.
+	 * @param waitingSteps the numbers of the steps whose tasks have to wait
+	 * @return the first task of any other step, or empty if there is none
+	 */
+	Optional<PooledTask> nextReadyTask(BitSet waitingSteps) {
+		if (waitingSteps.isEmpty()) {
+			return Optional.ofNullable(this.readyTasks.peek());
+		}
+		if (waitingSteps.cardinality() == this.tasks.size()) {
+			return Optional.empty();
+		}
+		return this.readyTasks.stream().filter((task) -> !waitingSteps.get(task.id().step())).findFirst();
+	}
+
 	/**
 	 * Returns the work of all tasks.
 	 * @return the work in thousandths of a core times milliseconds
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/TaskStarter.java
@@ -1,5 +1,6 @@
 package org.masticwick.core.pool;
 
+import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,34 +25,48 @@
 	}
 
 	/**
-	 * Starts the ready tasks of a job until one cannot be placed.
+	 * Starts the ready tasks of a job for which an endpoint has capacity. A task that
+	 * cannot be placed makes the others of its step wait too, as they need the same, but
+	 * not those of other steps.
 	 * @param job the job
-	 * @param failures the failed placements of this scheduling pass; a new one is added
+	 * @param failures the failed placements of this scheduling pass; new ones are added
 	 * @param nowMillis the current monotonic time in milliseconds
 	 * @return whether a task was started
 	 */
 	boolean startReady(PooledJob job, PlacementFailures failures, long nowMillis) {
 		boolean started = false;
-		while (!job.readyTasks().isEmpty()) {
-			PooledTask task = job.readyTasks().peek();
-			if (failures.covers(task)) {
-				return started;
+		BitSet waitingSteps = new BitSet();
+		Optional<PooledTask> next = job.nextReadyTask(waitingSteps);
+		while (next.isPresent()) {
+			PooledTask task = next.get();
+			if (start(task, failures, nowMillis)) {
+				started = true;
 			}
-			int number = nextRunNumber(task);
-			if (!job.runNumbers().reserved().test(number)) {
-				return started;
+			else {
+				waitingSteps.set(task.id().step());
 			}
-			boolean placed = task.step().traits().gang() ? startGang(job, task.id().step(), number, nowMillis)
-					: startOne(task, number, nowMillis);
-			if (!placed) {
-				failures.add(task, task.isolation(nowMillis) == Isolation.REQUIRED);
-				return started;
-			}
-			started = true;
+			next = job.nextReadyTask(waitingSteps);
 		}
 		return started;
 	}
 
+	private boolean start(PooledTask task, PlacementFailures failures, long nowMillis) {
+		PooledJob job = task.job();
+		if (failures.covers(task)) {
+			return false;
+		}
+		int number = nextRunNumber(task);
+		if (!job.runNumbers().reserved().test(number)) {
+			return false;
+		}
+		boolean placed = task.step().traits().gang() ? startGang(job, task.id().step(), number, nowMillis)
+				: startOne(task, number, nowMillis);
+		if (!placed) {
+			failures.add(task, task.isolation(nowMillis) == Isolation.REQUIRED);
+		}
+		return placed;
+	}
+
 	// The members of a gang have one number.
 	private static int nextRunNumber(PooledTask task) {
 		if (!task.step().traits().gang()) {
@@ -63,7 +78,7 @@
 	private boolean startOne(PooledTask task, int number, long nowMillis) {
 		Optional<PooledEndpoint> endpoint = this.endpoints.select(task, nowMillis);
 		endpoint.ifPresent((selected) -> {
-			task.job().readyTasks().poll();
+			task.job().readyTasks().remove(task);
 			start(task, task.assignRunNumber(number), selected, nowMillis);
 		});
 		return endpoint.isPresent();
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PoolSchedulerTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticwick.core.process.HostAddress;
 
@@ -295,6 +296,71 @@
 
 	}
 
+	/**
+	 * Guards against a task that cannot be placed at the head of its job keeping the
+	 * other ready steps of the job from starting.
+	 */
+	@Nested
+	class AStepThatWaits {
+
+		private List<String> startedSteps() {
+			return PoolSchedulerTests.this.actions.starts()
+				.stream()
+				.map((start) -> start.run().task().jobId() + "/" + start.run().task().step())
+				.distinct()
+				.toList();
+		}
+
+		private static StepSpec labelledStep(String label, int maxPerEndpoint) {
+			return new StepSpec(1, new Resources(1_000, 1, 0), 100, List.of(), label, "", maxPerEndpoint);
+		}
+
+		private static StepSpec gang(int memberCount, long cpuMillicores) {
+			return new StepSpec(memberCount, new Resources(cpuMillicores, 1, 0), 100, List.of(), "", "", 0,
+					new StepTraits(true, false, false, false));
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 1 })
+		void forALostKindOfEndpointLetsTheOthersStart(int maxPerEndpoint) {
+			PoolSchedulerTests.this.scheduler
+				.endpointListed(new EndpointEntry("rare", "service", new HostAddress("10.0.0.2", 80), "domain", true,
+						new Resources(64_000, 1_000, 0), Set.of("kind-b"), 0), 0);
+			report("rare", List.of(), List.of(), 0, 1);
+			submit(job("j", labelledStep("kind-b", maxPerEndpoint), step(2, 1_000, 100), step(2, 1_000, 100, 1)), 10);
+			List<RecordedActions.Start> first = List.copyOf(PoolSchedulerTests.this.actions.starts());
+			assertThat(startedSteps()).containsExactly("j/0", "j/1");
+			PoolSchedulerTests.this.scheduler.startAccepted("rare", first.get(0).run(), 11);
+			PoolSchedulerTests.this.scheduler.endpointUnlisted("rare", 20);
+			PoolSchedulerTests.this.scheduler.leaseExpired("rare", 30);
+			PoolSchedulerTests.this.scheduler.tick(40);
+			report(first.get(1).endpointId(), List.of(),
+					List.of(new TerminatedRun(1, first.get(1).run(), TerminationKind.DONE),
+							new TerminatedRun(2, first.get(2).run(), TerminationKind.DONE)),
+					49, 50);
+			assertThat(startedSteps()).containsExactly("j/0", "j/1", "j/2");
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(5);
+		}
+
+		@Test
+		void asAGangWithoutRoomLetsTheOthersStart() {
+			submit(job("full", step(1, 60_000, 100)), 10);
+			submit(job("j", gang(2, 60_000), step(2, 2_000, 100)), 20);
+			assertThat(startedSteps()).containsExactly("full/0", "j/1");
+		}
+
+		@Test
+		void startsOnceAnEndpointHasRoom() {
+			submit(job("full", step(2, 60_000, 100)), 10);
+			submit(job("j", step(2, 30_000, 100), step(2, 2_000, 100)), 20);
+			assertThat(startedSteps()).containsExactly("full/0", "j/1");
+			terminate(PoolSchedulerTests.this.actions.starts().get(0), TerminationKind.DONE, 60);
+			assertThat(startedSteps()).containsExactly("full/0", "j/1", "j/0");
+			assertThat(PoolSchedulerTests.this.actions.starts()).hasSize(6);
+		}
+
+	}
+
 	@Nested
 	class Restart {
 
