Count a long-running task at work as a success of its endpoint

PROTOCOL.md: they "must be restarted however they end" and "may fail at any time".

Cause: an endpoint on which two jobs have failed in a row is suspected until a run there ends as done, and gets a task only while it runs none. Long-running tasks never end as done, so the failures were never forgotten, and a task at work kept its suspected endpoint from every other one.

Fix: the first report of such a task at work (100 percent) counts as the success that ends the suspicion and the row of failures; a later failure of it is its own. Tasks at work do not count as the one task that a suspected endpoint may run. It tells nothing of the endpoint's speed.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointHealth.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EndpointHealth.java
@@ -1,10 +1,13 @@
 package org.masticwick.core.pool;
 
+import java.util.function.IntSupplier;
+
 /**
  * Assesses an endpoint by the results of its runs. After consecutive failures of
  * different jobs, or several runs far slower than expected, the endpoint is suspected: it
- * gets no task during a pause, then a single one at a time until one succeeds. Slow runs
- * count by how rare they are in their queues.
+ * gets no task during a pause, then a single one at a time until one succeeds. A
+ * long-running task, which never ends as done, succeeds by being at work. Slow runs count
+ * by how rare they are in their queues.
  */
 final class EndpointHealth {
 
@@ -52,15 +55,15 @@
 
 	/**
 	 * Returns whether the endpoint may get another task now.
-	 * @param runningCount the number of its runs
+	 * @param unprovenRunCount counts its runs that have not succeeded yet
 	 * @param nowMillis the current monotonic time in milliseconds
 	 * @return whether it may get another task
 	 */
-	boolean acceptsTask(int runningCount, long nowMillis) {
+	boolean acceptsTask(IntSupplier unprovenRunCount, long nowMillis) {
 		if (!this.suspected) {
 			return true;
 		}
-		return nowMillis >= this.pausedUntilMillis && runningCount == 0;
+		return nowMillis >= this.pausedUntilMillis && unprovenRunCount.getAsInt() == 0;
 	}
 
 	boolean isSuspected() {
@@ -85,12 +88,20 @@
 		this.slowness = 1;
 	}
 
-	void succeeded(double slownessFactor) {
+	/**
+	 * Records that a long-running task has begun its work here. That tells nothing of the
+	 * endpoint's speed.
+	 */
+	void taskAtWork() {
 		this.failuresInRow = 0;
-		this.slowRunsInRow = 0;
-		this.chanceOfSlowRuns = 1;
 		this.suspected = false;
 		this.pauseMillis = FIRST_PAUSE_MILLIS;
+	}
+
+	void succeeded(double slownessFactor) {
+		taskAtWork();
+		this.slowRunsInRow = 0;
+		this.chanceOfSlowRuns = 1;
 		double logSample = Math.log(Math.min(Math.max(slownessFactor, 1 / MAX_SLOWNESS_SAMPLE), MAX_SLOWNESS_SAMPLE));
 		this.logSlowness += SPEED_SAMPLE_WEIGHT * (logSample - this.logSlowness);
 		this.slowness = Math.exp(this.logSlowness);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/Placement.java
@@ -6,6 +6,9 @@
  */
 final class Placement {
 
+	/** The progress at which a long-running task is at work, in percent. */
+	private static final int AT_WORK_PERCENT = 100;
+
 	private final PooledTask task;
 
 	private final TaskRun run;
@@ -28,6 +31,8 @@
 
 	private long progressMillis = -1;
 
+	private boolean atWork;
+
 	private double longRunShare = 1;
 
 	private boolean moved;
@@ -128,9 +133,18 @@
 	 */
 	void recordProgress(int reachedPercent, long writtenMillis) {
 		this.progressPercent = reachedPercent;
+		this.atWork |= this.task.isLongRunning() && reachedPercent >= AT_WORK_PERCENT;
 		this.progressMillis = Math.max(this.startRequestedMillis, writtenMillis);
 	}
 
+	/**
+	 * Returns whether this is a run of a long-running task that has begun its work.
+	 * @return whether its startup is over
+	 */
+	boolean isAtWork() {
+		return this.atWork;
+	}
+
 	/**
 	 * Returns the run time at the last progress report.
 	 * @return the time in milliseconds, or 0 if no progress was reported
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -384,10 +384,16 @@
 	boolean acceptsTasks(long nowMillis, long responseTimeoutMillis) {
 		return this.listed && !this.drained && this.entry.ready() && this.orphanedJobIds.isEmpty()
 				&& nowMillis >= this.pausedUntilMillis && nowMillis - this.lastContactMillis <= responseTimeoutMillis
-				&& !isIsolated(nowMillis) && this.health.acceptsTask(this.placements.size(), nowMillis)
+				&& !isIsolated(nowMillis) && this.health.acceptsTask(this::unprovenRunCount, nowMillis)
 				&& !this.terminations.isFull() && !hasRunToEnd();
 	}
 
+	// A long-running task that is at work may stay for good, and says nothing more of the
+	// endpoint.
+	private int unprovenRunCount() {
+		return (int) this.placements.values().stream().filter((placement) -> !placement.isAtWork()).count();
+	}
+
 	/**
 	 * Returns whether a run is here that has to end and whose stop the endpoint has not
 	 * confirmed.
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RunTracker.java
@@ -199,7 +199,11 @@
 		placement.ifPresent((found) -> {
 			found.accept(nowMillis);
 			found.listedBy(endpoint.startedEpochMillis());
+			boolean wasAtWork = found.isAtWork();
 			found.recordProgress(running.progressPercent(), writtenMillis);
+			if (found.isAtWork() && !wasAtWork) {
+				endpoint.health().taskAtWork();
+			}
 			found.task().checkpoint(running.checkpoint());
 		});
 		if (placement.isEmpty() && !this.jobCallbacks.isRecoveryInProgress(running.run().task().jobId())) {
@@ -283,7 +287,7 @@
 		if (kind == TerminationKind.DONE) {
 			health.succeeded(ratio);
 		}
-		else if (kind == TerminationKind.FAILED) {
+		else if (kind == TerminationKind.FAILED && !placement.isAtWork()) {
 			health.failed(placement.task().job().spec().jobId(), nowMillis);
 		}
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -188,6 +189,88 @@
 
 	}
 
+	/**
+	 * Guards against long-running tasks that fail leaving their endpoints suspected, so
+	 * that the tasks stay without a run.
+	 */
+	@Nested
+	class LongRunningTasks {
+
+		private static final StepTraits LONG_RUNNING = new StepTraits(false, true, false, false);
+
+		private static final int JOB_COUNT = 8;
+
+		@BeforeEach
+		void startJobs() {
+			for (int number = 0; number < JOB_COUNT; number++) {
+				submitAndStore(new JobSpec("j" + number, "payload", List.of(step(1, 12_000, LONG_RUNNING)), true,
+						JobSchedule.IMMEDIATE), 10);
+			}
+			assertThat(starts()).hasSize(JOB_COUNT);
+		}
+
+		private void reportAll(int progressPercent, long nowMillis) {
+			Set<TaskRun> ended = new HashSet<>();
+			DurableJobsTests.this.terminatedRuns.values()
+				.forEach((runs) -> runs.forEach((run) -> ended.add(run.run())));
+			DurableJobsTests.this.runningTasks.forEach((endpoint, running) -> {
+				running.clear();
+				starts().stream()
+					.filter((start) -> start.endpointId().equals(endpoint) && !ended.contains(start.run()))
+					.forEach((start) -> running.add(new RunningTask(start.run(), progressPercent)));
+			});
+			List.of("a", "b").forEach((id) -> report(id, nowMillis));
+			DurableJobsTests.this.scheduler.tick(nowMillis);
+		}
+
+		private void failOneAfterTheOther(int progressPercent) {
+			List<RecordedActions.Start> first = List.copyOf(starts());
+			long nowMillis = 20;
+			reportAll(progressPercent, nowMillis);
+			for (RecordedActions.Start start : first) {
+				nowMillis += 5;
+				addTermination(start.endpointId(), start.run(), TerminationKind.FAILED, "");
+				reportAll(progressPercent, nowMillis);
+			}
+		}
+
+		@Test
+		void thatFailAtWorkAreAllRestartedAtOnce() {
+			failOneAfterTheOther(100);
+			assertThat(starts()).hasSize(2 * JOB_COUNT);
+		}
+
+		@Test
+		void thatFailInTheirStartupAreAllRestartedOnceOthersAreAtWork() {
+			failOneAfterTheOther(0);
+			assertThat(starts()).as("the endpoints are paused").hasSizeLessThan(2 * JOB_COUNT);
+			for (long nowMillis = 100; nowMillis <= 1_500; nowMillis += 100) {
+				reportAll(100, nowMillis);
+			}
+			assertThat(starts()).hasSize(2 * JOB_COUNT);
+		}
+
+		@Test
+		void atWorkDoNotKeepASuspectedEndpointFromATrial() {
+			reportAll(100, 20);
+			int startCount = JOB_COUNT - 1;
+			for (int number = 0; startCount < starts().size(); number++) {
+				startCount = starts().size();
+				submitAndStore(new JobSpec("short" + number, "payload", List.of(step(1, 1_000, StepTraits.DEFAULT)),
+						true, JobSchedule.IMMEDIATE), 30);
+				for (int index = startCount; index < starts().size(); index++) {
+					addTermination(start(index).endpointId(), start(index).run(), TerminationKind.FAILED, "");
+					report(start(index).endpointId(), 40);
+				}
+			}
+			for (long nowMillis = 100; nowMillis <= 1_500; nowMillis += 100) {
+				reportAll(100, nowMillis);
+			}
+			assertThat(starts()).hasSizeGreaterThan(startCount);
+		}
+
+	}
+
 	@Nested
 	class Finishing {
 
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/EndpointHealthTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/EndpointHealthTests.java
@@ -37,6 +37,40 @@
 
 	}
 
+	/**
+	 * Guards against endpoints whose long-running tasks fail staying suspected for good,
+	 * as no run there ends as done.
+	 */
+	@Nested
+	class ATaskAtWork {
+
+		@Test
+		void endsTheSuspicion() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			health.failed("j1", 100);
+			assertThat(health.failed("j2", 200)).isTrue();
+			health.taskAtWork();
+			assertThat(health.acceptsTask(() -> 1, 201)).isTrue();
+		}
+
+		@Test
+		void endsARowOfFailures() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			health.failed("j1", 100);
+			health.taskAtWork();
+			assertThat(health.failed("j2", 200)).isFalse();
+		}
+
+		@Test
+		void isNoEvidenceOfUsualSpeed() {
+			EndpointHealth health = EndpointHealthTests.this.health;
+			health.slow(true, LONG_TASKS_SHARE, 100);
+			health.taskAtWork();
+			assertThat(health.slow(true, LONG_TASKS_SHARE, 200)).isTrue();
+		}
+
+	}
+
 	@Nested
 	class SlowRuns {
 
@@ -46,7 +80,7 @@
 			assertThat(health.slow(true, EndpointHealth.MAX_CHANCE, 100)).isFalse();
 			assertThat(health.isSlow()).isTrue();
 			assertThat(health.slow(true, EndpointHealth.MAX_CHANCE, 200)).isTrue();
-			assertThat(health.acceptsTask(0, 201)).isFalse();
+			assertThat(health.acceptsTask(() -> 0, 201)).isFalse();
 		}
 
 		@Test
