Keep copies apart from owners that were lost a moment ago or hear nothing

What callers could see: two runs at once, or 503 for a job that runs. Causes: an owner that became unreachable counted as lost at the next check only, up to 50 ms later, and copies registered meanwhile skipped the wait for its leases; a callers' host that could not send a copy took that for a refusal, so that the registrar let it run elsewhere; a registrar that others no longer hear counted as knowing of all jobs; a host that had yet to learn of its claim said that it runs nothing. Changes: the loss is checked when it is asked for; what was not sent is no refusal, and a copy that follows another is never answered as not run; contact must be mutual, and an owner that does not hear this host for 1 s is not asked; the answer not-the-owner counts from hosts only that the claims don't name. Previous owners are asked only while they report pools.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -40,8 +40,11 @@
 	/** After how long a registration is repeated that is still undecided. */
 	private static final long RETRY_MILLIS = 40;
 
-	/** How long a copy of a job waits for its registration. */
-	private static final long MAX_WAIT_MILLIS = 900;
+	/**
+	 * How long a copy of a job waits for its registration; longer than it takes to notice
+	 * the loss of an owner and for its leases to expire.
+	 */
+	private static final long MAX_WAIT_MILLIS = 1_500;
 
 	private final EventLoop eventLoop;
 
@@ -178,12 +181,22 @@
 		List<CompletableFuture<PeerMessage>> answers = this.owners.reachableOwners()
 			.stream()
 			.filter((owner) -> !asked.contains(owner))
-			.map((owner) -> this.owners.register(owner, registration).exceptionally((error) -> null))
+			.map((owner) -> this.owners.register(owner, registration)
+				.exceptionally((error) -> null)
+				.thenApply((answer) -> believed(owner, answer)))
 			.toList();
 		CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
 			.thenRun(() -> handleOwners(pending, answers.stream().map(CompletableFuture::join).toList()));
 	}
 
+	// A host that owns nothing any more runs no jobs. One that has yet to learn that it
+	// is the next owner of a pool can't tell.
+	private PeerMessage believed(HostAddress owner, PeerMessage answer) {
+		boolean ownsNothing = answer instanceof PeerMessage.ErrorAnswer error
+				&& error.code().equals(PeerJobs.NOT_THE_OWNER);
+		return (ownsNothing && this.owners.isOwner(owner)) ? null : answer;
+	}
+
 	private void handleOwners(PendingJob pending, List<PeerMessage> answers) {
 		if (!isPending(pending)) {
 			return;
@@ -206,7 +219,6 @@
 		}
 	}
 
-	// A host that owns nothing any more runs no jobs; its answer is an error.
 	private static boolean isRunningNowhere(PeerMessage answer) {
 		return answer instanceof PeerMessage.ErrorAnswer error && error.code().equals(PeerJobs.NOT_THE_OWNER)
 				|| isOfEarlierVersion(answer) || answer instanceof PeerMessage.JobRegistered registered
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRouter.java
@@ -193,10 +193,14 @@
 	}
 
 	private void handleNoPool(RoutedJob routed, long nowMillis) {
-		if (routed.lastRefusal != null) {
+		boolean waitedInVain = nowMillis - routed.receivedMillis >= OWNER_WAIT_MILLIS;
+		if (routed.followsCopy && (waitedInVain || routed.lastRefusal != null)) {
+			giveUp(routed, "placed-elsewhere");
+		}
+		else if (routed.lastRefusal != null) {
 			answer(routed, routed.lastRefusal);
 		}
-		else if (nowMillis - routed.receivedMillis >= OWNER_WAIT_MILLIS) {
+		else if (waitedInVain) {
 			answer(routed, new JobOutcome(JobOutcome.Kind.REFUSED, NO_OWNER_RETRY_AFTER_MILLIS, "no-pool-owner"));
 		}
 		else {
@@ -248,13 +252,10 @@
 			.addKeyValue("pool", placedPool)
 			.addKeyValue("after_ms", Clock.nowMillis() - routed.receivedMillis)
 			.log("Job follows an earlier copy of it to another pool");
-		if (placedPool.equals(routed.refusedBy)) {
-			answer(routed, routed.lastRefusal);
-			return;
-		}
+		routed.followsCopy = true;
 		routed.followCount++;
-		if (routed.followCount > MAX_FOLLOWED_COPIES) {
-			giveUp(routed, "placed-too-often");
+		if (placedPool.equals(routed.refusedBy) || routed.followCount > MAX_FOLLOWED_COPIES) {
+			giveUp(routed, "placed-elsewhere");
 			return;
 		}
 		routed.pool = placedPool;
@@ -273,13 +274,28 @@
 			follow(routed, placed.pool());
 		}
 		else if (error != null && !mayHaveBeenSent(error)) {
-			handleOutcome(routed, JobOutcome.of(JobOutcome.Kind.REFUSED, "owner-unreachable"));
+			handleUnsent(routed);
 		}
 		else {
 			giveUp(routed, "owner-lost");
 		}
 	}
 
+	// An owner that was not reached has refused nothing: it may run an earlier copy.
+	private void handleUnsent(RoutedJob routed) {
+		JobOutcome outcome = JobOutcome.of(JobOutcome.Kind.REFUSED, "owner-unreachable");
+		if (routed.followsCopy) {
+			giveUp(routed, outcome.reason());
+		}
+		else if (routed.triedPools.size() < MAX_POOLS_TRIED) {
+			routed.lastRefusal = outcome;
+			submit(routed);
+		}
+		else {
+			answer(routed, outcome);
+		}
+	}
+
 	private static boolean mayHaveBeenSent(Throwable error) {
 		Throwable cause = CallException.unwrap(error);
 		return !(cause instanceof PeerException peer) || peer.mayHaveBeenSent();
@@ -354,6 +370,7 @@
 	private void handleOutcome(RoutedJob routed, JobOutcome outcome) {
 		if (outcome.kind() == JobOutcome.Kind.NOT_OWNER && this.pendingJobs.containsKey(routed.callNumber)) {
 			routed.triedPools.clear();
+			routed.followCount = 0;
 			handleNoPool(routed, Clock.nowMillis());
 			return;
 		}
@@ -458,7 +475,12 @@
 
 		private boolean handedOver;
 
-		/** How often an owner has named the pool of an earlier copy. */
+		/**
+		 * Whether an owner has named the pool of an earlier copy, which may run there.
+		 */
+		private boolean followsCopy;
+
+		/** How often owners have done so since the last one that had lost its pools. */
 		private int followCount;
 
 		private JobOutcome lastRefusal;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnerReachability.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnerReachability.java
@@ -1,9 +1,9 @@
 package org.masticwick.fleet.process;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /**
  * Tracks since when the owners of pools have been unreachable for this host.
@@ -25,7 +25,7 @@
 	 * @param pools the names of all pools
 	 * @param nowMillis the time in milliseconds
 	 */
-	void tick(Set<String> pools, long nowMillis) {
+	void tick(Collection<String> pools, long nowMillis) {
 		pools.forEach((pool) -> {
 			if (this.directory.isOwnerReachable(pool, nowMillis)) {
 				this.unreachableSinceMillis.remove(pool);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerOwners.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerOwners.java
@@ -27,6 +27,12 @@
 	 */
 	private static final long ARRIVAL_MARGIN_MILLIS = 200;
 
+	/**
+	 * After how long an owner that does not hear this host counts as unreachable, in
+	 * milliseconds; until then it is asked, as messages to it may only be late.
+	 */
+	private static final long MAX_MISSED_MILLIS = 1_000;
+
 	private final HostAddress self;
 
 	private final List<String> domains;
@@ -65,8 +71,10 @@
 
 	@Override
 	public Optional<HostAddress> reachableOwner(String pool) {
+		long nowMillis = Clock.nowMillis();
 		return owner(pool).filter((owner) -> !owner.equals(this.self))
-			.filter((owner) -> this.directory.isOwnerReachable(pool, Clock.nowMillis()));
+			.filter((owner) -> this.directory.isOwnerReachable(pool, nowMillis))
+			.filter((owner) -> this.peers.missedMillis(owner, nowMillis) < MAX_MISSED_MILLIS);
 	}
 
 	@Override
@@ -83,13 +91,25 @@
 			.filter((pool) -> this.directory.localOwnerOf(pool).isPresent())
 			.filter((pool) -> this.directory.claimAgeMillis(pool, nowMillis) < SettledPools.SETTLING_MILLIS)
 			.flatMap((pool) -> this.directory.previousOwner(pool).stream())
-			.filter((owner) -> !owner.equals(this.self) && this.peers.isReachable(owner, nowMillis));
+			.filter((owner) -> !owner.equals(this.self) && this.peers.isReachable(owner, nowMillis))
+			.filter(this::reportsPools);
 		return Stream.concat(owners, previousOwners).collect(Collectors.toSet());
 	}
 
+	private boolean reportsPools(HostAddress peer) {
+		return this.peers.report(peer).filter((report) -> !report.pools().isEmpty()).isPresent();
+	}
+
+	@Override
+	public boolean isOwner(HostAddress host) {
+		return this.directory.owners().contains(host);
+	}
+
 	@Override
 	public boolean mayRunAtLostOwner(long receivedMillis) {
 		long nowMillis = Clock.nowMillis();
+		// An owner may have become unreachable since the last check.
+		this.reachability.tick(this.domains, nowMillis);
 		return this.directory.pools()
 			.stream()
 			.flatMapToLong((pool) -> this.reachability.unreachableSinceMillis(pool).stream())
@@ -99,13 +119,20 @@
 
 	@Override
 	public long contactSinceMillis() {
+		this.reachability.tick(this.domains, Clock.nowMillis());
 		return this.domains.stream()
 			.filter((pool) -> this.directory.localOwnerOf(pool).isEmpty())
-			.mapToLong(this.reachability::reachableSinceMillis)
+			.mapToLong(this::contactSinceMillis)
 			.max()
 			.orElse(Long.MIN_VALUE / 2);
 	}
 
+	// An owner that does not hear this host may run jobs without registering them here.
+	private long contactSinceMillis(String pool) {
+		long lastMissedMillis = owner(pool).map(this.peers::lastMissedMillis).orElse(Long.MAX_VALUE);
+		return Math.max(this.reachability.reachableSinceMillis(pool), lastMissedMillis);
+	}
+
 	@Override
 	public CompletableFuture<PeerMessage> register(HostAddress owner, JobRegistration registration) {
 		return this.transport.get().call(owner, new PeerMessage.RegisterJob(registration));
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PeerTable.java
@@ -131,6 +131,13 @@
 		if (nowMillis - peer.lastContactMillis > peer.timeoutMillis()) {
 			peer.contactSinceMillis = nowMillis;
 		}
+		if (!report.recipientReachable()) {
+			peer.missedSinceMillis = (peer.missedSinceMillis > Peer.NEVER) ? peer.missedSinceMillis : nowMillis;
+			peer.lastMissedMillis = nowMillis;
+		}
+		else {
+			peer.missedSinceMillis = Peer.NEVER;
+		}
 		peer.report = report;
 		peer.intervalMillis = report.intervalMillis();
 		if (ownershipChanged) {
@@ -209,6 +216,26 @@
 		return isReachable(address, nowMillis) ? nowMillis - this.peers.get(address).contactSinceMillis : 0;
 	}
 
+	/**
+	 * Returns when a peer last reported that it does not hear this host.
+	 * @param address the address of the peer
+	 * @return the time in milliseconds, long ago if it has always heard this host
+	 */
+	long lastMissedMillis(HostAddress address) {
+		return Optional.ofNullable(this.peers.get(address)).map((peer) -> peer.lastMissedMillis).orElse(Peer.NEVER);
+	}
+
+	/**
+	 * Returns for how long a peer has reported that it does not hear this host.
+	 * @param address the address of the peer
+	 * @param nowMillis the time in milliseconds
+	 * @return the time in milliseconds, or 0 if it hears this host
+	 */
+	long missedMillis(HostAddress address, long nowMillis) {
+		Peer peer = this.peers.get(address);
+		return (peer != null && peer.missedSinceMillis > Peer.NEVER) ? nowMillis - peer.missedSinceMillis : 0;
+	}
+
 	Optional<HostReport> report(HostAddress address) {
 		return Optional.ofNullable(this.peers.get(address)).map((peer) -> peer.report);
 	}
@@ -369,6 +396,10 @@
 
 		private boolean lossReported;
 
+		private long missedSinceMillis = NEVER;
+
+		private long lastMissedMillis = NEVER;
+
 		private boolean isContacted() {
 			return this.lastContactMillis > NEVER;
 		}
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SiteOwners.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SiteOwners.java
@@ -42,6 +42,13 @@
 	 */
 	Set<HostAddress> reachableOwners();
 
+	/**
+	 * Returns whether a host owns a pool, as far as this host knows.
+	 * @param host the peer address of the host
+	 * @return whether it does
+	 */
+	boolean isOwner(HostAddress host);
+
 	/**
 	 * Returns whether an owner that is unreachable may run a job: it may have started the
 	 * job before it was lost, and its leases have not expired.
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/SingleOwner.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/SingleOwner.java
@@ -35,6 +35,11 @@
 		return Set.of();
 	}
 
+	@Override
+	public boolean isOwner(HostAddress host) {
+		return false;
+	}
+
 	@Override
 	public boolean mayRunAtLostOwner(long receivedMillis) {
 		return false;
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnreliableTransport.java
@@ -28,6 +28,8 @@
 
 	private volatile BiPredicate<HostAddress, PeerMessage> dropped = (peer, message) -> false;
 
+	private volatile HostAddress unreachablePeer;
+
 	/**
 	 * Creates a transport that loses nothing.
 	 * @param transport the transport that delivers
@@ -65,11 +67,25 @@
 		this.dropped = (address, message) -> address.equals(peer) && messages.test(message);
 	}
 
+	/**
+	 * Fails calls to one peer before they are sent, as a link does that waits between two
+	 * attempts to connect.
+	 * @param peer the address of the peer
+	 */
+	void refuseCalls(HostAddress peer) {
+		this.unreachablePeer = peer;
+	}
+
 	@Override
 	public CompletableFuture<PeerMessage> call(HostAddress peer, PeerMessage request) {
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 		this.pendingCalls.add(answer);
 		answer.whenComplete((message, error) -> this.pendingCalls.remove(answer));
+		if (peer.equals(this.unreachablePeer)) {
+			this.eventLoop
+				.execute(() -> answer.completeExceptionally(new PeerException("Peer is unreachable", null, false)));
+			return answer;
+		}
 		if (this.dropped.test(peer, request)) {
 			this.eventLoop
 				.execute(() -> answer.completeExceptionally(new PeerException("The connection broke", null, true)));
