Claim the pool of a failure domain whose hosts are all lost

Nobody claimed the pool of that domain, so that about a third of the durable jobs were neither run nor known.

Cause: a host claims the pool of another failure domain only while it hears a host of that domain, as a domain that is cut off goes on by itself, and a claim from outside would end its runs.

Fix: on a site with one owner, a host claims such a pool 4 s after the owner was lost if no host of the domain is heard and endpoints of the domain answer it. In a cut they don't. A host that owns pools now counts as an owner in its own order of claims, as in that of others.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/ClaimRule.java
@@ -34,6 +34,12 @@
 	 */
 	private static final long STANDBY_DELAY_MILLIS = 250;
 
+	/**
+	 * How long a failure domain must have no reachable owner before a host of another one
+	 * claims its pool; longer than the restart of its hosts.
+	 */
+	private static final long LOST_HOSTS_DELAY_MILLIS = 4_000;
+
 	/** How long after its claim a new owner need not be reachable for all hosts. */
 	private static final long NEW_OWNER_GRACE_MILLIS = 800;
 
@@ -60,6 +66,22 @@
 		return situation.ownerUnreachableMillis() >= rank * RANK_DELAY_MILLIS + (isolated ? ISOLATION_DELAY_MILLIS : 0);
 	}
 
+	/**
+	 * Returns whether this host should claim the pool of another failure domain of which
+	 * no host is reachable, if its endpoints are. Without them the failure domain may be
+	 * partitioned, and its own hosts go on.
+	 * @param situation the state of the pool and the site
+	 * @return whether to claim the pool if its endpoints are reachable
+	 */
+	boolean shouldClaimWithoutItsHosts(Situation situation) {
+		boolean local = situation.domain().equals(this.self.domain());
+		if (local || !situation.singleOwnerSite() || mustKeepOwner(situation)
+				|| hasReachableMemberInDomain(situation)) {
+			return false;
+		}
+		return situation.ownerUnreachableMillis() >= LOST_HOSTS_DELAY_MILLIS + claimRank(situation) * RANK_DELAY_MILLIS;
+	}
+
 	/**
 	 * Returns whether this host, a standby, should assume ownership of the pool of its
 	 * failure domain without a new claim in the log.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/FleetHost.java
@@ -148,6 +148,7 @@
 				(domains) -> new PoolOwner(this.eventLoop, endpointCalls, jobLog, domains, this.metrics,
 						this.lossExchange, this.drains, siteOwners, this),
 				this.memberFollower, ownerReachability, settings.firstStart());
+		this.ownership.endpointProbe(new EndpointProbe(endpointCalls));
 		this.reporter = new PeerReporter(this.self, this.peers, this.directory, this.ownership::isSingleOwnerSite,
 				this::hostState);
 		this.router.reporter(this.reporter);
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnership.java
@@ -95,6 +95,8 @@
 
 	private final ClaimRule rule;
 
+	private EndpointProbe endpointProbe;
+
 	private final Map<String, EndpointEntry> endpoints = new HashMap<>();
 
 	private final SkippedRecords skippedRecords = new SkippedRecords();
@@ -148,6 +150,10 @@
 		this.ownershipListener = listener;
 	}
 
+	void endpointProbe(EndpointProbe probe) {
+		this.endpointProbe = probe;
+	}
+
 	/**
 	 * Returns whether one host should own all pools.
 	 * @return whether the strongest host can carry all endpoints
@@ -193,13 +199,18 @@
 		List<String> claimablePools = this.domains.stream()
 			.filter((pool) -> this.directory.localOwnerOf(pool).isEmpty())
 			.filter((pool) -> !isOwnedByReachablePeer(pool))
-			.filter((pool) -> this.rule.shouldClaim(situation(pool, nowMillis)))
+			.filter((pool) -> shouldClaim(situation(pool, nowMillis), nowMillis))
 			.toList();
 		if (!claimablePools.isEmpty()) {
 			claim(claimablePools, nowMillis);
 		}
 	}
 
+	private boolean shouldClaim(ClaimRule.Situation situation, long nowMillis) {
+		return this.rule.shouldClaim(situation) || this.rule.shouldClaimWithoutItsHosts(situation)
+				&& this.endpointProbe.isReachable(situation.domain(), this.endpoints.values(), nowMillis);
+	}
+
 	// A partitioned failure domain may not reach the log, so a standby needs no new
 	// claim.
 	private void assumeStandbyOwnership(long nowMillis) {
@@ -224,7 +235,7 @@
 	private ClaimRule.Situation situation(String pool, long nowMillis) {
 		List<MemberRecord> reachableMembers = this.peers.reachableMembers(nowMillis);
 		Set<HostAddress> owners = this.directory.owners();
-		List<String> ownerHostNames = reachableMembers.stream()
+		List<String> ownerHostNames = Stream.concat(Stream.of(this.self), reachableMembers.stream())
 			.filter((member) -> owners.contains(member.peerAddress()))
 			.map(MemberRecord::hostName)
 			.toList();
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ClaimRuleTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ClaimRuleTests.java
@@ -113,6 +113,54 @@
 
 	}
 
+	/**
+	 * Guards against a failure domain whose hosts are all lost staying without an owner.
+	 */
+	@Nested
+	class LostHosts {
+
+		private final PoolClaim claimOfLostOwner = claim(member("x", "d2", 1));
+
+		@Test
+		void leaveTheirPoolToAHostOfAnotherFailureDomainAfterADelay() {
+			MemberRecord later = member("c", "d1", 1);
+			assertThat(ClaimRuleTests.this.rule
+				.shouldClaimWithoutItsHosts(situationWithoutOwner("d2", this.claimOfLostOwner, 3_999, later)))
+				.isFalse();
+			assertThat(ClaimRuleTests.this.rule
+				.shouldClaimWithoutItsHosts(situationWithoutOwner("d2", this.claimOfLostOwner, 4_000, later))).isTrue();
+		}
+
+		@Test
+		void areReplacedInTheOrderOfRanks() {
+			MemberRecord earlier = member("a", "d1", 1);
+			assertThat(ClaimRuleTests.this.rule
+				.shouldClaimWithoutItsHosts(situationWithoutOwner("d2", this.claimOfLostOwner, 4_000, earlier)))
+				.isFalse();
+			assertThat(ClaimRuleTests.this.rule
+				.shouldClaimWithoutItsHosts(situationWithoutOwner("d2", this.claimOfLostOwner, 4_300, earlier)))
+				.isTrue();
+		}
+
+		@Test
+		void areNotReplacedWhileOneIsReachableOrOfTheOwnDomain() {
+			assertThat(ClaimRuleTests.this.rule.shouldClaimWithoutItsHosts(
+					situationWithoutOwner("d2", this.claimOfLostOwner, 60_000, member("c", "d2", 1))))
+				.isFalse();
+			assertThat(ClaimRuleTests.this.rule
+				.shouldClaimWithoutItsHosts(situationWithoutOwner("d1", claim(member("x", "d1", 1)), 60_000)))
+				.isFalse();
+		}
+
+		@Test
+		void areNotReplacedWhileAPeerReachesTheOwner() {
+			ClaimRule.Situation situation = new ClaimRule.Situation("d2", this.claimOfLostOwner, 60_000, false, true,
+					true, 60_000, true, true, List.of(member("c", "d1", 1)), List.of());
+			assertThat(ClaimRuleTests.this.rule.shouldClaimWithoutItsHosts(situation)).isFalse();
+		}
+
+	}
+
 	@Nested
 	class Standbys {
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
@@ -181,6 +181,14 @@
 			List.of("e3", "e4").forEach((id) -> site.listEndpoint(id, "d2", cpuMillicores));
 		}
 
+		@Test
+		void lossOfAllHostsOfAFailureDomainLosesNoJob() {
+			List<String> jobIds = submitJobs(6);
+			List.of("host-1", "host-2").forEach(DurableHostTests.this.site::kill);
+			jobIds.forEach((jobId) -> awaitStatus("host-3", jobId, "COMPLETED"));
+			assertThat(DurableHostTests.this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+		}
+
 		@Test
 		void lossOfAllHostsLosesNoJob() {
 			List<String> jobIds = submitJobs(6);
