Run the durable jobs of a pool that has no endpoints any more

Durable jobs assigned to its pool were accepted and stayed pending, with 13 idle endpoints that fit in other domains.

Cause: an owner suspends the jobs of a pool, and stops their runs elsewhere, while no endpoint of the pool has answered for 500 ms, as another host may own the pool then. A pool without endpoints never has such an answer.

Fix: while a pool has no listed endpoint and no run on one, an append with the epoch of its owner, every 200 ms while there are durable jobs, shows the ownership. Another owner sets a higher epoch before it reads the jobs, so no later append of this one succeeds, and it stops the runs within the same 500 ms. Endpoints that are listed and silent suspend the jobs as before.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -60,6 +60,11 @@
 	 */
 	private static final long UNREACHABLE_MILLIS = 500;
 
+	/**
+	 * The interval at which the log confirms the ownership of a pool without endpoints.
+	 */
+	private static final long OWNERSHIP_CHECK_MILLIS = 200;
+
 	private static final PeerMessage NOT_READ_ANSWER = new PeerMessage.ErrorAnswer("not-read",
 			"This host does not own the job's pool, or has not read its jobs yet");
 
@@ -262,7 +267,8 @@
 			if (!pool.settled && isSettled(pool, timestamp.nowMillis())) {
 				pool.settled = true;
 			}
-			boolean reachable = this.listener.lastContactMillis(name) >= timestamp.nowMillis() - UNREACHABLE_MILLIS;
+			boolean reachable = lastConfirmedMillis(name, pool, timestamp.nowMillis()) >= timestamp.nowMillis()
+					- UNREACHABLE_MILLIS;
 			this.jobs.setSuspended(name, !pool.settled || !reachable, timestamp);
 			if (!reachable) {
 				this.jobs.stopOutsideDomain(name, timestamp);
@@ -270,6 +276,24 @@
 		});
 	}
 
+	// An answer of an endpoint of the pool shows that no other host owns the pool. A pool
+	// without endpoints has only the log to show it.
+	private long lastConfirmedMillis(String name, PoolState pool, long nowMillis) {
+		if (this.listener.mayHaveEndpoints(name)) {
+			return this.listener.lastContactMillis(name);
+		}
+		if (this.jobs.hasJobs() && pool.journal.isLoaded() && !pool.checkingOwnership
+				&& nowMillis - pool.ownershipCheckMillis >= OWNERSHIP_CHECK_MILLIS) {
+			pool.checkingOwnership = true;
+			pool.ownershipCheckMillis = nowMillis;
+			pool.journal.confirmOwnership(() -> {
+				pool.checkingOwnership = false;
+				pool.ownedMillis = nowMillis;
+			});
+		}
+		return pool.ownedMillis;
+	}
+
 	// Endpoint reports that arrived before the jobs were read could not be assigned to
 	// them, so newer reports are needed.
 	private boolean isSettled(PoolState pool, long nowMillis) {
@@ -429,6 +453,14 @@
 		 */
 		boolean hasDurableJobs();
 
+		/**
+		 * Returns whether a pool may have endpoints.
+		 * @param pool the name of the pool
+		 * @return {@code false} if the endpoint list was loaded and names none, and no
+		 * run may be left on one that was removed
+		 */
+		boolean mayHaveEndpoints(String pool);
+
 		/**
 		 * Returns whether this host owns all pools of the site, has loaded the endpoint
 		 * list as their owner, and all endpoints have reported since a time, so that no
@@ -463,6 +495,13 @@
 
 		private boolean settled;
 
+		private boolean checkingOwnership;
+
+		private long ownershipCheckMillis = Long.MIN_VALUE / 2;
+
+		/** When the last check was begun that confirmed the ownership. */
+		private long ownedMillis = Long.MIN_VALUE / 2;
+
 		private PoolState(JobJournal journal, long claimedMillis) {
 			this.journal = journal;
 			this.claimedMillis = claimedMillis;
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
@@ -283,6 +283,18 @@
 		return this.leases.values().stream().allMatch((lease) -> lease.lastContactMillis() > sinceMillis);
 	}
 
+	/**
+	 * Returns whether a pool has endpoints that are listed or have runs.
+	 * @param pool the name of the pool
+	 * @return whether it has any
+	 */
+	boolean hasEndpoints(String pool) {
+		return this.leases.values()
+			.stream()
+			.filter((lease) -> lease.entry().domain().equals(pool))
+			.anyMatch((lease) -> this.scheduler.isTracked(lease.entry().id()));
+	}
+
 	/**
 	 * Returns when any endpoint of a pool last answered.
 	 * @param pool the name of the pool
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwner.java
@@ -553,6 +553,11 @@
 			return PoolOwner.this.listener.hasSiteDurableJobs();
 		}
 
+		@Override
+		public boolean mayHaveEndpoints(String pool) {
+			return !PoolOwner.this.endpointsLoaded || PoolOwner.this.leases.hasEndpoints(pool);
+		}
+
 		@Override
 		public boolean allEndpointsContactedSince(long sinceMillis) {
 			return PoolOwner.this.endpointsLoaded && PoolOwner.this.pools.count() == PoolOwner.this.siteDomainCount
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
@@ -135,6 +135,38 @@
 
 	}
 
+	/**
+	 * Guards against the jobs of a pool without endpoints waiting for good, although its
+	 * owner has those of other pools.
+	 */
+	@Nested
+	class APoolWithoutEndpoints {
+
+		private List<String> jobIds;
+
+		@BeforeEach
+		void removeItsEndpoints() {
+			FleetSite site = DurableHostTests.this.site;
+			List.of("e3", "e4").forEach(site::unlistEndpoint);
+			Awaitility.await().atMost(TIMEOUT).pollDelay(Duration.ofSeconds(5)).until(() -> true);
+			this.jobIds = submitJobs(6);
+		}
+
+		@Test
+		void hasItsJobsRunOnTheEndpointsOfOtherPools() {
+			this.jobIds.forEach((jobId) -> awaitStatus("host-2", jobId, "COMPLETED"));
+			assertNoTaskRanTwice();
+		}
+
+		@Test
+		void hasItsJobsRunOnceAtATimeAsItsOwnerIsLost() {
+			DurableHostTests.this.site.kill("host-1");
+			this.jobIds.forEach((jobId) -> awaitStatus("host-3", jobId, "COMPLETED"));
+			assertThat(DurableHostTests.this.site.endpoints().concurrentlyRunTasks()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class Failures {
 
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/FleetSite.java
@@ -132,6 +132,10 @@
 		this.log.append(SharedTopic.ENDPOINTS, List.of(record(id, domain + ",true," + cpuMillicores)));
 	}
 
+	void unlistEndpoint(String id) {
+		this.log.append(SharedTopic.ENDPOINTS, List.of(NewRecord.deletion(id)));
+	}
+
 	void drain(String domain) {
 		this.log.append(SharedTopic.OPERATORS, List.of(record(DRAIN_KEY_PREFIX + domain, "{}")));
 	}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ForwardedEndsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ForwardedEndsTests.java
@@ -300,6 +300,11 @@
 			return ForwardedEndsTests.this.siteHasDurableJobs;
 		}
 
+		@Override
+		public boolean mayHaveEndpoints(String pool) {
+			return true;
+		}
+
 		@Override
 		public boolean allEndpointsContactedSince(long sinceMillis) {
 			return true;
