Search for two runs at once on a site with an owner for each failure domain

Change: VirtualSite also plays 9 weak hosts in three domains with 12 endpoints and three owners; callers can lose their connection 0 to 4 ms after a job was sent and send the copy 0 to 5 ms later to a host of any domain; faults can be limited to hosts that are killed, paused, stopped as planned or cut off from other domains.

--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualCallers.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualCallers.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 
 import org.masticwick.fleet.request.CallerExchange;
 import org.masticwick.fleet.request.CallerReply;
@@ -24,16 +26,37 @@
 
 	private static final int MAX_LATENCY_MICROS = 1_500;
 
+	/** How long after a job was sent its connection may break at the latest. */
+	private static final int MAX_EARLY_RESET_MICROS = 4_000;
+
+	/** So many submissions of a job may break right after they were sent. */
+	private static final int MAX_EARLY_RESETS = 2;
+
+	/** How long after an early reset the copy may be sent at the latest. */
+	private static final int MAX_COPY_DELAY_MICROS = 5_000;
+
+	/** How long a job whose caller has to get the result may wait besides its runs. */
+	private static final long MAX_WAIT_MILLIS = 1_000;
+
 	private static final int OK = 200;
 
 	private static final int BAD_GATEWAY = 502;
 
+	private static final int SERVICE_UNAVAILABLE = 503;
+
 	private final VirtualSite site;
 
 	private final Random random;
 
 	private final List<Exchange> exchanges = new ArrayList<>();
 
+	/** The jobs whose callers wait long enough and have no result. */
+	private final Set<String> missingJobIds = new TreeSet<>();
+
+	private double earlyResetShare;
+
+	private boolean returningAfterRefusals;
+
 	private int jobCount;
 
 	private int completedCount;
@@ -49,6 +72,30 @@
 		return this.completedCount;
 	}
 
+	/**
+	 * Returns the jobs that have not completed although their callers waited long enough.
+	 * @return the ids of the jobs
+	 */
+	List<String> missingJobIds() {
+		return List.copyOf(this.missingJobIds);
+	}
+
+	/**
+	 * Breaks connections right after a job was sent, so that a copy follows at once at a
+	 * host of any failure domain.
+	 * @param share the share of the submissions, from 0 to 1
+	 */
+	void resetEarly(double share) {
+		this.earlyResetShare = share;
+	}
+
+	/**
+	 * Lets callers submit a job again that was refused, however often.
+	 */
+	void returnAfterRefusals() {
+		this.returningAfterRefusals = true;
+	}
+
 	/**
 	 * Submits jobs from now on.
 	 * @param meanIntervalMillis the mean time between two jobs, in milliseconds
@@ -82,6 +129,24 @@
 		new Caller(jobId, VirtualSite.domain(hostName)).submitAt(hostName);
 	}
 
+	/**
+	 * Submits a new job at each host that runs.
+	 */
+	void submitAtEachHost() {
+		runningHostNames().forEach((hostName) -> {
+			this.jobCount++;
+			submitAt("j" + this.jobCount, hostName);
+		});
+	}
+
+	private List<String> runningHostNames() {
+		return this.site.hostNames().stream().filter((name) -> this.site.host(name).isRunning()).toList();
+	}
+
+	private <T> T pick(List<T> choices) {
+		return choices.get(this.random.nextInt(choices.size()));
+	}
+
 	/**
 	 * Breaks connections of callers with a host.
 	 * @param hostName the name of the host
@@ -121,16 +186,21 @@
 			this.jobId = jobId;
 			this.domain = domain;
 			this.patienceMillis = 1_500 + VirtualCallers.this.random.nextInt(5_000);
+			if (waitsLongEnough()) {
+				VirtualCallers.this.missingJobIds.add(jobId);
+			}
+		}
+
+		// A run that takes longer than most is moved to another endpoint once.
+		private boolean waitsLongEnough() {
+			return this.patienceMillis >= 2 * VirtualEndpoints.runMillis(this.jobId) + MAX_WAIT_MILLIS;
 		}
 
 		private void submit() {
 			if (this.submissionCount++ >= MAX_SUBMISSIONS) {
 				return;
 			}
-			List<String> running = VirtualCallers.this.site.hostNames()
-				.stream()
-				.filter((name) -> VirtualCallers.this.site.host(name).isRunning())
-				.toList();
+			List<String> running = runningHostNames();
 			boolean moves = VirtualCallers.this.random.nextInt(20) == 0;
 			List<String> near = running.stream()
 				.filter((name) -> !moves && VirtualSite.domain(name).equals(this.domain))
@@ -140,7 +210,7 @@
 				submitLater(RESUBMISSION_MILLIS);
 			}
 			else {
-				submitAt(choice.get(VirtualCallers.this.random.nextInt(choice.size())));
+				submitAt(pick(choice));
 			}
 		}
 
@@ -155,6 +225,18 @@
 				.after(VirtualCallers.this.random.nextInt(MAX_LATENCY_MICROS),
 						() -> exchange.host.eventLoop().execute(() -> exchange.handle(request)));
 			site.time().afterMillis(this.patienceMillis, exchange::timeOut);
+			if (this.submissionCount <= MAX_EARLY_RESETS && VirtualCallers.this.earlyResetShare > 0
+					&& VirtualCallers.this.random.nextDouble() < VirtualCallers.this.earlyResetShare) {
+				site.time().after(VirtualCallers.this.random.nextInt(MAX_EARLY_RESET_MICROS), exchange::resetEarly);
+			}
+		}
+
+		private void submitCopy() {
+			List<String> running = runningHostNames();
+			if (running.isEmpty() || this.submissionCount++ >= MAX_SUBMISSIONS) {
+				return;
+			}
+			submitAt(pick(running));
 		}
 
 		private void submitLater(long delayMillis) {
@@ -165,8 +247,13 @@
 			if (status == BAD_GATEWAY) {
 				submitLater(RESUBMISSION_MILLIS);
 			}
+			else if (status == SERVICE_UNAVAILABLE && VirtualCallers.this.returningAfterRefusals) {
+				this.submissionCount--;
+				submitLater(RESUBMISSION_MILLIS);
+			}
 			else if (status == OK) {
 				VirtualCallers.this.completedCount++;
+				VirtualCallers.this.missingJobIds.remove(this.jobId);
 			}
 		}
 
@@ -262,6 +349,16 @@
 			this.caller.submitLater(underWay ? 1 + VirtualCallers.this.random.nextInt(5) : RESUBMISSION_MILLIS);
 		}
 
+		private void resetEarly() {
+			if (!this.closed) {
+				VirtualCallers.this.site.trace()
+					.job(this.caller.jobId, this.hostName, "connection of the caller is reset early");
+				disconnect();
+				VirtualCallers.this.site.time()
+					.after(VirtualCallers.this.random.nextInt(MAX_COPY_DELAY_MICROS), this.caller::submitCopy);
+			}
+		}
+
 		private void failAfterTheEndOfTheHost() {
 			VirtualCallers.this.site.trace().job(this.caller.jobId, this.hostName, "caller loses the host");
 			this.closed = true;
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualEndpoints.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualEndpoints.java
@@ -70,7 +70,16 @@
 	 * @return the time in milliseconds
 	 */
 	static long runMillis(TaskId task) {
-		return 100 + Math.floorMod(task.jobId().hashCode() * 31L, 3_400L);
+		return runMillis(task.jobId());
+	}
+
+	/**
+	 * Returns how long each task of a job runs.
+	 * @param jobId the id of the job
+	 * @return the time in milliseconds
+	 */
+	static long runMillis(String jobId) {
+		return 100 + Math.floorMod(jobId.hashCode() * 31L, 3_400L);
 	}
 
 	/**
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualFaults.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualFaults.java
@@ -7,7 +7,7 @@
 import org.masticwick.core.process.HostAddress;
 
 /**
- * Causes random faults of a simulated site, most of them at its owner and several of them
+ * Causes random faults of a simulated site, most of them at an owner and several of them
  * close in time.
  */
 final class VirtualFaults {
@@ -28,10 +28,24 @@
 
 	private final Random random;
 
+	private final boolean ofHostsOnly;
+
 	private boolean ended;
 
 	VirtualFaults(VirtualSite site, VirtualCallers callers) {
+		this(site, callers, false);
+	}
+
+	/**
+	 * Creates the faults of a site.
+	 * @param site the site
+	 * @param callers its callers
+	 * @param ofHostsOnly whether hosts are only killed, paused, stopped as planned and
+	 * cut off from other failure domains
+	 */
+	VirtualFaults(VirtualSite site, VirtualCallers callers, boolean ofHostsOnly) {
 		this.site = site;
+		this.ofHostsOnly = ofHostsOnly;
 		this.callers = callers;
 		this.random = site.random();
 	}
@@ -71,7 +85,7 @@
 		if (!this.site.host(name).isRunning()) {
 			return;
 		}
-		switch (this.random.nextInt(12)) {
+		switch (this.random.nextInt(this.ofHostsOnly ? 4 : 12)) {
 			case 0 -> kill(name);
 			case 1 -> pause(name);
 			case 2 -> stop(name);
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualSite.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualSite.java
@@ -13,23 +13,17 @@
 import org.masticwick.fleet.connection.SharedTopic;
 
 /**
- * A site with one owner on simulated time: hosts in three failure domains, endpoints, a
- * network and a log. A seed determines all that happens.
+ * A site on simulated time: hosts in three failure domains, endpoints, a network and a
+ * log. A seed determines all that happens.
  */
 final class VirtualSite implements AutoCloseable {
 
 	private static final String IP = "10.0.0.1";
 
-	private static final int HOST_COUNT = 6;
-
-	private static final int ENDPOINT_COUNT = 8;
-
 	private static final List<String> DOMAINS = List.of("d1", "d2", "d3");
 
 	private static final long STOP_GRACE_MILLIS = 6_000;
 
-	private static final int PROCESSOR_MILLICORES = 750;
-
 	private final VirtualTime time = new VirtualTime();
 
 	private final Random random;
@@ -46,20 +40,27 @@
 
 	private final Map<String, Host> hosts = new LinkedHashMap<>();
 
+	private final int processorMillicores;
+
 	private long incarnationCount;
 
 	VirtualSite(long seed) {
+		this(seed, Size.ONE_OWNER);
+	}
+
+	VirtualSite(long seed, Size size) {
 		this.random = new Random(seed);
+		this.processorMillicores = size.processorMillicores;
 		this.hostsLog = new VirtualLog(this.time, this.random, this.log);
 		this.network = new VirtualNetwork(this.time, this.random);
 		this.endpoints = new VirtualEndpoints(this.time, this.random, this.trace);
 		Clock.useSource(this.time);
 		this.log.append(SharedTopic.OPERATORS, List.of(FleetSite.record("version", "1")));
-		IntStream.range(0, ENDPOINT_COUNT).mapToObj((number) -> "e" + number).forEach((id) -> {
+		IntStream.range(0, size.endpointCount).mapToObj((number) -> "e" + number).forEach((id) -> {
 			this.endpoints.add(id);
 			listEndpoint(id);
 		});
-		IntStream.range(0, HOST_COUNT).forEach((number) -> startHost("h" + number));
+		IntStream.range(0, size.hostCount).forEach((number) -> startHost("h" + number));
 	}
 
 	VirtualTime time() {
@@ -114,7 +115,7 @@
 	void startHost(String name) {
 		HostAddress address = new HostAddress(IP, 1_000 + Integer.parseInt(name.substring(1)));
 		FleetSettings settings = new FleetSettings(name, domain(name), DOMAINS, address, address, address, address,
-				STOP_GRACE_MILLIS, PROCESSOR_MILLICORES, false);
+				STOP_GRACE_MILLIS, this.processorMillicores, false);
 		EntryHost identity = new EntryHost(domain(name), address,
 				new Incarnation(this.time.epochMillis(), ++this.incarnationCount));
 		VirtualEventLoop eventLoop = new VirtualEventLoop(this.time, name);
@@ -163,6 +164,31 @@
 		Clock.useSystemSource();
 	}
 
+	/**
+	 * The numbers of hosts and endpoints, which decide how many owners the site has.
+	 */
+	enum Size {
+
+		/** One host owns all endpoints. */
+		ONE_OWNER(6, 8, 750),
+
+		/** No host can own all endpoints, so that each failure domain has an owner. */
+		OWNER_PER_DOMAIN(9, 12, FleetSite.WEAK_PROCESSOR_MILLICORES);
+
+		private final int hostCount;
+
+		private final int endpointCount;
+
+		private final int processorMillicores;
+
+		Size(int hostCount, int endpointCount, int processorMillicores) {
+			this.hostCount = hostCount;
+			this.endpointCount = endpointCount;
+			this.processorMillicores = processorMillicores;
+		}
+
+	}
+
 	/**
 	 * One incarnation of a host.
 	 *
