Keep copies from starting while the lease of a previous owner's run is extended

Cause: an owner holds a copy of a job for 763 ms after an endpoint last listed a run of it that a previous owner had started (PreviousOwnerRuns). While it reads the durable jobs of its pools, for up to 1,000 ms, it keeps such runs and extends the lease of their endpoint; there the answers to its renewals were lost and the renewals executed, so that the run outlived the list by up to 1,100 ms. Change: the 763 ms count from the last extension of the lease as well.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PoolScheduler.java
@@ -552,6 +552,16 @@
 			.isPresent();
 	}
 
+	/**
+	 * Records that the lease of an endpoint is being extended. The endpoint may do so
+	 * although its answer is lost.
+	 * @param endpointId the id of the endpoint
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	public void leaseExtended(String endpointId, long nowMillis) {
+		this.endpoints.find(endpointId).ifPresent((endpoint) -> endpoint.leaseExtended(nowMillis));
+	}
+
 	/**
 	 * Returns the load of the pool.
 	 * @param nowMillis the current monotonic time in milliseconds
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PooledEndpoint.java
@@ -58,7 +58,7 @@
 
 	private Set<String> orphanedJobIds = Set.of();
 
-	private long orphansListedMillis = Long.MIN_VALUE / 2;
+	private long orphansExtendedMillis = Long.MIN_VALUE / 2;
 
 	private boolean reported;
 
@@ -242,16 +242,26 @@
 	 */
 	void recordOrphans(Set<String> jobIds, long nowMillis) {
 		this.orphanedJobIds = Set.copyOf(jobIds);
-		this.orphansListedMillis = nowMillis;
+		this.orphansExtendedMillis = nowMillis;
 		this.reported = true;
 	}
 
 	/**
-	 * Returns when the endpoint last reported on such runs.
+	 * Records that this owner extends the lease of the endpoint, which also holds for
+	 * such runs.
+	 * @param nowMillis the current monotonic time in milliseconds
+	 */
+	void leaseExtended(long nowMillis) {
+		this.orphansExtendedMillis = nowMillis;
+	}
+
+	/**
+	 * Returns when the endpoint last reported on such runs, or when this owner last
+	 * extended their lease.
 	 * @return the time in milliseconds
 	 */
-	long orphansListedMillis() {
-		return this.orphansListedMillis;
+	long orphansExtendedMillis() {
+		return this.orphansExtendedMillis;
 	}
 
 	/**
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/PreviousOwnerRuns.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/PreviousOwnerRuns.java
@@ -55,7 +55,7 @@
 		}
 		Set<String> orphanedJobIds = this.endpoints.all()
 			.stream()
-			.filter((endpoint) -> nowMillis - endpoint.orphansListedMillis() < this.leaseMaxMillis)
+			.filter((endpoint) -> nowMillis - endpoint.orphansExtendedMillis() < this.leaseMaxMillis)
 			.flatMap((endpoint) -> endpoint.orphanedJobIds().stream())
 			.collect(Collectors.toUnmodifiableSet());
 		long receivedBeforeMillis = this.endpoints.all()
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/PreviousOwnerRunsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/PreviousOwnerRunsTests.java
@@ -104,6 +104,21 @@
 			assertThat(startedJobIds()).containsExactly("j1");
 		}
 
+		/**
+		 * The lease used to be extended while durable jobs were read and reports were
+		 * lost.
+		 */
+		@Test
+		void keepTheirJobFromStartingWhileTheirLeaseIsExtended() {
+			report("a", ASSUMED_MILLIS + 5, PREVIOUS_RUN);
+			submit("j1", 300, 5_000, ASSUMED_MILLIS + 10);
+			PreviousOwnerRunsTests.this.scheduler.leaseExtended("a", ASSUMED_MILLIS + 500);
+			report("b", ASSUMED_MILLIS + 499 + LEASE_MILLIS);
+			assertThat(startedJobIds()).isEmpty();
+			report("b", ASSUMED_MILLIS + 500 + LEASE_MILLIS);
+			assertThat(startedJobIds()).containsExactly("j1");
+		}
+
 	}
 
 	@Nested
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/LeaseRenewals.java
@@ -167,6 +167,7 @@
 		// owner.
 		long waitMillis = lease.hasContact() ? maxWaitMillis : 0;
 		OptionalLong leaseEndMillis = extendLease ? lease.renew(nowMillis) : OptionalLong.empty();
+		leaseEndMillis.ifPresent((endMillis) -> this.scheduler.leaseExtended(endpointId, nowMillis));
 		this.metrics.leaseRenewed();
 		long token = commandToken(lease.entry());
 		this.calls
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/ConcurrentRunSearchTests.java
@@ -70,7 +70,7 @@
 
 		/** A new owner keeps unknown runs until it has read the durable jobs. */
 		@ParameterizedTest(name = "seed {0}")
-		@ValueSource(longs = { 10152, 10213 })
+		@ValueSource(longs = { 2216, 10152, 10213 })
 		void noTaskRunsTwiceWhileDurableJobsAreRead(long seed) {
 			assertThatNoTaskRunsTwiceAtATime(seed);
 		}
