--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnerReachability.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/OwnerReachability.java
@@ -1,9 +1,9 @@
 package org.masticwick.fleet.process;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /**
  * Tracks since when the owners of pools have been unreachable for this host.
@@ -14,6 +14,8 @@
 
 	private final Map<String, Long> unreachableSinceMillis = new HashMap<>();
 
+	private final Map<String, Long> reachableSinceMillis = new HashMap<>();
+
 	OwnerReachability(PoolDirectory directory) {
 		this.directory = directory;
 	}
@@ -23,12 +25,14 @@
 	 * @param pools the names of all pools
 	 * @param nowMillis the time in milliseconds
 	 */
-	void tick(Set<String> pools, long nowMillis) {
+	void tick(Collection<String> pools, long nowMillis) {
 		pools.forEach((pool) -> {
 			if (this.directory.isOwnerReachable(pool, nowMillis)) {
 				this.unreachableSinceMillis.remove(pool);
+				this.reachableSinceMillis.putIfAbsent(pool, nowMillis);
 			}
 			else {
+				this.reachableSinceMillis.remove(pool);
 				this.unreachableSinceMillis.putIfAbsent(pool, nowMillis);
 			}
 		});
@@ -44,6 +48,15 @@
 		return (sinceMillis != null) ? OptionalLong.of(sinceMillis) : OptionalLong.empty();
 	}
 
+	/**
+	 * Returns since when a pool has had a reachable owner, as of the last check.
+	 * @param pool the name of the pool
+	 * @return the time in milliseconds, or {@link Long#MAX_VALUE} if it has none
+	 */
+	long reachableSinceMillis(String pool) {
+		return this.reachableSinceMillis.getOrDefault(pool, Long.MAX_VALUE);
+	}
+
 	/**
 	 * Returns for how long the owner of a pool has been unreachable.
 	 * @param pool the name of the pool
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SiteOwners.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/SiteOwners.java
@@ -42,6 +42,13 @@
 	 */
 	Set<HostAddress> reachableOwners();
 
+	/**
+	 * Returns whether a host owns a pool, as far as this host knows.
+	 * @param host the peer address of the host
+	 * @return whether it does
+	 */
+	boolean isOwner(HostAddress host);
+
 	/**
 	 * Returns whether an owner that is unreachable may run a job: it may have started the
 	 * job before it was lost, and its leases have not expired.
@@ -52,11 +59,10 @@
 	boolean mayRunAtLostOwner(long receivedMillis);
 
 	/**
-	 * Returns whether this host has been in contact with all owners for so long that it
-	 * knows of all jobs that it has to register.
-	 * @return whether no owner can have run a job without registering it here
+	 * Returns since when this host has been in contact with all owners without a gap.
+	 * @return the time in milliseconds, or {@link Long#MAX_VALUE} if one is unreachable
 	 */
-	boolean isContactSettled();
+	long contactSinceMillis();
 
 	/**
 	 * Registers a job with another owner.
