--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
@@ -17,6 +18,7 @@
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobRegistration;
 import org.masticwick.core.pool.JobRegistry;
+import org.masticwick.core.pool.RegistrationAnswer;
 import org.masticwick.core.pool.RegistrationScope;
 import org.masticwick.core.process.HostAddress;
 import org.masticwick.wire.PeerErrorCodes;
@@ -35,13 +37,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(JobRegistrar.class);
 
-	/**
-	 * How long an owner must have owned its pools and been in contact with the other
-	 * owners until it knows of all jobs that it has to register, in milliseconds; longer
-	 * than a job usually takes that was started without its knowledge.
-	 */
-	static final long SETTLING_MILLIS = 5_000;
-
 	/** After how long a registration is repeated that is still undecided. */
 	private static final long RETRY_MILLIS = 40;
 
@@ -54,7 +49,7 @@
 
 	private final SiteOwners owners;
 
-	private final Jobs jobs;
+	private final OwnerJobs jobs;
 
 	private final FleetMetrics metrics;
 
@@ -62,9 +57,7 @@
 
 	private final Map<String, PendingJob> pendingJobs = new HashMap<>();
 
-	private final Map<String, Long> assumedMillis = new HashMap<>();
-
-	private long lastPauseMillis = Long.MIN_VALUE / 2;
+	private final SettledPools settledPools;
 
 	/**
 	 * Creates a registrar without jobs.
@@ -75,14 +68,15 @@
 	 * @param reachablePools tells whether the owner of a pool is reachable
 	 * @param metrics counts registrations
 	 */
-	JobRegistrar(EventLoop eventLoop, OwnedPools pools, SiteOwners owners, Jobs jobs, Predicate<String> reachablePools,
-			FleetMetrics metrics) {
+	JobRegistrar(EventLoop eventLoop, OwnedPools pools, SiteOwners owners, OwnerJobs jobs,
+			Predicate<String> reachablePools, FleetMetrics metrics) {
 		this.eventLoop = eventLoop;
 		this.pools = pools;
 		this.owners = owners;
 		this.jobs = jobs;
 		this.metrics = metrics;
 		this.registry = new JobRegistry(reachablePools);
+		this.settledPools = new SettledPools(owners);
 	}
 
 	/**
@@ -90,7 +84,7 @@
 	 * @param pool the name of the pool
 	 */
 	void poolAssumed(String pool) {
-		this.assumedMillis.put(pool, Clock.nowMillis());
+		this.settledPools.poolAssumed(pool, Clock.nowMillis());
 	}
 
 	/**
@@ -98,7 +92,7 @@
 	 * registering them here.
 	 */
 	void paused() {
-		this.lastPauseMillis = Clock.nowMillis();
+		this.settledPools.paused(Clock.nowMillis());
 	}
 
 	/**
@@ -128,36 +122,38 @@
 	private void register(PendingJob pending) {
 		JobSubmission submission = pending.submission;
 		JobRegistration registration = submission.registration(pending.repeated, Clock.nowMillis());
-		Optional<String> recorded = this.registry.register(registration, Clock.nowMillis());
-		if (recorded.isEmpty()) {
-			repeatLater(pending, "pool-of-copy-unreachable");
-			return;
-		}
-		if (!this.pools.contains(recorded.get())) {
-			move(pending, recorded.get(), "own-record");
-			return;
-		}
-		String registrarPool = this.owners.registrarPool(submission.jobId());
-		Optional<HostAddress> registrar = this.owners.reachableOwner(registrarPool);
-		if (this.pools.contains(registrarPool) && isSettled(registrarPool)) {
-			admit(pending, "own-record");
+		Optional<HostAddress> registrar = this.owners.reachableOwner(this.owners.registrarPool(submission.jobId()));
+		if (isRegistrar(submission.jobId())) {
+			RegistrationAnswer answer = record(registration);
+			handleRegistrar(pending, registration, Optional.empty(),
+					new PeerMessage.JobRegistered(answer.pool(), answer.scope()));
 		}
 		else if (registrar.isPresent()) {
 			this.owners.register(registrar.get(), registration)
-				.whenComplete((answer, error) -> handleRegistrar(pending, registration, registrar.get(), answer));
+				.whenComplete((answer, error) -> handleRegistrar(pending, registration, registrar, answer));
 		}
 		else {
 			askAllOwners(pending, registration, Set.of());
 		}
 	}
 
-	private void handleRegistrar(PendingJob pending, JobRegistration registration, HostAddress registrar,
+	private boolean isRegistrar(String jobId) {
+		return this.pools.contains(this.owners.registrarPool(jobId));
+	}
+
+	private RegistrationAnswer record(JobRegistration registration) {
+		long settledSinceMillis = this.jobs.mayHaveBeenPaused() ? Long.MAX_VALUE
+				: this.settledPools.settledSinceMillis(this.owners.registrarPool(registration.jobId()));
+		return this.registry.register(registration, settledSinceMillis, Clock.nowMillis());
+	}
+
+	private void handleRegistrar(PendingJob pending, JobRegistration registration, Optional<HostAddress> registrar,
 			PeerMessage answer) {
 		if (!isPending(pending)) {
 			return;
 		}
 		if (isOfEarlierVersion(answer)) {
-			askAllOwners(pending, registration, Set.of(registrar));
+			askAllOwners(pending, registration, registrar.stream().collect(Collectors.toSet()));
 		}
 		else if (!(answer instanceof PeerMessage.JobRegistered registered)
 				|| registered.scope() == RegistrationScope.UNDECIDED) {
@@ -170,13 +166,13 @@
 			admit(pending, "registrar");
 		}
 		else {
-			askAllOwners(pending, registration, Set.of(registrar));
+			askAllOwners(pending, registration, registrar.stream().collect(Collectors.toSet()));
 		}
 	}
 
 	private void askAllOwners(PendingJob pending, JobRegistration registration, Set<HostAddress> asked) {
 		if (this.owners.mayRunAtLostOwner(registration.receivedMillis(Clock.nowMillis()))) {
-			repeatLater(pending, "owner-lost");
+			repeatLater(pending, "lost-owner-may-run-it");
 			return;
 		}
 		List<CompletableFuture<PeerMessage>> answers = this.owners.reachableOwners()
@@ -294,12 +290,11 @@
 		if (this.jobs.mayRunByPreviousOwner(registration.jobId(), registration.receivedMillis(nowMillis))) {
 			return undecided(registration);
 		}
-		String registrarPool = this.owners.registrarPool(registration.jobId());
-		boolean settled = this.pools.contains(registrarPool) && isSettled(registrarPool);
-		return this.registry.register(registration, nowMillis)
-			.map((pool) -> new PeerMessage.JobRegistered(pool,
-					settled ? RegistrationScope.SITE : RegistrationScope.OWNER))
-			.orElse(undecided(registration));
+		if (!isRegistrar(registration.jobId())) {
+			return new PeerMessage.JobRegistered(registration.pool(), RegistrationScope.OWNER);
+		}
+		RegistrationAnswer answer = record(registration);
+		return new PeerMessage.JobRegistered(answer.pool(), answer.scope());
 	}
 
 	private static PeerMessage.JobRegistered undecided(JobRegistration registration) {
@@ -320,27 +315,20 @@
 		if (!givesWay(from, ownPool, registration)) {
 			return Optional.of(ownPool);
 		}
-		this.registry.record(registration, Clock.nowMillis());
 		move(pending, registration.pool(), "gave-way");
 		return Optional.empty();
 	}
 
 	private boolean givesWay(HostAddress from, String ownPool, JobRegistration registration) {
-		String registrarPool = this.owners.registrarPool(registration.jobId());
-		if (this.pools.contains(registrarPool)) {
+		if (isRegistrar(registration.jobId())) {
 			return false;
 		}
-		boolean toRegistrar = this.owners.owner(registrarPool).filter(from::equals).isPresent();
+		boolean toRegistrar = this.owners.owner(this.owners.registrarPool(registration.jobId()))
+			.filter(from::equals)
+			.isPresent();
 		return toRegistrar || registration.pool().compareTo(ownPool) < 0;
 	}
 
-	private boolean isSettled(String pool) {
-		long nowMillis = Clock.nowMillis();
-		return nowMillis - this.assumedMillis.getOrDefault(pool, nowMillis) >= SETTLING_MILLIS
-				&& nowMillis - this.lastPauseMillis >= SETTLING_MILLIS && !this.jobs.mayHaveBeenPaused()
-				&& this.owners.isContactSettled();
-	}
-
 	/**
 	 * Drops a copy that waits for its registration and whose caller has left.
 	 * @param jobId the id of the job
@@ -376,56 +364,6 @@
 		this.pendingJobs.clear();
 	}
 
-	/**
-	 * The jobs of an owner.
-	 */
-	interface Jobs {
-
-		/**
-		 * Returns whether a job is unanswered, or may still have runs that this owner has
-		 * started.
-		 * @param jobId the id of the job
-		 * @return whether no other owner must run it
-		 */
-		boolean hasJob(String jobId);
-
-		/**
-		 * Returns whether an unknown job may run on this owner's endpoints, as a previous
-		 * owner may have started it.
-		 * @param jobId the id of the job
-		 * @param receivedMillis when its callers' host received it, in milliseconds
-		 * @return whether that is still open
-		 */
-		boolean mayRunByPreviousOwner(String jobId, long receivedMillis);
-
-		/**
-		 * Returns whether this process was paused until a moment ago.
-		 * @return whether it may have been
-		 */
-		boolean mayHaveBeenPaused();
-
-		/**
-		 * Runs a copy of a job that no other owner runs.
-		 * @param submission the copy
-		 */
-		void run(JobSubmission submission);
-
-		/**
-		 * Answers a copy that does not run.
-		 * @param submission the copy
-		 * @param outcome the answer
-		 */
-		void answer(JobSubmission submission, JobOutcome outcome);
-
-		/**
-		 * Sends a copy to the pool that an earlier one went to.
-		 * @param submission the copy
-		 * @param pool the name of the pool
-		 */
-		void placedElsewhere(JobSubmission submission, String pool);
-
-	}
-
 	/**
 	 * A job that waits for its registration.
 	 */
