--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualFaults.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/VirtualFaults.java
@@ -7,7 +7,7 @@
 import org.masticwick.core.process.HostAddress;
 
 /**
- * Causes random faults of a simulated site, most of them at its owner and several of them
+ * Causes random faults of a simulated site, most of them at an owner and several of them
  * close in time.
  */
 final class VirtualFaults {
@@ -28,10 +28,23 @@
 
 	private final Random random;
 
+	private final Kinds kinds;
+
 	private boolean ended;
 
 	VirtualFaults(VirtualSite site, VirtualCallers callers) {
+		this(site, callers, Kinds.ALL);
+	}
+
+	/**
+	 * Creates the faults of a site.
+	 * @param site the site
+	 * @param callers its callers
+	 * @param kinds what may fail
+	 */
+	VirtualFaults(VirtualSite site, VirtualCallers callers, Kinds kinds) {
 		this.site = site;
+		this.kinds = kinds;
 		this.callers = callers;
 		this.random = site.random();
 	}
@@ -71,7 +84,7 @@
 		if (!this.site.host(name).isRunning()) {
 			return;
 		}
-		switch (this.random.nextInt(12)) {
+		switch (this.random.nextInt(this.kinds.count)) {
 			case 0 -> kill(name);
 			case 1 -> pause(name);
 			case 2 -> stop(name);
@@ -208,4 +221,26 @@
 		});
 	}
 
+	/**
+	 * What may fail. Each constant includes the faults of the previous one.
+	 */
+	enum Kinds {
+
+		/** Hosts are killed, paused or stopped as planned. */
+		PROCESSES(3),
+
+		/** Failure domains are cut off from each other. */
+		PROCESSES_AND_DOMAINS(4),
+
+		/** Paths between hosts, the log, connections and endpoints fail. */
+		ALL(12);
+
+		private final int count;
+
+		Kinds(int count) {
+			this.count = count;
+		}
+
+	}
+
 }
