--- a/masticwick-core/src/main/java/org/masticwick/core/pool/JobRegistry.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/JobRegistry.java
@@ -46,8 +46,8 @@
 	 * @param settledSinceMillis since when this owner has known of all jobs that it has
 	 * to register, in milliseconds; {@link Long#MAX_VALUE} if it does not
 	 * @param nowMillis the current monotonic time in milliseconds
-	 * @return the answer; undecided if an earlier copy may still run in a pool whose
-	 * owner is unreachable
+	 * @return the answer, which tells to wait if an earlier copy may still run in a pool
+	 * whose owner is unreachable
 	 */
 	public RegistrationAnswer register(JobRegistration registration, long settledSinceMillis, long nowMillis) {
 		removeExpired(nowMillis);
@@ -67,7 +67,7 @@
 	private RegistrationAnswer registerCopy(JobRegistration registration, Entry earlier, long nowMillis) {
 		boolean lost = !earlier.pool.equals(registration.pool()) && !this.reachablePools.test(earlier.pool);
 		if (lost && nowMillis - earlier.latestCopyMillis < RESUBMISSION_MILLIS) {
-			return new RegistrationAnswer(registration.pool(), RegistrationScope.UNDECIDED);
+			return new RegistrationAnswer(registration.pool(), RegistrationScope.COPY_EXISTS);
 		}
 		if (lost || earlier.isOnlyCopyRefusedBy(registration.refusedBy())) {
 			record(registration, nowMillis);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/RegistrationScope.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/RegistrationScope.java
@@ -15,6 +15,20 @@
 	OWNER,
 
 	/** It is open whether the job runs elsewhere. The registration must be repeated. */
-	UNDECIDED
+	UNDECIDED,
+
+	/**
+	 * An earlier copy went to an owner that can't take this one now. The registration
+	 * must be repeated, and the job must not start meanwhile.
+	 */
+	COPY_EXISTS;
+
+	/**
+	 * Returns whether the answer tells where the job runs, as far as it goes.
+	 * @return {@code false} if the registration must be repeated
+	 */
+	public boolean isDecided() {
+		return this == SITE || this == OWNER;
+	}
 
 }
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobRegistrar.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,11 +42,17 @@
 	private static final long RETRY_MILLIS = 40;
 
 	/**
-	 * How long a copy of a job waits for its registration; longer than it takes to notice
-	 * the loss of an owner and for its leases to expire.
+	 * How long a copy of a job waits while an earlier one may run; longer than it takes
+	 * to notice the loss of an owner and for its leases to expire.
 	 */
 	private static final long MAX_WAIT_MILLIS = 1_500;
 
+	/**
+	 * How long a job waits while nothing tells of an earlier copy, so that the loss of
+	 * one owner does not delay the jobs of all others.
+	 */
+	private static final long MAX_UNDECIDED_MILLIS = 60;
+
 	private final EventLoop eventLoop;
 
 	private final OwnedPools pools;
@@ -120,6 +127,22 @@
 		PendingJob created = new PendingJob(submission);
 		this.pendingJobs.put(submission.jobId(), created);
 		register(created);
+		if (isPending(created)) {
+			created.undecidedTimer = this.eventLoop.schedule(() -> runUndecided(created), MAX_UNDECIDED_MILLIS,
+					TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void runUndecided(PendingJob pending) {
+		if (!isPending(pending) || pending.copyExists) {
+			return;
+		}
+		logger.atInfo()
+			.addKeyValue("job", pending.submission.jobId())
+			.addKeyValue("pool", pending.submission.pool())
+			.addKeyValue("reason", pending.reason)
+			.log("Registration of the job is undecided, and nothing tells of an earlier copy; the job starts");
+		admit(pending, "nobody");
 	}
 
 	private void register(PendingJob pending) {
@@ -162,6 +185,9 @@
 				|| registered.scope() == RegistrationScope.UNDECIDED) {
 			repeatLater(pending, "registrar-undecided");
 		}
+		else if (registered.scope() == RegistrationScope.COPY_EXISTS) {
+			waitForCopy(pending);
+		}
 		else if (!this.pools.contains(registered.pool())) {
 			move(pending, registered.pool(), "registrar");
 		}
@@ -204,13 +230,16 @@
 		Optional<String> otherPool = answers.stream()
 			.flatMap((answer) -> (answer instanceof PeerMessage.JobRegistered registered) ? Stream.of(registered)
 					: Stream.empty())
-			.filter((registered) -> registered.scope() != RegistrationScope.UNDECIDED)
+			.filter((registered) -> registered.scope().isDecided())
 			.map(PeerMessage.JobRegistered::pool)
 			.filter((pool) -> !this.pools.contains(pool))
 			.findFirst();
 		if (otherPool.isPresent()) {
 			move(pending, otherPool.get(), "owners");
 		}
+		else if (answers.stream().anyMatch(JobRegistrar::tellsOfCopy)) {
+			waitForCopy(pending);
+		}
 		else if (answers.stream().allMatch(JobRegistrar::isRunningNowhere)) {
 			admit(pending, "owners");
 		}
@@ -219,10 +248,15 @@
 		}
 	}
 
+	private static boolean tellsOfCopy(PeerMessage answer) {
+		return answer instanceof PeerMessage.JobRegistered registered
+				&& registered.scope() == RegistrationScope.COPY_EXISTS;
+	}
+
 	private static boolean isRunningNowhere(PeerMessage answer) {
 		return answer instanceof PeerMessage.ErrorAnswer error && error.code().equals(PeerJobs.NOT_THE_OWNER)
-				|| isOfEarlierVersion(answer) || answer instanceof PeerMessage.JobRegistered registered
-						&& registered.scope() != RegistrationScope.UNDECIDED;
+				|| isOfEarlierVersion(answer)
+				|| answer instanceof PeerMessage.JobRegistered registered && registered.scope().isDecided();
 	}
 
 	// Until all hosts are updated, those of earlier versions register nothing.
@@ -235,14 +269,14 @@
 	}
 
 	private void admit(PendingJob pending, String decidedBy) {
-		this.pendingJobs.remove(pending.submission.jobId());
+		remove(pending);
 		this.metrics.jobRegistered(decidedBy, waitedMillis(pending));
 		this.jobs.run(pending.submission);
 	}
 
 	private void move(PendingJob pending, String pool, String decidedBy) {
 		JobSubmission submission = pending.submission;
-		this.pendingJobs.remove(submission.jobId());
+		remove(pending);
 		this.metrics.jobRegistered("moved", waitedMillis(pending));
 		logger.atInfo()
 			.addKeyValue("job", submission.jobId())
@@ -254,13 +288,27 @@
 		this.eventLoop.execute(() -> this.jobs.placedElsewhere(submission, pool));
 	}
 
+	private void remove(PendingJob pending) {
+		this.pendingJobs.remove(pending.submission.jobId());
+		if (pending.undecidedTimer != null) {
+			pending.undecidedTimer.cancel(false);
+		}
+	}
+
 	private static long waitedMillis(PendingJob pending) {
 		return Clock.nowMillis() - pending.submission.arrivedMillis();
 	}
 
+	// The time for undecided registrations does not count once an earlier copy is known.
+	private void waitForCopy(PendingJob pending) {
+		pending.copyExists = true;
+		repeatLater(pending, "pool-of-copy-unreachable");
+	}
+
 	private void repeatLater(PendingJob pending, String reason) {
+		pending.reason = reason;
 		if (waitedMillis(pending) >= MAX_WAIT_MILLIS) {
-			this.pendingJobs.remove(pending.submission.jobId());
+			remove(pending);
 			this.metrics.jobRegistered("undecided", waitedMillis(pending));
 			answer(pending.submission, reason);
 			return;
@@ -296,7 +344,7 @@
 		boolean claimsOwnPool = this.pools.contains(registration.pool());
 		Optional<String> ownPool = ownPoolOf(from, registration);
 		if (ownPool.isPresent()) {
-			return claimsOwnPool ? undecided(registration)
+			return claimsOwnPool ? new PeerMessage.JobRegistered(registration.pool(), RegistrationScope.COPY_EXISTS)
 					: new PeerMessage.JobRegistered(ownPool.get(), RegistrationScope.SITE);
 		}
 		if (this.jobs.mayRunByPreviousOwner(registration.jobId(), registration.receivedMillis(nowMillis))) {
@@ -385,6 +433,12 @@
 
 		private boolean repeated;
 
+		private boolean copyExists;
+
+		private String reason = "no-answer";
+
+		private ScheduledFuture<?> undecidedTimer;
+
 		private PendingJob(JobSubmission submission) {
 			this.submission = submission;
 		}
