--- a/review/standin-2/StoreDown.java
+++ b/review/standin-2/StoreDown.java
@@ -1,16 +1,16 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
-/** The platform's store is down for some seconds, three times, and the traffic goes on after that. */
+/** The platform's store is down for some seconds, four times, and the traffic goes on after that. */
 final class StoreDown {
 
 	private static final int TRAFFIC_BEFORE_MILLIS = 6_000;
 
-	private static final int OUTAGE_COUNT = 3;
+	private static final int OUTAGE_COUNT = 4;
 
 	private static final int DOWN_MILLIS = 4_500;
 
-	private static final int TRAFFIC_AFTER_MILLIS = 7_000;
+	private static final int TRAFFIC_AFTER_MILLIS = 6_000;
 
 	/** finish_s of the settings. */
 	private static final int FINISH_MILLIS = 14_000;
