--- a/review/standin-2/Host.java
+++ b/review/standin-2/Host.java
@@ -23,6 +23,8 @@
 
 	private Process process;
 
+	private volatile boolean frozen;
+
 	Host(String name, String zone, String ip, int basePort, List<String> command, Path folder) {
 		this.name = name;
 		this.zone = zone;
@@ -62,6 +64,10 @@
 		return this.process != null && this.process.isAlive();
 	}
 
+	boolean isFrozen() {
+		return this.frozen;
+	}
+
 	boolean isReady() {
 		try {
 			HttpURLConnection connection = (HttpURLConnection) new URL(
@@ -78,6 +84,7 @@
 
 	/** Sends a signal to the process: STOP or CONT. */
 	void signal(String name) throws IOException, InterruptedException {
+		this.frozen = name.equals("STOP");
 		new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
 	}
 
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -55,6 +55,10 @@
 
 	private volatile long lastCallMillis;
 
+	private long lastBeatMillis;
+
+	private boolean listed;
+
 	private final Map<String, Run> running = new LinkedHashMap<>();
 
 	private final Map<String, Integer> closedRuns = new HashMap<>();
@@ -149,6 +153,8 @@
 		if (this.server == null) {
 			return;
 		}
+		this.lastBeatMillis = Record.nowMillis();
+		this.listed = true;
 		this.site.store()
 			.put("keyed.servers", this.id,
 					"{\"service\":\"" + Site.SERVICE + "\",\"address\":\"" + this.ip + ":" + this.port + "\",\"zone\":\""
@@ -158,6 +164,15 @@
 							+ this.bornEpochMillis + ",\"sequence\":" + ++this.sequence + "}");
 	}
 
+	/** Removes the entry after a time of silence, as the platform does. */
+	synchronized void removeIfSilent(long silenceMillis) {
+		if (this.listed && Record.nowMillis() - this.lastBeatMillis > silenceMillis) {
+			this.listed = false;
+			Record.line("the entry of " + this.id + " is removed from the store");
+			this.site.store().put("keyed.servers", this.id, "");
+		}
+	}
+
 	private long clockMillis() {
 		return 100_000 + Record.nowMillis() - this.bornMillis;
 	}
