--- /dev/null
+++ b/review/standin-3/FirstJobCase.java
@@ -0,0 +1,62 @@
+package review3;
+
+import java.util.List;
+
+/**
+ * The host that owns the workers is killed right after it has accepted the first job that
+ * must be kept.
+ */
+final class FirstJobCase implements ReviewCase {
+
+	private static final String JOB_ID = "7b1f00c2a94e5d36";
+
+	private static final int CPU_MILLICORES = 1_000;
+
+	private static final String JOB = "{\"task_spec\":\"150\",\"steps\":[{\"count\":24,\"cpu\":1000,\"mem_mb\":64,"
+			+ "\"estimated_ms\":150}]}";
+
+	private static final int CLIENT_TIMEOUT_MILLIS = 4_000;
+
+	private static final long WATCH_MILLIS = 12_000;
+
+	private static final int WARM_UP_JOBS = 300;
+
+	private static final String WARM_UP_JOB = "{\"best_effort\":true,\"task_spec\":\"5\",\"steps\":[{\"count\":4,"
+			+ "\"cpu\":1000,\"mem_mb\":64,\"estimated_ms\":5}]}";
+
+	@Override
+	public Verdict run(Record record, boolean trouble) throws Exception {
+		try (Site site = new Site(record, 2, 4, 2, true)) {
+			Host owner = site.awaitSingleOwner();
+			if (owner == null) {
+				return Verdict.COULD_NOT_RUN;
+			}
+			warmUp(site, owner);
+			HttpResponse answer = site.submit(owner, JOB_ID, CPU_MILLICORES, JOB, CLIENT_TIMEOUT_MILLIS);
+			if (!answer.isAccepted()) {
+				return Verdict.COULD_NOT_RUN;
+			}
+			if (trouble) {
+				owner.kill();
+				record.line("SIGKILL to " + owner.name + ", which has just accepted the job");
+			}
+			Clock.sleep(WATCH_MILLIS);
+			site.hosts.stream()
+				.filter((host) -> !trouble || host != owner)
+				.limit(1)
+				.forEach((host) -> site.send(host, "GET", JOB_ID, "", CLIENT_TIMEOUT_MILLIS));
+			List<String> twice = site.ledger.startedTwice();
+			twice.forEach((found) -> record.line("TWICE: " + found));
+			return twice.isEmpty() ? Verdict.HELD : Verdict.BROKEN;
+		}
+	}
+
+	// Clients of jobs that need not be kept have used the site before.
+	private static void warmUp(Site site, Host owner) {
+		for (int number = 0; number < WARM_UP_JOBS; number++) {
+			site.submit(owner, String.format("ee0e7a21d94b%04x", number), CPU_MILLICORES, WARM_UP_JOB,
+					CLIENT_TIMEOUT_MILLIS);
+		}
+	}
+
+}
