--- a/review/standin-3/Main.java
+++ b/review/standin-3/Main.java
@@ -52,6 +52,7 @@
 			case "cancel-unstored" -> new CancelUnstoredCase();
 			case "long-schedule" -> new LongScheduleCase();
 			case "cancel-waiting" -> new CancelWaitingCase();
+			case "cancel-frozen" -> new CancelFrozenCase();
 			case "soak" -> new SoakCase();
 			default -> throw new IllegalArgumentException(name);
 		};
