--- a/review/standin-3/CancelFrozenCase.java
+++ b/review/standin-3/CancelFrozenCase.java
@@ -41,14 +41,6 @@
 
 	private static final int TRAFFIC_CLIENTS = 20;
 
-	private static final String TRAFFIC_JOB = "{\"best_effort\":true,\"task_spec\":\"300\",\"steps\":[{\"count\":2,"
-			+ "\"cpu\":1000,\"mem_mb\":64,\"estimated_ms\":300}]}";
-
-	/** The bound {@code retransmit_ms}. */
-	private static final long RESEND_MILLIS = 1_300;
-
-	private volatile boolean traffic = true;
-
 	private final Map<String, Long> cancelledMillis = new ConcurrentHashMap<>();
 
 	@Override
@@ -59,7 +51,8 @@
 				return Verdict.COULD_NOT_RUN;
 			}
 			List<HttpConnection> channels = openChannels(owner);
-			startTraffic(site, owner);
+			List<Host> others = site.hosts.stream().filter((host) -> host != owner).toList();
+			Traffic traffic = new Traffic(others, TRAFFIC_CLIENTS, 2, 300);
 			Clock.sleep(1_500);
 			long beginMillis = Clock.nowMillis();
 			if (trouble) {
@@ -67,7 +60,7 @@
 				record.line(owner.name + ", which owns the workers, is frozen");
 			}
 			Clock.sleep(beginMillis + SUBMIT_MILLIS - Clock.nowMillis());
-			List<String> accepted = submit(site, owner);
+			List<String> accepted = submit(site, others);
 			Clock.sleep(beginMillis + CANCEL_AFTER_MILLIS - Clock.nowMillis());
 			List<Thread> clients = cancel(site, owner, channels, accepted);
 			Clock.sleep(beginMillis + FREEZE_MILLIS - Clock.nowMillis());
@@ -79,7 +72,7 @@
 			for (Thread client : clients) {
 				client.join();
 			}
-			this.traffic = false;
+			traffic.stop();
 			Clock.sleep(FIRST_MILLIS + REPETITIONS * INTERVAL_MILLIS);
 			return judge(site, accepted, steadyMillis);
 		}
@@ -96,26 +89,7 @@
 		return channels;
 	}
 
-	// Clients of the other hosts submit jobs that need not be kept, one after the other.
-	private void startTraffic(Site site, Host owner) {
-		List<Host> others = site.hosts.stream().filter((host) -> host != owner).toList();
-		for (int number = 0; number < TRAFFIC_CLIENTS; number++) {
-			Host host = others.get(number % others.size());
-			int client = number;
-			Thread thread = new Thread(() -> {
-				for (int count = 0; this.traffic; count++) {
-					HttpResponse answer = host.send("POST", Site.PREFIX + String.format("ee%06x%08x", client, count),
-							TRAFFIC_JOB, CLIENT_TIMEOUT_MILLIS);
-					Clock.sleep(answer.isAccepted() ? 0 : RESEND_MILLIS);
-				}
-			});
-			thread.setDaemon(true);
-			thread.start();
-		}
-	}
-
-	private static List<String> submit(Site site, Host owner) {
-		List<Host> others = site.hosts.stream().filter((host) -> host != owner).toList();
+	private static List<String> submit(Site site, List<Host> others) {
 		List<String> accepted = new ArrayList<>();
 		String job = "{\"task_spec\":\"200\",\"repetitions\":" + REPETITIONS + ",\"first_ms\":"
 				+ (System.currentTimeMillis() + FIRST_MILLIS) + ",\"interval_ms\":" + INTERVAL_MILLIS
--- a/review/standin-3/FirstJobCase.java
+++ b/review/standin-3/FirstJobCase.java
@@ -31,7 +31,8 @@
 			if (owner == null) {
 				return Verdict.COULD_NOT_RUN;
 			}
-			warmUp(site, owner);
+			warmUp(owner);
+			record.line(owner.name + " has served " + WARM_UP_JOBS + " jobs that need not be kept");
 			HttpResponse answer = site.submit(owner, JOB_ID, CPU_MILLICORES, JOB, CLIENT_TIMEOUT_MILLIS);
 			if (!answer.isAccepted()) {
 				return Verdict.COULD_NOT_RUN;
@@ -52,10 +53,10 @@
 	}
 
 	// Clients of jobs that need not be kept have used the site before.
-	private static void warmUp(Site site, Host owner) {
+	private static void warmUp(Host owner) {
 		for (int number = 0; number < WARM_UP_JOBS; number++) {
-			site.submit(owner, String.format("ee0e7a21d94b%04x", number), CPU_MILLICORES, WARM_UP_JOB,
-					CLIENT_TIMEOUT_MILLIS);
+			String jobId = String.format(Traffic.ID_PREFIX + "0e7a21d94b%04x", number);
+			owner.send("POST", Site.PREFIX + jobId, WARM_UP_JOB, CLIENT_TIMEOUT_MILLIS);
 		}
 	}
 
--- a/review/standin-3/Gangs.java
+++ b/review/standin-3/Gangs.java
@@ -32,6 +32,8 @@
 
 		private boolean broken;
 
+		private boolean done;
+
 		private Gang(int size) {
 			this.size = size;
 		}
@@ -43,8 +45,21 @@
 			}
 		}
 
+		/**
+		 * Ends the work of all members as done, or reports that another member has ended.
+		 * @return whether the members are done
+		 */
+		synchronized boolean complete() {
+			this.done |= !this.broken;
+			return this.done;
+		}
+
 		synchronized void breakUp() {
-			this.broken = true;
+			this.broken |= !this.done;
+		}
+
+		synchronized boolean isDone() {
+			return this.done;
 		}
 
 		synchronized boolean isBroken() {
--- a/review/standin-3/Ledger.java
+++ b/review/standin-3/Ledger.java
@@ -21,7 +21,7 @@
 	/**
 	 * Creates a ledger.
 	 * @param record where to write starts and ends
-	 * @param detailed whether to write each of them
+	 * @param detailed whether to write each of them, but for those of the traffic
 	 */
 	Ledger(Record record, boolean detailed) {
 		this.record = record;
@@ -31,14 +31,14 @@
 	synchronized Run started(String task, int number, String worker) {
 		Run run = new Run(task, number, worker);
 		this.runs.add(run);
-		line(run + " starts");
+		line(run, " starts");
 		return run;
 	}
 
 	synchronized void ended(Run run, String how) {
 		run.endMillis = Clock.nowMillis();
 		run.how = how;
-		line(run + " ends: " + how);
+		line(run, " ends: " + how);
 	}
 
 	/**
@@ -47,12 +47,12 @@
 	 */
 	synchronized void noted(Run run) {
 		run.notedMillis = Clock.nowMillis();
-		line(run + ": its end (" + run.how + ") is taken note of");
+		line(run, ": its end (" + run.how + ") is taken note of");
 	}
 
-	private void line(String text) {
-		if (this.detailed) {
-			this.record.line(text);
+	private void line(Run run, String text) {
+		if (this.detailed && !run.task.startsWith(Traffic.ID_PREFIX)) {
+			this.record.line(run + text);
 		}
 	}
 
--- a/review/standin-3/Main.java
+++ b/review/standin-3/Main.java
@@ -53,6 +53,7 @@
 			case "long-schedule" -> new LongScheduleCase();
 			case "cancel-waiting" -> new CancelWaitingCase();
 			case "cancel-frozen" -> new CancelFrozenCase();
+			case "failing-lasting" -> new FailingLastingCase();
 			case "soak" -> new SoakCase();
 			default -> throw new IllegalArgumentException(name);
 		};
--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -340,7 +340,10 @@
 			this.ends.forEach((end) -> end.lapsedSince = true);
 		}
 		for (LiveRun live : new ArrayList<>(this.running.values())) {
-			if (lapsed) {
+			if (live.gang != null && live.gang.isDone()) {
+				finish(live, "done");
+			}
+			else if (lapsed) {
 				finish(live, "lapsed");
 			}
 			else if (nowMillis >= live.stopAtMillis) {
@@ -355,11 +358,15 @@
 				}
 			}
 			else if (nowMillis >= live.beginMillis() + live.workMillis) {
-				finish(live, (this.random.nextInt(100) < live.failPercent) ? "failed" : "done");
+				finish(live, (live.gang != null) ? (live.gang.complete() ? "done" : "broken") : ownEnd(live));
 			}
 		}
 	}
 
+	private String ownEnd(LiveRun live) {
+		return (this.random.nextInt(100) < live.failPercent) ? "failed" : "done";
+	}
+
 	private void finish(LiveRun live, String how) {
 		if (live.gang != null && !how.equals("done")) {
 			live.gang.breakUp();
--- a/review/standin-3/ZoneLossCase.java
+++ b/review/standin-3/ZoneLossCase.java
@@ -17,18 +17,27 @@
 
 	private static final int TASKS_PER_STEP = 4;
 
-	private static final int CPU_MILLICORES = 1_000;
+	private static final int CPU_MILLICORES = 3_000;
 
-	private static final String JOB = "{\"task_spec\":\"3000;2000\",\"steps\":[{\"count\":4,\"cpu\":1000,\"mem_mb\":64,"
-			+ "\"estimated_ms\":3000},{\"count\":4,\"cpu\":1000,\"mem_mb\":64,\"estimated_ms\":2000,\"after\":[0]}]}";
+	private static final String JOB = "{\"task_spec\":\"3000;2000\",\"steps\":[{\"count\":4,\"cpu\":3000,\"mem_mb\":64,"
+			+ "\"estimated_ms\":3000},{\"count\":4,\"cpu\":3000,\"mem_mb\":64,\"estimated_ms\":2000,\"after\":[0]}]}";
 
 	private static final int CLIENT_TIMEOUT_MILLIS = 20_000;
 
 	/** The bound {@code finish_s}. */
 	private static final long FINISH_MILLIS = 14_000;
 
-	/** More than that, so that the last entries have expired and all leases have ended. */
-	private static final long EXTRA_MILLIS = 20_000;
+	/** So long that the entries of the lost workers have expired meanwhile. */
+	private static final long TRAFFIC_MILLIS = 25_000;
+
+	private static final int TRAFFIC_CLIENTS = 8;
+
+	private static final int TRAFFIC_TASKS = 8;
+
+	private static final int TRAFFIC_TASK_MILLIS = 20;
+
+	/** A sound worker without a start for this time gets no tasks any more. */
+	private static final long UNUSED_MILLIS = 5_000;
 
 	/** The rule's span in which nothing of a job runs. */
 	private static final long IDLE_MILLIS = 3_000;
@@ -53,7 +62,11 @@
 			if (trouble) {
 				loseZone(site, owner.zone);
 			}
-			Clock.sleep(FINISH_MILLIS + EXTRA_MILLIS);
+			Traffic traffic = new Traffic(others, TRAFFIC_CLIENTS, TRAFFIC_TASKS, TRAFFIC_TASK_MILLIS);
+			Clock.sleep(TRAFFIC_MILLIS);
+			traffic.stop();
+			recordIdleWorkers(site, traffic);
+			Clock.sleep(FINISH_MILLIS);
 			return judge(site, others, accepted);
 		}
 	}
@@ -64,6 +77,23 @@
 		site.workers.stream().filter((worker) -> worker.zone.equals(zone)).forEach(Worker::loseForGood);
 	}
 
+	// Not judged: how many of the sound workers are used no more, though there is traffic.
+	private static void recordIdleWorkers(Site site, Traffic traffic) {
+		long sinceMillis = Clock.nowMillis() - UNUSED_MILLIS;
+		List<Worker> sound = site.workers.stream().filter((worker) -> !worker.isDark()).toList();
+		List<String> unused = sound.stream()
+			.map((worker) -> worker.id)
+			.filter((id) -> site.ledger.find((run) -> run.worker.equals(id) && run.startMillis > sinceMillis).isEmpty())
+			.toList();
+		site.record.line(traffic + "; of " + sound.size() + " sound workers these have had no start for "
+				+ UNUSED_MILLIS + " ms: " + unused);
+		unused.forEach((id) -> {
+			List<Run> ended = site.ledger.find((run) -> run.worker.equals(id) && run.endMillis >= 0);
+			site.record.line(id + ": " + ended.size() + " runs ended, "
+					+ ended.stream().filter((run) -> run.notedMillis >= 0).count() + " of these ends were taken note of");
+		});
+	}
+
 	private static Verdict judge(Site site, List<Host> others, List<String> accepted) {
 		long sinceMillis = Clock.nowMillis() - IDLE_MILLIS;
 		double usedShare = site.usedShare();
