--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A failure domain is lost for good while accepted jobs run.
-exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run-case.sh" zone-loss review/11
+# The owner of the workers is killed right after it has accepted the first job that must be kept.
+exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run-case.sh" first-job review/11
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# The workers of one rack are lost for good while jobs of several steps wait for them.
-exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run-case.sh" waiting-label review/14
+# A client cancels a job whose submission was not answered, because the store is down.
+exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run-case.sh" cancel-unstored review/14
