--- a/review/standin-3/Site.java
+++ b/review/standin-3/Site.java
@@ -57,6 +57,8 @@
 
 	private final Map<String, Integer> demandByJob = new ConcurrentHashMap<>();
 
+	private final Map<String, Integer> missedBeats = new ConcurrentHashMap<>();
+
 	private final Path folder;
 
 	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, (action) -> {
@@ -142,8 +144,6 @@
 		this.hosts.forEach((host) -> host.start(true));
 	}
 
-	private final Map<String, Integer> missedBeats = new ConcurrentHashMap<>();
-
 	private void beat(Worker worker) {
 		String entry = worker.beat();
 		if (!entry.isEmpty()) {
