--- a/review/standin-3/CancelUnstoredCase.java
+++ b/review/standin-3/CancelUnstoredCase.java
@@ -13,8 +13,8 @@
 
 	private static final int CLIENT_TIMEOUT_MILLIS = 1_500;
 
-	/** At most the length of an outage in the sites' days, 4.5 s. */
-	private static final long OUTAGE_MILLIS = 4_500;
+	/** Less than the length of an outage of the whole store in the site's days, 4.2 s. */
+	private static final long OUTAGE_MILLIS = 4_100;
 
 	/** The delay that hosts advise with 503. */
 	private static final long RETRY_MILLIS = 1_000;
@@ -41,7 +41,7 @@
 			}
 			long beginMillis = Clock.nowMillis();
 			if (trouble) {
-				site.store.setSilent(true);
+				site.store.setDown(true);
 			}
 			String job = "{\"task_spec\":\"200\",\"repetitions\":" + REPETITIONS + ",\"first_ms\":"
 					+ (System.currentTimeMillis() + FIRST_MILLIS) + ",\"interval_ms\":" + INTERVAL_MILLIS
@@ -52,7 +52,7 @@
 			long cancelledMillis = Clock.nowMillis();
 			Clock.sleep(beginMillis + OUTAGE_MILLIS - Clock.nowMillis());
 			if (trouble) {
-				site.store.setSilent(false);
+				site.store.setDown(false);
 			}
 			long steadyMillis = Clock.nowMillis() + CONTACT_MILLIS;
 			Clock.sleep(FIRST_MILLIS + REPETITIONS * INTERVAL_MILLIS);
--- a/review/standin-3/FailingLastingCase.java
+++ b/review/standin-3/FailingLastingCase.java
@@ -36,12 +36,13 @@
 			if (site.awaitSingleOwner() == null) {
 				return Verdict.COULD_NOT_RUN;
 			}
-			List<String> accepted = new ArrayList<>();
+			List<ScheduledJob> accepted = new ArrayList<>();
 			for (int number = 0; number < SCHEDULED_JOBS; number++) {
-				String jobId = String.format("bb0e7a21d94b%04x", number);
+				ScheduledJob job = new ScheduledJob(String.format("bb0e7a21d94b%04x", number), 2, CPU_MILLICORES, 300,
+						System.currentTimeMillis() + FIRST_MILLIS, INTERVAL_MILLIS, REPETITIONS);
 				Host host = site.hosts.get(number % site.hosts.size());
-				if (site.submit(host, jobId, CPU_MILLICORES, scheduledJob(), CLIENT_TIMEOUT_MILLIS).isAccepted()) {
-					accepted.add(jobId);
+				if (site.submit(host, job.jobId(), CPU_MILLICORES, job.body(), CLIENT_TIMEOUT_MILLIS).isAccepted()) {
+					accepted.add(job);
 				}
 			}
 			for (int number = 0; trouble && number < FAILING_JOBS; number++) {
@@ -49,33 +50,9 @@
 						CPU_MILLICORES, FAILING_JOB, CLIENT_TIMEOUT_MILLIS);
 			}
 			Clock.sleep(FIRST_MILLIS + REPETITIONS * INTERVAL_MILLIS + FINISH_MILLIS);
-			return judge(site, accepted);
+			int lost = new LostRule(site).watch(accepted);
+			return (lost > 0) ? Verdict.BROKEN : (accepted.isEmpty() ? Verdict.COULD_NOT_RUN : Verdict.HELD);
 		}
 	}
 
-	private static String scheduledJob() {
-		return "{\"task_spec\":\"300\",\"repetitions\":" + REPETITIONS + ",\"first_ms\":"
-				+ (System.currentTimeMillis() + FIRST_MILLIS) + ",\"interval_ms\":" + INTERVAL_MILLIS
-				+ ",\"steps\":[{\"count\":2,\"cpu\":2000,\"mem_mb\":64,\"estimated_ms\":300}]}";
-	}
-
-	private static Verdict judge(Site site, List<String> accepted) {
-		double usedShare = site.usedShare();
-		int stuck = 0;
-		for (String jobId : accepted) {
-			boolean completed = site.send(site.hosts.get(0), "GET", jobId, "", 4_000).text().contains("completed");
-			int runs = site.ledger.find((run) -> run.jobId().equals(jobId)).size();
-			site.record.line(jobId + " has had " + runs + " runs");
-			if (!completed && usedShare < 0.5) {
-				stuck++;
-			}
-		}
-		site.record.line("LOST: " + stuck + " of " + accepted.size()
-				+ " accepted jobs are not completed; share of the processor in use: " + usedShare);
-		if (accepted.isEmpty()) {
-			return Verdict.COULD_NOT_RUN;
-		}
-		return (stuck > 0) ? Verdict.BROKEN : Verdict.HELD;
-	}
-
 }
--- a/review/standin-3/FirstJobCase.java
+++ b/review/standin-3/FirstJobCase.java
@@ -17,7 +17,10 @@
 
 	private static final int CLIENT_TIMEOUT_MILLIS = 4_000;
 
-	private static final long WATCH_MILLIS = 6_000;
+	/** How long a killed machine is away in the site's days. */
+	private static final long DOWN_MILLIS = 2_000;
+
+	private static final long WATCH_MILLIS = 4_000;
 
 	/** A new site for each try, as only the first job of a site counts. */
 	private static final int MAX_SITES = 4;
@@ -53,6 +56,11 @@
 				owner.kill();
 				record.line("SIGKILL to " + owner.name + ", which has just accepted the job");
 			}
+			Clock.sleep(DOWN_MILLIS);
+			if (trouble) {
+				owner.start(false);
+				record.line(owner.name + " is started again");
+			}
 			Clock.sleep(WATCH_MILLIS);
 			Host other = site.hosts.stream().filter((host) -> host != owner).findFirst().orElseThrow();
 			site.send(other, "GET", JOB_ID, "", CLIENT_TIMEOUT_MILLIS);
--- a/review/standin-3/HttpResponse.java
+++ b/review/standin-3/HttpResponse.java
@@ -16,6 +16,9 @@
 	/** A stand-in that gives this answer leaves the call unanswered. */
 	static final HttpResponse UNANSWERED = new HttpResponse(NONE, new byte[0]);
 
+	/** A stand-in that gives this answer resets the connection. */
+	static final HttpResponse RESET = new HttpResponse(-1, new byte[0]);
+
 	static HttpResponse json(int status, String body) {
 		return new HttpResponse(status, body.getBytes(StandardCharsets.UTF_8));
 	}
--- a/review/standin-3/HttpServer.java
+++ b/review/standin-3/HttpServer.java
@@ -59,6 +59,10 @@
 		try (HttpConnection connection = new HttpConnection(socket)) {
 			while (true) {
 				HttpResponse response = this.handler.apply(connection.readRequest());
+				if (response == HttpResponse.RESET) {
+					socket.setSoLinger(true, 0);
+					return;
+				}
 				if (response.status() != HttpResponse.NONE) {
 					connection.writeResponse(response);
 				}
--- a/review/standin-3/Main.java
+++ b/review/standin-3/Main.java
@@ -3,9 +3,8 @@
 import java.nio.file.Path;
 
 /**
- * Runs one case: {@code Main CASE FOLDER}, from the root of the repository. The exit
- * status is that of the {@link Verdict}. With {@code TROUBLE=0} in the environment there
- * is no disruption.
+ * Runs one case: {@code Main CASE FOLDER TROUBLE}, from the root of the repository. The exit
+ * status is that of the {@link Verdict}. With 0 for TROUBLE there is no disruption.
  */
 public final class Main {
 
@@ -18,7 +17,7 @@
 	public static void main(String[] arguments) {
 		endAtLimit();
 		Record record = new Record(Path.of(arguments[1], "record.txt"));
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+		boolean trouble = !arguments[2].equals("0");
 		int status = Verdict.COULD_NOT_RUN.exitStatus();
 		try {
 			Verdict verdict = create(arguments[0]).run(record, trouble);
--- a/review/standin-3/Site.java
+++ b/review/standin-3/Site.java
@@ -216,6 +216,16 @@
 				/ (double) sound.stream().mapToInt(Worker::cpuMillicores).sum();
 	}
 
+	/**
+	 * Counts how many more tasks the sound workers have room for.
+	 */
+	int freeTaskCount(int cpuMillicores) {
+		return this.workers.stream()
+			.filter((worker) -> !worker.isDark())
+			.mapToInt((worker) -> Math.max(0, worker.cpuMillicores() - worker.usedMillicores()) / cpuMillicores)
+			.sum();
+	}
+
 	private void killAll() {
 		this.hosts.forEach(Host::kill);
 	}
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -17,6 +17,10 @@
 
 	private static final long ANSWER_MILLIS = 4;
 
+	private static final int WRITES_PER_SECOND = 600;
+
+	private static final int READS_PER_SECOND = 2_000;
+
 	private static final String MEMBERS_TOPIC = "keyed.members";
 
 	private static final String CLAIM_PREFIX = "owner/";
@@ -29,8 +33,16 @@
 
 	private final Record record;
 
+	private final List<HttpServer> servers = new ArrayList<>();
+
+	private final RateLimit writes = new RateLimit(WRITES_PER_SECOND);
+
+	private final RateLimit reads = new RateLimit(READS_PER_SECOND);
+
 	private volatile boolean silent;
 
+	private volatile boolean down;
+
 	Store(Record record) {
 		this.record = record;
 	}
@@ -40,7 +52,9 @@
 	 * @return the port
 	 */
 	int listen(String ip, String host) throws IOException {
-		return new HttpServer(ip, (request) -> handle(host, request)).port();
+		HttpServer server = new HttpServer(ip, (request) -> handle(host, request));
+		this.servers.add(server);
+		return server.port();
 	}
 
 	/**
@@ -51,6 +65,17 @@
 		this.record.line(nowSilent ? "the store answers no call from now on" : "the store answers again");
 	}
 
+	/**
+	 * Resets all connections and carries out no call, or answers again.
+	 */
+	void setDown(boolean nowDown) {
+		this.down = nowDown;
+		if (nowDown) {
+			this.servers.forEach(HttpServer::resetConnections);
+		}
+		this.record.line(nowDown ? "the store is down and resets all connections" : "the store answers again");
+	}
+
 	/**
 	 * Turns a host away, or serves it again.
 	 */
@@ -80,9 +105,17 @@
 	}
 
 	private HttpResponse handle(String host, HttpRequest request) {
+		if (this.down) {
+			return HttpResponse.RESET;
+		}
 		if (this.silent) {
 			return HttpResponse.UNANSWERED;
 		}
+		boolean write = request.path().equals("/log-append");
+		if (!(write ? this.writes : this.reads).admit()) {
+			this.record.line("the store refuses a call of " + host + " with 429: over the rate");
+			return HttpResponse.json(429, "{}");
+		}
 		if (this.refusedHosts.contains(host)) {
 			return HttpResponse.json(503, "{}");
 		}
@@ -95,6 +128,9 @@
 			default -> HttpResponse.json(404, "{}");
 		};
 		Clock.sleep(ANSWER_MILLIS);
+		if (this.down) {
+			return HttpResponse.RESET;
+		}
 		return this.silent ? HttpResponse.UNANSWERED : response;
 	}
 
