Answer that there is no such job only when that is settled

When the store was back, the job was stored and all its runs were started.

Cause: an append without an answer is repeated until the log has taken it, but GET and DELETE knew accepted jobs only, and called everything else unknown.

Change: a job that waits to be stored can be cancelled; it is stored as cancelled and nothing of it starts. 410 needs all jobs of the pool read, none of the id waiting, and an append after the question that confirms the ownership of the pool; 503 until then. The cancellation of an unknown job is stored before its 410 and refuses submissions of the id for 150 s, at the next owners too. Queries have a class of their own now, DurableJobQueries, taken out of DurableJobManager.

Ruled out: withdrawing the append, as the log may carry it out seconds later.

Related: a copy of a job that waits to be stored was refused with 503 while the log failed, which says that it never runs. It waits with the first one now.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobActions.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobActions.java
@@ -39,6 +39,22 @@
 	 */
 	void remove(String pool, String jobId, boolean includingProgress);
 
+	/**
+	 * Writes that a job was cancelled that is unknown. {@link #answerCancellation} must
+	 * be called when the write is complete.
+	 * @param pool the pool that the job is assigned to
+	 * @param jobId the id of the job
+	 * @param cancelledEpochMillis when it was cancelled, in milliseconds since 1970
+	 */
+	void writeEarlyCancellation(String pool, String jobId, long cancelledEpochMillis);
+
+	/**
+	 * Removes the cancellation of an unknown job from the shared log.
+	 * @param pool the pool that the job is assigned to
+	 * @param jobId the id of the job
+	 */
+	void removeEarlyCancellation(String pool, String jobId);
+
 	/**
 	 * Reports that a termination is stored in the shared log, so that the endpoint may
 	 * discard it.
@@ -56,7 +72,7 @@
 
 	/**
 	 * Answers the callers that wait for the cancellation of a job, because it has
-	 * finished.
+	 * finished, or will never run if it was unknown.
 	 * @param jobId the id of the job
 	 */
 	void answerCancellation(String jobId);
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -20,7 +20,7 @@
 	/**
 	 * The time for which the state of a finished job can be queried, in milliseconds.
 	 */
-	private static final long FINISHED_RETENTION_MILLIS = 150_000;
+	private static final long FINISHED_RETENTION_MILLIS = EarlyCancellations.RETENTION_MILLIS;
 
 	/** The interval at which expired finished jobs are removed, in milliseconds. */
 	private static final long SWEEP_INTERVAL_MILLIS = 1_000;
@@ -33,6 +33,8 @@
 
 	private final Map<String, DurableEntry> entries = new HashMap<>();
 
+	private final EarlyCancellations earlyCancellations = new EarlyCancellations();
+
 	/** Pools whose jobs are suspended: none of their tasks is started. */
 	private final Set<String> suspendedPools = new HashSet<>();
 
@@ -68,6 +70,10 @@
 			attach(existing, origin);
 			return;
 		}
+		if (this.earlyCancellations.contains(spec.jobId())) {
+			this.actions.answer(origin, spec.jobId(), cancelledEarly(spec.jobId(), time));
+			return;
+		}
 		Optional<JobOutcome> refusal = this.scheduler.checkAdmission(spec, terms, time.nowMillis());
 		if (refusal.isPresent()) {
 			this.actions.answer(origin, spec.jobId(), refusal.get());
@@ -91,6 +97,11 @@
 		}
 	}
 
+	private JobOutcome cancelledEarly(String jobId, Timestamp time) {
+		return new JobOutcome(JobOutcome.Kind.REFUSED,
+				this.earlyCancellations.remainingMillis(jobId, time.epochMillis()), "cancelled-before-its-submission");
+	}
+
 	private static JobOutcome accepted() {
 		return JobOutcome.of(JobOutcome.Kind.ACCEPTED, "stored");
 	}
@@ -231,8 +242,9 @@
 	}
 
 	/**
-	 * Cancels a job. {@link DurableJobActions#answerCancellation} is called when the
-	 * cancellation is stored in the shared log.
+	 * Cancels a job, also one that is still to be stored: it is stored as cancelled then,
+	 * and nothing of it starts. {@link DurableJobActions#answerCancellation} is called
+	 * when the cancellation is stored in the shared log.
 	 * @param jobId the id of the job
 	 * @param time the current time
 	 * @return whether the job is known here
@@ -252,6 +264,35 @@
 		return true;
 	}
 
+	/**
+	 * Remembers the cancellation of a job that is not known here, so that a submission
+	 * that comes later is refused. {@link DurableJobActions#answerCancellation} is called
+	 * when the cancellation is stored in the shared log.
+	 * @param pool the pool that the job is assigned to, whose jobs have all been read
+	 * @param jobId the id of the job
+	 * @param time the current time
+	 * @return whether it is remembered; {@code false} if there are too many
+	 */
+	public boolean cancelUnknown(String pool, String jobId, Timestamp time) {
+		boolean remembered = this.earlyCancellations
+			.add(new EarlyCancellations.EarlyCancellation(pool, jobId, time.epochMillis()));
+		if (remembered) {
+			this.actions.writeEarlyCancellation(pool, jobId, time.epochMillis());
+		}
+		return remembered;
+	}
+
+	/**
+	 * Recovers the cancellation of a job that was unknown to a previous owner of the
+	 * pool.
+	 * @param pool the pool
+	 * @param jobId the id of the job
+	 * @param cancelledEpochMillis when it was cancelled, in milliseconds since 1970
+	 */
+	public void recoverEarlyCancellation(String pool, String jobId, long cancelledEpochMillis) {
+		this.earlyCancellations.add(new EarlyCancellations.EarlyCancellation(pool, jobId, cancelledEpochMillis));
+	}
+
 	private void abortOccurrences(DurableEntry entry, String reason, Timestamp time) {
 		entry.openOccurrences().forEach((job) -> this.scheduler.abort(job, reason, time.nowMillis()));
 	}
@@ -376,6 +417,7 @@
 	 */
 	public void removePool(String pool, Timestamp time) {
 		this.runNumbersByPool.remove(pool);
+		this.earlyCancellations.removePool(pool);
 		entriesOf(pool).forEach((entry) -> {
 			this.entries.remove(entry.jobId());
 			answerUncertain(entry, "owner-changed");
@@ -440,6 +482,8 @@
 			this.entries.remove(entry.jobId());
 			this.actions.remove(entry.pool(), entry.jobId(), true);
 		});
+		this.earlyCancellations.pollExpired(time.epochMillis())
+			.forEach((each) -> this.actions.removeEarlyCancellation(each.pool(), each.jobId()));
 	}
 
 	/**
@@ -451,6 +495,16 @@
 		return Optional.ofNullable(this.entries.get(jobId)).filter(DurableEntry::isAccepted).map(DurableEntry::status);
 	}
 
+	/**
+	 * Returns whether a job is to be stored, and it is not known whether the shared log
+	 * has it. It can be called neither accepted nor unknown.
+	 * @param jobId the id of the job
+	 * @return whether the job is known here, but not accepted yet
+	 */
+	public boolean isUnsettled(String jobId) {
+		return Optional.ofNullable(this.entries.get(jobId)).filter((entry) -> !entry.isAccepted()).isPresent();
+	}
+
 	/**
 	 * Counts the accepted jobs of a queue of which no task has started.
 	 * @param queue the name of the queue
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -334,6 +334,85 @@
 			assertThat(DurableJobsTests.this.jobs.cancel("other", at(20))).isFalse();
 		}
 
+		/**
+		 * Guards against a cancellation that has no effect while the log has not
+		 * confirmed the job.
+		 */
+		@Test
+		void startsNothingOfAJobThatIsStillToBeStored() {
+			submit(job(step(2, 1_000, StepTraits.DEFAULT)), 10);
+			assertThat(DurableJobsTests.this.jobs.isUnsettled("j")).isTrue();
+			assertThat(DurableJobsTests.this.jobs.cancel("j", at(20))).isTrue();
+			DurableJobsTests.this.jobs.progressStored("j", 1, at(30));
+			assertThat(DurableJobsTests.this.jobActions.answeredCancellations).isEmpty();
+			confirmWrites(40);
+			DurableJobsTests.this.jobs.tick(at(50));
+			assertThat(starts()).isEmpty();
+			assertThat(DurableJobsTests.this.jobActions.answeredCancellations).containsExactly("j");
+			assertThat(DurableJobsTests.this.jobs.status("j")).contains(JobStatus.CANCELLED);
+		}
+
+	}
+
+	/**
+	 * Guards against a submission that arrives after its cancellation was answered.
+	 */
+	@Nested
+	class CancellingUnknownJobs {
+
+		private static final long RETENTION_MILLIS = 150_000;
+
+		private void cancelUnknown(long nowMillis) {
+			assertThat(DurableJobsTests.this.jobs.cancelUnknown(POOL, "j", at(nowMillis))).isTrue();
+		}
+
+		private void assertSubmissionIs(JobOutcome.Kind outcome, long nowMillis) {
+			submitAndStore(job(step(1, 1_000, StepTraits.DEFAULT)), nowMillis);
+			assertThat(DurableJobsTests.this.jobActions.answers).extracting(JobOutcome::kind).containsExactly(outcome);
+		}
+
+		@Test
+		void refusesTheirSubmissions() {
+			cancelUnknown(20);
+			assertThat(DurableJobsTests.this.jobActions.earlyCancellations).containsEntry("j", EPOCH_MILLIS + 20);
+			assertSubmissionIs(JobOutcome.Kind.REFUSED, 30);
+			assertThat(DurableJobsTests.this.jobs.status("j")).isEmpty();
+			assertThat(starts()).isEmpty();
+		}
+
+		@Test
+		void isForgottenAsLateAsAFinishedJob() {
+			cancelUnknown(20);
+			cancelUnknown(1_000);
+			DurableJobsTests.this.jobs.tick(at(1_000 + RETENTION_MILLIS));
+			assertThat(DurableJobsTests.this.jobActions.earlyCancellations).containsKey("j");
+			DurableJobsTests.this.jobs.tick(at(2_001 + RETENTION_MILLIS));
+			assertThat(DurableJobsTests.this.jobActions.earlyCancellations).isEmpty();
+			assertSubmissionIs(JobOutcome.Kind.ACCEPTED, 2_010 + RETENTION_MILLIS);
+		}
+
+		@Test
+		void isRecoveredByTheNextOwner() {
+			DurableJobsTests.this.jobs.recoverEarlyCancellation(POOL, "j", EPOCH_MILLIS);
+			assertSubmissionIs(JobOutcome.Kind.REFUSED, 30);
+		}
+
+		@Test
+		void isLeftToTheNextOwner() {
+			cancelUnknown(20);
+			DurableJobsTests.this.jobs.removePool(POOL, at(25));
+			assertSubmissionIs(JobOutcome.Kind.ACCEPTED, 30);
+		}
+
+		@Test
+		void isRefusedIfThereAreTooMany() {
+			for (int number = 0; number < EarlyCancellations.MAX_COUNT; number++) {
+				DurableJobsTests.this.jobs.recoverEarlyCancellation(POOL, "other-" + number, EPOCH_MILLIS);
+			}
+			assertThat(DurableJobsTests.this.jobs.cancelUnknown(POOL, "j", at(20))).isFalse();
+			assertThat(DurableJobsTests.this.jobs.cancelUnknown(POOL, "other-1", at(20))).isTrue();
+		}
+
 	}
 
 	@Nested
@@ -890,6 +969,8 @@
 
 		private final List<String> answeredCancellations = new ArrayList<>();
 
+		private final Map<String, Long> earlyCancellations = new HashMap<>();
+
 		private final List<TerminationId> storedTerminations = new ArrayList<>();
 
 		@Override
@@ -921,6 +1002,16 @@
 			this.answers.add(outcome);
 		}
 
+		@Override
+		public void writeEarlyCancellation(String pool, String jobId, long cancelledEpochMillis) {
+			this.earlyCancellations.put(jobId, cancelledEpochMillis);
+		}
+
+		@Override
+		public void removeEarlyCancellation(String pool, String jobId) {
+			this.earlyCancellations.remove(jobId);
+		}
+
 		@Override
 		public void answerCancellation(String jobId) {
 			this.answeredCancellations.add(jobId);
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/LoggingOwner.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/LoggingOwner.java
@@ -213,6 +213,16 @@
 		// The tests ask for the status.
 	}
 
+	@Override
+	public void writeEarlyCancellation(String pool, String jobId, long cancelledEpochMillis) {
+		// No test cancels an unknown job.
+	}
+
+	@Override
+	public void removeEarlyCancellation(String pool, String jobId) {
+		// No test cancels an unknown job.
+	}
+
 	@Override
 	public void answerCancellation(String jobId) {
 		// The tests ask for the status.
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedOwner.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/SimulatedOwner.java
@@ -205,6 +205,16 @@
 			// The tests ask for the status.
 		}
 
+		@Override
+		public void writeEarlyCancellation(String pool, String jobId, long cancelledEpochMillis) {
+			// No test cancels an unknown job.
+		}
+
+		@Override
+		public void removeEarlyCancellation(String pool, String jobId) {
+			// No test cancels an unknown job.
+		}
+
 		@Override
 		public void answerCancellation(String jobId) {
 			// The tests ask for the status.
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -1,6 +1,5 @@
 package org.masticwick.fleet.process;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +14,8 @@
 import org.masticwick.core.pool.DurableJob;
 import org.masticwick.core.pool.DurableJobActions;
 import org.masticwick.core.pool.DurableJobs;
+import org.masticwick.core.pool.DurableProgress;
+import org.masticwick.core.pool.DurableState;
 import org.masticwick.core.pool.JobOrigin;
 import org.masticwick.core.pool.JobOutcome;
 import org.masticwick.core.pool.JobSpec;
@@ -80,7 +81,7 @@
 
 	private final Map<String, PoolState> pools = new HashMap<>();
 
-	private final Map<String, List<Runnable>> pendingCancellations = new HashMap<>();
+	private final DurableJobQueries queries;
 
 	private boolean closed;
 
@@ -91,6 +92,7 @@
 		this.domains = domains;
 		this.listener = listener;
 		this.jobs = new DurableJobs(scheduler, this);
+		this.queries = new DurableJobQueries(domains, this.jobs, this::readJournal);
 	}
 
 	static DurableJobs.Timestamp now() {
@@ -123,6 +125,7 @@
 		if (poolState != null) {
 			poolState.journal.close();
 			this.jobs.removePool(pool, now());
+			this.queries.poolRemoved(pool);
 			poolState.terminationAnswers.values().forEach((answer) -> answer.complete(NOT_READ_ANSWER));
 		}
 	}
@@ -171,7 +174,8 @@
 	 */
 	void submit(String pool, JobSpec spec, JobTerms terms, JobOrigin origin) {
 		PoolState poolState = this.pools.get(pool);
-		boolean jobExists = this.jobs.status(spec.jobId()).isPresent();
+		// A copy of a job that may be stored must not be told that it never runs.
+		boolean jobExists = this.jobs.status(spec.jobId()).isPresent() || this.jobs.isUnsettled(spec.jobId());
 		if (jobExists || poolState != null && poolState.journal.isWritable()) {
 			this.jobs.submit(pool, spec, terms, origin, now());
 			return;
@@ -185,42 +189,14 @@
 	/**
 	 * Answers a query about jobs of this owner's pools, or cancels a job.
 	 * @param query the query
-	 * @return the answer; that of a cancellation completes when the job has finished
+	 * @return the answer, see {@link DurableJobQueries#answer}
 	 */
 	CompletableFuture<PeerMessage> query(PeerMessage.JobQuery query) {
-		return switch (query.kind()) {
-			case STATUS -> CompletableFuture.completedFuture(status(query));
-			case WAITING -> CompletableFuture.completedFuture(new PeerMessage.JobQueryAnswer(hasReadAllJobs(query),
-					List.of(), this.jobs.pendingJobCount(query.jobIdOrQueue())));
-			case CANCEL -> cancel(query);
-		};
+		return this.queries.answer(query);
 	}
 
-	private PeerMessage.JobQueryAnswer status(PeerMessage.JobQuery query) {
-		return new PeerMessage.JobQueryAnswer(hasReadAllJobs(query),
-				this.jobs.status(query.jobIdOrQueue()).stream().toList(), 0);
-	}
-
-	// The sender of the query may not know yet that a pool has another owner now.
-	private boolean hasReadAllJobs(PeerMessage.JobQuery query) {
-		return query.pools().stream().map(this.pools::get).allMatch((pool) -> pool != null && pool.journal.isLoaded());
-	}
-
-	private CompletableFuture<PeerMessage> cancel(PeerMessage.JobQuery query) {
-		String jobId = query.jobIdOrQueue();
-		boolean jobExists = this.jobs.status(jobId).isPresent();
-		logger.atInfo()
-			.addKeyValue("job", jobId)
-			.addKeyValue("known", jobExists)
-			.log("Cancellation of a durable job requested; it has no effect on an unknown job");
-		if (!jobExists) {
-			return CompletableFuture.completedFuture(status(query));
-		}
-		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-		this.pendingCancellations.computeIfAbsent(jobId, (id) -> new ArrayList<>())
-			.add(() -> answer.complete(status(query)));
-		this.jobs.cancel(jobId, now());
-		return answer;
+	private Optional<JobJournal> readJournal(String pool) {
+		return Optional.ofNullable(this.pools.get(pool)).map((state) -> state.journal).filter(JobJournal::isLoaded);
 	}
 
 	/**
@@ -306,6 +282,9 @@
 		this.pools.get(pool).loadedMillis = Clock.nowMillis();
 		StoredJobs stored = StoredJobs.read(records);
 		DurableJobs.Timestamp timestamp = now();
+		stored.earlyCancellations()
+			.forEach((jobId, cancellation) -> this.jobs.recoverEarlyCancellation(pool, jobId,
+					cancellation.stateChangedEpochMillis()));
 		this.jobs.recoverRunNumbers(pool, stored.runNumberRanges());
 		stored.progress().forEach((jobId, storedProgress) -> {
 			DurableJob job = stored.definitions().get(jobId);
@@ -361,6 +340,22 @@
 		}
 	}
 
+	@Override
+	public void writeEarlyCancellation(String pool, String jobId, long cancelledEpochMillis) {
+		PoolState poolState = this.pools.get(pool);
+		if (poolState != null) {
+			byte[] content = DurableJobCodec
+				.encode(new DurableProgress(DurableState.CANCELLED, cancelledEpochMillis, List.of()));
+			poolState.journal.put(StoredJobs.CANCELLATION_PREFIX + jobId, () -> content,
+					() -> answerCancellation(jobId));
+		}
+	}
+
+	@Override
+	public void removeEarlyCancellation(String pool, String jobId) {
+		put(pool, StoredJobs.CANCELLATION_PREFIX + jobId, DELETED_VALUE);
+	}
+
 	private byte[] progressBytes(String jobId) {
 		return this.jobs.progress(jobId).map(DurableJobCodec::encode).orElse(DELETED_VALUE);
 	}
@@ -409,10 +404,7 @@
 
 	@Override
 	public void answerCancellation(String jobId) {
-		List<Runnable> callbacks = this.pendingCancellations.remove(jobId);
-		if (callbacks != null) {
-			callbacks.forEach(Runnable::run);
-		}
+		this.queries.cancellationStored(jobId);
 	}
 
 	/**
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/StoredJobs.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/StoredJobs.java
@@ -21,9 +21,12 @@
  * @param definitions the definitions of the jobs that have not finished, by the id of the
  * job; one without progress was never accepted
  * @param progress the progress of the jobs, by the id of the job
+ * @param earlyCancellations the cancellations of jobs that were unknown then, by the id
+ * of the job; the time of their change is that of the cancellation
  * @param runNumberRanges the number of ranges of run numbers that are reserved, or 0
  */
-record StoredJobs(Map<String, DurableJob> definitions, Map<String, DurableProgress> progress, int runNumberRanges) {
+record StoredJobs(Map<String, DurableJob> definitions, Map<String, DurableProgress> progress,
+		Map<String, DurableProgress> earlyCancellations, int runNumberRanges) {
 
 	private static final Logger logger = LoggerFactory.getLogger(StoredJobs.class);
 
@@ -31,6 +34,9 @@
 
 	static final String PROGRESS_PREFIX = "p/";
 
+	/** The prefix of the keys of cancellations of unknown jobs. */
+	static final String CANCELLATION_PREFIX = "c/";
+
 	/** The key of the number of reserved ranges of run numbers. */
 	static final String RUN_NUMBERS_KEY = "run-numbers";
 
@@ -52,6 +58,7 @@
 	static StoredJobs read(List<KeyedRecord> records) {
 		Map<String, DurableJob> definitions = new HashMap<>();
 		Map<String, DurableProgress> progress = new HashMap<>();
+		Map<String, DurableProgress> earlyCancellations = new HashMap<>();
 		int runNumberRanges = 0;
 		for (KeyedRecord each : records) {
 			if (each.value() == null) {
@@ -62,7 +69,7 @@
 					runNumberRanges = DurableJobCodec.decodeCount(each.value());
 				}
 				else {
-					read(each, definitions, progress);
+					read(each, definitions, progress, earlyCancellations);
 				}
 			}
 			catch (MalformedMessageException ex) {
@@ -73,11 +80,11 @@
 					.log("Unreadable record of a durable job ignored");
 			}
 		}
-		return new StoredJobs(definitions, progress, runNumberRanges);
+		return new StoredJobs(definitions, progress, earlyCancellations, runNumberRanges);
 	}
 
 	private static void read(KeyedRecord storedRecord, Map<String, DurableJob> definitions,
-			Map<String, DurableProgress> progress) {
+			Map<String, DurableProgress> progress, Map<String, DurableProgress> earlyCancellations) {
 		String key = storedRecord.key();
 		if (key.startsWith(DEFINITION_PREFIX)) {
 			definitions.put(key.substring(DEFINITION_PREFIX.length()), DurableJobCodec.decodeJob(storedRecord.value()));
@@ -85,8 +92,12 @@
 		else if (key.startsWith(PROGRESS_PREFIX)) {
 			progress.put(key.substring(PROGRESS_PREFIX.length()), DurableJobCodec.decodeProgress(storedRecord.value()));
 		}
+		else if (key.startsWith(CANCELLATION_PREFIX)) {
+			earlyCancellations.put(key.substring(CANCELLATION_PREFIX.length()),
+					DurableJobCodec.decodeProgress(storedRecord.value()));
+		}
 		else {
-			throw new MalformedMessageException("The key names neither a definition nor progress", null);
+			throw new MalformedMessageException("The key names no definition, progress or cancellation", null);
 		}
 	}
 
