Answer submissions as uncertain while the jobs of their pool are unread

What callers saw: a durable job whose first submission had no answer came again at an owner that had not read its jobs yet, and got 503, "was not accepted and never runs". If the log had stored the first copy, it ran all the same.

Change: such an owner answers 502, after which the caller sends the job again.

Evidence: UnsettledJobsTests.areNotRefusedByAnOwnerThatHasNotReadThem failed before (REFUSED) and passes now.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobManager.java
@@ -166,7 +166,9 @@
 	}
 
 	/**
-	 * Accepts a job, or refuses it while the log can't store it.
+	 * Accepts a job, or refuses it while the log can't store it. Until all jobs of its
+	 * pool have been read, it is answered as uncertain: an earlier copy may be among
+	 * them, so that a refusal could be untrue.
 	 * @param pool the name of the pool that the job is assigned to
 	 * @param spec the job
 	 * @param terms the terms of its queue
@@ -180,10 +182,9 @@
 			this.jobs.submit(pool, spec, terms, origin, now());
 			return;
 		}
-		// Until all jobs of the pool have been read, this one may be among them.
 		boolean mayExistUnread = poolState != null && !poolState.journal.isLoaded();
-		answer(origin, spec.jobId(), new JobOutcome(JobOutcome.Kind.REFUSED, UNWRITABLE_RETRY_MILLIS,
-				mayExistUnread ? "jobs-not-read-yet" : "log-takes-no-jobs"));
+		answer(origin, spec.jobId(), mayExistUnread ? JobOutcome.of(JobOutcome.Kind.UNCERTAIN, "jobs-not-read-yet")
+				: new JobOutcome(JobOutcome.Kind.REFUSED, UNWRITABLE_RETRY_MILLIS, "log-takes-no-jobs"));
 	}
 
 	/**
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnsettledJobsTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/UnsettledJobsTests.java
@@ -245,6 +245,23 @@
 			assertNothingStarts();
 		}
 
+		/** A refusal would say that the job never runs, but its owner has to read it. */
+		@Test
+		void areNotRefusedByAnOwnerThatHasNotReadThem() {
+			submit();
+			UnsettledJobsTests.this.log.storeAndLoseAnswers();
+			UnsettledJobsTests.this.owner.lose();
+			play(50);
+			UnsettledJobsTests.this.outcomes.clear();
+			UnsettledJobsTests.this.owner = new Owner("host-2");
+			UnsettledJobsTests.this.owner.claim(48);
+			submit();
+			assertThat(UnsettledJobsTests.this.outcomes).extracting(JobOutcome::kind)
+				.containsExactly(JobOutcome.Kind.UNCERTAIN);
+			assertIncomplete(status());
+			assertIncomplete(cancel());
+		}
+
 		@ParameterizedTest
 		@EnumSource(value = PeerMessage.JobQueryKind.class, names = { "STATUS", "CANCEL" })
 		void areUndecidedAtAHostThatLosesThePool(PeerMessage.JobQueryKind kind) {
@@ -359,8 +376,12 @@
 					UnsettledJobsTests.this.log, List.of(POOL), this.scheduler, this);
 		}
 
-		private void own(long token) {
+		private void claim(long token) {
 			this.manager.addPool(new PoolClaim(POOL, null, token, List.of()));
+		}
+
+		private void own(long token) {
+			claim(token);
 			UnsettledJobsTests.this.log.answer();
 			this.scheduler.endpointListed(new EndpointEntry("e1", "service", new HostAddress("10.0.0.9", 1), POOL, true,
 					new Resources(8_000, 1_000, 0), Set.of(), 7), Clock.nowMillis());
