Take an id that the log can't store for no job's id

Found on the way: keys in the log have a length field of one byte, and the id of a job is part of a key, but any path was taken for an id.

Change: POST of an id over 200 bytes gets 400, DELETE 410, without a record.

Evidence: DurableHostTests.idThatIsTooLongForTheLogNamesNoJob passes; it was not run on the code before.

--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/RequestHandler.java
@@ -1,5 +1,6 @@
 package org.masticwick.fleet.process;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -34,6 +35,8 @@
 
 	private static final int METHOD_NOT_ALLOWED = 405;
 
+	private static final int GONE = 410;
+
 	private static final int CONTENT_TOO_LARGE = 413;
 
 	private static final int UNAVAILABLE = 503;
@@ -53,6 +56,9 @@
 	/** Many times the task count of the largest job to be supported, which is 560. */
 	private static final long MAX_TASK_COUNT = 10_000;
 
+	/** The length of a job's id in UTF-8; keys in the log have at most 255 bytes. */
+	private static final int MAX_JOB_ID_BYTES = 200;
+
 	private static final String METRICS_PATH = "/metrics";
 
 	private final VersionHolder versions;
@@ -118,11 +124,25 @@
 		switch (request.method()) {
 			case "POST" -> submit(request, exchange, version.get(), queue.get(), jobId);
 			case "GET" -> query(exchange, queue.get(), jobId);
-			case "DELETE" -> this.jobQueries.cancel(jobId, exchange);
+			case "DELETE" -> cancel(request, exchange, jobId, number);
 			default -> refuse(request, exchange, CallerReply.of(METHOD_NOT_ALLOWED), "method", number);
 		}
 	}
 
+	// The ids of jobs are part of keys in the log.
+	private static boolean isJobId(String text) {
+		return !text.isEmpty() && text.getBytes(StandardCharsets.UTF_8).length <= MAX_JOB_ID_BYTES;
+	}
+
+	private void cancel(CallerRequest request, CallerExchange exchange, String jobId, long versionNumber) {
+		if (isJobId(jobId)) {
+			this.jobQueries.cancel(jobId, exchange);
+		}
+		else {
+			refuse(request, exchange, CallerReply.of(GONE), "no-job-id", versionNumber);
+		}
+	}
+
 	private void query(CallerExchange exchange, QueueRule queue, String jobId) {
 		if (jobId.isEmpty()) {
 			this.jobQueries.waitingCount(queue.name(), exchange);
@@ -139,7 +159,7 @@
 					version.number());
 			return;
 		}
-		if (jobId.isEmpty()) {
+		if (!isJobId(jobId)) {
 			refuse(request, exchange, CallerReply.of(BAD_REQUEST), "no-job-id", version.number());
 			return;
 		}
--- a/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
+++ b/masticwick-fleet/src/test/java/org/masticwick/fleet/process/DurableHostTests.java
@@ -98,6 +98,19 @@
 			HOST_NAMES.forEach((host) -> assertThat(request(host, method, "other")).isEqualTo("410"));
 		}
 
+		/**
+		 * Guards against a record whose key is longer than its length field can tell,
+		 * which spoils the append.
+		 */
+		@Test
+		void idThatIsTooLongForTheLogNamesNoJob() {
+			String jobId = "x".repeat(201);
+			assertThat(submit("host-1", jobId, 2)).startsWith("400");
+			assertThat(request("host-1", "DELETE", jobId)).isEqualTo("410");
+			submit("host-1", "j1", 2);
+			awaitStatus("host-1", "j1", "COMPLETED");
+		}
+
 		/**
 		 * A cancellation that stops no run would leave the tasks running to their end.
 		 */
