Remember every early cancellation that a previous owner has answered

Found while reading the diff: an owner that takes over pools of several others could have read more than it may add itself, and would have dropped some. Only what an owner adds is bounded now.

Evidence: DurableJobsTests.CancellingUnknownJobs.isRecoveredHoweverManyThereAre passes; it was not run on the code before.

--- a/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/DurableJobs.java
@@ -290,7 +290,7 @@
 	 * @param cancelledEpochMillis when it was cancelled, in milliseconds since 1970
 	 */
 	public void recoverEarlyCancellation(String pool, String jobId, long cancelledEpochMillis) {
-		this.earlyCancellations.add(new EarlyCancellations.EarlyCancellation(pool, jobId, cancelledEpochMillis));
+		this.earlyCancellations.recover(new EarlyCancellations.EarlyCancellation(pool, jobId, cancelledEpochMillis));
 	}
 
 	private void abortOccurrences(DurableEntry entry, String reason, Timestamp time) {
--- a/masticwick-core/src/main/java/org/masticwick/core/pool/EarlyCancellations.java
+++ b/masticwick-core/src/main/java/org/masticwick/core/pool/EarlyCancellations.java
@@ -17,7 +17,7 @@
 	 */
 	static final long RETENTION_MILLIS = 150_000;
 
-	/** The most that are remembered, so that the memory of an owner is bounded. */
+	/** The most that an owner adds, so that its memory is bounded. */
 	static final int MAX_COUNT = 10_000;
 
 	private final Map<String, EarlyCancellation> cancellations = new HashMap<>();
@@ -30,11 +30,20 @@
 	boolean add(EarlyCancellation cancellation) {
 		boolean hasRoom = this.cancellations.size() < MAX_COUNT || this.cancellations.containsKey(cancellation.jobId());
 		if (hasRoom) {
-			this.cancellations.put(cancellation.jobId(), cancellation);
+			recover(cancellation);
 		}
 		return hasRoom;
 	}
 
+	/**
+	 * Adds a cancellation that a previous owner has answered, so that it must not be
+	 * forgotten.
+	 * @param cancellation the cancellation
+	 */
+	void recover(EarlyCancellation cancellation) {
+		this.cancellations.put(cancellation.jobId(), cancellation);
+	}
+
 	boolean contains(String jobId) {
 		return this.cancellations.containsKey(jobId);
 	}
--- a/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
+++ b/masticwick-core/src/test/java/org/masticwick/core/pool/DurableJobsTests.java
@@ -413,6 +413,15 @@
 			assertThat(DurableJobsTests.this.jobs.cancelUnknown(POOL, "other-1", at(20))).isTrue();
 		}
 
+		@Test
+		void isRecoveredHoweverManyThereAre() {
+			for (int number = 0; number < EarlyCancellations.MAX_COUNT; number++) {
+				DurableJobsTests.this.jobs.recoverEarlyCancellation(POOL, "other-" + number, EPOCH_MILLIS);
+			}
+			DurableJobsTests.this.jobs.recoverEarlyCancellation(POOL, "j", EPOCH_MILLIS);
+			assertSubmissionIs(JobOutcome.Kind.REFUSED, 30);
+		}
+
 	}
 
 	@Nested
