--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobsMarker.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/DurableJobsMarker.java
@@ -94,13 +94,14 @@
 		this.log.append(SharedTopic.MEMBERS, List.of(new NewRecord(KEY, VALUE)), OptionalLong.empty())
 			.whenComplete((offset, error) -> {
 				this.appending = false;
-				logger.atInfo()
-					.addKeyValue("offset", offset)
-					.addKeyValue("reason", (error != null) ? error.getMessage() : "appended")
-					.log("Marker of the site's first durable job written; jobs are stored once it is read");
 				if (error != null) {
 					fail(CallException.from(error));
 				}
+				else {
+					logger.atInfo()
+						.addKeyValue("offset", offset)
+						.log("Marker of the site's first durable job appended; the job is stored once it is read");
+				}
 			});
 	}
 
@@ -112,6 +113,9 @@
 	}
 
 	private void fail(CallException error) {
+		logger.atWarn()
+			.addKeyValue("reason", error.getMessage())
+			.log("Marker of the site's first durable job was not appended; that is repeated before the job is stored");
 		List<CompletableFuture<Void>> failed = List.copyOf(this.waiting);
 		this.waiting.clear();
 		failed.forEach((result) -> result.completeExceptionally(error));
