--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/JobQueries.java
@@ -23,7 +23,7 @@
 /**
  * Answers callers' queries about durable jobs and cancels them, through the owners of the
  * pools that the jobs are assigned to. A job counts as unknown only if the owner of its
- * pool has read all jobs of the pool.
+ * pool has shown that there is none, see {@link DurableJobQueries}.
  */
 final class JobQueries {
 
--- a/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnerListener.java
+++ b/masticwick-fleet/src/main/java/org/masticwick/fleet/process/PoolOwnerListener.java
@@ -44,14 +44,15 @@
 
 	/**
 	 * Returns whether durable jobs may exist that this host has not read.
-	 * @return {@code false} if the log has none of their marker, this host has seen none,
-	 * and an owner has reported while no peer has seen any
+	 * @return {@code false} if this host has not read their marker in the log and has
+	 * seen none, and an owner has reported while no peer has seen any
 	 */
 	boolean mayHaveUnknownDurableJobs();
 
 	/**
 	 * Returns whether durable jobs are known to have been submitted to the site.
-	 * @return whether the log has their marker, or this host or a peer has seen any
+	 * @return whether this host has read their marker in the log, or it or a peer has
+	 * seen any
 	 */
 	boolean hasSiteDurableJobs();
 
